--- /dev/null
+++ b/journal/log.go
@@ -0,0 +1,46 @@
+// Package journal makes small records durable by group commit to the table service, fenced by the ownership epoch.
+package journal
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/ownership"
+)
+
+var (
+	// ErrNotWritten says that the records are certainly not durable and never will be.
+	ErrNotWritten = errors.New("journal: records not written")
+	// ErrOutcomeUnknown says that the records may or may not become durable.
+	ErrOutcomeUnknown = errors.New("journal: outcome unknown")
+	// ErrFenced says that another owner has claimed the partition; the journal accepts nothing more.
+	ErrFenced = errors.New("journal: fenced by a newer owner")
+)
+
+// Log is the journal of one partition. It is safe for concurrent use.
+type Log interface {
+	// Append returns nil once the records are durable, in the order of the calls. When ctx ends first it returns
+	// ErrNotWritten if the records were not yet part of a commit and were withdrawn, and ErrOutcomeUnknown otherwise.
+	// ErrFenced also means that the records were not written.
+	Append(ctx context.Context, records ...[]byte) error
+	// AppendAsync queues records without waiting. They keep their place in the order.
+	AppendAsync(records ...[]byte)
+	// Flush returns nil once everything queued before the call is durable.
+	Flush(ctx context.Context) error
+	// Healthy is false while commits fail or hang, so that callers can refuse at once instead of waiting.
+	Healthy() bool
+	// Bytes returns the size of the segments since the last snapshot, for deciding when to compact.
+	Bytes() int
+	// Compact replaces all that was appended before the call by the records of a snapshot.
+	Compact(ctx context.Context, snapshot [][]byte) error
+	// Close stops the journal. Records that are not yet part of a commit are withdrawn.
+	Close()
+}
+
+// Opener opens the journal of a partition that this daemon owns.
+type Opener interface {
+	// Open returns the journal and the records that are in force, oldest first: those of the last snapshot and of the
+	// segments after it.
+	Open(ctx context.Context, g ownership.Guard) (Log, [][]byte, error)
+}
--- /dev/null
+++ b/table/http.go
@@ -0,0 +1,140 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// callTimeout bounds one call. A renewal that takes longer is of no use to a session with a validity of 3.5 s.
+	callTimeout = 2 * time.Second
+	maxAnswer   = 64 << 20 // bytes
+)
+
+// conflictBody is the body of a 409 answer.
+type conflictBody struct {
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// HTTPClient talks to the table service over HTTP and JSON.
+type HTTPClient struct {
+	base string
+	hc   *http.Client
+}
+
+// NewHTTPClient returns a client of the service at addr, an IP:port.
+func NewHTTPClient(addr string) *HTTPClient {
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     10 * time.Second,
+	}
+	return &HTTPClient{base: "http://" + addr, hc: &http.Client{Transport: tr}}
+}
+
+// Close closes the idle connections.
+func (c *HTTPClient) Close() { c.hc.CloseIdleConnections() }
+
+// Get implements Client.
+func (c *HTTPClient) Get(ctx context.Context, key string) (Row, error) {
+	var r Row
+	err := c.read(ctx, "/v1/rows?"+url.Values{"key": {key}}.Encode(), &r)
+	return r, err
+}
+
+// Scan implements Client.
+func (c *HTTPClient) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	var rows []Row
+	err := c.read(ctx, "/v1/scan?"+q.Encode(), &rows)
+	return rows, err
+}
+
+func (c *HTTPClient) read(ctx context.Context, path string, out any) error {
+	status, body, err := c.call(ctx, http.MethodGet, path, nil)
+	switch {
+	case err != nil:
+		return errors.Wrap(ErrUnavailable, err.Error())
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status != http.StatusOK:
+		return errors.Wrapf(ErrUnavailable, "status %d", status)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+// Commit implements Client. Every failure after the request may have left is ErrUnknownOutcome.
+func (c *HTTPClient) Commit(ctx context.Context, txn Txn) (Result, error) {
+	raw, err := json.Marshal(txn)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "encode transaction")
+	}
+	status, body, err := c.call(ctx, http.MethodPost, "/v1/commit", raw)
+	if err != nil {
+		return Result{}, commitFailure(err)
+	}
+	switch status {
+	case http.StatusOK:
+		var res Result
+		if err := json.Unmarshal(body, &res); err != nil {
+			return Result{}, errors.Wrap(ErrUnknownOutcome, err.Error())
+		}
+		return res, nil
+	case http.StatusConflict:
+		var cb conflictBody
+		if err := json.Unmarshal(body, &cb); err != nil {
+			return Result{}, errors.Wrap(ErrConflict, err.Error())
+		}
+		return Result{}, &ConflictError{Key: cb.Key, Version: cb.Version}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest:
+		return Result{}, errors.Wrapf(ErrUnavailable, "status %d", status)
+	}
+	return Result{}, errors.Wrapf(ErrUnknownOutcome, "status %d", status)
+}
+
+// commitFailure tells a call that certainly did not leave from one that may have.
+func commitFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return errors.Wrap(ErrUnknownOutcome, err.Error())
+}
+
+func (c *HTTPClient) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if method == http.MethodPost {
+		// Without GetBody the transport cannot send a commit a second time on its own.
+		req.GetBody = nil
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode, raw, nil
+}
--- /dev/null
+++ b/table/memory.go
@@ -0,0 +1,210 @@
+package table
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Faults are the failures that a Memory table plays.
+type Faults struct {
+	// Down refuses every call with ErrUnavailable.
+	Down bool `json:"down"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay_ns"`
+	// LoseAnswers applies that many of the next commits and answers each with ErrUnknownOutcome.
+	LoseAnswers int `json:"lose_answers"`
+	// StaleReads answers reads from the table's state at the time when the fault was set.
+	StaleReads bool `json:"stale_reads"`
+}
+
+// Stats counts the calls that a Memory table has answered.
+type Stats struct {
+	Reads   int64 `json:"reads"`
+	Commits int64 `json:"commits"`
+	Rows    int   `json:"rows"`
+}
+
+// Memory is a table in the process's memory, for tests and for the platform's stand-in. Its zero value is not usable;
+// call NewMemory.
+type Memory struct {
+	mu     sync.Mutex
+	rows   map[string]Row
+	keys   []string // sorted keys of rows
+	stale  map[string]Row
+	next   int64
+	faults Faults
+	stats  Stats
+}
+
+// NewMemory returns an empty table without faults.
+func NewMemory() *Memory { return &Memory{rows: map[string]Row{}} }
+
+// SetFaults replaces the faults in force.
+func (m *Memory) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f.StaleReads && !m.faults.StaleReads {
+		m.stale = make(map[string]Row, len(m.rows))
+		for k, r := range m.rows {
+			m.stale[k] = r
+		}
+	}
+	m.faults = f
+}
+
+// Faults returns the faults in force.
+func (m *Memory) Faults() Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults
+}
+
+// Stats returns the counters since the table was made.
+func (m *Memory) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stats
+	s.Rows = len(m.rows)
+	return s
+}
+
+// admit plays the delay and the outage that the faults ask for.
+func (m *Memory) admit(ctx context.Context) error {
+	f := m.Faults()
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return errors.Wrap(ErrUnavailable, ctx.Err().Error())
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if m.Faults().Down {
+		return errors.Wrap(ErrUnavailable, "outage")
+	}
+	return nil
+}
+
+// Get implements Client.
+func (m *Memory) Get(ctx context.Context, key string) (Row, error) {
+	if err := m.admit(ctx); err != nil {
+		return Row{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Reads++
+	r, ok := m.readable()[key]
+	if !ok {
+		return Row{}, ErrNotFound
+	}
+	r.Value = slices.Clone(r.Value)
+	return r, nil
+}
+
+func (m *Memory) readable() map[string]Row {
+	if m.faults.StaleReads {
+		return m.stale
+	}
+	return m.rows
+}
+
+// Scan implements Client.
+func (m *Memory) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	if err := m.admit(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Reads++
+	rows, keys := m.rows, m.keys
+	if m.faults.StaleReads {
+		rows, keys = m.stale, sortedKeys(m.stale)
+	}
+	start := max(prefix, after)
+	var out []Row
+	for _, k := range keys[sort.SearchStrings(keys, start):] {
+		if !strings.HasPrefix(k, prefix) {
+			break
+		}
+		if k <= after {
+			continue
+		}
+		if len(out) == limit {
+			break
+		}
+		r := rows[k]
+		r.Value = slices.Clone(r.Value)
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func sortedKeys(rows map[string]Row) []string {
+	keys := make([]string, 0, len(rows))
+	for k := range rows {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Commit implements Client.
+func (m *Memory) Commit(ctx context.Context, txn Txn) (Result, error) {
+	if err := m.admit(ctx); err != nil {
+		return Result{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Commits++
+	if err := m.check(txn.Conditions); err != nil {
+		return Result{}, err
+	}
+	res := m.apply(txn.Ops)
+	if m.faults.LoseAnswers > 0 {
+		m.faults.LoseAnswers--
+		return Result{}, errors.Wrap(ErrUnknownOutcome, "answer lost")
+	}
+	return res, nil
+}
+
+func (m *Memory) check(conds []Condition) error {
+	for _, c := range conds {
+		v := m.rows[c.Key].Version
+		if c.Version == AnyVersion && v > 0 || c.Version == v {
+			continue
+		}
+		return &ConflictError{Key: c.Key, Version: v}
+	}
+	return nil
+}
+
+func (m *Memory) apply(ops []Op) Result {
+	res := Result{Versions: make(map[string]int64, len(ops))}
+	for _, op := range ops {
+		i, found := slices.BinarySearch(m.keys, op.Key)
+		if op.Delete {
+			if found {
+				m.keys = slices.Delete(m.keys, i, i+1)
+				delete(m.rows, op.Key)
+			}
+			continue
+		}
+		if !found {
+			m.keys = slices.Insert(m.keys, i, op.Key)
+		}
+		m.next++
+		m.rows[op.Key] = Row{Key: op.Key, Value: slices.Clone(op.Value), Version: m.next}
+		res.Versions[op.Key] = m.next
+	}
+	return res
+}
