--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"fmt"
 	"log"
 	"net"
 	"net/http"
@@ -28,5 +29,10 @@
 		log.Fatal(err)
 	}
 	go func() { log.Fatal(http.Serve(l, standin.NewMinion("m1", 8))) }()
-	log.Fatal(http.ListenAndServe(o.TableAddr, table.Handler(table.NewMemory())))
+	mux := http.NewServeMux()
+	mux.Handle("/", table.Handler(table.NewMemory()))
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"hosts":[{"id":"m1","addr":%q,"kind":"minion","service_or_pool":"textos","state":"live"}]}`, o.MinionAddr)
+	})
+	log.Fatal(http.ListenAndServe(o.TableAddr, mux))
 }
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,215 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrUnavailable says that the platform's membership list could not be read.
+var ErrUnavailable = errors.New("membership: list unavailable")
+
+// Kind tells what a host is.
+type Kind string
+
+// The kinds of hosts.
+const (
+	KindMinion Kind = "minion"
+	KindWorker Kind = "worker"
+	KindDaemon Kind = "daemon"
+)
+
+// stateLeaving is the state of a host that is about to go.
+const stateLeaving = "leaving"
+
+// Host is one entry of the platform's list.
+type Host struct {
+	ID            string `json:"id"`
+	Addr          string `json:"addr"` // IP:port
+	Kind          Kind   `json:"kind"`
+	ServiceOrPool string `json:"service_or_pool"`
+	FailureDomain string `json:"failure_domain"`
+	Rack          string `json:"rack"`
+	State         string `json:"state"` // live or leaving
+}
+
+// Fetcher reads the platform's list once.
+type Fetcher interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+const (
+	pollInterval = time.Second
+	pollTimeout  = time.Second
+	// freshFor is how long a list that was read counts as evidence that a host is gone.
+	freshFor = 3 * time.Second
+	// reportHold is how long an endpoint's own word that it is leaving outweighs a list that shows it live. The
+	// platform's list lags; a restarted endpoint with the same id gets work again after this time.
+	reportHold = 30 * time.Second
+)
+
+type groupKey struct {
+	kind Kind
+	name string
+}
+
+// List follows the platform's list and merges it with what the daemons notice themselves. It implements Source.
+type List struct {
+	fetch Fetcher
+
+	mu       sync.RWMutex
+	hosts    []Host
+	groups   map[groupKey][]Endpoint
+	daemons  map[string]bool // addresses that were listed at some time: listed now
+	reported map[string]time.Time
+	readAt   time.Time
+	failures int64
+}
+
+// NewList returns a list that is empty until the first poll.
+func NewList(f Fetcher) *List {
+	return &List{fetch: f, daemons: map[string]bool{}, reported: map[string]time.Time{}}
+}
+
+// Run polls the list until ctx ends. While the list cannot be read, the last one stays in force.
+func (l *List) Run(ctx context.Context) {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		l.Poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Poll reads the list once.
+func (l *List) Poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	hosts, err := l.fetch.Hosts(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failures++
+		return
+	}
+	l.readAt = time.Now()
+	l.hosts = hosts
+	for addr := range l.daemons {
+		l.daemons[addr] = false
+	}
+	for _, h := range hosts {
+		if h.Kind == KindDaemon {
+			l.daemons[h.Addr] = true
+		}
+	}
+	l.rebuild()
+}
+
+// rebuild makes new groups, because callers keep the slices that they were given.
+func (l *List) rebuild() {
+	now := time.Now()
+	l.groups = map[groupKey][]Endpoint{}
+	for _, h := range l.hosts {
+		at, reported := l.reported[h.ID]
+		if reported && now.Sub(at) > reportHold {
+			delete(l.reported, h.ID)
+			reported = false
+		}
+		k := groupKey{h.Kind, h.ServiceOrPool}
+		l.groups[k] = append(l.groups[k], Endpoint{
+			ID: h.ID, Addr: h.Addr, FailureDomain: h.FailureDomain, Rack: h.Rack,
+			Leaving: reported || h.State == stateLeaving,
+		})
+	}
+}
+
+// Minions implements Source.
+func (l *List) Minions(service string) []Endpoint { return l.group(KindMinion, service) }
+
+// Workers implements Source.
+func (l *List) Workers(pool string) []Endpoint { return l.group(KindWorker, pool) }
+
+func (l *List) group(kind Kind, name string) []Endpoint {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.groups[groupKey{kind, name}]
+}
+
+// ReportLeaving implements Source.
+func (l *List) ReportLeaving(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, known := l.reported[id]
+	l.reported[id] = time.Now()
+	if !known {
+		l.rebuild()
+	}
+}
+
+// Reported returns the ids of the endpoints that said themselves that they are leaving, for other daemons.
+func (l *List) Reported() []string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	ids := make([]string, 0, len(l.reported))
+	for id := range l.reported {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// HostGone reports whether the daemon at addr was listed before and is certainly not listed now.
+func (l *List) HostGone(addr string) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	listed, known := l.daemons[addr]
+	return known && !listed && time.Since(l.readAt) < freshFor
+}
+
+// State returns a dump for operators.
+func (l *List) State() any {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return struct {
+		Hosts    []Host               `json:"hosts"`
+		Reported map[string]time.Time `json:"reported_leaving"`
+		ReadAt   time.Time            `json:"read_at"`
+		Failures int64                `json:"failed_reads"`
+	}{l.hosts, l.reported, l.readAt, l.failures}
+}
+
+// HTTPFetcher reads the list from the platform.
+type HTTPFetcher struct {
+	Addr   string // IP:port
+	Client *http.Client
+}
+
+// Hosts implements Fetcher.
+func (f HTTPFetcher) Hosts(ctx context.Context) ([]Host, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Addr+"/v1/hosts", nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	resp, err := f.Client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
+	}
+	var body struct {
+		Hosts []Host `json:"hosts"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return body.Hosts, nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,172 @@
+// Package settings reads the daemon's flags and environment and checks them together.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Settings are the daemon's settings. Every flag has an environment variable.
+type Settings struct {
+	Listen        Addr     `long:"listen" env:"GREENGAGED_LISTEN" required:"true" description:"IP:port of the callers' listener"`
+	PeerListen    Addr     `long:"peer-listen" env:"GREENGAGED_PEER_LISTEN" required:"true" description:"IP:port of the listener for peers and operators; also the daemon's id"`
+	FailureDomain Name     `long:"failure-domain" env:"GREENGAGED_FAILURE_DOMAIN" required:"true" description:"failure domain of this host"`
+	Region        Name     `long:"region" env:"GREENGAGED_REGION" required:"true" description:"region of this host"`
+	Table         Addr     `long:"table" env:"GREENGAGED_TABLE" required:"true" description:"IP:port of the platform's table service"`
+	Membership    Addr     `long:"membership" env:"GREENGAGED_MEMBERSHIP" required:"true" description:"IP:port of the platform's membership list"`
+	Secret        string   `long:"secret" env:"GREENGAGED_SECRET" required:"true" description:"shared secret of peers and operators, 16 bytes or more"`
+	Services      Names    `long:"services" env:"GREENGAGED_SERVICES" description:"services to serve, comma-separated"`
+	Pools         Names    `long:"pools" env:"GREENGAGED_POOLS" description:"worker pools to schedule, comma-separated"`
+	DrainNotice   Duration `long:"drain-notice" env:"GREENGAGED_DRAIN_NOTICE" default:"2s" description:"time that new requests are still served after a drain began"`
+	DrainTimeout  Duration `long:"drain-timeout" env:"GREENGAGED_DRAIN_TIMEOUT" default:"15s" description:"longest time from the end of the notice until the daemon exits"`
+	LogLevel      string   `long:"log-level" env:"GREENGAGED_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+	ShowVersion   bool     `long:"version" description:"print the version and exit"`
+}
+
+const (
+	minSecretBytes  = 16
+	maxDrainNotice  = 30 * time.Second
+	minDrainTimeout = 11 * time.Second // a request in flight may take 10 s
+	maxDrainTimeout = 5 * time.Minute
+)
+
+// Problem is one wrong setting.
+type Problem struct {
+	Name    string // flag name
+	Value   string // value as given; the secret's is not shown
+	Allowed string // allowed range with its unit
+}
+
+func (p Problem) String() string {
+	return fmt.Sprintf("--%s: %q is not allowed; allowed: %s", p.Name, p.Value, p.Allowed)
+}
+
+// Problems are all wrong settings of one run.
+type Problems []Problem
+
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads args and the environment. The error is Problems when settings are wrong, or a *flags.Error.
+func Parse(args []string) (*Settings, error) {
+	var s Settings
+	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "greengaged"
+	rest, err := parser.ParseArgs(args)
+	if s.ShowVersion {
+		return &s, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	ps := s.check()
+	for _, r := range rest {
+		ps = append(ps, Problem{"", r, "no arguments"})
+	}
+	if len(ps) > 0 {
+		return nil, ps
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() Problems {
+	var ps Problems
+	bad := func(wrong bool, name, value, allowed string) {
+		if wrong {
+			ps = append(ps, Problem{name, value, allowed})
+		}
+	}
+	const addrRule = "IP:port, with an IP number and a port from 1 to 65535"
+	bad(!s.Listen.valid, "listen", s.Listen.raw, addrRule)
+	bad(!s.PeerListen.valid, "peer-listen", s.PeerListen.raw, addrRule)
+	bad(s.Listen.valid && s.Listen == s.PeerListen, "peer-listen", s.PeerListen.raw, "another address than --listen")
+	bad(!s.Table.valid, "table", s.Table.raw, addrRule)
+	bad(!s.Membership.valid, "membership", s.Membership.raw, addrRule)
+	const nameRule = "1 to 63 of a-z, 0-9 and '-', starting with a letter"
+	bad(!s.FailureDomain.valid(), "failure-domain", string(s.FailureDomain), nameRule)
+	bad(!s.Region.valid(), "region", string(s.Region), nameRule)
+	bad(!s.Services.valid(), "services", s.Services.String(), "comma-separated names, each "+nameRule)
+	bad(!s.Pools.valid(), "pools", s.Pools.String(), "comma-separated names, each "+nameRule)
+	bad(len(s.Services)+len(s.Pools) == 0, "services", "", "at least one service or one pool")
+	bad(len(s.Secret) < minSecretBytes, "secret", "(hidden)", strconv.Itoa(minSecretBytes)+" bytes or more")
+	bad(!s.DrainNotice.within(0, maxDrainNotice), "drain-notice", s.DrainNotice.raw, "duration from 0s to "+maxDrainNotice.String())
+	bad(!s.DrainTimeout.within(minDrainTimeout, maxDrainTimeout), "drain-timeout", s.DrainTimeout.raw,
+		"duration from "+minDrainTimeout.String()+" to "+maxDrainTimeout.String())
+	return ps
+}
+
+// Addr is an IP number and a port. A wrong one is kept, so that all wrong settings are reported together.
+type Addr struct {
+	raw   string
+	valid bool
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (a *Addr) UnmarshalFlag(v string) error {
+	ap, err := netip.ParseAddrPort(v)
+	*a = Addr{raw: v, valid: err == nil && ap.Port() != 0}
+	return nil
+}
+
+func (a Addr) String() string { return a.raw }
+
+// Duration is a duration such as 1500ms. A wrong one is kept, so that all wrong settings are reported together.
+type Duration struct {
+	time.Duration
+	raw   string
+	valid bool
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (d *Duration) UnmarshalFlag(v string) error {
+	parsed, err := time.ParseDuration(v)
+	*d = Duration{Duration: parsed, raw: v, valid: err == nil}
+	return nil
+}
+
+func (d Duration) within(low, high time.Duration) bool {
+	return d.valid && d.Duration >= low && d.Duration <= high
+}
+
+// Name is the name of a service, pool, region or failure domain.
+type Name string
+
+var nameRE = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+func (n Name) valid() bool { return nameRE.MatchString(string(n)) }
+
+// Names are comma-separated names.
+type Names []string
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (ns *Names) UnmarshalFlag(v string) error {
+	*ns = nil
+	for _, n := range strings.Split(v, ",") {
+		if n = strings.TrimSpace(n); n != "" {
+			*ns = append(*ns, n)
+		}
+	}
+	return nil
+}
+
+func (ns Names) String() string { return strings.Join(ns, ",") }
+
+func (ns Names) valid() bool {
+	for _, n := range ns {
+		if !Name(n).valid() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func good() []string {
+	return []string{
+		"--listen=127.0.0.1:1", "--peer-listen=127.0.0.1:2", "--failure-domain=fd-1", "--region=gt-central",
+		"--table=127.0.0.1:3", "--membership=127.0.0.1:4", "--secret=0123456789abcdef", "--services=textos, eierabo",
+	}
+}
+
+// TestParse guards against a start that reports only the first wrong setting, or that shows the secret.
+func TestParse(t *testing.T) {
+	Convey("Right settings are read", t, func() {
+		s, err := Parse(good())
+		So(err, ShouldBeNil)
+		So([]string(s.Services), ShouldResemble, []string{"textos", "eierabo"})
+	})
+	Convey("All wrong settings are reported in one run", t, func() {
+		_, err := Parse(append(good(), "--listen=localhost:1", "--table=127.0.0.1", "--secret=short", "--pools=Big",
+			"--drain-timeout=1s", "--drain-notice=soon", "--region="))
+		ps, ok := err.(Problems)
+		So(ok, ShouldBeTrue)
+		names := []string{}
+		for _, p := range ps {
+			names = append(names, p.Name)
+		}
+		So(names, ShouldResemble, []string{"listen", "table", "region", "pools", "secret", "drain-notice", "drain-timeout"})
+		So(err.Error(), ShouldNotContainSubstring, "short")
+		So(err.Error(), ShouldContainSubstring, `--drain-timeout: "1s" is not allowed; allowed: duration from 11s to 5m0s`)
+	})
+}
