Add peer calls that detect silent connections, and heartbeats

A connection may go silent while new ones work, so neither the transport nor the callee's deadline tells a slow peer from a lost one. TCP keepalive and TCP_USER_TIMEOUT were ruled out: they see only what the kernel at the other end acknowledges, not a process or proxy that reads and discards. Result: both silent cases in TestSilentConnection end as a lost answer without any deadline of the caller.

--- /dev/null
+++ b/internal/peer/heartbeat.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeatInterval = time.Second
+	heartbeatTimeout  = time.Second
+	// AliveFor is how long a peer counts as reachable after its last heartbeat.
+	AliveFor = 3 * time.Second
+)
+
+// PathHeartbeat is the path of heartbeat calls.
+const PathHeartbeat = "/peer/v1/heartbeat"
+
+// Heartbeat is what daemons tell each other every second, in both directions of one call.
+type Heartbeat struct {
+	ID           string           `json:"id"` // the daemon's peer address
+	Incarnation  string           `json:"incarnation"`
+	Draining     bool             `json:"draining"`
+	ListVersions map[string]int64 `json:"list_versions"` // accepted version by list
+	IdleSlots    map[string]int   `json:"idle_slots"`    // slots to lend by service
+	Leaving      []string         `json:"leaving"`       // endpoints that told this daemon that they are leaving
+}
+
+// Status is what is known of a peer.
+type Status struct {
+	Heartbeat Heartbeat `json:"heartbeat"`
+	At        time.Time `json:"at"` // time of the last heartbeat, zero if none
+	Failures  int       `json:"failures"`
+}
+
+// Alive reports whether the peer was heard from recently.
+func (s Status) Alive(now time.Time) bool { return !s.At.IsZero() && now.Sub(s.At) < AliveFor }
+
+// Roster lists the addresses of the other daemons that should be alive.
+type Roster func() []string
+
+// Heartbeater exchanges heartbeats with all peers and keeps their last ones.
+type Heartbeater struct {
+	client  *Client
+	roster  Roster
+	self    func() Heartbeat
+	receive func(Heartbeat) // called for every heartbeat of a peer
+
+	mu    sync.RWMutex
+	peers map[string]Status
+}
+
+// NewHeartbeater returns a heartbeater that tells peers what self returns and passes what they tell to receive.
+func NewHeartbeater(c *Client, roster Roster, self func() Heartbeat, receive func(Heartbeat)) *Heartbeater {
+	return &Heartbeater{client: c, roster: roster, self: self, receive: receive, peers: map[string]Status{}}
+}
+
+// Run sends heartbeats until ctx ends.
+func (h *Heartbeater) Run(ctx context.Context) {
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for {
+		h.beat(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// beat calls all peers at the same time and forgets those that are no longer in the roster.
+func (h *Heartbeater) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	addrs := h.roster()
+	h.forgetOthers(addrs)
+	hb := h.self()
+	var wg sync.WaitGroup
+	for _, addr := range addrs {
+		wg.Go(func() {
+			answer, err := Call[Heartbeat](ctx, h.client, addr, PathHeartbeat, hb)
+			if err != nil {
+				h.failed(addr)
+				return
+			}
+			h.heard(answer)
+		})
+	}
+	wg.Wait()
+}
+
+// Serve answers a peer's heartbeat.
+func (h *Heartbeater) Serve(_ context.Context, from Heartbeat) (Heartbeat, error) {
+	h.heard(from)
+	return h.self(), nil
+}
+
+func (h *Heartbeater) heard(hb Heartbeat) {
+	h.mu.Lock()
+	h.peers[hb.ID] = Status{Heartbeat: hb, At: time.Now()}
+	h.mu.Unlock()
+	h.receive(hb)
+}
+
+func (h *Heartbeater) failed(addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.peers[addr]
+	s.Heartbeat.ID = addr
+	s.Failures++
+	h.peers[addr] = s
+}
+
+func (h *Heartbeater) forgetOthers(addrs []string) {
+	keep := make(map[string]bool, len(addrs))
+	for _, a := range addrs {
+		keep[a] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for a, s := range h.peers {
+		if !keep[a] && !s.Alive(time.Now()) {
+			delete(h.peers, a)
+		}
+	}
+}
+
+// Alive returns the last heartbeats of the peers that were heard from recently.
+func (h *Heartbeater) Alive() []Heartbeat {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	now := time.Now()
+	var out []Heartbeat
+	for _, s := range h.peers {
+		if s.Alive(now) {
+			out = append(out, s.Heartbeat)
+		}
+	}
+	return out
+}
+
+// State returns a dump for operators.
+func (h *Heartbeater) State() any {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	out := make(map[string]Status, len(h.peers))
+	for a, s := range h.peers {
+		out[a] = s
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+type ping struct {
+	N int `json:"n"`
+}
+
+func newPeer(secret string, fn func(context.Context, ping) (ping, error)) *httptest.Server {
+	gin.SetMode(gin.TestMode)
+	e := gin.New()
+	Handle(e.Group("/peer/v1", Authenticate(secret)), "/ping", fn)
+	return httptest.NewServer(e)
+}
+
+// TestCall guards against calls without the secret, and against a failure reported as certain when it is not.
+func TestCall(t *testing.T) {
+	Convey("Given a peer", t, func() {
+		var calls atomic.Int32
+		srv := newPeer("right", func(_ context.Context, p ping) (ping, error) {
+			calls.Add(1)
+			if p.N < 0 {
+				return ping{}, errors.New("negative")
+			}
+			return ping{p.N + 1}, nil
+		})
+		Reset(srv.Close)
+		addr := strings.TrimPrefix(srv.URL, "http://")
+		call := func(secret, addr string, n int) (ping, error) {
+			c := NewClient(secret)
+			defer c.Close()
+			return Call[ping](context.Background(), c, addr, "/peer/v1/ping", ping{n})
+		}
+		Convey("the answer comes back", func() {
+			got, err := call("right", addr, 1)
+			So(err, ShouldBeNil)
+			So(got.N, ShouldEqual, 2)
+		})
+		Convey("a wrong secret reaches no handler", func() {
+			for _, s := range []string{"wrong", "", "rights", "righ"} {
+				_, err := call(s, addr, 1)
+				So(errors.Is(err, ErrFailed), ShouldBeTrue)
+			}
+			So(calls.Load(), ShouldEqual, 0)
+		})
+		Convey("an error of the peer is a failure", func() {
+			_, err := call("right", addr, -1)
+			So(errors.Is(err, ErrFailed), ShouldBeTrue)
+		})
+		Convey("a dead process is told apart from a lost answer", func() {
+			srv.Close()
+			_, err := call("right", addr, 1)
+			So(errors.Is(err, ErrRefused), ShouldBeTrue)
+			So(errors.Is(err, ErrNotSent), ShouldBeTrue)
+		})
+	})
+}
+
+// TestSilentConnection guards against waiting for the whole deadline on a connection that takes a call and then stays
+// silent, before or after the response header.
+func TestSilentConnection(t *testing.T) {
+	for name, header := range map[string]string{
+		"no header": "",
+		"no body":   "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n ",
+	} {
+		Convey("A peer that sends "+name+" is a lost answer, without a deadline of the caller", t, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			Reset(func() { _ = l.Close() })
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, header)
+					go func() { _, _ = io.Copy(io.Discard, conn) }()
+				}
+			}()
+			c := NewClient("s")
+			defer c.Close()
+			_, err = Call[ping](context.Background(), c, l.Addr().String(), "/peer/v1/ping", ping{})
+			So(errors.Is(err, ErrLost), ShouldBeTrue)
+		})
+	}
+}
+
+// TestKeepalive guards against taking a slow callee for a silent connection.
+func TestKeepalive(t *testing.T) {
+	Convey("An answer that takes longer than the silence timeout arrives", t, func() {
+		release := make(chan struct{})
+		srv := newPeer("s", func(_ context.Context, p ping) (ping, error) {
+			<-release
+			return p, nil
+		})
+		Reset(srv.Close)
+		body, w := io.Pipe()
+		go func() {
+			for range 3 {
+				_, _ = w.Write([]byte(" "))
+			}
+			_, _ = w.Write([]byte(`{}`))
+			_ = w.Close()
+		}()
+		got, err := readWithin(body, silenceTimeout, func() { _ = w.Close() })
+		So(err, ShouldBeNil)
+		So(strings.TrimSpace(string(got)), ShouldEqual, "{}")
+		close(release)
+		c := NewClient("s")
+		defer c.Close()
+		p, err := Call[ping](context.Background(), c, strings.TrimPrefix(srv.URL, "http://"), "/peer/v1/ping", ping{7})
+		So(err, ShouldBeNil)
+		So(p.N, ShouldEqual, 7)
+	})
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+)
+
+// Authenticate refuses calls that do not carry the shared secret. The comparison takes the same time for every wrong
+// secret of any length.
+func Authenticate(secret string) gin.HandlerFunc {
+	want := sha256.Sum256([]byte(secret))
+	return func(c *gin.Context) {
+		token, ok := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if !ok || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			c.AbortWithStatusJSON(http.StatusUnauthorized, envelope{Error: "unauthorized"})
+		}
+	}
+}
+
+// Handle serves calls to path with fn. The context of fn does not end when the caller goes away, so that work in
+// progress is finished and recorded.
+func Handle[Req, Resp any](r gin.IRoutes, path string, fn func(context.Context, Req) (Resp, error)) {
+	r.POST(path, func(c *gin.Context) {
+		var req Req
+		if err := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes)).Decode(&req); err != nil {
+			c.JSON(http.StatusBadRequest, envelope{Error: err.Error()})
+			return
+		}
+		answer := make(chan envelope, 1)
+		ctx := context.WithoutCancel(c.Request.Context())
+		go func() { answer <- run(ctx, req, fn) }()
+		stream(c, answer)
+	})
+}
+
+func run[Req, Resp any](ctx context.Context, req Req, fn func(context.Context, Req) (Resp, error)) envelope {
+	resp, err := fn(ctx, req)
+	if err != nil {
+		return envelope{Error: err.Error()}
+	}
+	raw, err := json.Marshal(resp)
+	if err != nil {
+		return envelope{Error: err.Error()}
+	}
+	return envelope{Value: raw}
+}
+
+// stream sends the header at once, keepalives while the answer is awaited, and then the answer.
+func stream(c *gin.Context, answer <-chan envelope) {
+	c.Header("Content-Type", "application/json")
+	c.Status(http.StatusOK)
+	c.Writer.Flush()
+	t := time.NewTicker(keepaliveInterval)
+	defer t.Stop()
+	for {
+		select {
+		case env := <-answer:
+			_ = json.NewEncoder(c.Writer).Encode(env)
+			return
+		case <-t.C:
+			if _, err := c.Writer.WriteString(" "); err != nil {
+				return
+			}
+			c.Writer.Flush()
+		}
+	}
+}
