--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,108 @@
+// Package admin serves the operators' side of the peer listener: health, readiness, state dump, metrics, lists, drain.
+package admin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gin-gonic/gin"
+)
+
+// Readiness tells the platform's balancer whether to send new callers here.
+type Readiness struct {
+	draining atomic.Bool
+	mu       sync.Mutex
+	checks   map[string]func() error
+}
+
+// NewReadiness returns a readiness without checks.
+func NewReadiness() *Readiness { return &Readiness{checks: map[string]func() error{}} }
+
+// Check adds a condition that must hold for the daemon to be ready.
+func (r *Readiness) Check(name string, fn func() error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checks[name] = fn
+}
+
+// Drain makes the daemon not ready for good.
+func (r *Readiness) Drain() { r.draining.Store(true) }
+
+// Draining reports whether a drain has begun.
+func (r *Readiness) Draining() bool { return r.draining.Load() }
+
+// Failing returns the reasons why the daemon is not ready, sorted, or nothing.
+func (r *Readiness) Failing() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	if r.Draining() {
+		out = append(out, "draining")
+	}
+	for name, fn := range r.checks {
+		if err := fn(); err != nil {
+			out = append(out, name+": "+err.Error())
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// States collects the state dumps of the daemon's parts.
+type States struct {
+	mu    sync.Mutex
+	parts map[string]func() any
+}
+
+// NewStates returns an empty collection.
+func NewStates() *States { return &States{parts: map[string]func() any{}} }
+
+// Add registers a part's dump under a name.
+func (s *States) Add(name string, fn func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts[name] = fn
+}
+
+// Dump returns the state of the named part, or of all parts when name is empty.
+func (s *States) Dump(name string) map[string]any {
+	s.mu.Lock()
+	parts := make(map[string]func() any, len(s.parts))
+	for n, fn := range s.parts {
+		if name == "" || name == n {
+			parts[n] = fn
+		}
+	}
+	s.mu.Unlock()
+	out := make(map[string]any, len(parts))
+	for n, fn := range parts {
+		out[n] = fn()
+	}
+	return out
+}
+
+// NewHealth registers the routes that probes and scrapers read; they need no secret.
+func NewHealth(e *gin.Engine, r *Readiness, metrics http.Handler, version string) {
+	e.GET("/healthz", func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"status": "ok"}) })
+	e.GET("/readyz", func(c *gin.Context) {
+		if failing := r.Failing(); len(failing) > 0 {
+			c.JSON(http.StatusServiceUnavailable, gin.H{"ready": false, "failing": failing})
+			return
+		}
+		c.JSON(http.StatusOK, gin.H{"ready": true})
+	})
+	e.GET("/metrics", gin.WrapH(metrics))
+	e.GET("/version", func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"version": version}) })
+}
+
+// NewOperations registers the state dump and the drain on a group that checks the secret. The drain function must not
+// block.
+func NewOperations(g *gin.RouterGroup, s *States, drain func()) {
+	g.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, s.Dump(c.Query("part"))) })
+	g.POST("/admin/v1/drain", func(c *gin.Context) {
+		drain()
+		c.JSON(http.StatusAccepted, gin.H{"draining": true})
+	})
+}
