--- /dev/null
+++ b/internal/standin/audit.go
@@ -0,0 +1,212 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"sort"
+	"sync"
+)
+
+// Resources is a declared size, a usage or a capacity.
+type Resources struct {
+	CPUMilli     int64 `json:"cpu_milli"` // thousandths of a processor
+	MemoryMB     int64 `json:"memory_mb"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+func (r Resources) plus(o Resources) Resources {
+	return Resources{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+func (r Resources) times(f float64) Resources {
+	return Resources{int64(float64(r.CPUMilli) * f), int64(float64(r.MemoryMB) * f), r.Accelerators}
+}
+
+func (r Resources) max(o Resources) Resources {
+	return Resources{max(r.CPUMilli, o.CPUMilli), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
+func (r Resources) within(o Resources) bool { return r == r.min(o) }
+
+func (r Resources) min(o Resources) Resources {
+	return Resources{min(r.CPUMilli, o.CPUMilli), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
+}
+
+// MinionAudit holds the highest values of one minion.
+type MinionAudit struct {
+	Slots           int `json:"slots"`
+	MaxInUse        int `json:"max_in_use"` // never above Slots: a minion refuses what it has no slot for
+	MaxConnections  int `json:"max_connections"`
+	OverConnections int `json:"over_connections"` // connections closed because of the limit
+	Runs            int `json:"runs"`
+	Refused         int `json:"refused"` // requests refused for lack of a slot
+}
+
+// WorkerAudit holds the highest sums over the tasks of one worker.
+type WorkerAudit struct {
+	Capacity    Resources `json:"capacity"`
+	MaxAssigned Resources `json:"max_assigned"` // declared sizes, highest of each dimension
+	MaxUsed     Resources `json:"max_used"`     // real usage, highest of each dimension
+	Starts      int       `json:"starts"`
+}
+
+// Overlap is a task that ran in two places at once.
+type Overlap struct {
+	TaskID string   `json:"task_id"`
+	Places []string `json:"places"` // worker/attempt
+}
+
+// AuditReport is the body of GET /v1/audit.
+type AuditReport struct {
+	Minions  map[string]MinionAudit `json:"minions"`
+	Workers  map[string]WorkerAudit `json:"workers"`
+	Overlaps []Overlap              `json:"overlaps"`
+	// RequestRuns counts runs on minions by the key in the payload.
+	RequestRuns map[string]int `json:"request_runs"`
+	// TaskRuns counts starts on workers by task id, KeyRuns by the key in the payload.
+	TaskRuns map[string]int `json:"task_runs"`
+	KeyRuns  map[string]int `json:"key_runs"`
+	// Violations lists broken guarantees in words; empty if there are none.
+	Violations []string `json:"violations"`
+}
+
+// Audit records what ran where. It is shared by all minions and workers of a platform.
+type Audit struct {
+	mu           sync.Mutex
+	minions      map[string]*MinionAudit
+	workers      map[string]*WorkerAudit
+	running      map[string]map[string]struct{} // task id -> places
+	overlaps     []Overlap
+	requestRuns  map[string]int
+	taskRuns     map[string]int
+	keyRuns      map[string]int
+	onceRequests map[string]struct{} // keys whose payload says "once"
+	onceTasks    map[string]struct{}
+}
+
+// NewAudit returns an empty audit.
+func NewAudit() *Audit {
+	return &Audit{
+		minions: map[string]*MinionAudit{}, workers: map[string]*WorkerAudit{},
+		running: map[string]map[string]struct{}{}, requestRuns: map[string]int{}, taskRuns: map[string]int{},
+		keyRuns: map[string]int{}, onceRequests: map[string]struct{}{}, onceTasks: map[string]struct{}{},
+	}
+}
+
+// minion changes the record of one minion.
+func (a *Audit) minion(id string, change func(*MinionAudit)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.minions[id]
+	if m == nil {
+		m = &MinionAudit{}
+		a.minions[id] = m
+	}
+	change(m)
+}
+
+func (a *Audit) requestRun(w work) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requestRuns[w.Key]++
+	if w.Once {
+		a.onceRequests[w.Key] = struct{}{}
+	}
+}
+
+func (a *Audit) requestRunsByKey() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.requestRuns)
+}
+
+func (a *Audit) taskRun(taskID string, w work) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.taskRuns[taskID]++
+	a.keyRuns[w.Key]++
+	if w.Once {
+		a.onceTasks[taskID] = struct{}{}
+	}
+}
+
+// enter records that a task runs at place, a worker and attempt.
+func (a *Audit) enter(taskID, place string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	places := a.running[taskID]
+	if places == nil {
+		places = map[string]struct{}{}
+		a.running[taskID] = places
+	}
+	places[place] = struct{}{}
+	if len(places) > 1 {
+		o := Overlap{TaskID: taskID}
+		for p := range places {
+			o.Places = append(o.Places, p)
+		}
+		sort.Strings(o.Places)
+		a.overlaps = append(a.overlaps, o)
+	}
+}
+
+func (a *Audit) leave(taskID, place string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.running[taskID], place)
+	if len(a.running[taskID]) == 0 {
+		delete(a.running, taskID)
+	}
+}
+
+func (a *Audit) workerLoad(id string, capacity, assigned, used Resources, starts int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := a.workers[id]
+	if w == nil {
+		w = &WorkerAudit{Capacity: capacity}
+		a.workers[id] = w
+	}
+	w.MaxAssigned = w.MaxAssigned.max(assigned)
+	w.MaxUsed = w.MaxUsed.max(used)
+	w.Starts += starts
+}
+
+// Report returns a copy of the record.
+func (a *Audit) Report() AuditReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := AuditReport{
+		Minions: map[string]MinionAudit{}, Workers: map[string]WorkerAudit{},
+		Overlaps: append([]Overlap{}, a.overlaps...), RequestRuns: maps.Clone(a.requestRuns),
+		TaskRuns: maps.Clone(a.taskRuns), KeyRuns: maps.Clone(a.keyRuns), Violations: []string{},
+	}
+	add := func(format string, args ...any) { r.Violations = append(r.Violations, fmt.Sprintf(format, args...)) }
+	for id, m := range a.minions {
+		r.Minions[id] = *m
+		if m.OverConnections > 0 {
+			add("minion %s: more than %d connections", id, maxConnections)
+		}
+	}
+	for id, w := range a.workers {
+		r.Workers[id] = *w
+		if !w.MaxAssigned.within(w.Capacity) {
+			add("worker %s: assigned %+v, has %+v", id, w.MaxAssigned, w.Capacity)
+		}
+	}
+	for _, o := range a.overlaps {
+		add("task %s: ran at once on %v", o.TaskID, o.Places)
+	}
+	for key := range a.onceRequests {
+		if n := a.requestRuns[key]; n > 1 {
+			add("request %s: ran %d times", key, n)
+		}
+	}
+	for id := range a.onceTasks {
+		if n := a.taskRuns[id]; n > 1 {
+			add("task %s: ran %d times", id, n)
+		}
+	}
+	sort.Strings(r.Violations)
+	return r
+}
--- /dev/null
+++ b/internal/standin/endpoint.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// endpoint is one HTTP listener with the network faults that it can play.
+type endpoint struct {
+	handler  http.Handler
+	maxConns int // 0: unlimited
+	onConns  func(open int, overLimit bool)
+
+	mu          sync.Mutex
+	addr        string
+	ln          net.Listener
+	srv         *http.Server // nil while down
+	conns       map[*conn]struct{}
+	unreachable bool
+}
+
+// listen starts serving on addr. Port 0 chooses a port, which later calls of setDown keep.
+func (e *endpoint) listen(addr string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	e.addr = l.Addr().String()
+	if e.conns == nil {
+		e.conns = map[*conn]struct{}{}
+	}
+	e.ln, e.srv = l, &http.Server{Handler: e.handler, ReadHeaderTimeout: time.Minute}
+	srv := e.srv
+	go func() {
+		if err := srv.Serve(&listener{Listener: l, e: e}); !errors.Is(err, http.ErrServerClosed) {
+			log.Printf("listener %s ended: %v", l.Addr(), err)
+		}
+	}()
+	return nil
+}
+
+// close ends the listener and all connections, so that later dials are refused.
+func (e *endpoint) close() {
+	e.mu.Lock()
+	srv, ln := e.srv, e.ln
+	e.srv = nil
+	e.mu.Unlock()
+	if srv != nil {
+		_ = srv.Close()
+		_ = ln.Close() // the server does not know it yet if Serve has not begun
+	}
+	for _, c := range e.open() { // hijacked connections, which the server no longer knows
+		_ = c.Close()
+	}
+}
+
+func (e *endpoint) open() []*conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*conn, 0, len(e.conns))
+	for c := range e.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+func (e *endpoint) setDown(down bool) error {
+	e.mu.Lock()
+	isDown, addr := e.srv == nil, e.addr
+	e.mu.Unlock()
+	switch {
+	case down && !isDown:
+		e.close()
+	case !down && isDown:
+		return e.listen(addr)
+	}
+	return nil
+}
+
+// setUnreachable makes every connection silent, those opened later included. Connections that were made silent stay
+// so when the fault ends.
+func (e *endpoint) setUnreachable(on bool) {
+	e.mu.Lock()
+	e.unreachable = on
+	e.mu.Unlock()
+	if on {
+		e.silence()
+	}
+}
+
+func (e *endpoint) silence() {
+	for _, c := range e.open() {
+		c.silent.Store(true)
+	}
+}
+
+// add registers a new connection and reports whether it is within the limit.
+func (e *endpoint) add(c *conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.srv == nil {
+		return false
+	}
+	over := e.maxConns > 0 && len(e.conns) >= e.maxConns
+	if !over {
+		c.silent.Store(e.unreachable)
+		e.conns[c] = struct{}{}
+	}
+	if e.onConns != nil {
+		e.onConns(len(e.conns), over)
+	}
+	return !over
+}
+
+func (e *endpoint) remove(c *conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, c)
+	if e.onConns != nil {
+		e.onConns(len(e.conns), false)
+	}
+}
+
+type listener struct {
+	net.Listener
+	e *endpoint
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: raw, e: l.e}
+		if l.e.add(c) {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// conn discards traffic in both directions while it is silent, as a connection does whose path was lost.
+type conn struct {
+	net.Conn
+	e      *endpoint
+	silent atomic.Bool
+	once   sync.Once
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { c.e.remove(c) })
+	return c.Conn.Close()
+}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -1,10 +1,11 @@
-// Package standin plays the platform for tests and demonstrations: table service, membership list, workers, minions.
 package standin
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,64 +13,229 @@
 	"time"
 )
 
-// Minion is a back end with a bounded number of slots.
+const (
+	minionSlots    = 8
+	maxConnections = 64 // per minion
+)
+
+// Minion is a back end with a bounded number of slots. A request keeps its slot until its work ends, even if the
+// caller has gone.
 type Minion struct {
 	ID    string
-	slots chan struct{}
+	slots int
+	audit *Audit
 
-	mu   sync.Mutex
-	runs map[string]int // runs per payload "key"
+	mu     sync.Mutex
+	inUse  int
+	conns  int
+	faults Faults
+	last   response // of the latest attempt, for crossed responses
 }
 
 // NewMinion returns a minion with the given number of slots.
-func NewMinion(id string, slots int) *Minion {
-	return &Minion{ID: id, slots: make(chan struct{}, slots), runs: map[string]int{}}
+func NewMinion(id string, slots int) *Minion { return newMinion(id, slots, NewAudit()) }
+
+func newMinion(id string, slots int, a *Audit) *Minion {
+	a.minion(id, func(m *MinionAudit) { m.Slots = slots })
+	return &Minion{ID: id, slots: slots, audit: a}
 }
 
-// work is the payload that a minion understands.
+// work is the payload that minions and workers understand.
 type work struct {
 	Key    string `json:"key"`
 	WorkMS int64  `json:"work_ms"`
+	// Once makes the audit report a second run as a violation.
+	Once bool `json:"once"`
+	// Exit is the exit code of a task on a worker.
+	Exit int `json:"exit"`
+	// UsageRatio, if positive, replaces the worker's ratio of real usage to the declared size.
+	UsageRatio float64 `json:"usage_ratio"`
+}
+
+// response is what a minion sends for one attempt.
+type response struct {
+	attempt string
+	body    []byte
+}
+
+func (r response) header() http.Header {
+	sum := sha256.Sum256(r.body)
+	return http.Header{
+		"Attempt-Id":     {r.attempt},
+		"Answer-Sha256":  {hex.EncodeToString(sum[:])},
+		"Content-Length": {strconv.Itoa(len(r.body))},
+		"Content-Type":   {"application/json"},
+	}
 }
 
-// ServeHTTP serves POST /v1/execute, GET /v1/ping and GET /v1/runs.
+// Faults returns the faults in force; counts are what remains of them.
+func (m *Minion) Faults() Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults
+}
+
+// SetFaults replaces the faults in force. Network faults and the membership list are not affected.
+func (m *Minion) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+}
+
+// Audit returns the record that the minion writes to.
+func (m *Minion) Audit() *Audit { return m.audit }
+
+func (m *Minion) countConnections(open int, overLimit bool) {
+	m.mu.Lock()
+	m.conns = open
+	m.mu.Unlock()
+	m.audit.minion(m.ID, func(a *MinionAudit) {
+		a.MaxConnections = max(a.MaxConnections, open)
+		if overLimit {
+			a.OverConnections++
+		}
+	})
+}
+
+// ServeHTTP serves POST /v1/execute, GET /v1/ping and GET /v1/runs, the run counts by key.
 func (m *Minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case "/v1/execute":
+	switch r.Method + " " + r.URL.Path {
+	case "POST /v1/execute":
 		m.execute(w, r)
-	case "/v1/runs":
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(m.runs)
-	case "/v1/ping":
+	case "GET /v1/runs":
+		writeJSON(w, http.StatusOK, m.audit.requestRunsByKey())
+	case "GET /v1/ping":
+		m.ping(w)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
-func (m *Minion) execute(w http.ResponseWriter, r *http.Request) {
-	select {
-	case m.slots <- struct{}{}:
-		defer func() { <-m.slots }()
-	default:
-		w.Header().Set("Not-Run", "true")
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
-		return
+func (m *Minion) ping(w http.ResponseWriter) {
+	m.mu.Lock()
+	leaving := m.faults.Leaving
+	body := map[string]int{"slots": m.slots, "in_use": m.inUse, "connections": m.conns}
+	m.mu.Unlock()
+	if leaving {
+		w.Header().Set("Leaving", "true")
 	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (m *Minion) execute(w http.ResponseWriter, r *http.Request) {
 	raw, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	var job work
-	_ = json.Unmarshal(raw, &job)
-	m.mu.Lock()
-	m.runs[job.Key]++
-	m.mu.Unlock()
+	_ = json.Unmarshal(raw, &job) // other payloads run without a key and end at once
+	f, reason := m.acquire()
+	if reason != "" {
+		w.Header().Set("Not-Run", "true")
+		if f.Leaving {
+			w.Header().Set("Leaving", "true")
+		}
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	if f.CrashBefore > 0 {
+		m.release()
+		panic(http.ErrAbortHandler)
+	}
+	m.audit.requestRun(job)
+	m.audit.minion(m.ID, func(a *MinionAudit) { a.Runs++ })
 	time.Sleep(time.Duration(job.WorkMS) * time.Millisecond)
+	m.release()
 	body, _ := json.Marshal(map[string]string{"minion": m.ID, "key": job.Key})
-	sum := sha256.Sum256(body)
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Answer-Sha256", hex.EncodeToString(sum[:]))
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write(body)
+	m.respond(w, f, response{attempt: r.Header.Get("Attempt-Id"), body: body})
+}
+
+// acquire takes a slot and returns the one fault that this request is to play, or the reason for a refusal.
+func (m *Minion) acquire() (Faults, string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.Leaving {
+		return Faults{Leaving: true}, "leaving"
+	}
+	if m.inUse >= m.slots {
+		m.audit.minion(m.ID, func(a *MinionAudit) { a.Refused++ })
+		return Faults{}, "no free slot"
+	}
+	m.inUse++
+	used := m.inUse
+	m.audit.minion(m.ID, func(a *MinionAudit) { a.MaxInUse = max(a.MaxInUse, used) })
+	play := Faults{LateMS: m.faults.LateMS}
+	for _, n := range []struct{ left, now *int }{
+		{&m.faults.CrashBefore, &play.CrashBefore}, {&m.faults.CrashAfter, &play.CrashAfter},
+		{&m.faults.Truncate, &play.Truncate}, {&m.faults.Late, &play.Late},
+		{&m.faults.Cross, &play.Cross}, {&m.faults.Duplicate, &play.Duplicate},
+	} {
+		if *n.left > 0 {
+			*n.left--
+			*n.now = 1
+			break
+		}
+	}
+	return play, ""
+}
+
+func (m *Minion) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inUse--
+}
+
+func (m *Minion) respond(w http.ResponseWriter, f Faults, resp response) {
+	m.mu.Lock()
+	earlier := m.last
+	m.last = resp
+	m.mu.Unlock()
+	switch {
+	case f.CrashAfter > 0:
+		panic(http.ErrAbortHandler)
+	case f.Late > 0:
+		time.Sleep(time.Duration(f.LateMS) * time.Millisecond)
+	case f.Cross > 0 && earlier.attempt != "":
+		resp = earlier
+	case f.Cross > 0:
+		resp = response{attempt: "other", body: []byte(`{"key":"other"}`)}
+	case f.Duplicate > 0:
+		duplicate(w, resp)
+		return
+	}
+	for k, v := range resp.header() {
+		w.Header()[k] = v
+	}
+	if f.Truncate > 0 {
+		_, _ = w.Write(resp.body[:len(resp.body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(resp.body)
+}
+
+// duplicate sends resp, and sends it again when the next request arrives on the connection, where the caller expects
+// the response to that request.
+func duplicate(w http.ResponseWriter, resp response) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	var raw bytes.Buffer
+	fmt.Fprint(&raw, "HTTP/1.1 200 OK\r\n")
+	_ = resp.header().Write(&raw)
+	fmt.Fprintf(&raw, "\r\n%s", resp.body)
+	if _, err := c.Write(raw.Bytes()); err != nil {
+		return
+	}
+	if _, err := c.Read(make([]byte, 64<<10)); err == nil {
+		_, _ = c.Write(raw.Bytes())
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
 }
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,348 @@
+// Package standin plays the platform for tests and demonstrations: table service, membership list, workers, minions.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/table"
+)
+
+const (
+	commitRate = 400  // commits a second that the table service takes
+	readRate   = 2000 // reads a second that the table service takes
+	// DefaultLag is the lag of the membership list.
+	DefaultLag = 2 * time.Second
+	// DefaultUsageLag is the age of a task at which its usage first appears in reports.
+	DefaultUsageLag = 2 * time.Second
+)
+
+// Cell describes the machines of one user.
+type Cell struct {
+	Name           string // of the service and of the pool
+	Minions        int
+	Workers        int
+	Capacity       Resources // of one worker
+	WorkersPerRack int
+	FailureDomains []string
+}
+
+// Textos is the preset of the Asociación.
+func Textos() Cell {
+	return Cell{
+		Name: "textos", Minions: 50, Workers: 50, Capacity: Resources{CPUMilli: 32_000, MemoryMB: 131_072},
+		WorkersPerRack: 6, FailureDomains: []string{"gt-central-a", "gt-central-b", "gt-central-c", "gt-central-d"},
+	}
+}
+
+// Eierabo is the preset of Stadtwerke Aarwil.
+func Eierabo() Cell {
+	return Cell{
+		Name: "eierabo", Minions: 50, Workers: 50, Capacity: Resources{CPUMilli: 16_000, MemoryMB: 32_768},
+		WorkersPerRack: 8, FailureDomains: []string{"mittelland-a", "mittelland-b", "mittelland-c"},
+	}
+}
+
+// Config describes a platform. A port of 0 lets the system choose, for the base ports each time.
+type Config struct {
+	Cells          []Cell
+	TablePort      int
+	ControlPort    int // membership list, faults, audit
+	MinionBasePort int
+	WorkerBasePort int
+	Lag            time.Duration // of the membership list
+	CompareEpochs  bool          // workers refuse commands of older epochs
+	UsageRatio     float64       // real usage of a task relative to its declared size; 0 means 1
+	UsageLag       time.Duration
+}
+
+// Platform is a running platform on 127.0.0.1.
+type Platform struct {
+	Table      *table.Memory
+	Membership *Membership
+	Audit      *Audit
+
+	saved     checkpoints
+	endpoints []*endpoint
+	table     *endpoint
+	control   *endpoint
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+
+	faultsMu    sync.Mutex
+	targets     map[string]target
+	listOutage  bool // guarded by faultsMu
+	tableFaults Faults
+}
+
+// Start starts all listeners. The machines are on the membership list at once, without a lag.
+func Start(cfg Config) (*Platform, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Platform{
+		Table: table.NewMemory(), Membership: NewMembership(0), Audit: NewAudit(),
+		cancel: cancel, targets: map[string]target{},
+	}
+	p.faultsMu.Lock() // the control listener serves before all targets exist
+	defer p.faultsMu.Unlock()
+	if err := p.start(ctx, cfg); err != nil {
+		p.Close()
+		return nil, err
+	}
+	p.Membership.Hosts() // shows the machines before the lag applies
+	p.Membership.SetLag(cfg.Lag)
+	p.targets["membership"] = target{
+		kind:  "membership",
+		get:   func() Faults { return Faults{Outage: p.listOutage, LagMS: p.Membership.Lag().Milliseconds()} },
+		reset: Faults{LagMS: cfg.Lag.Milliseconds()},
+		set: func(f Faults) error {
+			p.listOutage = f.Outage
+			p.Membership.SetLag(time.Duration(f.LagMS) * time.Millisecond)
+			return nil
+		},
+	}
+	return p, nil
+}
+
+func (p *Platform) start(ctx context.Context, cfg Config) error {
+	if err := p.startTable(cfg.TablePort); err != nil {
+		return err
+	}
+	p.control = &endpoint{handler: p.controlHandler()}
+	if err := p.listen(p.control, cfg.ControlPort, 0); err != nil {
+		return err
+	}
+	var minions, workers int
+	for _, c := range cfg.Cells {
+		if c.WorkersPerRack < 1 || len(c.FailureDomains) == 0 {
+			return errors.Errorf("cell %s: racks and failure domains are required", c.Name)
+		}
+		for i := range c.Minions {
+			if err := p.startMinion(c, i, cfg.MinionBasePort, minions); err != nil {
+				return err
+			}
+			minions++
+		}
+		for i := range c.Workers {
+			if err := p.startWorker(ctx, cfg, c, i, workers); err != nil {
+				return err
+			}
+			workers++
+		}
+	}
+	return nil
+}
+
+func (p *Platform) listen(e *endpoint, base, offset int) error {
+	port := base + offset
+	if base == 0 {
+		port = 0
+	}
+	p.endpoints = append(p.endpoints, e)
+	return e.listen(net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+}
+
+func (p *Platform) startTable(port int) error {
+	p.table = &endpoint{handler: limitRate(table.Handler(p.Table))}
+	p.targets["table"] = target{
+		kind: "table",
+		get: func() Faults {
+			f, m := p.tableFaults, p.Table.Faults()
+			f.Outage, f.DelayMS = m.Down, m.Delay.Milliseconds()
+			f.LoseResponses, f.StaleReads = m.LoseAnswers, m.StaleReads
+			return f
+		},
+		set: func(f Faults) error {
+			p.Table.SetFaults(table.Faults{
+				Down: f.Outage, Delay: time.Duration(f.DelayMS) * time.Millisecond,
+				LoseAnswers: f.LoseResponses, StaleReads: f.StaleReads,
+			})
+			p.tableFaults = Faults{Down: f.Down, Unreachable: f.Unreachable}
+			return p.table.setFaults(f)
+		},
+	}
+	return p.listen(p.table, port, 0)
+}
+
+func (p *Platform) startMinion(c Cell, i, base, offset int) error {
+	m := newMinion(fmt.Sprintf("%s-minion-%02d", c.Name, i), minionSlots, p.Audit)
+	e := &endpoint{handler: m, maxConns: maxConnections, onConns: m.countConnections}
+	if err := p.listen(e, base, offset); err != nil {
+		return err
+	}
+	p.addHost(Host{ID: m.ID, Kind: KindMinion}, c, i, e, target{get: m.Faults, set: func(f Faults) error {
+		m.SetFaults(f)
+		return nil
+	}})
+	return nil
+}
+
+func (p *Platform) startWorker(ctx context.Context, cfg Config, c Cell, i, offset int) error {
+	w := newWorker(fmt.Sprintf("%s-worker-%02d", c.Name, i), c.Capacity, p.Audit, &p.saved)
+	usual := Faults{
+		CompareEpochs: cfg.CompareEpochs, UsageRatio: cfg.UsageRatio, UsageLagMS: cfg.UsageLag.Milliseconds(),
+	}
+	w.SetFaults(usual)
+	e := &endpoint{handler: w}
+	if err := p.listen(e, cfg.WorkerBasePort, offset); err != nil {
+		return err
+	}
+	p.wg.Go(func() { w.Run(ctx) })
+	p.addHost(Host{ID: w.ID, Kind: KindWorker}, c, i, e, target{reset: usual, get: w.Faults, set: func(f Faults) error {
+		if f.Restart {
+			e.close()
+		}
+		w.SetFaults(f)
+		return nil
+	}})
+	return nil
+}
+
+// addHost puts a machine on the membership list and makes it a target of faults.
+func (p *Platform) addHost(h Host, c Cell, i int, e *endpoint, t target) {
+	rack := i / c.WorkersPerRack
+	h.Addr, h.ServiceOrPool, h.State = e.addr, c.Name, StateLive
+	h.FailureDomain = c.FailureDomains[rack%len(c.FailureDomains)]
+	h.Rack = fmt.Sprintf("%s-rack-%02d", c.Name, rack)
+	p.Membership.Put(h)
+	set := t.set
+	t.kind = h.Kind
+	t.set = func(f Faults) error {
+		silence := f.Silence
+		f.Silence = false
+		if err := set(f); err != nil {
+			return err
+		}
+		p.Membership.setLeaving(h.ID, f.Leaving)
+		f.Silence = silence
+		return e.setFaults(f)
+	}
+	p.targets[h.ID] = t
+}
+
+// setFaults applies the network faults of f.
+func (e *endpoint) setFaults(f Faults) error {
+	e.setUnreachable(f.Unreachable)
+	if f.Silence {
+		e.silence()
+	}
+	return e.setDown(f.Down)
+}
+
+// TableAddr is the IP:port of the table service.
+func (p *Platform) TableAddr() string { return p.table.addr }
+
+// ControlAddr is the IP:port of the membership list, the faults and the audit.
+func (p *Platform) ControlAddr() string { return p.control.addr }
+
+// Close ends all listeners and tasks.
+func (p *Platform) Close() {
+	p.cancel()
+	for _, e := range p.endpoints {
+		e.close()
+	}
+	p.wg.Wait()
+}
+
+func (p *Platform) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", p.serveHosts)
+	mux.HandleFunc("POST /v1/hosts", func(w http.ResponseWriter, r *http.Request) {
+		var h Host
+		if err := json.NewDecoder(r.Body).Decode(&h); err != nil || h.ID == "" || h.Addr == "" || h.Kind == "" {
+			http.Error(w, "id, addr and kind are required", http.StatusBadRequest)
+			return
+		}
+		p.Membership.Put(h)
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+	mux.HandleFunc("DELETE /v1/hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		p.Membership.Remove(r.PathValue("id"))
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+	mux.HandleFunc("POST /v1/faults", p.serveFaults)
+	mux.HandleFunc("GET /v1/faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.FaultsInForce())
+	})
+	mux.HandleFunc("GET /v1/audit", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.Audit.Report())
+	})
+	mux.HandleFunc("GET /v1/table", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.Table.Stats())
+	})
+	return mux
+}
+
+func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	p.faultsMu.Lock()
+	outage := p.listOutage
+	p.faultsMu.Unlock()
+	if outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"hosts": p.Membership.Hosts()})
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	switch err := p.SetFaults(body); {
+	case errors.Is(err, ErrUnknownTarget):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		writeJSON(w, http.StatusOK, struct{}{})
+	}
+}
+
+// limitRate answers 429 beyond the rates of commits and reads that the table service takes.
+func limitRate(h http.Handler) http.Handler {
+	commits, reads := newBucket(commitRate), newBucket(readRate)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := reads
+		if r.Method == http.MethodPost {
+			b = commits
+		}
+		if !b.take(time.Now()) {
+			http.Error(w, "rate limit", http.StatusTooManyRequests)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// bucket admits rate calls a second, with a burst of one second's worth.
+type bucket struct {
+	mu     sync.Mutex
+	rate   float64
+	tokens float64
+	last   time.Time
+}
+
+func newBucket(rate float64) *bucket { return &bucket{rate: rate, tokens: rate} }
+
+func (b *bucket) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() {
+		b.tokens = min(b.rate, b.tokens+now.Sub(b.last).Seconds()*b.rate)
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,225 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/standin"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+func post(h http.Handler, path, body string) *httptest.ResponseRecorder {
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	return rec
+}
+
+func start(h http.Handler, task string, epoch int, resources string) int {
+	return post(h, "/v1/tasks", fmt.Sprintf(`{"task_id":%q,"attempt":1,"epoch":%d,"lease_ms":15000,"kind":"batch",
+		"resources":%s,"payload":{"key":"k","work_ms":60000,"once":true}}`, task, epoch, resources)).Code
+}
+
+func report(h http.Handler) standin.Report {
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/v1/report", nil))
+	var r standin.Report
+	So(json.Unmarshal(rec.Body.Bytes(), &r), ShouldBeNil)
+	return r
+}
+
+func state(h http.Handler) string { return report(h).Tasks[0].State }
+
+// TestWorker guards against a fake whose leases, pauses or results are kinder than the platform's, so that broken
+// guarantees of the daemon would stay unseen.
+func TestWorker(t *testing.T) {
+	inBubble := func(name string, f func(w *standin.Worker)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				w := standin.NewWorker("w1", standin.Resources{CPUMilli: 1000, MemoryMB: 100})
+				go w.Run(ctx)
+				Convey(name, t, func() { f(w) })
+			})
+		})
+	}
+	inBubble("a lease that is not renewed ends its task; the result stays until acknowledged", func(w *standin.Worker) {
+		So(start(w, "a", 1, `{}`), ShouldEqual, 200)
+		time.Sleep(14 * time.Second)
+		So(post(w, "/v1/renew", `{"epoch":1,"lease_ms":15000,"tasks":["a"]}`).Code, ShouldEqual, 200)
+		time.Sleep(14 * time.Second)
+		So(state(w), ShouldEqual, standin.TaskRunning)
+		So(post(w, "/v1/ack", `{"epoch":1,"tasks":["a"]}`).Code, ShouldEqual, 200)
+		time.Sleep(time.Second)
+		So(state(w), ShouldEqual, standin.TaskExpired)
+		post(w, "/v1/ack", `{"epoch":1,"tasks":[{"task_id":"a","attempt":1}]}`)
+		So(report(w).Tasks, ShouldBeEmpty)
+	})
+	inBubble("a pause hides the worker; with frozen leases its tasks go on afterwards", func(w *standin.Worker) {
+		start(w, "a", 1, `{}`)
+		for _, freeze := range []bool{true, false} {
+			w.SetFaults(standin.Faults{Paused: true, FreezeLeases: freeze})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			rec := httptest.NewRecorder()
+			w.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/v1/report", nil).WithContext(ctx))
+			cancel()
+			So(rec.Body.Len(), ShouldEqual, 0)
+			time.Sleep(20 * time.Second)
+			w.SetFaults(standin.Faults{})
+			if freeze {
+				So(state(w), ShouldEqual, standin.TaskRunning)
+			} else {
+				So(state(w), ShouldEqual, standin.TaskExpired)
+			}
+		}
+	})
+	inBubble("what does not fit starts and is a violation, as is a second run", func(w *standin.Worker) {
+		start(w, "a", 1, `{"cpu_milli":600}`)
+		So(w.Audit().Report().Violations, ShouldBeEmpty)
+		start(w, "b", 1, `{"cpu_milli":600}`)
+		w.SetFaults(standin.Faults{Restart: true})
+		So(report(w).BootID, ShouldEqual, "w1-boot-2")
+		start(w, "a", 1, `{}`)
+		So(w.Audit().Report().Violations, ShouldResemble, []string{
+			"task a: ran 2 times",
+			"worker w1: assigned {CPUMilli:1200 MemoryMB:0 Accelerators:0}, has {CPUMilli:1000 MemoryMB:100 Accelerators:0}",
+		})
+		post(w, "/v1/tasks", `{"task_id":"a","attempt":2,"lease_ms":1000}`)
+		So(w.Audit().Report().Overlaps, ShouldResemble, []standin.Overlap{{TaskID: "a", Places: []string{"w1/1", "w1/2"}}})
+	})
+	inBubble("epochs are compared only if asked to, usage lags, a checkpoint keeps progress", func(w *standin.Worker) {
+		So(start(w, "a", 5, `{"memory_mb":10}`), ShouldEqual, 200)
+		So(start(w, "b", 4, `{}`), ShouldEqual, 200)
+		w.SetFaults(standin.Faults{CompareEpochs: true, UsageRatio: 2, UsageLagMS: 2000})
+		So(start(w, "c", 4, `{}`), ShouldEqual, 409)
+		So(report(w).Tasks[0].Usage.MemoryMB, ShouldEqual, 0)
+		time.Sleep(2 * time.Second)
+		So(report(w).Tasks[0].Usage.MemoryMB, ShouldEqual, 20)
+		post(w, "/v1/tasks/a/throttle", `{"attempt":1,"epoch":5}`)
+		So(report(w).Tasks[0].Usage.MemoryMB, ShouldEqual, 10)
+		time.Sleep(10 * time.Second)
+		post(w, "/v1/tasks/a/checkpoint", `{"attempt":1,"epoch":5}`)
+		post(w, "/v1/tasks", `{"task_id":"a","attempt":2,"epoch":5,"lease_ms":600000,"run_ms":60000}`)
+		time.Sleep(105 * time.Second) // 58 s of work were left when the throttle doubled them; 10 s of that ran
+		So(report(w).Tasks[1].State, ShouldEqual, standin.TaskRunning)
+		time.Sleep(2 * time.Second)
+		So(report(w).Tasks[1].State, ShouldEqual, standin.TaskDone)
+	})
+}
+
+// TestMembership guards against a list that shows changes before its lag.
+func TestMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A change shows only after the lag", t, func() {
+			m := standin.NewMembership(2 * time.Second)
+			m.Put(standin.Host{ID: "d1", Addr: "127.0.0.1:1", Kind: standin.KindDaemon})
+			time.Sleep(1999 * time.Millisecond)
+			So(m.Hosts(), ShouldBeEmpty)
+			time.Sleep(time.Millisecond)
+			So(m.Hosts()[0].State, ShouldEqual, standin.StateLive)
+			m.Remove("d1")
+			So(len(m.Hosts()), ShouldEqual, 1)
+			time.Sleep(2 * time.Second)
+			So(m.Hosts(), ShouldBeEmpty)
+		})
+	})
+}
+
+// TestPlatform guards against faults that do not reach the wire.
+func TestPlatform(t *testing.T) {
+	Convey("Given a platform with one minion and one worker", t, func() {
+		c := standin.Textos()
+		c.Minions, c.Workers = 1, 1
+		p, err := standin.Start(standin.Config{Cells: []standin.Cell{c}})
+		So(err, ShouldBeNil)
+		Reset(p.Close)
+		minion, worker := p.Membership.Hosts()[0], p.Membership.Hosts()[1]
+		hc := &http.Client{Transport: &http.Transport{}}
+		Reset(hc.CloseIdleConnections)
+		fault := func(s string) { So(p.SetFaults([]byte(s)), ShouldBeNil) }
+		send := func(id string) (*http.Response, string, error) {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+minion.Addr+"/v1/execute",
+				strings.NewReader(`{"key":"`+id+`"}`))
+			req.GetBody = nil
+			req.Header.Set("Attempt-Id", id)
+			resp, err := hc.Do(req)
+			if err != nil {
+				return nil, "", err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			raw, err := io.ReadAll(resp.Body)
+			return resp, string(raw), err
+		}
+		runs := func() map[string]int { return p.Audit.Report().RequestRuns }
+
+		Convey("the minion's faults show in its responses and run counts", func() {
+			fault(`{"target":"textos-minion-*","crash_before":1,"crash_after":1,"truncate":1,"cross":1,"duplicate":1}`)
+			for _, id := range []string{"before", "after", "truncated"} {
+				_, _, err := send(id)
+				So(err, ShouldNotBeNil)
+			}
+			resp, _, err := send("crossed")
+			So(err, ShouldBeNil)
+			So(resp.Header.Get("Attempt-Id"), ShouldEqual, "truncated")
+			_, body, err := send("duplicated")
+			So(err, ShouldBeNil)
+			So(body, ShouldContainSubstring, "duplicated")
+			resp, _, err = send("next")
+			So(err, ShouldBeNil)
+			So(resp.Header.Get("Attempt-Id"), ShouldEqual, "duplicated")
+			So(runs(), ShouldResemble, map[string]int{"after": 1, "truncated": 1, "crossed": 1, "duplicated": 1})
+			fault(`{"target":"textos-minion-00","leaving":true}`)
+			resp, _, err = send("left")
+			So(err, ShouldBeNil)
+			So(resp.Header.Get("Leaving")+resp.Header.Get("Not-Run"), ShouldEqual, "truetrue")
+			So(p.Membership.Hosts()[0].State, ShouldEqual, standin.StateLeaving)
+		})
+		Convey("silent connections stay silent, new ones work, and a host that is down refuses", func() {
+			old, err := net.Dial("tcp", minion.Addr)
+			So(err, ShouldBeNil)
+			Reset(func() { _ = old.Close() })
+			ping := "GET /v1/ping HTTP/1.1\r\nHost: x\r\n\r\n"
+			buf := make([]byte, 16)
+			_, _ = io.WriteString(old, ping)
+			_, err = io.ReadFull(old, buf)
+			So(err, ShouldBeNil)
+			fault(`{"target":"textos-minion-00","silence":true}`)
+			_, _, err = send("new")
+			So(err, ShouldBeNil)
+			_, _ = io.WriteString(old, ping)
+			fault(`{"target":"textos-minion-00","down":true}`)
+			rest, _ := io.ReadAll(old)
+			So(strings.Count(string(rest), "HTTP/1.1"), ShouldEqual, 0)
+			_, _, err = send("down")
+			So(err, ShouldNotBeNil)
+			fault(`{"target":"textos-minion-00","clear":true}`)
+			_, _, err = send("up")
+			So(err, ShouldBeNil)
+			So(runs(), ShouldResemble, map[string]int{"new": 1, "up": 1})
+		})
+		Convey("a response that the table loses belongs to a write that took effect", func() {
+			tc := table.NewHTTPClient(p.TableAddr())
+			Reset(tc.Close)
+			fault(`{"target":"table","lose_responses":1}`)
+			_, err := tc.Commit(t.Context(), table.Txn{Ops: []table.Op{{Key: "x"}}})
+			So(err, ShouldWrap, table.ErrUnknownOutcome)
+			_, err = tc.Get(t.Context(), "x")
+			So(err, ShouldBeNil)
+		})
+		Convey("a fault that its target does not know is refused", func() {
+			So(p.SetFaults([]byte(`{"target":"`+worker.ID+`","truncate":1}`)), ShouldWrap, standin.ErrInvalidFault)
+			So(p.SetFaults([]byte(`{"target":"nobody"}`)), ShouldWrap, standin.ErrUnknownTarget)
+		})
+	})
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,492 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// workerTick is how often a worker looks for ended tasks and lapsed leases. Every request looks too.
+const workerTick = 20 * time.Millisecond
+
+// throttleFactor is how much longer the rest of a throttled task takes.
+const throttleFactor = 2
+
+// States of tasks in a worker's report.
+const (
+	TaskRunning      = "running"
+	TaskDone         = "done"
+	TaskFailed       = "failed"       // exit is not 0
+	TaskStopped      = "stopped"      // on command
+	TaskExpired      = "expired"      // the lease lapsed
+	TaskCheckpointed = "checkpointed" // ended; its next attempt resumes from the saved progress
+)
+
+// TaskRef names one attempt of a task.
+type TaskRef struct {
+	TaskID  string `json:"task_id"`
+	Attempt int64  `json:"attempt"`
+}
+
+// TaskRefs is a list of tasks. In JSON an element may also be a bare task id, which names the latest attempt.
+type TaskRefs []TaskRef
+
+// UnmarshalJSON accepts objects and bare task ids.
+func (l *TaskRefs) UnmarshalJSON(raw []byte) error {
+	var elems []json.RawMessage
+	if err := json.Unmarshal(raw, &elems); err != nil {
+		return err
+	}
+	*l = make(TaskRefs, len(elems))
+	for i, e := range elems {
+		var into any = &(*l)[i]
+		if e[0] == '"' {
+			into = &(*l)[i].TaskID
+		}
+		if err := json.Unmarshal(e, into); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartTask is the body of POST /v1/tasks.
+type StartTask struct {
+	TaskRef
+	Epoch     int64           `json:"epoch"`
+	LeaseMS   int64           `json:"lease_ms"`
+	Resources Resources       `json:"resources"`
+	Kind      string          `json:"kind"` // batch, gang or service
+	RunMS     int64           `json:"run_ms"`
+	Payload   json.RawMessage `json:"payload,omitempty"`
+}
+
+// TaskCommand is the body of renew, ack, stop, throttle and checkpoint. Each uses the fields that it needs.
+type TaskCommand struct {
+	Epoch   int64    `json:"epoch"`
+	LeaseMS int64    `json:"lease_ms"`
+	Attempt int64    `json:"attempt"`
+	Tasks   TaskRefs `json:"tasks"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	TaskRef
+	State            string    `json:"state"`
+	Exit             int       `json:"exit"`
+	Resources        Resources `json:"resources"`
+	Usage            Resources `json:"usage"`
+	RemainingLeaseMS int64     `json:"remaining_lease_ms"`
+	Throttled        bool      `json:"throttled,omitempty"`
+}
+
+// Report is the body of GET /v1/report and the response to a renewal.
+type Report struct {
+	WorkerID string       `json:"worker_id"`
+	BootID   string       `json:"boot_id"`
+	MaxEpoch int64        `json:"max_epoch"`
+	Capacity Resources    `json:"capacity"`
+	Leaving  bool         `json:"leaving,omitempty"`
+	Tasks    []TaskReport `json:"tasks"`
+}
+
+type task struct {
+	TaskReport
+	work       work
+	startedAt  time.Duration // on the worker's lease clock
+	leaseUntil time.Duration // on the worker's lease clock
+	remaining  time.Duration // of the work
+	endless    bool          // runs until it is stopped
+}
+
+// Worker runs whatever tasks it is given, under leases.
+type Worker struct {
+	ID       string
+	capacity Resources
+	audit    *Audit
+	saved    *checkpoints
+
+	mu       sync.Mutex
+	boots    int
+	maxEpoch int64
+	tasks    map[TaskRef]*task
+	faults   Faults
+	origin   time.Time     // of the lease clock
+	frozen   time.Duration // time for which the lease clock stood still
+	last     time.Duration // when advance last ran
+	pausedAt time.Time
+	resumed  chan struct{} // nil while not paused
+}
+
+// NewWorker returns a worker of the given capacity. Leases are watched only while Run is running.
+func NewWorker(id string, capacity Resources) *Worker {
+	return newWorker(id, capacity, NewAudit(), &checkpoints{})
+}
+
+func newWorker(id string, capacity Resources, a *Audit, saved *checkpoints) *Worker {
+	a.workerLoad(id, capacity, Resources{}, Resources{}, 0)
+	return &Worker{
+		ID: id, capacity: capacity, audit: a, saved: saved, boots: 1,
+		tasks: map[TaskRef]*task{}, origin: time.Now(),
+	}
+}
+
+// checkpoints stands for the object store: the progress of checkpointed tasks, by task id.
+type checkpoints struct {
+	mu        sync.Mutex
+	remaining map[string]time.Duration
+}
+
+func (c *checkpoints) save(id string, remaining time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.remaining == nil {
+		c.remaining = map[string]time.Duration{}
+	}
+	c.remaining[id] = remaining
+}
+
+func (c *checkpoints) load(id string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.remaining[id]
+	return d, ok
+}
+
+// Run ends tasks whose work is done or whose lease has lapsed, until ctx ends.
+func (w *Worker) Run(ctx context.Context) {
+	t := time.NewTicker(workerTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			w.mu.Lock()
+			w.advance()
+			w.mu.Unlock()
+		}
+	}
+}
+
+// Audit returns the record that the worker writes to.
+func (w *Worker) Audit() *Audit { return w.audit }
+
+// Faults returns the faults in force.
+func (w *Worker) Faults() Faults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults
+}
+
+// SetFaults replaces the faults in force. Network faults and the membership list are not affected.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if f.Restart {
+		w.restart()
+		f.Restart = false
+	}
+	switch {
+	case f.Paused && w.resumed == nil:
+		w.pause()
+	case !f.Paused && w.resumed != nil:
+		w.resume(w.faults.FreezeLeases)
+	}
+	w.faults = f
+}
+
+func (w *Worker) restart() {
+	for _, t := range w.tasks {
+		if t.State == TaskRunning && w.resumed == nil {
+			w.audit.leave(t.TaskID, w.place(t))
+		}
+	}
+	w.tasks = map[TaskRef]*task{}
+	w.boots++
+	w.maxEpoch = 0
+}
+
+func (w *Worker) pause() {
+	w.pausedAt, w.resumed = time.Now(), make(chan struct{})
+	for _, t := range w.tasks {
+		if t.State == TaskRunning {
+			w.audit.leave(t.TaskID, w.place(t))
+		}
+	}
+}
+
+func (w *Worker) resume(frozen bool) {
+	if frozen {
+		w.frozen += time.Since(w.pausedAt)
+	}
+	close(w.resumed)
+	w.resumed = nil
+	w.last = w.clock() // no work was done during the pause
+	for _, t := range w.tasks {
+		if t.State == TaskRunning && t.leaseUntil > w.last {
+			w.audit.enter(t.TaskID, w.place(t))
+		}
+	}
+	w.advance()
+}
+
+// clock is the worker's lease clock.
+func (w *Worker) clock() time.Duration { return time.Since(w.origin) - w.frozen }
+
+func (w *Worker) place(t *task) string { return fmt.Sprintf("%s/%d", w.ID, t.Attempt) }
+
+// advance ends the tasks whose work ended or whose lease lapsed since the last call.
+func (w *Worker) advance() {
+	if w.resumed != nil {
+		return
+	}
+	now := w.clock()
+	for _, t := range w.tasks {
+		if t.State != TaskRunning {
+			continue
+		}
+		end := w.last + t.remaining
+		switch {
+		case !t.endless && end <= now && end <= t.leaseUntil:
+			w.finish(t)
+		case t.leaseUntil <= now:
+			w.end(t, TaskExpired, -1)
+		default:
+			t.remaining -= now - w.last
+		}
+	}
+	w.last = now
+}
+
+func (w *Worker) finish(t *task) {
+	exit := t.work.Exit
+	if w.faults.FailAll {
+		exit = 1
+	}
+	if exit != 0 {
+		w.end(t, TaskFailed, exit)
+		return
+	}
+	w.end(t, TaskDone, 0)
+}
+
+func (w *Worker) end(t *task, state string, exit int) {
+	t.State, t.Exit, t.RemainingLeaseMS = state, exit, 0
+	w.audit.leave(t.TaskID, w.place(t))
+}
+
+// ServeHTTP serves the worker protocol.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	resumed := w.resumed
+	w.mu.Unlock()
+	if resumed != nil {
+		select {
+		case <-resumed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tasks", w.serveStart)
+	mux.HandleFunc("POST /v1/renew", w.command(w.renew))
+	mux.HandleFunc("POST /v1/ack", w.command(w.ack))
+	mux.HandleFunc("POST /v1/tasks/{id}/{action}", w.command(w.control))
+	mux.HandleFunc("GET /v1/report", func(rw http.ResponseWriter, _ *http.Request) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.advance()
+		writeJSON(rw, http.StatusOK, w.report())
+	})
+	mux.ServeHTTP(rw, r)
+}
+
+// admit refuses an old epoch, if the worker compares epochs, and records the highest one.
+func (w *Worker) admit(rw http.ResponseWriter, epoch int64) bool {
+	if w.faults.CompareEpochs && epoch < w.maxEpoch {
+		writeJSON(rw, http.StatusConflict, map[string]any{"code": "stale_epoch", "max_epoch": w.maxEpoch})
+		return false
+	}
+	w.maxEpoch = max(w.maxEpoch, epoch)
+	return true
+}
+
+func (w *Worker) serveStart(rw http.ResponseWriter, r *http.Request) {
+	var req StartTask
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || req.TaskID == "" || req.LeaseMS <= 0 {
+		writeJSON(rw, http.StatusBadRequest, map[string]string{"code": "invalid_request"})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if !w.admit(rw, req.Epoch) {
+		return
+	}
+	if w.faults.Leaving {
+		rw.Header().Set("Leaving", "true")
+		rw.Header().Set("Not-Run", "true")
+		writeJSON(rw, http.StatusServiceUnavailable, map[string]string{"code": "leaving"})
+		return
+	}
+	t := w.tasks[req.TaskRef]
+	if t == nil {
+		t = w.start(req)
+	}
+	writeJSON(rw, http.StatusOK, map[string]string{"worker_id": w.ID, "boot_id": w.bootID(), "state": t.State})
+}
+
+// start begins a task whether or not it fits.
+func (w *Worker) start(req StartTask) *task {
+	now := w.clock()
+	t := &task{
+		TaskReport: TaskReport{TaskRef: req.TaskRef, State: TaskRunning, Resources: req.Resources},
+		startedAt:  now, leaseUntil: now + time.Duration(req.LeaseMS)*time.Millisecond,
+	}
+	_ = json.Unmarshal(req.Payload, &t.work) // other payloads run for the declared time
+	ms := t.work.WorkMS
+	if ms == 0 && req.Kind != "service" {
+		ms = req.RunMS
+	}
+	t.endless = req.Kind == "service" && ms == 0
+	t.remaining = time.Duration(ms) * time.Millisecond
+	if left, ok := w.saved.load(req.TaskID); ok {
+		t.remaining = left
+	}
+	w.tasks[req.TaskRef] = t
+	w.audit.taskRun(t.TaskID, t.work)
+	w.audit.enter(t.TaskID, w.place(t))
+	if w.faults.FailAll {
+		w.end(t, TaskFailed, 1)
+	}
+	assigned, used := w.load()
+	w.audit.workerLoad(w.ID, w.capacity, assigned, used, 1)
+	return t
+}
+
+// load sums the declared sizes and the real usage of the running tasks.
+func (w *Worker) load() (assigned, used Resources) {
+	for _, t := range w.tasks {
+		if t.State == TaskRunning {
+			assigned = assigned.plus(t.Resources)
+			used = used.plus(w.usage(t))
+		}
+	}
+	return assigned, used
+}
+
+// usage is what a task really uses. A throttled task stays within its declared size.
+func (w *Worker) usage(t *task) Resources {
+	ratio := cmp.Or(t.work.UsageRatio, w.faults.UsageRatio, 1)
+	if t.Throttled {
+		ratio = min(ratio, 1)
+	}
+	return t.Resources.times(ratio)
+}
+
+// command decodes a TaskCommand, checks its epoch and calls do with the worker locked.
+func (w *Worker) command(do func(http.ResponseWriter, *http.Request, TaskCommand)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var cmd TaskCommand
+		if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
+			writeJSON(rw, http.StatusBadRequest, map[string]string{"code": "invalid_request"})
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.advance()
+		if w.admit(rw, cmd.Epoch) {
+			do(rw, r, cmd)
+		}
+	}
+}
+
+func (w *Worker) renew(rw http.ResponseWriter, _ *http.Request, cmd TaskCommand) {
+	until := w.clock() + time.Duration(cmd.LeaseMS)*time.Millisecond
+	for _, ref := range cmd.Tasks {
+		if t := w.find(ref); t != nil && t.State == TaskRunning {
+			t.leaseUntil = until
+		}
+	}
+	writeJSON(rw, http.StatusOK, w.report())
+}
+
+// ack forgets tasks that have ended.
+func (w *Worker) ack(rw http.ResponseWriter, _ *http.Request, cmd TaskCommand) {
+	for _, ref := range cmd.Tasks {
+		if t := w.find(ref); t != nil && t.State != TaskRunning {
+			delete(w.tasks, t.TaskRef)
+		}
+	}
+	writeJSON(rw, http.StatusOK, struct{}{})
+}
+
+func (w *Worker) control(rw http.ResponseWriter, r *http.Request, cmd TaskCommand) {
+	t := w.find(TaskRef{TaskID: r.PathValue("id"), Attempt: cmd.Attempt})
+	if t == nil {
+		writeJSON(rw, http.StatusNotFound, map[string]string{"code": "not_found"})
+		return
+	}
+	action := r.PathValue("action")
+	switch running := t.State == TaskRunning; {
+	case action != "stop" && action != "throttle" && action != "checkpoint":
+		http.NotFound(rw, r)
+		return
+	case !running:
+	case action == "stop":
+		w.end(t, TaskStopped, -1)
+	case action == "checkpoint":
+		w.saved.save(t.TaskID, t.remaining)
+		w.end(t, TaskCheckpointed, -1)
+	case !t.Throttled:
+		t.Throttled = true
+		t.remaining *= throttleFactor
+	}
+	writeJSON(rw, http.StatusOK, map[string]string{"state": t.State})
+}
+
+// find returns the task of ref. Attempt 0 that was never started means the highest attempt.
+func (w *Worker) find(ref TaskRef) *task {
+	if t := w.tasks[ref]; t != nil || ref.Attempt != 0 {
+		return t
+	}
+	var latest *task
+	for _, t := range w.tasks {
+		if t.TaskID == ref.TaskID && (latest == nil || t.Attempt > latest.Attempt) {
+			latest = t
+		}
+	}
+	return latest
+}
+
+func (w *Worker) bootID() string { return fmt.Sprintf("%s-boot-%d", w.ID, w.boots) }
+
+func (w *Worker) report() Report {
+	now := w.clock()
+	lag := time.Duration(w.faults.UsageLagMS) * time.Millisecond
+	r := Report{
+		WorkerID: w.ID, BootID: w.bootID(), MaxEpoch: w.maxEpoch, Capacity: w.capacity, Leaving: w.faults.Leaving,
+		Tasks: make([]TaskReport, 0, len(w.tasks)),
+	}
+	for _, t := range w.tasks {
+		tr := t.TaskReport
+		if t.State == TaskRunning {
+			tr.RemainingLeaseMS = (t.leaseUntil - now).Milliseconds()
+			if now-t.startedAt >= lag {
+				tr.Usage = w.usage(t)
+			}
+		}
+		r.Tasks = append(r.Tasks, tr)
+	}
+	slices.SortFunc(r.Tasks, func(a, b TaskReport) int {
+		return cmp.Or(cmp.Compare(a.TaskID, b.TaskID), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return r
+}
