Add a load tool that reports what each class of callers got

The tool checks that each answer echoes its own key, separates refusals at once from late ones, and refuses targets that are not loopback addresses.

--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+// lateAfter separates a refusal at once from one that the caller had to wait for.
+const lateAfter = 250 * time.Millisecond
+
+// Sample is what one caller got.
+type Sample struct {
+	Class   request.Class
+	Outcome request.Result
+	Code    request.Code
+	Latency time.Duration
+	Work    time.Duration // the part of the latency that the minion worked
+	Wrong   bool          // the answer was another request's
+}
+
+// Line sums up the samples of one class.
+type Line struct {
+	Class       request.Class        `json:"class"`
+	Sent        int                  `json:"sent"`
+	Done        int                  `json:"done"`
+	NotRun      int                  `json:"not_run"`
+	NotRunLate  int                  `json:"not_run_late"` // of NotRun, answered after lateAfter
+	Unknown     int                  `json:"unknown"`
+	Wrong       int                  `json:"wrong_answers"`
+	Codes       map[request.Code]int `json:"codes"`
+	AddedP50    time.Duration        `json:"added_p50_ns"` // latency beyond the work, of done requests
+	AddedP99    time.Duration        `json:"added_p99_ns"`
+	AddedWorst  time.Duration        `json:"added_worst_ns"`
+	PerSecond   float64              `json:"done_per_second"`
+	RunDuration time.Duration        `json:"run_ns"`
+}
+
+// Summarize sums up samples by class, in the order of the class names.
+func Summarize(samples []Sample, run time.Duration) []Line {
+	byClass := map[request.Class][]Sample{}
+	for _, s := range samples {
+		byClass[s.Class] = append(byClass[s.Class], s)
+	}
+	lines := make([]Line, 0, len(byClass))
+	for class, ss := range byClass {
+		lines = append(lines, summarize(class, ss, run))
+	}
+	sort.Slice(lines, func(i, j int) bool { return lines[i].Class < lines[j].Class })
+	return lines
+}
+
+func summarize(class request.Class, samples []Sample, run time.Duration) Line {
+	l := Line{Class: class, Sent: len(samples), Codes: map[request.Code]int{}, RunDuration: run}
+	var added []time.Duration
+	for _, s := range samples {
+		switch s.Outcome {
+		case request.Done:
+			l.Done++
+			added = append(added, s.Latency-s.Work)
+		case request.NotRun:
+			l.NotRun++
+			if s.Latency > lateAfter {
+				l.NotRunLate++
+			}
+		default:
+			l.Unknown++
+		}
+		if s.Code != "" {
+			l.Codes[s.Code]++
+		}
+		if s.Wrong {
+			l.Wrong++
+		}
+	}
+	slices.Sort(added)
+	l.AddedP50, l.AddedP99, l.AddedWorst = quantile(added, 0.5), quantile(added, 0.99), quantile(added, 1)
+	l.PerSecond = float64(l.Done) / run.Seconds()
+	return l
+}
+
+// quantile returns the smallest value that at least the share q of the sorted values does not exceed.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	i := int(q*float64(len(sorted)) + 0.999999)
+	return sorted[min(max(i-1, 0), len(sorted)-1)]
+}
+
+// WriteTable writes the lines as a table.
+func WriteTable(w io.Writer, lines []Line) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "class\tsent\tdone\tnot run\tlate\tunknown\twrong\tdone/s\tadded p50\tadded p99\tadded worst\tcodes")
+	for _, l := range lines {
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t%s\t%s\t%v\n", l.Class, l.Sent, l.Done, l.NotRun,
+			l.NotRunLate, l.Unknown, l.Wrong, l.PerSecond, round(l.AddedP50), round(l.AddedP99), round(l.AddedWorst), l.Codes)
+	}
+	return tw.Flush()
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+// ErrNotLoopback says that a target is not on this machine.
+var ErrNotLoopback = errors.New("load: targets must be loopback addresses")
+
+const (
+	callSlack    = 2 * time.Second // beyond the request's timeout
+	maxIdleConns = 512
+)
+
+// Target is where requests go.
+type Target struct {
+	Entries []string // IP:port of callers' listeners
+	Service string
+	RunID   string // prefix of the idempotency keys
+}
+
+// check refuses targets beyond this machine, so that a mistyped address never puts load on others.
+func (t Target) check() error {
+	for _, a := range t.Entries {
+		ap, err := netip.ParseAddrPort(a)
+		if err != nil || !ap.Addr().IsLoopback() {
+			return errors.Wrap(ErrNotLoopback, a)
+		}
+	}
+	return nil
+}
+
+// Run sends all arrivals at their times, whether or not earlier ones were answered, and returns what callers got.
+func Run(ctx context.Context, p Pattern, t Target) ([]Sample, error) {
+	if err := t.check(); err != nil {
+		return nil, err
+	}
+	arrivals := p.Arrivals()
+	samples := make([]Sample, len(arrivals))
+	hc := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: maxIdleConns,
+	}}
+	defer hc.CloseIdleConnections()
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, a := range arrivals {
+		if !sleepUntil(ctx, start.Add(a.At)) {
+			samples = samples[:i]
+			break
+		}
+		wg.Go(func() { samples[i] = send(ctx, hc, t, p.Mix[a.Share], a.Customer, i) })
+	}
+	wg.Wait()
+	return samples, nil
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// work is the payload of the platform's stand-in.
+type work struct {
+	Key    string `json:"key"`
+	WorkMS int64  `json:"work_ms"`
+}
+
+func send(ctx context.Context, hc *http.Client, t Target, s Share, customer, i int) Sample {
+	key := fmt.Sprintf("%s-%d", t.RunID, i)
+	payload, _ := json.Marshal(work{Key: key, WorkMS: s.Work.Milliseconds()})
+	body, _ := json.Marshal(map[string]any{
+		"customer": fmt.Sprintf("customer-%d", customer), "key": key, "class": s.Class, "idempotent": s.Idempotent,
+		"timeout_ms": s.Timeout.Milliseconds(), "payload": json.RawMessage(payload),
+	})
+	began := time.Now()
+	out, err := post(ctx, hc, t, s, body)
+	sample := Sample{Class: s.Class, Latency: time.Since(began), Work: s.Work, Outcome: out.Outcome, Code: out.Code}
+	if err != nil {
+		sample.Outcome, sample.Code = request.Unknown, "transport_error"
+		return sample
+	}
+	if out.Outcome == request.Done {
+		var echo work
+		sample.Wrong = json.Unmarshal(out.Result, &echo) != nil || echo.Key != key
+	}
+	return sample
+}
+
+func post(ctx context.Context, hc *http.Client, t Target, s Share, body []byte) (request.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout+callSlack)
+	defer cancel()
+	entry := t.Entries[rand.IntN(len(t.Entries))]
+	url := "http://" + entry + "/v1/services/" + t.Service + "/requests"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return request.Outcome{}, err
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return request.Outcome{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out request.Outcome
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
