--- /dev/null
+++ b/journal/committer.go
@@ -0,0 +1,593 @@
+package journal
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+var (
+	// ErrUnavailable says that a journal could not be opened because the store did not answer or answered with a stale
+	// read. Opening may be tried again.
+	ErrUnavailable = errors.New("journal: store unavailable")
+	// ErrCorrupt says that rows of the partition are missing or cannot be decoded.
+	ErrCorrupt = errors.New("journal: rows are corrupt")
+	// ErrOpen says that the partition's journal is already open at this epoch.
+	ErrOpen = errors.New("journal: already open")
+	// ErrRunning says that Run was called twice.
+	ErrRunning = errors.New("journal: committer was already started")
+)
+
+// Stats counts what a Committer did since it was made.
+type Stats struct {
+	Commits     int64 `json:"commits"`   // calls of the store's commit, with retries and probes
+	Rows        int64 `json:"rows"`      // rows that became durable
+	Records     int64 `json:"records"`   // records that became durable
+	Bytes       int64 `json:"bytes"`     // size of the rows that became durable
+	Retries     int64 `json:"retries"`   // commits that were not written and tried again
+	Unknown     int64 `json:"unknown"`   // commits whose response was lost
+	ReadBacks   int64 `json:"readbacks"` // reads to find the outcome of a commit
+	Probes      int64 `json:"probes"`    // commits without rows that test the store while it fails
+	Fenced      int64 `json:"fenced"`    // journals fenced
+	Withdrawn   int64 `json:"withdrawn"` // records whose caller gave up before they were part of a commit
+	Dropped     int64 `json:"dropped"`   // records of AppendAsync that did not fit into the buffer
+	Compactions int64 `json:"compactions"`
+}
+
+// State is a Committer's part of the state dump.
+type State struct {
+	Healthy  bool           `json:"healthy"`
+	Failures int            `json:"failures"`     // failed commits in a row
+	InFlight int64          `json:"in_flight_ms"` // age of the commit in flight, 0 if none
+	Stats    Stats          `json:"stats"`
+	Journals []JournalState `json:"journals"`
+}
+
+// JournalState is one journal's part of the state dump.
+type JournalState struct {
+	Partition     string `json:"partition"`
+	Epoch         int64  `json:"epoch"`
+	Seq           int64  `json:"seq"` // last durable segment
+	PendingItems  int    `json:"pending_items"`
+	PendingBytes  int    `json:"pending_bytes"`
+	SegmentBytes  int    `json:"segment_bytes"` // since the last snapshot
+	CoveredRows   int    `json:"covered_rows"`  // rows that the next compaction deletes
+	LostRecords   int    `json:"lost_records"`  // dropped since the last compaction
+	State         string `json:"state"`         // open, closed or fenced
+	CommitRunning bool   `json:"commit_running"`
+}
+
+// Committer writes the records of all journals of one daemon by group commit. At most one commit is in flight; records
+// that arrive meanwhile are written by the next one. It implements Opener.
+type Committer struct {
+	client table.Client
+	cfg    Config
+	wake   chan struct{}
+	limit  bucket // used by Run only
+
+	mu            sync.Mutex
+	journals      []*journal
+	turn          int // index of the journal that the next commit starts with
+	started       bool
+	stopped       bool
+	failures      int
+	inFlightSince time.Time
+	stats         Stats
+}
+
+var _ Opener = (*Committer)(nil)
+
+// NewCommitter returns a committer that writes nothing before Run is called.
+func NewCommitter(client table.Client, cfg Config) *Committer {
+	cfg = cfg.withDefaults()
+	return &Committer{
+		client: client,
+		cfg:    cfg,
+		wake:   make(chan struct{}, 1),
+		limit:  bucket{rate: cfg.CommitsPerSecond, burst: float64(cfg.Burst)},
+	}
+}
+
+// Open implements Opener. Opening a partition at a newer epoch ends a journal of an older epoch in this process.
+// Errors: ErrUnavailable, ErrFenced, ErrCorrupt, ErrOpen.
+func (c *Committer) Open(ctx context.Context, g ownership.Guard) (Log, [][]byte, error) {
+	if err := c.endOlder(g); err != nil {
+		return nil, nil, err
+	}
+	r, err := replay(ctx, c.client, g)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "open %q", g.Partition())
+	}
+	j := &journal{
+		c: c, g: g, partition: g.Partition(), epoch: g.Epoch(), rowKey: g.RowKey(), rowVersion: g.RowVersion(),
+		covered: r.covered, segmentBytes: r.bytes, snapshotAt: r.snapshotAt,
+	}
+	if r.last.epoch == j.epoch {
+		j.seq = r.last.seq
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.find(j.partition, j.epoch) != nil {
+		return nil, nil, errors.Wrapf(ErrOpen, "open %q", j.partition)
+	}
+	if c.stopped {
+		return nil, nil, errors.Wrap(ErrUnavailable, "committer has stopped")
+	}
+	c.journals = append(c.journals, j)
+	return j, r.records, nil
+}
+
+func (c *Committer) endOlder(g ownership.Guard) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.find(g.Partition(), g.Epoch()) != nil {
+		return errors.Wrapf(ErrOpen, "open %q", g.Partition())
+	}
+	for _, j := range slices.Clone(c.journals) {
+		if j.partition == g.Partition() && j.epoch < g.Epoch() {
+			c.fence(j)
+		}
+	}
+	return nil
+}
+
+func (c *Committer) find(partition string, epoch int64) *journal {
+	for _, j := range c.journals {
+		if j.partition == partition && j.epoch == epoch {
+			return j
+		}
+	}
+	return nil
+}
+
+// Stats returns the counters.
+func (c *Committer) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stats
+}
+
+// State returns the committer's part of the state dump.
+func (c *Committer) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := State{Healthy: c.healthy(), Failures: c.failures, Stats: c.stats, Journals: []JournalState{}}
+	if !c.inFlightSince.IsZero() {
+		s.InFlight = time.Since(c.inFlightSince).Milliseconds()
+	}
+	for _, j := range c.journals {
+		s.Journals = append(s.Journals, j.state())
+	}
+	return s
+}
+
+// healthy is called with mu held.
+func (c *Committer) healthy() bool {
+	stalled := !c.inFlightSince.IsZero() && time.Since(c.inFlightSince) > c.cfg.StallAfter
+	return !c.stopped && c.failures == 0 && !stalled
+}
+
+func (c *Committer) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes queued records until ctx ends. Then records that are not part of a commit are withdrawn, and every journal
+// is closed.
+func (c *Committer) Run(ctx context.Context) error {
+	c.mu.Lock()
+	if c.started {
+		c.mu.Unlock()
+		return ErrRunning
+	}
+	c.started = true
+	c.mu.Unlock()
+	defer c.stop()
+	for c.awaitWork(ctx) && c.awaitToken(ctx) {
+		units, probe := c.collect()
+		switch {
+		case len(units) > 0:
+			c.write(ctx, units)
+		case probe:
+			c.probe(ctx)
+		}
+	}
+	return nil
+}
+
+func (c *Committer) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, j := range slices.Clone(c.journals) {
+		c.end(j, errClosed, ErrNotWritten)
+	}
+}
+
+// awaitWork returns true once there is something to commit, or at once if the last commit failed and the store must be
+// probed; the pause between failures has passed by then. It returns false when ctx ends.
+func (c *Committer) awaitWork(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		work := c.failures > 0
+		for _, j := range c.journals {
+			j.settleFront()
+			work = work || len(j.queue) > 0
+		}
+		c.mu.Unlock()
+		if work {
+			return true
+		}
+		select {
+		case <-c.wake:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// awaitToken waits for the limiter.
+func (c *Committer) awaitToken(ctx context.Context) bool {
+	for {
+		wait := c.limit.take(time.Now())
+		if wait == 0 {
+			return true
+		}
+		if !sleep(ctx, wait) {
+			return false
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// collect moves queued records into the units of the next commit. A compaction is a commit of its own, so that its size
+// and its failures concern one journal only. The journals take turns to be first.
+func (c *Committer) collect() (units []*unit, probe bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size := 0
+	for i := range c.journals {
+		j := c.journals[(c.turn+i)%len(c.journals)]
+		j.settleFront()
+		if len(j.queue) == 0 || j.inFlight || size >= maxCommitBytes {
+			continue
+		}
+		if j.queue[0].compaction {
+			if len(units) == 0 {
+				units = append(units, j.takeCompaction())
+				break
+			}
+			continue
+		}
+		u := j.takeSegment()
+		units = append(units, u)
+		size += u.size
+	}
+	c.turn++
+	return units, c.failures > 0
+}
+
+// commit makes one call of the store and keeps the account of health and counters.
+func (c *Committer) commit(ctx context.Context, txn table.Txn) error {
+	c.mu.Lock()
+	c.inFlightSince = time.Now()
+	c.stats.Commits++
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CommitTimeout)
+	defer cancel()
+	_, err := c.client.Commit(ctx, txn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlightSince = time.Time{}
+	if err == nil || errors.Is(err, table.ErrConflict) {
+		c.recovered()
+		return err
+	}
+	if c.failures == 0 {
+		c.cfg.Logger.Warn("journal commits fail", zap.Error(err))
+	}
+	c.failures++
+	return err
+}
+
+// recovered is called with mu held.
+func (c *Committer) recovered() {
+	if c.failures > 0 {
+		c.cfg.Logger.Info("journal commits succeed again", zap.Int("failures", c.failures))
+	}
+	c.failures = 0
+}
+
+func (c *Committer) pause(ctx context.Context) bool {
+	c.mu.Lock()
+	d := retryDelay(max(1, c.failures), c.cfg.Rand())
+	c.mu.Unlock()
+	return sleep(ctx, d)
+}
+
+// probe commits nothing under the conditions of all journals. It finds out that the store takes commits again when all
+// callers were refused meanwhile and nothing is queued.
+func (c *Committer) probe(ctx context.Context) {
+	c.mu.Lock()
+	c.stats.Probes++
+	txn := table.Txn{Ops: []table.Op{}}
+	for _, j := range c.journals {
+		txn.Conditions = append(txn.Conditions, j.condition())
+	}
+	c.mu.Unlock()
+	err := c.commit(ctx, txn)
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		c.mu.Lock()
+		for _, j := range slices.Clone(c.journals) {
+			if j.conflicts(conflict) {
+				c.fence(j)
+			}
+		}
+		c.mu.Unlock()
+	default:
+		c.pause(ctx)
+	}
+}
+
+// write commits units and decides the outcome of each. Once an attempt has an unknown outcome, the same rows are
+// committed again, under the condition that they are absent, until it is certain whether they were written: a lost
+// commit may also take effect later, and then conflicts with the repeated one.
+func (c *Committer) write(ctx context.Context, units []*unit) {
+	for _, u := range units {
+		u.encode()
+	}
+	uncertain := false
+	for {
+		err := c.commit(ctx, transaction(units))
+		var conflict *table.ConflictError
+		switch {
+		case err == nil:
+			c.settle(units, nil)
+			return
+		case errors.As(err, &conflict):
+			units = c.resolveConflict(ctx, units, conflict, uncertain)
+			if len(units) > 0 && !uncertain {
+				c.requeue(units)
+				return
+			}
+		case errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrConflict):
+			// Nothing was written. A conflict that does not name its row is tried again like an unavailable store.
+			c.count(func(s *Stats) { s.Retries++ })
+			if !uncertain {
+				c.requeue(units)
+			}
+			c.pause(ctx)
+			if !uncertain {
+				return
+			}
+		default: // ErrUnknownOutcome, or an error that does not say that nothing was written
+			uncertain = true
+			c.count(func(s *Stats) { s.Unknown++ })
+			if c.readBack(ctx, units[0]) == written {
+				c.settle(units, nil)
+				return
+			}
+			if units[0].snapshot {
+				// A compaction is safe to give up: if it takes effect later, it replaces the same rows.
+				c.settle(units, ErrOutcomeUnknown)
+				units = nil
+			}
+			c.pause(ctx)
+		}
+		if len(units) == 0 {
+			return
+		}
+		if !c.awaitToken(ctx) {
+			c.settle(units, ErrOutcomeUnknown)
+			return
+		}
+	}
+}
+
+func (c *Committer) count(f func(*Stats)) {
+	c.mu.Lock()
+	f(&c.stats)
+	c.mu.Unlock()
+}
+
+// resolveConflict settles the units that the conflict decides and returns the others. Nothing of this attempt was
+// written; if an earlier attempt is uncertain, it may have been.
+func (c *Committer) resolveConflict(ctx context.Context, units []*unit, conflict *table.ConflictError,
+	uncertain bool) []*unit {
+	if uncertain && c.anyWritten(ctx, units) {
+		c.settle(units, nil)
+		c.fenceConflicting(units, conflict)
+		return nil
+	}
+	var hit, rest []*unit
+	for _, u := range units {
+		if u.j.conflicts(conflict) || u.key == conflict.Key && (!uncertain || c.fenced(u.j)) {
+			hit = append(hit, u)
+		} else {
+			rest = append(rest, u)
+		}
+	}
+	if len(hit) == 0 {
+		// The row of an uncertain attempt exists, but the reads do not show it yet.
+		c.pause(ctx)
+		return units
+	}
+	if hit[0].snapshot && hit[0].key == conflict.Key {
+		// An earlier compaction at the same place, whose outcome was unknown, took effect. It replaced the same rows.
+		hit[0].keys = append(hit[0].keys, hit[0].deletes...)
+		c.settle(hit, nil)
+		return rest
+	}
+	outcome := ErrFenced
+	if uncertain {
+		// The successor may have replayed the earlier attempt's rows and compacted them.
+		outcome = ErrOutcomeUnknown
+	}
+	c.settle(hit, outcome)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range hit {
+		c.fence(u.j)
+	}
+	return rest
+}
+
+func (c *Committer) fenced(j *journal) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Is(j.ended, ErrFenced)
+}
+
+func (c *Committer) fenceConflicting(units []*unit, conflict *table.ConflictError) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range units {
+		if u.j.conflicts(conflict) {
+			c.fence(u.j)
+		}
+	}
+}
+
+// presence is what a read tells about a unit's row.
+type presence int
+
+const (
+	unclear presence = iota // absent, which a stale read or a late commit explains as well, or not readable
+	written                 // the row has this writer's tag
+	foreign                 // the row has another tag
+)
+
+func (c *Committer) readBack(ctx context.Context, u *unit) presence {
+	c.count(func(s *Stats) { s.ReadBacks++ })
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CommitTimeout)
+	defer cancel()
+	row, err := c.client.Get(ctx, u.key)
+	if err != nil {
+		return unclear
+	}
+	var v struct {
+		Tag string `json:"tag"`
+	}
+	if json.Unmarshal(row.Value, &v) == nil && v.Tag == u.tag {
+		c.mu.Lock()
+		c.recovered()
+		c.mu.Unlock()
+		return written
+	}
+	return foreign
+}
+
+// anyWritten says whether one of the units' rows exists with its tag. A commit is atomic, so all of them were written
+// then. A unit whose row has another tag is fenced: somebody else writes at this epoch.
+func (c *Committer) anyWritten(ctx context.Context, units []*unit) bool {
+	for _, u := range units {
+		switch c.readBack(ctx, u) {
+		case written:
+			return true
+		case foreign:
+			if u.snapshot {
+				continue
+			}
+			c.cfg.Logger.Error("journal row was written by another writer", zap.String("key", u.key))
+			c.mu.Lock()
+			c.fence(u.j)
+			c.mu.Unlock()
+		}
+	}
+	return false
+}
+
+// settle ends units with the outcome of their records.
+func (c *Committer) settle(units []*unit, outcome error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range units {
+		u.j.inFlight = false
+		u.apply(outcome, &c.stats)
+		for _, it := range u.items {
+			u.j.settleItem(it, outcome)
+		}
+		c.forget(u.j)
+	}
+}
+
+// requeue puts the records of units that were certainly not written back to the front of their queues, where they can
+// be withdrawn. A compaction is given up, because its caller can make a smaller one later.
+func (c *Committer) requeue(units []*unit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range units {
+		j := u.j
+		j.inFlight = false
+		if j.ended != nil || u.snapshot {
+			outcome := ErrNotWritten
+			if errors.Is(j.ended, ErrFenced) {
+				outcome = ErrFenced
+			}
+			for _, it := range u.items {
+				j.settleItem(it, outcome)
+			}
+			c.forget(j)
+			continue
+		}
+		for _, it := range u.items {
+			it.inCommit = false
+		}
+		j.queue = append(u.items, j.queue...)
+	}
+}
+
+// fence ends a journal whose partition has a newer owner. It is called with mu held.
+func (c *Committer) fence(j *journal) {
+	if j.ended != nil {
+		return
+	}
+	c.stats.Fenced++
+	c.cfg.Logger.Warn("journal fenced", zap.String("partition", j.partition), zap.Int64("epoch", j.epoch))
+	c.end(j, ErrFenced, ErrFenced)
+}
+
+// end refuses further records with reason and settles the queued ones with outcome. It is called with mu held.
+func (c *Committer) end(j *journal, reason, outcome error) {
+	if j.ended == nil {
+		j.ended = reason
+	}
+	for _, it := range j.queue {
+		j.settleItem(it, outcome)
+	}
+	j.queue = nil
+	c.forget(j)
+}
+
+// forget removes an ended journal once nothing of it is in flight. It is called with mu held.
+func (c *Committer) forget(j *journal) {
+	if j.ended != nil && !j.inFlight {
+		c.journals = slices.DeleteFunc(c.journals, func(o *journal) bool { return o == j })
+	}
+}
+
+func newTag() string { return rand.Text() }
--- /dev/null
+++ b/journal/config.go
@@ -0,0 +1,102 @@
+package journal
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Default limits of a Committer.
+const (
+	// DefaultCommitsPerSecond keeps 8 daemons at 240 commits a second, within the several hundred that the store takes.
+	DefaultCommitsPerSecond = 30.0
+	DefaultBurst            = 5        // commits
+	DefaultBufferBytes      = 16 << 20 // bytes, for each journal
+	// DefaultStallAfter is the age of a commit in flight from which a journal counts as unhealthy.
+	DefaultStallAfter = time.Second
+	// DefaultCommitTimeout bounds one call to the store, so that a client without a timeout cannot block all journals.
+	DefaultCommitTimeout = 3 * time.Second
+)
+
+const (
+	maxRowBytes    = 512 << 10 // bytes of one encoded row
+	maxCommitBytes = 2 << 20   // record bytes of one commit, except that one compaction may exceed it
+	// MaxRecordBytes is the longest record. Its base64 form has to fit into one row of 512 KB.
+	MaxRecordBytes = 360 << 10
+
+	minRetryDelay = 50 * time.Millisecond
+	maxRetryDelay = time.Second
+)
+
+// Config sets the limits of a Committer. Zero values mean the defaults.
+type Config struct {
+	CommitsPerSecond float64
+	Burst            int // commits
+	// BufferBytes bounds the records of one journal that are not durable yet. Append refuses records beyond it, and
+	// AppendAsync drops records beyond twice that size.
+	BufferBytes   int
+	StallAfter    time.Duration
+	CommitTimeout time.Duration
+	// Rand returns a number in [0,1) for the jitter of retries.
+	Rand   func() float64
+	Logger *zap.Logger
+}
+
+func (c Config) withDefaults() Config {
+	if c.CommitsPerSecond <= 0 {
+		c.CommitsPerSecond = DefaultCommitsPerSecond
+	}
+	if c.Burst <= 0 {
+		c.Burst = DefaultBurst
+	}
+	if c.BufferBytes <= 0 {
+		c.BufferBytes = DefaultBufferBytes
+	}
+	if c.StallAfter <= 0 {
+		c.StallAfter = DefaultStallAfter
+	}
+	if c.CommitTimeout <= 0 {
+		c.CommitTimeout = DefaultCommitTimeout
+	}
+	if c.Rand == nil {
+		c.Rand = rand.Float64
+	}
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	return c
+}
+
+// retryDelay returns the wait after the given number of failures in a row, at least 1. r in [0,1) is the jitter.
+func retryDelay(failures int, r float64) time.Duration {
+	d := maxRetryDelay
+	if shift := failures - 1; shift < 5 {
+		d = min(minRetryDelay<<shift, maxRetryDelay)
+	}
+	return d/2 + time.Duration(r*float64(d/2))
+}
+
+// bucket is a token bucket. It starts full.
+type bucket struct {
+	rate   float64 // tokens a second
+	burst  float64
+	tokens float64
+	last   time.Time
+}
+
+// take removes one token and returns 0, or returns how long to wait for the next token.
+func (b *bucket) take(now time.Time) time.Duration {
+	if b.last.IsZero() {
+		b.tokens = b.burst
+	} else {
+		b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0
+	}
+	// The extra microsecond keeps rounding from returning a wait after which the token is still incomplete.
+	return time.Duration((1-b.tokens)/b.rate*float64(time.Second)) + time.Microsecond
+}
--- /dev/null
+++ b/journal/journal.go
@@ -0,0 +1,363 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// errClosed ends a journal that was closed by its user.
+var errClosed = errors.Wrap(ErrNotWritten, "closed")
+
+// Compactor is implemented by the journals of a Committer, for users that have to keep other records from being
+// appended between taking a snapshot and starting the compaction.
+type Compactor interface {
+	// StartCompact queues a compaction as Log.Compact does and returns at once. The channel gets its outcome.
+	StartCompact(snapshot [][]byte) <-chan error
+}
+
+// item is one call of Append, AppendAsync, Flush or Compact. Its fields are guarded by the committer's mutex.
+type item struct {
+	records    [][]byte
+	size       int        // encoded bytes of records
+	done       chan error // capacity 1; nil if nobody waits
+	compaction bool       // records are a snapshot
+	inCommit   bool
+	withdrawn  bool
+	settled    bool
+}
+
+// journal implements Log. Its fields below c are guarded by the committer's mutex.
+type journal struct {
+	partition  string
+	epoch      int64
+	rowKey     string
+	rowVersion int64
+	g          ownership.Guard
+	c          *Committer
+
+	queue        []*item
+	buffered     int // encoded bytes of records that are queued or part of a commit
+	inFlight     bool
+	seq          int64    // last durable segment of this epoch
+	covered      []string // rows that the next compaction deletes
+	segmentBytes int
+	snapshotAt   position // of the last durable snapshot
+	lost         int      // records dropped since the last compaction
+	ended        error    // nil, ErrFenced or errClosed
+}
+
+var (
+	_ Log       = (*journal)(nil)
+	_ Compactor = (*journal)(nil)
+)
+
+// Append implements Log. It returns ErrNotWritten at once if the records do not fit into the buffer or into one row.
+func (j *journal) Append(ctx context.Context, records ...[]byte) error {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrNotWritten, err.Error())
+	}
+	it := newItem(records)
+	it.done = make(chan error, 1)
+	if err := j.enqueue(it, j.c.cfg.BufferBytes); err != nil {
+		return err
+	}
+	return j.wait(ctx, it, ErrNotWritten)
+}
+
+// AppendAsync implements Log. Records beyond the bound of the buffer are dropped and counted; Flush then fails until a
+// compaction has replaced the state.
+func (j *journal) AppendAsync(records ...[]byte) {
+	if err := j.enqueue(newItem(records), 2*j.c.cfg.BufferBytes); err == nil {
+		return
+	}
+	j.c.mu.Lock()
+	defer j.c.mu.Unlock()
+	if j.ended != nil {
+		return
+	}
+	j.lost += len(records)
+	j.c.stats.Dropped += int64(len(records))
+}
+
+// Flush implements Log. When ctx ends first it returns ErrOutcomeUnknown, and what was queued stays queued.
+func (j *journal) Flush(ctx context.Context) error {
+	it := &item{done: make(chan error, 1)}
+	if err := j.enqueue(it, j.c.cfg.BufferBytes); err != nil {
+		return err
+	}
+	return j.wait(ctx, it, ErrOutcomeUnknown)
+}
+
+// Compact implements Log. The caller must not append between taking the snapshot and this call; see Compactor. When the
+// store refuses the compaction it returns ErrNotWritten, and nothing has changed.
+func (j *journal) Compact(ctx context.Context, snapshot [][]byte) error {
+	it, err := j.startCompact(snapshot)
+	if err != nil {
+		return err
+	}
+	return j.wait(ctx, it, ErrNotWritten)
+}
+
+// StartCompact implements Compactor.
+func (j *journal) StartCompact(snapshot [][]byte) <-chan error {
+	it, err := j.startCompact(snapshot)
+	if err != nil {
+		failed := make(chan error, 1)
+		failed <- err
+		return failed
+	}
+	return it.done
+}
+
+func (j *journal) startCompact(snapshot [][]byte) (*item, error) {
+	it := &item{records: slices.Clone(snapshot), compaction: true, done: make(chan error, 1)}
+	return it, j.enqueue(it, j.c.cfg.BufferBytes)
+}
+
+func newItem(records [][]byte) *item {
+	it := &item{records: make([][]byte, len(records))}
+	for i, r := range records {
+		it.records[i] = slices.Clone(r)
+		it.size += encodedLen(r)
+	}
+	return it
+}
+
+func (j *journal) enqueue(it *item, bound int) error {
+	if it.size > maxRowBytes-rowOverhead {
+		return errors.Wrapf(ErrNotWritten, "%d bytes do not fit into one row", it.size)
+	}
+	j.c.mu.Lock()
+	defer j.c.mu.Unlock()
+	if j.ended != nil {
+		return j.ended
+	}
+	if it.size > 0 && j.buffered+it.size > bound {
+		return errors.Wrap(ErrNotWritten, "buffer full")
+	}
+	j.buffered += it.size
+	j.queue = append(j.queue, it)
+	j.c.signal()
+	return nil
+}
+
+// wait returns the item's outcome. When ctx ends first, an item that is not part of a commit is withdrawn with the
+// given outcome.
+func (j *journal) wait(ctx context.Context, it *item, withdrawn error) error {
+	select {
+	case err := <-it.done:
+		return err
+	case <-ctx.Done():
+	}
+	j.c.mu.Lock()
+	defer j.c.mu.Unlock()
+	switch {
+	case it.settled:
+		return <-it.done
+	case it.inCommit:
+		return errors.Wrap(ErrOutcomeUnknown, ctx.Err().Error())
+	}
+	it.withdrawn = true
+	j.buffered -= it.size
+	j.c.stats.Withdrawn += int64(len(it.records))
+	it.records = nil
+	return errors.Wrap(withdrawn, ctx.Err().Error())
+}
+
+// Healthy implements Log. It is also false once the journal was closed or fenced.
+func (j *journal) Healthy() bool {
+	j.c.mu.Lock()
+	defer j.c.mu.Unlock()
+	return j.ended == nil && j.c.healthy()
+}
+
+// Bytes implements Log. It counts encoded bytes.
+func (j *journal) Bytes() int {
+	j.c.mu.Lock()
+	defer j.c.mu.Unlock()
+	return j.segmentBytes
+}
+
+// Close implements Log.
+func (j *journal) Close() {
+	j.c.mu.Lock()
+	defer j.c.mu.Unlock()
+	j.c.end(j, errClosed, ErrNotWritten)
+}
+
+func (j *journal) state() JournalState {
+	s := JournalState{
+		Partition: j.partition, Epoch: j.epoch, Seq: j.seq, PendingItems: len(j.queue), PendingBytes: j.buffered,
+		SegmentBytes: j.segmentBytes, CoveredRows: len(j.covered), LostRecords: j.lost, CommitRunning: j.inFlight,
+		State: "open",
+	}
+	if errors.Is(j.ended, ErrFenced) {
+		s.State = "fenced"
+	} else if j.ended != nil {
+		s.State = "closed"
+	}
+	return s
+}
+
+func (j *journal) condition() table.Condition {
+	return table.Condition{Key: j.rowKey, Version: j.rowVersion}
+}
+
+// conflicts says whether the conflict shows that this journal's partition was claimed again.
+func (j *journal) conflicts(e *table.ConflictError) bool {
+	return e.Key == j.rowKey && e.Version != j.rowVersion
+}
+
+// settleItem gives an item its outcome.
+func (j *journal) settleItem(it *item, outcome error) {
+	if it.settled || it.withdrawn {
+		return
+	}
+	it.settled = true
+	j.buffered -= it.size
+	if it.done != nil {
+		it.done <- outcome
+	}
+}
+
+// settleFront removes withdrawn items, and the items at the front of the queue that need no commit: a flush, whose
+// predecessors are durable, and a compaction after which nothing was appended.
+func (j *journal) settleFront() {
+	j.queue = slices.DeleteFunc(j.queue, func(it *item) bool { return it.withdrawn })
+	for len(j.queue) > 0 && !j.inFlight {
+		it := j.queue[0]
+		switch {
+		case it.compaction && j.snapshotAt == j.at() && j.lost == 0:
+			j.settleItem(it, nil)
+		case !it.compaction && len(it.records) == 0 && j.lost > 0:
+			j.settleItem(it, errors.Wrapf(ErrNotWritten, "%d records were dropped", j.lost))
+		case !it.compaction && len(it.records) == 0:
+			j.settleItem(it, nil)
+		default:
+			return
+		}
+		j.queue = j.queue[1:]
+	}
+}
+
+// at is the place of the last durable segment.
+func (j *journal) at() position { return position{j.epoch, j.seq} }
+
+// unit is one journal's part of a commit: a segment or a compaction.
+type unit struct {
+	j        *journal
+	items    []*item
+	snapshot bool
+	at       position
+	key      string // of the row that is read back
+	tag      string
+	deletes  []string
+	ops      []table.Op
+	keys     []string // rows that the unit writes
+	size     int      // bytes of records before encode, bytes of rows after it
+}
+
+// takeSegment moves the records at the front of the queue, up to the size of a row, into a unit.
+func (j *journal) takeSegment() *unit {
+	u := &unit{j: j, at: position{j.epoch, j.seq + 1}}
+	size, n := rowOverhead, 0
+	for n < len(j.queue) && !j.queue[n].compaction {
+		it := j.queue[n]
+		if len(u.items) > 0 && size+it.size > maxRowBytes {
+			break
+		}
+		size += it.size
+		it.inCommit = true
+		u.items = append(u.items, it)
+		n++
+	}
+	u.size = size
+	j.queue = j.queue[n:]
+	j.inFlight = true
+	return u
+}
+
+func (j *journal) takeCompaction() *unit {
+	it := j.queue[0]
+	j.queue = j.queue[1:]
+	j.inFlight = true
+	it.inCommit = true
+	return &unit{j: j, snapshot: true, items: []*item{it}, at: j.at(), deletes: slices.Clone(j.covered)}
+}
+
+// encode makes the unit's rows. Nothing else changes the unit meanwhile.
+func (u *unit) encode() {
+	u.tag, u.size = newTag(), 0
+	if !u.snapshot {
+		row := segmentRow{Tag: u.tag, Records: [][]byte{}}
+		for _, it := range u.items {
+			row.Records = append(row.Records, it.records...)
+		}
+		u.put(segmentKey(u.j.partition, u.at), row)
+		return
+	}
+	parts := splitParts(u.items[0].records)
+	for i, records := range parts {
+		u.put(snapshotKey(u.j.partition, u.at, i), snapshotRow{Tag: u.tag, Part: i, Parts: len(parts), Records: records})
+	}
+	for _, key := range u.deletes {
+		if !slices.Contains(u.keys, key) {
+			u.ops = append(u.ops, table.Op{Key: key, Delete: true})
+		}
+	}
+}
+
+func (u *unit) put(key string, row any) {
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // strings, numbers and bytes always encode
+	}
+	if u.key == "" {
+		u.key = key
+	}
+	u.keys = append(u.keys, key)
+	u.ops = append(u.ops, table.Op{Key: key, Value: value})
+	u.size += len(value)
+}
+
+// transaction is conditional on the partition's row of every journal, which fences former owners, and on the absence
+// of the new rows, which keeps a commit from taking effect twice.
+func transaction(units []*unit) table.Txn {
+	var txn table.Txn
+	for _, u := range units {
+		txn.Conditions = append(txn.Conditions, u.j.condition(), table.Condition{Key: u.key})
+		txn.Ops = append(txn.Ops, u.ops...)
+	}
+	return txn
+}
+
+// apply updates the journal after the unit's outcome is decided.
+func (u *unit) apply(outcome error, s *Stats) {
+	j := u.j
+	switch {
+	case outcome != nil && u.snapshot:
+		// The snapshot may exist, now or later. The next compaction deletes it.
+		j.covered = append(j.covered, u.keys...)
+		return
+	case outcome != nil:
+		return
+	case u.snapshot:
+		j.covered, j.segmentBytes, j.snapshotAt, j.lost = u.keys, 0, u.at, 0
+		s.Compactions++
+	default:
+		j.seq = u.at.seq
+		j.covered = append(j.covered, u.key)
+		j.segmentBytes += u.size
+		for _, it := range u.items {
+			s.Records += int64(len(it.records))
+		}
+	}
+	s.Rows += int64(len(u.keys))
+	s.Bytes += int64(u.size)
+}
--- /dev/null
+++ b/journal/rows.go
@@ -0,0 +1,197 @@
+package journal
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// segmentRow is the value of a segment row: the records of one partition in one commit.
+type segmentRow struct {
+	Tag     string   `json:"tag"` // random, to recognize the writer's own row
+	Records [][]byte `json:"records"`
+}
+
+// snapshotRow is the value of one part of a snapshot.
+type snapshotRow struct {
+	Tag     string   `json:"tag"`
+	Part    int      `json:"part"`
+	Parts   int      `json:"parts"`
+	Records [][]byte `json:"records"`
+}
+
+// position is the place of a segment, or the last segment that a snapshot covers.
+type position struct{ epoch, seq int64 }
+
+func (p position) after(q position) bool {
+	return p.epoch > q.epoch || p.epoch == q.epoch && p.seq > q.seq
+}
+
+func segmentPrefix(partition string) string  { return "journal/" + partition + "/" }
+func snapshotPrefix(partition string) string { return "snapshot/" + partition + "/" }
+
+func segmentKey(partition string, p position) string {
+	return fmt.Sprintf("%s%010d/%012d", segmentPrefix(partition), p.epoch, p.seq)
+}
+
+func snapshotKey(partition string, p position, part int) string {
+	return fmt.Sprintf("%s%010d/%012d/%04d", snapshotPrefix(partition), p.epoch, p.seq, part)
+}
+
+// parseKey reads the numbers after the prefix of a segment key (2 numbers) or of a snapshot key (3 numbers).
+func parseKey(key, prefix string, n int) ([]int64, error) {
+	fields := strings.Split(strings.TrimPrefix(key, prefix), "/")
+	if len(fields) != n {
+		return nil, errors.Wrapf(ErrCorrupt, "key %q", key)
+	}
+	out := make([]int64, n)
+	for i, f := range fields {
+		v, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return nil, errors.Wrapf(ErrCorrupt, "key %q", key)
+		}
+		out[i] = v
+	}
+	return out, nil
+}
+
+// encodedLen is the size of a record within a row.
+func encodedLen(record []byte) int { return base64.StdEncoding.EncodedLen(len(record)) + len(`"",`) }
+
+// rowOverhead is the room for the fields of a row other than its records.
+const rowOverhead = 256
+
+// splitParts divides the records of a snapshot into rows of at most maxRowBytes. There is always at least one part.
+func splitParts(records [][]byte) [][][]byte {
+	parts := [][][]byte{nil}
+	size := rowOverhead
+	for _, r := range records {
+		n := encodedLen(r)
+		if last := len(parts) - 1; size+n > maxRowBytes && len(parts[last]) > 0 {
+			parts = append(parts, nil)
+			size = rowOverhead
+		}
+		last := len(parts) - 1
+		parts[last] = append(parts[last], r)
+		size += n
+	}
+	return parts
+}
+
+// replayed is the content of a partition's rows.
+type replayed struct {
+	records [][]byte
+	covered []string // keys of all rows found, which the next compaction deletes
+	bytes   int      // size of the segments after the snapshot
+
+	snapshotAt position // zero if there is no snapshot
+	last       position // of the last segment, or snapshotAt
+}
+
+// replay reads the rows of a partition. The partition's row is read before and after: an older version means that the
+// store served a stale read, in which the predecessor's last records could be missing, and a newer one that another
+// owner may have changed the rows meanwhile.
+func replay(ctx context.Context, c table.Client, g ownership.Guard) (replayed, error) {
+	if err := checkOwned(ctx, c, g); err != nil {
+		return replayed{}, err
+	}
+	snaps, err := table.ScanAll(ctx, c, snapshotPrefix(g.Partition()))
+	if err != nil {
+		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	segs, err := table.ScanAll(ctx, c, segmentPrefix(g.Partition()))
+	if err != nil {
+		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if err := checkOwned(ctx, c, g); err != nil {
+		return replayed{}, err
+	}
+	var out replayed
+	if err := out.addSnapshot(g.Partition(), snaps); err != nil {
+		return replayed{}, err
+	}
+	return out, out.addSegments(g, segs)
+}
+
+func checkOwned(ctx context.Context, c table.Client, g ownership.Guard) error {
+	row, err := c.Get(ctx, g.RowKey())
+	switch {
+	case err != nil:
+		return errors.Wrap(ErrUnavailable, err.Error())
+	case row.Version < g.RowVersion():
+		return errors.Wrap(ErrUnavailable, "stale read of the partition's row")
+	case row.Version > g.RowVersion():
+		return ErrFenced
+	}
+	return nil
+}
+
+// addSnapshot takes the records of the latest snapshot. An older one remains when a compaction took effect late.
+func (r *replayed) addSnapshot(partition string, rows []table.Row) error {
+	next, parts := 0, 0
+	for _, row := range rows {
+		r.covered = append(r.covered, row.Key)
+		n, err := parseKey(row.Key, snapshotPrefix(partition), 3)
+		if err != nil {
+			return err
+		}
+		var v snapshotRow
+		if err := json.Unmarshal(row.Value, &v); err != nil {
+			return errors.Wrapf(ErrCorrupt, "row %q: %v", row.Key, err)
+		}
+		if p := (position{n[0], n[1]}); p != r.snapshotAt {
+			r.snapshotAt, next, parts, r.records = p, 0, v.Parts, nil
+		}
+		if v.Part == next && v.Parts == parts {
+			next++
+		}
+		r.records = append(r.records, v.Records...)
+	}
+	if next != parts {
+		return errors.Wrapf(ErrCorrupt, "snapshot of %q has %d of %d parts", partition, next, parts)
+	}
+	return nil
+}
+
+// addSegments appends the records of the segments after the snapshot. The segments of an epoch are numbered without
+// gaps, so a gap means lost rows.
+func (r *replayed) addSegments(g ownership.Guard, rows []table.Row) error {
+	r.last = r.snapshotAt
+	for _, row := range rows {
+		r.covered = append(r.covered, row.Key)
+		n, err := parseKey(row.Key, segmentPrefix(g.Partition()), 2)
+		if err != nil {
+			return err
+		}
+		p := position{n[0], n[1]}
+		if !p.after(r.snapshotAt) {
+			continue
+		}
+		want := position{p.epoch, 1}
+		if p.epoch == r.last.epoch {
+			want.seq = r.last.seq + 1
+		}
+		if p != want {
+			return errors.Wrapf(ErrCorrupt, "row %q found, want sequence number %d", row.Key, want.seq)
+		}
+		var v segmentRow
+		if err := json.Unmarshal(row.Value, &v); err != nil {
+			return errors.Wrapf(ErrCorrupt, "row %q: %v", row.Key, err)
+		}
+		r.last = p
+		r.records = append(r.records, v.Records...)
+		r.bytes += len(row.Value)
+	}
+	if r.last.epoch > g.Epoch() {
+		return errors.Wrapf(ErrFenced, "rows of epoch %d exist", r.last.epoch)
+	}
+	return nil
+}
