Share reports of leaving endpoints between daemons

Reports heard from a peer are kept apart and not passed on; otherwise two daemons would keep a report alive for ever by telling it to each other. HostListed gives no evidence for a daemon that the list has never shown.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -65,14 +66,15 @@
 	hosts    []Host
 	groups   map[groupKey][]Endpoint
 	daemons  map[string]bool // addresses that were listed at some time: listed now
-	reported map[string]time.Time
+	reported map[string]time.Time // by this daemon's own calls to the endpoint
+	heard    map[string]time.Time // by other daemons
 	readAt   time.Time
 	failures int64
 }
 
 // NewList returns a list that is empty until the first poll.
 func NewList(f Fetcher) *List {
-	return &List{fetch: f, daemons: map[string]bool{}, reported: map[string]time.Time{}}
+	return &List{fetch: f, daemons: map[string]bool{}, reported: map[string]time.Time{}, heard: map[string]time.Time{}}
 }
 
 // Run polls the list until ctx ends. While the list cannot be read, the last one stays in force.
@@ -118,11 +120,7 @@
 	now := time.Now()
 	l.groups = map[groupKey][]Endpoint{}
 	for _, h := range l.hosts {
-		at, reported := l.reported[h.ID]
-		if reported && now.Sub(at) > reportHold {
-			delete(l.reported, h.ID)
-			reported = false
-		}
+		reported := held(l.reported, h.ID, now) || held(l.heard, h.ID, now)
 		k := groupKey{h.Kind, h.ServiceOrPool}
 		l.groups[k] = append(l.groups[k], Endpoint{
 			ID: h.ID, Addr: h.Addr, FailureDomain: h.FailureDomain, Rack: h.Rack,
@@ -131,6 +129,16 @@
 	}
 }
 
+// held reports whether a report still outweighs the list, and forgets it otherwise.
+func held(reports map[string]time.Time, id string, now time.Time) bool {
+	at, ok := reports[id]
+	if ok && now.Sub(at) > reportHold {
+		delete(reports, id)
+		return false
+	}
+	return ok
+}
+
 // Minions implements Source.
 func (l *List) Minions(service string) []Endpoint { return l.group(KindMinion, service) }
 
@@ -144,17 +152,27 @@
 }
 
 // ReportLeaving implements Source.
-func (l *List) ReportLeaving(id string) {
+func (l *List) ReportLeaving(id string) { l.note(l.reported, id) }
+
+// HearLeaving notes reports of another daemon. They are not passed on, so that two daemons cannot keep a report alive
+// by telling it to each other.
+func (l *List) HearLeaving(ids []string) {
+	for _, id := range ids {
+		l.note(l.heard, id)
+	}
+}
+
+func (l *List) note(reports map[string]time.Time, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, known := l.reported[id]
-	l.reported[id] = time.Now()
+	_, known := reports[id]
+	reports[id] = time.Now()
 	if !known {
 		l.rebuild()
 	}
 }
 
-// Reported returns the ids of the endpoints that said themselves that they are leaving, for other daemons.
+// Reported returns the ids of the endpoints that told this daemon that they are leaving, for other daemons.
 func (l *List) Reported() []string {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -165,12 +183,13 @@
 	return ids
 }
 
-// HostGone reports whether the daemon at addr was listed before and is certainly not listed now.
-func (l *List) HostGone(addr string) bool {
+// HostListed reports whether the daemon at addr is listed. known is false unless the list was read recently and has
+// shown the daemon at some time, because a daemon that was never listed proves nothing by its absence.
+func (l *List) HostListed(addr string) (listed, known bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	listed, known := l.daemons[addr]
-	return known && !listed && time.Since(l.readAt) < freshFor
+	listed, seen := l.daemons[addr]
+	return listed, seen && time.Since(l.readAt) < freshFor
 }
 
 // State returns a dump for operators.
@@ -180,9 +199,10 @@
 	return struct {
 		Hosts    []Host               `json:"hosts"`
 		Reported map[string]time.Time `json:"reported_leaving"`
+		Heard    map[string]time.Time `json:"heard_leaving"`
 		ReadAt   time.Time            `json:"read_at"`
 		Failures int64                `json:"failed_reads"`
-	}{l.hosts, l.reported, l.readAt, l.failures}
+	}{l.hosts, maps.Clone(l.reported), maps.Clone(l.heard), l.readAt, l.failures}
 }
 
 // HTTPFetcher reads the list from the platform.
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -42,13 +42,22 @@
 				So(len(l.Minions("textos")), ShouldEqual, 1)
 			})
 			Convey("only a fresh list proves that a host is gone", func() {
-				So(l.HostGone("127.0.0.1:1"), ShouldBeFalse)
-				So(l.HostGone("127.0.0.1:9"), ShouldBeFalse)
+				gone := func(addr string) bool {
+					listed, known := l.HostListed(addr)
+					return known && !listed
+				}
+				So(gone("127.0.0.1:1"), ShouldBeFalse)
+				So(gone("127.0.0.1:9"), ShouldBeFalse)
 				f.hosts = nil
 				l.Poll(t.Context())
-				So(l.HostGone("127.0.0.1:1"), ShouldBeTrue)
+				So(gone("127.0.0.1:1"), ShouldBeTrue)
 				time.Sleep(freshFor)
-				So(l.HostGone("127.0.0.1:1"), ShouldBeFalse)
+				So(gone("127.0.0.1:1"), ShouldBeFalse)
+			})
+			Convey("a report of another daemon counts but is not passed on", func() {
+				l.HearLeaving([]string{"m1"})
+				So(l.Minions("textos")[0].Leaving, ShouldBeTrue)
+				So(l.Reported(), ShouldBeEmpty)
 			})
 		})
 	})
