--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -65,7 +65,7 @@
 	mu       sync.RWMutex
 	hosts    []Host
 	groups   map[groupKey][]Endpoint
-	daemons  map[string]bool // addresses that were listed at some time: listed now
+	daemons  map[string]bool      // addresses that were listed at some time: listed now
 	reported map[string]time.Time // by this daemon's own calls to the endpoint
 	heard    map[string]time.Time // by other daemons
 	readAt   time.Time
