Add the session and ownership packages, first version

Incarnations and sequence numbers are ordered integers, so a stale read is recognized without relying on the table's versions. A lease per partition was ruled out by the design because of the number of renewals.

--- a/ownership/guard.go
+++ b/ownership/guard.go
@@ -24,8 +24,9 @@
 	// once another daemon has claimed the partition.
 	RowKey() string
 	RowVersion() int64
-	// FencedAt returns the local time at which the previous owner was fenced. It is zero when the previous owner handed
-	// the partition over or when there was none.
+	// FencedAt returns the local time at which the previous owner was fenced, or a later one. It is zero when the previous
+	// owner handed the partition over or when there was none. It is set after a handover too if an earlier owner was
+	// fenced shortly before.
 	FencedAt() time.Time
 	// Check returns ErrNotOwner unless the ownership certainly holds now.
 	Check() error
--- /dev/null
+++ b/ownership/tenure.go
@@ -0,0 +1,290 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// guard is the Guard of one claim.
+type guard struct {
+	row      Row
+	version  int64
+	fencedAt time.Time
+	keeper   *session.Keeper
+	revoked  atomic.Bool
+	lostOnce sync.Once
+	lost     chan struct{} // closed when the ownership is lost
+}
+
+func (g *guard) Partition() string   { return g.row.Partition }
+func (g *guard) Epoch() int64        { return g.row.Epoch }
+func (g *guard) RowKey() string      { return Key(g.row.Partition) }
+func (g *guard) RowVersion() int64   { return g.version }
+func (g *guard) FencedAt() time.Time { return g.fencedAt }
+
+func (g *guard) Check() error {
+	if g.revoked.Load() || !g.keeper.ValidFor(g.row.Owner.Incarnation) {
+		return ErrNotOwner
+	}
+	return nil
+}
+
+// lose revokes the guard because the ownership is gone.
+func (g *guard) lose() {
+	g.revoked.Store(true)
+	g.lostOnce.Do(func() { close(g.lost) })
+}
+
+func (g *guard) isLost() bool {
+	select {
+	case <-g.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+// phase is what a daemon does with a partition.
+type phase string
+
+const (
+	idle     phase = "idle"
+	claiming phase = "claiming"
+	starting phase = "starting"
+	running  phase = "running"
+	handing  phase = "handing over"
+	stopping phase = "stopping"
+)
+
+// part is this daemon's state of one partition. The manager's mutex guards it.
+type part struct {
+	name    string
+	handler Handler
+
+	row     Row // last known; Epoch 0: no row
+	version int64
+
+	phase    phase
+	guard    *guard      // while claimed
+	handover chan string // takes the successor's id, once per tenure
+
+	freeSince        time.Time // when the partition was first seen free at this version of the row
+	elsewhereSince   time.Time // when another daemon was first seen to be the desired owner
+	elsewhere        string
+	noClaimBefore    time.Time
+	noHandoverBefore time.Time
+	// heldEpoch is the highest epoch for which there was a guard. A row that names our present incarnation at a higher
+	// epoch comes from a claim whose response was lost, and is ours until we release it.
+	heldEpoch int64
+}
+
+// see notes a version of the row unless it is older than the one known.
+func (p *part) see(r Row, version int64) bool {
+	if r.Epoch == 0 || r.olderThan(p.row) || version == p.version {
+		return false
+	}
+	p.row, p.version, p.freeSince = r, version, time.Time{}
+	return true
+}
+
+// claim says what a tenure starts from.
+type claim struct {
+	row      Row // as it is now
+	version  int64
+	fencedAt time.Time
+	adopt    bool // the row is already ours, from a claim whose response was lost
+	delayed  bool // the desired owner did not claim in time
+}
+
+// tenure claims a partition, runs its handler, and gives it back. There is at most one tenure of a partition at a time
+// in a process, which is why a handler is never started twice at once.
+func (m *Manager) tenure(ctx context.Context, p *part, c claim) {
+	defer m.ended(p)
+	g := m.take(ctx, p, c)
+	if g == nil {
+		return
+	}
+	defer g.lose()
+	startCtx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-g.lost:
+			cancel()
+		case <-startCtx.Done():
+		}
+	}()
+	defer cancel()
+	m.enter(p, starting)
+	err := p.handler.Start(startCtx, g)
+	switch {
+	case err != nil && (g.isLost() || ctx.Err() != nil):
+		return
+	case err != nil:
+		m.cfg.Log.Error("partition did not start", zap.String("partition", p.name), zap.Error(err))
+		m.postpone(p, m.cfg.StartRetryDelay)
+		m.release(ctx, p, g, "")
+		return
+	}
+	m.enter(p, running)
+	select {
+	case successor := <-p.handover:
+		m.handOver(ctx, p, g, successor)
+	case <-g.lost:
+		m.stopLost(p)
+	case <-ctx.Done():
+		g.lose()
+		m.stopLost(p)
+	}
+}
+
+// stopLost stops the handler of a partition that is not owned any more.
+func (m *Manager) stopLost(p *part) {
+	m.enter(p, stopping)
+	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.HandoverTimeout)
+	defer cancel()
+	p.handler.Stop(ctx, p.name, false)
+}
+
+func (m *Manager) handOver(ctx context.Context, p *part, g *guard, successor string) {
+	stopCtx, cancel := context.WithTimeout(ctx, m.cfg.HandoverTimeout)
+	go func() {
+		select {
+		case <-g.lost:
+			cancel()
+		case <-stopCtx.Done():
+		}
+	}()
+	p.handler.Stop(stopCtx, p.name, true)
+	cancel()
+	g.revoked.Store(true)
+	m.release(ctx, p, g, successor)
+}
+
+// take makes the claim. It returns nil if the partition was not won, or if that is unknown; a claim that took effect
+// after all shows in a later scan and is then adopted.
+func (m *Manager) take(ctx context.Context, p *part, c claim) *guard {
+	if c.adopt {
+		return m.won(p, c, c.row, c.version)
+	}
+	row := Row{
+		Partition: p.name, Epoch: c.row.Epoch + 1, State: Owned, Tag: randomTag(), FencedBefore: !c.fencedAt.IsZero(),
+		Owner: RowOwner{ID: m.keeper.ID(), Incarnation: m.keeper.Incarnation(), PeerAddr: m.keeper.PeerAddr()},
+	}
+	key := Key(p.name)
+	res, inc, err := m.keeper.Commit(ctx, table.Txn{
+		Conditions: []table.Condition{{Key: key, Version: c.version}},
+		Ops:        []table.Op{{Key: key, Value: encode(row)}},
+	})
+	switch {
+	case err == nil && inc != row.Owner.Incarnation:
+		// The session was replaced between reading the incarnation and the commit. The row names a session that is
+		// over, so the partition is free again.
+	case err == nil:
+		return m.won(p, c, row, res.Versions[key])
+	case errors.Is(err, table.ErrUnknownOutcome):
+		if got, version, err := m.read(ctx, p.name); err == nil && got.Tag == row.Tag {
+			return m.won(p, c, got, version)
+		}
+	}
+	m.postpone(p, m.cfg.PollInterval) // until a scan has shown the present row
+	return nil
+}
+
+func (m *Manager) read(ctx context.Context, partition string) (Row, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
+	defer cancel()
+	got, err := m.store.Get(ctx, Key(partition))
+	if err != nil {
+		return Row{}, 0, err
+	}
+	r, err := decode(got.Value)
+	return r, got.Version, err
+}
+
+// won notes that the partition is ours and returns its guard.
+func (m *Manager) won(p *part, c claim, row Row, version int64) *guard {
+	g := &guard{row: row, version: version, fencedAt: c.fencedAt, keeper: m.keeper, lost: make(chan struct{})}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.heldEpoch = max(p.heldEpoch, row.Epoch)
+	p.see(row, version)
+	p.guard, p.elsewhereSince, p.noHandoverBefore = g, time.Time{}, time.Time{}
+	if c.delayed {
+		// The desired owner is live but does not claim. Handing the partition back at once would leave it without an
+		// owner again and again.
+		p.noHandoverBefore = time.Now().Add(m.cfg.ReturnDelay)
+	}
+	m.cfg.Log.Info("partition claimed", zap.String("partition", p.name), zap.Int64("epoch", row.Epoch))
+	return g
+}
+
+// release writes the row as released until that has taken effect or the ownership is lost.
+func (m *Manager) release(ctx context.Context, p *part, g *guard, successor string) {
+	g.revoked.Store(true)
+	row := g.row
+	row.State, row.Successor, row.Tag = Released, successor, randomTag()
+	row.FencedBefore = !g.fencedAt.IsZero() && time.Since(g.fencedAt) < m.cfg.FenceMemory
+	for !g.isLost() {
+		if version, done := m.releaseOnce(ctx, row, g.version); done {
+			m.released(ctx, p, row, version)
+			return
+		}
+		t := time.NewTimer(releaseRetryDelay)
+		select {
+		case <-t.C:
+		case <-g.lost:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		t.Stop()
+	}
+}
+
+// releaseOnce returns done once the row is certainly not at the version of our claim any more. The version is 0 if the
+// released row's version is not known.
+func (m *Manager) releaseOnce(ctx context.Context, row Row, claimed int64) (version int64, done bool) {
+	key := Key(row.Partition)
+	commitCtx, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
+	defer cancel()
+	res, err := m.store.Commit(commitCtx, table.Txn{
+		Conditions: []table.Condition{{Key: key, Version: claimed}},
+		Ops:        []table.Op{{Key: key, Value: encode(row)}},
+	})
+	switch {
+	case err == nil:
+		return res.Versions[key], true
+	case errors.Is(err, table.ErrConflict):
+		return 0, true
+	case errors.Is(err, table.ErrUnknownOutcome):
+		if got, v, err := m.read(ctx, row.Partition); err == nil && got.Tag == row.Tag {
+			return v, true
+		}
+	}
+	return 0, false
+}
+
+// released notes the release and tells the successor, which would otherwise learn of it from its next scan.
+func (m *Manager) released(ctx context.Context, p *part, row Row, version int64) {
+	m.cfg.Log.Info("partition released", zap.String("partition", p.name), zap.Int64("epoch", row.Epoch),
+		zap.String("successor", row.Successor))
+	if version == 0 {
+		return
+	}
+	m.mu.Lock()
+	p.see(row, version)
+	m.mu.Unlock()
+	if s, ok := m.observer.Lookup(row.Successor); ok && m.cfg.Notifier != nil {
+		ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+		defer cancel()
+		_ = m.cfg.Notifier.Released(ctx, s.Row.PeerAddr, ReleaseNotice{Row: row, Version: version})
+	}
+}
--- /dev/null
+++ b/session/choose.go
@@ -0,0 +1,43 @@
+package session
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// chooseGuarantors picks up to n guarantors for the session of self. Sessions in other failure domains come first, then
+// domains that are not used yet. Ties are broken by a hash of the pair, which spreads the load over the daemons and
+// keeps the choice stable while sessions come and go.
+func chooseGuarantors(self Row, live []Info, n int) []Peer {
+	var cands []Info
+	for _, s := range live {
+		if s.Row.ID != self.ID && s.Row.State == Live && !s.Unchanged {
+			cands = append(cands, s)
+		}
+	}
+	slices.SortFunc(cands, func(a, b Info) int {
+		if c := pairHash(self.ID, b.Row.ID) - pairHash(self.ID, a.Row.ID); c != 0 {
+			return int(c)
+		}
+		return strings.Compare(a.Row.ID, b.Row.ID)
+	})
+	var out []Peer
+	used := map[string]bool{self.FailureDomain: true}
+	for len(out) < n && len(cands) > 0 {
+		i := slices.IndexFunc(cands, func(s Info) bool { return !used[s.Row.FailureDomain] })
+		if i < 0 {
+			i = max(0, slices.IndexFunc(cands, func(s Info) bool { return s.Row.FailureDomain != self.FailureDomain }))
+		}
+		used[cands[i].Row.FailureDomain] = true
+		out = append(out, cands[i].Row.Peer())
+		cands = slices.Delete(cands, i, i+1)
+	}
+	return out
+}
+
+func pairHash(a, b string) int64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(a + "\x00" + b))
+	return int64(h.Sum32())
+}
--- /dev/null
+++ b/session/observer.go
@@ -0,0 +1,348 @@
+package session
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// Info is what an Observer knows of one session. Times are local.
+type Info struct {
+	Row     Row   `json:"row"`
+	Version int64 `json:"version"`
+	// Unchanged is true once the row was seen unchanged for longer than its TTL while reads succeeded.
+	Unchanged bool `json:"unchanged"`
+	// EndedAt is when this incarnation was first seen ended; zero while it is live or draining.
+	EndedAt time.Time `json:"ended_at,omitzero"`
+}
+
+// observed is one session row as last read.
+type observed struct {
+	row     Row
+	version int64
+	since   time.Time // end of the first read in the unbroken series that shows this version
+	entered time.Time // when this incarnation was first seen, or first seen ended
+	fencing bool
+	tried   time.Time // when a fencing was last attempted
+}
+
+// Observer follows all session rows and fences sessions whose holders are gone. It is safe for concurrent use.
+type Observer struct {
+	cfg   Config
+	store table.Client
+	peers PeerCaller
+	hosts HostList
+
+	mu      sync.Mutex
+	rows    map[string]*observed
+	series  int64     // counts the interruptions of successful reads
+	broken  bool      // the last read failed
+	lastEnd time.Time // end of the last successful read
+	changed chan struct{}
+}
+
+// NewObserver returns an observer. hosts may be nil if no membership list is at hand, and peers may be nil if there are
+// none; then only sessions without guarantors can be fenced.
+func NewObserver(cfg Config, store table.Client, peers PeerCaller, hosts HostList) *Observer {
+	return &Observer{cfg: cfg.withDefaults(), store: store, peers: peers, hosts: hosts, rows: map[string]*observed{},
+		changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed when a session is next seen to begin, to end, or to change its state.
+func (o *Observer) Changed() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changed
+}
+
+// notify wakes those that wait for a change. The caller holds mu.
+func (o *Observer) notify() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Live returns the sessions that are live or draining, ordered by id.
+func (o *Observer) Live() []Info {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []Info
+	for _, s := range o.rows {
+		if !s.row.State.Ended() {
+			out = append(out, o.info(s))
+		}
+	}
+	slices.SortFunc(out, func(a, b Info) int { return cmp.Compare(a.Row.ID, b.Row.ID) })
+	return out
+}
+
+// Lookup returns the session of a daemon in whatever state.
+func (o *Observer) Lookup(id string) (Info, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.rows[id]
+	if s == nil {
+		return Info{}, false
+	}
+	return o.info(s), true
+}
+
+// Ended reports whether an incarnation of a session is over for good, and since when by the local clock. The time may be
+// later than the true one, never earlier.
+func (o *Observer) Ended(id string, incarnation int64) (since time.Time, ended bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.rows[id]
+	if s == nil || s.row.Incarnation < incarnation || s.row.Incarnation == incarnation && !s.row.State.Ended() {
+		return time.Time{}, false
+	}
+	return s.entered, true
+}
+
+// Fresh reports whether the last read succeeded recently.
+func (o *Observer) Fresh() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.broken && !o.lastEnd.IsZero() && time.Since(o.lastEnd) <= 2*o.cfg.PollInterval
+}
+
+func (o *Observer) info(s *observed) Info {
+	i := Info{Row: s.row, Version: s.version, Unchanged: !o.broken && o.lastEnd.Sub(s.since) > s.row.TTL()}
+	if s.row.State.Ended() {
+		i.EndedAt = s.entered
+	}
+	return i
+}
+
+// Run polls the rows and fences where it may until ctx ends.
+func (o *Observer) Run(ctx context.Context) {
+	var fences sync.WaitGroup
+	defer fences.Wait()
+	next := time.Now()
+	for ctx.Err() == nil {
+		if !time.Now().Before(next) {
+			next = time.Now().Add(o.cfg.PollInterval)
+			o.poll(ctx)
+		}
+		due, wake := o.candidates(next)
+		for _, id := range due {
+			fences.Go(func() { o.tryFence(ctx, id) })
+		}
+		t := time.NewTimer(time.Until(wake))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// poll reads all session rows once.
+func (o *Observer) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout)
+	defer cancel()
+	rows, err := table.ScanAll(ctx, o.store, Prefix)
+	end := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.broken = true
+		return
+	}
+	// After a failed read or a long gap, as a pause of this process causes it, every holder gets the full time again to
+	// renew; the outage or the pause may have stopped it too.
+	if o.broken || end.Sub(o.lastEnd) > o.cfg.TTL {
+		o.series++
+		for _, s := range o.rows {
+			s.since = end
+		}
+	}
+	o.broken, o.lastEnd = false, end
+	for _, r := range rows {
+		o.see(r, end)
+	}
+}
+
+// see notes one row that a read showed. The caller holds mu.
+func (o *Observer) see(got table.Row, at time.Time) {
+	r, err := decode(got.Value)
+	if err != nil || Key(r.ID) != got.Key {
+		o.cfg.Log.Warn("invalid session row", zap.String("key", got.Key), zap.Error(err))
+		return
+	}
+	s := o.rows[r.ID]
+	switch {
+	case s == nil:
+		o.rows[r.ID] = &observed{row: r, version: got.Version, since: at, entered: at}
+		o.notify()
+		return
+	case r.olderThan(s.row):
+		// A stale read says nothing about the present.
+		s.since = at
+		return
+	case got.Version == s.version:
+		return
+	}
+	if r.Incarnation != s.row.Incarnation || r.State != s.row.State {
+		if r.Incarnation != s.row.Incarnation || r.State.Ended() {
+			s.entered = at
+		}
+		defer o.notify()
+	}
+	s.row, s.version, s.since = r, got.Version, at
+}
+
+// candidates returns the sessions to fence now, and when to look again, at the latest at the time limit.
+func (o *Observer) candidates(limit time.Time) (due []string, wake time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	wake = limit
+	if o.broken {
+		return nil, wake
+	}
+	for id, s := range o.rows {
+		if id == o.cfg.ID || s.row.State.Ended() || s.fencing {
+			continue // our own session is the keeper's responsibility
+		}
+		at := s.since.Add(s.row.TTL() + o.cfg.Margin)
+		if again := s.tried.Add(o.cfg.PollInterval); again.After(at) {
+			at = again
+		}
+		if at.After(now) {
+			if at.Before(wake) {
+				wake = at
+			}
+			continue
+		}
+		s.fencing, s.tried = true, now
+		due = append(due, id)
+	}
+	slices.Sort(due)
+	return due, wake
+}
+
+func (o *Observer) tryFence(ctx context.Context, id string) {
+	err := o.Fence(ctx, id)
+	o.mu.Lock()
+	o.rows[id].fencing = false
+	o.mu.Unlock()
+	if err == nil {
+		o.cfg.Log.Info("session fenced", zap.String("id", id))
+	}
+}
+
+// candidate returns a session that may be fenced as far as the observation goes.
+func (o *Observer) candidate(id string) (row Row, version, series int64, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.rows[id]
+	if s == nil || s.row.State.Ended() || o.broken || time.Since(s.since) < s.row.TTL()+o.cfg.Margin ||
+		time.Since(o.lastEnd) > o.cfg.TTL {
+		return Row{}, 0, 0, ErrNotObserved
+	}
+	return s.row, s.version, o.series, nil
+}
+
+// Fence ends the session of a daemon if its row was seen unchanged for long enough and a guarantor consents, or none
+// answers and there is evidence that the holder is gone. Errors: ErrNotObserved, ErrNoConsent, ErrNoEvidence, and those
+// of table.Client.
+func (o *Observer) Fence(ctx context.Context, id string) error {
+	r, version, series, err := o.candidate(id)
+	if err != nil {
+		return err
+	}
+	if len(r.Guarantors) > 0 {
+		if err := o.consent(ctx, r); err != nil {
+			return err
+		}
+	}
+	// Reads may have failed while the guarantors were asked.
+	if _, v, s, err := o.candidate(id); err != nil || v != version || s != series {
+		return ErrNotObserved
+	}
+	r.State, r.Tag = Fenced, randomID()
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout)
+	defer cancel()
+	res, err := o.store.Commit(ctx, table.Txn{
+		Conditions: []table.Condition{{Key: Key(id), Version: version}},
+		Ops:        []table.Op{{Key: Key(id), Value: encode(r)}},
+	})
+	if err != nil {
+		return errors.Wrap(err, "fence session") // a lost response shows at the next poll
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.see(table.Row{Key: Key(id), Value: encode(r), Version: res.Versions[Key(id)]}, time.Now())
+	return nil
+}
+
+// consent returns nil if fencing is allowed: a guarantor consents, or none answers and the holder is certainly gone.
+func (o *Observer) consent(ctx context.Context, r Row) error {
+	if o.peers == nil {
+		return ErrNoEvidence
+	}
+	callCtx, cancel := context.WithTimeout(ctx, o.cfg.PeerTimeout)
+	defer cancel()
+	type answer struct {
+		granted bool
+		err     error
+	}
+	answers := make(chan answer, len(r.Guarantors))
+	req := ConsentRequest{Session: r.ID, Incarnation: r.Incarnation, Seq: r.Seq, Observer: o.cfg.ID}
+	for _, g := range r.Guarantors {
+		go func() {
+			reply, err := o.peers.Consent(callCtx, g, req)
+			answers <- answer{reply.Granted, err}
+		}()
+	}
+	answered := false
+	for range r.Guarantors {
+		a := <-answers
+		if a.err == nil && a.granted {
+			return nil
+		}
+		answered = answered || a.err == nil
+	}
+	if answered {
+		return ErrNoConsent
+	}
+	if o.gone(ctx, r) {
+		return nil
+	}
+	return ErrNoEvidence
+}
+
+// gone reports whether there is evidence that the process that holds the session no longer runs.
+func (o *Observer) gone(ctx context.Context, r Row) bool {
+	if o.hosts != nil {
+		if listed, known := o.hosts.HostListed(r.PeerAddr); known && !listed {
+			return true
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.PeerTimeout)
+	defer cancel()
+	reply, err := o.peers.Probe(ctx, r.PeerAddr)
+	if err != nil {
+		return errors.Is(err, ErrRefused)
+	}
+	return reply.Boot != "" && reply.Boot != r.Boot || reply.Incarnation > r.Incarnation
+}
+
+// State returns a dump of the sessions.
+func (o *Observer) State() any {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]Info, 0, len(o.rows))
+	for _, s := range o.rows {
+		out = append(out, o.info(s))
+	}
+	slices.SortFunc(out, func(a, b Info) int { return cmp.Compare(a.Row.ID, b.Row.ID) })
+	return out
+}
--- /dev/null
+++ b/session/peer.go
@@ -0,0 +1,56 @@
+package session
+
+import "context"
+
+// PromiseRequest asks a guarantor to consent to no fencing of a session for one TTL.
+type PromiseRequest struct {
+	Session     string `json:"session"`
+	Incarnation int64  `json:"incarnation"`
+	// Seq is the sequence number of the last renewal that the holder knows to have taken effect.
+	Seq int64 `json:"seq"`
+	// GuarantorBoot is the process that the row names. Another process at the same address must not promise, because
+	// it does not know to which fencings its predecessor consented.
+	GuarantorBoot string `json:"guarantor_boot"`
+}
+
+// PromiseReply answers a PromiseRequest.
+type PromiseReply struct {
+	Granted bool   `json:"granted"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// ConsentRequest asks a guarantor to consent to the fencing of a session whose row was seen unchanged at Seq.
+type ConsentRequest struct {
+	Session     string `json:"session"`
+	Incarnation int64  `json:"incarnation"`
+	Seq         int64  `json:"seq"`
+	Observer    string `json:"observer"`
+}
+
+// ConsentReply answers a ConsentRequest.
+type ConsentReply struct {
+	Granted bool   `json:"granted"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// ProbeReply tells which process listens at an address. Incarnation is 0 before its first session.
+type ProbeReply struct {
+	ID          string `json:"id"`
+	Boot        string `json:"boot"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// PeerCaller calls other daemons. Every error of Promise and Consent means that no answer was received.
+type PeerCaller interface {
+	Promise(ctx context.Context, to Peer, req PromiseRequest) (PromiseReply, error)
+	Consent(ctx context.Context, to Peer, req ConsentRequest) (ConsentReply, error)
+	// Probe asks which process listens at addr on a new connection. It returns an error that matches ErrRefused only if
+	// the host refused the connection; every other error means that there was no answer.
+	Probe(ctx context.Context, addr string) (ProbeReply, error)
+}
+
+// HostList is the platform's membership list.
+type HostList interface {
+	// HostListed reports whether the list shows the host of a peer address. known is false while no list is at hand.
+	HostListed(peerAddr string) (listed, known bool)
+}
