--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -40,12 +40,14 @@
 
 // Entry is what is recorded for a key.
 type Entry struct {
-	Key         Key       `json:"key"`
-	Fingerprint string    `json:"fingerprint"`
-	State       State     `json:"state"`
-	Code        string    `json:"code,omitempty"`   // stable code of the outcome, empty when done
-	Answer      []byte    `json:"answer,omitempty"` // the minion's answer when done
-	At          time.Time `json:"at"`               // time of the last change, for retention only
+	Key         Key    `json:"key"`
+	Fingerprint string `json:"fingerprint"`
+	State       State  `json:"state"`
+	Code        string `json:"code,omitempty"`   // stable code of the outcome, empty when done
+	Answer      []byte `json:"answer,omitempty"` // the minion's answer when done
+	// AnswerOmitted says that the request is done but its answer was too large to be recorded.
+	AnswerOmitted bool      `json:"answer_omitted,omitempty"`
+	At            time.Time `json:"at"` // time of the last change, for retention only
 }
 
 // Claim is the result of Begin. When Run is true the caller must run the request and then call Finish; otherwise Entry
@@ -55,11 +57,13 @@
 	Entry Entry
 }
 
-// Log makes records durable, in order. journal.Journal implements it.
+// Log makes records durable, in order. journal.Log implements it.
 type Log interface {
-	// Append returns nil once the records are durable, journal.ErrNotWritten if they certainly are not and never will
-	// be, and another error if that is unknown.
+	// Append returns nil once the records are durable, journal.ErrNotWritten or journal.ErrFenced if they certainly are
+	// not and never will be, and another error if that is unknown.
 	Append(ctx context.Context, records ...[]byte) error
+	// AppendAsync queues records without waiting, in the order of the calls. It must not call back into the table.
+	AppendAsync(records ...[]byte)
 }
 
 // Beginner is the part of a table that the request path uses.
--- /dev/null
+++ b/idempotency/table.go
@@ -0,0 +1,369 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/journal"
+)
+
+// ErrCorrupt says that a record of the journal is not an entry.
+var ErrCorrupt = errors.New("idempotency: record cannot be decoded")
+
+// Default limits of a Table.
+const (
+	DefaultRetention   = 24 * time.Hour
+	DefaultMaxEntries  = 1_000_000
+	DefaultAnswerBytes = 64 << 10 // bytes of one recorded answer
+	// DefaultTotalAnswerBytes bounds the answers in memory: a million of them at 64 KB would not fit into a host.
+	DefaultTotalAnswerBytes = 512 << 20
+)
+
+// minChanges is the length from which the queue of expiries is cleaned.
+const minChanges = 1024
+
+// Config sets the limits of a Table. Zero values mean the defaults.
+type Config struct {
+	Retention        time.Duration // from an entry's last change; entries in progress do not expire
+	MaxEntries       int           // Begin returns ErrNotClaimed beyond it
+	AnswerBytes      int           // a larger answer is recorded as done without its body
+	TotalAnswerBytes int           // answers beyond it are recorded without their bodies
+	Now              func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	if c.Retention <= 0 {
+		c.Retention = DefaultRetention
+	}
+	if c.MaxEntries <= 0 {
+		c.MaxEntries = DefaultMaxEntries
+	}
+	if c.AnswerBytes <= 0 {
+		c.AnswerBytes = DefaultAnswerBytes
+	}
+	if c.TotalAnswerBytes <= 0 {
+		c.TotalAnswerBytes = DefaultTotalAnswerBytes
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+// TableState is a Table's part of the state dump.
+type TableState struct {
+	Entries     int   `json:"entries"`
+	Claimed     int   `json:"claimed"`
+	Done        int   `json:"done"`
+	NotRun      int   `json:"not_run"`
+	Unknown     int   `json:"unknown"`
+	AnswerBytes int   `json:"answer_bytes"`
+	MaxEntries  int   `json:"max_entries"`
+	Joined      int64 `json:"joined"`  // calls that waited for another call's outcome
+	Refused     int64 `json:"refused"` // calls refused because the table was full
+	Failed      int64 `json:"failed"`  // claims that were not recorded or whose recording is unknown
+	Expired     int64 `json:"expired"` // entries removed after their retention
+}
+
+// attempt is the run of a claimed request in this process.
+type attempt struct {
+	ended  chan struct{} // closed when result is set or the claim failed
+	result *Entry        // nil if the claim failed; with the whole answer, however large
+	// recorded is true once the claim is durable.
+	recorded bool
+	// inSnapshot says that a snapshot was taken while the claim was being recorded.
+	inSnapshot bool
+	before     *Entry // what the table held for the key before the claim
+}
+
+// slot is what the table holds for a key.
+type slot struct {
+	entry Entry
+	run   *attempt // nil unless the entry is claimed
+}
+
+// change is an element of the queue of expiries.
+type change struct {
+	key Key
+	at  time.Time
+}
+
+// Table holds the claims and outcomes of one partition. It is safe for concurrent use.
+type Table struct {
+	log Log
+	cfg Config
+
+	mu      sync.Mutex
+	slots   map[Key]*slot
+	changes []change // in the order in which they happened, for expiry
+	state   TableState
+}
+
+var _ Beginner = (*Table)(nil)
+
+// New returns an empty table that records in log.
+func New(log Log, cfg Config) *Table {
+	return &Table{log: log, cfg: cfg.withDefaults(), slots: map[Key]*slot{}}
+}
+
+// Restore loads the records that were in force when the journal was opened, before any other call. Claims become
+// Unknown for good: their former owner may have run them. Errors: ErrCorrupt.
+func (t *Table) Restore(records [][]byte) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.cfg.Now()
+	latest := map[Key]Entry{}
+	for _, r := range records {
+		var e Entry
+		if err := json.Unmarshal(r, &e); err != nil || e.State == "" {
+			return errors.Wrapf(ErrCorrupt, "%.100q", r)
+		}
+		if e.State == Claimed {
+			e.State, e.At = Unknown, now
+		}
+		latest[e.Key] = e
+	}
+	oldestFirst := slices.SortedFunc(maps.Values(latest), func(a, b Entry) int { return a.At.Compare(b.At) })
+	for _, e := range oldestFirst {
+		if now.Sub(e.At) < t.cfg.Retention {
+			t.put(e, nil)
+		}
+	}
+	return nil
+}
+
+// Begin implements Beginner. An entry in state NotRun is begun again.
+func (t *Table) Begin(ctx context.Context, k Key, fingerprint string) (Claim, error) {
+	for {
+		claim, wait, err := t.begin(k, fingerprint)
+		switch {
+		case err != nil:
+			return Claim{}, err
+		case claim.Run:
+			if err := t.record(ctx, claim.Entry, wait); err != nil {
+				return Claim{}, err
+			}
+			return claim, nil
+		case wait == nil:
+			return claim, nil
+		}
+		select {
+		case <-wait.ended:
+			if wait.result != nil {
+				return Claim{Entry: *wait.result}, nil
+			}
+			// The other call failed to claim the key; this one may do so.
+		case <-ctx.Done():
+			return Claim{}, errors.Wrap(ErrInProgress, ctx.Err().Error())
+		}
+	}
+}
+
+// begin claims the key in memory, or returns its outcome, or the attempt to wait for.
+func (t *Table) begin(k Key, fingerprint string) (Claim, *attempt, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	s := t.slots[k]
+	if s != nil && s.entry.Fingerprint != fingerprint {
+		return Claim{}, nil, ErrKeyReused
+	}
+	if s != nil && s.run != nil {
+		t.state.Joined++
+		return Claim{}, s.run, nil
+	}
+	if s != nil && s.entry.State != NotRun {
+		return Claim{Entry: s.entry}, nil, nil
+	}
+	if s == nil && len(t.slots) >= t.cfg.MaxEntries {
+		t.state.Refused++
+		return Claim{}, nil, errors.Wrap(ErrNotClaimed, "table is full")
+	}
+	run := &attempt{ended: make(chan struct{})}
+	if s != nil {
+		before := s.entry
+		run.before = &before
+	}
+	e := Entry{Key: k, Fingerprint: fingerprint, State: Claimed, At: t.cfg.Now()}
+	t.put(e, run)
+	return Claim{Run: true, Entry: e}, run, nil
+}
+
+// record makes a claim durable. A claim that fails was not run by anybody, so the key may be begun again. If its record
+// may nevertheless be replayed, a later record says that it was not run.
+func (t *Table) record(ctx context.Context, e Entry, run *attempt) error {
+	err := t.log.Append(ctx, encode(e))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		run.recorded = true
+		return nil
+	}
+	t.state.Failed++
+	absent := errors.Is(err, journal.ErrNotWritten) || errors.Is(err, journal.ErrFenced)
+	switch {
+	case !absent || run.inSnapshot:
+		e.State, e.At = NotRun, t.cfg.Now()
+		t.put(e, nil)
+		t.log.AppendAsync(encode(e))
+	case run.before != nil:
+		t.put(*run.before, nil)
+	default:
+		t.drop(e.Key)
+	}
+	close(run.ended)
+	if absent {
+		return errors.Wrap(ErrNotClaimed, err.Error())
+	}
+	return errors.Wrap(ErrClaimUnknown, err.Error())
+}
+
+// Finish implements Beginner. It does nothing for a key that is not claimed. Any state but Done and NotRun is recorded
+// as Unknown.
+func (t *Table) Finish(k Key, state State, code string, answer []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.slots[k]
+	if s == nil || s.run == nil || !s.run.recorded {
+		return
+	}
+	if state != Done && state != NotRun {
+		state = Unknown
+	}
+	run := s.run
+	e := s.entry
+	e.State, e.Code, e.Answer, e.At = state, code, answer, t.cfg.Now()
+	whole := e
+	run.result = &whole
+	if len(answer) > t.cfg.AnswerBytes || t.state.AnswerBytes+len(answer) > t.cfg.TotalAnswerBytes {
+		e.Answer, e.AnswerOmitted = nil, true
+	}
+	t.put(e, nil)
+	// Under the lock, so that records of one key have the order of its states.
+	t.log.AppendAsync(encode(e))
+	close(run.ended)
+}
+
+// Lookup implements Beginner.
+func (t *Table) Lookup(k Key) (Entry, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	if s := t.slots[k]; s != nil {
+		return s.entry, nil
+	}
+	return Entry{}, ErrNoEntry
+}
+
+// Snapshot returns records that restore the table, for compaction. Entries that change between this call and the
+// compaction would be lost; Compact rules that out.
+func (t *Table) Snapshot() [][]byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.snapshot()
+}
+
+func (t *Table) snapshot() [][]byte {
+	t.expire()
+	out := make([][]byte, 0, len(t.slots))
+	for _, s := range t.slots {
+		if s.run != nil {
+			s.run.inSnapshot = true
+		}
+		out = append(out, encode(s.entry))
+	}
+	return out
+}
+
+// Compact replaces the journal by a snapshot of the table, which must be all that the journal holds. No record can come
+// between the snapshot and its place in the journal. Errors: those of journal.Log.Compact, except that ctx ending
+// leaves the compaction running and returns journal.ErrOutcomeUnknown.
+func (t *Table) Compact(ctx context.Context, log journal.Compactor) error {
+	t.mu.Lock()
+	done := log.StartCompact(t.snapshot())
+	t.mu.Unlock()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(journal.ErrOutcomeUnknown, ctx.Err().Error())
+	}
+}
+
+// State returns the table's part of the state dump.
+func (t *Table) State() TableState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state
+	s.Entries, s.MaxEntries = len(t.slots), t.cfg.MaxEntries
+	return s
+}
+
+// put stores an entry. It is called with mu held, as are the functions below.
+func (t *Table) put(e Entry, run *attempt) {
+	t.drop(e.Key)
+	t.slots[e.Key] = &slot{entry: e, run: run}
+	*t.counter(e.State)++
+	t.state.AnswerBytes += len(e.Answer)
+	if run != nil {
+		return
+	}
+	t.changes = append(t.changes, change{key: e.Key, at: e.At})
+	if len(t.changes) > 2*len(t.slots)+minChanges {
+		// Keys that are begun again and again leave outdated changes behind.
+		t.changes = slices.DeleteFunc(t.changes, func(c change) bool { return !t.current(c) })
+	}
+}
+
+// current says whether the entry has not changed since.
+func (t *Table) current(c change) bool {
+	s := t.slots[c.key]
+	return s != nil && s.run == nil && s.entry.At.Equal(c.at)
+}
+
+func (t *Table) drop(k Key) {
+	if s := t.slots[k]; s != nil {
+		*t.counter(s.entry.State)--
+		t.state.AnswerBytes -= len(s.entry.Answer)
+		delete(t.slots, k)
+	}
+}
+
+func (t *Table) counter(s State) *int {
+	switch s {
+	case Claimed:
+		return &t.state.Claimed
+	case Done:
+		return &t.state.Done
+	case NotRun:
+		return &t.state.NotRun
+	}
+	return &t.state.Unknown
+}
+
+// expire removes the entries whose retention has passed. An entry that changed later has a later change in the queue.
+func (t *Table) expire() {
+	now := t.cfg.Now()
+	for len(t.changes) > 0 && now.Sub(t.changes[0].at) >= t.cfg.Retention {
+		c := t.changes[0]
+		t.changes = t.changes[1:]
+		if t.current(c) {
+			t.drop(c.key)
+			t.state.Expired++
+		}
+	}
+}
+
+func encode(e Entry) []byte {
+	raw, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // strings, bytes and times always encode
+	}
+	return raw
+}
