Add entry routing and the peer adapters of sessions and loans

A call is sent again after a lost answer only because the owner knows its key or the work is idempotent; a 'not run' after such a loss is reported as unknown, because the earlier sending may still arrive.

--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/peer"
+)
+
+// PathJob is the path of the calls that bring job operations to their owner.
+const PathJob = "/peer/v1/forward/job"
+
+// jobTimeout bounds one operation on a job. Accepting a job waits for the store.
+const jobTimeout = 5 * time.Second
+
+// JobVerb is what is done to a job.
+type JobVerb string
+
+// The verbs.
+const (
+	JobSubmit JobVerb = "submit"
+	JobStatus JobVerb = "status"
+	JobCancel JobVerb = "cancel"
+	JobList   JobVerb = "list"
+)
+
+// JobCall is an operation on a job, on its way to the owner.
+type JobCall struct {
+	Partition string   `json:"partition"`
+	Verb      JobVerb  `json:"verb"`
+	Customer  string   `json:"customer"`
+	Key       string   `json:"key,omitempty"`
+	Spec      job.Spec `json:"spec,omitzero"` // of a submit
+}
+
+// JobAnswer is the answer to a JobCall: a refusal or statuses.
+type JobAnswer struct {
+	Refusal  *job.Refusal `json:"refusal,omitempty"`
+	Statuses []job.Status `json:"statuses,omitempty"`
+}
+
+// Jobs brings operations on jobs to the owners of their partitions.
+type Jobs struct {
+	owners Owners
+	client *peer.Client
+	pool   *job.Pool
+	pools  map[string]bool
+	refuse func() bool
+}
+
+// NewJobs returns the entry of the given pools. refuse tells when new jobs are turned away for a drain.
+func NewJobs(o Owners, c *peer.Client, p *job.Pool, pools []string, refuse func() bool) *Jobs {
+	known := make(map[string]bool, len(pools))
+	for _, name := range pools {
+		known[name] = true
+	}
+	return &Jobs{owners: o, client: c, pool: p, pools: known, refuse: refuse}
+}
+
+// Do performs an operation on the owner. The partition of the call is filled in.
+func (e *Jobs) Do(ctx context.Context, pool string, c JobCall) JobAnswer {
+	switch {
+	case e.refuse() && c.Verb == JobSubmit:
+		return refused(job.CodeDraining, "this daemon is draining; ask another one", job.KeptNothing, time.Second)
+	case !e.pools[pool]:
+		return refused(job.CodeNotFound, "unknown pool "+pool, job.KeptNothing, 0)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), jobTimeout)
+	defer cancel()
+	c.Partition = e.pool.PartitionOf(pool, c.Customer)
+	answer, lost, err := route(ctx, e.owners, call[JobAnswer]{
+		partition: c.Partition,
+		local:     func(ctx context.Context) JobAnswer { return e.serve(ctx, c) },
+		remote: func(ctx context.Context, addr string) (JobAnswer, error) {
+			return peer.Call[JobAnswer](ctx, e.client, addr, PathJob, c)
+		},
+		moved: func(a JobAnswer) bool { return a.Refusal != nil && a.Refusal.Code == job.CodeNoOwner },
+	})
+	return settleJob(answer, lost, err)
+}
+
+// settleJob turns the result of routing into the caller's answer.
+func settleJob(a JobAnswer, lost bool, err error) JobAnswer {
+	switch {
+	case errors.Is(err, ErrLost):
+		return refused(job.CodeOutcomeUnknown, "the owner's answer was lost; repeat with the same key", job.KeptMaybe, time.Second)
+	case err != nil:
+		return refused(job.CodeNoOwner, "the pool's partition changes its owner", job.KeptNothing, noOwnerRetry)
+	case lost && a.Refusal != nil && a.Refusal.Kept == job.KeptNothing:
+		a.Refusal.Kept = job.KeptMaybe
+	}
+	return a
+}
+
+func refused(code job.Code, message string, kept job.Kept, retry time.Duration) JobAnswer {
+	return JobAnswer{Refusal: &job.Refusal{Code: code, Message: message, Kept: kept, RetryAfter: retry}}
+}
+
+// Serve performs a forwarded operation.
+func (e *Jobs) Serve(ctx context.Context, c JobCall) (JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	return e.serve(ctx, c), nil
+}
+
+func (e *Jobs) serve(ctx context.Context, c JobCall) JobAnswer {
+	var one job.Status
+	var all []job.Status
+	var err error
+	switch c.Verb {
+	case JobSubmit:
+		one, err = e.pool.Submit(ctx, c.Partition, c.Spec)
+	case JobStatus:
+		one, err = e.pool.Status(c.Partition, c.Customer, c.Key)
+	case JobCancel:
+		one, err = e.pool.Cancel(ctx, c.Partition, c.Customer, c.Key)
+	case JobList:
+		all, err = e.pool.List(c.Partition, c.Customer)
+	default:
+		return refused(job.CodeInvalidRequest, "unknown verb "+string(c.Verb), job.KeptNothing, 0)
+	}
+	switch r := job.AsRefusal(err); {
+	case r != nil:
+		return JobAnswer{Refusal: r}
+	case err != nil:
+		return refused(job.CodeOutcomeUnknown, err.Error(), job.KeptMaybe, time.Second)
+	case c.Verb == JobList:
+		return JobAnswer{Statuses: all}
+	}
+	return JobAnswer{Statuses: []job.Status{one}}
+}
--- /dev/null
+++ b/internal/entry/requests.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+// Paths of the calls that bring requests to their owner.
+const (
+	PathRequest = "/peer/v1/forward/request"
+	PathLookup  = "/peer/v1/forward/lookup"
+)
+
+// answerSlack is the time beyond the caller's timeout in which the owner's final answer may still arrive.
+const answerSlack = 500 * time.Millisecond
+
+// noOwnerRetry tells a caller when to come back while a partition has no owner.
+const noOwnerRetry = 2 * time.Second
+
+// Service runs requests on the owner of their partition. request.Service implements it.
+type Service interface {
+	Submit(ctx context.Context, partition string, r request.Request) request.Outcome
+	Lookup(partition, customer, key string) request.Outcome
+}
+
+// ForwardedRequest is the message that brings a request to its owner.
+type ForwardedRequest struct {
+	Partition string          `json:"partition"`
+	Request   request.Request `json:"request"` // TimeoutMS is what remains
+}
+
+// ForwardedLookup is the message that asks an owner for a recorded outcome.
+type ForwardedLookup struct {
+	Partition string `json:"partition"`
+	Customer  string `json:"customer"`
+	Key       string `json:"key"`
+}
+
+// Requests implements api.Requests.
+type Requests struct {
+	owners   Owners
+	client   *peer.Client
+	service  Service
+	services map[string]bool // served by this system
+	refuse   func() bool     // true once a drain no longer takes new callers
+}
+
+// NewRequests returns the entry of the given services. refuse tells when new requests are turned away for a drain.
+func NewRequests(o Owners, c *peer.Client, s Service, services []string, refuse func() bool) *Requests {
+	known := make(map[string]bool, len(services))
+	for _, name := range services {
+		known[name] = true
+	}
+	return &Requests{owners: o, client: c, service: s, services: known, refuse: refuse}
+}
+
+// Submit brings a request to the owner of its customer and returns its final outcome.
+func (e *Requests) Submit(ctx context.Context, r request.Request) request.Outcome {
+	if e.refuse() {
+		return request.Refuse(request.CodeDraining, "this daemon is draining; ask another one", time.Second)
+	}
+	if refused := request.Validate(r); refused != nil {
+		return *refused
+	}
+	if !e.services[r.Service] {
+		return request.Refuse(request.CodeNotFound, "unknown service "+r.Service, 0)
+	}
+	// The work and its record go on when the caller hangs up.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.Timeout()+answerSlack)
+	defer cancel()
+	deadline := time.Now().Add(r.Timeout())
+	partition := request.PartitionOf(r.Service, r.Customer)
+	out, lost, err := route(ctx, e.owners, call[request.Outcome]{
+		partition: partition,
+		local: func(ctx context.Context) request.Outcome {
+			return e.service.Submit(ctx, partition, remaining(r, deadline))
+		},
+		remote: func(ctx context.Context, addr string) (request.Outcome, error) {
+			msg := ForwardedRequest{Partition: partition, Request: remaining(r, deadline)}
+			return peer.Call[request.Outcome](ctx, e.client, addr, PathRequest, msg)
+		},
+		moved: isMoved,
+	})
+	out = settle(out, lost, err)
+	out.Key = r.Key
+	return out
+}
+
+func isMoved(o request.Outcome) bool { return o.Code == request.CodeNoOwner }
+
+// remaining returns r with the part of its timeout that is left.
+func remaining(r request.Request, deadline time.Time) request.Request {
+	r.TimeoutMS = max(time.Until(deadline).Milliseconds(), 1)
+	return r
+}
+
+// settle turns the result of routing into the caller's outcome.
+func settle(o request.Outcome, lost bool, err error) request.Outcome {
+	switch {
+	case errors.Is(err, ErrLost):
+		return request.Undecided(request.CodeOutcomeUnknown, "the owner's answer was lost; ask by key")
+	case err != nil:
+		return request.Refuse(request.CodeNoOwner, "the customer's partition changes its owner", noOwnerRetry)
+	case lost && o.Outcome == request.NotRun:
+		return request.Undecided(request.CodeOutcomeUnknown, "an earlier sending may still be run; ask by key")
+	}
+	return o
+}
+
+// Lookup asks the owner for the outcome that is recorded for a key.
+func (e *Requests) Lookup(ctx context.Context, service, customer, key string) request.Outcome {
+	if !e.services[service] {
+		return request.Refuse(request.CodeNotFound, "unknown service "+service, 0)
+	}
+	partition := request.PartitionOf(service, customer)
+	out, _, err := route(ctx, e.owners, call[request.Outcome]{
+		partition: partition,
+		local:     func(context.Context) request.Outcome { return e.service.Lookup(partition, customer, key) },
+		remote: func(ctx context.Context, addr string) (request.Outcome, error) {
+			msg := ForwardedLookup{Partition: partition, Customer: customer, Key: key}
+			return peer.Call[request.Outcome](ctx, e.client, addr, PathLookup, msg)
+		},
+		moved: isMoved,
+	})
+	if err != nil {
+		return request.Undecided(request.CodeNoOwner, "the owner could not be asked; ask again")
+	}
+	return out
+}
+
+// ServeRequest runs a forwarded request. It is never forwarded again: a daemon that is not the owner says so.
+func (e *Requests) ServeRequest(ctx context.Context, m ForwardedRequest) (request.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.Request.Timeout()+answerSlack)
+	defer cancel()
+	return e.service.Submit(ctx, m.Partition, m.Request), nil
+}
+
+// ServeLookup answers a forwarded lookup.
+func (e *Requests) ServeLookup(_ context.Context, m ForwardedLookup) (request.Outcome, error) {
+	return e.service.Lookup(m.Partition, m.Customer, m.Key), nil
+}
--- /dev/null
+++ b/internal/entry/route.go
@@ -0,0 +1,100 @@
+// Package entry takes a caller's call at any daemon and brings it to the owner of its partition.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/peer"
+)
+
+const (
+	// ownerWait is how long a call waits for a partition that changes its owner. A handover takes less; a takeover
+	// takes several seconds, and then the caller is told at once to come back.
+	ownerWait     = 500 * time.Millisecond
+	ownerInterval = 20 * time.Millisecond
+	// maxLost bounds how often a call is repeated after its answer was lost.
+	maxLost = 2
+)
+
+var (
+	// ErrNoOwner says that no daemon owns the partition now; nothing was run.
+	ErrNoOwner = errors.New("entry: partition has no owner")
+	// ErrLost says that the owner may have taken the call but its answer did not arrive.
+	ErrLost = errors.New("entry: answer of the owner was lost")
+)
+
+// Owner is the daemon that owns a partition.
+type Owner struct {
+	Self bool
+	Addr string // peer address
+}
+
+// Owners finds the owner of a partition.
+type Owners interface {
+	OwnerOf(partition string) (Owner, bool)
+}
+
+// call is one call on its way to the owner of a partition.
+type call[T any] struct {
+	partition string
+	local     func(context.Context) T
+	remote    func(ctx context.Context, addr string) (T, error)
+	moved     func(T) bool // the answer says that the daemon asked is not the owner
+}
+
+// route brings c to the owner. A call may be sent again after a lost answer because the owner recognizes its key, or
+// because the work is idempotent. lost reports whether an earlier sending may still be run: then an answer of "not run"
+// is not certain any more.
+func route[T any](ctx context.Context, owners Owners, c call[T]) (answer T, lost bool, err error) {
+	losses := 0
+	giveUp := time.Now().Add(ownerWait)
+	for {
+		asked := time.Now()
+		answer, err := once(ctx, owners, c)
+		if err == nil && time.Since(asked) > ownerInterval {
+			// The call waited in a queue whose partition was handed over; its next owner gets the full wait.
+			giveUp = time.Now().Add(ownerWait)
+		}
+		switch {
+		case err == nil && !c.moved(answer):
+			return answer, losses > 0, nil
+		case errors.Is(err, peer.ErrLost):
+			losses++
+			if losses > maxLost {
+				return answer, true, ErrLost
+			}
+			continue
+		case ctx.Err() != nil || !time.Now().Before(giveUp):
+			if losses > 0 {
+				return answer, true, ErrLost
+			}
+			return answer, false, ErrNoOwner
+		}
+		sleep(ctx, ownerInterval)
+	}
+}
+
+// once asks the present owner.
+func once[T any](ctx context.Context, owners Owners, c call[T]) (T, error) {
+	o, ok := owners.OwnerOf(c.partition)
+	switch {
+	case !ok:
+		var none T
+		return none, ErrNoOwner
+	case o.Self:
+		return c.local(ctx), nil
+	}
+	return c.remote(ctx, o.Addr)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/peer/lender.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+const pathExecute = "/peer/v1/execute"
+
+// maxLenders bounds how many daemons are asked for one attempt.
+const maxLenders = 2
+
+// Lender borrows slots of other daemons. It implements request.Lender.
+type Lender struct {
+	client *Client
+	beats  *Heartbeater
+}
+
+// NewLender returns a lender that knows idle slots from heartbeats.
+func NewLender(c *Client, h *Heartbeater) *Lender { return &Lender{client: c, beats: h} }
+
+// Idle implements request.Lender.
+func (l *Lender) Idle(service string) int {
+	total := 0
+	for _, hb := range l.beats.Alive() {
+		if !hb.Draining {
+			total += hb.IdleSlots[service]
+		}
+	}
+	return total
+}
+
+// Borrow implements request.Lender. It asks another daemon only while it is certain that the loan was not taken.
+func (l *Lender) Borrow(ctx context.Context, loan request.Loan) (request.LoanReply, error) {
+	last := request.LoanReply{Status: request.LoanRefused, Message: "no daemon has idle slots"}
+	asked := map[string]bool{}
+	for range maxLenders {
+		addr := pickLender(l.beats.Alive(), loan.Service, asked)
+		if addr == "" {
+			return last, nil
+		}
+		asked[addr] = true
+		reply, err := Call[request.LoanReply](ctx, l.client, addr, pathExecute, loan)
+		switch {
+		case errors.Is(err, ErrNotSent):
+			last = request.LoanReply{Status: request.LoanRefused, Message: err.Error()}
+		case err != nil:
+			return request.LoanReply{}, err
+		case reply.Status != request.LoanRefused:
+			return reply, nil
+		default:
+			last = reply
+		}
+	}
+	return last, nil
+}
+
+// pickLender returns the daemon with more idle slots of two random ones that were not asked yet, or "".
+func pickLender(beats []Heartbeat, service string, asked map[string]bool) string {
+	var candidates []Heartbeat
+	for _, hb := range beats {
+		if !hb.Draining && !asked[hb.ID] && hb.IdleSlots[service] > 0 {
+			candidates = append(candidates, hb)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	a, b := candidates[rand.IntN(len(candidates))], candidates[rand.IntN(len(candidates))]
+	if b.IdleSlots[service] > a.IdleSlots[service] {
+		a = b
+	}
+	return a.ID
+}
+
+// RegisterLender serves loans.
+func RegisterLender(r gin.IRoutes, s *request.Service) {
+	Handle(r, pathExecute, func(ctx context.Context, l request.Loan) (request.LoanReply, error) {
+		return s.ExecuteLoan(ctx, l), nil
+	})
+}
--- /dev/null
+++ b/internal/peer/sessions.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/session"
+)
+
+// Paths of the calls that keep sessions and ownership.
+const (
+	pathPromise  = "/peer/v1/promise"
+	pathConsent  = "/peer/v1/consent"
+	pathProbe    = "/peer/v1/probe"
+	pathReleased = "/peer/v1/released"
+)
+
+// Sessions carries the calls of the session and ownership packages. It implements session.PeerCaller and
+// ownership.Notifier.
+type Sessions struct{ Client *Client }
+
+// Promise implements session.PeerCaller.
+func (s Sessions) Promise(ctx context.Context, to session.Peer, req session.PromiseRequest) (session.PromiseReply, error) {
+	return Call[session.PromiseReply](ctx, s.Client, to.PeerAddr, pathPromise, req)
+}
+
+// Consent implements session.PeerCaller.
+func (s Sessions) Consent(ctx context.Context, to session.Peer, req session.ConsentRequest) (session.ConsentReply, error) {
+	return Call[session.ConsentReply](ctx, s.Client, to.PeerAddr, pathConsent, req)
+}
+
+// Probe implements session.PeerCaller. The probe uses a connection of its own, because a pooled one may still be open
+// to a host whose process is gone.
+func (s Sessions) Probe(ctx context.Context, addr string) (session.ProbeReply, error) {
+	c := NewClient(s.Client.secret)
+	defer c.Close()
+	reply, err := Call[session.ProbeReply](ctx, c, addr, pathProbe, struct{}{})
+	if errors.Is(err, ErrRefused) {
+		return reply, errors.Wrap(session.ErrRefused, err.Error())
+	}
+	return reply, err
+}
+
+// Released implements ownership.Notifier.
+func (s Sessions) Released(ctx context.Context, addr string, n ownership.ReleaseNotice) error {
+	_, err := Call[struct{}](ctx, s.Client, addr, pathReleased, n)
+	return err
+}
+
+// RegisterSessions serves the calls of Sessions.
+func RegisterSessions(r gin.IRoutes, k *session.Keeper, g *session.Guarantor, m *ownership.Manager) {
+	Handle(r, pathPromise, func(_ context.Context, req session.PromiseRequest) (session.PromiseReply, error) {
+		return g.Promise(req), nil
+	})
+	Handle(r, pathConsent, func(_ context.Context, req session.ConsentRequest) (session.ConsentReply, error) {
+		return g.Consent(req), nil
+	})
+	Handle(r, pathProbe, func(context.Context, struct{}) (session.ProbeReply, error) { return k.Probe(), nil })
+	Handle(r, pathReleased, func(_ context.Context, n ownership.ReleaseNotice) (struct{}, error) {
+		m.Released(n)
+		return struct{}{}, nil
+	})
+}
+
+// RosterOf returns the peer addresses of the live sessions other than self.
+func RosterOf(o *session.Observer, self string) Roster {
+	return func() []string {
+		var addrs []string
+		for _, info := range o.Live() {
+			if _, _, err := net.SplitHostPort(info.Row.PeerAddr); err == nil && info.Row.PeerAddr != self {
+				addrs = append(addrs, info.Row.PeerAddr)
+			}
+		}
+		return addrs
+	}
+}
