--- /dev/null
+++ b/internal/request/dispatch.go
@@ -0,0 +1,255 @@
+package request
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/lanes"
+)
+
+// dispatch sends a call's attempt to an own minion. The caller has checked that one is available.
+func (p *partition) dispatch(c *call, now time.Time) {
+	m := p.router.pick(c.avoid)
+	p.router.use(m)
+	p.begin()
+	p.unqueue(c)
+	a := p.newAttempt(p.attemptID(), c.req.Payload)
+	p.s.wg.Go(func() {
+		// Not the caller's deadline: the slot is in use until the minion has answered, and the outcome can be asked for.
+		ctx, cancel := context.WithTimeout(p.ctx, maxTimeout)
+		defer cancel()
+		r := m.path.execute(ctx, a)
+		p.attempted(c, m, now, r, ctx.Err() != nil)
+	})
+}
+
+func (p *partition) newAttempt(id string, payload []byte) attempt {
+	return attempt{id: id, payload: payload, check: p.guard.Check}
+}
+
+// attempted records the end of an attempt in an own slot.
+func (p *partition) attempted(c *call, m *minion, start time.Time, r sent, timedOut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.queue.Release(c.ticket)
+	p.settle(m, start, now, r)
+	if r.result == sendAnswered || timedOut {
+		p.queue.Observe(now, c.req.Customer, c.ticket.Class, c.ticket.Lane, now.Sub(start))
+	}
+	c.avoid = m
+	p.conclude(c, r, now)
+	p.end()
+	p.pump(now)
+}
+
+// settle frees the slot of an attempt and judges its minion. A lost attempt may still run, so its slot stays taken until
+// the longest attempt would be over.
+func (p *partition) settle(m *minion, start, now time.Time, r sent) {
+	held := time.Time{}
+	if r.result == sendLost {
+		held = start.Add(maxTimeout)
+	}
+	p.router.free(m, held)
+	if r.leaving && !m.saidLeaving {
+		m.saidLeaving = true
+		p.s.deps.Members.ReportLeaving(m.id)
+		p.s.deps.Log.Info("minion is leaving", zap.String("minion", m.id))
+	}
+	switch r.result {
+	case sendAnswered:
+		p.router.succeeded(m)
+	case sendNotRun, sendFailed, sendLost:
+		if p.router.failed(m, now) {
+			p.s.m.ejected.Inc(1)
+			p.s.deps.Log.Info("minion ejected", zap.String("minion", m.id), zap.String("reason", r.reason))
+		}
+	}
+	p.router.update(m)
+}
+
+// conclude retries a call or gives it its outcome.
+func (p *partition) conclude(c *call, r sent, now time.Time) {
+	h := history{idempotent: c.req.Idempotent, maybeRan: c.maybeRan, retries: c.retries}
+	h.canRetry = p.phase == serving && now.Before(c.deadline)
+	if decide(r.result, h) == endRetry {
+		h.canRetry = p.budget.spend()
+	}
+	if r.result == sendLost || r.result == sendFailed {
+		c.maybeRan = true
+	}
+	switch decide(r.result, h) {
+	case endRetry:
+		c.retries++
+		p.s.m.retried.Inc(1)
+		p.requeue(c, now)
+	case endDone:
+		p.answer(c, Outcome{Outcome: Done, Result: r.body}, now)
+	case endNotOwner:
+		p.answer(c, Refuse(CodeNoOwner, "the partition has a new owner", ownerRetryAfter), now)
+	case endNotRun:
+		p.answer(c, Refuse(CodeMinionFailed, r.reason, minRetryAfter), now)
+	default:
+		p.answer(c, Undecided(CodeOutcomeUnknown, r.reason), now)
+	}
+}
+
+// requeue puts a call back to its place in the queue.
+func (p *partition) requeue(c *call, now time.Time) {
+	if p.phase != serving {
+		p.answer(c, Refuse(CodeDraining, "the partition is being handed over", drainRetryAfter), now)
+		return
+	}
+	c.queued = true
+	p.account(c.req.Customer, now).queued++
+	p.queue.Requeue(c.ticket)
+	p.wakeBy(c.ticket.Deadline)
+}
+
+// borrow asks other daemons for slots for what waits after all own slots are in use.
+func (p *partition) borrow(now time.Time) {
+	if now.Before(p.borrowAt) {
+		return
+	}
+	idle := p.s.deps.Lender.Idle(p.service)
+	for p.borrowed < idle {
+		t := p.queue.NextRemote(now)
+		if t == nil {
+			return
+		}
+		p.borrowOne(t.Value, t.Lane, now)
+	}
+}
+
+func (p *partition) borrowOne(c *call, l lanes.Lane, now time.Time) {
+	p.borrowed++
+	p.begin()
+	p.unqueue(c)
+	p.s.m.borrowed.Inc(1)
+	loan := Loan{
+		Service: p.service, Partition: p.name, AttemptID: p.attemptID(), Lane: classOf(l),
+		Idempotent: c.req.Idempotent, TimeoutMS: maxTimeout.Milliseconds(), Payload: c.req.Payload,
+	}
+	p.s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, maxTimeout+loanGrace)
+		defer cancel()
+		if err := p.guard.Check(); err != nil {
+			p.returned(c, now, sent{result: sendNotOwner, reason: err.Error()}, false)
+			return
+		}
+		reply, err := p.s.deps.Lender.Borrow(ctx, loan)
+		p.returned(c, now, loanResult(reply, err), reply.Status == LoanRefused || errors.Is(err, ErrNotSent))
+	})
+}
+
+// loanResult translates the end of a loan into that of an attempt.
+func loanResult(r LoanReply, err error) sent {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return sent{result: sendNotRun, reason: err.Error()}
+	case err != nil:
+		return sent{result: sendLost, reason: err.Error()}
+	}
+	switch r.Status {
+	case LoanDone:
+		return sent{result: sendAnswered, body: r.Result}
+	case LoanRefused, LoanNotRun:
+		return sent{result: sendNotRun, reason: r.Message}
+	default:
+		return sent{result: sendLost, reason: r.Message}
+	}
+}
+
+// returned records the end of a loan. A refused one goes back to the queue, which is no retry: nothing was tried.
+func (p *partition) returned(c *call, start time.Time, r sent, refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.borrowed--
+	if r.result == sendAnswered {
+		p.queue.Observe(now, c.req.Customer, c.ticket.Class, c.ticket.Lane, now.Sub(start))
+	}
+	if refused {
+		p.borrowAt = now.Add(borrowDelay)
+		p.wakeBy(p.borrowAt)
+		p.requeue(c, now)
+	} else {
+		p.conclude(c, r, now)
+	}
+	p.end()
+	p.pump(now)
+}
+
+// lend executes a loan in an idle slot. It returns nil when there is none.
+func (p *partition) lend(l Loan, lane lanes.Lane) <-chan LoanReply {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.advance(now)
+	p.queue.SetSlots(p.router.total)
+	if p.phase != serving || len(p.router.available) == 0 || p.guard.Check() != nil || !p.queue.Lend(lane) {
+		return nil
+	}
+	m := p.router.pick(nil)
+	p.router.use(m)
+	p.begin()
+	a := p.newAttempt(l.AttemptID, l.Payload)
+	done := make(chan LoanReply, 1)
+	p.s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, time.Duration(l.TimeoutMS)*time.Millisecond)
+		defer cancel()
+		r := m.path.execute(ctx, a)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.queue.Return(lane)
+		p.settle(m, now, time.Now(), r)
+		done <- loanReply(r)
+		p.end()
+		p.pump(time.Now())
+	})
+	return done
+}
+
+func loanReply(r sent) LoanReply {
+	switch r.result {
+	case sendAnswered:
+		return LoanReply{Status: LoanDone, Result: r.body}
+	case sendNotRun, sendLeaving, sendNotOwner:
+		return LoanReply{Status: LoanNotRun, Message: r.reason}
+	default:
+		return LoanReply{Status: LoanLost, Message: r.reason}
+	}
+}
+
+// idleSlots returns the slots that other daemons may borrow now.
+func (p *partition) idleSlots() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.phase != serving || p.guard.Check() != nil {
+		return 0
+	}
+	waiting := p.queue.Waiting()
+	if waiting[lanes.Urgent]+waiting[lanes.Normal]+waiting[lanes.Bulk] > 0 {
+		return 0
+	}
+	return p.router.idleSlots()
+}
+
+// idleSlots asks the minion how many slots are idle. It returns zero when the minion does not say.
+func (p *path) idleSlots(ctx context.Context) int {
+	l := newLink(p.dial)
+	defer l.close()
+	h, err := p.ping(ctx, l)
+	if err != nil {
+		return 0
+	}
+	n, err := strconv.Atoi(h.Get(HeaderIdleSlots))
+	if err != nil {
+		return 0
+	}
+	return min(max(n, 0), minionSlots)
+}
--- /dev/null
+++ b/internal/request/loan.go
@@ -0,0 +1,100 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrNotSent says that a request or a loan certainly reached nobody.
+var ErrNotSent = errors.New("request: not sent")
+
+// loanRetention is how long attempt ids of loans, refused ones included, are remembered. A repeated message that arrives
+// after the borrower has sent the attempt elsewhere must not run it again. It is twice the longest attempt.
+const loanRetention = 2 * maxTimeout
+
+// Loan asks another daemon to execute one attempt in one of its slots. The borrower has made the claim, if one is
+// needed, before it sends the loan.
+type Loan struct {
+	Service    string          `json:"service"`
+	Partition  string          `json:"partition"`  // of the borrower
+	AttemptID  string          `json:"attempt_id"` // unique
+	Lane       Class           `json:"lane"`       // whose share the slot counts in
+	Idempotent bool            `json:"idempotent"`
+	TimeoutMS  int64           `json:"timeout_ms"` // limit of the attempt
+	Payload    json.RawMessage `json:"payload,omitempty"`
+}
+
+// LoanStatus is the result of a loan.
+type LoanStatus string
+
+// The results of a loan.
+const (
+	LoanDone    LoanStatus = "done"    // Result holds the whole answer
+	LoanRefused LoanStatus = "refused" // no idle slot; nothing was sent
+	LoanNotRun  LoanStatus = "not_run" // tried, but certainly not run by a minion
+	LoanLost    LoanStatus = "lost"    // the attempt may have run; no whole answer arrived
+)
+
+// LoanReply answers a loan.
+type LoanReply struct {
+	Status  LoanStatus      `json:"status"`
+	Message string          `json:"message,omitempty"`
+	Result  json.RawMessage `json:"result,omitempty"`
+}
+
+// noLender never lends.
+type noLender struct{}
+
+func (noLender) Idle(string) int { return 0 }
+
+func (noLender) Borrow(context.Context, Loan) (LoanReply, error) { return LoanReply{}, ErrNotSent }
+
+// ExecuteLoan executes one attempt for another daemon, under the guard and in a slot of a partition that this daemon
+// owns. Without an idle slot it refuses at once. The end of ctx does not cut the attempt.
+func (s *Service) ExecuteLoan(ctx context.Context, l Loan) LoanReply {
+	lane, ok := laneOf(l.Lane)
+	if !ok || l.AttemptID == "" || l.TimeoutMS <= 0 || l.TimeoutMS > maxTimeout.Milliseconds() {
+		return LoanReply{Status: LoanRefused, Message: "malformed loan"}
+	}
+	if !s.firstLoan(l.AttemptID, time.Now()) {
+		return LoanReply{Status: LoanLost, Message: "this attempt was received before"}
+	}
+	for _, p := range s.partitions() {
+		if p.service != l.Service {
+			continue
+		}
+		if done := p.lend(l, lane); done != nil {
+			s.m.lent.Inc(1)
+			select {
+			case reply := <-done:
+				return reply
+			case <-ctx.Done():
+				return LoanReply{Status: LoanLost, Message: "the borrower went away"}
+			}
+		}
+	}
+	return LoanReply{Status: LoanRefused, Message: "no idle slot"}
+}
+
+func (s *Service) firstLoan(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, seen := s.loans[id]; seen {
+		return false
+	}
+	s.loans[id] = now
+	return true
+}
+
+func (s *Service) sweepLoans(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range s.loans {
+		if now.Sub(at) > loanRetention {
+			delete(s.loans, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/path.go
@@ -0,0 +1,385 @@
+package request
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Headers of the protocol between a daemon and a minion.
+const (
+	HeaderAttemptID = "Attempt-Id"    // set by the daemon, echoed by the minion
+	HeaderDigest    = "Answer-Sha256" // hex SHA-256 of the answer's body
+	HeaderNotRun    = "Not-Run"       // "true" on a 503: refused before starting
+	HeaderLeaving   = "Leaving"       // "true" on a 503: the minion takes no new work
+	HeaderIdleSlots = "Idle-Slots"    // optional on the answer to a ping: slots in which nothing runs
+)
+
+const (
+	minionDialTimeout = 500 * time.Millisecond
+	probeTimeout      = 500 * time.Millisecond
+	probeAfter        = 2 * time.Second  // idle time from which on a connection is probed before use
+	linkIdleTimeout   = 60 * time.Second // idle time after which a connection is closed
+	unackedTimeout    = 3 * time.Second  // sent bytes without acknowledgement break the connection
+	tcpUserTimeout    = 18               // TCP_USER_TIMEOUT of Linux, which package syscall does not name
+	maxAnswerBytes    = 4 << 20
+	maxHeaderBytes    = 16 << 10
+)
+
+var (
+	errSecondSend = errors.New("request: attempt was sent before on another connection")
+	errGateClosed = errors.New("request: attempt is over")
+)
+
+// sendResult says what is known after an attempt.
+type sendResult int
+
+const (
+	sendAnswered sendResult = iota // whole answer to this attempt
+	sendNotRun                     // nothing was written, or the minion refused before starting
+	sendLeaving                    // as sendNotRun, and the minion takes no new work
+	sendNotOwner                   // the guard failed; nothing was written
+	sendFailed                     // the minion answered this attempt with an error; it no longer runs
+	sendLost                       // the attempt may run or have run
+)
+
+// sent is the end of one attempt.
+type sent struct {
+	result  sendResult
+	leaving bool // the minion said that it leaves
+	reused  bool // the connection had served another attempt before
+	body    []byte
+	reason  string
+}
+
+// attempt is one request to a minion. It is written at most once.
+type attempt struct {
+	id      string
+	payload []byte
+	check   func() error // called immediately before the first byte is written
+}
+
+// gate lets one attempt be written to one connection once. It makes "nothing was written" certain, whatever the HTTP
+// client does on broken connections.
+type gate struct {
+	check func() error
+
+	mu     sync.Mutex
+	conn   net.Conn // the connection that the attempt was written to
+	closed bool
+	err    error // of check
+}
+
+func (g *gate) pass(c net.Conn) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.closed:
+		return errGateClosed
+	case g.conn == c:
+		return nil
+	case g.conn != nil:
+		return errSecondSend
+	}
+	if err := g.check(); err != nil {
+		g.closed, g.err = true, err
+		return err
+	}
+	g.conn = c
+	return nil
+}
+
+// shut lets nothing more be written and reports whether any byte may have been, and the error of the check.
+func (g *gate) shut() (written bool, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	return g.conn != nil, g.err
+}
+
+// gatedConn is a connection whose writes pass the gate of the attempt that uses it.
+type gatedConn struct {
+	net.Conn
+	link *link
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	g := c.link.gate.Load()
+	if g == nil {
+		return 0, errGateClosed
+	}
+	if err := g.pass(c); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// link is a transport with at most one connection. The transport of net/http does not let its user choose a connection,
+// so that a probe could check one connection and the attempt use another; with one connection per transport it cannot.
+type link struct {
+	transport *http.Transport
+	gate      atomic.Pointer[gate]
+	used      bool
+	idleSince time.Time
+
+	mu     sync.Mutex
+	conn   net.Conn
+	closed bool
+}
+
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func newLink(dial dialFunc) *link {
+	l := &link{}
+	l.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, minionDialTimeout)
+			defer cancel()
+			c, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return l.adopt(c)
+		},
+		MaxConnsPerHost:        1,
+		MaxIdleConnsPerHost:    1,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	return l
+}
+
+func (l *link) adopt(c net.Conn) (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = c.Close()
+		return nil, errGateClosed
+	}
+	l.conn = &gatedConn{Conn: c, link: l}
+	return l.conn, nil
+}
+
+// close closes the connection at once. The link cannot be used any more.
+func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
+	c := l.conn
+	l.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	}
+	l.transport.CloseIdleConnections()
+}
+
+// dialMinion dials with limits on unacknowledged data, so that a connection whose packets vanish breaks early.
+func dialMinion(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				// The option only shortens the detection, so a system without it works as well.
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+			})
+		},
+	}
+	return d.DialContext(ctx, network, addr)
+}
+
+// path holds the connections to one minion address. There is one connection per attempt under way and at most as many
+// idle ones, so that a minion's slots bound their number.
+type path struct {
+	addr string
+	dial dialFunc
+
+	mu     sync.Mutex
+	idle   []*link // the one used last is at the end
+	closed bool
+}
+
+func newPath(addr string, dial dialFunc) *path { return &path{addr: addr, dial: dial} }
+
+func (p *path) take() *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle); n > 0 {
+		l := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return l
+	}
+	return newLink(p.dial)
+}
+
+func (p *path) give(l *link, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		l.close()
+		return
+	}
+	l.used, l.idleSince = true, now
+	p.idle = append(p.idle, l)
+}
+
+// closeIdle closes the idle connections that were last used before the given time.
+func (p *path) closeIdle(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := p.idle[:0]
+	for _, l := range p.idle {
+		if l.idleSince.Before(before) {
+			l.close()
+		} else {
+			keep = append(keep, l)
+		}
+	}
+	clear(p.idle[len(keep):])
+	p.idle = keep
+}
+
+// close closes idle connections now and the others when their attempts end.
+func (p *path) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle(time.Now().Add(time.Hour))
+}
+
+// connect returns a connection for an attempt. One that was idle for long is probed first: its peer may be gone without
+// a trace, and an attempt that is lost on it would have an unknown outcome.
+func (p *path) connect(ctx context.Context) *link {
+	l := p.take()
+	if !l.used || time.Since(l.idleSince) < probeAfter {
+		return l
+	}
+	if _, err := p.ping(ctx, l); err == nil {
+		return l
+	}
+	l.close()
+	// The other idle connections are older and go through the same network.
+	p.closeIdle(time.Now().Add(-probeAfter))
+	return newLink(p.dial)
+}
+
+// ping probes a connection and returns the header of the answer.
+func (p *path) ping(ctx context.Context, l *link) (http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	l.gate.Store(&gate{check: func() error { return nil }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.addr+"/v1/ping", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := l.transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeaderBytes))
+	_ = resp.Body.Close()
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("status %d", resp.StatusCode)
+	}
+	return resp.Header, err
+}
+
+// execute sends one attempt and reads its answer until ctx ends.
+func (p *path) execute(ctx context.Context, a attempt) sent {
+	l := p.connect(ctx)
+	s := p.roundTrip(ctx, l, a)
+	s.reused = l.used
+	if s.result == sendAnswered {
+		p.give(l, time.Now())
+		return s
+	}
+	l.close()
+	if s.result == sendLost && s.reused && ctx.Err() != nil {
+		// The connection may have gone silent, and the idle ones with it.
+		p.closeIdle(time.Now())
+	}
+	return s
+}
+
+func (p *path) roundTrip(ctx context.Context, l *link, a attempt) sent {
+	payload := a.payload
+	if len(payload) == 0 {
+		payload = []byte("null") // the transport resends requests without a body
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr+"/v1/execute", bytes.NewReader(payload))
+	if err != nil {
+		return sent{result: sendNotRun, reason: err.Error()}
+	}
+	req.GetBody = nil // the transport must not replay the body
+	req.Header.Set(HeaderAttemptID, a.id)
+	g := &gate{check: a.check}
+	l.gate.Store(g)
+	// RoundTrip instead of a http.Client: a client would follow redirects.
+	resp, err := l.transport.RoundTrip(req)
+	if err != nil {
+		return withoutAnswer(g, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if _, checkErr := g.shut(); checkErr != nil {
+		return sent{result: sendNotOwner, reason: checkErr.Error()}
+	}
+	return judge(answer{resp.StatusCode, resp.Header, resp.ContentLength, body, err}, a.id, l.used)
+}
+
+func withoutAnswer(g *gate, err error) sent {
+	written, checkErr := g.shut()
+	switch {
+	case checkErr != nil:
+		return sent{result: sendNotOwner, reason: checkErr.Error()}
+	case written:
+		return sent{result: sendLost, reason: err.Error()}
+	default:
+		return sent{result: sendNotRun, reason: err.Error()}
+	}
+}
+
+// answer is what was read from a minion.
+type answer struct {
+	status  int
+	header  http.Header
+	length  int64 // Content-Length, negative when absent
+	body    []byte
+	readErr error
+}
+
+// judge decides what an answer proves about the attempt. Only a whole answer that names the attempt is a success, and
+// only a refusal that certainly belongs to the attempt proves that it did not run: a refusal that does not name the
+// attempt counts on a new connection only, which cannot carry an answer to an earlier attempt.
+func judge(a answer, id string, reused bool) sent {
+	echoed := a.header.Get(HeaderAttemptID)
+	leaving := a.status == http.StatusServiceUnavailable && a.header.Get(HeaderLeaving) == "true"
+	lost := func(reason string) sent { return sent{result: sendLost, leaving: leaving, reason: reason} }
+	sum := sha256.Sum256(a.body)
+	switch {
+	case echoed != id && echoed != "":
+		return lost("answer is for another attempt")
+	case a.status == http.StatusServiceUnavailable && a.header.Get(HeaderNotRun) == "true" && (echoed == id || !reused):
+		if leaving {
+			return sent{result: sendLeaving, leaving: true, reason: "the minion is leaving"}
+		}
+		return sent{result: sendNotRun, reason: "refused by the minion"}
+	case echoed != id:
+		return lost("answer does not name its attempt")
+	case a.readErr != nil || a.length != int64(len(a.body)):
+		return lost("answer is truncated")
+	case a.status != http.StatusOK:
+		return sent{result: sendFailed, leaving: leaving, reason: http.StatusText(a.status)}
+	case a.header.Get(HeaderDigest) != hex.EncodeToString(sum[:]):
+		return lost("answer does not match its digest")
+	}
+	return sent{result: sendAnswered, body: a.body}
+}
--- /dev/null
+++ b/internal/request/route.go
@@ -0,0 +1,225 @@
+package request
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	minionSlots    = 8
+	ejectAfter     = 3 // consecutive failures
+	minEjection    = time.Second
+	maxEjection    = 30 * time.Second
+	unboundedIndex = -1
+)
+
+// minion is one back end that this partition owns.
+type minion struct {
+	id, addr string
+	path     *path
+
+	inUse   int         // slots of own and lent attempts
+	held    []time.Time // ends of slots whose attempts were lost and may still run, in order
+	blocked bool        // slots may still hold a fenced predecessor's attempts
+	known   int         // while blocked: slots that the minion itself reported idle, minus those used since
+
+	listed      bool // in the membership list
+	listLeaving bool // leaving according to the list
+	saidLeaving bool // said itself that it is leaving
+
+	failures  int // consecutive
+	ejections int // consecutive
+	ejected   bool
+	trialAt   time.Time // when ejected: time of the next trial
+	trialDue  bool
+
+	counted bool // in router.usable
+	index   int  // in router.available, or -1
+	share   int  // its part of router.total
+}
+
+// usable reports whether the minion may get new work, apart from free slots and ejection.
+func (m *minion) usable() bool { return m.listed && !m.listLeaving && !m.saidLeaving }
+
+// idle returns how many attempts may be sent to the minion now.
+func (m *minion) idle() int {
+	free := minionSlots - m.inUse - len(m.held)
+	if m.blocked {
+		free = min(free, m.known)
+	}
+	switch {
+	case !m.usable() || free <= 0:
+		return 0
+	case m.ejected && (!m.trialDue || m.inUse > 0):
+		return 0
+	case m.ejected:
+		return 1
+	}
+	return free
+}
+
+// router knows the minions of a partition and chooses among them. Its decisions do not allocate.
+type router struct {
+	rng       *rand.Rand
+	minions   map[string]*minion
+	available []*minion // with idle slots
+	total     int       // slots in use and idle slots
+	usable    int       // minions that may get new work, ejected ones included
+	next      time.Time // earliest time at which a minion's state changes by itself; zero: none
+}
+
+func newRouter(seed uint64) *router {
+	return &router{rng: rand.New(rand.NewPCG(seed, 0)), minions: map[string]*minion{}}
+}
+
+// pick returns the minion with more idle slots of two random ones that have any, or nil. It avoids one minion if it can.
+func (r *router) pick(avoid *minion) *minion {
+	n := len(r.available)
+	switch n {
+	case 0:
+		return nil
+	case 1:
+		return r.available[0]
+	}
+	i := r.rng.IntN(n)
+	j := r.rng.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	a, b := r.available[i], r.available[j]
+	if a == avoid || b != avoid && b.idle() > a.idle() {
+		return b
+	}
+	return a
+}
+
+// update brings the list of available minions and the number of slots up to date after a change of m.
+func (r *router) update(m *minion) {
+	idle := m.idle()
+	share := idle + m.inUse
+	r.total += share - m.share
+	m.share = share
+	if u := m.usable(); u != m.counted {
+		m.counted = u
+		if u {
+			r.usable++
+		} else {
+			r.usable--
+		}
+	}
+	switch {
+	case idle > 0 && m.index == unboundedIndex:
+		m.index = len(r.available)
+		r.available = append(r.available, m)
+	case idle == 0 && m.index != unboundedIndex:
+		last := r.available[len(r.available)-1]
+		r.available[m.index] = last
+		last.index = m.index
+		r.available[len(r.available)-1] = nil
+		r.available = r.available[:len(r.available)-1]
+		m.index = unboundedIndex
+	}
+}
+
+func (r *router) add(m *minion) {
+	m.index = unboundedIndex
+	r.minions[m.id] = m
+	r.update(m)
+}
+
+// use takes a slot.
+func (r *router) use(m *minion) {
+	m.inUse++
+	m.known--
+	r.update(m)
+}
+
+// free gives a slot back. When the attempt may still run, the slot stays taken until the given time.
+func (r *router) free(m *minion, heldUntil time.Time) {
+	m.inUse--
+	if !heldUntil.IsZero() {
+		m.held = append(m.held, heldUntil)
+		r.wakeAt(heldUntil)
+	} else {
+		m.known++
+	}
+	r.update(m)
+}
+
+// succeeded notes an answer; an ejected minion serves again.
+func (r *router) succeeded(m *minion) {
+	m.failures, m.ejections, m.ejected, m.trialDue = 0, 0, false, false
+	r.update(m)
+}
+
+// failed notes a failure and reports whether the minion was ejected now.
+func (r *router) failed(m *minion, now time.Time) bool {
+	m.failures++
+	if !m.ejected && m.failures < ejectAfter || m.ejected && !m.trialDue {
+		return false
+	}
+	first := !m.ejected
+	m.ejected, m.trialDue = true, false
+	m.trialAt = now.Add(ejection(m.ejections))
+	m.ejections++
+	r.wakeAt(m.trialAt)
+	r.update(m)
+	return first
+}
+
+// ejection returns how long a minion is ejected for the n-th time in a row, counted from zero.
+func ejection(n int) time.Duration {
+	if n >= 5 {
+		return maxEjection
+	}
+	return min(minEjection<<n, maxEjection)
+}
+
+func (r *router) wakeAt(t time.Time) {
+	if r.next.IsZero() || t.Before(r.next) {
+		r.next = t
+	}
+}
+
+// advance applies the changes that are due: ends of holds and of ejections.
+func (r *router) advance(now time.Time) {
+	if r.next.IsZero() || now.Before(r.next) {
+		return
+	}
+	r.next = time.Time{}
+	for _, m := range r.minions {
+		keep := m.held[:0]
+		for _, t := range m.held {
+			if t.After(now) {
+				keep = append(keep, t)
+				r.wakeAt(t)
+			}
+		}
+		m.held = keep
+		if m.ejected && !m.trialDue {
+			if m.trialAt.After(now) {
+				r.wakeAt(m.trialAt)
+			} else {
+				m.trialDue = true
+			}
+		}
+		r.update(m)
+	}
+}
+
+// unblock ends the wait after a takeover.
+func (r *router) unblock() {
+	for _, m := range r.minions {
+		m.blocked = false
+		r.update(m)
+	}
+}
+
+// idleSlots returns the number of idle slots.
+func (r *router) idleSlots() int {
+	n := 0
+	for _, m := range r.available {
+		n += m.idle()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/request/state.go
@@ -0,0 +1,96 @@
+package request
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/greengagewing/greengagewing/lanes"
+)
+
+// PartitionState is the dump of one partition.
+type PartitionState struct {
+	Partition   string         `json:"partition"`
+	Epoch       int64          `json:"epoch"`
+	Phase       string         `json:"phase"`
+	Slots       int            `json:"slots"` // in use and idle
+	Waiting     map[string]int `json:"waiting"`
+	Running     map[string]int `json:"running"` // lent slots included
+	InFlight    int            `json:"in_flight"`
+	Borrowed    int            `json:"borrowed"`
+	OpenKeys    int            `json:"open_keys"`
+	RetryBudget float64        `json:"retry_budget"`
+	BlockedMS   int64          `json:"blocked_ms"` // until a fenced predecessor's attempts are over
+	Customers   map[string]Use `json:"customers"`
+	Minions     []MinionState  `json:"minions"`
+}
+
+// Use is what one customer has in hand.
+type Use struct {
+	Active int `json:"active"`
+	Queued int `json:"queued"`
+}
+
+// MinionState is the dump of one minion.
+type MinionState struct {
+	ID       string `json:"id"`
+	Addr     string `json:"addr"`
+	InUse    int    `json:"in_use"`
+	Held     int    `json:"held"` // slots of lost attempts that may still run
+	Leaving  bool   `json:"leaving"`
+	Ejected  bool   `json:"ejected"`
+	Failures int    `json:"failures"` // consecutive
+}
+
+func (p *partition) dump() PartitionState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := PartitionState{
+		Partition: p.name, Epoch: p.guard.Epoch(), Phase: string(p.phase), Slots: p.router.total,
+		Waiting: byLane(p.queue.Waiting()), Running: byLane(p.queue.Running()),
+		InFlight: p.inFlight, Borrowed: p.borrowed, OpenKeys: len(p.calls), RetryBudget: p.budget.saved,
+		BlockedMS: max(0, time.Until(p.blockedUntil).Milliseconds()), Customers: map[string]Use{},
+	}
+	for customer, a := range p.accounts {
+		if a.active > 0 {
+			d.Customers[customer] = Use{Active: a.active, Queued: a.queued}
+		}
+	}
+	for _, m := range p.router.minions {
+		d.Minions = append(d.Minions, MinionState{
+			ID: m.id, Addr: m.addr, InUse: m.inUse, Held: len(m.held), Leaving: !m.usable(),
+			Ejected: m.ejected, Failures: m.failures,
+		})
+	}
+	slices.SortFunc(d.Minions, func(a, b MinionState) int { return cmp.Compare(a.ID, b.ID) })
+	return d
+}
+
+func byLane(n [3]int) map[string]int {
+	m := make(map[string]int, len(n))
+	for i, v := range n {
+		m[lanes.Lane(i).String()] = v
+	}
+	return m
+}
+
+// metrics counts what the slice does.
+type metrics struct {
+	scope                            tally.Scope
+	retried, borrowed, lent, ejected tally.Counter
+}
+
+func newMetrics(s tally.Scope) metrics {
+	s = s.SubScope("request")
+	return metrics{
+		scope: s, retried: s.Counter("retries"), borrowed: s.Counter("loans_asked"),
+		lent: s.Counter("loans_given"), ejected: s.Counter("ejections"),
+	}
+}
+
+func (m metrics) outcome(o Outcome) {
+	m.scope.Tagged(map[string]string{"outcome": string(o.Outcome), "code": cmp.Or(string(o.Code), "none")}).
+		Counter("outcomes").Inc(1)
+}
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -63,6 +63,7 @@
 	CodeMinionFailed         Code = "minion_failed"
 	CodeOutcomeUnknown       Code = "outcome_unknown"
 	CodeNotFound             Code = "not_found"
+	CodeInProgress           Code = "in_progress" // only of Lookup: the request is queued or running
 )
 
 // Outcome is the final answer to a request.
--- /dev/null
+++ b/internal/request/validate.go
@@ -0,0 +1,127 @@
+package request
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Partitions is the number of partitions per service.
+const Partitions = 8
+
+const (
+	maxTimeout      = 10 * time.Second // also the longest attempt
+	maxPayloadBytes = 1 << 20
+	maxNameBytes    = 256 // service, customer and key
+
+	partitionPrefix = "request/"
+)
+
+// InvalidError says why a request is not acceptable.
+type InvalidError struct {
+	Code    Code
+	Field   string // JSON name
+	Message string
+}
+
+// Error returns the field and the reason.
+func (e *InvalidError) Error() string { return fmt.Sprintf("request: %s: %s", e.Field, e.Message) }
+
+// Outcome returns the answer to the caller.
+func (e *InvalidError) Outcome() Outcome { return Refuse(e.Code, e.Field+": "+e.Message, 0) }
+
+// Validate returns an *InvalidError unless the request is well formed.
+func Validate(r Request) error {
+	if e := validate(r); e != nil {
+		return e
+	}
+	return nil
+}
+
+func validate(r Request) *InvalidError {
+	invalid := func(field, message string) *InvalidError {
+		return &InvalidError{Code: CodeInvalidRequest, Field: field, Message: message}
+	}
+	switch {
+	case !validName(r.Service):
+		return invalid("service", "must be 1 to 256 bytes without slashes")
+	case !validName(r.Customer):
+		return invalid("customer", "must be 1 to 256 bytes without slashes")
+	case len(r.Key) > maxNameBytes:
+		return invalid("key", "must be at most 256 bytes")
+	case r.Class != Urgent && r.Class != Normal && r.Class != Bulk:
+		return invalid("class", "must be urgent, normal or bulk")
+	case r.TimeoutMS <= 0:
+		return &InvalidError{Code: CodeDeadlinePast, Field: "timeout_ms", Message: "must be at least 1"}
+	case r.TimeoutMS > maxTimeout.Milliseconds():
+		return invalid("timeout_ms", "must be at most 10000; longer work is a job")
+	case len(r.Payload) > maxPayloadBytes:
+		return &InvalidError{Code: CodeTooLarge, Field: "payload", Message: "must be at most 1 MiB"}
+	case len(r.Payload) > 0 && !json.Valid(r.Payload):
+		return invalid("payload", "must be JSON")
+	case !r.Idempotent && r.Key == "":
+		return &InvalidError{Code: CodeKeyRequired, Field: "key", Message: "non-idempotent requests need a key"}
+	}
+	return nil
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameBytes {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if c == '/' || c < ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// PartitionOf returns the partition that serves a customer.
+func PartitionOf(service, customer string) string { return partitionName(service, customer) }
+
+// PartitionOfMinion returns the partition that owns a minion.
+func PartitionOfMinion(service, minionID string) string { return partitionName(service, minionID) }
+
+func partitionName(service, id string) string {
+	return partitionPrefix + service + "/" + strconv.Itoa(partitionIndex(id))
+}
+
+func partitionIndex(id string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	// FNV's low bits alone distribute ids that differ in the last character only; fold in the high bits.
+	v := h.Sum32()
+	return int((v ^ v>>16) % Partitions)
+}
+
+// StatusOf returns the HTTP status of an outcome.
+func StatusOf(o Outcome) int {
+	switch o.Code {
+	case CodeInvalidRequest, CodeKeyRequired, CodeDeadlinePast:
+		return http.StatusBadRequest
+	case CodeUnknownCustomer:
+		return http.StatusForbidden
+	case CodeNotFound:
+		return http.StatusNotFound
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeKeyReused:
+		return http.StatusUnprocessableEntity
+	case CodeAllowanceRate, CodeAllowanceConcurrency, CodeQueueFull, CodeDeadlineUnreachable, CodeExpired:
+		return http.StatusTooManyRequests
+	case CodeInProgress:
+		return http.StatusAccepted
+	}
+	switch o.Outcome {
+	case Done:
+		return http.StatusOK
+	case NotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
--- /dev/null
+++ b/lanes/flow.go
@@ -0,0 +1,147 @@
+package lanes
+
+// quantum is the credit that a customer gets per round, in units of the lane's median run time. Costs are at most
+// maxCost, so a customer waits at most maxCost rounds for its turn.
+const quantum = 1.0
+
+// lane holds the waiting items of one lane, by customer.
+type lane[T any] struct {
+	flows   map[string]*flow[T]
+	current *flow[T] // in the ring of customers with items ready to run
+	waiting int
+	ready   int
+}
+
+// flow holds the waiting items of one customer in one lane, in order of arrival.
+type flow[T any] struct {
+	customer   string
+	head, tail *Ticket[T]
+	waiting    int
+	deficit    float64
+	credited   bool // got its credit for the current round
+	prev, next *flow[T]
+}
+
+func newLane[T any]() *lane[T] { return &lane[T]{flows: map[string]*flow[T]{}} }
+
+func (l *lane[T]) held(customer string) int {
+	if f := l.flows[customer]; f != nil {
+		return f.waiting
+	}
+	return 0
+}
+
+// ahead returns how many items are served before a new item of the customer: all that wait, but not more than a fair
+// round robin lets pass.
+func (l *lane[T]) ahead(customer string) int {
+	own := l.held(customer)
+	others := len(l.flows)
+	if own > 0 {
+		others--
+	}
+	return min(l.waiting, own+(own+1)*others)
+}
+
+func (l *lane[T]) enter(customer string) *flow[T] {
+	f := l.flows[customer]
+	if f == nil {
+		f = &flow[T]{customer: customer}
+		l.flows[customer] = f
+	}
+	f.waiting++
+	l.waiting++
+	return f
+}
+
+func (l *lane[T]) leave(f *flow[T]) {
+	l.waiting--
+	f.waiting--
+	if f.waiting == 0 {
+		delete(l.flows, f.customer)
+	}
+}
+
+// insert puts an item into its customer's list, ordered by arrival.
+func (l *lane[T]) insert(t *Ticket[T]) {
+	f := t.flow
+	if f.head == nil {
+		l.join(f)
+	}
+	after := f.tail
+	for after != nil && after.seq > t.seq {
+		after = after.prev
+	}
+	t.prev = after
+	if after == nil {
+		t.next, f.head = f.head, t
+	} else {
+		t.next, after.next = after.next, t
+	}
+	if t.next == nil {
+		f.tail = t
+	} else {
+		t.next.prev = t
+	}
+	l.ready++
+}
+
+func (l *lane[T]) remove(t *Ticket[T]) {
+	f := t.flow
+	if t.prev == nil {
+		f.head = t.next
+	} else {
+		t.prev.next = t.next
+	}
+	if t.next == nil {
+		f.tail = t.prev
+	} else {
+		t.next.prev = t.prev
+	}
+	t.prev, t.next = nil, nil
+	l.ready--
+	if f.head == nil {
+		l.quit(f)
+	}
+}
+
+// join adds a customer at the end of the round.
+func (l *lane[T]) join(f *flow[T]) {
+	f.deficit, f.credited = 0, false
+	if l.current == nil {
+		f.prev, f.next = f, f
+		l.current = f
+		return
+	}
+	f.next, f.prev = l.current, l.current.prev
+	f.prev.next, f.next.prev = f, f
+}
+
+func (l *lane[T]) quit(f *flow[T]) {
+	if f.next == f {
+		l.current = nil
+	} else {
+		f.prev.next, f.next.prev = f.next, f.prev
+		if l.current == f {
+			l.current = f.next
+		}
+	}
+	f.prev, f.next = nil, nil
+}
+
+// pop takes the next item by deficit round robin. The lane must have an item that is ready.
+func (l *lane[T]) pop() *Ticket[T] {
+	for {
+		f := l.current
+		if !f.credited {
+			f.deficit += quantum
+			f.credited = true
+		}
+		if t := f.head; f.deficit >= t.cost {
+			f.deficit -= t.cost
+			l.remove(t)
+			return t
+		}
+		f.credited = false
+		l.current = f.next
+	}
+}
--- /dev/null
+++ b/lanes/lanes.go
@@ -0,0 +1,411 @@
+// Package lanes is a bounded queue with three lanes that share a number of slots.
+//
+// The queue decides which waiting item runs next; it runs nothing itself and has no goroutines and no clock. Bulk items
+// hold at most half of the slots, normal and bulk items together at most four fifths, so that urgent items always find
+// slots. Within a lane, customers are served by deficit round robin, weighted by observed run times. A queue is not safe
+// for concurrent use.
+package lanes
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Lane orders items when slots are scarce.
+type Lane int
+
+// The lanes, most important first.
+const (
+	Urgent Lane = iota
+	Normal
+	Bulk
+	laneCount
+)
+
+// String returns the lane's name.
+func (l Lane) String() string {
+	return [...]string{"urgent", "normal", "bulk"}[l]
+}
+
+// ErrFull says that the lane holds as many items of this customer as the bound on its length allows.
+var ErrFull = errors.New("lanes: queue is full")
+
+const (
+	bulkPercent = 50 // of the slots, for bulk items
+	lowPercent  = 80 // of the slots, for normal and bulk items together
+
+	// minSlotsForTurn is the number of slots from which on a lane without a running item gets the next free slot that
+	// its share allows. Without this, a lasting load of urgent work would stop the lower lanes entirely.
+	minSlotsForTurn = 8
+)
+
+// Config bounds a queue. Zero values are replaced by defaults.
+type Config struct {
+	MaxItems int           // items waiting per lane, default 4096
+	MaxWait  time.Duration // longest time in the queue, default 10 s
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxItems <= 0 {
+		c.MaxItems = 4096
+	}
+	if c.MaxWait <= 0 {
+		c.MaxWait = 10 * time.Second
+	}
+	return c
+}
+
+// Limit returns the number of slots out of total that the lane may hold together with the lanes below it: all slots for
+// urgent, 80 % for normal and bulk, 50 % for bulk, rounded down but at least one.
+func Limit(l Lane, total int) int {
+	if total <= 0 {
+		return 0
+	}
+	switch l {
+	case Bulk:
+		return max(1, total*bulkPercent/100)
+	case Normal:
+		return max(1, total*lowPercent/100)
+	default:
+		return total
+	}
+}
+
+// Allowed reports whether one more item of the lane may run, given the slots in use per lane.
+func Allowed(l Lane, running [3]int, total int) bool {
+	low := running[Normal] + running[Bulk]
+	if running[Urgent]+low >= total {
+		return false
+	}
+	return l == Urgent || low < Limit(Normal, total) && (l == Normal || running[Bulk] < Limit(Bulk, total))
+}
+
+// Next returns the lane whose next item should run, given the slots in use and the items ready to run per lane.
+func Next(running, ready [3]int, total int) (Lane, bool) {
+	if total >= minSlotsForTurn {
+		for l := Bulk; l > Urgent; l-- {
+			if ready[l] > 0 && running[l] == 0 && Allowed(l, running, total) {
+				return l, true
+			}
+		}
+	}
+	for l := Urgent; l < laneCount; l++ {
+		if ready[l] > 0 && Allowed(l, running, total) {
+			return l, true
+		}
+	}
+	return 0, false
+}
+
+// Ticket is one item's place in a queue.
+type Ticket[T any] struct {
+	Value    T
+	Customer string
+	Class    Lane      // lane that the caller asked for
+	Lane     Lane      // lane that the item waits in
+	Enqueued time.Time // time of Offer
+	Deadline time.Time // end of the wait
+
+	place      place
+	holdsSlot  bool
+	seq        uint64
+	cost       float64
+	flow       *flow[T]
+	prev, next *Ticket[T]
+	heapIndex  int
+}
+
+type place int
+
+const (
+	out     place = iota // running, expired or removed
+	pending              // counted and bounded in time, but not ready to run
+	ready
+)
+
+// Queue holds waiting items and counts the slots that running items hold.
+type Queue[T any] struct {
+	cfg     Config
+	lanes   [laneCount]*lane[T]
+	times   runTimes
+	byTime  deadlines[T]
+	expired []*Ticket[T]
+	running [3]int
+	slots   int
+	seq     uint64
+}
+
+// New returns an empty queue without slots.
+func New[T any](cfg Config) *Queue[T] {
+	q := &Queue[T]{cfg: cfg.withDefaults(), times: newRunTimes()}
+	for i := range q.lanes {
+		q.lanes[i] = newLane[T]()
+	}
+	return q
+}
+
+// SetSlots sets the number of slots that items may hold. Items that run already keep theirs.
+func (q *Queue[T]) SetSlots(n int) { q.slots = max(0, n) }
+
+// Slots returns the number of slots that items may hold.
+func (q *Queue[T]) Slots() int { return q.slots }
+
+// Running returns the slots in use per lane, lent ones included.
+func (q *Queue[T]) Running() [3]int { return q.running }
+
+// Waiting returns the items that wait per lane.
+func (q *Queue[T]) Waiting() [3]int {
+	var n [3]int
+	for i, l := range q.lanes {
+		n[i] = l.waiting
+	}
+	return n
+}
+
+func (q *Queue[T]) ready() [3]int {
+	var n [3]int
+	for i, l := range q.lanes {
+		n[i] = l.ready
+	}
+	return n
+}
+
+// LaneOf returns the lane for a customer's items of a class: the class itself, or bulk when their observed run time is
+// more than ten times the median of the class.
+func (q *Queue[T]) LaneOf(customer string, class Lane) Lane {
+	if class != Bulk && q.times.demoted(customer, class) {
+		return Bulk
+	}
+	return class
+}
+
+// Offer adds an item that is not ready to run yet; call Ready when it is. It returns ErrFull when the lane has no room
+// for this customer: one customer gets at most as many places as are free, so a flood leaves room for others.
+func (q *Queue[T]) Offer(now time.Time, customer string, class Lane, deadline time.Time, v T) (*Ticket[T], error) {
+	at := q.LaneOf(customer, class)
+	l := q.lanes[at]
+	if l.held(customer) >= q.cfg.MaxItems-l.waiting {
+		return nil, ErrFull
+	}
+	if end := now.Add(q.cfg.MaxWait); deadline.After(end) {
+		deadline = end
+	}
+	q.seq++
+	t := &Ticket[T]{
+		Value: v, Customer: customer, Class: class, Lane: at, Enqueued: now, Deadline: deadline,
+		seq: q.seq, cost: q.times.cost(customer, class, at),
+	}
+	q.add(t)
+	return t, nil
+}
+
+func (q *Queue[T]) add(t *Ticket[T]) {
+	t.place = pending
+	t.flow = q.lanes[t.Lane].enter(t.Customer)
+	heap.Push(&q.byTime, t)
+}
+
+// Ready marks an item as ready to run. It keeps the place in the order that it got by Offer.
+func (q *Queue[T]) Ready(t *Ticket[T]) {
+	if t.place == pending {
+		t.place = ready
+		q.lanes[t.Lane].insert(t)
+	}
+}
+
+// Next takes the item that should run now and counts its slot as in use until Release. It returns nil when nothing may
+// run. Items past their deadline are never returned; Expire hands them out.
+func (q *Queue[T]) Next(now time.Time) *Ticket[T] {
+	q.collect(now)
+	l, ok := Next(q.running, q.ready(), q.slots)
+	if !ok {
+		return nil
+	}
+	t := q.take(l)
+	q.running[l]++
+	t.holdsSlot = true
+	return t
+}
+
+// NextRemote takes the most important item that waits, whatever the shares, to run in a slot that is counted elsewhere.
+func (q *Queue[T]) NextRemote(now time.Time) *Ticket[T] {
+	q.collect(now)
+	for l := Urgent; l < laneCount; l++ {
+		if q.lanes[l].ready > 0 {
+			return q.take(l)
+		}
+	}
+	return nil
+}
+
+func (q *Queue[T]) take(l Lane) *Ticket[T] {
+	t := q.lanes[l].pop()
+	heap.Remove(&q.byTime, t.heapIndex)
+	q.leave(t)
+	return t
+}
+
+func (q *Queue[T]) leave(t *Ticket[T]) {
+	t.place = out
+	q.lanes[t.Lane].leave(t.flow)
+	t.flow = nil
+}
+
+// Release frees the slot of an item that Next returned.
+func (q *Queue[T]) Release(t *Ticket[T]) {
+	if t.holdsSlot {
+		t.holdsSlot = false
+		q.running[t.Lane]--
+	}
+}
+
+// Requeue puts an item that Next or NextRemote returned back to its place in the order and frees its slot.
+func (q *Queue[T]) Requeue(t *Ticket[T]) {
+	if t.place != out {
+		return
+	}
+	q.Release(t)
+	q.add(t)
+	q.Ready(t)
+}
+
+// Remove takes an item out of the queue. It returns false if the item no longer waits.
+func (q *Queue[T]) Remove(t *Ticket[T]) bool {
+	if t.place == out {
+		return false
+	}
+	if t.place == ready {
+		q.lanes[t.Lane].remove(t)
+	}
+	heap.Remove(&q.byTime, t.heapIndex)
+	q.leave(t)
+	return true
+}
+
+// Expire takes the items whose deadline has come.
+func (q *Queue[T]) Expire(now time.Time) []*Ticket[T] {
+	q.collect(now)
+	ts := q.expired
+	q.expired = nil
+	return ts
+}
+
+func (q *Queue[T]) collect(now time.Time) {
+	for len(q.byTime) > 0 && !q.byTime[0].Deadline.After(now) {
+		t := q.byTime[0]
+		q.Remove(t)
+		q.expired = append(q.expired, t)
+	}
+}
+
+// NextDeadline returns the earliest deadline of the waiting items, or false when nothing waits.
+func (q *Queue[T]) NextDeadline() (time.Time, bool) {
+	if len(q.byTime) == 0 {
+		return time.Time{}, false
+	}
+	return q.byTime[0].Deadline, true
+}
+
+// Clear takes all waiting items.
+func (q *Queue[T]) Clear() []*Ticket[T] {
+	ts := q.expired
+	q.expired = nil
+	for len(q.byTime) > 0 {
+		t := q.byTime[0]
+		q.Remove(t)
+		ts = append(ts, t)
+	}
+	return ts
+}
+
+// Lend counts a slot as in use by an item of another queue. It returns false when the lane's share is used up or when an
+// own item of the same or a higher lane waits for it.
+func (q *Queue[T]) Lend(l Lane) bool {
+	for own := Urgent; own <= l; own++ {
+		if q.lanes[own].ready > 0 {
+			return false
+		}
+	}
+	if !Allowed(l, q.running, q.slots) {
+		return false
+	}
+	q.running[l]++
+	return true
+}
+
+// Return frees a slot that Lend counted.
+func (q *Queue[T]) Return(l Lane) { q.running[l]-- }
+
+// Observe records how long an item of a customer ran.
+func (q *Queue[T]) Observe(now time.Time, customer string, class, ran Lane, run time.Duration) {
+	q.times.observe(now, customer, class, ran, run)
+}
+
+// Forget drops the observed run times of customers that have not run anything since the given time.
+func (q *Queue[T]) Forget(before time.Time) { q.times.forget(before) }
+
+// EstimateWait returns how long a new item of the customer would wait. It is zero when a slot is free for it.
+func (q *Queue[T]) EstimateWait(customer string, class Lane) time.Duration {
+	at := q.LaneOf(customer, class)
+	l := q.lanes[at]
+	ahead := l.ahead(customer)
+	above := 0
+	for i := Urgent; i < at; i++ {
+		above += q.lanes[i].waiting
+	}
+	if ahead+above == 0 && Allowed(at, q.running, q.slots) {
+		return 0
+	}
+	if q.slots == 0 {
+		return 0 // nothing is known; the deadline decides
+	}
+	work := float64(ahead+1) * q.times.mean(at)
+	for i := Urgent; i < at; i++ {
+		work += float64(q.lanes[i].waiting) * q.times.mean(i)
+	}
+	return q.waitFor(work, at)
+}
+
+// waitFor divides work by the slots that serve the lane. Slots that lower lanes hold count only if they are expected
+// to be free before the wait ends.
+func (q *Queue[T]) waitFor(work float64, at Lane) time.Duration {
+	lower := 0
+	for i := at + 1; i < laneCount; i++ {
+		lower += q.running[i]
+	}
+	limit := Limit(at, q.slots)
+	wait := work / float64(max(1, limit-lower))
+	freed := 0
+	for i := at + 1; i < laneCount; i++ {
+		if q.times.mean(i) <= wait {
+			freed += q.running[i]
+		}
+	}
+	return time.Duration(work / float64(max(1, limit-lower+freed)))
+}
+
+// deadlines is a heap of tickets by deadline.
+type deadlines[T any] []*Ticket[T]
+
+func (d deadlines[T]) Len() int           { return len(d) }
+func (d deadlines[T]) Less(i, j int) bool { return d[i].Deadline.Before(d[j].Deadline) }
+func (d deadlines[T]) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].heapIndex, d[j].heapIndex = i, j
+}
+
+func (d *deadlines[T]) Push(x any) {
+	t := x.(*Ticket[T])
+	t.heapIndex = len(*d)
+	*d = append(*d, t)
+}
+
+func (d *deadlines[T]) Pop() any {
+	old := *d
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*d = old[:len(old)-1]
+	return t
+}
