--- /dev/null
+++ b/internal/admin/lists.go
@@ -0,0 +1,151 @@
+package admin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+const (
+	maxListBytes   = 8 << 20
+	maxHistory     = 1000
+	defaultHistory = 20
+	listTimeout    = 5 * time.Second
+)
+
+// ErrMembersUnreachable says that a live daemon can be reached neither through the store nor directly. An edit accepted
+// now might not be in force there in time.
+var ErrMembersUnreachable = errors.New("admin: a live daemon cannot be reached")
+
+// Lists edits and shows the lists.
+type Lists struct {
+	Editor *plan.Editor
+	// Reachable returns ErrMembersUnreachable while some live daemon could miss an edit.
+	Reachable func() error
+	// Publish puts an accepted edit in force here and tells the peers.
+	Publish func(list string, c versionedlist.Change)
+}
+
+// listError is the body of a refused call.
+type listError struct {
+	Code           string         `json:"code"`
+	Message        string         `json:"message,omitempty"`
+	CurrentVersion int64          `json:"current_version,omitempty"`
+	Author         string         `json:"author,omitempty"`
+	Errors         []plan.Problem `json:"errors,omitempty"`
+}
+
+// Register adds the routes of the lists to a group that checks the secret. PUT replaces a whole list: the body is the
+// list, the query gives expected_version, author and edit_id. PATCH sets and removes single entries: the body gives
+// base, author, edit_id, set and remove.
+func (l *Lists) Register(g *gin.RouterGroup) {
+	g.GET("/admin/v1/lists/:name", l.get)
+	g.PUT("/admin/v1/lists/:name", l.put)
+	g.PATCH("/admin/v1/lists/:name", l.patch)
+	g.GET("/admin/v1/lists/:name/history", l.history)
+}
+
+func (l *Lists) get(c *gin.Context) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), listTimeout)
+	defer cancel()
+	snap, err := l.Editor.Current(ctx, c.Param("name"))
+	if err != nil {
+		writeListError(c, err)
+		return
+	}
+	entries := map[string]any{}
+	for k, v := range snap.All() {
+		entries[k] = v
+	}
+	c.JSON(http.StatusOK, gin.H{"name": c.Param("name"), "version": snap.Version(), "entries": entries})
+}
+
+func (l *Lists) put(c *gin.Context) {
+	base, err := strconv.ParseInt(c.Query("expected_version"), 10, 64)
+	if err != nil || base < 0 || c.Query("author") == "" || c.Query("edit_id") == "" {
+		c.JSON(http.StatusBadRequest, listError{
+			Code: "invalid_request", Message: "expected_version (0 or more), author and edit_id are required",
+		})
+		return
+	}
+	l.edit(c, func(ctx context.Context, doc []byte) (versionedlist.Change, error) {
+		return l.Editor.Replace(ctx, c.Param("name"), base, c.Query("author"), c.Query("edit_id"), doc)
+	})
+}
+
+func (l *Lists) patch(c *gin.Context) {
+	l.edit(c, func(ctx context.Context, doc []byte) (versionedlist.Change, error) {
+		return l.Editor.Apply(ctx, c.Param("name"), doc)
+	})
+}
+
+func (l *Lists) edit(c *gin.Context, apply func(context.Context, []byte) (versionedlist.Change, error)) {
+	doc, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxListBytes))
+	if err != nil {
+		c.JSON(http.StatusRequestEntityTooLarge, listError{Code: "too_large", Message: err.Error()})
+		return
+	}
+	if err := l.Reachable(); err != nil {
+		writeListError(c, err)
+		return
+	}
+	// An edit goes on when the operator's connection ends, so that its outcome does not depend on when that happens.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request.Context()), listTimeout)
+	defer cancel()
+	change, err := apply(ctx, doc)
+	if err != nil {
+		writeListError(c, err)
+		return
+	}
+	l.Publish(c.Param("name"), change)
+	c.JSON(http.StatusOK, gin.H{"version": change.Version})
+}
+
+func (l *Lists) history(c *gin.Context) {
+	limit, err := strconv.Atoi(c.DefaultQuery("limit", strconv.Itoa(defaultHistory)))
+	if err != nil || limit < 1 || limit > maxHistory {
+		c.JSON(http.StatusBadRequest, listError{Code: "invalid_request", Message: "limit must be from 1 to " + strconv.Itoa(maxHistory)})
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), listTimeout)
+	defer cancel()
+	changes, err := l.Editor.History(ctx, c.Param("name"), limit)
+	if err != nil {
+		writeListError(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{"changes": changes})
+}
+
+func writeListError(c *gin.Context, err error) {
+	var conflict *versionedlist.ConflictError
+	var problems plan.Problems
+	switch {
+	case errors.As(err, &conflict):
+		c.JSON(http.StatusConflict, listError{
+			Code: "conflict", Message: err.Error(), CurrentVersion: conflict.Version, Author: conflict.Author,
+		})
+	case errors.As(err, &problems):
+		c.JSON(http.StatusBadRequest, listError{Code: "invalid_list", Errors: problems})
+	case errors.Is(err, plan.ErrNoList):
+		c.JSON(http.StatusNotFound, listError{Code: "not_found", Message: err.Error()})
+	case errors.Is(err, versionedlist.ErrInvalid):
+		c.JSON(http.StatusBadRequest, listError{Code: "invalid_list", Message: err.Error()})
+	case errors.Is(err, ErrMembersUnreachable):
+		c.Header("Retry-After", "5")
+		c.JSON(http.StatusServiceUnavailable, listError{Code: "members_unreachable", Message: err.Error()})
+	case errors.Is(err, versionedlist.ErrUnknownOutcome):
+		c.JSON(http.StatusGatewayTimeout, listError{Code: "outcome_unknown", Message: err.Error() + "; repeat with the same edit_id"})
+	default:
+		c.Header("Retry-After", "2")
+		c.JSON(http.StatusServiceUnavailable, listError{Code: "store_unavailable", Message: err.Error()})
+	}
+}
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -2,26 +2,47 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"net"
+	"io"
 	"net/http"
-	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
-	"github.com/greengagewing/greengagewing/internal/api"
+	"github.com/greengagewing/greengagewing/idempotency"
+	"github.com/greengagewing/greengagewing/internal/admin"
+	"github.com/greengagewing/greengagewing/internal/entry"
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/table"
+	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
+// metricsInterval is how often counters are passed to the page that a scraper reads.
+const metricsInterval = time.Second
+
 // Module holds all parts of the daemon.
 var Module = fx.Options(
-	fx.Provide(newLogger, newMembership, newEngine),
-	fx.Invoke(serveCallers),
+	fx.Provide(
+		newLogger, newMetrics, newBackground, admin.NewReadiness, admin.NewStates,
+		newTable, newMembership, newPeerClient,
+		newSessionConfig, newKeeper, newObserver, newGuarantor, newManager,
+		newCommitter, newLists, newHeartbeater,
+		newRequestService, newPool, newEntry,
+	),
+	fx.Invoke(registerPartitions, registerStates, startDuties, servePeers, serveCallers),
 )
 
 func newLogger(s *settings.Settings) (*zap.Logger, error) {
@@ -34,57 +55,153 @@
 	return cfg.Build()
 }
 
-func newMembership(s *settings.Settings, lc fx.Lifecycle) *membership.List {
-	l := membership.NewList(membership.HTTPFetcher{Addr: s.Membership.String(), Client: &http.Client{}})
+// metrics are the root scope and the page that a scraper reads.
+type metrics struct {
+	fx.Out
+	Scope tally.Scope
+	Page  http.Handler
+}
+
+func newMetrics(lc fx.Lifecycle) metrics {
+	r := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "greengage", CachedReporter: r, Separator: promreporter.DefaultSeparator,
+	}, metricsInterval)
+	lc.Append(fx.StopHook(func(context.Context) error { return io.Closer(closer).Close() }))
+	return metrics{Scope: scope, Page: r.HTTPHandler()}
+}
+
+// background runs duties until the daemon has drained.
+type background struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func newBackground() *background {
 	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go l.Run(ctx) }, cancel))
-	return l
+	return &background{ctx: ctx, cancel: cancel}
 }
 
-func newEngine(l *membership.List) *gin.Engine {
-	gin.SetMode(gin.ReleaseMode)
-	e := gin.New()
-	e.Use(gin.Recovery())
-	api.NewRequests(e, &direct{list: l, client: request.NewMinionClient()})
-	return e
+func (b *background) run(duty func(context.Context)) {
+	b.wg.Go(func() { duty(b.ctx) })
 }
 
-func serveCallers(s *settings.Settings, e *gin.Engine, lc fx.Lifecycle, log *zap.Logger) {
-	srv := &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
-	lc.Append(fx.StartStopHook(func() error {
-		l, err := net.Listen("tcp", s.Listen.String())
-		if err != nil {
-			return err
-		}
-		log.Info("listening for callers", zap.Stringer("addr", l.Addr()))
-		go func() { _ = srv.Serve(l) }()
-		return nil
-	}, srv.Shutdown))
+func (b *background) stop() {
+	b.cancel()
+	b.wg.Wait()
 }
 
-// direct sends every request straight to a random minion.
-type direct struct {
-	list   *membership.List
-	client *request.MinionClient
+func newTable(s *settings.Settings) table.Client { return table.NewHTTPClient(s.Table.String()) }
+
+func newMembership(s *settings.Settings) *membership.List {
+	return membership.NewList(membership.HTTPFetcher{Addr: s.Membership.String(), Client: &http.Client{}})
 }
 
-// Submit implements api.Requests.
-func (d *direct) Submit(ctx context.Context, r request.Request) request.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout())
-	defer cancel()
-	ms := d.list.Minions(r.Service)
-	if len(ms) == 0 {
-		return request.Refuse(request.CodeNoMinion, "no minion", time.Second)
+func newPeerClient(s *settings.Settings) *peer.Client { return peer.NewClient(s.Secret) }
+
+func newSessionConfig(s *settings.Settings, log *zap.Logger) session.Config {
+	addr := s.PeerListen.String()
+	return session.Config{ID: addr, PeerAddr: addr, FailureDomain: string(s.FailureDomain), Log: log}
+}
+
+func newObserver(cfg session.Config, t table.Client, c *peer.Client, l *membership.List) *session.Observer {
+	return session.NewObserver(cfg, t, peer.Sessions{Client: c}, l)
+}
+
+func newKeeper(cfg session.Config, t table.Client, c *peer.Client, o *session.Observer) *session.Keeper {
+	return session.NewKeeper(cfg, t, peer.Sessions{Client: c}, o.Live)
+}
+
+func newGuarantor(cfg session.Config, k *session.Keeper) *session.Guarantor {
+	return session.NewGuarantor(cfg, k.Boot())
+}
+
+func newManager(t table.Client, k *session.Keeper, o *session.Observer, c *peer.Client, log *zap.Logger) *ownership.Manager {
+	return ownership.New(ownership.Config{Notifier: peer.Sessions{Client: c}, Log: log}, t, k, o)
+}
+
+func newCommitter(t table.Client, log *zap.Logger) *journal.Committer {
+	return journal.NewCommitter(t, journal.Config{Logger: log})
+}
+
+// lists are the editor, the followers and the lookup of the operators' lists.
+type lists struct {
+	editor    *plan.Editor
+	followers map[string]*versionedlist.Follower
+	lookup    *plan.Lists
+}
+
+func newLists(s *settings.Settings, t table.Client, c *peer.Client, o *session.Observer, log *zap.Logger) *lists {
+	roster := peer.RosterOf(o, s.PeerListen.String())
+	cfg := versionedlist.FollowerConfig{Logger: log, Peers: func() []versionedlist.Peer {
+		var peers []versionedlist.Peer
+		for _, addr := range roster() {
+			peers = append(peers, peer.ListPeer{Client: c, Addr: addr})
+		}
+		return peers
+	}}
+	plans := versionedlist.NewFollower(t, plan.PlansList, cfg)
+	allowances := versionedlist.NewFollower(t, plan.AllowancesList, cfg)
+	return &lists{
+		editor:    plan.NewEditor(t, versionedlist.EditorConfig{}),
+		followers: map[string]*versionedlist.Follower{plan.PlansList: plans, plan.AllowancesList: allowances},
+		lookup:    plan.NewLists(plans, allowances),
 	}
-	m := ms[rand.IntN(len(ms))]
-	answer, err := d.client.Execute(ctx, m.Addr, strconv.FormatUint(rand.Uint64(), 16), r.Payload)
-	if err != nil {
-		return request.Undecided(request.CodeOutcomeUnknown, err.Error())
+}
+
+// claims adapts idempotency.Table to the request path.
+func claims(log idempotency.Log, records [][]byte) (request.Claims, error) {
+	t := idempotency.New(log, idempotency.Config{})
+	return t, t.Restore(records)
+}
+
+func newRequestService(j *journal.Committer, m *membership.List, l *lists, lender *peer.Lender, scope tally.Scope,
+	log *zap.Logger) *request.Service {
+	return request.NewService(request.Config{}, request.Deps{
+		Journal: j, Claims: claims, Members: m, Plans: l.lookup, Lender: lender,
+		Scope: scope.SubScope("request"), Log: log,
+	})
+}
+
+func newPool(j *journal.Committer, m *membership.List, l *lists, scope tally.Scope, log *zap.Logger) *job.Pool {
+	return job.New(job.Config{}, job.Deps{
+		Journals: j, Members: m, Plans: l.lookup, Workers: worker.NewHTTPClient(), Metrics: scope.SubScope("job"), Log: log,
+	})
+}
+
+// owners adapts ownership.Manager to the entry.
+type owners struct{ m *ownership.Manager }
+
+func (o owners) OwnerOf(partition string) (entry.Owner, bool) {
+	owner, known := o.m.OwnerOf(partition)
+	return entry.Owner{Self: owner.Self, Addr: owner.PeerAddr}, known
+}
+
+// entries are the callers' ways into the system.
+type entries struct {
+	fx.Out
+	Requests *entry.Requests
+	Jobs     *entry.Jobs
+	Gate     *gate
+}
+
+func newEntry(s *settings.Settings, m *ownership.Manager, c *peer.Client, rs *request.Service, p *job.Pool) entries {
+	g := &gate{}
+	return entries{
+		Requests: entry.NewRequests(owners{m}, c, rs, s.Services, g.closed.Load),
+		Jobs:     entry.NewJobs(owners{m}, c, p, s.Pools, g.closed.Load),
+		Gate:     g,
 	}
-	return request.Outcome{Outcome: request.Done, Result: answer, Key: r.Key}
 }
 
-// Lookup implements api.Requests.
-func (d *direct) Lookup(context.Context, string, string, string) request.Outcome {
-	return request.Refuse(request.CodeNotFound, "nothing is recorded", 0)
+func newHeartbeater(s *settings.Settings, c *peer.Client, o *session.Observer, b *beat) *peer.Heartbeater {
+	return peer.NewHeartbeater(c, peer.RosterOf(o, s.PeerListen.String()), b.self, b.receive)
+}
+
+func newEngine() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.Use(gin.Recovery())
+	return e
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -64,8 +64,9 @@
 	if e.refuse() {
 		return request.Refuse(request.CodeDraining, "this daemon is draining; ask another one", time.Second)
 	}
-	if refused := request.Validate(r); refused != nil {
-		return *refused
+	var invalid *request.InvalidError
+	if err := request.Validate(r); errors.As(err, &invalid) {
+		return invalid.Outcome()
 	}
 	if !e.services[r.Service] {
 		return request.Refuse(request.CodeNotFound, "unknown service "+r.Service, 0)
--- /dev/null
+++ b/internal/peer/lists.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+const (
+	pathListVersion = "/peer/v1/list/version"
+	pathListAfter   = "/peer/v1/list/after"
+	pathListPush    = "/peer/v1/list/push"
+)
+
+// errNoList says that a peer asked for a list that is not followed here.
+var errNoList = errors.New("peer: no such list")
+
+// listCall asks for a list, or pushes an update of it.
+type listCall struct {
+	List   string               `json:"list"`
+	After  int64                `json:"after,omitempty"`
+	Update versionedlist.Update `json:"update,omitzero"`
+}
+
+// ListPeer reaches another daemon's copies of the lists. It implements versionedlist.Peer and versionedlist.Pusher.
+type ListPeer struct {
+	Client *Client
+	Addr   string // IP:port of the peer
+}
+
+// Version implements versionedlist.Peer.
+func (p ListPeer) Version(ctx context.Context, list string) (int64, error) {
+	return Call[int64](ctx, p.Client, p.Addr, pathListVersion, listCall{List: list})
+}
+
+// After implements versionedlist.Peer.
+func (p ListPeer) After(ctx context.Context, list string, after int64) (versionedlist.Update, error) {
+	return Call[versionedlist.Update](ctx, p.Client, p.Addr, pathListAfter, listCall{List: list, After: after})
+}
+
+// Push implements versionedlist.Pusher.
+func (p ListPeer) Push(ctx context.Context, list string, u versionedlist.Update) error {
+	_, err := Call[bool](ctx, p.Client, p.Addr, pathListPush, listCall{List: list, Update: u})
+	return err
+}
+
+// RegisterLists serves the calls of ListPeer from the followers by list name.
+func RegisterLists(r gin.IRoutes, followers map[string]*versionedlist.Follower) {
+	find := func(name string) (*versionedlist.Follower, error) {
+		if f, ok := followers[name]; ok {
+			return f, nil
+		}
+		return nil, errNoList
+	}
+	Handle(r, pathListVersion, func(_ context.Context, c listCall) (int64, error) {
+		f, err := find(c.List)
+		if err != nil {
+			return 0, err
+		}
+		return f.Snapshot().Version(), nil
+	})
+	Handle(r, pathListAfter, func(_ context.Context, c listCall) (versionedlist.Update, error) {
+		f, err := find(c.List)
+		if err != nil {
+			return versionedlist.Update{}, err
+		}
+		return f.After(c.After), nil
+	})
+	Handle(r, pathListPush, func(_ context.Context, c listCall) (bool, error) {
+		f, err := find(c.List)
+		if err != nil {
+			return false, err
+		}
+		return f.Accept(c.Update), nil
+	})
+}
