Add versioned lists and plans on top of them

An editor repeats an edit with an unknown outcome, since reading its log row as absent does not rule out that it appears later.

--- /dev/null
+++ b/internal/plan/document.go
@@ -0,0 +1,231 @@
+package plan
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrInvalid says that a list or an edit was rejected. The error is of type Problems.
+var ErrInvalid = errors.New("plan: invalid list")
+
+// Problem is one fault of a document.
+type Problem struct {
+	Line    int    `json:"line"`  // from 1; 0 if the fault has no line in the document
+	Field   string `json:"field"` // path, such as set.gold.burst
+	Message string `json:"message"`
+}
+
+// Problems are all faults of a document. It matches ErrInvalid.
+type Problems []Problem
+
+func (p Problems) Error() string {
+	var b strings.Builder
+	b.WriteString(ErrInvalid.Error())
+	for _, x := range p {
+		fmt.Fprintf(&b, "\nline %d: %s: %s", x.Line, x.Field, x.Message)
+	}
+	return b.String()
+}
+
+// Is makes errors.Is(err, ErrInvalid) true.
+func (p Problems) Is(target error) bool { return target == ErrInvalid }
+
+// node is a JSON value with its place in the document.
+type node struct {
+	line   int
+	value  any     // string, json.Number, bool or nil; unset for objects and arrays
+	kind   string  // object, array, string, number, boolean, null
+	fields []field // of an object
+	items  []*node // of an array
+}
+
+type field struct {
+	name string
+	line int
+	node *node
+}
+
+// maxDepth bounds the recursion over a document. A valid one is 3 levels deep.
+const maxDepth = 16
+
+// scanner builds nodes from a document.
+type scanner struct {
+	doc  []byte
+	dec  *json.Decoder
+	seen int64 // offset up to which lines are counted
+	line int
+}
+
+// scan parses a document into nodes. A syntax error is its only problem.
+func scan(doc []byte) (*node, Problems) {
+	s := &scanner{doc: doc, dec: json.NewDecoder(bytes.NewReader(doc)), line: 1}
+	s.dec.UseNumber()
+	n, err := s.next(0)
+	if err == nil {
+		if _, err = s.dec.Token(); err == nil {
+			err = errors.New("text after the end of the document")
+		} else if errors.Is(err, io.EOF) {
+			return n, nil
+		}
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err = errors.New("document ends too early")
+	}
+	at := s.dec.InputOffset()
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		at = syntax.Offset
+	}
+	return nil, Problems{{Line: s.lineAt(at), Message: err.Error()}}
+}
+
+// lineAt returns the line of an offset, which must not be before the last one asked for.
+func (s *scanner) lineAt(offset int64) int {
+	offset = min(offset, int64(len(s.doc)))
+	if offset > s.seen {
+		s.line += bytes.Count(s.doc[s.seen:offset], []byte{'\n'})
+		s.seen = offset
+	}
+	return s.line
+}
+
+func (s *scanner) next(depth int) (*node, error) {
+	tok, err := s.dec.Token()
+	if err != nil {
+		return nil, err
+	}
+	n := &node{line: s.lineAt(s.dec.InputOffset()), value: tok}
+	switch v := tok.(type) {
+	case string:
+		n.kind = "string"
+	case json.Number:
+		n.kind = "number"
+	case bool:
+		n.kind = "boolean"
+	case nil:
+		n.kind = "null"
+	case json.Delim:
+		if depth == maxDepth {
+			return nil, errors.New("document is nested too deeply")
+		}
+		n.value = nil
+		if v == '[' {
+			n.kind = "array"
+			return n, s.array(n, depth)
+		}
+		n.kind = "object"
+		return n, s.object(n, depth)
+	}
+	return n, nil
+}
+
+func (s *scanner) array(n *node, depth int) error {
+	for s.dec.More() {
+		item, err := s.next(depth + 1)
+		if err != nil {
+			return err
+		}
+		n.items = append(n.items, item)
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func (s *scanner) object(n *node, depth int) error {
+	for s.dec.More() {
+		name, err := s.dec.Token()
+		if err != nil {
+			return err
+		}
+		f := field{name: name.(string), line: s.lineAt(s.dec.InputOffset())}
+		if f.node, err = s.next(depth + 1); err != nil {
+			return err
+		}
+		n.fields = append(n.fields, f)
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+// report collects problems.
+type report struct{ problems Problems }
+
+func (r *report) add(line int, path, format string, args ...any) {
+	r.problems = append(r.problems, Problem{Line: line, Field: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// object returns the fields of an object and reports another kind of value and repeated names.
+func (r *report) object(n *node, path string) []field {
+	if n.kind != "object" {
+		r.add(n.line, path, "must be an object, is %s", n.kind)
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, f := range n.fields {
+		if seen[f.name] {
+			r.add(f.line, join(path, f.name), "field is repeated")
+		}
+		seen[f.name] = true
+	}
+	return n.fields
+}
+
+// text returns a string that must not be empty.
+func (r *report) text(n *node, path string) string {
+	s, ok := n.value.(string)
+	switch {
+	case !ok:
+		r.add(n.line, path, "must be a string, is %s", n.kind)
+	case s == "":
+		r.add(n.line, path, "must not be empty")
+	}
+	return s
+}
+
+// whole returns a whole number that must not be negative.
+func (r *report) whole(n *node, path string, limit int64) int64 {
+	num, ok := n.value.(json.Number)
+	if !ok {
+		r.add(n.line, path, "must be a whole number, is %s", n.kind)
+		return 0
+	}
+	v, err := num.Int64()
+	switch {
+	case strings.HasPrefix(num.String(), "-"):
+		r.add(n.line, path, "must not be negative, is %s", num)
+	case err != nil && strings.Trim(num.String(), "0123456789") == "", err == nil && v > limit:
+		r.add(n.line, path, "must be at most %d, is %s", limit, num)
+	case err != nil:
+		r.add(n.line, path, "must be a whole number, is %s", num)
+	}
+	return v
+}
+
+// rate returns a number that must not be negative.
+func (r *report) rate(n *node, path string, limit float64) float64 {
+	num, ok := n.value.(json.Number)
+	if !ok {
+		r.add(n.line, path, "must be a number, is %s", n.kind)
+		return 0
+	}
+	v, err := num.Float64()
+	switch {
+	case strings.HasPrefix(num.String(), "-"):
+		r.add(n.line, path, "must not be negative, is %s", num)
+	case err != nil || v > limit:
+		r.add(n.line, path, "must be at most %g, is %s", limit, num)
+	}
+	return v
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/plan/parse.go
@@ -0,0 +1,175 @@
+package plan
+
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+// Names of the lists.
+const (
+	PlansList      = "plans"      // customer to name of its plan
+	AllowancesList = "allowances" // name of a plan to its Allowance
+)
+
+const (
+	maxNameBytes = 256
+	// maxRate keeps the token arithmetic of admission exact: a float64 counts up to 2^53.
+	maxRate = 1e9
+)
+
+// entries are the parsed values of a list or of an edit, with their lines.
+type entries struct {
+	values map[string]json.RawMessage
+	lines  map[string]int
+}
+
+// ParseDocument parses and validates a whole list: an object of all entries. It checks each entry by itself and not
+// against the other list. The error is of type Problems.
+func ParseDocument(list string, doc []byte) (map[string]json.RawMessage, error) {
+	e, err := parseDocument(list, doc)
+	return e.values, err
+}
+
+func parseDocument(list string, doc []byte) (entries, error) {
+	root, problems := scan(doc)
+	if problems != nil {
+		return entries{}, problems
+	}
+	var r report
+	e := r.entries(list, root, "")
+	if r.problems != nil {
+		return entries{}, r.problems
+	}
+	return e, nil
+}
+
+// ParseEdit parses and validates an edit: an object with the fields base, author, edit_id, set and remove. It checks
+// each entry by itself and not against the lists. The error is of type Problems.
+func ParseEdit(list string, doc []byte) (versionedlist.Edit, error) {
+	ed, _, err := parseEdit(list, doc)
+	return ed, err
+}
+
+// parseEdit also returns the lines of the entries that are set or removed.
+func parseEdit(list string, doc []byte) (versionedlist.Edit, map[string]int, error) {
+	root, problems := scan(doc)
+	if problems != nil {
+		return versionedlist.Edit{}, nil, problems
+	}
+	var r report
+	var ed versionedlist.Edit
+	e := entries{lines: map[string]int{}}
+	given := map[string]bool{}
+	var removes *node
+	for _, f := range r.object(root, "") {
+		given[f.name] = true
+		switch f.name {
+		case "base":
+			ed.Base = r.whole(f.node, f.name, math.MaxInt64)
+		case "author":
+			ed.Author = r.text(f.node, f.name)
+		case "edit_id":
+			ed.ID = r.text(f.node, f.name)
+		case "set":
+			e = r.entries(list, f.node, f.name)
+			ed.Set = e.values
+		case "remove":
+			removes = f.node
+		default:
+			r.add(f.line, f.name, "unknown field")
+		}
+	}
+	for _, name := range []string{"base", "author", "edit_id"} {
+		if root.kind == "object" && !given[name] {
+			r.add(root.line, name, "field is missing")
+		}
+	}
+	if removes != nil {
+		ed.Remove = r.removes(removes, e)
+	}
+	if len(r.problems) == 0 && len(ed.Set)+len(ed.Remove) == 0 {
+		r.add(root.line, "set", "edit changes nothing")
+	}
+	if r.problems != nil {
+		return versionedlist.Edit{}, nil, r.problems
+	}
+	return ed, e.lines, nil
+}
+
+// removes reads the names of the entries to remove, and adds their lines to e.
+func (r *report) removes(n *node, e entries) []string {
+	if n.kind != "array" {
+		r.add(n.line, "remove", "must be an array, is %s", n.kind)
+		return nil
+	}
+	var out []string
+	for _, item := range n.items {
+		name := r.text(item, "remove")
+		if _, both := e.values[name]; both {
+			r.add(item.line, join("remove", name), "entry is both set and removed")
+		}
+		if e.lines != nil {
+			e.lines[name] = item.line
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// entries reads an object of entries.
+func (r *report) entries(list string, n *node, path string) entries {
+	e := entries{values: map[string]json.RawMessage{}, lines: map[string]int{}}
+	if list != PlansList && list != AllowancesList {
+		r.add(n.line, path, "there is no list %q", list)
+		return e
+	}
+	for _, f := range r.object(n, path) {
+		at := join(path, f.name)
+		if f.name == "" || len(f.name) > maxNameBytes {
+			r.add(f.line, at, "name must have 1 to %d bytes", maxNameBytes)
+		}
+		var v any
+		if list == PlansList {
+			v = r.text(f.node, at)
+		} else {
+			v = r.allowance(f.node, at)
+		}
+		raw, err := json.Marshal(v)
+		if err != nil {
+			r.add(f.line, at, "%v", err)
+			continue
+		}
+		e.values[f.name], e.lines[f.name] = raw, f.line
+	}
+	return e
+}
+
+func (r *report) allowance(n *node, path string) Allowance {
+	var a Allowance
+	for _, f := range r.object(n, path) {
+		at := join(path, f.name)
+		switch f.name {
+		case "requests_per_second":
+			a.RequestsPerSecond = r.rate(f.node, at, maxRate)
+		case "burst":
+			a.Burst = int(r.whole(f.node, at, math.MaxInt32))
+		case "concurrency":
+			a.Concurrency = int(r.whole(f.node, at, math.MaxInt32))
+		case "queue":
+			a.Queue = int(r.whole(f.node, at, math.MaxInt32))
+		case "cpu_milli":
+			a.CPUMilli = r.whole(f.node, at, math.MaxInt64)
+		case "memory_mb":
+			a.MemoryMB = r.whole(f.node, at, math.MaxInt64)
+		case "accelerators":
+			a.Accelerators = r.whole(f.node, at, math.MaxInt64)
+		case "tasks":
+			a.Tasks = int(r.whole(f.node, at, math.MaxInt32))
+		default:
+			r.add(f.line, at, "unknown field")
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/versionedlist/editor.go
@@ -0,0 +1,318 @@
+package versionedlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/table"
+)
+
+const (
+	minRetryDelay = 50 * time.Millisecond
+	maxRetryDelay = time.Second
+	// maxAttempts bounds the attempts of an edit of which nothing was written, about 4 s with the delays.
+	maxAttempts = 8
+)
+
+// Validate checks the list as it would be after an edit. The edit commits only if the returned conditions hold, so that
+// a decision which depends on other rows cannot rest on an outdated state of them. When a condition fails, Validate is
+// called again. An error rejects the edit.
+type Validate func(ctx context.Context, next *Snapshot) ([]table.Condition, error)
+
+// EditorConfig configures an Editor. Zero values mean the defaults.
+type EditorConfig struct {
+	Validate Validate         // default: everything is valid
+	Now      func() time.Time // default: time.Now
+	Rand     func() float64   // in [0,1), for the jitter of retries
+}
+
+// Editor changes one list. It is safe for concurrent use.
+type Editor struct {
+	reader
+	cfg EditorConfig
+	// latest is the newest snapshot that this editor has read, to start the next reads from.
+	latest atomic.Pointer[Snapshot]
+}
+
+// NewEditor returns an editor of the list.
+func NewEditor(client table.Client, list string, cfg EditorConfig) *Editor {
+	if cfg.Validate == nil {
+		cfg.Validate = func(context.Context, *Snapshot) ([]table.Condition, error) { return nil, nil }
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.Float64
+	}
+	e := &Editor{reader: reader{client: client, list: list}, cfg: cfg}
+	e.latest.Store(NewSnapshot(0, nil))
+	return e
+}
+
+// Load reads the list from the store. The condition holds as long as the list has this version. Errors: ErrUnavailable,
+// ErrCorrupt.
+func (e *Editor) Load(ctx context.Context) (*Snapshot, table.Condition, error) {
+	version, row, err := e.head(ctx)
+	if err != nil {
+		return nil, table.Condition{}, err
+	}
+	from := e.latest.Load()
+	if from.version > version {
+		from = NewSnapshot(0, nil)
+	}
+	snap, _, err := e.advance(ctx, from, version)
+	if err != nil {
+		return nil, table.Condition{}, err
+	}
+	if snap.version > version {
+		// An edit was committed after the head was read. The condition would fail.
+		return nil, table.Condition{}, errors.Wrap(ErrUnavailable, "list changed while it was read")
+	}
+	if snap.version < version {
+		return nil, table.Condition{}, errors.Wrapf(ErrUnavailable, "log row %d is absent", snap.version+1)
+	}
+	if old := e.latest.Load(); old.version < version {
+		e.latest.CompareAndSwap(old, snap)
+	}
+	return snap, table.Condition{Key: headKey(e.list), Version: row}, nil
+}
+
+// Edit commits an edit if the list is at its base version and the result is valid. An edit that was committed by an
+// earlier call with the same id and author is recognized and returned. Once the outcome of a commit is unknown, Edit
+// tries until it is certain or ctx ends. Errors: *ConflictError, ErrInvalid (the error of Validate stays in the chain),
+// ErrUnavailable, ErrUnknownOutcome, ErrCorrupt.
+func (e *Editor) Edit(ctx context.Context, ed Edit) (Change, error) {
+	if err := checkEdit(ed); err != nil {
+		return Change{}, err
+	}
+	uncertain := false
+	for attempt := 1; ; attempt++ {
+		c, again, err := e.try(ctx, ed)
+		uncertain = uncertain || errors.Is(err, ErrUnknownOutcome)
+		switch {
+		case err == nil:
+			return c, nil
+		case again && (uncertain || attempt < maxAttempts) && sleep(ctx, retryDelay(attempt, e.cfg.Rand())):
+		case uncertain && again:
+			return Change{}, errors.Wrap(ErrUnknownOutcome, err.Error())
+		default:
+			return Change{}, err
+		}
+	}
+}
+
+// try makes one attempt. again says that another attempt may succeed, or may find that an earlier one did.
+func (e *Editor) try(ctx context.Context, ed Edit) (c Change, again bool, err error) {
+	if c, decided, err := e.Outcome(ctx, ed); decided || err != nil {
+		return c, !decided, err
+	}
+	current, head, err := e.Load(ctx)
+	if err != nil {
+		return Change{}, true, err
+	}
+	if current.version > ed.Base {
+		return Change{}, true, errors.Wrap(ErrUnavailable, "list changed while it was read")
+	}
+	if current.version < ed.Base {
+		// Either there is no such version or the store's reads are stale.
+		return Change{}, true, e.conflict(ctx, current.version)
+	}
+	change := Change{
+		Version: ed.Base + 1, Author: ed.Author, ID: ed.ID, Time: e.cfg.Now().UTC(), Set: ed.Set,
+		Remove: sortedRemove(ed.Remove),
+	}
+	txn, err := e.transaction(ctx, current, head, change)
+	if err != nil {
+		return Change{}, errors.Is(err, ErrUnavailable), err
+	}
+	return e.commit(ctx, ed, change, txn)
+}
+
+// Outcome reports an edit whose base version is no longer current, so that it either was committed or never will be. It
+// returns false if the list is still at the base version. Errors: *ConflictError, ErrUnavailable, ErrCorrupt.
+func (e *Editor) Outcome(ctx context.Context, ed Edit) (Change, bool, error) {
+	version, _, err := e.head(ctx)
+	if err != nil || version <= ed.Base {
+		return Change{}, false, err
+	}
+	c, ok, err := e.change(ctx, ed.Base+1)
+	switch {
+	case err != nil:
+		return Change{}, false, err
+	case ok && c.ID == ed.ID && c.Author == ed.Author:
+		return c, true, nil
+	case !ok && version-ed.Base <= HistoryVersions:
+		return Change{}, false, errors.Wrapf(ErrUnavailable, "log row %d is absent", ed.Base+1)
+	}
+	return Change{}, true, e.conflict(ctx, version)
+}
+
+func (e *Editor) commit(ctx context.Context, ed Edit, change Change, txn table.Txn) (Change, bool, error) {
+	_, err := e.client.Commit(ctx, txn)
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		return change, false, nil
+	case errors.As(err, &conflict) && conflict.Key == headKey(e.list):
+		// The list is past the base version: by an earlier commit of this edit or by another one.
+		c, decided, err := e.Outcome(ctx, ed)
+		if !decided && err == nil {
+			err = errors.Wrap(ErrUnavailable, "head has moved, but reads do not show it")
+		}
+		if !decided {
+			// This edit may be the one that moved the head, by an earlier call of Edit.
+			err = errors.Wrap(ErrUnknownOutcome, err.Error())
+		}
+		return c, !decided, err
+	case errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrConflict):
+		return Change{}, true, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return Change{}, true, errors.Wrap(ErrUnknownOutcome, err.Error())
+}
+
+func (e *Editor) conflict(ctx context.Context, version int64) error {
+	c, _, err := e.change(ctx, version)
+	if err != nil {
+		c.Author = ""
+	}
+	return &ConflictError{List: e.list, Version: version, Author: c.Author}
+}
+
+func (e *Editor) transaction(ctx context.Context, current *Snapshot, head table.Condition,
+	change Change) (table.Txn, error) {
+	next := current.with(change)
+	conditions, err := e.cfg.Validate(ctx, next)
+	if errors.Is(err, ErrUnavailable) {
+		return table.Txn{}, err
+	}
+	if absent := absentKeys(current, change.Remove); absent != nil {
+		err = errors.Join(absent, err)
+	}
+	if err != nil {
+		return table.Txn{}, &invalidError{cause: err}
+	}
+	txn := table.Txn{Conditions: append([]table.Condition{head}, conditions...)}
+	put := func(key string, v any) {
+		if err == nil {
+			var raw []byte
+			raw, err = json.Marshal(v)
+			txn.Ops = append(txn.Ops, table.Op{Key: key, Value: raw})
+		}
+	}
+	put(logKey(e.list, change.Version), change)
+	put(headKey(e.list), headRow{Version: change.Version})
+	if change.Version%SnapshotEvery == 0 {
+		put(snapshotKey(e.list), next)
+		for v := change.Version - HistoryVersions - SnapshotEvery + 1; v <= change.Version-HistoryVersions; v++ {
+			if v > 0 {
+				txn.Ops = append(txn.Ops, table.Op{Key: logKey(e.list, v), Delete: true})
+			}
+		}
+	}
+	if err != nil {
+		return table.Txn{}, &invalidError{cause: err}
+	}
+	return txn, nil
+}
+
+// History returns the last accepted edits, newest first, at most limit and at most HistoryVersions plus SnapshotEvery.
+// Errors: ErrUnavailable, ErrCorrupt.
+func (e *Editor) History(ctx context.Context, limit int) ([]Change, error) {
+	version, _, err := e.head(ctx)
+	if err != nil || limit < 1 {
+		return nil, err
+	}
+	oldest := max(0, version-int64(min(limit, HistoryVersions)))
+	var out []Change
+	for after := oldest; after < version; {
+		page, err := e.changes(ctx, after, SnapshotEvery)
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			break
+		}
+		out = append(out, page...)
+		after += int64(len(page))
+	}
+	slices.Reverse(out)
+	return out[:min(limit, len(out))], nil
+}
+
+// AbsentError lists the entries that an edit removes and that the list does not have. It is part of an ErrInvalid.
+type AbsentError struct{ Keys []string }
+
+func (e *AbsentError) Error() string { return fmt.Sprintf("remove: no entries %q", e.Keys) }
+
+func absentKeys(s *Snapshot, remove []string) error {
+	var absent []string
+	for _, k := range remove {
+		if _, ok := s.Get(k); !ok {
+			absent = append(absent, k)
+		}
+	}
+	if absent == nil {
+		return nil
+	}
+	return &AbsentError{Keys: absent}
+}
+
+// invalidError is an error of Validate that also matches ErrInvalid.
+type invalidError struct{ cause error }
+
+func (e *invalidError) Error() string        { return ErrInvalid.Error() + ": " + e.cause.Error() }
+func (e *invalidError) Unwrap() error        { return e.cause }
+func (e *invalidError) Is(target error) bool { return target == ErrInvalid }
+
+// checkEdit checks what does not depend on the list.
+func checkEdit(ed Edit) error {
+	switch {
+	case ed.Author == "":
+		return errors.Wrap(ErrInvalid, "author is missing")
+	case ed.ID == "":
+		return errors.Wrap(ErrInvalid, "edit_id is missing")
+	case ed.Base < 0:
+		return errors.Wrap(ErrInvalid, "base is negative")
+	case len(ed.Set)+len(ed.Remove) == 0:
+		return errors.Wrap(ErrInvalid, "edit changes nothing")
+	}
+	for _, k := range ed.Remove {
+		if _, both := ed.Set[k]; both {
+			return errors.Wrapf(ErrInvalid, "entry %q is both set and removed", k)
+		}
+	}
+	for k, v := range ed.Set {
+		if !json.Valid(v) {
+			return errors.Wrapf(ErrInvalid, "value of entry %q is not JSON", k)
+		}
+	}
+	return nil
+}
+
+// retryDelay returns the wait after the given attempt, at least 1. r in [0,1) is the jitter.
+func retryDelay(attempt int, r float64) time.Duration {
+	d := maxRetryDelay
+	if shift := attempt - 1; shift < 5 {
+		d = min(minRetryDelay<<shift, maxRetryDelay)
+	}
+	return d/2 + time.Duration(r*float64(d/2))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/versionedlist/versionedlist.go
@@ -0,0 +1,230 @@
+// Package versionedlist keeps a list of entries in the table service. Operators change it by compare-and-set edits, and
+// every process follows it with a version that never goes back.
+//
+// A list has the rows list/<name>/head with the current version, list/<name>/log/<version> with each edit, and
+// list/<name>/snapshot with all entries at the last version divisible by 64.
+package versionedlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/table"
+)
+
+const (
+	// SnapshotEvery is the number of versions between snapshots. A new follower reads at most that many log rows.
+	SnapshotEvery = 64
+	// HistoryVersions is the number of versions whose log rows are kept.
+	HistoryVersions = 4096
+)
+
+var (
+	// ErrConflict says that the list is not at the version that the edit was based on.
+	ErrConflict = errors.New("versionedlist: list was changed by another edit")
+	// ErrInvalid says that the edit was rejected by validation. Nothing was written.
+	ErrInvalid = errors.New("versionedlist: invalid edit")
+	// ErrUnavailable says that the store could not be read or did not take the edit. Nothing was written.
+	ErrUnavailable = errors.New("versionedlist: store unavailable")
+	// ErrUnknownOutcome says that the edit may have been written. The same edit, with the same id, may be tried again.
+	ErrUnknownOutcome = errors.New("versionedlist: outcome of the edit is unknown")
+	// ErrCorrupt says that a row of the list is missing or cannot be decoded.
+	ErrCorrupt = errors.New("versionedlist: rows are corrupt")
+)
+
+// ConflictError carries the version that the list has, and its author. It matches ErrConflict.
+type ConflictError struct {
+	List    string
+	Version int64
+	Author  string // empty if it could not be read
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("versionedlist: list %q is at version %d, edited by %q", e.List, e.Version, e.Author)
+}
+
+// Is makes errors.Is(err, ErrConflict) true.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Edit is a change that an author asks for.
+type Edit struct {
+	Base   int64                      `json:"base"` // version that the edit is based on, 0 for an empty list
+	Author string                     `json:"author"`
+	ID     string                     `json:"edit_id"` // unique; the same edit may be submitted again with it
+	Set    map[string]json.RawMessage `json:"set,omitempty"`
+	Remove []string                   `json:"remove,omitempty"`
+}
+
+// Change is an accepted edit: one row of the log.
+type Change struct {
+	Version int64                      `json:"version"`
+	Author  string                     `json:"author"`
+	ID      string                     `json:"edit_id"`
+	Time    time.Time                  `json:"time"` // by the clock of the process that wrote it, for display only
+	Set     map[string]json.RawMessage `json:"set,omitempty"`
+	Remove  []string                   `json:"remove,omitempty"`
+}
+
+// Snapshot is the list at one version. It never changes; the values that it returns must not be modified.
+type Snapshot struct {
+	version int64
+	entries map[string]json.RawMessage
+}
+
+// NewSnapshot returns a snapshot of entries, which must not be modified afterwards.
+func NewSnapshot(version int64, entries map[string]json.RawMessage) *Snapshot {
+	return &Snapshot{version: version, entries: entries}
+}
+
+// Version returns the version, 0 for a list that was never edited.
+func (s *Snapshot) Version() int64 { return s.version }
+
+// Get returns the value of an entry.
+func (s *Snapshot) Get(key string) (json.RawMessage, bool) {
+	v, ok := s.entries[key]
+	return v, ok
+}
+
+// Len returns the number of entries.
+func (s *Snapshot) Len() int { return len(s.entries) }
+
+// All iterates over the entries in no particular order.
+func (s *Snapshot) All() iter.Seq2[string, json.RawMessage] { return maps.All(s.entries) }
+
+// MarshalJSON writes the version and the entries.
+func (s *Snapshot) MarshalJSON() ([]byte, error) {
+	return json.Marshal(snapshotRow{Version: s.version, Entries: s.entries})
+}
+
+// with returns the snapshot after consecutive changes.
+func (s *Snapshot) with(changes ...Change) *Snapshot {
+	entries := maps.Clone(s.entries)
+	if entries == nil {
+		entries = map[string]json.RawMessage{}
+	}
+	version := s.version
+	for _, c := range changes {
+		maps.Copy(entries, c.Set)
+		for _, k := range c.Remove {
+			delete(entries, k)
+		}
+		version = c.Version
+	}
+	return NewSnapshot(version, entries)
+}
+
+// headRow is the value of list/<name>/head.
+type headRow struct {
+	Version int64 `json:"version"`
+}
+
+// snapshotRow is the value of list/<name>/snapshot.
+type snapshotRow struct {
+	Version int64                      `json:"version"`
+	Entries map[string]json.RawMessage `json:"entries"`
+}
+
+func headKey(list string) string     { return "list/" + list + "/head" }
+func snapshotKey(list string) string { return "list/" + list + "/snapshot" }
+func logPrefix(list string) string   { return "list/" + list + "/log/" }
+func logKey(list string, v int64) string {
+	return fmt.Sprintf("%s%012d", logPrefix(list), v)
+}
+
+// reader reads the rows of one list.
+type reader struct {
+	client table.Client
+	list   string
+}
+
+// get decodes a row into out. It returns the row's version, 0 if the row is absent.
+func (r reader) get(ctx context.Context, key string, out any) (int64, error) {
+	row, err := r.client.Get(ctx, key)
+	switch {
+	case errors.Is(err, table.ErrNotFound):
+		return 0, nil
+	case err != nil:
+		return 0, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if err := json.Unmarshal(row.Value, out); err != nil {
+		return 0, errors.Wrapf(ErrCorrupt, "row %q: %v", key, err)
+	}
+	return row.Version, nil
+}
+
+// head returns the list's version and the version of its row.
+func (r reader) head(ctx context.Context) (version, row int64, err error) {
+	var h headRow
+	row, err = r.get(ctx, headKey(r.list), &h)
+	return h.Version, row, err
+}
+
+// change returns the log row of a version; ok is false if it is absent.
+func (r reader) change(ctx context.Context, version int64) (c Change, ok bool, err error) {
+	row, err := r.get(ctx, logKey(r.list, version), &c)
+	return c, row != 0 && c.Version == version, err
+}
+
+// changes returns at most limit consecutive log rows after a version, oldest first.
+func (r reader) changes(ctx context.Context, after int64, limit int) ([]Change, error) {
+	rows, err := r.client.Scan(ctx, logPrefix(r.list), logKey(r.list, after), limit)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	var out []Change
+	for _, row := range rows {
+		var c Change
+		if err := json.Unmarshal(row.Value, &c); err != nil {
+			return nil, errors.Wrapf(ErrCorrupt, "row %q: %v", row.Key, err)
+		}
+		if c.Version != after+1 {
+			break
+		}
+		after++
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+// advance reads what leads from the snapshot from to version, with at most SnapshotEvery log rows. The result is older
+// than version if the reads are stale. changes is nil if the result comes from the snapshot row.
+func (r reader) advance(ctx context.Context, from *Snapshot, version int64) (to *Snapshot, changes []Change, err error) {
+	if from.version >= version {
+		return from, nil, nil
+	}
+	to = from
+	jumped := false
+	if version-from.version > SnapshotEvery {
+		var row snapshotRow
+		if _, err := r.get(ctx, snapshotKey(r.list), &row); err != nil {
+			return from, nil, err
+		}
+		if row.Version > from.version {
+			to, jumped = NewSnapshot(row.Version, row.Entries), true
+		}
+	}
+	if to.version >= version {
+		return to, nil, nil
+	}
+	changes, err = r.changes(ctx, to.version, int(min(SnapshotEvery, version-to.version)))
+	if err != nil {
+		return from, nil, err
+	}
+	to = to.with(changes...)
+	if jumped {
+		changes = nil
+	}
+	return to, changes, nil
+}
+
+// sortedRemove returns the keys to remove without duplicates.
+func sortedRemove(keys []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(keys)))
+}
