--- /dev/null
+++ b/internal/job/placement/index.go
@@ -0,0 +1,282 @@
+// Package placement decides on which worker a task runs. It knows workers by their free capacity only; an Index is
+// updated with every change on the owner's books, and a decision reads the index without scanning all workers.
+//
+// An Index is not safe for concurrent use. Decisions depend only on the sequence of calls.
+package placement
+
+import (
+	"math/bits"
+
+	"github.com/greengagewing/greengagewing/internal/job/worker"
+)
+
+// Resources are amounts of what a worker has or a task uses.
+type Resources = worker.Resources
+
+const (
+	levels = 64 // per resource; four levels per doubling
+	// The smallest amounts that levels tell apart.
+	cpuShift    = 2 // 4 thousandths of a processor
+	memoryShift = 4 // 16 MB
+	accLevels   = 9 // 0 to 7 free accelerators, and 8 or more
+)
+
+// Node is a worker in an Index.
+type Node struct {
+	ID, Domain, Rack string
+
+	capacity Resources
+	used     Resources
+	open     bool    // takes new tasks
+	holder   string  // the job that the node is reserved for
+	penalty  float64 // added to the node's score
+
+	domain  *domain
+	rack    *rack
+	slots   [2]slot // position in the pool's grid and in the domain's grid
+	indexed bool
+}
+
+// Capacity returns what the worker has.
+func (n *Node) Capacity() Resources { return n.capacity }
+
+// Used returns what is in use on the owner's books.
+func (n *Node) Used() Resources { return n.used }
+
+// Free returns what is not in use. Amounts are negative when tasks use more than they declared.
+func (n *Node) Free() Resources { return n.capacity.Minus(n.used) }
+
+// Open reports whether the worker takes new tasks.
+func (n *Node) Open() bool { return n.open }
+
+type slot struct {
+	col *column
+	row *row
+	acc int
+	cpu int
+	mem int
+	pos int
+}
+
+type domain struct {
+	name   string
+	grid   grid
+	racks  []*rack
+	cursor int
+}
+
+type rack struct {
+	key   string // failure domain, "/", rack
+	nodes []*Node
+}
+
+// Index finds workers by free capacity.
+type Index struct {
+	nodes      map[string]*Node
+	grid       grid
+	domains    []*domain
+	byDomain   map[string]*domain
+	byRack     map[string]*rack
+	capacities map[Resources]int // number of workers per capacity
+	total      Resources         // of open nodes
+	used       Resources         // on open nodes
+}
+
+// NewIndex returns an empty index.
+func NewIndex() *Index {
+	return &Index{
+		nodes: map[string]*Node{}, byDomain: map[string]*domain{}, byRack: map[string]*rack{},
+		capacities: map[Resources]int{},
+	}
+}
+
+// Len returns the number of workers.
+func (x *Index) Len() int { return len(x.nodes) }
+
+// Totals returns the capacity of the open workers and what is in use on them.
+func (x *Index) Totals() (capacity, used Resources) { return x.total, x.used }
+
+// Add adds a worker that takes no tasks until SetOpen.
+func (x *Index) Add(id, domainName, rackName string, capacity Resources) *Node {
+	n := &Node{ID: id, Domain: domainName, Rack: rackName, capacity: capacity}
+	d := x.byDomain[domainName]
+	if d == nil {
+		d = &domain{name: domainName}
+		x.byDomain[domainName] = d
+		x.domains = append(x.domains, d)
+	}
+	key := domainName + "/" + rackName
+	r := x.byRack[key]
+	if r == nil {
+		r = &rack{key: key}
+		x.byRack[key] = r
+		d.racks = append(d.racks, r)
+	}
+	r.nodes = append(r.nodes, n)
+	n.domain, n.rack = d, r
+	x.nodes[id] = n
+	x.capacities[capacity]++
+	return n
+}
+
+// Remove removes a worker.
+func (x *Index) Remove(n *Node) {
+	x.SetOpen(n, false)
+	for i, o := range n.rack.nodes {
+		if o == n {
+			n.rack.nodes = append(n.rack.nodes[:i], n.rack.nodes[i+1:]...)
+			break
+		}
+	}
+	delete(x.nodes, n.ID)
+	x.countCapacity(n.capacity, -1)
+}
+
+// SetCapacity changes what a worker has.
+func (x *Index) SetCapacity(n *Node, capacity Resources) {
+	if capacity == n.capacity {
+		return
+	}
+	x.countCapacity(n.capacity, -1)
+	x.countCapacity(capacity, 1)
+	x.change(n, func() { n.capacity = capacity })
+}
+
+func (x *Index) countCapacity(c Resources, by int) {
+	x.capacities[c] += by
+	if x.capacities[c] == 0 {
+		delete(x.capacities, c)
+	}
+}
+
+// SetUsed changes what is in use on a worker.
+func (x *Index) SetUsed(n *Node, used Resources) {
+	if used != n.used {
+		x.change(n, func() { n.used = used })
+	}
+}
+
+// SetOpen sets whether a worker takes new tasks.
+func (x *Index) SetOpen(n *Node, open bool) {
+	if open != n.open {
+		x.change(n, func() { n.open = open })
+	}
+}
+
+// SetPenalty makes a worker less attractive. 0 is none; 1 weighs as much as a whole free worker.
+func (x *Index) SetPenalty(n *Node, penalty float64) { n.penalty = penalty }
+
+func (x *Index) change(n *Node, apply func()) {
+	if n.open {
+		x.total = x.total.Minus(n.capacity)
+		x.used = x.used.Minus(n.used)
+	}
+	x.unlink(n)
+	apply()
+	x.link(n)
+	if n.open {
+		x.total = x.total.Plus(n.capacity)
+		x.used = x.used.Plus(n.used)
+	}
+}
+
+func (x *Index) link(n *Node) {
+	free := n.Free()
+	if !n.open || n.holder != "" || free.CPUMilli <= 0 || free.MemoryMB <= 0 {
+		return
+	}
+	n.slots[0] = x.grid.insert(n, free)
+	n.slots[1] = n.domain.grid.insert(n, free)
+	n.indexed = true
+}
+
+func (x *Index) unlink(n *Node) {
+	if !n.indexed {
+		return
+	}
+	x.grid.remove(n, 0)
+	n.domain.grid.remove(n, 1)
+	n.indexed = false
+}
+
+// FitsEmpty returns how many tasks of this size fit on the workers if they were empty, up to limit.
+func (x *Index) FitsEmpty(size Resources, limit int) int {
+	n := 0
+	for c, count := range x.capacities {
+		n += min(fitCount(c, size), limit) * count
+	}
+	return min(n, limit)
+}
+
+func fitCount(capacity, size Resources) int {
+	if !size.Fits(capacity) {
+		return 0
+	}
+	n := capacity.CPUMilli / max(size.CPUMilli, 1)
+	n = min(n, capacity.MemoryMB/max(size.MemoryMB, 1))
+	if size.Accelerators > 0 {
+		n = min(n, capacity.Accelerators/size.Accelerators)
+	}
+	return int(n)
+}
+
+// grid holds nodes in buckets by free accelerators, processors and memory.
+type grid struct{ rows [accLevels]*row }
+
+type row struct {
+	cols  [levels]*column
+	mask  uint64 // columns that are not empty
+	count int
+}
+
+type column struct {
+	buckets [levels][]*Node
+	mask    uint64 // buckets that are not empty
+	cursor  int
+}
+
+// level maps an amount to 0..63: exact below 4, then four levels per doubling.
+func level(amount int64) int {
+	if amount < 4 {
+		return int(max(amount, 0))
+	}
+	b := bits.Len64(uint64(amount)) - 1
+	return min((b-1)*4+int(amount>>(b-2)&3), levels-1)
+}
+
+func accLevel(n int64) int { return int(min(max(n, 0), accLevels-1)) }
+
+func (g *grid) insert(n *Node, free Resources) slot {
+	s := slot{acc: accLevel(free.Accelerators), cpu: level(free.CPUMilli >> cpuShift), mem: level(free.MemoryMB >> memoryShift)}
+	if g.rows[s.acc] == nil {
+		g.rows[s.acc] = &row{}
+	}
+	s.row = g.rows[s.acc]
+	if s.row.cols[s.cpu] == nil {
+		s.row.cols[s.cpu] = &column{}
+	}
+	s.col = s.row.cols[s.cpu]
+	s.pos = len(s.col.buckets[s.mem])
+	s.col.buckets[s.mem] = append(s.col.buckets[s.mem], n)
+	s.col.mask |= 1 << s.mem
+	s.row.mask |= 1 << s.cpu
+	s.row.count++
+	return s
+}
+
+func (g *grid) remove(n *Node, which int) {
+	s := n.slots[which]
+	bucket := s.col.buckets[s.mem]
+	last := bucket[len(bucket)-1]
+	bucket[s.pos] = last
+	last.slots[which].pos = s.pos
+	bucket[len(bucket)-1] = nil
+	s.col.buckets[s.mem] = bucket[:len(bucket)-1]
+	if len(bucket) == 1 {
+		s.col.mask &^= 1 << s.mem
+		if s.col.mask == 0 {
+			s.row.mask &^= 1 << s.cpu
+		}
+	}
+	s.row.count--
+}
--- /dev/null
+++ b/internal/job/placement/place.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"math/bits"
+	"slices"
+	"sort"
+)
+
+const (
+	// Candidates examined per bucket. Every node of an inner bucket fits, so a few are enough; in a boundary bucket
+	// some do not fit.
+	innerCandidates    = 4
+	boundaryCandidates = 64
+	// maxCells bounds the buckets that are examined once a fitting node is known.
+	maxCells = 48
+	// maxRacks bounds the racks that are examined in one failure domain for a service. Pools of up to this many racks
+	// per failure domain are spread exactly.
+	maxRacks = 24
+	// reservePercent of the pool is kept free of limited tasks, so that other tasks find room at once.
+	reservePercent = 10
+)
+
+// Request asks for a place for one task.
+type Request struct {
+	Job     string // a node that is reserved for this job may be used
+	Size    Resources
+	Limited bool     // must leave the reserve of the pool free
+	Spread  *Spread  // not nil for services
+	Avoid   []string // IDs of workers on which the task failed
+}
+
+// Spread counts the tasks of one service per place.
+type Spread struct {
+	Domains map[string]int
+	Racks   map[string]int // key: failure domain, "/", rack
+	Nodes   map[string]int
+}
+
+// NewSpread returns empty counts.
+func NewSpread() *Spread {
+	return &Spread{Domains: map[string]int{}, Racks: map[string]int{}, Nodes: map[string]int{}}
+}
+
+// Count adds by to the counts of a node.
+func (s *Spread) Count(n *Node, by int) {
+	bump(s.Domains, n.Domain, by)
+	bump(s.Racks, n.rack.key, by)
+	bump(s.Nodes, n.ID, by)
+}
+
+func bump(m map[string]int, key string, by int) {
+	if m[key] += by; m[key] <= 0 {
+		delete(m, key)
+	}
+}
+
+// Place returns the node for one task, or nil. It does not change the index.
+func (x *Index) Place(r Request) *Node {
+	if r.Limited && !x.leavesReserve(r.Size) {
+		return nil
+	}
+	if r.Spread != nil {
+		return x.placeSpread(r)
+	}
+	n, _ := x.grid.best(r)
+	return n
+}
+
+// leavesReserve reports whether the reserve stays free. An empty pool takes any task, or a task of nearly the pool's
+// size could never run.
+func (x *Index) leavesReserve(size Resources) bool {
+	if x.used == (Resources{}) {
+		return true
+	}
+	after := x.used.Plus(size)
+	within := func(after, total int64) bool { return after*100 <= total*(100-reservePercent) }
+	return within(after.CPUMilli, x.total.CPUMilli) && within(after.MemoryMB, x.total.MemoryMB) &&
+		(size.Accelerators == 0 || within(after.Accelerators, x.total.Accelerators))
+}
+
+// PlaceAll returns nodes for n tasks of one gang, or nil unless all fit. It does not change the index.
+func (x *Index) PlaceAll(r Request, n int, reserved []*Node) []*Node {
+	if r.Limited && !x.leavesReserve(r.Size.Times(n)) {
+		return nil
+	}
+	r.Limited = false
+	out := make([]*Node, 0, n)
+	before := make(map[*Node]Resources, n)
+	for len(out) < n {
+		node := firstFit(reserved, r)
+		if node == nil {
+			node, _ = x.grid.best(r)
+		}
+		if node == nil {
+			break
+		}
+		if _, seen := before[node]; !seen {
+			before[node] = node.used
+		}
+		x.SetUsed(node, node.used.Plus(r.Size))
+		out = append(out, node)
+	}
+	// Restored in the order of first use, so that decisions stay reproducible.
+	for _, node := range out {
+		if used, ok := before[node]; ok {
+			x.SetUsed(node, used)
+			delete(before, node)
+		}
+	}
+	if len(out) < n {
+		return nil
+	}
+	return out
+}
+
+func firstFit(nodes []*Node, r Request) *Node {
+	for _, n := range nodes {
+		if n.open && r.Size.Fits(n.Free()) && !slices.Contains(r.Avoid, n.ID) {
+			return n
+		}
+	}
+	return nil
+}
+
+// Reserve picks the workers on which n tasks of this size will fit soonest once nothing else is placed there, and
+// withholds them from other jobs. It returns nil if the open workers are too small. It scans all workers; a pool makes
+// one reservation at a time.
+func (x *Index) Reserve(r Request, n int) []*Node {
+	candidates := make([]*Node, 0, len(x.nodes))
+	for _, node := range x.nodes {
+		if node.open && node.holder == "" && fitCount(node.capacity, r.Size) > 0 && !slices.Contains(r.Avoid, node.ID) {
+			candidates = append(candidates, node)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		if fa, fb := freeShare(a), freeShare(b); fa != fb {
+			return fa > fb
+		}
+		return a.ID < b.ID
+	})
+	room := 0
+	for i, node := range candidates {
+		room += fitCount(node.capacity, r.Size)
+		if room >= n {
+			picked := candidates[:i+1]
+			for _, p := range picked {
+				x.change(p, func() { p.holder = r.Job })
+			}
+			return picked
+		}
+	}
+	return nil
+}
+
+// Release ends a reservation.
+func (x *Index) Release(nodes []*Node) {
+	for _, n := range nodes {
+		x.change(n, func() { n.holder = "" })
+	}
+}
+
+func freeShare(n *Node) float64 {
+	free := n.Free()
+	return min(share(free.CPUMilli, n.capacity.CPUMilli), share(free.MemoryMB, n.capacity.MemoryMB))
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// leftover is the share of the node's dominant free resource that stays free after the task, plus the penalty: the
+// smaller, the better the fit.
+func leftover(n *Node, free, size Resources) float64 {
+	s := max(share(free.CPUMilli-size.CPUMilli, n.capacity.CPUMilli), share(free.MemoryMB-size.MemoryMB, n.capacity.MemoryMB))
+	if n.capacity.Accelerators > 0 {
+		s = max(s, share(free.Accelerators-size.Accelerators, n.capacity.Accelerators))
+	}
+	return s + n.penalty
+}
+
+// best returns the node with the best fit among the examined ones. Nodes with fewer free accelerators come first, so
+// that accelerators stay free for the tasks that need them.
+func (g *grid) best(r Request) (*Node, float64) {
+	cpu, mem := level(r.Size.CPUMilli>>cpuShift), level(r.Size.MemoryMB>>memoryShift)
+	for acc := accLevel(r.Size.Accelerators); acc < accLevels; acc++ {
+		row := g.rows[acc]
+		if row == nil || row.count == 0 {
+			continue
+		}
+		if n, s := row.best(r, cpu, mem); n != nil {
+			return n, s
+		}
+	}
+	return nil, 0
+}
+
+func (w *row) best(r Request, cpu, mem int) (*Node, float64) {
+	var found *Node
+	score, cells := 0.0, 0
+	for cols := w.mask & (^uint64(0) << cpu); cols != 0; cols &= cols - 1 {
+		c := bits.TrailingZeros64(cols)
+		col := w.cols[c]
+		for rest := col.mask & (^uint64(0) << mem); rest != 0; rest &= rest - 1 {
+			m := bits.TrailingZeros64(rest)
+			limit := innerCandidates
+			if c == cpu || m == mem {
+				limit = boundaryCandidates
+			}
+			if n, s := col.examine(m, limit, r); n != nil && (found == nil || s < score) {
+				found, score = n, s
+			}
+			if cells++; cells >= maxCells && found != nil {
+				return found, score
+			}
+		}
+	}
+	return found, score
+}
+
+// examine returns the best of up to limit nodes in a bucket. The starting point moves on when none fits, so that
+// repeated calls reach every node.
+func (c *column) examine(m, limit int, r Request) (*Node, float64) {
+	bucket := c.buckets[m]
+	var found *Node
+	score := 0.0
+	start := 0
+	if len(bucket) > limit {
+		start = c.cursor % len(bucket)
+	}
+	for i := 0; i < len(bucket) && i < limit; i++ {
+		n := bucket[(start+i)%len(bucket)]
+		free := n.Free()
+		if !r.Size.Fits(free) || len(r.Avoid) > 0 && slices.Contains(r.Avoid, n.ID) {
+			continue
+		}
+		if s := leftover(n, free, r.Size); found == nil || s < score {
+			found, score = n, s
+		}
+	}
+	if found == nil && len(bucket) > limit {
+		c.cursor += limit
+	}
+	return found, score
+}
+
+// placeSpread prefers the failure domain, then the rack, then the worker with the fewest tasks of the service.
+func (x *Index) placeSpread(r Request) *Node {
+	var order [32]*domain
+	domains := append(order[:0], x.domains...)
+	slices.SortStableFunc(domains, func(a, b *domain) int { return r.Spread.Domains[a.name] - r.Spread.Domains[b.name] })
+	for _, d := range domains {
+		if n := d.place(r); n != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+func (d *domain) place(r Request) *Node {
+	var found *Node
+	var foundRack, foundNode int
+	score := 0.0
+	for i := 0; i < len(d.racks) && i < maxRacks; i++ {
+		rk := d.racks[(d.cursor+i)%len(d.racks)]
+		inRack := r.Spread.Racks[rk.key]
+		if found != nil && inRack > foundRack {
+			continue
+		}
+		for _, n := range rk.nodes {
+			free := n.Free()
+			if !n.indexed || !r.Size.Fits(free) || slices.Contains(r.Avoid, n.ID) {
+				continue
+			}
+			onNode, s := r.Spread.Nodes[n.ID], leftover(n, free, r.Size)
+			if found == nil || inRack < foundRack || inRack == foundRack && (onNode < foundNode || onNode == foundNode && s < score) {
+				found, foundRack, foundNode, score = n, inRack, onNode, s
+			}
+		}
+	}
+	if len(d.racks) > maxRacks {
+		d.cursor = (d.cursor + maxRacks) % len(d.racks)
+	}
+	if found == nil {
+		found, _ = d.grid.best(r)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/job/queue.go
@@ -0,0 +1,189 @@
+package job
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const (
+	// maxYield bounds how long a task yields to shorter tasks that were queued later.
+	maxYield = 5 * time.Minute
+	// longRun is the declared run time from which batch tasks leave the pool's reserve free, as bulk tasks do, so that
+	// short tasks find room when long ones fill the pool.
+	longRun = 10 * time.Minute
+	// roundSlice is how many tasks of one group are placed before the next group has its turn.
+	roundSlice = 16
+)
+
+// groupKey identifies tasks that are interchangeable to the scheduler: if one does not fit, none of the group does, so
+// a group that does not fit costs one decision per round and holds up nobody else.
+type groupKey struct {
+	class      int
+	customer   string
+	size       Resources
+	limited    bool
+	idempotent bool
+	single     string // for gangs, services and tasks that avoid workers: the ID of the job or task
+}
+
+type group struct {
+	key   groupKey
+	items []item
+	head  int
+}
+
+// item is a queued task, or a whole gang when task is nil. A ticket that is out of date makes it void.
+type item struct {
+	job    *job
+	task   *task
+	ticket int64
+	due    time.Time // order within a class: time of queueing plus the declared run time, at most maxYield
+	since  time.Time
+}
+
+func (it item) valid() bool {
+	if it.job.ended() || it.job.cancelled {
+		return false
+	}
+	if it.task == nil {
+		return it.job.ticket == it.ticket
+	}
+	return it.task.ticket == it.ticket && it.task.place == nil && it.task.state == Pending && !it.task.held
+}
+
+// queue holds the tasks that wait for a place. It is not safe for concurrent use.
+type queue struct {
+	groups  map[groupKey]*group
+	delayed delayed
+}
+
+func newQueue() *queue { return &queue{groups: map[groupKey]*group{}} }
+
+func classRank(c Class) int {
+	switch c {
+	case Urgent:
+		return 0
+	case Bulk:
+		return 2
+	default:
+		return 1
+	}
+}
+
+func limited(s Spec) bool {
+	return s.Class == Bulk || s.Kind == Batch && s.Class != Urgent && s.RunMS >= longRun.Milliseconds()
+}
+
+func dueTime(s Spec, since time.Time) time.Time {
+	return since.Add(min(time.Duration(s.RunMS)*time.Millisecond, maxYield))
+}
+
+func keyOf(it item) groupKey {
+	s := it.job.spec
+	k := groupKey{
+		class: classRank(s.Class), customer: s.Customer, size: s.Resources, limited: limited(s), idempotent: s.Idempotent,
+	}
+	switch {
+	case s.Kind != Batch:
+		k.single = it.job.id
+	case len(it.task.failedOn) > 0:
+		k.single = it.task.id
+	}
+	if it.task != nil {
+		k.size = it.task.size
+	}
+	return k
+}
+
+// add queues an item, at the earliest at notBefore.
+func (q *queue) add(it item, now, notBefore time.Time) {
+	if notBefore.After(now) {
+		heap.Push(&q.delayed, delayedItem{at: notBefore, item: it})
+		return
+	}
+	k := keyOf(it)
+	g := q.groups[k]
+	if g == nil {
+		g = &group{key: k}
+		q.groups[k] = g
+	}
+	g.items = append(g.items, it)
+}
+
+// wake moves delayed items whose time has come.
+func (q *queue) wake(now time.Time) {
+	for len(q.delayed) > 0 && !q.delayed[0].at.After(now) {
+		it := heap.Pop(&q.delayed).(delayedItem).item
+		if it.valid() {
+			q.add(it, now, now)
+		}
+	}
+}
+
+// front drops void items and returns the first valid one.
+func (g *group) front() (item, bool) {
+	for ; g.head < len(g.items); g.head++ {
+		if it := g.items[g.head]; it.valid() {
+			return it, true
+		}
+		g.items[g.head] = item{}
+	}
+	return item{}, false
+}
+
+func (g *group) pop() {
+	g.items[g.head] = item{}
+	if g.head++; g.head >= 1024 && g.head*2 >= len(g.items) {
+		g.items = append([]item(nil), g.items[g.head:]...)
+		g.head = 0
+	}
+}
+
+// order returns the groups in the order in which they are served: by class, then by due time of their first item.
+func (q *queue) order() []*group {
+	out := make([]*group, 0, len(q.groups))
+	for k, g := range q.groups {
+		if _, ok := g.front(); !ok {
+			delete(q.groups, k)
+			continue
+		}
+		out = append(out, g)
+	}
+	slices.SortFunc(out, func(a, b *group) int {
+		x, y := a.items[a.head], b.items[b.head]
+		return cmp.Or(cmp.Compare(a.key.class, b.key.class), x.due.Compare(y.due), cmp.Compare(x.job.id, y.job.id))
+	})
+	return out
+}
+
+// waiting returns the number of queued items, including void ones that were not dropped yet.
+func (q *queue) waiting() int {
+	n := len(q.delayed)
+	for _, g := range q.groups {
+		n += len(g.items) - g.head
+	}
+	return n
+}
+
+type delayedItem struct {
+	at   time.Time
+	item item
+}
+
+type delayed []delayedItem
+
+func (d delayed) Len() int           { return len(d) }
+func (d delayed) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d delayed) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+
+// Push implements heap.Interface.
+func (d *delayed) Push(x any) { *d = append(*d, x.(delayedItem)) }
+
+// Pop implements heap.Interface.
+func (d *delayed) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
--- /dev/null
+++ b/internal/job/recovery.go
@@ -0,0 +1,227 @@
+package job
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// restore rebuilds the books from journal records. Workers' reports complete them.
+func (p *partition) restore(records [][]byte) error {
+	for _, raw := range records {
+		r, err := decodeRecord(raw)
+		if err != nil {
+			return err
+		}
+		p.replay(r)
+	}
+	now := time.Now()
+	for _, j := range p.jobs {
+		p.restoreJob(j, now)
+	}
+	p.sortEnded()
+	p.expire(now)
+	return nil
+}
+
+func (p *partition) replay(r record) {
+	switch r.T {
+	case recordWorker:
+		w := newWorkerBook(r.Worker, r.Addr, r.Domain, r.Rack)
+		w.enrolled = true
+		p.workers[w.id] = w
+		return
+	case recordGone:
+		delete(p.workers, r.Worker)
+		return
+	case recordJob:
+		if p.jobs[r.Job] == nil && r.Spec != nil {
+			p.replayJob(r)
+		}
+		return
+	}
+	j := p.jobs[r.Job]
+	if j == nil || j.tasks == nil {
+		return
+	}
+	if r.T == recordCancel {
+		j.cancelled, j.endAs, j.reason = true, r.State, r.Reason
+		return
+	}
+	if r.Task < 0 || r.Task >= len(j.tasks) {
+		return
+	}
+	p.replayTask(j, j.tasks[r.Task], r)
+}
+
+func (p *partition) replayJob(r record) {
+	j := p.addJob(*r.Spec, r.Print, r.At)
+	j.accepted = true
+	close(j.decided)
+	if !r.EndedAt.IsZero() {
+		p.openTasks -= len(j.tasks)
+		j.counts, j.endedAt, j.reason, j.tasks, j.spread = r.Counts, r.EndedAt, r.Reason, nil, nil
+		p.endedJobs = append(p.endedJobs, j)
+	}
+}
+
+func (p *partition) replayTask(j *job, t *task, r record) {
+	switch r.T {
+	case recordStart:
+		if t.state.Final() {
+			return
+		}
+		if t.place != nil {
+			p.release(t.place)
+		}
+		w := p.workers[r.Worker]
+		if w == nil {
+			w = newWorkerBook(r.Worker, "", "", "")
+			p.workers[w.id] = w
+		}
+		pl := &placed{task: t, w: w, attempt: r.Attempt, size: t.size, phase: phaseSent, lostAt: p.base, leaseUntil: p.base.Add(leaseEnd)}
+		p.occupy(pl)
+		t.setState(Starting)
+	case recordVoid:
+		if t.place != nil && t.place.attempt == r.Attempt {
+			p.release(t.place)
+			t.setState(Pending)
+		}
+	case recordResult:
+		if t.place != nil {
+			p.release(t.place)
+		}
+		t.lastAttempt, t.closed = max(t.lastAttempt, r.Attempt), max(t.closed, r.Attempt)
+		if r.State == Pending {
+			t.noteFailure(r.Worker)
+			return
+		}
+		if !t.state.Final() {
+			p.openTasks--
+		}
+		t.setState(r.State)
+		if j.open() == 0 && !j.ended() {
+			j.endedAt = r.At
+			p.endedJobs = append(p.endedJobs, j)
+		}
+	}
+}
+
+func (p *partition) restoreJob(j *job, now time.Time) {
+	if j.ended() {
+		j.spec.Payload = nil
+		if j.counts[Unknown] == 0 {
+			j.tasks, j.spread = nil, nil
+		}
+		return
+	}
+	if j.spec.TimeoutMS > 0 {
+		p.deadlines[j.id] = j
+	}
+	if j.cancelled {
+		p.cancels = append(p.cancels, j)
+	}
+	for _, t := range j.tasks {
+		// A non-idempotent task without a start record certainly does not run.
+		t.held = t.state == Pending && t.place == nil && j.spec.Idempotent
+	}
+	if !j.spec.Idempotent && !j.cancelled {
+		p.restoreNonIdempotent(j, now)
+	}
+	p.checkEnded(j, now)
+}
+
+func (p *partition) restoreNonIdempotent(j *job, now time.Time) {
+	if j.spec.Kind != Gang {
+		p.enqueueJob(j, now)
+		return
+	}
+	if j.counts[Pending] == j.open() {
+		p.enqueueGang(j, now, now)
+	} else if j.counts[Pending] > 0 {
+		// The start of the gang was not journaled as a whole, which the journal's order excludes except after a partial
+		// undo; the rest is undone too.
+		j.gang.undoing = true
+		for _, t := range j.tasks {
+			if t.place != nil {
+				t.place.stop = stopUndo
+			}
+		}
+	}
+}
+
+func (p *partition) sortEnded() {
+	slices.SortStableFunc(p.endedJobs, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
+}
+
+func (p *partition) compactLoop() {
+	for p.sleep(pollInterval) {
+		if p.log.Bytes() < p.cfg.CompactBytes || !p.log.Healthy() {
+			continue
+		}
+		if err := p.compact(); err != nil {
+			p.zap.Warn("journal not compacted", zap.Error(err))
+		}
+	}
+}
+
+func (p *partition) compact() error {
+	p.appendMu.Lock()
+	defer p.appendMu.Unlock()
+	p.mu.Lock()
+	records := p.snapshot()
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
+	defer cancel()
+	return p.log.Compact(ctx, records)
+}
+
+// snapshot returns records that restore to the same books.
+func (p *partition) snapshot() [][]byte {
+	var out [][]byte
+	add := func(r record) { out = append(out, r.encode()) }
+	for _, w := range p.workers {
+		if w.enrolled {
+			add(record{T: recordWorker, Worker: w.id, Addr: w.addr, Domain: w.domain, Rack: w.rack})
+		}
+	}
+	for _, j := range p.jobs {
+		if !j.accepted {
+			continue
+		}
+		spec := j.spec
+		r := record{T: recordJob, At: j.at, Job: j.id, Spec: &spec, Print: j.print}
+		if j.ended() && j.tasks == nil {
+			r.Counts, r.EndedAt, r.Reason = j.counts, j.endedAt, j.reason
+			add(r)
+			continue
+		}
+		add(r)
+		if j.cancelled {
+			add(record{T: recordCancel, At: j.at, Job: j.id, State: j.endAs, Reason: j.reason})
+		}
+		for _, t := range j.tasks {
+			snapshotTask(t, add)
+		}
+	}
+	return out
+}
+
+func snapshotTask(t *task, add func(record)) {
+	j := t.job
+	for _, w := range t.failedOn {
+		add(record{T: recordResult, Job: j.id, Task: t.idx, Attempt: t.lastAttempt, Worker: w, State: Pending})
+	}
+	switch {
+	case t.state.Final():
+		add(record{T: recordResult, At: j.endedAt, Job: j.id, Task: t.idx, Attempt: t.lastAttempt, State: t.state})
+	case j.spec.Idempotent:
+	case t.place != nil && t.place.phase != phaseJournal:
+		add(record{T: recordStart, Job: j.id, Task: t.idx, Attempt: t.place.attempt, Worker: t.place.w.id})
+	case t.finishing:
+		// The result is not durable yet; without a start record a successor would run the task again.
+		add(record{T: recordStart, Job: j.id, Task: t.idx, Attempt: t.lastAttempt, Worker: t.lastWorker})
+	}
+}
--- /dev/null
+++ b/internal/job/worker/client.go
@@ -0,0 +1,145 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// CallTimeout bounds one call. It is less than the owner's lease margin of 1 s, because a lease counts from receipt,
+	// and well under the renewal interval of 2 s, so that an unresponsive connection costs one renewal.
+	CallTimeout    = 800 * time.Millisecond
+	idleConnLimit  = 90 * time.Second
+	connsPerWorker = 4
+	maxReportBytes = 4 << 20
+)
+
+// HTTPClient is the Client over HTTP and JSON.
+type HTTPClient struct {
+	hc *http.Client
+	tr *http.Transport
+}
+
+// NewHTTPClient returns a client with its own connections.
+func NewHTTPClient() *HTTPClient {
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     connsPerWorker,
+		MaxIdleConnsPerHost: connsPerWorker,
+		IdleConnTimeout:     idleConnLimit,
+	}
+	return &HTTPClient{hc: &http.Client{Transport: tr}, tr: tr}
+}
+
+// Close closes idle connections.
+func (c *HTTPClient) Close() { c.tr.CloseIdleConnections() }
+
+// Start implements Client.
+func (c *HTTPClient) Start(ctx context.Context, addr string, s Start) error {
+	return c.post(ctx, addr, "/v1/tasks", s, nil)
+}
+
+// Renew implements Client.
+func (c *HTTPClient) Renew(ctx context.Context, addr string, r Renew) (Report, error) {
+	var rep Report
+	err := c.post(ctx, addr, "/v1/renew", r, &rep)
+	return rep, err
+}
+
+// Stop implements Client.
+func (c *HTTPClient) Stop(ctx context.Context, addr, taskID string, o Order) error {
+	return c.post(ctx, addr, "/v1/tasks/"+url.PathEscape(taskID)+"/stop", o, nil)
+}
+
+// Throttle implements Client.
+func (c *HTTPClient) Throttle(ctx context.Context, addr, taskID string, o Order) error {
+	return c.post(ctx, addr, "/v1/tasks/"+url.PathEscape(taskID)+"/throttle", o, nil)
+}
+
+// Checkpoint implements Client.
+func (c *HTTPClient) Checkpoint(ctx context.Context, addr, taskID string, o Order) error {
+	return c.post(ctx, addr, "/v1/tasks/"+url.PathEscape(taskID)+"/checkpoint", o, nil)
+}
+
+// Ack implements Client.
+func (c *HTTPClient) Ack(ctx context.Context, addr string, a Ack) error {
+	return c.post(ctx, addr, "/v1/ack", a, nil)
+}
+
+// Report reads a worker's report without an epoch. Owners use Renew instead.
+func (c *HTTPClient) Report(ctx context.Context, addr string) (Report, error) {
+	var rep Report
+	err := c.call(ctx, http.MethodGet, addr, "/v1/report", nil, &rep)
+	return rep, err
+}
+
+func (c *HTTPClient) post(ctx context.Context, addr, path string, body, into any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(ErrNotDelivered, err.Error())
+	}
+	return c.call(ctx, http.MethodPost, addr, path, raw, into)
+}
+
+func (c *HTTPClient) call(ctx context.Context, method, addr, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(ErrNotDelivered, err.Error())
+	}
+	req.GetBody = nil // without it the transport cannot send an order twice
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return sendFailure(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := statusFailure(resp); err != nil {
+		return err
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return errors.Wrap(ErrResponseLost, err.Error())
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return errors.Wrap(ErrResponseLost, err.Error())
+	}
+	return nil
+}
+
+// sendFailure treats only a failed dial as not delivered: any later failure may follow a delivered order.
+func sendFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(ErrNotDelivered, err.Error())
+	}
+	return errors.Wrap(ErrResponseLost, err.Error())
+}
+
+func statusFailure(resp *http.Response) error {
+	switch code := resp.StatusCode; {
+	case code >= 200 && code < 300:
+		return nil
+	case code == http.StatusServiceUnavailable && resp.Header.Get(HeaderLeaving) == "true":
+		return ErrLeaving
+	case code == http.StatusConflict:
+		return ErrStaleEpoch
+	case code == http.StatusServiceUnavailable || code >= 400 && code < 500:
+		return errors.Wrapf(ErrNotDelivered, "status %d", code)
+	default:
+		return errors.Wrapf(ErrResponseLost, "status %d", code)
+	}
+}
