Add greengagectl, the operators' tool

Operators need to read and change the lists, submit and follow work, dump state and drain a daemon from scripts as well as by hand.

--- /dev/null
+++ b/cmd/greengagectl/main.go
@@ -0,0 +1,18 @@
+// Command greengagectl is the operators' tool of greengagewing.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/greengagewing/greengagewing/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := cli.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,159 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+const maxResponse = 64 << 20 // bytes
+
+var (
+	// errNotSent says that no daemon received the call.
+	errNotSent = errors.New("cli: call not sent")
+	// errLost says that the call may have taken effect.
+	errLost = errors.New("cli: response lost")
+)
+
+// response is a complete HTTP response of a daemon.
+type response struct {
+	read   bool // of a GET, which has no effect; also set when the call failed
+	status int
+	body   []byte
+}
+
+// problem is the body of a response that is not a success.
+type problem struct {
+	Code           string `json:"code"`
+	Message        string `json:"message"`
+	CurrentVersion int64  `json:"current_version"`
+	Author         string `json:"author"`
+	Errors         []struct {
+		Line    int    `json:"line"`
+		Field   string `json:"field"`
+		Message string `json:"message"`
+	} `json:"errors"`
+}
+
+func (r response) problem() problem {
+	var p problem
+	_ = json.Unmarshal(r.body, &p) // a body of another form has no code
+	if p.Code == "" {
+		p.Code = strings.ReplaceAll(strings.ToLower(http.StatusText(r.status)), " ", "_")
+	}
+	return p
+}
+
+// send makes one call to addr. Errors: errNotSent, errLost.
+func (a *app) send(addr, method, path, bearer string, body []byte) (response, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, a.Timeout)
+	defer cancel()
+	r := response{read: method == http.MethodGet}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return r, errors.Wrap(errNotSent, err.Error())
+	}
+	req.GetBody = nil // the transport must not repeat a call; this tool decides on that
+	req.Header.Set("Content-Type", "application/json")
+	if bearer != "" {
+		req.Header.Set("Authorization", "Bearer "+bearer)
+	}
+	hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := hc.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return r, errors.Wrap(errNotSent, err.Error())
+		}
+		return r, errors.Wrap(errLost, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	if err != nil {
+		return r, errors.Wrap(errLost, err.Error())
+	}
+	r.status, r.body = resp.StatusCode, raw
+	return r, nil
+}
+
+// callAdmin tries the admin listeners in order until one gives a response other than 503.
+func (a *app) callAdmin(method, path string, body []byte) (response, error) {
+	if len(a.Admin) == 0 {
+		return response{}, fail(ExitUsage, "usage", "set --admin or GREENGAGE_ADMIN")
+	}
+	return a.firstAvailable(a.Admin, method, path, a.Secret, body)
+}
+
+// callEntry is callAdmin for the callers' listeners.
+func (a *app) callEntry(method, path string, body []byte) (response, error) {
+	if len(a.Callers) == 0 {
+		return response{}, fail(ExitUsage, "usage", "set --callers or GREENGAGE_CALLERS")
+	}
+	return a.firstAvailable(a.Callers, method, path, "", body)
+}
+
+// firstAvailable goes on to the next address only when the call certainly had no effect.
+func (a *app) firstAvailable(addrs []string, method, path, bearer string, body []byte) (r response, err error) {
+	for _, addr := range addrs {
+		r, err = a.send(addr, method, path, bearer, body)
+		idle := errors.Is(err, errNotSent) || err == nil && r.status == http.StatusServiceUnavailable
+		if !idle && (method != http.MethodGet || err == nil) {
+			break
+		}
+	}
+	return r, err
+}
+
+// refusal translates a failed call into an Error. It returns nil for a success.
+func refusal(r response, err error) error {
+	switch {
+	case errors.Is(err, errNotSent):
+		return fail(ExitUnavailable, "unavailable", "no daemon is reachable: %s", cause(err, errNotSent))
+	case errors.Is(err, errLost) && r.read:
+		return fail(ExitUnavailable, "unavailable", "the response was lost: %s", cause(err, errLost))
+	case errors.Is(err, errLost):
+		return fail(ExitUnknown, "outcome_unknown", "the response was lost: %s", cause(err, errLost))
+	case err != nil:
+		return err
+	case r.status < 300:
+		return nil
+	}
+	p := r.problem()
+	exit := exitOf(r.status)
+	if exit == ExitUnknown && r.read {
+		exit = ExitUnavailable
+	}
+	return fail(exit, p.Code, "%s", describe(p))
+}
+
+// cause is the text of err without that of the sentinel that it wraps.
+func cause(err, sentinel error) string { return strings.TrimSuffix(err.Error(), ": "+sentinel.Error()) }
+
+func exitOf(status int) int {
+	switch status {
+	case http.StatusServiceUnavailable:
+		return ExitUnavailable
+	case http.StatusConflict:
+		return ExitConflict
+	case http.StatusGatewayTimeout:
+		return ExitUnknown
+	}
+	if status >= 500 {
+		return ExitUnknown // a proxy or a crash may have hidden an effect
+	}
+	return ExitFailed
+}
+
+func randomID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
