Assemble the daemon and drain it in order

The peer listener opens before the session is taken, because others take a refused connection as proof that a process is gone. A drain tells the balancer, hands partitions over while new callers are still served, then closes the callers' listener, the session and the peers' listener.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -86,15 +86,20 @@
 // NewHealth registers the routes that probes and scrapers read; they need no secret.
 func NewHealth(e *gin.Engine, r *Readiness, metrics http.Handler, version string) {
 	e.GET("/healthz", func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"status": "ok"}) })
-	e.GET("/readyz", func(c *gin.Context) {
+	e.GET("/readyz", Ready(r))
+	e.GET("/metrics", gin.WrapH(metrics))
+	e.GET("/version", func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"version": version}) })
+}
+
+// Ready answers the balancer's probe.
+func Ready(r *Readiness) gin.HandlerFunc {
+	return func(c *gin.Context) {
 		if failing := r.Failing(); len(failing) > 0 {
 			c.JSON(http.StatusServiceUnavailable, gin.H{"ready": false, "failing": failing})
 			return
 		}
 		c.JSON(http.StatusOK, gin.H{"ready": true})
-	})
-	e.GET("/metrics", gin.WrapH(metrics))
-	e.GET("/version", func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"version": version}) })
+	}
 }
 
 // NewOperations registers the state dump and the drain on a group that checks the secret. The drain function must not
--- /dev/null
+++ b/internal/daemon/duties.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/admin"
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/request"
+	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+// gate turns new callers away once a drain has told the balancer long enough.
+type gate struct{ closed atomic.Bool }
+
+// beat builds the heartbeats of this daemon and takes those of its peers.
+type beat struct {
+	keeper  *session.Keeper
+	members *membership.List
+	lists   *lists
+	ready   *admin.Readiness
+	client  *peer.Client
+	service *request.Service // set once it is built, because it borrows slots through the heartbeats' knowledge
+}
+
+func newBeat(k *session.Keeper, m *membership.List, l *lists, r *admin.Readiness, c *peer.Client) *beat {
+	return &beat{keeper: k, members: m, lists: l, ready: r, client: c}
+}
+
+func (b *beat) self() peer.Heartbeat {
+	versions := make(map[string]int64, len(b.lists.followers))
+	for name, f := range b.lists.followers {
+		versions[name] = f.Snapshot().Version()
+	}
+	return peer.Heartbeat{
+		ID: b.keeper.ID(), Incarnation: strconv.FormatInt(b.keeper.Incarnation(), 10), Draining: b.ready.Draining(),
+		ListVersions: versions, IdleSlots: b.service.IdleSlots(), Leaving: b.members.Reported(),
+	}
+}
+
+func (b *beat) receive(hb peer.Heartbeat, asked time.Time) {
+	b.members.HearLeaving(hb.Leaving)
+	for name, version := range hb.ListVersions {
+		if f, ok := b.lists.followers[name]; ok {
+			f.Heard(peer.ListPeer{Client: b.client, Addr: hb.ID}, version, asked)
+		}
+	}
+}
+
+// registerPartitions declares which partitions exist. Every daemon of a system must have the same services and pools.
+func registerPartitions(s *settings.Settings, m *ownership.Manager, rs *request.Service, p *job.Pool) {
+	var requests, pools []string
+	for _, service := range s.Services {
+		for n := range request.Partitions {
+			requests = append(requests, "request/"+service+"/"+strconv.Itoa(n))
+		}
+	}
+	for _, pool := range s.Pools {
+		pools = append(pools, "pool/"+pool+"/0")
+	}
+	m.Register("request/", requests, rs)
+	m.Register("pool/", pools, p)
+}
+
+func registerStates(st *admin.States, k *session.Keeper, o *session.Observer, g *session.Guarantor, m *ownership.Manager,
+	j *journal.Committer, l *lists, ml *membership.List, h *peer.Heartbeater, rs *request.Service, p *job.Pool) {
+	st.Add("session", k.State)
+	st.Add("sessions", o.State)
+	st.Add("guarantor", g.State)
+	st.Add("ownership", m.State)
+	st.Add("journal", func() any { return j.State() })
+	st.Add("lists", func() any { return l.lookup.State() })
+	st.Add("membership", ml.State)
+	st.Add("peers", h.State)
+	st.Add("requests", rs.State)
+	st.Add("jobs", p.State)
+}
+
+// duties are the goroutines that run from the start to the end of a drain.
+func duties(b *background, k *session.Keeper, o *session.Observer, m *ownership.Manager, j *journal.Committer, l *lists,
+	ml *membership.List, h *peer.Heartbeater) {
+	b.run(ml.Run)
+	b.run(func(ctx context.Context) { _ = j.Run(ctx) })
+	b.run(o.Run)
+	b.run(k.Run)
+	b.run(m.Run)
+	b.run(h.Run)
+	for _, f := range l.followers {
+		b.run(func(ctx context.Context) { _ = f.Run(ctx) })
+	}
+}
+
+// reachable refuses edits while a live daemon can be reached neither through the store nor directly: it might not learn
+// of the edit in time while its guarantors keep its session alive.
+func reachable(self string, o *session.Observer, h *peer.Heartbeater) func() error {
+	return func() error {
+		if !o.Fresh() {
+			return errors.Wrap(versionedlist.ErrUnavailable, "the store was not read recently")
+		}
+		heard := map[string]bool{self: true}
+		for _, hb := range h.Alive() {
+			heard[hb.ID] = true
+		}
+		for _, info := range o.Live() {
+			if info.Unchanged && !heard[info.Row.PeerAddr] {
+				return errors.Wrap(admin.ErrMembersUnreachable, info.Row.PeerAddr)
+			}
+		}
+		return nil
+	}
+}
+
+// readinessChecks make the daemon ready once it can decide on requests and bring them to their owners.
+func readinessChecks(r *admin.Readiness, l *lists, o *session.Observer, k *session.Keeper) {
+	r.Check("lists", func() error {
+		if !l.lookup.Fresh() {
+			return errors.New("not confirmed recently")
+		}
+		return nil
+	})
+	r.Check("session", func() error {
+		if !k.Valid() {
+			return errors.New("not held")
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/lifecycle.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/admin"
+	"github.com/greengagewing/greengagewing/internal/api"
+	"github.com/greengagewing/greengagewing/internal/entry"
+	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/request"
+	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// ErrDrainIncomplete says that the drain's time ran out before everything was handed over.
+var ErrDrainIncomplete = errors.New("daemon: drain did not finish in time")
+
+// lifecycle starts the daemon's duties and listeners and drains them in order.
+type lifecycle struct {
+	fx.In
+
+	Settings   *settings.Settings
+	Log        *zap.Logger
+	Page       http.Handler
+	Background *background
+	Ready      *admin.Readiness
+	States     *admin.States
+	Gate       *gate
+
+	Keeper    *session.Keeper
+	Observer  *session.Observer
+	Guarantor *session.Guarantor
+	Manager   *ownership.Manager
+	Committer *journal.Committer
+	Lists     *lists
+	Members   *membership.List
+	Beats     *peer.Heartbeater
+	Client    *peer.Client
+
+	Requests *entry.Requests
+	Jobs     *entry.Jobs
+	Service  *request.Service
+
+	Shutdowner fx.Shutdowner
+}
+
+// server is a listener with its HTTP server.
+type server struct {
+	name string
+	addr string
+	http *http.Server
+}
+
+func newServer(name, addr string, h http.Handler) *server {
+	return &server{name: name, addr: addr, http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}
+}
+
+func (s *server) start(log *zap.Logger) error {
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return errors.Wrap(err, s.name+" listener")
+	}
+	log.Info("listening", zap.String("for", s.name), zap.Stringer("addr", l.Addr()))
+	go func() { _ = s.http.Serve(l) }()
+	return nil
+}
+
+// stop refuses new connections and waits for the calls in progress until ctx ends.
+func (s *server) stop(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, s.name+" listener")
+	}
+	return nil
+}
+
+func runLifecycle(lc fx.Lifecycle, d lifecycle) {
+	callers := newServer("callers", d.Settings.Listen.String(), d.callerRoutes())
+	peers := newServer("peers", d.Settings.PeerListen.String(), d.peerRoutes())
+	lc.Append(fx.StartStopHook(
+		func() error {
+			// The peer listener comes first: a session must never be live while its address refuses connections,
+			// because others take a refused connection as proof that the process is gone.
+			if err := peers.start(d.Log); err != nil {
+				return err
+			}
+			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, d.Beats)
+			return callers.start(d.Log)
+		},
+		func(ctx context.Context) error { return d.drain(ctx, callers, peers) },
+	))
+}
+
+// drain stops the daemon without cutting a request: the balancer is told, partitions are handed over while new callers
+// are still served, and the session is closed once nothing is left.
+func (d lifecycle) drain(ctx context.Context, callers, peers *server) error {
+	d.Log.Info("drain started")
+	d.Ready.Drain()
+	handover := make(chan error, 1)
+	go func() { handover <- d.Manager.Drain(ctx) }()
+	notice := time.NewTimer(d.Settings.DrainNotice.Duration)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	d.Gate.closed.Store(true)
+	err := errors.Join(<-handover, callers.stop(ctx), d.Keeper.Close(ctx), peers.stop(ctx))
+	d.Background.stop()
+	d.Service.Close()
+	d.Client.Close()
+	if err != nil {
+		return errors.Wrap(ErrDrainIncomplete, err.Error())
+	}
+	d.Log.Info("drain finished")
+	return nil
+}
+
+func (d lifecycle) callerRoutes() *gin.Engine {
+	e := newEngine()
+	api.NewRequests(e, d.Requests)
+	api.NewJobs(e, d.Jobs)
+	e.GET("/readyz", admin.Ready(d.Ready)) // the balancer may probe either listener
+	return e
+}
+
+func (d lifecycle) peerRoutes() *gin.Engine {
+	e := newEngine()
+	admin.NewHealth(e, d.Ready, d.Page, Version)
+	g := e.Group("/", peer.Authenticate(d.Settings.Secret))
+	var once sync.Once
+	admin.NewOperations(g, d.States, func() { once.Do(func() { _ = d.Shutdowner.Shutdown() }) })
+	editing := &admin.Lists{
+		Editor:    d.Lists.editor,
+		Reachable: reachable(d.Keeper.ID(), d.Observer, d.Beats),
+		Publish: func(list string, c versionedlist.Change) {
+			d.Lists.followers[list].Publish(c)
+		},
+	}
+	editing.Register(g)
+	peer.RegisterSessions(g, d.Keeper, d.Guarantor, d.Manager)
+	peer.RegisterLists(g, d.Lists.followers)
+	peer.RegisterLender(g, d.Service)
+	peer.Handle(g, peer.PathHeartbeat, d.Beats.Serve)
+	peer.Handle(g, entry.PathRequest, d.Requests.ServeRequest)
+	peer.Handle(g, entry.PathLookup, d.Requests.ServeLookup)
+	peer.Handle(g, entry.PathJob, d.Jobs.Serve)
+	return e
+}
+
+// stopTimeout bounds the whole drain.
+func stopTimeout(s *settings.Settings) time.Duration {
+	return s.DrainNotice.Duration + s.DrainTimeout.Duration
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -2,8 +2,11 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
@@ -22,6 +25,7 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	exitKilled  = 3 // a second signal arrived while the daemon drained
 )
 
 // Main runs the daemon until it is told to stop and returns its exit code.
@@ -36,19 +40,50 @@
 	}
 	app := fx.New(
 		fx.Supply(s),
-		fx.WithLogger(func(log *zap.Logger) fxevent.Logger {
-			l := &fxevent.ZapLogger{Logger: log}
-			l.UseLogLevel(zap.DebugLevel)
-			return l
-		}),
+		fx.WithLogger(quietLogger),
+		fx.StopTimeout(stopTimeout(s)),
 		Module,
 	)
-	app.Run()
-	if app.Err() != nil {
-		fmt.Fprintln(os.Stderr, app.Err())
+	return run(app)
+}
+
+// quietLogger reports the assembly of the parts at debug level only.
+func quietLogger(log *zap.Logger) fxevent.Logger {
+	l := &fxevent.ZapLogger{Logger: log}
+	l.UseLogLevel(zap.DebugLevel)
+	return l
+}
+
+// run starts the daemon, waits for a signal or an operator's drain, and drains. A second signal ends the process at
+// once.
+func run(app *fx.App) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	return exitOK
+	select {
+	case <-signals:
+	case <-app.Wait():
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(stopCtx) }()
+	select {
+	case err := <-stopped:
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailure
+		}
+		return exitOK
+	case <-signals:
+		return exitKilled
+	}
 }
 
 func usage(err error) int {
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -39,10 +39,11 @@
 		newLogger, newMetrics, newBackground, admin.NewReadiness, admin.NewStates,
 		newTable, newMembership, newPeerClient,
 		newSessionConfig, newKeeper, newObserver, newGuarantor, newManager,
-		newCommitter, newLists, newHeartbeater,
+		newCommitter, newLists, newBeat, newHeartbeater, peer.NewLender,
 		newRequestService, newPool, newEntry,
 	),
-	fx.Invoke(registerPartitions, registerStates, startDuties, servePeers, serveCallers),
+	fx.Invoke(func(b *beat, rs *request.Service) { b.service = rs }),
+	fx.Invoke(registerPartitions, registerStates, readinessChecks, runLifecycle),
 )
 
 func newLogger(s *settings.Settings) (*zap.Logger, error) {
@@ -66,6 +67,7 @@
 	r := promreporter.NewReporter(promreporter.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "greengage", CachedReporter: r, Separator: promreporter.DefaultSeparator,
+		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	lc.Append(fx.StopHook(func(context.Context) error { return io.Closer(closer).Close() }))
 	return metrics{Scope: scope, Page: r.HTTPHandler()}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -39,19 +39,22 @@
 // Roster lists the addresses of the other daemons that should be alive.
 type Roster func() []string
 
+// Receiver takes a heartbeat of a peer. asked is a local time before the peer composed it, zero if none is known.
+type Receiver func(hb Heartbeat, asked time.Time)
+
 // Heartbeater exchanges heartbeats with all peers and keeps their last ones.
 type Heartbeater struct {
 	client  *Client
 	roster  Roster
 	self    func() Heartbeat
-	receive func(Heartbeat) // called for every heartbeat of a peer
+	receive Receiver
 
 	mu    sync.RWMutex
 	peers map[string]Status
 }
 
 // NewHeartbeater returns a heartbeater that tells peers what self returns and passes what they tell to receive.
-func NewHeartbeater(c *Client, roster Roster, self func() Heartbeat, receive func(Heartbeat)) *Heartbeater {
+func NewHeartbeater(c *Client, roster Roster, self func() Heartbeat, receive Receiver) *Heartbeater {
 	return &Heartbeater{client: c, roster: roster, self: self, receive: receive, peers: map[string]Status{}}
 }
 
@@ -79,12 +82,13 @@
 	var wg sync.WaitGroup
 	for _, addr := range addrs {
 		wg.Go(func() {
+			asked := time.Now()
 			answer, err := Call[Heartbeat](ctx, h.client, addr, PathHeartbeat, hb)
 			if err != nil {
 				h.failed(addr)
 				return
 			}
-			h.heard(answer)
+			h.heard(answer, asked)
 		})
 	}
 	wg.Wait()
@@ -92,15 +96,15 @@
 
 // Serve answers a peer's heartbeat.
 func (h *Heartbeater) Serve(_ context.Context, from Heartbeat) (Heartbeat, error) {
-	h.heard(from)
+	h.heard(from, time.Time{})
 	return h.self(), nil
 }
 
-func (h *Heartbeater) heard(hb Heartbeat) {
+func (h *Heartbeater) heard(hb Heartbeat, asked time.Time) {
 	h.mu.Lock()
 	h.peers[hb.ID] = Status{Heartbeat: hb, At: time.Now()}
 	h.mu.Unlock()
-	h.receive(hb)
+	h.receive(hb, asked)
 }
 
 func (h *Heartbeater) failed(addr string) {
