Send whole lists byte for byte and single changes as PATCH

The daemon names the line of a wrong entry, which only helps when it sees the operator's file as written; encoding the list into a JSON body had put everything on line 1.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -55,7 +56,18 @@
 	mux.HandleFunc("GET /admin/v1/lists/{name}/history", func(w http.ResponseWriter, r *http.Request) {
 		respond(w, 200, history{f.changes[r.PathValue("name")]})
 	})
-	mux.HandleFunc("PUT /admin/v1/lists/{name}", f.put)
+	mux.HandleFunc("PUT /admin/v1/lists/{name}", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		e := fakeEdit{listEdit: listEdit{EditID: q.Get("edit_id"), Author: q.Get("author")}}
+		e.Base, _ = strconv.ParseInt(q.Get("expected_version"), 10, 64)
+		_ = json.NewDecoder(r.Body).Decode(&e.replace)
+		f.write(w, r.PathValue("name"), e)
+	})
+	mux.HandleFunc("PATCH /admin/v1/lists/{name}", func(w http.ResponseWriter, r *http.Request) {
+		var e fakeEdit
+		_ = json.NewDecoder(r.Body).Decode(&e.listEdit)
+		f.write(w, r.PathValue("name"), e)
+	})
 	mux.HandleFunc("POST /admin/v1/drain", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(202) })
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		respond(w, 200, `{"session":{"state":"live","seq":7},"request":{"queues":[],"note":"a\u001b[31m"}}`)
@@ -77,10 +89,14 @@
 	})
 }
 
-func (f *fakeDaemon) put(w http.ResponseWriter, r *http.Request) {
-	var e listEdit
-	_ = json.NewDecoder(r.Body).Decode(&e)
-	name, fault := r.PathValue("name"), f.fault
+// fakeEdit is an edit, or the replacement of the whole list.
+type fakeEdit struct {
+	listEdit
+	replace map[string]json.RawMessage
+}
+
+func (f *fakeDaemon) write(w http.ResponseWriter, name string, e fakeEdit) {
+	fault := f.fault
 	f.fault = ""
 	l := f.lists[name]
 	if v, ours := f.edits[e.EditID]; ours && l.Version == v {
@@ -98,14 +114,14 @@
 		respond(w, 400, `{"code":"invalid_list","message":"the list was not changed",
 			"errors":[{"line":1,"field":"bad.burst","message":"must not be negative"}]}`)
 		return
-	case e.ExpectedVersion != l.Version:
+	case e.Base != l.Version:
 		last := f.changes[name][0].Author
 		respond(w, 409, map[string]any{"code": "conflict", "current_version": l.Version, "author": last})
 		return
 	}
 	f.apply(name, e)
 	if fault == "overtake" {
-		f.apply(name, listEdit{EditID: "other", Author: "bea", Set: map[string]json.RawMessage{"bakery": []byte(`"x"`)}})
+		f.apply(name, fakeEdit{listEdit: listEdit{EditID: "other", Author: "bea", Set: map[string]json.RawMessage{"bakery": []byte(`"x"`)}}})
 	}
 	if fault != "" {
 		panic(http.ErrAbortHandler)
@@ -113,14 +129,14 @@
 	respond(w, 200, map[string]int64{"version": l.Version})
 }
 
-func (f *fakeDaemon) apply(name string, e listEdit) {
+func (f *fakeDaemon) apply(name string, e fakeEdit) {
 	l := f.lists[name]
 	l.Version++
 	f.edits[e.EditID] = l.Version
 	c := listChange{Version: l.Version, Author: e.Author, EditID: e.EditID, Set: e.Set, Remove: e.Remove,
 		Time: time.Date(2026, 1, 2, 3, 4, int(l.Version), 0, time.UTC)}
-	if e.Replace != nil {
-		l.Entries, c.Set = e.Replace, e.Replace
+	if e.replace != nil {
+		l.Entries, c.Set = e.replace, e.replace
 	}
 	for k, v := range e.Set {
 		l.Entries[k] = v
--- a/internal/cli/lists.go
+++ b/internal/cli/lists.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"sort"
 	"strconv"
@@ -25,14 +26,22 @@
 	Entries map[string]json.RawMessage `json:"entries"`
 }
 
-// listEdit is the body of PUT /admin/v1/lists/{name}.
+// listEdit is the body of PATCH /admin/v1/lists/{name}.
 type listEdit struct {
-	ExpectedVersion int64                      `json:"expected_version"`
-	EditID          string                     `json:"edit_id"`
-	Author          string                     `json:"author"`
-	Replace         map[string]json.RawMessage `json:"replace"`
-	Set             map[string]json.RawMessage `json:"set,omitempty"`
-	Remove          []string                   `json:"remove,omitempty"`
+	Base   int64                      `json:"base"` // version that the list must be at
+	EditID string                     `json:"edit_id"`
+	Author string                     `json:"author"`
+	Set    map[string]json.RawMessage `json:"set,omitempty"`
+	Remove []string                   `json:"remove,omitempty"`
+}
+
+// listWrite is a change on its way to a daemon.
+type listWrite struct {
+	base   int64
+	editID string
+	method string
+	path   string
+	body   []byte
 }
 
 // listChange is one element of GET /admin/v1/lists/{name}/history.
@@ -122,11 +131,17 @@
 	if err != nil {
 		return err
 	}
-	entries, err := parseEntries(raw, c.name)
+	doc, err := document(raw, c.name)
 	if err != nil {
 		return fail(ExitUsage, "invalid_file", "%s: %v", c.Args.File, err)
 	}
-	return c.write(listEdit{ExpectedVersion: *c.Expect, Author: c.Author, Replace: entries})
+	id := c.app.newEditID()
+	query := url.Values{
+		"expected_version": {strconv.FormatInt(*c.Expect, 10)}, "author": {c.Author}, "edit_id": {id},
+	}
+	return c.write(listWrite{
+		base: *c.Expect, editID: id, method: http.MethodPut, path: c.path() + "?" + query.Encode(), body: doc,
+	})
 }
 
 // readInput reads a file, or in for "-".
@@ -145,18 +160,20 @@
 	return raw, nil
 }
 
-// parseEntries accepts an object of entries or the output of get --output json. A name that occurs twice is an error,
-// since the standard decoder would silently keep the last.
-func parseEntries(raw []byte, name string) (map[string]json.RawMessage, error) {
+// document returns the list in a file: an object of entries, byte for byte so that the daemon's errors name the file's
+// lines, or the entries of the output of get --output json. A name that occurs twice is an error, since the standard
+// decoder would silently keep the last.
+func document(raw []byte, name string) ([]byte, error) {
 	entries, err := parseObject(raw)
 	if err != nil {
 		return nil, err
 	}
 	var l list
 	if json.Unmarshal(raw, &l) == nil && l.Name == name && l.Version > 0 && l.Entries != nil {
-		return parseObject(entries["entries"])
+		_, err := parseObject(entries["entries"])
+		return entries["entries"], err
 	}
-	return entries, nil
+	return raw, nil
 }
 
 func parseObject(raw []byte) (map[string]json.RawMessage, error) {
@@ -213,7 +230,7 @@
 		return fail(ExitUsage, "usage", "give --set or --remove")
 	}
 	e := listEdit{
-		ExpectedVersion: *c.Expect, Author: c.Author, Remove: c.Remove, Set: map[string]json.RawMessage{},
+		Base: *c.Expect, Author: c.Author, EditID: c.app.newEditID(), Remove: c.Remove, Set: map[string]json.RawMessage{},
 	}
 	for _, s := range c.Set {
 		name, value, found := strings.Cut(s, "=")
@@ -222,7 +239,11 @@
 		}
 		e.Set[name] = jsonOrString(value)
 	}
-	return c.write(e)
+	body, err := json.Marshal(e)
+	if err != nil {
+		return errors.Wrap(err, "encode edit")
+	}
+	return c.write(listWrite{base: e.Base, editID: e.EditID, method: http.MethodPatch, path: c.path(), body: body})
 }
 
 func jsonOrString(s string) json.RawMessage {
@@ -233,48 +254,44 @@
 	return raw
 }
 
-// write sends an edit. While the response is lost it sends it again, to the next daemon and with the same edit id, by
+// write sends a change. While the response is lost it sends it again, to the next daemon and with the same edit id, by
 // which the daemons recognize an edit that took effect.
-func (l listRef) write(e listEdit) error {
+func (l listRef) write(w listWrite) error {
 	a := l.app
 	if len(a.Admin) == 0 {
 		return fail(ExitUsage, "usage", "set --admin or GREENGAGE_ADMIN")
 	}
-	e.EditID = a.newEditID()
-	body, err := json.Marshal(e)
-	if err != nil {
-		return errors.Wrap(err, "encode edit")
-	}
 	addrs, maybeWritten := a.Admin, false
 	var r response
+	var err error
 	for try := range writeAttempts {
 		if try > 0 {
 			addrs = append(addrs[1:len(addrs):len(addrs)], addrs[0])
 			time.Sleep(a.retryDelay)
 		}
-		r, err = a.firstAvailable(addrs, http.MethodPut, l.path(), a.Secret, body)
+		r, err = a.firstAvailable(addrs, w.method, w.path, a.Secret, w.body)
 		lost := errors.Is(err, errLost) || err == nil && exitOf(r.status) == ExitUnknown && r.status >= 300
 		maybeWritten = maybeWritten || lost
 		if !lost && (!maybeWritten || err == nil && r.status != http.StatusServiceUnavailable) {
 			break
 		}
 	}
-	return l.conclude(e, r, err, maybeWritten)
+	return l.conclude(w, r, err, maybeWritten)
 }
 
 // conclude reports the result of a write. maybeWritten says that the response of one of its attempts was lost; only a
 // success, or the history, then says whether it took effect.
-func (l listRef) conclude(e listEdit, r response, err error, maybeWritten bool) error {
+func (l listRef) conclude(w listWrite, r response, err error, maybeWritten bool) error {
 	failure := refusal(r, err)
 	if failure != nil && maybeWritten {
-		switch other, known := l.editAfter(e.ExpectedVersion); {
-		case known && other == e.EditID:
-			return l.accepted(e.ExpectedVersion + 1)
+		switch other, known := l.editAfter(w.base); {
+		case known && other == w.editID:
+			return l.accepted(w.base + 1)
 		case known:
 			return failure // another edit took the version that this one needed
 		}
 		return fail(ExitUnknown, "outcome_unknown",
-			"the response was lost and the change may have taken effect; look for edit %s in the history", e.EditID)
+			"the response was lost and the change may have taken effect; look for edit %s in the history", w.editID)
 	}
 	if failure != nil {
 		return failure
