Test sessions under lost responses, pauses, outages and restarts

The tests run in synctest bubbles with three or four daemons on one in-memory table. They cover the quarantine, the exclusion between promise and consent, the evidence cases, and an outage of ten minutes.

--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,392 @@
+package session
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/greengagewing/greengagewing/table"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// cutStore is one daemon's access to the table.
+type cutStore struct {
+	*table.Memory
+	noReads, noCommits atomic.Bool
+}
+
+func (c *cutStore) cut(v bool) {
+	c.noReads.Store(v)
+	c.noCommits.Store(v)
+}
+
+func (c *cutStore) Get(ctx context.Context, key string) (table.Row, error) {
+	if c.noReads.Load() {
+		return table.Row{}, table.ErrUnavailable
+	}
+	return c.Memory.Get(ctx, key)
+}
+
+func (c *cutStore) Scan(ctx context.Context, prefix, after string, n int) ([]table.Row, error) {
+	if c.noReads.Load() {
+		return nil, table.ErrUnavailable
+	}
+	return c.Memory.Scan(ctx, prefix, after, n)
+}
+
+func (c *cutStore) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
+	if c.noCommits.Load() {
+		return table.Result{}, table.ErrUnavailable
+	}
+	return c.Memory.Commit(ctx, txn)
+}
+
+// node is one daemon of a test; net is all of them by address.
+type node struct {
+	store  *cutStore
+	k      *Keeper
+	g      *Guarantor
+	o      *Observer
+	stop   context.CancelFunc
+	mute   atomic.Bool // alive, but gives no answer to peers
+	unlist atomic.Bool // not on the platform's list
+}
+
+type net struct {
+	mem *table.Memory
+
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (n *net) get(addr string) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes[addr]
+}
+
+// set replaces the process at an address; nil removes it.
+func (n *net) set(addr string, p *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.nodes[addr]; old != nil {
+		old.stop()
+	}
+	if n.nodes[addr] = p; p == nil {
+		delete(n.nodes, addr)
+	}
+}
+
+func (n *net) at(addr string) (*node, error) {
+	p := n.get(addr)
+	switch {
+	case p == nil:
+		return nil, ErrRefused
+	case p.mute.Load():
+		return nil, errNoAnswer
+	}
+	return p, nil
+}
+
+func (n *net) Promise(_ context.Context, to Peer, req PromiseRequest) (PromiseReply, error) {
+	p, err := n.at(to.PeerAddr)
+	if err != nil {
+		return PromiseReply{}, err
+	}
+	return p.g.Promise(req), nil
+}
+
+func (n *net) Consent(_ context.Context, to Peer, req ConsentRequest) (ConsentReply, error) {
+	p, err := n.at(to.PeerAddr)
+	if err != nil {
+		return ConsentReply{}, err
+	}
+	return p.g.Consent(req), nil
+}
+
+func (n *net) Probe(_ context.Context, addr string) (ProbeReply, error) {
+	p, err := n.at(addr)
+	if err != nil {
+		return ProbeReply{}, err
+	}
+	return p.k.Probe(), nil
+}
+
+func (n *net) HostListed(addr string) (bool, bool) {
+	p := n.get(addr)
+	return p == nil || !p.unlist.Load(), true
+}
+
+// start runs a daemon in a failure domain of its own.
+func (n *net) start(id string) *node {
+	cfg := Config{ID: id, PeerAddr: id, FailureDomain: "domain of " + id}
+	p := &node{store: &cutStore{Memory: n.mem}}
+	p.o = NewObserver(cfg, p.store, n, n)
+	p.k = NewKeeper(cfg, p.store, n, p.o.Live)
+	p.g = NewGuarantor(cfg, p.k.Boot())
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	go p.k.Run(ctx)
+	go p.o.Run(ctx)
+	n.set(id, p)
+	return p
+}
+
+// kill ends a process at once.
+func (n *net) kill(id string) { n.set(id, nil) }
+
+func (n *net) row(id string) Row {
+	got, err := n.mem.Get(context.Background(), Key(id))
+	So(err, ShouldBeNil)
+	r, err := decode(got.Value)
+	So(err, ShouldBeNil)
+	return r
+}
+
+// inBubble runs f with the daemons a, b and c after they have found each other and their quarantine has passed.
+func inBubble(t *testing.T, name string, f func(n *net, a, b, c *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &net{mem: table.NewMemory(), nodes: map[string]*node{}}
+		defer func() { // also after a failed assertion
+			for id := range n.nodes {
+				n.kill(id)
+			}
+		}()
+		Convey(name, t, func() {
+			a, b, c := n.start("a"), n.start("b"), n.start("c")
+			time.Sleep(10 * time.Second)
+			So(len(n.row("a").Guarantors), ShouldEqual, 2)
+			f(n, a, b, c)
+		})
+	})
+}
+
+// TestLostResponses guards against a keeper that loses its session, or renews somebody else's, because it does not
+// recognize its own write, and against a restarted daemon that waits for its predecessor to be fenced.
+func TestLostResponses(t *testing.T) {
+	inBubble(t, "Lost responses do not end the session", func(n *net, a, _, _ *node) {
+		inc := a.k.Incarnation()
+		for range 30 {
+			n.mem.SetFaults(table.Faults{LoseAnswers: 3})
+			time.Sleep(700 * time.Millisecond)
+			So(a.k.ValidFor(inc), ShouldBeTrue)
+		}
+		n.mem.SetFaults(table.Faults{})
+		n.kill("a")
+		n.mem.SetFaults(table.Faults{LoseAnswers: 1})
+		a = n.start("a")
+		time.Sleep(50 * time.Millisecond)
+		So(a.k.Valid(), ShouldBeTrue)
+		So(a.k.Incarnation(), ShouldEqual, inc+1)
+		n.mem.SetFaults(table.Faults{LoseAnswers: 1})
+		So(a.k.Close(context.Background()), ShouldBeNil)
+		So(a.k.Valid(), ShouldBeFalse)
+		So(n.row("a").State, ShouldEqual, Closed)
+	})
+}
+
+// TestPause guards against a validity that depends on a goroutine being scheduled: a process that resumes from a pause
+// must find its session expired before anything of it has run.
+func TestPause(t *testing.T) {
+	inBubble(t, "A paused holder is invalid after 3.5 s and rejoins with a new incarnation", func(n *net, a, _, _ *node) {
+		inc := a.k.Incarnation()
+		n.kill("a")
+		synctest.Wait()
+		l := a.k.lease.Load()
+		time.Sleep(time.Until(l.deadline) - 1)
+		So(a.k.ValidFor(inc), ShouldBeTrue)
+		time.Sleep(1)
+		So(a.k.ValidFor(inc), ShouldBeFalse)
+		So(a.k.extend(inc, time.Now()), ShouldBeFalse) // a late answer does not revive it
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go a.k.Run(ctx)
+		time.Sleep(50 * time.Millisecond)
+		So(a.k.Valid(), ShouldBeTrue)
+		So(a.k.ValidFor(inc), ShouldBeFalse)
+		cancel()
+	})
+}
+
+// TestOutage guards against ownership that ends with the store's outage although the guarantors promise, and against
+// two answers to who holds the session: an extension and a fencing at the same time.
+func TestOutage(t *testing.T) {
+	inBubble(t, "With all guarantors the session outlasts an outage of ten minutes", func(n *net, a, b, c *node) {
+		a.store.cut(true) // the others still reach the store
+		for range 6000 {
+			time.Sleep(100 * time.Millisecond)
+			if err := b.o.Fence(context.Background(), "a"); !a.k.Valid() || err != ErrNoConsent && err != ErrNotObserved {
+				t.Fatalf("valid: %t, fencing: %v", a.k.Valid(), err)
+			}
+		}
+		So(n.row("a").State, ShouldEqual, Live)
+		So(b.o.Fence(context.Background(), "a"), ShouldEqual, ErrNoConsent)
+		inc := a.k.Incarnation()
+		n.mem.SetFaults(table.Faults{Down: true}) // now nobody does
+		time.Sleep(10 * time.Minute)
+		So(a.k.ValidFor(inc) && b.k.Valid() && c.k.Valid(), ShouldBeTrue)
+		a.store.cut(false)
+		n.mem.SetFaults(table.Faults{})
+		time.Sleep(10 * time.Second)
+		So(a.k.ValidFor(inc), ShouldBeTrue)
+		So(n.row("a").State, ShouldEqual, Live)
+	})
+	inBubble(t, "With one guarantor dead the session ends, and the other consents to the fencing", func(n *net, a, b, _ *node) {
+		inc := a.k.Incarnation()
+		n.kill("c")
+		a.store.cut(true)
+		time.Sleep(DefaultTTL - DefaultMargin)
+		So(a.k.Valid(), ShouldBeFalse)
+		time.Sleep(DefaultTTL + 2*DefaultMargin)
+		So(n.row("a").State, ShouldEqual, Fenced)
+		_, ended := b.o.Ended("a", inc)
+		So(ended, ShouldBeTrue)
+		a.store.cut(false)
+		time.Sleep(2 * time.Second)
+		So(a.k.Incarnation(), ShouldEqual, inc+1)
+		So(a.k.Valid(), ShouldBeTrue)
+	})
+	inBubble(t, "A guarantor that was restarted neither promises nor consents during its quarantine",
+		func(n *net, a, b, _ *node) {
+			a.store.cut(true)
+			n.kill("b")
+			b = n.start("b")
+			n.get("c").mute.Store(true)
+			req := ConsentRequest{Session: "a", Incarnation: a.k.Incarnation(), Seq: n.row("a").Seq}
+			So(b.g.Consent(req).Granted, ShouldBeFalse)
+			time.Sleep(DefaultTTL + DefaultMargin - 1)
+			So(a.k.Valid(), ShouldBeFalse) // the row names b's former process
+			So(b.g.Consent(req).Granted, ShouldBeFalse)
+			time.Sleep(1)
+			So(b.g.Consent(req).Granted, ShouldBeTrue)
+			promise := PromiseRequest{Session: "a", Incarnation: req.Incarnation, Seq: req.Seq, GuarantorBoot: b.k.Boot()}
+			So(b.g.Promise(promise).Granted, ShouldBeFalse)
+			promise.Seq++ // the holder has renewed since, so the fencing can no longer take effect
+			So(b.g.Promise(promise).Granted, ShouldBeTrue)
+			So(b.g.Consent(req).Granted, ShouldBeFalse)
+		})
+}
+
+// TestUnresolvedRenewal guards against an extension that leaves out the guarantors of a renewal whose response was lost:
+// an observer could have the consent of one that was not asked.
+func TestUnresolvedRenewal(t *testing.T) {
+	inBubble(t, "The guarantors of an unresolved renewal must promise too", func(n *net, a, _, _ *node) {
+		rows := []Row{{Guarantors: []Peer{{ID: "b", Boot: "1"}}}, {Guarantors: []Peer{{ID: "b", Boot: "2"}, {ID: "c"}}}}
+		all, ok := allGuarantors(rows)
+		So(ok, ShouldBeTrue)
+		So(len(all), ShouldEqual, 3)
+		_, ok = allGuarantors(append(rows, Row{}))
+		So(ok, ShouldBeFalse)
+		a.store.noReads.Store(true) // the responses of commits are lost and cannot be read back
+		n.mem.SetFaults(table.Faults{LoseAnswers: 1000})
+		time.Sleep(2 * time.Second)
+		a.k.mu.Lock()
+		lost := *a.k.pending
+		lost.row.Guarantors = append(slices.Clone(lost.row.Guarantors), Peer{ID: "d", PeerAddr: "d"})
+		a.k.pending = &lost
+		a.k.mu.Unlock()
+		time.Sleep(DefaultTTL)
+		So(a.k.Valid(), ShouldBeFalse)
+	})
+}
+
+// TestEvidence guards against a fencing without the evidence that the design asks for when no guarantor answers.
+func TestEvidence(t *testing.T) {
+	silence := func(f func(n *net, a *node)) func(*net, *node, *node, *node) {
+		return func(n *net, a, b, c *node) {
+			d := n.start("d")
+			time.Sleep(3 * time.Second)
+			b.mute.Store(true)
+			c.mute.Store(true)
+			d.mute.Store(true)
+			a.store.cut(true)
+			f(n, a)
+		}
+	}
+	inBubble(t, "A silent holder is not fenced until the list does not show its host", silence(func(n *net, a *node) {
+		a.mute.Store(true)
+		time.Sleep(time.Minute)
+		So(n.row("a").State, ShouldEqual, Live)
+		So(n.get("d").o.Fence(context.Background(), "a"), ShouldEqual, ErrNoEvidence)
+		a.unlist.Store(true)
+		time.Sleep(2 * time.Second)
+		So(n.row("a").State, ShouldEqual, Fenced)
+	}))
+	inBubble(t, "A holder that answers is not fenced", silence(func(n *net, a *node) {
+		time.Sleep(time.Minute)
+		So(n.row("a").State, ShouldEqual, Live)
+	}))
+	inBubble(t, "A holder whose address refuses connections is fenced", silence(func(n *net, _ *node) {
+		n.kill("a")
+		time.Sleep(6 * time.Second)
+		So(n.row("a").State, ShouldEqual, Fenced)
+	}))
+	inBubble(t, "A holder whose address answers with another process is fenced", silence(func(n *net, _ *node) {
+		n.kill("a")
+		cfg := Config{ID: "a", PeerAddr: "a"}
+		n.set("a", &node{k: NewKeeper(cfg, n.mem, nil, nil), g: NewGuarantor(cfg, ""), stop: func() {}})
+		time.Sleep(6 * time.Second)
+		So(n.row("a").State, ShouldEqual, Fenced)
+	}))
+}
+
+// TestOwnOutage guards against an observer that takes its own failed reads, or its own pause, for a silent holder.
+func TestOwnOutage(t *testing.T) {
+	inBubble(t, "An observer whose reads failed starts its observation again", func(n *net, a, b, c *node) {
+		n.kill("a")
+		c.store.noReads.Store(true)
+		time.Sleep(100 * time.Millisecond) // off the times of the polls
+		for i := range 40 {
+			b.store.noReads.Store(i%4 == 0) // a failed read every 4 s, less than TTL + margin
+			time.Sleep(time.Second)
+			So(b.o.Fence(context.Background(), "a"), ShouldEqual, ErrNotObserved)
+		}
+		So(n.row("a").State, ShouldEqual, Live)
+		time.Sleep(6 * time.Second)
+		So(n.row("a").State, ShouldEqual, Fenced)
+	})
+	inBubble(t, "After an outage holders get the full time to renew", func(n *net, a, b, c *node) {
+		b.mute.Store(true)
+		c.mute.Store(true)
+		n.mem.SetFaults(table.Faults{Down: true})
+		time.Sleep(time.Minute)
+		n.mem.SetFaults(table.Faults{})
+		a.store.noCommits.Store(true)
+		time.Sleep(1200 * time.Millisecond)
+		So(b.o.Fence(context.Background(), "a"), ShouldEqual, ErrNotObserved)
+		So(n.row("a").State, ShouldEqual, Live)
+	})
+}
+
+// TestChooseGuarantors guards against guarantors that fail together with the holder although others exist.
+func TestChooseGuarantors(t *testing.T) {
+	Convey("Guarantors come from other failure domains where possible", t, func() {
+		self := Row{ID: "a", FailureDomain: "1"}
+		session := func(id, domain string, s State) Info { return Info{Row: Row{ID: id, FailureDomain: domain, State: s}} }
+		chosen := func(live ...Info) (ids []string) {
+			for _, p := range chooseGuarantors(self, live, 2) {
+				ids = append(ids, p.ID)
+			}
+			slices.Sort(ids)
+			return ids
+		}
+		own, b, c, d := session("a", "1", Live), session("b", "1", Live), session("c", "2", Live), session("d", "2", Live)
+		So(chosen(own), ShouldBeEmpty)
+		So(chosen(own, b), ShouldResemble, []string{"b"})
+		So(chosen(own, b, c), ShouldResemble, []string{"b", "c"})
+		So(chosen(own, b, c, d), ShouldResemble, []string{"c", "d"})
+		So(chosen(b, c, d, session("e", "3", Live)), ShouldContain, "e")
+		So(chosen(own, b, session("c", "2", Draining)), ShouldResemble, []string{"b"})
+	})
+}
