Build the worker's routes once

The fake worker built its router for every request, which costs more than the request itself when owners renew leases. Tests pass with -race.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -110,6 +110,7 @@
 	capacity Resources
 	audit    *Audit
 	saved    *checkpoints
+	mux      *http.ServeMux
 
 	mu       sync.Mutex
 	boots    int
@@ -130,10 +131,16 @@
 
 func newWorker(id string, capacity Resources, a *Audit, saved *checkpoints) *Worker {
 	a.workerLoad(id, capacity, Resources{}, Resources{}, 0)
-	return &Worker{
-		ID: id, capacity: capacity, audit: a, saved: saved, boots: 1,
+	w := &Worker{
+		ID: id, capacity: capacity, audit: a, saved: saved, mux: http.NewServeMux(), boots: 1,
 		tasks: map[TaskRef]*task{}, origin: time.Now(),
 	}
+	w.mux.HandleFunc("POST /v1/tasks", w.serveStart)
+	w.mux.HandleFunc("POST /v1/renew", w.command(w.renew))
+	w.mux.HandleFunc("POST /v1/ack", w.command(w.ack))
+	w.mux.HandleFunc("POST /v1/tasks/{id}/{action}", w.command(w.control))
+	w.mux.HandleFunc("GET /v1/report", w.serveReport)
+	return w
 }
 
 // checkpoints stands for the object store: the progress of checkpointed tasks, by task id.
@@ -295,18 +302,14 @@
 			return
 		}
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/tasks", w.serveStart)
-	mux.HandleFunc("POST /v1/renew", w.command(w.renew))
-	mux.HandleFunc("POST /v1/ack", w.command(w.ack))
-	mux.HandleFunc("POST /v1/tasks/{id}/{action}", w.command(w.control))
-	mux.HandleFunc("GET /v1/report", func(rw http.ResponseWriter, _ *http.Request) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.advance()
-		writeJSON(rw, http.StatusOK, w.report())
-	})
-	mux.ServeHTTP(rw, r)
+	w.mux.ServeHTTP(rw, r)
+}
+
+func (w *Worker) serveReport(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	writeJSON(rw, http.StatusOK, w.report())
 }
 
 // admit refuses an old epoch, if the worker compares epochs, and records the highest one.
