Tell callers at once when the owner of their partition is gone

An owner that cannot be dialled is now reported at once with the time after which a takeover should be over; only a handover is waited for. A draining daemon keeps its peer listener open for 1.5 s after the handover, because others read the partition rows once a second. Ruled out: fencing at once when the connection is refused; a network that refuses on behalf of a host that is cut off would then end a session that is still valid.

--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -25,7 +25,12 @@
 	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// linger is how long the peer listener stays open after the handover: the other daemons read the partition rows every
+	// second, and until then they still bring calls here, which are sent on.
+	linger = 1500 * time.Millisecond
+)
 
 // ErrDrainIncomplete says that the drain's time ran out before everything was handed over.
 var ErrDrainIncomplete = errors.New("daemon: drain did not finish in time")
@@ -111,15 +116,14 @@
 	d.Log.Info("drain started")
 	d.Ready.Drain()
 	handover := make(chan error, 1)
-	go func() { handover <- d.Manager.Drain(ctx) }()
-	notice := time.NewTimer(d.Settings.DrainNotice.Duration)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
-	}
+	go func() {
+		err := d.Manager.Drain(ctx)
+		wait(ctx, linger)
+		handover <- err
+	}()
+	wait(ctx, d.Settings.DrainNotice.Duration)
 	d.Gate.closed.Store(true)
-	err := errors.Join(<-handover, callers.stop(ctx), d.Keeper.Close(ctx), peers.stop(ctx))
+	err := errors.Join(callers.stop(ctx), <-handover, d.Keeper.Close(ctx), peers.stop(ctx))
 	d.Background.stop()
 	d.Service.Close()
 	d.Client.Close()
@@ -130,6 +134,15 @@
 	return nil
 }
 
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (d lifecycle) callerRoutes() *gin.Engine {
 	e := newEngine()
 	api.NewRequests(e, d.Requests)
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+// step is what one sending of a call meets.
+type step struct {
+	err   error
+	moved bool
+	takes time.Duration
+}
+
+type fakeOwners struct{ known atomic.Bool }
+
+func (f *fakeOwners) OwnerOf(string) (Owner, bool) { return Owner{Addr: "peer"}, f.known.Load() }
+
+// run routes a call whose sendings meet the given steps; the last step repeats.
+func run(steps ...step) (sent int, lost bool, err error, took time.Duration) {
+	owners := &fakeOwners{}
+	owners.known.Store(true)
+	began := time.Now()
+	_, lost, err = route(context.Background(), owners, call[bool]{
+		remote: func(context.Context, string) (bool, error) {
+			s := steps[min(sent, len(steps)-1)]
+			sent++
+			time.Sleep(s.takes)
+			return s.moved, s.err
+		},
+		moved: func(m bool) bool { return m },
+	})
+	return sent, lost, err, time.Since(began)
+}
+
+// TestRoute guards against a call that is held back after it was given up, one that is repeated without end, and a
+// "not run" that ignores an earlier sending.
+func TestRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a call to the owner of a partition", t, func() {
+			Convey("an answer is passed on", func() {
+				sent, lost, err, _ := run(step{})
+				So(err, ShouldBeNil)
+				So(lost, ShouldBeFalse)
+				So(sent, ShouldEqual, 1)
+			})
+			Convey("an owner that cannot be reached is reported at once", func() {
+				sent, _, err, took := run(step{err: peer.ErrNotSent})
+				So(errors.Is(err, ErrOwnerGone), ShouldBeTrue)
+				So(sent, ShouldEqual, 1)
+				So(took, ShouldEqual, 0)
+			})
+			Convey("a lost answer is asked for again, a bounded number of times", func() {
+				sent, lost, err, _ := run(step{err: peer.ErrLost})
+				So(errors.Is(err, ErrLost), ShouldBeTrue)
+				So(lost, ShouldBeTrue)
+				So(sent, ShouldEqual, 1+maxLost)
+			})
+			Convey("an answer after a loss says that an earlier sending may still run", func() {
+				_, lost, err, _ := run(step{err: peer.ErrLost}, step{})
+				So(err, ShouldBeNil)
+				So(lost, ShouldBeTrue)
+			})
+			Convey("an unreachable owner after a loss leaves the outcome open", func() {
+				_, lost, err, took := run(step{err: peer.ErrLost}, step{err: peer.ErrNotSent})
+				So(errors.Is(err, ErrLost), ShouldBeTrue)
+				So(lost, ShouldBeTrue)
+				So(took, ShouldBeLessThanOrEqualTo, ownerWait+ownerInterval)
+			})
+			Convey("a partition that stays without owner is given up after the wait", func() {
+				_, _, err, took := run(step{moved: true})
+				So(errors.Is(err, ErrNoOwner), ShouldBeTrue)
+				So(took, ShouldBeLessThanOrEqualTo, ownerWait+ownerInterval)
+			})
+			Convey("a call that waited in the queue of the old owner reaches the new one", func() {
+				sent, _, err, _ := run(step{moved: true, takes: 3 * time.Second}, step{moved: true}, step{})
+				So(err, ShouldBeNil)
+				So(sent, ShouldEqual, 3)
+			})
+		})
+	})
+}
+
+// TestSettle guards against telling a caller "not run" while an earlier sending of the request may still run.
+func TestSettle(t *testing.T) {
+	Convey("Given an outcome of routing", t, func() {
+		refusal := request.Refuse(request.CodeAllowanceRate, "", time.Second)
+		So(settle(refusal, false, nil).Outcome, ShouldEqual, request.NotRun)
+		So(settle(refusal, true, nil).Outcome, ShouldEqual, request.Unknown)
+		So(settle(request.Outcome{Outcome: request.Done}, true, nil).Outcome, ShouldEqual, request.Done)
+		So(settle(request.Outcome{}, true, ErrLost).Outcome, ShouldEqual, request.Unknown)
+		gone := settle(request.Outcome{}, false, ErrOwnerGone)
+		So(gone.Outcome, ShouldEqual, request.NotRun)
+		So(gone.RetryAfterMS, ShouldEqual, ownerGoneRetry.Milliseconds())
+	})
+}
+
+// fakeService records the requests that reach the owner.
+type fakeService struct{ requests chan request.Request }
+
+func (f *fakeService) Submit(_ context.Context, _ string, r request.Request) request.Outcome {
+	f.requests <- r
+	return request.Outcome{Outcome: request.Done, Result: []byte(`"` + r.Key + `"`)}
+}
+
+func (f *fakeService) Lookup(string, string, string) request.Outcome {
+	return request.Outcome{Outcome: request.Done}
+}
+
+type ownerAt string
+
+func (o ownerAt) OwnerOf(string) (Owner, bool) { return Owner{Addr: string(o)}, true }
+
+// TestForward guards against a forwarded request that loses its key, its customer or the rest of its timeout.
+func TestForward(t *testing.T) {
+	Convey("Given two daemons, of which the other owns the customer", t, func() {
+		gin.SetMode(gin.TestMode)
+		svc := &fakeService{requests: make(chan request.Request, 1)}
+		open := func() bool { return false }
+		client := peer.NewClient("secret")
+		Reset(client.Close)
+		e := gin.New()
+		owner := NewRequests(nil, client, svc, []string{"textos"}, open)
+		peer.Handle(e.Group("/", peer.Authenticate("secret")), PathRequest, owner.ServeRequest)
+		srv := httptest.NewServer(e)
+		Reset(srv.Close)
+		entry := NewRequests(ownerAt(strings.TrimPrefix(srv.URL, "http://")), client, nil, []string{"textos"}, open)
+		r := request.Request{Service: "textos", Customer: "c", Key: "k", Class: request.Urgent, TimeoutMS: 9000}
+		out := entry.Submit(context.Background(), r)
+		So(out.Outcome, ShouldEqual, request.Done)
+		So(string(out.Result), ShouldEqual, `"k"`)
+		got := <-svc.requests
+		So(got.TimeoutMS, ShouldBeBetweenOrEqual, 1, 9000)
+		got.TimeoutMS = r.TimeoutMS
+		So(got, ShouldResemble, r)
+		Convey("an unknown service and a closed gate are refused without asking anyone", func() {
+			r.Service = "other"
+			So(entry.Submit(context.Background(), r).Code, ShouldEqual, request.CodeNotFound)
+			r.Service = "textos"
+			entry.refuse = func() bool { return true }
+			So(entry.Submit(context.Background(), r).Code, ShouldEqual, request.CodeDraining)
+			So(len(svc.requests), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -89,6 +89,8 @@
 	switch {
 	case errors.Is(err, ErrLost):
 		return refused(job.CodeOutcomeUnknown, "the owner's answer was lost; repeat with the same key", job.KeptMaybe, time.Second)
+	case errors.Is(err, ErrOwnerGone):
+		return refused(job.CodeNoOwner, "the owner of the pool's partition cannot be reached", job.KeptNothing, ownerGoneRetry)
 	case err != nil:
 		return refused(job.CodeNoOwner, "the pool's partition changes its owner", job.KeptNothing, noOwnerRetry)
 	case lost && a.Refusal != nil && a.Refusal.Kept == job.KeptNothing:
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -19,8 +19,11 @@
 // answerSlack is the time beyond the caller's timeout in which the owner's final answer may still arrive.
 const answerSlack = 500 * time.Millisecond
 
-// noOwnerRetry tells a caller when to come back while a partition has no owner.
-const noOwnerRetry = 2 * time.Second
+// Times that tell a caller when to come back.
+const (
+	noOwnerRetry   = time.Second     // the partition is being handed over or claimed
+	ownerGoneRetry = 5 * time.Second // a takeover: 4.5 s until the session is fenced, then the claim
+)
 
 // Service runs requests on the owner of their partition. request.Service implements it.
 type Service interface {
@@ -109,6 +112,8 @@
 	switch {
 	case errors.Is(err, ErrLost):
 		return request.Undecided(request.CodeOutcomeUnknown, "the owner's answer was lost; ask by key")
+	case errors.Is(err, ErrOwnerGone):
+		return request.Refuse(request.CodeNoOwner, "the owner of the customer's partition cannot be reached", ownerGoneRetry)
 	case err != nil:
 		return request.Refuse(request.CodeNoOwner, "the customer's partition changes its owner", noOwnerRetry)
 	case lost && o.Outcome == request.NotRun:
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// ownerWait is how long a call waits for a partition that changes its owner. A handover takes less; a takeover
-	// takes several seconds, and then the caller is told at once to come back.
+	// ownerWait is how long a call waits for a partition that is handed over.
 	ownerWait     = 500 * time.Millisecond
 	ownerInterval = 20 * time.Millisecond
 	// maxLost bounds how often a call is repeated after its answer was lost.
@@ -22,6 +21,9 @@
 var (
 	// ErrNoOwner says that no daemon owns the partition now; nothing was run.
 	ErrNoOwner = errors.New("entry: partition has no owner")
+	// ErrOwnerGone says that the owner cannot be reached; nothing was run. Until it is fenced, which takes several
+	// seconds, no other daemon can take the partition.
+	ErrOwnerGone = errors.New("entry: owner cannot be reached")
 	// ErrLost says that the owner may have taken the call but its answer did not arrive.
 	ErrLost = errors.New("entry: answer of the owner was lost")
 )
@@ -67,6 +69,8 @@
 				return answer, true, ErrLost
 			}
 			continue
+		case errors.Is(err, peer.ErrNotSent) && losses == 0:
+			return answer, false, ErrOwnerGone
 		case ctx.Err() != nil || !time.Now().Before(giveUp):
 			if losses > 0 {
 				return answer, true, ErrLost
