--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/greengagewing/greengagewing/internal/api"
 	"github.com/greengagewing/greengagewing/internal/entry"
 	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
@@ -42,6 +42,7 @@
 	Settings   *settings.Settings
 	Log        *zap.Logger
 	Page       http.Handler
+	Network    network.Network
 	Background *background
 	Ready      *admin.Readiness
 	States     *admin.States
@@ -75,8 +76,8 @@
 	return &server{name: name, addr: addr, http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}
 }
 
-func (s *server) start(log *zap.Logger) error {
-	l, err := net.Listen("tcp", s.addr)
+func (s *server) start(listen network.ListenFunc, log *zap.Logger) error {
+	l, err := listen("tcp", s.addr)
 	if err != nil {
 		return errors.Wrap(err, s.name+" listener")
 	}
@@ -100,11 +101,11 @@
 		func() error {
 			// The peer listener comes first: a session must never be live while its address refuses connections,
 			// because others take a refused connection as proof that the process is gone.
-			if err := peers.start(d.Log); err != nil {
+			if err := peers.start(d.Network.Listen, d.Log); err != nil {
 				return err
 			}
 			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, d.Beats)
-			return callers.start(d.Log)
+			return callers.start(d.Network.Listen, d.Log)
 		},
 		func(ctx context.Context) error { return d.drain(ctx, callers, peers) },
 	))
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/settings"
 )
 
@@ -39,7 +40,7 @@
 		return exitOK
 	}
 	app := fx.New(
-		fx.Supply(s),
+		fx.Supply(s, network.TCP()),
 		fx.WithLogger(quietLogger),
 		fx.StopTimeout(stopTimeout(s)),
 		Module,
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -19,6 +19,7 @@
 	"github.com/greengagewing/greengagewing/internal/job"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
@@ -94,13 +95,18 @@
 	b.wg.Wait()
 }
 
-func newTable(s *settings.Settings) table.Client { return table.NewHTTPClient(s.Table.String()) }
+func newTable(s *settings.Settings, n network.Network) table.Client {
+	return table.NewHTTPClient(s.Table.String(), table.DialFunc(n.Dial))
+}
 
-func newMembership(s *settings.Settings) *membership.List {
-	return membership.NewList(membership.HTTPFetcher{Addr: s.Membership.String(), Client: &http.Client{}})
+func newMembership(s *settings.Settings, n network.Network) *membership.List {
+	hc := &http.Client{Transport: &http.Transport{DialContext: n.Dial}}
+	return membership.NewList(membership.HTTPFetcher{Addr: s.Membership.String(), Client: hc})
 }
 
-func newPeerClient(s *settings.Settings) *peer.Client { return peer.NewClient(s.Secret) }
+func newPeerClient(s *settings.Settings, n network.Network) *peer.Client {
+	return peer.NewClient(s.Secret, n.Dial)
+}
 
 func newSessionConfig(s *settings.Settings, log *zap.Logger) session.Config {
 	addr := s.PeerListen.String()
@@ -159,16 +165,17 @@
 }
 
 func newRequestService(j *journal.Committer, m *membership.List, l *lists, lender *peer.Lender, scope tally.Scope,
-	log *zap.Logger) *request.Service {
+	log *zap.Logger, n network.Network) *request.Service {
 	return request.NewService(request.Config{}, request.Deps{
 		Journal: j, Claims: claims, Members: m, Plans: l.lookup, Lender: lender,
-		Scope: scope.SubScope("request"), Log: log,
+		Scope: scope.SubScope("request"), Log: log, Dial: n.Dial,
 	})
 }
 
-func newPool(j *journal.Committer, m *membership.List, l *lists, scope tally.Scope, log *zap.Logger) *job.Pool {
+func newPool(j *journal.Committer, m *membership.List, l *lists, scope tally.Scope, log *zap.Logger,
+	n network.Network) *job.Pool {
 	return job.New(job.Config{}, job.Deps{
-		Journals: j, Members: m, Plans: l.lookup, Workers: worker.NewHTTPClient(), Metrics: scope.SubScope("job"), Log: log,
+		Journals: j, Members: m, Plans: l.lookup, Workers: worker.NewHTTPClient(n.Dial), Metrics: scope.SubScope("job"), Log: log,
 	})
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,8 @@
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/greengagewing/greengagewing/internal/network"
+
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
 )
@@ -129,7 +131,7 @@
 		gin.SetMode(gin.TestMode)
 		svc := &fakeService{requests: make(chan request.Request, 1)}
 		open := func() bool { return false }
-		client := peer.NewClient("secret")
+		client := peer.NewClient("secret", network.TCP().Dial)
 		Reset(client.Close)
 		e := gin.New()
 		owner := NewRequests(nil, client, svc, []string{"textos"}, open)
--- a/internal/job/worker/client.go
+++ b/internal/job/worker/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/network"
 )
 
 const (
@@ -30,9 +32,9 @@
 }
 
 // NewHTTPClient returns a client with its own connections.
-func NewHTTPClient() *HTTPClient {
+func NewHTTPClient(dial network.DialFunc) *HTTPClient {
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         network.WithTimeout(dial, dialTimeout),
 		MaxConnsPerHost:     connsPerWorker,
 		MaxIdleConnsPerHost: connsPerWorker,
 		IdleConnTimeout:     idleConnLimit,
--- /dev/null
+++ b/internal/network/network.go
@@ -0,0 +1,29 @@
+// Package network is how a process reaches others: TCP in a daemon, memory in tests with virtual time.
+package network
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// DialFunc opens a connection; it has the form of net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// ListenFunc opens a listener; it has the form of net.Listen.
+type ListenFunc func(network, addr string) (net.Listener, error)
+
+// Network opens connections and listeners.
+type Network struct {
+	Dial   DialFunc
+	Listen ListenFunc
+}
+
+// WithTimeout bounds the time that dial takes.
+func WithTimeout(dial DialFunc, d time.Duration) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, d)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/network"
 )
 
 const (
@@ -56,18 +58,19 @@
 // Client calls other daemons. It is safe for concurrent use.
 type Client struct {
 	secret string
+	dial   network.DialFunc
 	hc     *http.Client
 }
 
 // NewClient returns a client that authenticates with secret.
-func NewClient(secret string) *Client {
+func NewClient(secret string, dial network.DialFunc) *Client {
 	tr := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:           network.WithTimeout(dial, dialTimeout),
 		ResponseHeaderTimeout: headerTimeout,
 		MaxIdleConnsPerHost:   maxIdlePerPeer,
 		IdleConnTimeout:       idleTimeout,
 	}
-	return &Client{secret: secret, hc: &http.Client{Transport: tr}}
+	return &Client{secret: secret, dial: dial, hc: &http.Client{Transport: tr}}
 }
 
 // Close closes the idle connections.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,6 +12,8 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/network"
 )
 
 type ping struct {
@@ -39,7 +41,7 @@
 		Reset(srv.Close)
 		addr := strings.TrimPrefix(srv.URL, "http://")
 		call := func(secret, addr string, n int) (ping, error) {
-			c := NewClient(secret)
+			c := NewClient(secret, network.TCP().Dial)
 			defer c.Close()
 			return Call[ping](context.Background(), c, addr, "/peer/v1/ping", ping{n})
 		}
@@ -89,7 +91,7 @@
 					go func() { _, _ = io.Copy(io.Discard, conn) }()
 				}
 			}()
-			c := NewClient("s")
+			c := NewClient("s", network.TCP().Dial)
 			defer c.Close()
 			_, err = Call[ping](context.Background(), c, l.Addr().String(), "/peer/v1/ping", ping{})
 			So(errors.Is(err, ErrLost), ShouldBeTrue)
@@ -118,7 +120,7 @@
 		So(err, ShouldBeNil)
 		So(strings.TrimSpace(string(got)), ShouldEqual, "{}")
 		close(release)
-		c := NewClient("s")
+		c := NewClient("s", network.TCP().Dial)
 		defer c.Close()
 		p, err := Call[ping](context.Background(), c, strings.TrimPrefix(srv.URL, "http://"), "/peer/v1/ping", ping{7})
 		So(err, ShouldBeNil)
--- a/internal/peer/sessions.go
+++ b/internal/peer/sessions.go
@@ -36,7 +36,7 @@
 // Probe implements session.PeerCaller. The probe uses a connection of its own, because a pooled one may still be open
 // to a host whose process is gone.
 func (s Sessions) Probe(ctx context.Context, addr string) (session.ProbeReply, error) {
-	c := NewClient(s.Client.secret)
+	c := NewClient(s.Client.secret, s.Client.dial)
 	defer c.Close()
 	reply, err := Call[session.ProbeReply](ctx, c, addr, pathProbe, struct{}{})
 	if errors.Is(err, ErrRefused) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -209,7 +209,7 @@
 			So(runs(), ShouldResemble, map[string]int{"new": 1, "up": 1})
 		})
 		Convey("a response that the table loses belongs to a write that took effect", func() {
-			tc := table.NewHTTPClient(p.TableAddr())
+			tc := table.NewHTTPClient(p.TableAddr(), nil)
 			Reset(tc.Close)
 			fault(`{"target":"table","lose_responses":1}`)
 			_, err := tc.Commit(t.Context(), table.Txn{Ops: []table.Op{{Key: "x"}}})
--- a/table/http.go
+++ b/table/http.go
@@ -33,10 +33,16 @@
 	hc   *http.Client
 }
 
-// NewHTTPClient returns a client of the service at addr, an IP:port.
-func NewHTTPClient(addr string) *HTTPClient {
+// DialFunc opens a connection; it has the form of net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NewHTTPClient returns a client of the service at addr, an IP:port. A nil dial means TCP.
+func NewHTTPClient(addr string, dial DialFunc) *HTTPClient {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     10 * time.Second,
 	}
--- a/table/memory_test.go
+++ b/table/memory_test.go
@@ -20,7 +20,7 @@
 		Reset(srv.Close)
 		ctx := context.Background()
 		for name, c := range map[string]table.Client{
-			"memory": mem, "http": table.NewHTTPClient(strings.TrimPrefix(srv.URL, "http://")),
+			"memory": mem, "http": table.NewHTTPClient(strings.TrimPrefix(srv.URL, "http://"), nil),
 		} {
 			Convey(name+": conditions are all or nothing", func() {
 				put := func(key string, at int64) error {
