--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -9,11 +9,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/network"
 )
 
 // endpoint is one HTTP listener with the network faults that it can play.
 type endpoint struct {
 	handler  http.Handler
+	network  network.ListenFunc
 	maxConns int // 0: unlimited
 	onConns  func(open int, overLimit bool)
 
@@ -29,7 +32,7 @@
 func (e *endpoint) listen(addr string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l, err := net.Listen("tcp", addr)
+	l, err := e.network("tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -63,6 +64,7 @@
 	CompareEpochs  bool          // workers refuse commands of older epochs
 	UsageRatio     float64       // real usage of a task relative to its declared size; 0 means 1
 	UsageLag       time.Duration
+	Listen         network.ListenFunc // nil: TCP
 }
 
 // Platform is a running platform on 127.0.0.1.
@@ -71,6 +73,7 @@
 	Membership *Membership
 	Audit      *Audit
 
+	listenOn  network.ListenFunc
 	saved     checkpoints
 	endpoints []*endpoint
 	table     *endpoint
@@ -113,6 +116,10 @@
 }
 
 func (p *Platform) start(ctx context.Context, cfg Config) error {
+	p.listenOn = cfg.Listen
+	if p.listenOn == nil {
+		p.listenOn = network.TCP().Listen
+	}
 	if err := p.startTable(cfg.TablePort); err != nil {
 		return err
 	}
@@ -147,6 +154,7 @@
 		port = 0
 	}
 	p.endpoints = append(p.endpoints, e)
+	e.network = p.listenOn
 	return e.listen(net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 }
 
