Test lanes and request slice; refuse what cannot end in time

Admission now adds the expected run time to the estimated wait. A request that need not wait is always accepted, so a wrong average cannot lock a customer out.

--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -377,8 +377,8 @@
 		return no(CodeQueueFull, "too many requests queued", retryAfter(wait))
 	case p.router.usable == 0 && idle == 0:
 		return no(CodeNoMinion, "no minion serves the partition", noMinionRetry)
-	case wait > c.req.Timeout() && idle == 0:
-		return no(CodeDeadlineUnreachable, "the estimated wait exceeds the deadline", retryAfter(wait))
+	case idle == 0 && (wait > c.req.Timeout() || p.queue.Hopeless(c.req.Customer, lane, c.req.Timeout())):
+		return no(CodeDeadlineUnreachable, "the estimated wait and run time exceed the deadline", retryAfter(wait))
 	}
 	if after, ok := a.bucket.take(now, allowed.RequestsPerSecond, allowed.Burst); !ok {
 		return no(CodeAllowanceRate, "too many requests a second", retryAfter(after))
--- /dev/null
+++ b/internal/request/service_test.go
@@ -0,0 +1,507 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/greengagewing/greengagewing/internal/membership"
+)
+
+const part = "request/textos/3"
+
+// inBubble runs a test of a partition with the given number of minions in virtual time.
+func inBubble(t *testing.T, title string, minions int, body func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(title, t, func() {
+			b := newBench(part, minions, nil)
+			defer b.close()
+			body(b)
+		})
+	})
+}
+
+// TestAnswers guards against success on an answer that is not whole or not the attempt's own, against "not run" without
+// certainty, and against the reuse of a connection that carried such an answer.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		fault      string
+		once, many Result // outcome of non-idempotent and of idempotent requests
+		reusable   bool
+	}{
+		{"", Done, Done, true},
+		{"lost", Unknown, Unknown, false},
+		{"crossed", Unknown, Unknown, false},
+		{"unnamed", Unknown, Unknown, false},
+		{"truncated", Unknown, Unknown, false},
+		{"corrupted", Unknown, Unknown, false},
+		{"error", Unknown, Unknown, false},
+		{"crossed refusal", Unknown, Unknown, false},
+		{"refuse", NotRun, NotRun, false},
+		{"leaving", NotRun, NotRun, false},
+	} {
+		inBubble(t, "Fault "+c.fault, 3, func(b *bench) {
+			o := b.once(time.Second, job{Key: "k", Fault: c.fault})
+			So(o.Outcome, ShouldEqual, c.once)
+			So(b.net.runsOf("k"), ShouldBeLessThanOrEqualTo, 1)
+			again := b.once(time.Second, job{Key: "k", Fault: c.fault})
+			if c.once == NotRun {
+				So(StatusOf(o), ShouldEqual, http.StatusServiceUnavailable)
+				So(o.RetryAfterMS, ShouldBeGreaterThan, 0)
+			} else {
+				So(again.Outcome, ShouldEqual, o.Outcome)
+				So(again.Code, ShouldEqual, o.Code)
+				So(b.net.runsOf("k"), ShouldBeLessThanOrEqualTo, 1)
+			}
+		})
+		inBubble(t, "Fault with retries "+c.fault, 3, func(b *bench) {
+			o := b.Submit(context.Background(), part, b.request(true, time.Second, job{Key: "k", Fault: c.fault}))
+			So(o.Outcome, ShouldEqual, c.many)
+			So(b.net.runsOf("k"), ShouldBeLessThanOrEqualTo, 1+maxRetries)
+		})
+		inBubble(t, "Connection after fault "+c.fault, 1, func(b *bench) {
+			b.once(time.Second, job{Key: "k", Fault: c.fault})
+			before := b.net.dialed()
+			b.once(time.Second, job{Key: "next"})
+			if c.reusable {
+				So(b.net.dialed(), ShouldEqual, before)
+			} else if c.fault != "leaving" {
+				So(b.net.dialed(), ShouldEqual, before+1)
+			}
+		})
+	}
+	inBubble(t, "A duplicated answer is not taken for the next attempt's", 1, func(b *bench) {
+		So(b.once(time.Second, job{Key: "k", Fault: "duplicated"}).Outcome, ShouldEqual, Done)
+		o := b.once(time.Second, job{Key: "next"})
+		So(o.Outcome == Done && string(o.Result) == `{"key":"k"}`, ShouldBeFalse)
+		So(b.net.runsOf("next"), ShouldBeLessThanOrEqualTo, 1)
+	})
+	inBubble(t, "An answer after the caller's deadline is recorded but not invented", 1, func(b *bench) {
+		o := b.once(time.Second, job{Key: "k", MS: 3000})
+		So(o.Outcome, ShouldEqual, Unknown)
+		So(b.Lookup(part, b.customer, "k").Code, ShouldEqual, CodeInProgress)
+		So(StatusOf(b.Lookup(part, b.customer, "k")), ShouldEqual, http.StatusAccepted)
+		time.Sleep(3 * time.Second)
+		So(b.Lookup(part, b.customer, "k").Outcome, ShouldEqual, Done)
+		So(b.Lookup(part, b.customer, "other").Code, ShouldEqual, CodeNotFound)
+	})
+}
+
+// TestKeys guards against a second run of a key that is known or running, and against a record that changes because the
+// caller went away.
+func TestKeys(t *testing.T) {
+	inBubble(t, "A running key is joined, a known one answered, both without allowance", 1, func(b *bench) {
+		for i, idempotent := range []bool{false, true} {
+			j := job{Key: fmt.Sprint("k", i), MS: 500}
+			ctx, cancel := context.WithCancel(context.Background())
+			gone := make(chan Outcome, 1)
+			go func() { gone <- b.Submit(ctx, part, b.request(idempotent, 5*time.Second, j)) }()
+			synctest.Wait()
+			joined := b.async(b.request(idempotent, 5*time.Second, j))
+			synctest.Wait()
+			cancel()
+			So((<-gone).Outcome, ShouldEqual, Unknown)
+			So((<-joined).Outcome, ShouldEqual, Done)
+			b.lists.mu.Lock()
+			b.lists.allowed.Concurrency = 0
+			b.lists.mu.Unlock()
+			So(b.Submit(context.Background(), part, b.request(idempotent, time.Second, j)).Outcome, ShouldEqual, Done)
+			So(b.net.runsOf(j.Key), ShouldEqual, 1)
+			j.MS++
+			o := b.Submit(context.Background(), part, b.request(idempotent, time.Second, j))
+			So(o.Code, ShouldEqual, CodeKeyReused)
+			So(StatusOf(o), ShouldEqual, http.StatusUnprocessableEntity)
+			b.lists.mu.Lock()
+			b.lists.allowed.Concurrency = 10
+			b.lists.mu.Unlock()
+		}
+	})
+}
+
+// TestTakeover guards against a second run after the owner was lost in mid-request, and against more than 8 attempts on
+// a minion that still runs the predecessor's.
+func TestTakeover(t *testing.T) {
+	inBubble(t, "A new owner never sends what its predecessor claimed", 1, func(b *bench) {
+		var running []<-chan Outcome
+		for i := range 8 {
+			running = append(running, b.async(b.request(false, 9*time.Second, job{Key: fmt.Sprint("old", i), MS: 8000})))
+		}
+		synctest.Wait()
+		queued := b.async(b.request(false, 9*time.Second, job{Key: "queued"}))
+		time.Sleep(time.Second)
+		b.guard.mu.Lock()
+		b.guard.lost = true
+		b.guard.mu.Unlock()
+		n := b.successor()
+		defer n.Close()
+		time.Sleep(100 * time.Millisecond)
+		b.Stop(context.Background(), part, false)
+		So((<-queued).Code, ShouldEqual, CodeNoOwner)
+		So(n.once(time.Second, job{Key: "old0", MS: 8000}).Outcome, ShouldEqual, Unknown)
+		So(n.once(time.Second, job{Key: "new"}).Code, ShouldEqual, CodeDeadlineUnreachable)
+		patient := n.async(n.request(true, 10*time.Second, job{Key: "patient"}))
+		for _, r := range running {
+			So((<-r).Outcome, ShouldEqual, Done)
+		}
+		So((<-patient).Outcome, ShouldEqual, Done)
+		So(b.mostRunning(), ShouldEqual, 8)
+		for i := range 8 {
+			So(b.net.runsOf(fmt.Sprint("old", i)), ShouldEqual, 1)
+		}
+		So(b.net.runsOf("queued"), ShouldEqual, 0)
+	})
+	inBubble(t, "Slots that the minion reports idle are used at once", 1, func(b *bench) {
+		b.guard.mu.Lock()
+		b.guard.lost = true
+		b.guard.mu.Unlock()
+		b.net.set(func() { b.net.idle = "2" })
+		n := b.successor()
+		defer n.Close()
+		time.Sleep(10 * time.Millisecond) // rate counters restart empty
+		for i := range 4 {
+			n.async(n.request(true, 5*time.Second, job{Key: fmt.Sprint(i), MS: 1000}))
+		}
+		time.Sleep(500 * time.Millisecond)
+		So(b.mostRunning(), ShouldEqual, 2)
+		time.Sleep(10 * time.Second)
+	})
+	inBubble(t, "An owner that lost its partition sends nothing", 1, func(b *bench) {
+		b.guard.mu.Lock()
+		b.guard.lost = true
+		b.guard.mu.Unlock()
+		So(b.once(time.Second, job{Key: "k"}).Code, ShouldEqual, CodeNoOwner)
+		So(b.ExecuteLoan(context.Background(), Loan{Service: service, AttemptID: "a", Lane: Urgent, TimeoutMS: 1000}).Status,
+			ShouldEqual, LoanRefused)
+		So(len(b.net.served), ShouldEqual, 0)
+	})
+}
+
+// TestJournalOutage guards against a non-idempotent request that is sent without a durable claim, and against idempotent
+// ones that stop with the store.
+func TestJournalOutage(t *testing.T) {
+	inBubble(t, "While claims hang, requests expire without running, also after the journal is back", 1, func(b *bench) {
+		b.store.mu.Lock()
+		b.store.hang = make(chan struct{})
+		b.store.mu.Unlock()
+		hung := b.async(b.request(false, 2*time.Second, job{Key: "hung"}))
+		synctest.Wait()
+		So(b.Submit(context.Background(), part, b.request(true, time.Second, job{Key: "i"})).Outcome, ShouldEqual, Done)
+		start := time.Now()
+		o := <-hung
+		So(time.Since(start), ShouldEqual, 2*time.Second)
+		So(o.Outcome, ShouldEqual, NotRun)
+		So(o.Code, ShouldEqual, CodeStoreUnavailable)
+		So(o.RetryAfterMS, ShouldBeGreaterThan, 0)
+		b.store.mu.Lock()
+		close(b.store.hang)
+		b.store.hang, b.store.sick = nil, true
+		b.store.mu.Unlock()
+		time.Sleep(time.Second)
+		So(b.net.runsOf("hung"), ShouldEqual, 0)
+		start = time.Now()
+		So(b.once(time.Second, job{Key: "sick"}).Code, ShouldEqual, CodeStoreUnavailable)
+		So(time.Since(start), ShouldEqual, 0)
+		b.store.mu.Lock()
+		b.store.sick = false
+		b.store.mu.Unlock()
+		So(b.once(time.Second, job{Key: "hung"}).Outcome, ShouldEqual, Done)
+	})
+}
+
+// TestQueue guards against requests that outlive their deadline in the queue, refusals without a time to come back,
+// claims that stay open, and allowances that are read once only.
+func TestQueue(t *testing.T) {
+	inBubble(t, "An expired request is answered at its deadline and its claim is finished", 1, func(b *bench) {
+		for i := range 8 {
+			b.async(b.request(true, 9*time.Second, job{Key: fmt.Sprint(i), MS: 4000}))
+		}
+		synctest.Wait()
+		start := time.Now()
+		o := b.once(700*time.Millisecond, job{Key: "late"})
+		So(time.Since(start), ShouldEqual, 700*time.Millisecond)
+		So(o.Code, ShouldEqual, CodeExpired)
+		So(StatusOf(o), ShouldEqual, http.StatusTooManyRequests)
+		So(o.RetryAfterMS, ShouldBeGreaterThan, 0)
+		So(b.Lookup(part, b.customer, "late").Outcome, ShouldEqual, NotRun)
+		time.Sleep(4 * time.Second)
+		So(b.net.runsOf("late"), ShouldEqual, 0)
+		for i := range 8 {
+			b.async(b.request(true, 9*time.Second, job{Key: fmt.Sprint("again", i), MS: 4000}))
+		}
+		synctest.Wait()
+		start = time.Now()
+		o = b.once(100*time.Millisecond, job{Key: "late"})
+		So(time.Since(start), ShouldEqual, 0)
+		So(o.Code, ShouldEqual, CodeDeadlineUnreachable)
+		So(o.RetryAfterMS, ShouldBeGreaterThan, 100)
+		So(b.once(9*time.Second, job{Key: "late"}).Outcome, ShouldEqual, Done)
+	})
+	inBubble(t, "Each limit of the plan holds and an edit is in force at once", 1, func(b *bench) {
+		submit := func(customer, key string) Outcome {
+			r := b.request(true, time.Second, job{Key: key})
+			r.Customer = customer
+			return b.Submit(context.Background(), part, r)
+		}
+		So(submit(b.customer, "0").Outcome, ShouldEqual, Done)
+		b.lists.allowed.Burst = 1
+		b.lists.allowed.RequestsPerSecond = 0.5
+		So(submit(b.customer, "1").Outcome, ShouldEqual, Done)
+		o := submit(b.customer, "2")
+		So(o.Code, ShouldEqual, CodeAllowanceRate)
+		So(o.RetryAfterMS, ShouldEqual, 2000)
+		time.Sleep(2 * time.Second)
+		So(submit(b.customer, "2").Outcome, ShouldEqual, Done)
+		b.lists.allowed.Burst = 1000
+		b.lists.allowed.RequestsPerSecond = 1000
+		time.Sleep(time.Second)
+		for i := range 8 {
+			b.async(b.request(true, 9*time.Second, job{Key: fmt.Sprint("busy", i), MS: 2000}))
+		}
+		synctest.Wait()
+		b.lists.mu.Lock()
+		b.lists.allowed.Queue = 0
+		b.lists.mu.Unlock()
+		So(submit(b.customer, "3").Code, ShouldEqual, CodeQueueFull)
+		b.lists.mu.Lock()
+		b.lists.allowed.Concurrency = 8
+		b.lists.mu.Unlock()
+		So(submit(b.customer, "3").Code, ShouldEqual, CodeAllowanceConcurrency)
+		time.Sleep(3 * time.Second)
+		So(submit(b.customer, "3").Outcome, ShouldEqual, Done)
+	})
+}
+
+// TestMinions guards against new work for a minion that leaves, against a failing minion that keeps attracting work, and
+// against an attempt on a connection that has gone silent.
+func TestMinions(t *testing.T) {
+	inBubble(t, "A minion that says it leaves gets nothing more", 2, func(b *bench) {
+		So(b.once(time.Second, job{Key: "k", Fault: "leaving"}).Outcome, ShouldEqual, NotRun)
+		So(len(b.lists.said), ShouldEqual, 1)
+		for i := range 50 {
+			So(b.once(time.Second, job{Key: fmt.Sprint(i)}).Outcome, ShouldEqual, Done)
+		}
+		for id := range b.lists.said {
+			So(b.net.served[id+":1"], ShouldEqual, 1)
+		}
+	})
+	inBubble(t, "A minion that the list shows as leaving finishes its work and gets nothing more", 1, func(b *bench) {
+		running := b.async(b.request(true, 5*time.Second, job{Key: "running", MS: 3000}))
+		synctest.Wait()
+		m := b.lists.minions[0]
+		m.Leaving = true
+		b.lists.mu.Lock()
+		b.lists.minions = []membership.Endpoint{m}
+		b.lists.mu.Unlock()
+		time.Sleep(refreshInterval + time.Millisecond)
+		So(b.once(time.Second, job{Key: "k"}).Code, ShouldEqual, CodeNoMinion)
+		So((<-running).Outcome, ShouldEqual, Done)
+		So(b.net.served[m.Addr], ShouldEqual, 1)
+	})
+	inBubble(t, "A minion that fails three times is ejected and tried again, one attempt at a time", 1, func(b *bench) {
+		addr := b.lists.minions[0].Addr
+		b.net.set(func() { b.net.down[addr] = true })
+		for i := range 3 {
+			So(b.once(time.Second, job{Key: fmt.Sprint("f", i)}).Code, ShouldEqual, CodeMinionFailed)
+		}
+		So(b.once(500*time.Millisecond, job{Key: "ejected"}).Code, ShouldEqual, CodeDeadlineUnreachable)
+		time.Sleep(900 * time.Millisecond)
+		b.net.set(func() { delete(b.net.down, addr) })
+		first := b.async(b.request(true, 5*time.Second, job{Key: "trial", MS: 300}))
+		second := b.async(b.request(true, 5*time.Second, job{Key: "after", MS: 300}))
+		So((<-first).Outcome, ShouldEqual, Done)
+		So((<-second).Outcome, ShouldEqual, Done)
+		So(b.mostRunning(), ShouldEqual, 1)
+	})
+	inBubble(t, "A silent connection is found by the probe before a non-idempotent attempt uses it", 1, func(b *bench) {
+		So(b.once(time.Second, job{Key: "0"}).Outcome, ShouldEqual, Done)
+		So(b.once(time.Second, job{Key: "1"}).Outcome, ShouldEqual, Done)
+		So(b.net.dialed(), ShouldEqual, 1)
+		b.net.set(func() { b.net.silent = true })
+		time.Sleep(probeAfter)
+		next := b.async(b.request(false, 3*time.Second, job{Key: "2"}))
+		time.Sleep(probeTimeout / 2)
+		// Only the old connection is silent: it reads the probe and nothing else.
+		b.net.set(func() { b.net.silent = false })
+		So((<-next).Outcome, ShouldEqual, Done)
+		So(b.net.dialed(), ShouldEqual, 2)
+		So(b.net.runsOf("2"), ShouldEqual, 1)
+	})
+}
+
+// TestRetryBudget guards against retries that multiply the load when everything fails.
+func TestRetryBudget(t *testing.T) {
+	inBubble(t, "Retries stay within a tenth of the requests and the saved budget", 20, func(b *bench) {
+		for i := range 400 {
+			fault := "" // every other request succeeds, so that minions stay in service
+			if i%2 == 0 {
+				fault = "refuse"
+			}
+			b.Submit(context.Background(), part, b.request(true, 100*time.Millisecond, job{Key: fmt.Sprint(i), Fault: fault}))
+			time.Sleep(time.Second)
+		}
+		served := 0
+		for _, n := range b.net.served {
+			served += n
+		}
+		So(served, ShouldBeGreaterThan, 400)
+		So(served, ShouldBeLessThanOrEqualTo, 400+retryBurst+40)
+	})
+}
+
+// TestDrain guards against a planned stop that cuts running requests or leaves queued ones waiting.
+func TestDrain(t *testing.T) {
+	inBubble(t, "A handover answers what is queued and waits for what runs", 1, func(b *bench) {
+		var running []<-chan Outcome
+		for i := range 8 {
+			running = append(running, b.async(b.request(false, 9*time.Second, job{Key: fmt.Sprint(i), MS: 3000})))
+		}
+		synctest.Wait()
+		queued := b.async(b.request(false, 9*time.Second, job{Key: "queued"}))
+		synctest.Wait()
+		start := time.Now()
+		stopped := make(chan struct{})
+		go func() { b.Stop(context.Background(), part, true); close(stopped) }()
+		o := <-queued
+		So(time.Since(start), ShouldEqual, 0)
+		So(o.Outcome, ShouldEqual, NotRun)
+		So(o.Code, ShouldEqual, CodeDraining)
+		So(o.RetryAfterMS, ShouldBeBetweenOrEqual, 1, 1000)
+		So(b.once(time.Second, job{Key: "new"}).Code, ShouldEqual, CodeDraining)
+		<-stopped
+		So(time.Since(start), ShouldEqual, 3*time.Second)
+		for _, r := range running {
+			So((<-r).Outcome, ShouldEqual, Done)
+		}
+		So(b.store.closed, ShouldEqual, 1)
+		So(b.once(time.Second, job{Key: "new"}).Code, ShouldEqual, CodeNoOwner)
+		n := b.successor()
+		defer n.Close()
+		So(n.once(time.Second, job{Key: "3", MS: 3000}).Outcome, ShouldEqual, Done)
+		So(n.once(time.Second, job{Key: "queued"}).Code, ShouldEqual, CodeDeadlineUnreachable)
+		So(b.net.runsOf("3"), ShouldEqual, 1)
+	})
+	inBubble(t, "A stop is bounded: what still runs at the limit is cut and unknown", 1, func(b *bench) {
+		running := b.async(b.request(false, 9*time.Second, job{Key: "k", MS: 8000}))
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		b.Stop(ctx, part, true)
+		So((<-running).Outcome, ShouldEqual, Unknown)
+	})
+}
+
+// TestSlots guards against more than 8 attempts on a minion when own and borrowed attempts and failures mix, against
+// lost requests, and against a second run of non-idempotent ones.
+func TestSlots(t *testing.T) {
+	Convey("Two daemons that borrow from each other", t, func() {
+		rapid.Check(t, func(rt *rapid.T) {
+			synctest.Test(t, func(t *testing.T) { mixedLoad(rt) })
+		})
+	})
+}
+
+func mixedLoad(t *rapid.T) {
+	lender := newBench("request/textos/5", 1, nil)
+	defer lender.close()
+	peer := &peerLender{peer: lender.Service, counts: map[LoanStatus]int{}}
+	b := newBench(part, 1, func(d *Deps) { d.Lender = peer })
+	defer b.close()
+	var out []<-chan Outcome
+	n := rapid.IntRange(20, 60).Draw(t, "requests")
+	for i := range n {
+		at := rapid.SampledFrom([]*bench{b, b, b, lender}).Draw(t, "at")
+		r := at.request(rapid.Bool().Draw(t, "idempotent"), 10*time.Second, job{
+			Key: fmt.Sprint("k", i), MS: rapid.Int64Range(0, 300).Draw(t, "ms"),
+			Fault: rapid.SampledFrom([]string{"", "", "", "", "", "", "lost", "refuse", "error"}).Draw(t, "fault"),
+		})
+		r.Class = rapid.SampledFrom([]Class{Urgent, Normal, Bulk}).Draw(t, "class")
+		out = append(out, at.async(r))
+		time.Sleep(time.Duration(rapid.IntRange(0, 20).Draw(t, "gap")) * time.Millisecond)
+	}
+	for _, o := range out {
+		if r := (<-o).Outcome; r != Done && r != NotRun && r != Unknown {
+			t.Fatalf("outcome %q", r)
+		}
+	}
+	for _, at := range []*bench{b, lender} {
+		if m := at.mostRunning(); m > minionSlots {
+			t.Fatalf("%d attempts at once on a minion", m)
+		}
+	}
+	for i := range n {
+		runs := b.net.runsOf(fmt.Sprint("k", i)) + lender.net.runsOf(fmt.Sprint("k", i))
+		if runs > 1+maxRetries {
+			t.Fatalf("request %d ran %d times", i, runs)
+		}
+	}
+}
+
+// TestLoans guards against loans that wait at the lender, run twice, or take the slots that the lanes reserve.
+func TestLoans(t *testing.T) {
+	inBubble(t, "A lender refuses at once without an idle slot and never runs an attempt twice", 1, func(b *bench) {
+		loan := func(id string, lane Class) Loan {
+			return Loan{Service: service, AttemptID: id, Lane: lane, TimeoutMS: 5000, Payload: []byte(`{"key":"loan","ms":1000}`)}
+		}
+		So(b.IdleSlots()[service], ShouldEqual, 8)
+		for i := range 12 {
+			go b.ExecuteLoan(context.Background(), loan(fmt.Sprint(i), Bulk))
+		}
+		synctest.Wait()
+		So(b.net.runsOf("loan"), ShouldEqual, 4) // half of 8
+		So(b.IdleSlots()[service], ShouldEqual, 4)
+		for i := range 12 {
+			go b.ExecuteLoan(context.Background(), loan(fmt.Sprint("u", i), Urgent))
+		}
+		synctest.Wait()
+		So(b.net.runsOf("loan"), ShouldEqual, 8)
+		start := time.Now()
+		So(b.ExecuteLoan(context.Background(), loan("x", Urgent)).Status, ShouldEqual, LoanRefused)
+		So(b.ExecuteLoan(context.Background(), loan("0", Bulk)).Status, ShouldEqual, LoanLost)
+		So(time.Since(start), ShouldEqual, 0)
+		time.Sleep(2 * time.Second)
+		So(b.ExecuteLoan(context.Background(), loan("x", Urgent)).Status, ShouldEqual, LoanLost)
+		So(b.ExecuteLoan(context.Background(), loan("y", Urgent)).Status, ShouldEqual, LoanDone)
+		So(b.net.runsOf("loan"), ShouldEqual, 9)
+		So(b.State(), ShouldNotBeNil)
+	})
+}
+
+// TestValidate guards against a request that is refused with the wrong stable code or status.
+func TestValidate(t *testing.T) {
+	ok := Request{Service: "s", Customer: "c", Key: "k", Class: Urgent, TimeoutMS: 1000}
+	Convey("Each fault has its code", t, func() {
+		So(Validate(ok), ShouldBeNil)
+		for _, c := range []struct {
+			change func(*Request)
+			code   Code
+			status int
+		}{
+			{func(r *Request) { r.Service = "a/b" }, CodeInvalidRequest, 400},
+			{func(r *Request) { r.Customer = "" }, CodeInvalidRequest, 400},
+			{func(r *Request) { r.Class = "late" }, CodeInvalidRequest, 400},
+			{func(r *Request) { r.TimeoutMS = 0 }, CodeDeadlinePast, 400},
+			{func(r *Request) { r.TimeoutMS = 10001 }, CodeInvalidRequest, 400},
+			{func(r *Request) { r.Payload = make([]byte, maxPayloadBytes+1) }, CodeTooLarge, 413},
+			{func(r *Request) { r.Payload = []byte("{") }, CodeInvalidRequest, 400},
+			{func(r *Request) { r.Key = "" }, CodeKeyRequired, 400},
+		} {
+			r := ok
+			c.change(&r)
+			err := Validate(r)
+			So(err, ShouldHaveSameTypeAs, &InvalidError{})
+			o := err.(*InvalidError).Outcome()
+			So(o.Code, ShouldEqual, c.code)
+			So(StatusOf(o), ShouldEqual, c.status)
+		}
+		So(StatusOf(Outcome{Outcome: Done}), ShouldEqual, 200)
+		So(StatusOf(Undecided(CodeOutcomeUnknown, "")), ShouldEqual, 504)
+		So(StatusOf(Refuse(CodeMinionFailed, "", 0)), ShouldEqual, 503)
+		So(StatusOf(Refuse(CodeUnknownCustomer, "", 0)), ShouldEqual, 403)
+	})
+}
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -39,6 +39,9 @@
 	// minSlotsForTurn is the number of slots from which on a lane without a running item gets the next free slot that
 	// its share allows. Without this, a lasting load of urgent work would stop the lower lanes entirely.
 	minSlotsForTurn = 8
+
+	// minWait is the estimate for an item that has to wait while no run times are known.
+	minWait = time.Millisecond
 )
 
 // Config bounds a queue. Zero values are replaced by defaults.
@@ -346,7 +349,7 @@
 // Forget drops the observed run times of customers that have not run anything since the given time.
 func (q *Queue[T]) Forget(before time.Time) { q.times.forget(before) }
 
-// EstimateWait returns how long a new item of the customer would wait. It is zero when a slot is free for it.
+// EstimateWait returns how long a new item of the customer would wait. It is zero only when a slot is free for it.
 func (q *Queue[T]) EstimateWait(customer string, class Lane) time.Duration {
 	at := q.LaneOf(customer, class)
 	l := q.lanes[at]
@@ -359,13 +362,30 @@
 		return 0
 	}
 	if q.slots == 0 {
-		return 0 // nothing is known; the deadline decides
+		return minWait // nothing is known; the deadline decides
 	}
 	work := float64(ahead+1) * q.times.mean(at)
 	for i := Urgent; i < at; i++ {
 		work += float64(q.lanes[i].waiting) * q.times.mean(i)
 	}
-	return q.waitFor(work, at)
+	return max(minWait, q.waitFor(work, at))
+}
+
+// ExpectedRun returns how long an item of the customer is expected to run, or zero when nothing is known: the lower of
+// its own average and the lane's, so that one slow run does not count against a customer for long.
+func (q *Queue[T]) ExpectedRun(customer string, class Lane) time.Duration {
+	mean := q.times.mean(q.LaneOf(customer, class))
+	if own, ok := q.times.average(customer, class); ok {
+		mean = min(mean, own)
+	}
+	return time.Duration(mean)
+}
+
+// Hopeless reports whether a new item of the customer would wait so long that it could not end within its time. An item
+// that need not wait is never hopeless.
+func (q *Queue[T]) Hopeless(customer string, class Lane, within time.Duration) bool {
+	wait := q.EstimateWait(customer, class)
+	return wait > 0 && wait+q.ExpectedRun(customer, class) > within
 }
 
 // waitFor divides work by the slots that serve the lane. Slots that lower lanes hold count only if they are expected
--- /dev/null
+++ b/lanes/lanes_test.go
@@ -0,0 +1,213 @@
+package lanes_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/greengagewing/greengagewing/lanes"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
+
+var zero = time.Time{}
+
+// TestQueueProperties guards against items that are lost or handed out twice, items that run past their deadline, and
+// slots beyond a lane's share, under any order of calls.
+func TestQueueProperties(t *testing.T) {
+	Convey("Any sequence of calls", t, func() { rapid.Check(t, anySequence) })
+}
+
+func anySequence(t *rapid.T) {
+	total := rapid.IntRange(1, 20).Draw(t, "slots")
+	q := lanes.New[int](lanes.Config{MaxItems: 10, MaxWait: 50 * time.Second})
+	q.SetSlots(total)
+	var waiting, running []*lanes.Ticket[int]
+	left := map[int]int{} // how often each item left the queue for good
+	var offered, lent, now int
+	take := func(ts *[]*lanes.Ticket[int], label string) *lanes.Ticket[int] {
+		if len(*ts) == 0 {
+			return nil
+		}
+		i := rapid.IntRange(0, len(*ts)-1).Draw(t, label)
+		tk := (*ts)[i]
+		*ts = append((*ts)[:i:i], (*ts)[i+1:]...)
+		return tk
+	}
+	at := func() time.Time { return zero.Add(time.Duration(now) * time.Second) }
+	for range rapid.IntRange(1, 200).Draw(t, "steps") {
+		switch rapid.IntRange(0, 8).Draw(t, "step") {
+		case 0, 1, 2:
+			end := at().Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "patience")) * time.Second)
+			customer := fmt.Sprint("c", rapid.IntRange(0, 3).Draw(t, "customer"))
+			tk, err := q.Offer(at(), customer, lanes.Lane(rapid.IntRange(0, 2).Draw(t, "lane")), end, offered)
+			if err == nil {
+				offered++
+				waiting = append(waiting, tk)
+			}
+		case 3:
+			if len(waiting) > 0 {
+				q.Ready(waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "ready")])
+			}
+		case 4:
+			if tk := q.Next(at()); tk != nil {
+				if !tk.Deadline.After(at()) {
+					t.Fatal("item runs past its deadline")
+				}
+				running = append(running, tk)
+			}
+		case 5:
+			if tk := take(&running, "end"); tk != nil {
+				q.Release(tk)
+				q.Observe(at(), tk.Customer, tk.Class, tk.Lane, time.Duration(rapid.IntRange(1, 1000).Draw(t, "run")))
+				left[tk.Value]++
+			}
+		case 6:
+			if tk := take(&running, "requeue"); tk != nil {
+				q.Requeue(tk)
+			}
+		case 7:
+			if tk := take(&waiting, "remove"); tk != nil && q.Remove(tk) {
+				left[tk.Value]++
+			}
+			if q.Lend(lanes.Bulk) {
+				lent++
+			} else if lent > 0 {
+				lent--
+				q.Return(lanes.Bulk)
+			}
+		default:
+			now += rapid.IntRange(0, 20).Draw(t, "wait")
+			for _, tk := range q.Expire(at()) {
+				left[tk.Value]++
+			}
+		}
+		r := q.Running()
+		low := r[lanes.Normal] + r[lanes.Bulk]
+		if r[0]+low > total || low > max(1, total*80/100) || r[lanes.Bulk] > max(1, total*50/100) {
+			t.Fatalf("shares exceeded: %v of %d", r, total)
+		}
+	}
+	for _, tk := range append(q.Clear(), running...) {
+		left[tk.Value]++
+	}
+	for i := range offered {
+		if left[i] != 1 {
+			t.Fatalf("item %d left the queue %d times", i, left[i])
+		}
+	}
+}
+
+// offer adds an item that is ready.
+func offer(q *lanes.Queue[string], customer string, l lanes.Lane, v string) error {
+	tk, err := q.Offer(zero, customer, l, zero.Add(time.Hour), v)
+	if err == nil {
+		q.Ready(tk)
+	}
+	return err
+}
+
+// TestFairness guards against one customer's flood that delays or displaces another's items.
+func TestFairness(t *testing.T) {
+	Convey("A customer's only item waits for one item of a flood at most", t, func() {
+		q := lanes.New[string](lanes.Config{MaxItems: 100})
+		q.SetSlots(1)
+		for range 50 {
+			So(offer(q, "flood", lanes.Urgent, "f"), ShouldBeNil)
+		}
+		So(offer(q, "flood", lanes.Urgent, "f"), ShouldEqual, lanes.ErrFull)
+		So(offer(q, "other", lanes.Urgent, "o"), ShouldBeNil)
+		first := q.Next(zero)
+		q.Release(first)
+		second := q.Next(zero)
+		So(first.Value+second.Value, ShouldContainSubstring, "o")
+	})
+	Convey("Customers get equal run time, not equal numbers of items", t, func() {
+		q := lanes.New[string](lanes.Config{MaxItems: 10_000})
+		q.SetSlots(1)
+		for range 100 {
+			q.Observe(zero, "short", lanes.Normal, lanes.Normal, time.Millisecond)
+			q.Observe(zero, "mid", lanes.Normal, lanes.Normal, 4*time.Millisecond)
+		}
+		for range 1000 {
+			So(offer(q, "short", lanes.Normal, "short"), ShouldBeNil)
+			So(offer(q, "mid", lanes.Normal, "mid"), ShouldBeNil)
+		}
+		n := map[string]int{}
+		for range 500 {
+			tk := q.Next(zero)
+			n[tk.Value]++
+			q.Release(tk)
+		}
+		So(n["short"], ShouldBeBetweenOrEqual, 390, 410)
+	})
+	Convey("Lower lanes get a turn while urgent items never end", t, func() {
+		q := lanes.New[string](lanes.Config{})
+		q.SetSlots(10)
+		for range 100 {
+			So(offer(q, "u", lanes.Urgent, "u"), ShouldBeNil)
+		}
+		So(offer(q, "b", lanes.Bulk, "b"), ShouldBeNil)
+		So(q.Next(zero).Value, ShouldEqual, "b")
+		So(q.Next(zero).Value, ShouldEqual, "u")
+	})
+}
+
+// TestDemotion guards against long work that hides in the urgent lane, and against a flood of it that moves the median.
+func TestDemotion(t *testing.T) {
+	Convey("A customer far above the median is demoted, and comes back", t, func() {
+		q := lanes.New[string](lanes.Config{})
+		for i := range 40 {
+			q.Observe(zero, fmt.Sprint("c", i%4), lanes.Urgent, lanes.Urgent, 10*time.Millisecond)
+		}
+		for range 2 {
+			q.Observe(zero, "long", lanes.Urgent, lanes.Urgent, time.Second)
+		}
+		So(q.LaneOf("long", lanes.Urgent), ShouldEqual, lanes.Urgent) // two slow runs prove nothing
+		for range 100 {
+			q.Observe(zero, "long", lanes.Urgent, q.LaneOf("long", lanes.Urgent), time.Second)
+		}
+		So(q.LaneOf("long", lanes.Urgent), ShouldEqual, lanes.Bulk)
+		So(q.LaneOf("long", lanes.Normal), ShouldEqual, lanes.Normal)
+		So(q.LaneOf("c1", lanes.Urgent), ShouldEqual, lanes.Urgent)
+		for range 30 {
+			q.Observe(zero, "long", lanes.Urgent, lanes.Bulk, 10*time.Millisecond)
+		}
+		So(q.LaneOf("long", lanes.Urgent), ShouldEqual, lanes.Urgent)
+	})
+}
+
+// TestEstimate guards against refusals while a slot is free, and against estimates that count a flood of one customer
+// against another.
+func TestEstimate(t *testing.T) {
+	Convey("The estimate follows the backlog that is served first", t, func() {
+		q := lanes.New[string](lanes.Config{})
+		q.SetSlots(10)
+		for range 50 {
+			q.Observe(zero, "a", lanes.Urgent, lanes.Urgent, 100*time.Millisecond)
+		}
+		So(q.EstimateWait("a", lanes.Urgent), ShouldEqual, 0)
+		So(q.Hopeless("a", lanes.Urgent, time.Millisecond), ShouldBeFalse)
+		for range 110 {
+			So(offer(q, "a", lanes.Urgent, "x"), ShouldBeNil)
+		}
+		for range 10 {
+			So(q.Next(zero), ShouldNotBeNil)
+		}
+		So(q.EstimateWait("a", lanes.Urgent), ShouldAlmostEqual, 1010*time.Millisecond, 20*time.Millisecond)
+		So(q.EstimateWait("b", lanes.Urgent), ShouldBeLessThan, 50*time.Millisecond)
+		So(q.Hopeless("a", lanes.Urgent, 1050*time.Millisecond), ShouldBeTrue)
+		So(q.Hopeless("b", lanes.Urgent, 200*time.Millisecond), ShouldBeFalse)
+	})
+}
--- a/lanes/runtime.go
+++ b/lanes/runtime.go
@@ -118,6 +118,15 @@
 	return min(max(s.average/median, minCost), maxCost)
 }
 
+// average returns the customer's average run time in nanoseconds, if any is known.
+func (r runTimes) average(customer string, class Lane) (float64, bool) {
+	s := r.pairs[pair{customer, class}]
+	if s == nil {
+		return 0, false
+	}
+	return s.average, true
+}
+
 // mean returns the average run time in the lane in nanoseconds, or zero when nothing has run.
 func (r runTimes) mean(l Lane) float64 { return r.lanes[l].mean }
 
