--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -168,7 +168,7 @@
 	log *zap.Logger, n network.Network) *request.Service {
 	return request.NewService(request.Config{}, request.Deps{
 		Journal: j, Claims: claims, Members: m, Plans: l.lookup, Lender: lender,
-		Scope: scope.SubScope("request"), Log: log, Dial: n.Dial,
+		Scope: scope, Log: log, Dial: n.Dial,
 	})
 }
 
--- a/internal/request/path.go
+++ b/internal/request/path.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -30,8 +29,6 @@
 	probeTimeout      = 500 * time.Millisecond
 	probeAfter        = 2 * time.Second  // idle time from which on a connection is probed before use
 	linkIdleTimeout   = 60 * time.Second // idle time after which a connection is closed
-	unackedTimeout    = 3 * time.Second  // sent bytes without acknowledgement break the connection
-	tcpUserTimeout    = 18               // TCP_USER_TIMEOUT of Linux, which package syscall does not name
 	maxAnswerBytes    = 4 << 20
 	maxHeaderBytes    = 16 << 10
 )
@@ -182,20 +179,6 @@
 	l.transport.CloseIdleConnections()
 }
 
-// dialMinion dials with limits on unacknowledged data, so that a connection whose packets vanish breaks early.
-func dialMinion(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				// The option only shortens the detection, so a system without it works as well.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-		},
-	}
-	return d.DialContext(ctx, network, addr)
-}
-
 // path holds the connections to one minion address. There is one connection per attempt under way and at most as many
 // idle ones, so that a minion's slots bound their number.
 type path struct {
--- a/internal/request/path_test.go
+++ b/internal/request/path_test.go
@@ -77,7 +77,7 @@
 	Convey("A minion that closes reused connections sees each attempt at most once", t, func() {
 		for _, mode := range []string{"idle", "read", "partial"} {
 			r := newRude(2, mode)
-			p := newPath(r.Addr().String(), dialMinion)
+			p := newPath(r.Addr().String(), new(net.Dialer).DialContext)
 			results := map[sendResult]int{}
 			for i := range 60 {
 				payload := []byte(`{"key":"k"}`)
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -82,7 +82,7 @@
 		d.Log = zap.NewNop()
 	}
 	if d.Dial == nil {
-		d.Dial = dialMinion
+		d.Dial = new(net.Dialer).DialContext
 	}
 	if d.Lender == nil {
 		d.Lender = noLender{}
