--- a/journal/committer.go
+++ b/journal/committer.go
@@ -529,6 +529,10 @@
 		u.j.inFlight = false
 		u.apply(outcome, &c.stats)
 		for _, it := range u.items {
+			if outcome == nil && it.isFlush() {
+				u.j.settleItem(it, u.j.flushed())
+				continue
+			}
 			u.j.settleItem(it, outcome)
 		}
 		c.forget(u.j)
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -235,10 +235,8 @@
 		switch {
 		case it.compaction && j.snapshotAt == j.at() && j.lost == 0:
 			j.settleItem(it, nil)
-		case !it.compaction && len(it.records) == 0 && j.lost > 0:
-			j.settleItem(it, errors.Wrapf(ErrNotWritten, "%d records were dropped", j.lost))
-		case !it.compaction && len(it.records) == 0:
-			j.settleItem(it, nil)
+		case it.isFlush():
+			j.settleItem(it, j.flushed())
 		default:
 			return
 		}
@@ -246,6 +244,17 @@
 	}
 }
 
+// isFlush says that the item has no records of its own and only waits for those before it.
+func (it *item) isFlush() bool { return !it.compaction && len(it.records) == 0 }
+
+// flushed is the outcome of a flush once everything queued before it is durable.
+func (j *journal) flushed() error {
+	if j.lost > 0 {
+		return errors.Wrapf(ErrNotWritten, "%d records were dropped", j.lost)
+	}
+	return nil
+}
+
 // at is the place of the last durable segment.
 func (j *journal) at() position { return position{j.epoch, j.seq} }
 
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,406 @@
+package journal_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/greengagewing/greengagewing/internal/tabletest"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+// fixture is a committer that runs on a table.
+type fixture struct {
+	mem  *table.Memory
+	c    *journal.Committer
+	ctx  context.Context
+	stop func()
+}
+
+func run(client table.Client, mem *table.Memory, cfg journal.Config) *fixture {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fixture{mem: mem, c: journal.NewCommitter(client, cfg), ctx: ctx}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.c.Run(ctx) }()
+	f.stop = func() { cancel(); <-done }
+	return f
+}
+
+func (f *fixture) open(g tabletest.Guard) journal.Log {
+	l, _, err := f.c.Open(f.ctx, g)
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// replay opens the partition at a new epoch and returns its records.
+func replay(mem *table.Memory, partition string, epoch int64) []string {
+	c := journal.NewCommitter(mem, journal.Config{})
+	_, records, err := c.Open(context.Background(), tabletest.Claim(mem, partition, epoch))
+	if err != nil {
+		panic(err)
+	}
+	var out []string
+	for _, r := range records {
+		out = append(out, string(r))
+	}
+	return out
+}
+
+func conveyInBubble(t *testing.T, what string, f func()) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { Convey(what, t, f) })
+}
+
+func timeout(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+// TestGroupCommit guards against one commit per record, against more commits than the store's share of a daemon, and
+// against a delay on an idle system.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		a, b := f.open(tabletest.Claim(mem, "a", 1)), f.open(tabletest.Claim(mem, "b", 1))
+		start := time.Now()
+		if err := a.Append(f.ctx, []byte("first")); err != nil || time.Since(start) != 0 {
+			t.Fatalf("append on an idle journal: %v after %v", err, time.Since(start))
+		}
+		mem.SetFaults(table.Faults{Delay: 2 * time.Millisecond})
+		const seconds, writers = 10, 40
+		var wg sync.WaitGroup
+		for i := range writers {
+			wg.Go(func() {
+				for n := 0; time.Since(start) < seconds*time.Second; n++ {
+					if err := []journal.Log{a, b}[i%2].Append(f.ctx, fmt.Appendf(nil, "%d/%d", i, n)); err != nil {
+						panic(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		s := f.c.Stats()
+		if limit := int64(seconds*journal.DefaultCommitsPerSecond) + journal.DefaultBurst + 1; s.Commits > limit {
+			t.Errorf("%d commits in %d s, want at most %d", s.Commits, seconds, limit)
+		}
+		if want := s.Commits * writers * 9 / 10; s.Records < want {
+			t.Errorf("%d records in %d commits, want at least %d", s.Records, s.Commits, want)
+		}
+	})
+}
+
+func TestJournal(t *testing.T) {
+	conveyInBubble(t, "A claim by another owner fences exactly that journal, which never writes again", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		a, b := f.open(tabletest.Claim(mem, "a", 1)), f.open(tabletest.Claim(mem, "b", 1))
+		So(a.Append(f.ctx, []byte("a1")), ShouldBeNil)
+		tabletest.Claim(mem, "a", 2)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = b.Append(f.ctx, []byte("b1")) })
+		err := a.Append(f.ctx, []byte("a2"))
+		wg.Wait()
+		So(errors.Is(err, journal.ErrFenced), ShouldBeTrue)
+		a.AppendAsync([]byte("a3"))
+		So(errors.Is(a.Append(f.ctx, []byte("a4")), journal.ErrFenced), ShouldBeTrue)
+		So(errors.Is(a.Compact(f.ctx, nil), journal.ErrFenced), ShouldBeTrue)
+		So(a.Healthy(), ShouldBeFalse)
+		So(b.Healthy(), ShouldBeTrue)
+		So(replay(mem, "a", 3), ShouldResemble, []string{"a1"})
+		So(replay(mem, "b", 3), ShouldResemble, []string{"b1"})
+	})
+	conveyInBubble(t, "A lost response is resolved by reading back, without another commit", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem, "a", 1))
+		mem.SetFaults(table.Faults{LoseAnswers: 1})
+		So(a.Append(f.ctx, []byte("a1")), ShouldBeNil)
+		So(f.c.Stats().Commits, ShouldEqual, 1)
+		So(replay(mem, "a", 2), ShouldResemble, []string{"a1"})
+	})
+	conveyInBubble(t, "A second writer at the same epoch is fenced and overwrites nothing", func() {
+		mem := table.NewMemory()
+		first, second := run(mem, mem, journal.Config{}), run(mem, mem, journal.Config{})
+		defer first.stop()
+		defer second.stop()
+		g := tabletest.Claim(mem, "a", 1)
+		a, b := first.open(g), second.open(g)
+		So(a.Append(first.ctx, []byte("a1")), ShouldBeNil)
+		So(errors.Is(b.Append(second.ctx, []byte("b1")), journal.ErrFenced), ShouldBeTrue)
+		So(replay(mem, "a", 2), ShouldResemble, []string{"a1"})
+	})
+	conveyInBubble(t, "In an outage records are withdrawn, async ones are kept, and health returns without traffic", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem, "a", 1))
+		mem.SetFaults(table.Faults{Down: true})
+		err := a.Append(timeout(5*time.Second), []byte("withdrawn"))
+		So(errors.Is(err, journal.ErrNotWritten), ShouldBeTrue)
+		So(a.Healthy(), ShouldBeFalse)
+		time.Sleep(time.Minute)
+		So(a.Healthy(), ShouldBeFalse)
+		mem.SetFaults(table.Faults{})
+		time.Sleep(2 * time.Second)
+		So(a.Healthy(), ShouldBeTrue)
+		mem.SetFaults(table.Faults{Down: true})
+		a.AppendAsync([]byte("kept"))
+		time.Sleep(time.Minute)
+		mem.SetFaults(table.Faults{})
+		So(a.Flush(f.ctx), ShouldBeNil)
+		So(replay(mem, "a", 2), ShouldResemble, []string{"kept"})
+	})
+	conveyInBubble(t, "A commit that hangs makes the journal unhealthy after 1 s", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem, "a", 1))
+		mem.SetFaults(table.Faults{Delay: 2 * time.Second})
+		a.AppendAsync([]byte("slow"))
+		time.Sleep(900 * time.Millisecond)
+		So(a.Healthy(), ShouldBeTrue)
+		time.Sleep(200 * time.Millisecond)
+		So(a.Healthy(), ShouldBeFalse)
+		So(a.Flush(f.ctx), ShouldBeNil)
+		So(a.Healthy(), ShouldBeTrue)
+	})
+	conveyInBubble(t, "The buffer is bounded, and a dropped record fails Flush until a compaction", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{BufferBytes: 1000})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem, "a", 1))
+		mem.SetFaults(table.Faults{Down: true})
+		for range 4 {
+			a.AppendAsync(make([]byte, 600))
+		}
+		So(errors.Is(a.Append(f.ctx, make([]byte, 600)), journal.ErrNotWritten), ShouldBeTrue)
+		So(f.c.Stats().Dropped, ShouldEqual, 2)
+		mem.SetFaults(table.Faults{})
+		So(errors.Is(a.Flush(f.ctx), journal.ErrNotWritten), ShouldBeTrue)
+		So(a.Compact(f.ctx, [][]byte{[]byte("all")}), ShouldBeNil)
+		So(a.Flush(f.ctx), ShouldBeNil)
+		So(replay(mem, "a", 2), ShouldResemble, []string{"all"})
+	})
+	conveyInBubble(t, "A compaction replaces what was appended before, in parts of at most 512 KB", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem, "a", 1))
+		for i := range 10 {
+			So(a.Append(f.ctx, fmt.Appendf(nil, "old %d", i)), ShouldBeNil)
+		}
+		big := strings.Repeat("x", 200<<10)
+		So(a.Compact(f.ctx, [][]byte{[]byte(big), []byte(big), []byte(big)}), ShouldBeNil)
+		So(a.Bytes(), ShouldEqual, 0)
+		So(a.Append(f.ctx, []byte("new")), ShouldBeNil)
+		rows, err := mem.Scan(f.ctx, "", "", 100)
+		So(err, ShouldBeNil)
+		So(len(rows), ShouldEqual, 1+3+1) // the partition's row, three parts, one segment
+		for _, r := range rows {
+			So(len(r.Value), ShouldBeLessThanOrEqualTo, 512<<10)
+		}
+		So(replay(mem, "a", 2), ShouldResemble, []string{big, big, big, "new"})
+	})
+	conveyInBubble(t, "Open refuses stale reads, an outdated claim and lost rows", func() {
+		mem := table.NewMemory()
+		f := run(mem, mem, journal.Config{})
+		defer f.stop()
+		first := tabletest.Claim(mem, "a", 1)
+		a := f.open(first)
+		_, _, err := f.c.Open(f.ctx, first)
+		So(errors.Is(err, journal.ErrOpen), ShouldBeTrue)
+		mem.SetFaults(table.Faults{StaleReads: true})
+		for range 3 {
+			So(a.Append(f.ctx, []byte("r")), ShouldBeNil)
+		}
+		second := tabletest.Claim(mem, "a", 2)
+		_, _, err = f.c.Open(f.ctx, second)
+		So(errors.Is(err, journal.ErrUnavailable), ShouldBeTrue)
+		mem.SetFaults(table.Faults{})
+		_, _, err = f.c.Open(f.ctx, first)
+		So(errors.Is(err, journal.ErrFenced), ShouldBeTrue)
+		_, err = mem.Commit(f.ctx, table.Txn{Ops: []table.Op{{Key: "journal/a/0000000001/000000000002", Delete: true}}})
+		So(err, ShouldBeNil)
+		_, _, err = f.c.Open(f.ctx, second)
+		So(errors.Is(err, journal.ErrCorrupt), ShouldBeTrue)
+	})
+}
+
+// outcomes of appended records by record.
+type outcomes struct {
+	mu sync.Mutex
+	of map[string]error
+}
+
+func (o *outcomes) set(record string, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.of[record] = err
+}
+
+// check compares the records in force with what the appends returned.
+func (o *outcomes) check(found []string) error {
+	count := map[string]int{}
+	last := map[string]int{} // number of the writer's last record
+	for _, r := range found {
+		count[r]++
+		writer, n, _ := strings.Cut(r, "#")
+		num, _ := strconv.Atoi(n)
+		if num <= last[writer] {
+			return errors.Errorf("record %s after #%d", r, last[writer])
+		}
+		last[writer] = num
+	}
+	for r, err := range o.of {
+		switch n := count[r]; {
+		case n > 1:
+			return errors.Errorf("record %s appears %d times", r, n)
+		case err == nil && n == 0:
+			return errors.Errorf("durable record %s is missing", r)
+		case n > 0 && (errors.Is(err, journal.ErrNotWritten) || errors.Is(err, journal.ErrFenced)):
+			return errors.Errorf("record %s appears after %v", r, err)
+		}
+	}
+	return nil
+}
+
+// TestOutcomes guards against a lost, repeated or reordered record, against a withdrawn or fenced record that appears,
+// and against a durable record reported as not written: under refused, lost and late commits, short deadlines,
+// compactions and changes of owner.
+func TestOutcomes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		rate := rapid.Float64Range(0, 0.7).Draw(rt, "fault rate")
+		owners := rapid.IntRange(1, 4).Draw(rt, "owners")
+		var err error
+		synctest.Test(t, func(*testing.T) { err = history(seed, rate, owners) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func history(seed uint64, rate float64, owners int) error {
+	mem := table.NewMemory()
+	faulty := tabletest.NewFaulty(mem, seed, rate)
+	o := &outcomes{of: map[string]error{}}
+	partitions := []string{"p", "q"}
+	var committers []*fixture
+	var logs []journal.Log
+	var wg sync.WaitGroup
+	for epoch := 1; epoch <= owners; epoch++ {
+		f := run(faulty, mem, journal.Config{Rand: rand.New(rand.NewPCG(seed, 1)).Float64})
+		committers = append(committers, f)
+		for i, p := range partitions {
+			l, _, err := openUntil(f, tabletest.Claim(mem, p, int64(epoch)))
+			if err != nil {
+				return err
+			}
+			logs = append(logs, l)
+			wg.Go(func() { work(l, o, fmt.Sprintf("%s%d", p, epoch), seed+uint64(epoch*2+i)) })
+		}
+		time.Sleep(time.Duration(seed%5000) * time.Millisecond)
+	}
+	wg.Wait()
+	// Without faults, every journal of the last owner must get its records through again.
+	faulty.SetRate(0)
+	var stuck error
+	for _, l := range logs[len(logs)-len(partitions):] {
+		stuck = errors.Join(stuck, l.Flush(timeout(time.Minute)))
+	}
+	for _, f := range committers {
+		f.stop()
+	}
+	faulty.Wait()
+	if stuck != nil {
+		return errors.Wrap(stuck, "journal is stuck")
+	}
+	var all []string
+	for _, p := range partitions {
+		all = append(all, replay(mem, p, int64(owners)+1)...)
+	}
+	return o.check(all)
+}
+
+func openUntil(f *fixture, g tabletest.Guard) (journal.Log, [][]byte, error) {
+	for {
+		l, records, err := f.c.Open(f.ctx, g)
+		if !errors.Is(err, journal.ErrUnavailable) {
+			return l, records, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// work runs writers with short deadlines, and between their rounds a compaction that keeps all records which may be
+// in force.
+func work(l journal.Log, o *outcomes, owner string, seed uint64) {
+	next := make([]int, 3)
+	for round := range 3 {
+		var wg sync.WaitGroup
+		for w := range next {
+			wg.Go(func() {
+				rng := rand.New(rand.NewPCG(seed, uint64(round*10+w)))
+				for range 6 {
+					next[w]++
+					r := fmt.Sprintf("%s-%d#%03d", owner, w, next[w])
+					o.set(r, l.Append(timeout(time.Duration(rng.IntN(800))*time.Millisecond), []byte(r)))
+					time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		if round == 1 {
+			compact(l, o, owner)
+		}
+	}
+}
+
+// compact writes a snapshot of the owner's records. The records of predecessors are not known to this test's owner, so
+// it compacts only at epoch 1.
+func compact(l journal.Log, o *outcomes, owner string) {
+	if !strings.HasSuffix(owner, "1") {
+		return
+	}
+	var keep []string
+	o.mu.Lock()
+	for r, err := range o.of {
+		if err == nil && strings.HasPrefix(r, owner) {
+			keep = append(keep, r)
+		}
+	}
+	o.mu.Unlock()
+	slices.Sort(keep)
+	snapshot := make([][]byte, len(keep))
+	for i, r := range keep {
+		snapshot[i] = []byte(r)
+	}
+	_ = l.Compact(timeout(5*time.Second), snapshot)
+}
