Share the store's write limit between the live daemons

Cause: at 144 non-idempotent requests a second on three daemons each claim waited for one of 30 commits a second, because the limit was sized for eight daemons. Ruled out: the store (a commit takes under 1 ms here) and batching (at most one commit is in flight, and it was idle between). Change: 240 commits a second are divided by the number of live sessions, at most 80 for one daemon. With eight daemons the limit is 30 as before.

--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -129,8 +129,15 @@
 	return ownership.New(ownership.Config{Notifier: peer.Sessions{Client: c}, Log: log}, t, k, o)
 }
 
-func newCommitter(t table.Client, log *zap.Logger) *journal.Committer {
-	return journal.NewCommitter(t, journal.Config{Logger: log})
+// The daemons share the writes that the store takes: several hundred a second, of which 240 are for the journals.
+const (
+	journalCommits    = 240.0 // a second, of all daemons together
+	maxJournalCommits = 80.0  // a second, of one daemon
+)
+
+func newCommitter(t table.Client, o *session.Observer, log *zap.Logger) *journal.Committer {
+	rate := func() float64 { return min(journalCommits/float64(max(len(o.Live()), 1)), maxJournalCommits) }
+	return journal.NewCommitter(t, journal.Config{Rate: rate, Logger: log})
 }
 
 // lists are the editor, the followers and the lookup of the operators' lists.
--- a/journal/committer.go
+++ b/journal/committer.go
@@ -240,6 +240,7 @@
 // awaitToken waits for the limiter.
 func (c *Committer) awaitToken(ctx context.Context) bool {
 	for {
+		c.limit.rate = c.cfg.Rate()
 		wait := c.limit.take(time.Now())
 		if wait == 0 {
 			return true
--- a/journal/config.go
+++ b/journal/config.go
@@ -32,7 +32,10 @@
 // Config sets the limits of a Committer. Zero values mean the defaults.
 type Config struct {
 	CommitsPerSecond float64
-	Burst            int // commits
+	// Rate returns the commits a second that are allowed now. It is asked before each commit and takes the place of
+	// CommitsPerSecond when it is set, so that processes can share one limit while their number changes.
+	Rate  func() float64
+	Burst int // commits
 	// BufferBytes bounds the records of one journal that are not durable yet. Append refuses records beyond it, and
 	// AppendAsync drops records beyond twice that size.
 	BufferBytes   int
@@ -47,6 +50,10 @@
 	if c.CommitsPerSecond <= 0 {
 		c.CommitsPerSecond = DefaultCommitsPerSecond
 	}
+	if c.Rate == nil {
+		rate := c.CommitsPerSecond
+		c.Rate = func() float64 { return rate }
+	}
 	if c.Burst <= 0 {
 		c.Burst = DefaultBurst
 	}
