Test the idempotency table with checked histories

The history test runs three owners in succession with lost responses, an outage, compactions and short deadlines while former owners continue, and checks with porcupine that a key runs at most once.

--- /dev/null
+++ b/idempotency/table_test.go
@@ -0,0 +1,375 @@
+package idempotency_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/greengagewing/greengagewing/idempotency"
+	"github.com/greengagewing/greengagewing/internal/tabletest"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+// memoryLog is a log in memory. While fail is set, Append returns it; while hold is set, Append waits for it.
+type memoryLog struct {
+	mu      sync.Mutex
+	records [][]byte
+	fail    error
+	hold    chan struct{}
+}
+
+func (l *memoryLog) Append(_ context.Context, records ...[]byte) error {
+	if l.hold != nil {
+		<-l.hold
+	}
+	if l.fail != nil {
+		return l.fail
+	}
+	l.AppendAsync(records...)
+	return nil
+}
+
+func (l *memoryLog) AppendAsync(records ...[]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, records...)
+}
+
+func restored(records [][]byte, cfg idempotency.Config) *idempotency.Table {
+	t := idempotency.New(&memoryLog{}, cfg)
+	if err := t.Restore(records); err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func key(k string) idempotency.Key { return idempotency.Key{Customer: "c", Key: k} }
+
+func TestTable(t *testing.T) {
+	ctx := context.Background()
+	soon, cancel := context.WithCancel(ctx)
+	cancel()
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a table", t, func() {
+			log := &memoryLog{}
+			tab := idempotency.New(log, idempotency.Config{})
+			begin := func(k string) idempotency.Claim {
+				c, err := tab.Begin(ctx, key(k), "f")
+				So(err, ShouldBeNil)
+				return c
+			}
+			Convey("a key runs once, and calls meanwhile wait for its outcome", func() {
+				So(begin("k").Run, ShouldBeTrue)
+				_, err := tab.Begin(soon, key("k"), "f")
+				So(errors.Is(err, idempotency.ErrInProgress), ShouldBeTrue)
+				joined := make(chan idempotency.Claim)
+				go func() {
+					c, _ := tab.Begin(ctx, key("k"), "f")
+					joined <- c
+				}()
+				synctest.Wait()
+				tab.Finish(key("k"), idempotency.Done, "", []byte("answer"))
+				c := <-joined
+				So(c.Run, ShouldBeFalse)
+				So(string(c.Entry.Answer), ShouldEqual, "answer")
+				tab.Finish(key("k"), idempotency.NotRun, "late", nil)
+				So(begin("k").Entry.State, ShouldEqual, idempotency.Done)
+				_, err = tab.Begin(ctx, key("k"), "other")
+				So(errors.Is(err, idempotency.ErrKeyReused), ShouldBeTrue)
+			})
+			Convey("a key that was not run may be begun again, also after a takeover", func() {
+				So(begin("k").Run, ShouldBeTrue)
+				tab.Finish(key("k"), idempotency.NotRun, "no_minion", nil)
+				tab = restored(log.records, idempotency.Config{})
+				So(begin("k").Run, ShouldBeTrue)
+			})
+			Convey("a claim of a predecessor becomes unknown for good", func() {
+				So(begin("k").Run, ShouldBeTrue)
+				first := restored(log.records, idempotency.Config{})
+				second := restored(first.Snapshot(), idempotency.Config{})
+				second.Finish(key("k"), idempotency.NotRun, "", nil)
+				c, err := second.Begin(ctx, key("k"), "f")
+				So(err, ShouldBeNil)
+				So(c.Run, ShouldBeFalse)
+				So(c.Entry.State, ShouldEqual, idempotency.Unknown)
+			})
+			Convey("a claim that is not recorded is not run, and a waiting call claims in its place", func() {
+				log.hold, log.fail = make(chan struct{}), journal.ErrNotWritten
+				errs := make(chan error, 2)
+				for range 2 {
+					go func() {
+						_, err := tab.Begin(ctx, key("k"), "f")
+						errs <- err
+					}()
+				}
+				synctest.Wait()
+				tab.Finish(key("k"), idempotency.Done, "", nil) // not claimed durably, so not run
+				close(log.hold)
+				So(errors.Is(<-errs, idempotency.ErrNotClaimed), ShouldBeTrue)
+				So(errors.Is(<-errs, idempotency.ErrNotClaimed), ShouldBeTrue)
+				_, err := tab.Lookup(key("k"))
+				So(errors.Is(err, idempotency.ErrNoEntry), ShouldBeTrue)
+				So(log.records, ShouldBeEmpty)
+			})
+			Convey("a claim with unknown outcome is followed by a record that it was not run", func() {
+				log.fail = journal.ErrOutcomeUnknown
+				_, err := tab.Begin(ctx, key("k"), "f")
+				So(errors.Is(err, idempotency.ErrClaimUnknown), ShouldBeTrue)
+				e, err := restored(log.records, idempotency.Config{}).Lookup(key("k"))
+				So(err, ShouldBeNil)
+				So(e.State, ShouldEqual, idempotency.NotRun)
+			})
+			Convey("a withdrawn claim that a snapshot contains is revoked", func() {
+				log.hold, log.fail = make(chan struct{}), journal.ErrNotWritten
+				failed := make(chan error)
+				go func() { _, err := tab.Begin(ctx, key("k"), "f"); failed <- err }()
+				synctest.Wait()
+				snapshot := tab.Snapshot()
+				close(log.hold)
+				<-failed
+				log.fail = nil
+				tab = restored(append(snapshot, log.records...), idempotency.Config{})
+				So(begin("k").Run, ShouldBeTrue)
+			})
+			Convey("an answer over 64 KB is recorded without its body", func() {
+				So(begin("k").Run, ShouldBeTrue)
+				tab.Finish(key("k"), idempotency.Done, "", make([]byte, 64<<10+1))
+				e, err := restored(log.records, idempotency.Config{}).Lookup(key("k"))
+				So(err, ShouldBeNil)
+				So(e.State, ShouldEqual, idempotency.Done)
+				So(e.AnswerOmitted, ShouldBeTrue)
+				So(e.Answer, ShouldBeEmpty)
+			})
+			Convey("entries are bounded and expire after the retention, but not while they run", func() {
+				tab = idempotency.New(log, idempotency.Config{MaxEntries: 2})
+				So(begin("running").Run, ShouldBeTrue)
+				So(begin("done").Run, ShouldBeTrue)
+				tab.Finish(key("done"), idempotency.Done, "", nil)
+				_, err := tab.Begin(ctx, key("third"), "f")
+				So(errors.Is(err, idempotency.ErrNotClaimed), ShouldBeTrue)
+				time.Sleep(idempotency.DefaultRetention)
+				So(begin("third").Run, ShouldBeTrue)
+				_, err = tab.Begin(soon, key("running"), "f")
+				So(errors.Is(err, idempotency.ErrInProgress), ShouldBeTrue)
+				So(tab.State().Expired, ShouldEqual, 1)
+				So(restored(log.records, idempotency.Config{}).State().Done, ShouldEqual, 0)
+			})
+		})
+	})
+}
+
+// call is a call of Begin or, if finish is set, of Finish.
+type call struct {
+	key    string
+	finish idempotency.State
+}
+
+// outcome is what Begin returned.
+type outcome struct {
+	run   bool
+	state idempotency.State
+	err   error
+}
+
+// keyState is the model of one key across all owners.
+type keyState struct {
+	mayRun bool // no run has started, or the last one was reported as not run
+	tried  bool // a claim was attempted
+	done   bool // a run was finished as done
+	final  bool // a call was told that the outcome is unknown
+}
+
+// atMostOnce accepts a history if no run starts while an earlier one may have run, and if an unknown outcome is final.
+var atMostOnce = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			k := op.Input.(call).key
+			byKey[k] = append(byKey[k], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return keyState{mayRun: true} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(keyState), input.(call), output.(outcome)
+		switch {
+		case in.finish == idempotency.Done:
+			s.mayRun, s.done = false, true
+			return true, s
+		case in.finish == idempotency.NotRun:
+			s.mayRun = !s.final
+			return true, s
+		case out.err != nil:
+			s.tried = true
+			return true, s
+		case out.run:
+			return s.mayRun, keyState{tried: true, done: s.done}
+		case out.state == idempotency.Unknown:
+			return s.tried, keyState{tried: true, done: s.done, final: true}
+		case out.state == idempotency.Done:
+			return s.done, s
+		}
+		return s.tried, s
+	},
+}
+
+// TestAtMostOnce guards against a key that runs twice, under lost responses, outages, compactions and takeovers during
+// which former owners continue.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		rate := rapid.Float64Range(0, 0.6).Draw(rt, "fault rate")
+		var ops []porcupine.Operation
+		synctest.Test(t, func(*testing.T) { ops = history(seed, rate) })
+		if !porcupine.CheckOperations(atMostOnce, ops) {
+			rt.Fatalf("a key ran twice in %d operations", len(ops))
+		}
+	})
+}
+
+type recorder struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+}
+
+func (r *recorder) record(client int, in call, f func() outcome) outcome {
+	op := porcupine.Operation{ClientId: client, Input: in, Call: r.clock.Add(1)}
+	out := f()
+	op.Output, op.Return = out, r.clock.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, op)
+	return out
+}
+
+func history(seed uint64, rate float64) []porcupine.Operation {
+	const owners, clients = 3, 3
+	mem := table.NewMemory()
+	faulty := tabletest.NewFaulty(mem, seed, rate)
+	rec := &recorder{}
+	var runs, clientsDone sync.WaitGroup
+	ctx, stop := context.WithCancel(context.Background())
+	for epoch := range owners {
+		c := journal.NewCommitter(faulty, journal.Config{})
+		runs.Go(func() { _ = c.Run(ctx) })
+		log, records, err := c.Open(ctx, tabletest.Claim(mem, "p", int64(epoch+1)))
+		for errors.Is(err, journal.ErrUnavailable) {
+			log, records, err = c.Open(ctx, tabletest.Guard{Name: "p", At: int64(epoch + 1), Version: version(mem)})
+		}
+		if err != nil {
+			panic(err)
+		}
+		tab := idempotency.New(log, idempotency.Config{})
+		if err := tab.Restore(records); err != nil {
+			panic(err)
+		}
+		for i := range clients {
+			id := epoch*clients + i
+			clientsDone.Go(func() { client(id, tab, log, rec, rand.New(rand.NewPCG(seed, uint64(id)))) })
+		}
+		time.Sleep(time.Duration(seed%2000) * time.Millisecond)
+		mem.SetFaults(table.Faults{Down: epoch == 1})
+		time.Sleep(time.Second)
+		mem.SetFaults(table.Faults{})
+	}
+	clientsDone.Wait()
+	stop()
+	runs.Wait()
+	faulty.Wait()
+	return rec.ops
+}
+
+func version(mem *table.Memory) int64 {
+	row, err := mem.Get(context.Background(), tabletest.Guard{Name: "p"}.RowKey())
+	if err != nil {
+		panic(err)
+	}
+	return row.Version
+}
+
+func client(id int, tab *idempotency.Table, log journal.Log, rec *recorder, rng *rand.Rand) {
+	for range 12 {
+		k := strconv.Itoa(rng.IntN(4))
+		wait, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(600))*time.Millisecond)
+		out := rec.record(id, call{key: k}, func() outcome {
+			c, err := tab.Begin(wait, key(k), "f")
+			return outcome{run: c.Run, state: c.Entry.State, err: err}
+		})
+		cancel()
+		if out.run {
+			time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+			state := []idempotency.State{idempotency.Done, idempotency.NotRun}[rng.IntN(2)]
+			rec.record(id, call{key: k, finish: state}, func() outcome {
+				tab.Finish(key(k), state, "", nil)
+				return outcome{}
+			})
+		}
+		if rng.IntN(5) == 0 {
+			wait, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = tab.Compact(wait, log.(journal.Compactor))
+			cancel()
+		}
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	}
+}
+
+func BenchmarkBegin(b *testing.B) {
+	var n atomic.Int64
+	loop := func(b *testing.B, log idempotency.Log) {
+		tab := idempotency.New(log, idempotency.Config{MaxEntries: 1 << 30})
+		b.ReportAllocs()
+		b.SetParallelism(64)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				k := key(fmt.Sprint(n.Add(1)))
+				if c, err := tab.Begin(context.Background(), k, "f"); err != nil || !c.Run {
+					b.Error(c, err)
+				}
+				tab.Finish(k, idempotency.Done, "", []byte("answer"))
+			}
+		})
+	}
+	b.Run("log in memory", func(b *testing.B) { loop(b, discard{}) })
+	b.Run("journal on table in memory", func(b *testing.B) {
+		mem := table.NewMemory()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		c := journal.NewCommitter(mem, journal.Config{CommitsPerSecond: 1e6, Burst: 1000})
+		go func() { _ = c.Run(ctx) }()
+		log, _, err := c.Open(ctx, tabletest.Claim(mem, "p", 1))
+		if err != nil {
+			b.Fatal(err)
+		}
+		loop(b, log)
+	})
+}
+
+type discard struct{}
+
+func (discard) Append(context.Context, ...[]byte) error { return nil }
+func (discard) AppendAsync(...[]byte)                   {}
