Divide partitions evenly, by group and region

Cause: the rendezvous hash alone gave one of eight daemons 2 to 5 of a service's eight partitions and left a third of the daemons without any, so the minions' slots were spread as unevenly; a daemon that does not serve a service could be the desired owner of its partitions; guarantors could be in a region that is out of reach for an hour. Change: partitions stay with their holder within its even share, the rest goes to the least loaded daemon that serves the group; guarantors are of the holder's region where there is one.

--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -57,7 +57,20 @@
 	}
 }
 
-// registerPartitions declares which partitions exist. Every daemon of a system must have the same services and pools.
+// groups names the groups of partitions that this daemon serves. Each user's daemons serve that user's services and
+// pools, so that a request never waits for another region.
+func groups(s *settings.Settings) []string {
+	var gs []string
+	for _, service := range s.Services {
+		gs = append(gs, "request/"+service)
+	}
+	for _, pool := range s.Pools {
+		gs = append(gs, "pool/"+pool)
+	}
+	return gs
+}
+
+// registerPartitions declares which partitions this daemon may own.
 func registerPartitions(s *settings.Settings, m *ownership.Manager, rs *request.Service, p *job.Pool) {
 	var requests, pools []string
 	for _, service := range s.Services {
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -110,7 +110,10 @@
 
 func newSessionConfig(s *settings.Settings, log *zap.Logger) session.Config {
 	addr := s.PeerListen.String()
-	return session.Config{ID: addr, PeerAddr: addr, FailureDomain: string(s.FailureDomain), Log: log}
+	return session.Config{
+		ID: addr, PeerAddr: addr, Region: string(s.Region), FailureDomain: string(s.FailureDomain),
+		Groups: groups(s), Log: log,
+	}
 }
 
 func newObserver(cfg session.Config, t table.Client, c *peer.Client, l *membership.List) *session.Observer {
--- /dev/null
+++ b/ownership/assign.go
@@ -0,0 +1,116 @@
+package ownership
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/greengagewing/greengagewing/session"
+)
+
+// groupOf returns the group of a partition: its name without the number, such as "request/textos". The partitions of a
+// group are divided evenly among the daemons that serve it.
+func groupOf(partition string) string {
+	return partition[:max(strings.LastIndexByte(partition, '/'), 0)]
+}
+
+// holding is a partition with the daemon that owns it or is to take it next, "" if there is none.
+type holding struct {
+	partition string
+	holder    string
+}
+
+// assign returns for each partition of one group the daemons in the order in which they should own it, the desired owner
+// first. The numbers for which two daemons are desired differ by one at most. A holder keeps what it has within its
+// share, so that the loss or arrival of one daemon moves no more partitions than it must; the rest goes to the least
+// loaded daemon, and between equal ones to the winner of the rendezvous hash.
+//
+// All daemons compute this from the same rows. While their views differ, the conditional commits decide.
+func assign(holdings []holding, ids []string) map[string][]string {
+	out := make(map[string][]string, len(holdings))
+	if len(ids) == 0 {
+		return out
+	}
+	share, larger := len(holdings)/len(ids), len(holdings)%len(ids) // that many daemons have one partition more
+	load := make(map[string]int, len(ids))
+	desired := make(map[string]string, len(holdings))
+	for _, h := range holdings {
+		if !slices.Contains(ids, h.holder) || load[h.holder] > share || load[h.holder] == share && larger == 0 {
+			continue
+		}
+		if load[h.holder] == share {
+			larger--
+		}
+		desired[h.partition] = h.holder
+		load[h.holder]++
+	}
+	for _, h := range holdings {
+		ranked := rank(h.partition, ids)
+		first, kept := desired[h.partition]
+		if !kept {
+			first = slices.MinFunc(ranked, func(a, b string) int { return load[a] - load[b] })
+			load[first]++
+		}
+		i := slices.Index(ranked, first)
+		out[h.partition] = slices.Insert(slices.Delete(ranked, i, i+1), 0, first)
+	}
+	return out
+}
+
+// rank orders the ids of daemons by their rendezvous hash for a partition, the desired owner first.
+func rank(partition string, ids []string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	list := make([]scored, len(ids))
+	for i, id := range ids {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(partition + "\x00" + id))
+		list[i] = scored{id, mix(h.Sum64())}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = s.id
+	}
+	return out
+}
+
+// mix is the finalizer of MurmurHash3. FNV alone leaves similar inputs with similar high bits, so ids that differ in
+// their last digit would not share the partitions evenly.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// eligible returns the ids of the sessions that may get partitions. self says whether this daemon is one of them, which
+// its keeper knows better than any read.
+func eligible(group, id string, self bool, live []session.Info) []string {
+	var ids []string
+	if self {
+		ids = append(ids, id)
+	}
+	for _, s := range live {
+		if s.Row.ID != id && s.Row.State == session.Live && !s.Unchanged && serves(s.Row, group) {
+			ids = append(ids, s.Row.ID)
+		}
+	}
+	return ids
+}
+
+// serves reports whether a session takes partitions of a group. A row without groups serves all.
+func serves(r session.Row, group string) bool {
+	return len(r.Groups) == 0 || slices.Contains(r.Groups, group)
+}
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -233,7 +233,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	fresh = fresh && !m.broken && now.Sub(m.lastScan) <= 2*m.cfg.PollInterval
-	ids := eligible(m.keeper.ID(), accepts && !m.draining, live)
+	ranking := m.assign(accepts && !m.draining, live)
 	moves := 0
 	for _, p := range m.parts {
 		if p.phase == claiming || p.phase == starting || p.phase == handing {
@@ -245,7 +245,7 @@
 		if p.guard != nil {
 			m.checkLost(p)
 		}
-		ranked := rank(name, ids)
+		ranked := ranking[name]
 		switch {
 		case p.phase == running && !p.guard.isLost():
 			if successor, hand := m.shouldHandOver(p, ranked, fresh, now); hand && (m.draining || moves < m.cfg.MaxMoves) {
@@ -263,6 +263,20 @@
 	}
 }
 
+// assign ranks the daemons for each partition. The caller holds mu.
+func (m *Manager) assign(self bool, live []session.Info) map[string][]string {
+	groups := map[string][]holding{}
+	for _, name := range slices.Sorted(maps.Keys(m.parts)) {
+		g := groupOf(name)
+		groups[g] = append(groups[g], holding{name, m.parts[name].row.holder()})
+	}
+	out := make(map[string][]string, len(m.parts))
+	for g, holdings := range groups {
+		maps.Copy(out, assign(holdings, eligible(g, m.keeper.ID(), self, live)))
+	}
+	return out
+}
+
 // checkLost revokes the guard of a partition if the session is lost or another daemon has claimed it.
 func (m *Manager) checkLost(p *part) {
 	g := p.guard
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -2,13 +2,8 @@
 
 import (
 	"encoding/json"
-	"hash/fnv"
-	"slices"
-	"strings"
 
 	"github.com/go-faster/errors"
-
-	"github.com/greengagewing/greengagewing/session"
 )
 
 // Prefix is the prefix of the keys of partition rows.
@@ -73,55 +68,10 @@
 	return r, nil
 }
 
-// rank orders the ids of daemons by their rendezvous hash for a partition, the desired owner first.
-func rank(partition string, ids []string) []string {
-	type scored struct {
-		id    string
-		score uint64
-	}
-	list := make([]scored, len(ids))
-	for i, id := range ids {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(partition + "\x00" + id))
-		list[i] = scored{id, mix(h.Sum64())}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.id, b.id)
-	})
-	out := make([]string, len(list))
-	for i, s := range list {
-		out[i] = s.id
-	}
-	return out
-}
-
-// mix is the finalizer of MurmurHash3. FNV alone leaves similar inputs with similar high bits, so ids that differ in
-// their last digit would not share the partitions evenly.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
-// eligible returns the ids of the sessions that may get partitions. self says whether this daemon is one of them, which
-// its keeper knows better than any read.
-func eligible(id string, self bool, live []session.Info) []string {
-	var ids []string
-	if self {
-		ids = append(ids, id)
-	}
-	for _, s := range live {
-		if s.Row.ID != id && s.Row.State == session.Live && !s.Unchanged {
-			ids = append(ids, s.Row.ID)
-		}
+// holder returns the id of the daemon that owns the partition or is to take it next.
+func (r Row) holder() string {
+	if r.State == Released {
+		return r.Successor
 	}
-	return ids
+	return r.Owner.ID
 }
--- a/session/choose.go
+++ b/session/choose.go
@@ -6,7 +6,8 @@
 	"strings"
 )
 
-// chooseGuarantors picks up to n guarantors for the session of self. Sessions in other failure domains come first, then
+// chooseGuarantors picks up to n guarantors for the session of self. Sessions of the same region come first, because
+// all guarantors must answer while regions have lost each other; among them those in other failure domains, then
 // domains that are not used yet. Ties are broken by a hash of the pair, which spreads the load over the daemons and
 // keeps the choice stable while sessions come and go.
 func chooseGuarantors(self Row, live []Info, n int) []Peer {
@@ -22,6 +23,11 @@
 		}
 		return strings.Compare(a.Row.ID, b.Row.ID)
 	})
+	if sameRegion := slices.DeleteFunc(slices.Clone(cands), func(s Info) bool {
+		return s.Row.Region != self.Region
+	}); len(sameRegion) > 0 {
+		cands = sameRegion
+	}
 	var out []Peer
 	used := map[string]bool{self.FailureDomain: true}
 	for len(out) < n && len(cands) > 0 {
--- a/session/keeper.go
+++ b/session/keeper.go
@@ -260,7 +260,8 @@
 	k.seq++
 	r := Row{
 		ID: k.cfg.ID, Boot: k.boot, Incarnation: incarnation, PeerAddr: k.cfg.PeerAddr,
-		FailureDomain: k.cfg.FailureDomain, State: k.want, Seq: k.seq, TTLMS: k.cfg.TTL.Milliseconds(),
+		Region: k.cfg.Region, FailureDomain: k.cfg.FailureDomain, Groups: k.cfg.Groups,
+		State: k.want, Seq: k.seq, TTLMS: k.cfg.TTL.Milliseconds(),
 		Tag: k.boot + "/" + strconv.FormatInt(k.seq, 10),
 	}
 	if k.peers != nil && k.live != nil {
--- a/session/session.go
+++ b/session/session.go
@@ -65,11 +65,15 @@
 	Boot          string `json:"boot"`
 	Incarnation   int64  `json:"incarnation"`
 	PeerAddr      string `json:"peer_addr"`
+	Region        string `json:"region,omitempty"`
 	FailureDomain string `json:"failure_domain"`
-	State         State  `json:"state"`
-	Seq           int64  `json:"seq"`
-	TTLMS         int64  `json:"ttl_ms"`
-	Guarantors    []Peer `json:"guarantors,omitempty"`
+	// Groups names what this daemon serves, for those that divide work among the sessions.
+	Groups []string `json:"groups,omitempty"`
+	State  State    `json:"state"`
+	Seq    int64    `json:"seq"`
+	TTLMS  int64    `json:"ttl_ms"`
+	// Guarantors must all promise before the validity is extended without the store.
+	Guarantors []Peer `json:"guarantors,omitempty"`
 	// Tag is unique to one write, so that its writer recognizes it after a lost response.
 	Tag string `json:"tag"`
 }
@@ -116,7 +120,9 @@
 type Config struct {
 	ID            string // daemon id, the peer address
 	PeerAddr      string // IP:port of the peer listener
+	Region        string
 	FailureDomain string
+	Groups        []string // what this daemon serves, copied into the row
 
 	TTL           time.Duration // lifetime of a renewal or promise
 	Margin        time.Duration // safety margin for clock rates, on both sides
