Test lost attempts that run on, late claims, compaction and open claims

Trial mutations showed that no test noticed when a lost attempt's slot was freed at once, when a claim that became durable after its request expired stayed open, when a retry that expired was reported not_run, or when rate counters restarted full after a takeover. Each has a test now.

--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -137,6 +137,9 @@
 		n.most[addr] = max(n.most[addr], n.running[addr])
 	}
 	n.mu.Unlock()
+	if j.Fault == "dropped" { // the attempt runs on without its connection
+		_ = c.Close()
+	}
 	time.Sleep(time.Duration(j.MS) * time.Millisecond)
 	if !refuse {
 		n.mu.Lock()
@@ -210,6 +213,7 @@
 	mu      sync.Mutex
 	records [][]byte
 	hang    chan struct{} // not nil: Append waits for it
+	rigid   bool          // Append does not look at its context
 	sick    bool
 	closed  int
 }
@@ -222,9 +226,11 @@
 
 func (s *store) Append(ctx context.Context, records ...[]byte) error {
 	s.mu.Lock()
-	hang := s.hang
+	hang, rigid := s.hang, s.rigid
 	s.mu.Unlock()
-	if hang != nil {
+	if rigid {
+		<-hang
+	} else if hang != nil {
 		select {
 		case <-hang:
 		case <-ctx.Done():
@@ -240,21 +246,30 @@
 	defer s.mu.Unlock()
 	s.records = append(s.records, records...)
 }
-func (s *store) Flush(context.Context) error             { return nil }
-func (s *store) Healthy() bool                           { s.mu.Lock(); defer s.mu.Unlock(); return !s.sick }
-func (s *store) Bytes() int                              { return 0 }
-func (s *store) Compact(context.Context, [][]byte) error { return nil }
-func (s *store) Close()                                  { s.mu.Lock(); defer s.mu.Unlock(); s.closed++ }
+
+func (s *store) Compact(_ context.Context, snapshot [][]byte) error {
+	<-s.hang
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = snapshot
+	return nil
+}
+
+func (s *store) Flush(context.Context) error { return nil }
+func (s *store) Healthy() bool               { s.mu.Lock(); defer s.mu.Unlock(); return !s.sick }
+func (s *store) Bytes() int                  { return 0 }
+func (s *store) Close()                      { s.mu.Lock(); defer s.mu.Unlock(); s.closed++ }
 
 // claims is a small at-most-once table.
 type claims struct {
 	log     idempotency.Log
 	mu      sync.Mutex
 	entries map[idempotency.Key]idempotency.Entry
+	open    map[string]int
 }
 
 func newFakeClaims(log idempotency.Log, records [][]byte) (Claims, error) {
-	c := &claims{log: log, entries: map[idempotency.Key]idempotency.Entry{}}
+	c := &claims{log: log, entries: map[idempotency.Key]idempotency.Entry{}, open: map[string]int{}}
 	for _, r := range records {
 		var e idempotency.Entry
 		if err := json.Unmarshal(r, &e); err != nil {
@@ -265,9 +280,16 @@
 		}
 		c.entries[e.Key] = e
 	}
+	for _, e := range c.entries {
+		if e.State == idempotency.Unknown {
+			c.open[e.Key.Customer]++
+		}
+	}
 	return c, nil
 }
 
+func (c *claims) Open() map[string]int { return c.open }
+
 func (c *claims) Begin(ctx context.Context, k idempotency.Key, fp string) (idempotency.Claim, error) {
 	c.mu.Lock()
 	old, ok := c.entries[k]
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/journal"
 )
 
 const part = "request/textos/3"
@@ -37,6 +38,7 @@
 	}{
 		{"", Done, Done, true},
 		{"lost", Unknown, Unknown, false},
+		{"dropped", Unknown, Unknown, false},
 		{"crossed", Unknown, Unknown, false},
 		{"unnamed", Unknown, Unknown, false},
 		{"truncated", Unknown, Unknown, false},
@@ -82,6 +84,17 @@
 		So(o.Outcome == Done && string(o.Result) == `{"key":"k"}`, ShouldBeFalse)
 		So(b.net.runsOf("next"), ShouldBeLessThanOrEqualTo, 1)
 	})
+	inBubble(t, "A request whose attempt was lost is unknown also when its retry expires", 1, func(b *bench) {
+		for i := range 7 {
+			b.async(b.request(true, 9*time.Second, job{Key: fmt.Sprint(i), MS: 5000}))
+		}
+		synctest.Wait()
+		lost := b.async(b.request(true, 2*time.Second, job{Key: "k", Fault: "dropped", MS: 3000}))
+		So((<-lost).Outcome, ShouldEqual, Unknown)
+		time.Sleep(500 * time.Millisecond)
+		So(b.mostRunning(), ShouldEqual, 8) // the slot of the lost attempt stays taken
+		So(b.net.runsOf("k"), ShouldEqual, 1)
+	})
 	inBubble(t, "An answer after the caller's deadline is recorded but not invented", 1, func(b *bench) {
 		o := b.once(time.Second, job{Key: "k", MS: 3000})
 		So(o.Outcome, ShouldEqual, Unknown)
@@ -148,6 +161,13 @@
 		So((<-queued).Code, ShouldEqual, CodeNoOwner)
 		So(n.once(time.Second, job{Key: "old0", MS: 8000}).Outcome, ShouldEqual, Unknown)
 		So(n.once(time.Second, job{Key: "new"}).Code, ShouldEqual, CodeDeadlineUnreachable)
+		b.lists.mu.Lock()
+		b.lists.allowed.Concurrency = 9 // used up by the claims that the predecessor left open
+		b.lists.mu.Unlock()
+		So(n.once(9500*time.Millisecond, job{Key: "new"}).Code, ShouldEqual, CodeAllowanceConcurrency)
+		b.lists.mu.Lock()
+		b.lists.allowed.Concurrency = 100
+		b.lists.mu.Unlock()
 		patient := n.async(n.request(true, 10*time.Second, job{Key: "patient"}))
 		for _, r := range running {
 			So((<-r).Outcome, ShouldEqual, Done)
@@ -166,7 +186,9 @@
 		b.net.set(func() { b.net.idle = "2" })
 		n := b.successor()
 		defer n.Close()
-		time.Sleep(10 * time.Millisecond) // rate counters restart empty
+		synctest.Wait()
+		So(n.once(time.Second, job{Key: "early"}).Code, ShouldEqual, CodeAllowanceRate) // no burst after a takeover
+		time.Sleep(10 * time.Millisecond)
 		for i := range 4 {
 			n.async(n.request(true, 5*time.Second, job{Key: fmt.Sprint(i), MS: 1000}))
 		}
@@ -215,6 +237,40 @@
 		b.store.mu.Unlock()
 		So(b.once(time.Second, job{Key: "hung"}).Outcome, ShouldEqual, Done)
 	})
+	inBubble(t, "A claim that becomes durable after its request expired is finished as not run", 1, func(b *bench) {
+		b.store.mu.Lock()
+		b.store.hang, b.store.rigid = make(chan struct{}), true
+		b.store.mu.Unlock()
+		So(b.once(time.Second, job{Key: "k"}).Outcome, ShouldEqual, NotRun)
+		b.store.mu.Lock()
+		close(b.store.hang)
+		b.store.hang, b.store.rigid = nil, false
+		b.store.mu.Unlock()
+		synctest.Wait()
+		So(b.Lookup(part, b.customer, "k").Outcome, ShouldEqual, NotRun)
+		So(b.once(time.Second, job{Key: "k"}).Outcome, ShouldEqual, Done)
+		So(b.net.runsOf("k"), ShouldEqual, 1)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A record that is appended during a compaction is not replaced by the snapshot", t, func() {
+			s := &store{hang: make(chan struct{})}
+			l := newHeldLog(s)
+			l.AppendAsync([]byte("old"))
+			go func() { _ = l.compact(context.Background(), func() [][]byte { return [][]byte{[]byte("snapshot")} }) }()
+			synctest.Wait()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			So(l.Append(ctx, []byte("withdrawn")), ShouldEqual, journal.ErrNotWritten)
+			l.AppendAsync([]byte("finish"))
+			appended := make(chan error)
+			go func() { appended <- l.Append(context.Background(), []byte("claim")) }()
+			synctest.Wait()
+			close(s.hang)
+			So(<-appended, ShouldBeNil)
+			So(l.Flush(context.Background()), ShouldBeNil)
+			So(fmt.Sprintf("%s", s.records), ShouldEqual, "[snapshot finish claim]")
+		})
+	})
 }
 
 // TestQueue guards against requests that outlive their deadline in the queue, refusals without a time to come back,
@@ -422,7 +478,7 @@
 		at := rapid.SampledFrom([]*bench{b, b, b, lender}).Draw(t, "at")
 		r := at.request(rapid.Bool().Draw(t, "idempotent"), 10*time.Second, job{
 			Key: fmt.Sprint("k", i), MS: rapid.Int64Range(0, 300).Draw(t, "ms"),
-			Fault: rapid.SampledFrom([]string{"", "", "", "", "", "", "lost", "refuse", "error"}).Draw(t, "fault"),
+			Fault: rapid.SampledFrom([]string{"", "", "", "", "", "", "lost", "dropped", "refuse", "error"}).Draw(t, "fault"),
 		})
 		r.Class = rapid.SampledFrom([]Class{Urgent, Normal, Bulk}).Draw(t, "class")
 		out, once = append(out, at.async(r)), append(once, !r.Idempotent)
