Delete the session rows of daemons that are gone

Cause: each replaced host left a row that every daemon reads once a second, without end. Ruled out: treating a missing row as an ended session, because a stale read may lack the row of a session that is live.

--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -150,6 +150,7 @@
 func (m *Manager) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { m.scanLoop(ctx) })
+	wg.Go(func() { m.sweepLoop(ctx) })
 	t := time.NewTicker(decideInterval)
 	defer t.Stop()
 	for ctx.Err() == nil {
--- a/session/observer.go
+++ b/session/observer.go
@@ -13,6 +13,9 @@
 	"github.com/greengagewing/greengagewing/table"
 )
 
+// forgetAfter is how long an ended session is remembered at least.
+const forgetAfter = time.Minute
+
 // Info is what an Observer knows of one session. Times are local.
 type Info struct {
 	Row     Row   `json:"row"`
@@ -105,6 +108,20 @@
 	return s.entered, true
 }
 
+// EndedBefore returns the sessions that were seen ended before a local time.
+func (o *Observer) EndedBefore(t time.Time) []Info {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []Info
+	for _, s := range o.rows {
+		if s.row.State.Ended() && s.entered.Before(t) {
+			out = append(out, o.info(s))
+		}
+	}
+	slices.SortFunc(out, func(a, b Info) int { return cmp.Compare(a.Row.ID, b.Row.ID) })
+	return out
+}
+
 // Fresh reports whether the last read succeeded recently.
 func (o *Observer) Fresh() bool {
 	o.mu.Lock()
@@ -164,9 +181,18 @@
 		}
 	}
 	o.broken, o.lastEnd = false, end
+	shown := make(map[string]bool, len(rows))
 	for _, r := range rows {
+		shown[r.Key] = true
 		o.see(r, end)
 	}
+	for id, s := range o.rows {
+		// The row of an ended session is deleted some time after. A live one is never deleted, so a read without it is
+		// stale.
+		if s.row.State.Ended() && !shown[Key(id)] && end.Sub(s.entered) > forgetAfter {
+			delete(o.rows, id)
+		}
+	}
 }
 
 // see notes one row that a read showed. The caller holds mu.
@@ -231,7 +257,9 @@
 func (o *Observer) tryFence(ctx context.Context, id string) {
 	err := o.Fence(ctx, id)
 	o.mu.Lock()
-	o.rows[id].fencing = false
+	if s := o.rows[id]; s != nil {
+		s.fencing = false
+	}
 	o.mu.Unlock()
 	if err == nil {
 		o.cfg.Log.Info("session fenced", zap.String("id", id))
