Measure the slopes and the real processes

scripts/measure.sh runs the stand-in and three daemons and prints what callers get beside direct calls to the minions, in calm, at a crest and with a killed daemon, and what it costs. internal/capacity measures the sizes and times that the capacity page multiplies out.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TEST_FLAGS ?=
 
-.PHONY: build fmt-check lint test check bench demo clean
+.PHONY: build fmt-check lint test check bench capacity measure demo clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -24,3 +24,16 @@
 
 clean:
 	rm -rf bin out
+
+# Policies beside their baselines, and the cost of single decisions.
+bench:
+	$(GO) test -run PolicyTable -v ./... 2>&1 | grep -E 'policy|Policy|^---|ok' || true
+	$(GO) test -run xxx -bench . -benchmem ./...
+
+# The slopes behind docs/CAPACITY.md.
+capacity:
+	$(GO) test -run xxx -bench . ./internal/capacity
+
+# Real processes on this machine.
+measure: build
+	./scripts/measure.sh
--- a/cmd/greengageload/main.go
+++ b/cmd/greengageload/main.go
@@ -31,6 +31,7 @@
 	Timeout     time.Duration `long:"timeout" env:"GREENGAGELOAD_TIMEOUT" default:"3s" description:"timeout of each request"`
 	Customers   int           `long:"customers" env:"GREENGAGELOAD_CUSTOMERS" default:"100" description:"number of customers, named customer-0 and up"`
 	Seed        uint64        `long:"seed" env:"GREENGAGELOAD_SEED" default:"1" description:"seed of the arrivals"`
+	Direct      bool          `long:"direct" env:"GREENGAGELOAD_DIRECT" description:"the entries are minions, for comparison"`
 	JSON        bool          `long:"json" env:"GREENGAGELOAD_JSON" description:"print JSON"`
 }
 
@@ -51,7 +52,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	duration := min(o.Duration, maxDuration)
-	target := load.Target{Entries: o.Entries, Service: o.Service, RunID: strconv.FormatInt(time.Now().UnixNano(), 36)}
+	target := load.Target{Entries: o.Entries, Service: o.Service, RunID: strconv.FormatInt(time.Now().UnixNano(), 36), Direct: o.Direct}
 	samples, err := load.Run(ctx, pattern(o, duration), target)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,243 @@
+// Package capacity measures the slopes from which docs/CAPACITY.md works out the load of each role.
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/idempotency"
+	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/request"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/ownership"
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/table"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+func size(b *testing.B, v any) float64 {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(raw))
+}
+
+func id(i int) string { return fmt.Sprintf("10.0.%d.%d:8081", i/250, i%250) }
+
+func sessionRow(i int) session.Row {
+	g := session.Peer{ID: id(i + 1), Boot: "0123456789abcdef01234567", Incarnation: 1, PeerAddr: id(i + 1)}
+	return session.Row{
+		ID: id(i), Boot: "0123456789abcdef01234567", Incarnation: 3, PeerAddr: id(i), Region: "gt-central",
+		FailureDomain: "gt-central-a", Groups: []string{"request/textos", "pool/textos"}, State: session.Live, Seq: 100000,
+		TTLMS: 4000, Guarantors: []session.Peer{g, g}, Tag: "0123456789abcdef01234567/100000",
+	}
+}
+
+// heapPer returns the heap that each of n items built by fill needs.
+func heapPer(n int, fill func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := fill()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / float64(n)
+}
+
+// BenchmarkSessionScan is one read of all session rows, which each daemon makes every second.
+func BenchmarkSessionScan(b *testing.B) {
+	for _, n := range []int{8, 16, 104} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			store := table.NewMemory()
+			bytes := 0.0
+			for i := range n {
+				raw, _ := json.Marshal(sessionRow(i))
+				bytes += float64(len(raw))
+				_, _ = store.Commit(context.Background(), table.Txn{Ops: []table.Op{{Key: session.Key(id(i)), Value: raw}}})
+			}
+			for b.Loop() {
+				rows, _ := table.ScanAll(context.Background(), store, session.Prefix)
+				for _, r := range rows {
+					var row session.Row
+					_ = json.Unmarshal(r.Value, &row)
+				}
+			}
+			b.ReportMetric(bytes, "B/scan")
+		})
+	}
+}
+
+// BenchmarkHeartbeat is the encoding and decoding of one heartbeat, which each pair of daemons exchanges every second in
+// both directions.
+func BenchmarkHeartbeat(b *testing.B) {
+	hb := peer.Heartbeat{
+		ID: id(1), Incarnation: "3", ListVersions: map[string]int64{"plans": 100000, "allowances": 1000},
+		IdleSlots: map[string]int{"textos": 40},
+	}
+	for b.Loop() {
+		raw, _ := json.Marshal(hb)
+		var out peer.Heartbeat
+		_ = json.Unmarshal(raw, &out)
+	}
+	b.ReportMetric(size(b, hb), "B/message")
+}
+
+// owned is a guard that always passes.
+type owned struct{ partition string }
+
+func (o owned) Partition() string   { return o.partition }
+func (o owned) Epoch() int64        { return 1 }
+func (o owned) RowKey() string      { return ownership.Key(o.partition) }
+func (o owned) RowVersion() int64   { return 1 }
+func (o owned) FencedAt() time.Time { return time.Time{} }
+func (o owned) Check() error        { return nil }
+
+// BenchmarkClaims is the durable claim and the outcome of keyed requests by many callers at once.
+func BenchmarkClaims(b *testing.B) {
+	store := table.NewMemory()
+	g := owned{"request/textos/0"}
+	_, _ = store.Commit(context.Background(), table.Txn{Ops: []table.Op{{Key: g.RowKey(), Value: []byte("{}")}}})
+	c := journal.NewCommitter(store, journal.Config{CommitsPerSecond: 1000, Burst: 1000})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = c.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	log, _, err := c.Open(ctx, g)
+	if err != nil {
+		b.Fatal(err)
+	}
+	claims := idempotency.New(log, idempotency.Config{})
+	answer := []byte(`{"minion":"textos-minion-07","key":"order-000000000"}`)
+	b.SetParallelism(64)
+	next := make(chan int, 1024)
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case next <- i:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			k := idempotency.Key{Customer: "panaderia-sol", Key: fmt.Sprintf("order-%09d", <-next)}
+			if _, err := claims.Begin(ctx, k, "fingerprint-fingerprint-fingerpr"); err != nil {
+				b.Error(err)
+			}
+			claims.Finish(k, idempotency.Done, "", answer)
+		}
+	})
+	b.StopTimer()
+	_ = log.Flush(ctx)
+	st := c.State().Stats
+	b.ReportMetric(float64(st.Bytes)/float64(b.N), "journal-B/request")
+	b.ReportMetric(float64(st.Records)/float64(max(st.Commits, 1)), "records/commit")
+}
+
+// discard is a log that takes everything.
+type discard struct{}
+
+func (discard) Append(context.Context, ...[]byte) error { return nil }
+func (discard) AppendAsync(...[]byte)                   {}
+
+// BenchmarkClaimMemory is the memory of one remembered key.
+func BenchmarkClaimMemory(b *testing.B) {
+	const n = 50_000
+	var per float64
+	for b.Loop() {
+		per = heapPer(n, func() any {
+			t := idempotency.New(discard{}, idempotency.Config{})
+			for i := range n {
+				k := idempotency.Key{Customer: "panaderia-sol", Key: fmt.Sprintf("order-%09d", i)}
+				_, _ = t.Begin(context.Background(), k, "fingerprint-fingerprint-fingerpr")
+				t.Finish(k, idempotency.Done, "", []byte(`{"minion":"textos-minion-07","key":"order"}`))
+			}
+			return t
+		})
+	}
+	b.ReportMetric(per, "heap-B/key")
+}
+
+// BenchmarkListFollow is the application of one accepted edit by a follower, with 690 customers.
+func BenchmarkListFollow(b *testing.B) {
+	const customers = 690
+	entries := map[string]json.RawMessage{}
+	for i := range customers {
+		entries[fmt.Sprintf("customer-%03d", i)] = json.RawMessage(`"basic"`)
+	}
+	f := versionedlist.NewFollower(table.NewMemory(), plan.PlansList, versionedlist.FollowerConfig{})
+	f.Accept(versionedlist.Update{Version: 1, Full: true, Entries: entries})
+	change := versionedlist.Change{
+		Author: "ana", ID: "0123456789abcdef01234567", Time: time.Unix(0, 0),
+		Set: map[string]json.RawMessage{"customer-007": json.RawMessage(`"gold"`)},
+	}
+	version := int64(1)
+	for b.Loop() {
+		version++
+		change.Version = version
+		f.Accept(versionedlist.Update{Version: version, Changes: []versionedlist.Change{change}})
+	}
+	b.ReportMetric(size(b, change), "B/edit")
+	b.ReportMetric(size(b, entries), "B/list")
+}
+
+// BenchmarkRenewWorker is the encoding and decoding of one renewal with its report, which the owner of a pool exchanges
+// with each worker every 2 s.
+func BenchmarkRenewWorker(b *testing.B) {
+	for _, tasks := range []int{0, 5, 50} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			renew := worker.Renew{Epoch: 7, LeaseMS: 15000}
+			report := worker.Report{
+				WorkerID: "textos-worker-07", BootID: "0123456789abcdef", MaxEpoch: 7,
+				Capacity: worker.Resources{CPUMilli: 32000, MemoryMB: 131072},
+			}
+			for i := range tasks {
+				ref := worker.TaskRef{TaskID: fmt.Sprintf("273437d3d96fd6adfcfd6877-%d", i), Attempt: 1}
+				renew.Tasks = append(renew.Tasks, ref)
+				report.Tasks = append(report.Tasks, worker.Task{
+					TaskID: ref.TaskID, Attempt: 1, State: worker.Running,
+					Resources: worker.Resources{CPUMilli: 1000, MemoryMB: 512},
+				})
+			}
+			for b.Loop() {
+				raw, _ := json.Marshal(renew)
+				var in worker.Renew
+				_ = json.Unmarshal(raw, &in)
+				raw, _ = json.Marshal(report)
+				var out worker.Report
+				_ = json.Unmarshal(raw, &out)
+			}
+			b.ReportMetric(size(b, renew), "B/renewal")
+			b.ReportMetric(size(b, report), "B/report")
+		})
+	}
+}
+
+// BenchmarkForward is the encoding and decoding of one request on its way to the owner, and of its outcome.
+func BenchmarkForward(b *testing.B) {
+	r := request.Request{
+		Service: "textos", Customer: "panaderia-sol", Key: "order-000000017", Class: request.Urgent, TimeoutMS: 3000,
+		Payload: json.RawMessage(`{"text":"La paciencia es amarga, pero su fruto es dulce."}`),
+	}
+	o := request.Outcome{Outcome: request.Done, Key: r.Key, Result: json.RawMessage(`{"minion":"textos-minion-07"}`)}
+	for b.Loop() {
+		raw, _ := json.Marshal(r)
+		var in request.Request
+		_ = json.Unmarshal(raw, &in)
+		raw, _ = json.Marshal(o)
+		var out request.Outcome
+		_ = json.Unmarshal(raw, &out)
+	}
+	b.ReportMetric(size(b, r), "B/request")
+	b.ReportMetric(size(b, o), "B/outcome")
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -30,6 +30,8 @@
 	Entries []string // IP:port of callers' listeners
 	Service string
 	RunID   string // prefix of the idempotency keys
+	// Direct sends to minions instead of daemons, for comparison: Entries are then addresses of minions.
+	Direct bool
 }
 
 // check refuses targets beyond this machine, so that a mistyped address never puts load on others.
@@ -91,8 +93,12 @@
 		"customer": fmt.Sprintf("customer-%d", customer), "key": key, "class": s.Class, "idempotent": s.Idempotent,
 		"timeout_ms": s.Timeout.Milliseconds(), "payload": json.RawMessage(payload),
 	})
+	call := post
+	if t.Direct {
+		call, body = execute, payload
+	}
 	began := time.Now()
-	out, err := post(ctx, hc, t, s, body)
+	out, err := call(ctx, hc, t, s, body)
 	sample := Sample{Class: s.Class, Latency: time.Since(began), Work: s.Work, Outcome: out.Outcome, Code: out.Code}
 	if err != nil {
 		sample.Outcome, sample.Code = request.Unknown, "transport_error"
@@ -105,20 +111,39 @@
 	return sample
 }
 
+// post sends a request to a random daemon.
 func post(ctx context.Context, hc *http.Client, t Target, s Share, body []byte) (request.Outcome, error) {
+	var out request.Outcome
+	_, err := exchange(ctx, hc, t, s, "/v1/services/"+t.Service+"/requests", body, &out)
+	return out, err
+}
+
+// execute sends an attempt to a random minion.
+func execute(ctx context.Context, hc *http.Client, t Target, s Share, body []byte) (request.Outcome, error) {
+	var result json.RawMessage
+	status, err := exchange(ctx, hc, t, s, "/v1/execute", body, &result)
+	switch {
+	case status == http.StatusServiceUnavailable:
+		return request.Refuse(request.CodeNoMinion, "no free slot", 0), nil
+	case err != nil:
+		return request.Outcome{}, err
+	}
+	return request.Outcome{Outcome: request.Done, Result: result}, nil
+}
+
+func exchange(ctx context.Context, hc *http.Client, t Target, s Share, path string, body []byte, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout+callSlack)
 	defer cancel()
-	entry := t.Entries[rand.IntN(len(t.Entries))]
-	url := "http://" + entry + "/v1/services/" + t.Service + "/requests"
+	url := "http://" + t.Entries[rand.IntN(len(t.Entries))] + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return request.Outcome{}, err
+		return 0, err
 	}
+	req.Header.Set(request.HeaderAttemptID, t.RunID)
 	resp, err := hc.Do(req)
 	if err != nil {
-		return request.Outcome{}, err
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var out request.Outcome
-	return out, json.NewDecoder(resp.Body).Decode(&out)
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
 }
