Test versioned lists with checked histories and partitions

Histories of racing operators with refused, lost and late commits are checked for linearizability with porcupine. Followers cut off from the store, with peers that refuse or hang, have every edit in force within 5 s of virtual time.

--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -197,36 +197,66 @@
 }
 
 func (f *Follower) followStore(ctx context.Context) {
-	tick := time.NewTicker(f.cfg.Poll)
-	defer tick.Stop()
+	next := time.Now().Add(f.cfg.Poll)
 	for {
+		due, stop := dueAt(next)
 		select {
-		case <-tick.C:
+		case <-due:
+			next = nextPoll(next, f.cfg.Poll)
 		case <-f.polls:
 		case <-ctx.Done():
+			stop()
 			return
 		}
+		stop()
 		f.readStore(ctx)
 	}
 }
 
 func (f *Follower) followPeers(ctx context.Context) {
-	tick := time.NewTicker(f.cfg.Poll)
-	defer tick.Stop()
+	next := time.Now().Add(f.cfg.Poll)
 	for {
+		due, stop := dueAt(next)
 		select {
-		case <-tick.C:
+		case <-due:
+			next = nextPoll(next, f.cfg.Poll)
 			f.askPeers(ctx)
 		case h := <-f.hints:
 			if h.version > f.Snapshot().version {
 				f.pull(ctx, h.peer)
 			}
 		case <-ctx.Done():
+			stop()
 			return
 		}
+		stop()
 	}
 }
 
+// closed is a channel for polls that are overdue.
+var closed = func() chan time.Time { c := make(chan time.Time); close(c); return c }()
+
+// dueAt returns a channel that is ready at a time, and a function that releases it. Unlike a time.Ticker it is not
+// armed while a poll runs: with Go 1.26.8, a ticker that elapses while nobody waits for it can crash a test that uses
+// the race detector and testing/synctest.
+func dueAt(at time.Time) (due <-chan time.Time, stop func() bool) {
+	d := time.Until(at)
+	if d <= 0 {
+		return closed, func() bool { return true }
+	}
+	t := time.NewTimer(d)
+	return t.C, t.Stop
+}
+
+// nextPoll returns the time of the poll after one that was due at last. Polls that were missed are skipped.
+func nextPoll(last time.Time, period time.Duration) time.Time {
+	next := last.Add(period)
+	if now := time.Now(); next.Before(now) {
+		return now
+	}
+	return next
+}
+
 func (f *Follower) pushUpdates(ctx context.Context) {
 	for {
 		select {
--- /dev/null
+++ b/versionedlist/list_test.go
@@ -0,0 +1,547 @@
+package versionedlist_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/greengagewing/greengagewing/internal/tabletest"
+	"github.com/greengagewing/greengagewing/table"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+const list = "plans"
+
+// force is the time within which an accepted edit has to be in force everywhere.
+const force = 5 * time.Second
+
+func edit(base int64, author, id string) versionedlist.Edit {
+	return versionedlist.Edit{
+		Base: base, Author: author, ID: id,
+		Set: map[string]json.RawMessage{id: json.RawMessage(`"` + author + `"`)},
+	}
+}
+
+func grow(ctx context.Context, ed *versionedlist.Editor, from, to int64) {
+	for v := from; v < to; v++ {
+		if _, err := ed.Edit(ctx, edit(v, "operator", fmt.Sprintf("e%d", v+1))); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// counting counts the rows that its scans returned.
+type counting struct {
+	table.Client
+	rows atomic.Int64
+}
+
+func (c *counting) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	rows, err := c.Client.Scan(ctx, prefix, after, limit)
+	c.rows.Add(int64(len(rows)))
+	return rows, err
+}
+
+func TestEditor(t *testing.T) {
+	ctx := context.Background()
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a list at version 70", t, func() {
+			mem := table.NewMemory()
+			ed := versionedlist.NewEditor(mem, list, versionedlist.EditorConfig{
+				Validate: func(_ context.Context, next *versionedlist.Snapshot) ([]table.Condition, error) {
+					if _, bad := next.Get("bad"); bad {
+						return nil, errors.New("bad entry")
+					}
+					return nil, nil
+				},
+			})
+			grow(ctx, ed, 0, 70)
+			other := versionedlist.NewEditor(mem, list, versionedlist.EditorConfig{})
+			Convey("an edit based on an older version gets the current version and its author", func() {
+				_, err := other.Edit(ctx, edit(70, "ana", "x"))
+				So(err, ShouldBeNil)
+				_, err = ed.Edit(ctx, edit(70, "ben", "y"))
+				var conflict *versionedlist.ConflictError
+				So(errors.As(err, &conflict), ShouldBeTrue)
+				So(errors.Is(err, versionedlist.ErrConflict), ShouldBeTrue)
+				So(*conflict, ShouldResemble, versionedlist.ConflictError{List: list, Version: 71, Author: "ana"})
+			})
+			Convey("an edit whose response was lost is recognized, at once and when it is submitted again", func() {
+				mem.SetFaults(table.Faults{LoseAnswers: 1})
+				c, err := ed.Edit(ctx, edit(70, "ana", "x"))
+				So(err, ShouldBeNil)
+				grow(ctx, other, 71, 75)
+				again, err := ed.Edit(ctx, edit(70, "ana", "x"))
+				So(err, ShouldBeNil)
+				So(again, ShouldResemble, c)
+				snap, _, err := ed.Load(ctx)
+				So(err, ShouldBeNil)
+				So(snap.Version(), ShouldEqual, 75)
+			})
+			Convey("an invalid edit never reaches the table", func() {
+				before := mem.Stats().Commits
+				bad := edit(70, "ana", "bad")
+				_, err := ed.Edit(ctx, bad)
+				So(errors.Is(err, versionedlist.ErrInvalid), ShouldBeTrue)
+				_, err = ed.Edit(ctx, versionedlist.Edit{Base: 70, Author: "ana", ID: "x", Remove: []string{"no", "e1", "nor"}})
+				var absent *versionedlist.AbsentError
+				So(errors.As(err, &absent), ShouldBeTrue)
+				So(absent.Keys, ShouldResemble, []string{"no", "nor"})
+				for _, e := range []versionedlist.Edit{
+					{Base: 70, ID: "x", Remove: []string{"e1"}}, {Base: 70, Author: "a", Remove: []string{"e1"}},
+					{Base: -1, Author: "a", ID: "x", Remove: []string{"e1"}}, {Base: 70, Author: "a", ID: "x"},
+					{Base: 70, Author: "a", ID: "x", Set: map[string]json.RawMessage{"k": json.RawMessage("{")}},
+					{Base: 70, Author: "a", ID: "x", Set: map[string]json.RawMessage{"e1": json.RawMessage("1")}, Remove: []string{"e1"}},
+				} {
+					_, err = ed.Edit(ctx, e)
+					So(errors.Is(err, versionedlist.ErrInvalid), ShouldBeTrue)
+				}
+				So(mem.Stats().Commits, ShouldEqual, before)
+			})
+			Convey("the history is newest first and bounded", func() {
+				h, err := ed.History(ctx, 66)
+				So(err, ShouldBeNil)
+				So(len(h), ShouldEqual, 66)
+				So(h[0].ID, ShouldEqual, "e70")
+				So(h[65].ID, ShouldEqual, "e5")
+			})
+			Convey("a new reader reads at most 64 log rows", func() {
+				grow(ctx, ed, 70, 191)
+				c := &counting{Client: mem}
+				snap, _, err := versionedlist.NewEditor(c, list, versionedlist.EditorConfig{}).Load(ctx)
+				So(err, ShouldBeNil)
+				So(snap.Len(), ShouldEqual, 191)
+				So(c.rows.Load(), ShouldBeLessThanOrEqualTo, 64)
+			})
+			Convey("an edit during an outage is unavailable, and during stale reads never commits on an old version", func() {
+				mem.SetFaults(table.Faults{Down: true})
+				_, err := ed.Edit(ctx, edit(70, "ana", "x"))
+				So(errors.Is(err, versionedlist.ErrUnavailable), ShouldBeTrue)
+				mem.SetFaults(table.Faults{StaleReads: true})
+				_, err = other.Edit(ctx, edit(70, "ben", "y"))
+				So(err, ShouldBeNil)
+				short, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				_, err = ed.Edit(short, edit(70, "ana", "x"))
+				So(errors.Is(err, versionedlist.ErrUnknownOutcome), ShouldBeTrue)
+				mem.SetFaults(table.Faults{})
+				_, err = ed.Edit(ctx, edit(70, "ana", "x"))
+				So(errors.Is(err, versionedlist.ErrConflict), ShouldBeTrue)
+			})
+		})
+	})
+}
+
+// submission is the input of an edit in a checked history, and reading of Load.
+type submission struct {
+	base int64
+	id   string // author and edit id; empty for Load
+}
+
+type answer struct {
+	version int64
+	author  string // of a conflict
+	err     error
+}
+
+// edits is the model of a list: its state is the ids of the accepted edits, each ended by a space.
+var edits = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		log, in, out := state.(string), input.(submission), output.(answer)
+		version := int64(strings.Count(log, " "))
+		accepted := func(v int64) string {
+			if v < 1 || v > version {
+				return ""
+			}
+			return strings.Fields(log)[v-1]
+		}
+		switch {
+		case in.id == "":
+			return out.err != nil || out.version == version, log
+		case out.err == nil && accepted(in.base+1) == in.id:
+			return out.version == in.base+1, log
+		case out.err == nil:
+			return version == in.base && out.version == version+1, log + in.id + " "
+		case errors.Is(out.err, versionedlist.ErrConflict):
+			lost := version > in.base && accepted(in.base+1) != in.id
+			return lost && out.version == version && (out.author == "" || out.author == accepted(version)), log
+		case errors.Is(out.err, versionedlist.ErrUnknownOutcome):
+			if version == in.base {
+				return true, log + in.id + " "
+			}
+			return true, log
+		}
+		return true, log
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestEditHistory guards against two accepted edits of one version, against an accepted edit that is lost or reported
+// as a conflict, and against a rejected edit that is written: with racing operators and refused, lost and late commits.
+func TestEditHistory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		rate := rapid.Float64Range(0, 0.6).Draw(rt, "fault rate")
+		var ops []porcupine.Operation
+		synctest.Test(t, func(*testing.T) { ops = editHistory(seed, rate) })
+		if !porcupine.CheckOperations(edits, ops) {
+			rt.Fatalf("history of %d operations is not linearizable", len(ops))
+		}
+	})
+}
+
+func editHistory(seed uint64, rate float64) []porcupine.Operation {
+	const operators, each = 4, 6
+	faulty := tabletest.NewFaulty(table.NewMemory(), seed, rate)
+	var clock atomic.Int64
+	var mu sync.Mutex
+	var ops []porcupine.Operation
+	record := func(id int, in submission, f func() answer) answer {
+		op := porcupine.Operation{ClientId: id, Input: in, Call: clock.Add(1)}
+		out := f()
+		op.Output, op.Return = out, clock.Add(1)
+		if errors.Is(out.err, versionedlist.ErrUnknownOutcome) {
+			op.Return = 1 << 60 // it may still take effect
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		ops = append(ops, op)
+		return out
+	}
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			ed := versionedlist.NewEditor(faulty, list, versionedlist.EditorConfig{Rand: rng.Float64})
+			for n := range each {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(200+rng.IntN(4000))*time.Millisecond)
+				base := record(i, submission{}, func() answer {
+					s, _, err := ed.Load(ctx)
+					if err != nil {
+						return answer{err: err}
+					}
+					return answer{version: s.Version()}
+				}).version
+				id := fmt.Sprintf("%d-%d", i, n)
+				for range 1 + rng.IntN(2) { // some edits are submitted again, whatever their outcome was
+					record(i, submission{base: base, id: id}, func() answer {
+						c, err := ed.Edit(ctx, edit(base, id, id))
+						var conflict *versionedlist.ConflictError
+						if errors.As(err, &conflict) {
+							return answer{version: conflict.Version, author: conflict.Author, err: err}
+						}
+						return answer{version: c.Version, err: err}
+					})
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	faulty.Wait()
+	faulty.SetRate(0)
+	record(operators, submission{}, func() answer {
+		s, _, err := versionedlist.NewEditor(faulty, list, versionedlist.EditorConfig{}).Load(context.Background())
+		if err != nil {
+			panic(err)
+		}
+		return answer{version: s.Version()}
+	})
+	return ops
+}
+
+// link is a follower as its peers see it.
+type link struct {
+	f *versionedlist.Follower
+	// fault: 0 answers, 1 refuses, 2 hangs
+	fault atomic.Int32
+}
+
+func (l *link) broken(ctx context.Context) error {
+	switch l.fault.Load() {
+	case 1:
+		return errors.New("refused")
+	case 2:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (l *link) Version(ctx context.Context, _ string) (int64, error) {
+	return l.f.Snapshot().Version(), l.broken(ctx)
+}
+
+func (l *link) After(ctx context.Context, _ string, after int64) (versionedlist.Update, error) {
+	u := l.f.After(after)
+	raw, _ := json.Marshal(u) // as between processes
+	var copied versionedlist.Update
+	return copied, errors.Join(json.Unmarshal(raw, &copied), l.broken(ctx))
+}
+
+func (l *link) Push(ctx context.Context, _ string, u versionedlist.Update) error {
+	l.f.Accept(u)
+	return l.broken(ctx)
+}
+
+// fixedPeer answers with one version.
+type fixedPeer struct{ u versionedlist.Update }
+
+func (p fixedPeer) Version(context.Context, string) (int64, error) { return p.u.Version, nil }
+func (p fixedPeer) After(context.Context, string, int64) (versionedlist.Update, error) {
+	return p.u, nil
+}
+
+func follow(c table.Client, peers ...versionedlist.Peer) (f *versionedlist.Follower, stop func()) {
+	f = versionedlist.NewFollower(c, list, versionedlist.FollowerConfig{
+		Peers: func() []versionedlist.Peer { return peers },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	return f, func() { cancel(); <-done }
+}
+
+func TestFollower(t *testing.T) {
+	ctx := context.Background()
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a list at version 10", t, func() {
+			mem := table.NewMemory()
+			ed := versionedlist.NewEditor(mem, list, versionedlist.EditorConfig{})
+			grow(ctx, ed, 0, 10)
+			Convey("stale reads of the store and an older peer never bring back an old version", func() {
+				old := versionedlist.Update{Version: 3, Full: true}
+				outdated := table.NewMemory()
+				grow(ctx, versionedlist.NewEditor(outdated, list, versionedlist.EditorConfig{}), 0, 9)
+				store := &gate{Client: mem}
+				f, stop := follow(store, fixedPeer{old})
+				defer stop()
+				time.Sleep(time.Second)
+				store.stale.Store(outdated)
+				for range 20 {
+					f.Accept(old)
+					f.Accept(versionedlist.Update{Version: 5, Changes: []versionedlist.Change{{Version: 5}}})
+					time.Sleep(500 * time.Millisecond)
+					So(f.Snapshot().Version(), ShouldEqual, 10)
+				}
+				So(f.State().StaleReads, ShouldBeGreaterThan, 0)
+			})
+			Convey("stale reads confirm nothing, and an update with a gap is ignored", func() {
+				store := &gate{Client: mem}
+				f, stop := follow(store)
+				defer stop()
+				time.Sleep(time.Second)
+				store.stale.Store(table.NewMemory())
+				time.Sleep(10 * time.Second)
+				So(f.Confirmed(), ShouldBeGreaterThan, 9*time.Second)
+				So(f.Accept(versionedlist.Update{Version: 12, Changes: []versionedlist.Change{{Version: 12}}}), ShouldBeFalse)
+				So(f.Snapshot().Version(), ShouldEqual, 10)
+			})
+			Convey("it is ready only with the highest version of store and peers", func() {
+				mem.SetFaults(table.Faults{StaleReads: true})
+				slow := &link{f: versionedlist.NewFollower(mem, list, versionedlist.FollowerConfig{})}
+				slow.f.Accept(versionedlist.Update{Version: 12, Full: true})
+				f, stop := follow(mem, slow)
+				defer stop()
+				for !f.Ready() {
+					time.Sleep(time.Millisecond)
+				}
+				So(f.Snapshot().Version(), ShouldEqual, 12)
+			})
+			Convey("without an answer it is not ready, and the age of the confirmation grows", func() {
+				mem.SetFaults(table.Faults{Down: true})
+				f, stop := follow(mem)
+				defer stop()
+				time.Sleep(10 * time.Second)
+				So(f.Ready(), ShouldBeFalse)
+				So(f.Confirmed(), ShouldEqual, versionedlist.NeverConfirmed)
+				mem.SetFaults(table.Faults{})
+				time.Sleep(time.Second)
+				So(f.Ready(), ShouldBeTrue)
+				So(f.Confirmed(), ShouldBeLessThanOrEqualTo, versionedlist.DefaultPoll)
+				mem.SetFaults(table.Faults{Down: true})
+				time.Sleep(10 * time.Second)
+				So(f.Confirmed(), ShouldBeGreaterThanOrEqualTo, 10*time.Second)
+				f.Heard(nil, 10, time.Now())
+				So(f.Confirmed(), ShouldEqual, 0)
+			})
+			Convey("an accepted edit is pushed, and a heartbeat with a newer version is followed by a pull", func() {
+				peer, stopPeer := follow(mem)
+				defer stopPeer()
+				f, stop := follow(mem, &link{f: peer})
+				defer stop()
+				time.Sleep(1500 * time.Millisecond)
+				c, err := ed.Edit(ctx, edit(10, "ana", "x"))
+				So(err, ShouldBeNil)
+				f.Publish(c)
+				synctest.Wait()
+				So(peer.Snapshot().Version(), ShouldEqual, 11)
+				mem.SetFaults(table.Faults{Down: true})
+				late, stopLate := follow(mem)
+				defer stopLate()
+				late.Accept(versionedlist.Update{Version: 4, Full: true})
+				u := late.After(4)
+				So(u.Changes, ShouldBeEmpty)
+				time.Sleep(time.Second)
+				So(late.Accept(peer.After(4)), ShouldBeTrue)
+				So(late.Snapshot().Version(), ShouldEqual, 11)
+			})
+			Convey("a hint from a heartbeat is pulled at once", func() {
+				f, stop := follow(mem)
+				defer stop()
+				time.Sleep(100 * time.Millisecond)
+				f.Heard(fixedPeer{versionedlist.Update{Version: 99, Full: true}}, 99, time.Now())
+				synctest.Wait()
+				So(f.Snapshot().Version(), ShouldEqual, 99)
+			})
+		})
+	})
+}
+
+// TestInForce guards against a follower that goes back or that lacks an accepted edit after 5 s while the store is
+// reachable from at least one of its peers, some peers hang and the store's reads are slow.
+func TestInForce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var err error
+		synctest.Test(t, func(*testing.T) { err = inForce(seed) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// gate is one process's way to the store.
+type gate struct {
+	table.Client
+	shut  atomic.Bool
+	stale atomic.Pointer[table.Memory] // serves the reads if it is set
+}
+
+func (g *gate) Get(ctx context.Context, key string) (table.Row, error) {
+	if g.shut.Load() {
+		<-ctx.Done()
+		return table.Row{}, table.ErrUnavailable
+	}
+	if m := g.stale.Load(); m != nil {
+		return m.Get(ctx, key)
+	}
+	return g.Client.Get(ctx, key)
+}
+
+func inForce(seed uint64) error {
+	const processes, rounds = 4, 4
+	ctx := context.Background()
+	mem := table.NewMemory()
+	rng := rand.New(rand.NewPCG(seed, 0))
+	ed := versionedlist.NewEditor(mem, list, versionedlist.EditorConfig{})
+	var links []*link
+	var peers []versionedlist.Peer
+	gates := make([]*gate, processes)
+	for i := range processes {
+		gates[i] = &gate{Client: tabletest.NewFaulty(mem, seed+uint64(i), 0)}
+		l := &link{}
+		l.f = versionedlist.NewFollower(gates[i], list, versionedlist.FollowerConfig{
+			Peers: func() []versionedlist.Peer { return peers },
+		})
+		links = append(links, l)
+		peers = append(peers, l)
+	}
+	ctxRun, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for _, l := range links {
+		wg.Go(func() { _ = l.f.Run(ctxRun) })
+	}
+	defer wg.Wait()
+	defer cancel()
+	back := watch(ctxRun, &wg, links)
+	version := int64(0)
+	for range rounds {
+		connected := rng.IntN(processes)
+		for i := range links {
+			gates[i].shut.Store(i != connected && rng.IntN(2) == 0)
+			links[i].fault.Store(0)
+			if i != connected {
+				links[i].fault.Store(rng.Int32N(3))
+			}
+		}
+		edits := 1 + rng.Int64N(100)
+		grow(ctx, ed, version, version+edits)
+		version += edits
+		time.Sleep(force)
+		for i, l := range links {
+			if have := l.f.Snapshot().Version(); have < version {
+				return errors.Errorf("process %d is at version %d after 5 s, want %d", i, have, version)
+			}
+			if n := l.f.Snapshot().Len(); int64(n) != version {
+				return errors.Errorf("process %d has %d entries at version %d", i, n, version)
+			}
+		}
+	}
+	return back()
+}
+
+// watch samples the versions until ctx ends or the returned function is called, which reports a follower that went
+// back.
+func watch(ctx context.Context, wg *sync.WaitGroup, links []*link) func() error {
+	var mu sync.Mutex
+	var err error
+	wg.Go(func() {
+		last := make([]int64, len(links))
+		for ctx.Err() == nil {
+			for i, l := range links {
+				v := l.f.Snapshot().Version()
+				if v < last[i] {
+					mu.Lock()
+					err = errors.Errorf("process %d went from version %d to %d", i, last[i], v)
+					mu.Unlock()
+				}
+				last[i] = v
+			}
+			time.Sleep(7 * time.Millisecond)
+		}
+	})
+	return func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		return err
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	f := versionedlist.NewFollower(table.NewMemory(), list, versionedlist.FollowerConfig{})
+	entries := map[string]json.RawMessage{}
+	for i := range 10_000 {
+		entries[fmt.Sprint(i)] = json.RawMessage(`"gold"`)
+	}
+	f.Accept(versionedlist.Update{Version: 1, Full: true, Entries: entries})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, ok := f.Snapshot().Get("4711"); !ok {
+				b.Error("entry is missing")
+			}
+		}
+	})
+}
