--- a/internal/plan/document.go
+++ b/internal/plan/document.go
@@ -76,12 +76,8 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		err = errors.New("document ends too early")
 	}
-	at := s.dec.InputOffset()
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		at = syntax.Offset
-	}
-	return nil, Problems{{Line: s.lineAt(at), Message: err.Error()}}
+	// The offset of a json.SyntaxError counts from the start of the value for some errors, the decoder's does not.
+	return nil, Problems{{Line: s.lineAt(s.dec.InputOffset()), Message: err.Error()}}
 }
 
 // lineAt returns the line of an offset, which must not be before the last one asked for.
@@ -195,8 +191,9 @@
 		return 0
 	}
 	v, err := num.Int64()
+	f, _ := num.Float64()
 	switch {
-	case strings.HasPrefix(num.String(), "-"):
+	case f < 0:
 		r.add(n.line, path, "must not be negative, is %s", num)
 	case err != nil && strings.Trim(num.String(), "0123456789") == "", err == nil && v > limit:
 		r.add(n.line, path, "must be at most %d, is %s", limit, num)
@@ -215,7 +212,7 @@
 	}
 	v, err := num.Float64()
 	switch {
-	case strings.HasPrefix(num.String(), "-"):
+	case v < 0:
 		r.add(n.line, path, "must not be negative, is %s", num)
 	case err != nil || v > limit:
 		r.add(n.line, path, "must be at most %g, is %s", limit, num)
--- a/internal/plan/parse.go
+++ b/internal/plan/parse.go
@@ -107,6 +107,9 @@
 	var out []string
 	for _, item := range n.items {
 		name := r.text(item, "remove")
+		if name == "" {
+			continue
+		}
 		if _, both := e.values[name]; both {
 			r.add(item.line, join("remove", name), "entry is both set and removed")
 		}
