Report an uncertain list edit as unknown after a failed validation

An edit whose first commit had an unknown outcome and whose repetition was then rejected by validation was reported as invalid, although the first commit may still take effect. It is now ErrUnknownOutcome.

--- a/internal/tabletest/tabletest.go
+++ b/internal/tabletest/tabletest.go
@@ -26,8 +26,6 @@
 	rng  *rand.Rand
 	rate float64
 	late sync.WaitGroup
-	// Committing is called before a commit reaches the table, if it is set.
-	Committing func(table.Txn)
 }
 
 // NewFaulty returns a client whose calls fail with the given probability.
@@ -79,30 +77,23 @@
 	fails, kind, delay, late := f.draw()
 	time.Sleep(delay)
 	if !fails {
-		return f.commit(ctx, txn)
+		return f.Table.Commit(ctx, txn)
 	}
 	switch kind {
 	case 0:
 		return table.Result{}, table.ErrUnavailable
 	case 1:
 	case 2:
-		_, _ = f.commit(ctx, txn)
+		_, _ = f.Table.Commit(ctx, txn)
 	case 3:
 		f.late.Go(func() {
 			time.Sleep(late)
-			_, _ = f.commit(context.Background(), txn)
+			_, _ = f.Table.Commit(context.Background(), txn)
 		})
 	}
 	return table.Result{}, errors.Wrap(table.ErrUnknownOutcome, "response lost")
 }
 
-func (f *Faulty) commit(ctx context.Context, txn table.Txn) (table.Result, error) {
-	if f.Committing != nil {
-		f.Committing(txn)
-	}
-	return f.Table.Commit(ctx, txn)
-}
-
 // Guard is an ownership.Guard that always holds.
 type Guard struct {
 	Name    string
--- a/versionedlist/editor.go
+++ b/versionedlist/editor.go
@@ -101,7 +101,8 @@
 		case err == nil:
 			return c, nil
 		case again && (uncertain || attempt < maxAttempts) && sleep(ctx, retryDelay(attempt, e.cfg.Rand())):
-		case uncertain && again:
+		case uncertain && (again || !errors.Is(err, ErrConflict)):
+			// Only the log decides about the earlier commit, not a later validation or read.
 			return Change{}, errors.Wrap(ErrUnknownOutcome, err.Error())
 		default:
 			return Change{}, err
