Show lane statistics in the state; count keys, loans and lost attempts

Operators could not see why bulk work waits while slots are idle, now that its limit follows recent peaks. The dump has limit, median and mean run time per lane, and counters exist for joined and known keys, refused loans, lost attempts and compactions.

--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -53,6 +53,7 @@
 	held := time.Time{}
 	if r.result == sendLost {
 		held = start.Add(maxTimeout)
+		p.s.m.lost.Inc(1)
 	}
 	p.router.free(m, held)
 	if r.leaving && !m.saidLeaving {
@@ -174,6 +175,7 @@
 		p.queue.Observe(now, c.req.Customer, c.ticket.Class, c.ticket.Lane, now.Sub(start))
 	}
 	if refused {
+		p.s.m.refused.Inc(1)
 		p.borrowDelay = min(max(minBorrowDelay, 2*p.borrowDelay), maxBorrowDelay)
 		p.borrowAt = now.Add(p.borrowDelay)
 		p.wakeBy(p.borrowAt)
--- a/internal/request/loan.go
+++ b/internal/request/loan.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/lanes"
 )
 
 // ErrNotSent says that a request or a loan certainly reached nobody.
@@ -55,9 +57,9 @@
 // ExecuteLoan executes one attempt for another daemon, under the guard and in a slot of a partition that this daemon
 // owns. Without an idle slot it refuses at once. The end of ctx does not cut the attempt.
 func (s *Service) ExecuteLoan(ctx context.Context, l Loan) LoanReply {
-	lane, ok := laneOf(l.Lane)
-	if !ok || l.AttemptID == "" || l.TimeoutMS <= 0 || l.TimeoutMS > maxTimeout.Milliseconds() {
-		return LoanReply{Status: LoanRefused, Message: "malformed loan"}
+	lane, reason := l.check()
+	if reason != "" {
+		return LoanReply{Status: LoanRefused, Message: reason}
 	}
 	if !s.firstLoan(l.AttemptID, time.Now()) {
 		return LoanReply{Status: LoanLost, Message: "this attempt was received before"}
@@ -79,6 +81,22 @@
 	return LoanReply{Status: LoanRefused, Message: "no idle slot"}
 }
 
+// check returns the loan's lane, or why the loan cannot be executed.
+func (l Loan) check() (lane lanes.Lane, reason string) {
+	lane, ok := laneOf(l.Lane)
+	switch {
+	case !ok:
+		return lane, "unknown lane"
+	case l.AttemptID == "":
+		return lane, "no attempt id"
+	case l.TimeoutMS <= 0 || l.TimeoutMS > maxTimeout.Milliseconds():
+		return lane, "limit of the attempt out of range"
+	case len(l.Payload) > maxPayloadBytes:
+		return lane, "payload too large"
+	}
+	return lane, ""
+}
+
 func (s *Service) firstLoan(id string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -249,6 +249,7 @@
 func (p *partition) compact() {
 	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
 	defer cancel()
+	p.s.m.compacts.Inc(1)
 	if err := p.log.compact(ctx, p.claims.Snapshot); err != nil {
 		p.s.deps.Log.Warn("journal compaction failed", zap.String("partition", p.name), zap.Error(err))
 	}
@@ -282,6 +283,11 @@
 	defer p.mu.Unlock()
 	if r.Key != "" {
 		if known, o, ok := p.known(c.key, c.fingerprint); ok {
+			if known != nil {
+				p.s.m.joined.Inc(1)
+			} else {
+				p.s.m.known.Inc(1)
+			}
 			return known, o
 		}
 	}
--- a/internal/request/state.go
+++ b/internal/request/state.go
@@ -12,19 +12,18 @@
 
 // PartitionState is the dump of one partition.
 type PartitionState struct {
-	Partition   string         `json:"partition"`
-	Epoch       int64          `json:"epoch"`
-	Phase       string         `json:"phase"`
-	Slots       int            `json:"slots"` // in use and idle
-	Waiting     map[string]int `json:"waiting"`
-	Running     map[string]int `json:"running"` // lent slots included
-	InFlight    int            `json:"in_flight"`
-	Borrowed    int            `json:"borrowed"`
-	OpenKeys    int            `json:"open_keys"`
-	RetryBudget float64        `json:"retry_budget"`
-	BlockedMS   int64          `json:"blocked_ms"` // until a fenced predecessor's attempts are over
-	Customers   map[string]Use `json:"customers"`
-	Minions     []MinionState  `json:"minions"`
+	Partition   string                 `json:"partition"`
+	Epoch       int64                  `json:"epoch"`
+	Phase       string                 `json:"phase"`
+	Slots       int                    `json:"slots"` // in use and idle
+	Lanes       map[string]lanes.Stats `json:"lanes"`
+	InFlight    int                    `json:"in_flight"`
+	Borrowed    int                    `json:"borrowed"`
+	OpenKeys    int                    `json:"open_keys"`
+	RetryBudget float64                `json:"retry_budget"`
+	BlockedMS   int64                  `json:"blocked_ms"` // until a fenced predecessor's attempts are over
+	Customers   map[string]Use         `json:"customers"`
+	Minions     []MinionState          `json:"minions"`
 }
 
 // Use is what one customer has in hand.
@@ -49,8 +48,7 @@
 	defer p.mu.Unlock()
 	d := PartitionState{
 		Partition: p.name, Epoch: p.guard.Epoch(), Phase: string(p.phase), Slots: p.router.total,
-		Waiting: byLane(p.queue.Waiting()), Running: byLane(p.queue.Running()),
-		InFlight: p.inFlight, Borrowed: p.borrowed, OpenKeys: len(p.calls), RetryBudget: p.budget.saved,
+		Lanes: p.queue.Stats(), InFlight: p.inFlight, Borrowed: p.borrowed, OpenKeys: len(p.calls), RetryBudget: p.budget.saved,
 		BlockedMS: max(0, time.Until(p.blockedUntil).Milliseconds()), Customers: map[string]Use{},
 	}
 	for customer, a := range p.accounts {
@@ -68,25 +66,33 @@
 	return d
 }
 
-func byLane(n [3]int) map[string]int {
-	m := make(map[string]int, len(n))
-	for i, v := range n {
-		m[lanes.Lane(i).String()] = v
-	}
-	return m
-}
-
 // metrics counts what the slice does.
 type metrics struct {
-	scope                            tally.Scope
-	retried, borrowed, lent, ejected tally.Counter
+	scope    tally.Scope
+	known    tally.Counter // requests answered from a recorded outcome
+	joined   tally.Counter // requests that wait for a running call of the same key
+	retried  tally.Counter
+	borrowed tally.Counter // loans asked for
+	refused  tally.Counter // loans that a lender refused
+	lent     tally.Counter // loans executed for others
+	lost     tally.Counter // attempts whose slot stays taken because they may still run
+	ejected  tally.Counter // minions
+	compacts tally.Counter // journal compactions
 }
 
 func newMetrics(s tally.Scope) metrics {
 	s = s.SubScope("request")
 	return metrics{
-		scope: s, retried: s.Counter("retries"), borrowed: s.Counter("loans_asked"),
-		lent: s.Counter("loans_given"), ejected: s.Counter("ejections"),
+		scope:    s,
+		known:    s.Counter("keys_known"),
+		joined:   s.Counter("keys_joined"),
+		retried:  s.Counter("retries"),
+		borrowed: s.Counter("loans_asked"),
+		refused:  s.Counter("loans_refused"),
+		lent:     s.Counter("loans_given"),
+		lost:     s.Counter("attempts_lost"),
+		ejected:  s.Counter("ejections"),
+		compacts: s.Counter("compactions"),
 	}
 }
 
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -213,6 +213,30 @@
 	return t, nil
 }
 
+// Stats describes one lane.
+type Stats struct {
+	Waiting int           `json:"waiting"`
+	Ready   int           `json:"ready"`   // of those waiting
+	Running int           `json:"running"` // lent slots included
+	Limit   int           `json:"limit"`   // slots that the lane may hold together with the lanes below it
+	Median  time.Duration `json:"median_ns"`
+	Mean    time.Duration `json:"mean_ns"`
+}
+
+// Stats returns the state of each lane by its name. It shows operators why a lane waits while slots are idle.
+func (q *Queue[T]) Stats() map[string]Stats {
+	limits := q.limits()
+	stats := make(map[string]Stats, laneCount)
+	for l := Urgent; l < laneCount; l++ {
+		w := &q.times.lanes[l]
+		stats[l.String()] = Stats{
+			Waiting: q.lanes[l].waiting, Ready: q.lanes[l].ready, Running: q.running[l], Limit: limits[l],
+			Median: time.Duration(w.median), Mean: time.Duration(w.mean),
+		}
+	}
+	return stats
+}
+
 // limits returns the limits in force. Slots are reserved for urgent and normal items up to their recent peak while bulk
 // items run so long that their slots would not be free again before the next peak is over.
 func (q *Queue[T]) limits() Limits {
