Wait for lost attempts at a handover; compare payloads as forwarded

A successor of a handover uses all slots of a minion at once, while a lost attempt of the predecessor may run for up to 10 s after its start. The drain now waits for the end of its slot.

A daemon that forwards a request encodes the payload anew, without spaces and with HTML characters escaped. The same request by way of another entry host therefore had another fingerprint and was refused as key_reused. The fingerprint is taken of the forwarded form.

An answer that is not JSON is carried as a string, since it could not be part of a message otherwise. Idle slots after a takeover are read from the body of the ping, as the stand-in minion reports them.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"time"
 
 	"github.com/greengagewing/greengagewing/idempotency"
@@ -75,7 +76,8 @@
 }
 
 // fingerprint identifies what a request asks for, so that a key cannot be used for two different requests. The timeout
-// and the class are left out: a caller may repeat a request with more patience or urgency.
+// and the class are left out: a caller may repeat a request with more patience or urgency. The payload is brought into the
+// form in which daemons forward it, so that a repetition by way of another entry host has the same fingerprint.
 func fingerprint(r Request) string {
 	h := sha256.New()
 	h.Write([]byte(r.Service))
@@ -84,7 +86,11 @@
 	} else {
 		h.Write([]byte("/once/"))
 	}
-	h.Write(r.Payload)
+	payload, err := json.Marshal(r.Payload)
+	if err != nil {
+		payload = r.Payload // not JSON, which Validate refuses
+	}
+	h.Write(payload)
 	return hex.EncodeToString(h.Sum(nil))
 }
 
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"strconv"
+	"encoding/json"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -89,7 +90,7 @@
 		p.s.m.retried.Inc(1)
 		p.requeue(c, now)
 	case endDone:
-		p.answer(c, Outcome{Outcome: Done, Result: r.body}, now)
+		p.answer(c, Outcome{Outcome: Done, Result: resultOf(r.body)}, now)
 	case endNotOwner:
 		p.answer(c, Refuse(CodeNoOwner, "the partition has a new owner", ownerRetryAfter), now)
 	case endNotRun:
@@ -221,7 +222,7 @@
 func loanReply(r sent) LoanReply {
 	switch r.result {
 	case sendAnswered:
-		return LoanReply{Status: LoanDone, Result: r.body}
+		return LoanReply{Status: LoanDone, Result: resultOf(r.body)}
 	case sendNotRun, sendLeaving, sendNotOwner:
 		return LoanReply{Status: LoanNotRun, Message: r.reason}
 	default:
@@ -247,13 +248,24 @@
 func (p *path) idleSlots(ctx context.Context) int {
 	l := newLink(p.dial)
 	defer l.close()
-	h, err := p.ping(ctx, l)
+	got, err := p.ping(ctx, l)
 	if err != nil {
 		return 0
 	}
-	n, err := strconv.Atoi(h.Get(HeaderIdleSlots))
-	if err != nil {
-		return 0
+	return min(max(got.Slots-got.InUse, 0), minionSlots)
+}
+
+// resultOf returns a minion's answer as JSON, so that it can be part of a message: JSON as it is, other text as a string,
+// and other bytes as a string in base 64.
+func resultOf(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
+	}
+	var out []byte
+	if utf8.Valid(body) {
+		out, _ = json.Marshal(string(body))
+	} else {
+		out, _ = json.Marshal(body)
 	}
-	return min(max(n, 0), minionSlots)
+	return out
 }
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -60,7 +60,7 @@
 	down    map[string]bool
 	seen    map[string]int // attempts per id, incompletely read ones included
 	silent  bool           // connections that are used now never answer again
-	idle    string         // reported idle slots
+	ping    string         // answer to a ping
 	answers int            // after this number of answers a connection is closed; 0: never
 	ending  string         // how: "idle", at once; "read", after reading one more attempt; "partial", in the middle of it
 }
@@ -124,7 +124,7 @@
 		}
 		n.mu.Lock()
 		n.seen[req.Header.Get(HeaderAttemptID)]++
-		silent, idle, last := n.silent, n.idle, n.answers > 0 && i > n.answers
+		silent, pong, last := n.silent, n.ping, n.answers > 0 && i > n.answers
 		n.mu.Unlock()
 		if last && n.ending == "partial" {
 			return // the rest of the body is unread, so the peer sees a reset
@@ -137,7 +137,7 @@
 			_, _ = io.Copy(io.Discard, c)
 			return
 		case req.URL.Path == "/v1/ping":
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nIdle-Slots: %s\r\nContent-Length: 0\r\n\r\n", idle)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(pong), pong)
 		case !n.execute(addr, c, req.Header.Get(HeaderAttemptID), body):
 			return
 		}
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -329,7 +329,11 @@
 func outcomeOf(e idempotency.Entry) Outcome {
 	switch e.State {
 	case idempotency.Done:
-		return Outcome{Outcome: Done, Result: e.Answer}
+		o := Outcome{Outcome: Done, Result: e.Answer}
+		if len(e.Answer) == 0 {
+			o.Message = "the request was done; its answer was too large to be kept"
+		}
+		return o
 	case idempotency.NotRun:
 		return Refuse(cmp.Or(Code(e.Code), CodeMinionFailed), "the request did not run", minRetryAfter)
 	case idempotency.Claimed:
@@ -614,12 +618,31 @@
 		p.cancel() // shutdown is bounded; cut attempts report unknown
 		<-p.quiet
 	}
+	p.awaitHeld(ctx)
 	if err := p.log.Flush(ctx); err != nil {
 		p.s.deps.Log.Warn("outcomes not durable at handover", zap.String("partition", p.name), zap.Error(err))
 	}
 	p.finish()
 }
 
+// awaitHeld waits for lost attempts that may still run. The successor of a handover uses all slots at once, so their
+// slots must be free by then.
+func (p *partition) awaitHeld(ctx context.Context) {
+	p.mu.Lock()
+	last := time.Now()
+	for _, m := range p.router.minions {
+		for _, t := range m.held {
+			if t.After(last) {
+				last = t
+			}
+		}
+	}
+	p.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, last)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // abandon ends the service after the ownership was lost. Attempts that were sent before may still be answered.
 func (p *partition) abandon() {
 	p.stop(abandoned, Refuse(CodeNoOwner, "the partition has a new owner", ownerRetryAfter))
--- a/internal/request/path.go
+++ b/internal/request/path.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -22,7 +23,6 @@
 	HeaderDigest    = "Answer-Sha256" // hex SHA-256 of the answer's body
 	HeaderNotRun    = "Not-Run"       // "true" on a 503: refused before starting
 	HeaderLeaving   = "Leaving"       // "true" on a 503: the minion takes no new work
-	HeaderIdleSlots = "Idle-Slots"    // optional on the answer to a ping: slots in which nothing runs
 )
 
 const (
@@ -271,25 +271,35 @@
 	return newLink(p.dial)
 }
 
-// ping probes a connection and returns the header of the answer.
-func (p *path) ping(ctx context.Context, l *link) (http.Header, error) {
+// pong is the body of the answer to a ping. A minion may leave it out.
+type pong struct {
+	Slots int `json:"slots"`
+	InUse int `json:"in_use"`
+}
+
+// ping probes a connection.
+func (p *path) ping(ctx context.Context, l *link) (pong, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	l.gate.Store(&gate{check: func() error { return nil }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.addr+"/v1/ping", nil)
 	if err != nil {
-		return nil, err
+		return pong{}, err
 	}
 	resp, err := l.transport.RoundTrip(req)
 	if err != nil {
-		return nil, err
+		return pong{}, err
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeaderBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeaderBytes))
 	_ = resp.Body.Close()
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = errors.Errorf("status %d", resp.StatusCode)
 	}
-	return resp.Header, err
+	var got pong
+	if json.Unmarshal(body, &got) != nil {
+		got = pong{} // the connection works, which is what a probe asks
+	}
+	return got, err
 }
 
 // execute sends one attempt and reads its answer until ctx ends.
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -102,7 +102,9 @@
 			gone := make(chan Outcome, 1)
 			go func() { gone <- b.Submit(ctx, part, b.request(idempotent, 5*time.Second, j)) }()
 			synctest.Wait()
-			joined := b.async(b.request(idempotent, 5*time.Second, j))
+			again := b.request(idempotent, 5*time.Second, j)
+			again.Payload = append([]byte(" "), again.Payload...) // as another entry host may forward it
+			joined := b.async(again)
 			synctest.Wait()
 			cancel()
 			So((<-gone).Outcome, ShouldEqual, Unknown)
@@ -154,7 +156,7 @@
 	})
 	inBubble(t, "Slots that the minion reports idle are used at once", 1, func(b *bench) {
 		b.guard.lost.Store(true)
-		locked(&b.net.mu, func() { b.net.idle = "2" })
+		locked(&b.net.mu, func() { b.net.ping = `{"slots":8,"in_use":6}` })
 		n := b.successor()
 		defer n.Close()
 		synctest.Wait()
@@ -386,6 +388,12 @@
 		So(n.once(time.Second, job{Key: "queued"}).Code, ShouldEqual, CodeDeadlineUnreachable)
 		So(b.net.runsOf("3"), ShouldEqual, 1)
 	})
+	inBubble(t, "A handover waits for a lost attempt that may still run in its slot", 1, func(b *bench) {
+		start := time.Now()
+		So(b.once(time.Second, job{Key: "k", Fault: "dropped", MS: 5000}).Outcome, ShouldEqual, Unknown)
+		b.Stop(context.Background(), part, true)
+		So(time.Since(start), ShouldEqual, maxTimeout)
+	})
 	inBubble(t, "A stop is bounded: what still runs at the limit is cut and unknown", 1, func(b *bench) {
 		running := b.async(b.request(false, 9*time.Second, job{Key: "k", MS: 8000}))
 		synctest.Wait()
@@ -497,6 +505,7 @@
 		refused(CodeInvalidRequest, 400, ok)
 		ok.Payload = make([]byte, maxPayloadBytes+1)
 		refused(CodeTooLarge, 413, ok)
+		So(string(resultOf([]byte(`{"a":1}`)))+string(resultOf([]byte("a"))), ShouldEqual, `{"a":1}"a"`)
 		So(StatusOf(Outcome{Outcome: Done}), ShouldEqual, 200)
 		So(StatusOf(Undecided(CodeOutcomeUnknown, "")), ShouldEqual, 504)
 		So(StatusOf(Refuse(CodeMinionFailed, "", 0)), ShouldEqual, 503)
--- a/lanes/lanes_test.go
+++ b/lanes/lanes_test.go
@@ -151,6 +151,14 @@
 		}
 		So(n["short"], ShouldBeBetweenOrEqual, 390, 410)
 	})
+	Convey("An item that comes back keeps its place", t, func() {
+		q := lanes.New[string](lanes.Config{})
+		q.SetSlots(1)
+		So(offer(q, "c", lanes.Urgent, "first"), ShouldBeNil)
+		So(offer(q, "c", lanes.Urgent, "second"), ShouldBeNil)
+		q.Requeue(q.Next(zero))
+		So(q.Next(zero).Value, ShouldEqual, "first")
+	})
 	Convey("Lower lanes get a turn while urgent items never end", t, func() {
 		q := lanes.New[string](lanes.Config{})
 		q.SetSlots(10)
