--- a/internal/job/worker/client_test.go
+++ b/internal/job/worker/client_test.go
@@ -31,7 +31,7 @@
 			path, body = r.URL.Path, string(raw)
 			answer(w, r)
 		}))
-		c := NewHTTPClient()
+		c := NewHTTPClient(new(net.Dialer).DialContext)
 		Reset(func() { c.Close(); srv.Close() })
 		addr, ctx := strings.TrimPrefix(srv.URL, "http://"), context.Background()
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -79,12 +79,12 @@
 
 // Run polls the list until ctx ends. While the list cannot be read, the last one stays in force.
 func (l *List) Run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
 	for {
 		l.Poll(ctx)
+		t := time.NewTimer(pollInterval)
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return
 		case <-t.C:
 		}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -9,6 +9,7 @@
 const (
 	heartbeatInterval = time.Second
 	heartbeatTimeout  = time.Second
+	minWait           = 10 * time.Millisecond
 	// AliveFor is how long a peer counts as reachable after its last heartbeat.
 	AliveFor = 3 * time.Second
 )
@@ -60,12 +61,13 @@
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeater) Run(ctx context.Context) {
-	t := time.NewTicker(heartbeatInterval)
-	defer t.Stop()
 	for {
+		started := time.Now()
 		h.beat(ctx)
+		t := time.NewTimer(max(heartbeatInterval-time.Since(started), minWait))
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return
 		case <-t.C:
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -58,11 +58,11 @@
 	c.Header("Content-Type", "application/json")
 	c.Status(http.StatusOK)
 	c.Writer.Flush()
-	t := time.NewTicker(keepaliveInterval)
-	defer t.Stop()
 	for {
+		t := time.NewTimer(keepaliveInterval)
 		select {
 		case env := <-answer:
+			t.Stop()
 			_ = json.NewEncoder(c.Writer).Encode(env)
 			return
 		case <-t.C:
--- a/ownership/sweep.go
+++ b/ownership/sweep.go
@@ -23,11 +23,11 @@
 
 // sweepLoop deletes the rows of sessions that ended long ago. Only the live daemon with the lowest id does.
 func (m *Manager) sweepLoop(ctx context.Context) {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
 	for {
+		t := time.NewTimer(sweepInterval)
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return
 		case <-t.C:
 		}
