--- a/lanes/lanes_test.go
+++ b/lanes/lanes_test.go
@@ -175,12 +175,17 @@
 func TestDemotion(t *testing.T) {
 	Convey("A customer far above the median is demoted, and comes back", t, func() {
 		q := lanes.New[string](lanes.Config{})
+		for range 200 {
+			q.Observe(zero, "early", lanes.Urgent, lanes.Urgent, time.Second) // alone, so nothing is unusual about it
+		}
+		So(q.LaneOf("early", lanes.Urgent), ShouldEqual, lanes.Urgent)
 		for i := range 40 {
 			q.Observe(zero, fmt.Sprint("c", i%4), lanes.Urgent, lanes.Urgent, 10*time.Millisecond)
 		}
 		for range 2 {
 			q.Observe(zero, "long", lanes.Urgent, lanes.Urgent, time.Second)
 		}
+		So(q.LaneOf("early", lanes.Urgent), ShouldEqual, lanes.Bulk)
 		So(q.LaneOf("long", lanes.Urgent), ShouldEqual, lanes.Urgent) // two slow runs prove nothing
 		for range 100 {
 			q.Observe(zero, "long", lanes.Urgent, q.LaneOf("long", lanes.Urgent), time.Second)
