Keep an idle customer's rate counter until it is full

Counters of customers were dropped after a minute without requests and started full afterwards. A plan that grants less than its burst per minute therefore granted more to a customer who waited a minute between requests. The unused field Loan.Idempotent is gone.

--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -134,7 +134,7 @@
 	p.s.m.borrowed.Inc(1)
 	loan := Loan{
 		Service: p.service, Partition: p.name, AttemptID: p.attemptID(), Lane: classOf(l),
-		Idempotent: c.req.Idempotent, TimeoutMS: maxTimeout.Milliseconds(), Payload: c.req.Payload,
+		TimeoutMS: maxTimeout.Milliseconds(), Payload: c.req.Payload,
 	}
 	p.s.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, maxTimeout+loanGrace)
--- a/internal/request/loan.go
+++ b/internal/request/loan.go
@@ -20,13 +20,12 @@
 // Loan asks another daemon to execute one attempt in one of its slots. The borrower has made the claim, if one is
 // needed, before it sends the loan.
 type Loan struct {
-	Service    string          `json:"service"`
-	Partition  string          `json:"partition"`  // of the borrower
-	AttemptID  string          `json:"attempt_id"` // unique
-	Lane       Class           `json:"lane"`       // whose share the slot counts in
-	Idempotent bool            `json:"idempotent"`
-	TimeoutMS  int64           `json:"timeout_ms"` // limit of the attempt
-	Payload    json.RawMessage `json:"payload,omitempty"`
+	Service   string          `json:"service"`
+	Partition string          `json:"partition"`  // of the borrower
+	AttemptID string          `json:"attempt_id"` // unique
+	Lane      Class           `json:"lane"`       // whose share the slot counts in
+	TimeoutMS int64           `json:"timeout_ms"` // limit of the attempt
+	Payload   json.RawMessage `json:"payload,omitempty"`
 }
 
 // LoanStatus is the result of a loan.
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -230,7 +230,7 @@
 func (p *partition) sweep(now time.Time) {
 	p.nextSweep = now.Add(sweepInterval)
 	for customer, a := range p.accounts {
-		if a.active == 0 && now.Sub(a.seen) > accountIdle && now.After(p.blockedUntil) {
+		if a.active == 0 && now.Sub(a.seen) > accountIdle && now.After(p.blockedUntil) && p.full(customer, a, now) {
 			delete(p.accounts, customer)
 		}
 	}
@@ -246,6 +246,15 @@
 	}
 }
 
+// full reports whether the customer's bucket is full, so that a new one would grant no more.
+func (p *partition) full(customer string, a *account, now time.Time) bool {
+	allowed, err := p.s.deps.Plans.Allowance(customer)
+	if err != nil {
+		return errors.Is(err, plan.ErrUnknownCustomer)
+	}
+	return a.bucket.level(now, allowed.RequestsPerSecond, allowed.Burst) >= float64(allowed.Burst)
+}
+
 func (p *partition) compact() {
 	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
 	defer cancel()
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -265,6 +265,9 @@
 		So(o.RetryAfterMS, ShouldEqual, 2000)
 		time.Sleep(2 * time.Second)
 		So(submit("2").Outcome, ShouldEqual, Done)
+		locked(&b.lists.mu, func() { b.lists.allowed.RequestsPerSecond = 0.005 })
+		time.Sleep(3 * accountIdle) // an idle customer's counter is not forgotten before it is full
+		So(submit("2b").Code, ShouldEqual, CodeAllowanceRate)
 		b.lists.allowed.Burst, b.lists.allowed.RequestsPerSecond = 1000, 1000
 		time.Sleep(time.Second)
 		b.busy(8, 2000)
@@ -457,7 +460,7 @@
 	inBubble(t, "A lender refuses at once without an idle slot and never runs an attempt twice", 1, func(b *bench) {
 		lend := func(id string, lane Class) LoanStatus {
 			payload := []byte(`{"key":"loan","ms":1000}`)
-			return b.ExecuteLoan(context.Background(), Loan{service, part, id, lane, false, 5000, payload}).Status
+			return b.ExecuteLoan(context.Background(), Loan{service, part, id, lane, 5000, payload}).Status
 		}
 		So(b.IdleSlots()[service], ShouldEqual, 8)
 		for i := range 12 {
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -36,7 +36,7 @@
 // The outcomes.
 const (
 	Done    Result = "done"    // the minion's whole answer is in Outcome.Result
-	NotRun  Result = "not_run" // the request certainly did not run and will not
+	NotRun  Result = "not_run" // this submission certainly did not run and will not; see Service.Lookup for earlier ones
 	Unknown Result = "unknown" // the request may have run; ask by key
 )
 
