Test late responses, lost claims and claims of a replaced session

Trials with deliberately broken copies of the code showed three faults that no test noticed: a validity counted from the response, a claim without the condition on the session row, and a lost claim that is not adopted from a scan. Each is now found by a test (TestLateResponses, TestLostClaim).

--- a/ownership/manager_test.go
+++ b/ownership/manager_test.go
@@ -101,6 +101,25 @@
 	})
 }
 
+// TestLostClaim guards against a partition that has an owner in the table but none that knows of it.
+func TestLostClaim(t *testing.T) {
+	for _, blind := range []bool{false, true} {
+		bubble(t, "A claim whose response is lost is found by reading back, at the latest by a scan", true, func(c *cluster) {
+			p := c.most()
+			for _, q := range c.procs {
+				q.store.lose.Store(100)
+				q.blind.Store(blind)
+			}
+			p.kill()
+			c.watch(20 * time.Second)
+			So(c.watch(5*time.Second), ShouldEqual, 0)
+			for _, name := range c.parts {
+				So(c.owners(name)[0].Epoch(), ShouldBeLessThanOrEqualTo, 3)
+			}
+		})
+	}
+}
+
 // TestStartFailure guards against a partition that stays with a daemon that cannot start it.
 func TestStartFailure(t *testing.T) {
 	bubble(t, "A partition that its desired owner cannot start goes to another daemon", true, func(c *cluster) {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,7 +48,7 @@
 	done    chan struct{}
 	dead    atomic.Bool
 	refuse  atomic.Bool // Start fails
-	stop    time.Duration
+	blind   atomic.Bool // partition rows cannot be read back one by one
 }
 
 // cluster is a set of daemons on one table.
@@ -183,9 +184,6 @@
 }
 
 func (p *process) Stop(ctx context.Context, partition string, handover bool) {
-	if p.stop > 0 {
-		time.Sleep(p.stop)
-	}
 	p.cl.mu.Lock()
 	defer p.cl.mu.Unlock()
 	p.cl.active[p][partition] = false
@@ -274,6 +272,9 @@
 }
 
 func (s *storeLink) Get(ctx context.Context, key string) (r table.Row, err error) {
+	if s.p.blind.Load() && strings.HasPrefix(key, ownership.Prefix) {
+		return r, table.ErrUnavailable
+	}
 	err = s.call(ctx, func() (err error) { r, err = s.p.cl.mem.Get(ctx, key); return err })
 	return r, err
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -22,6 +22,7 @@
 type cutStore struct {
 	*table.Memory
 	noReads, noCommits atomic.Bool
+	late               atomic.Int64 // nanoseconds from a commit to its response
 }
 
 func (c *cutStore) cut(v bool) {
@@ -47,6 +48,7 @@
 	if c.noCommits.Load() {
 		return table.Result{}, table.ErrUnavailable
 	}
+	defer time.Sleep(time.Duration(c.late.Load()))
 	return c.Memory.Commit(ctx, txn)
 }
 
@@ -162,6 +164,7 @@
 			for id := range n.nodes {
 				n.kill(id)
 			}
+			time.Sleep(DefaultTTL) // calls in flight
 		}()
 		Convey(name, t, func() {
 			a, b, c := n.start("a"), n.start("b"), n.start("c")
@@ -196,6 +199,37 @@
 	})
 }
 
+// TestLateResponses guards against a validity that is counted from the response, which an observer cannot know of, and
+// against a claim by a daemon whose session another one has replaced.
+func TestLateResponses(t *testing.T) {
+	for _, lost := range []int{0, 1 << 20} {
+		inBubble(t, "The validity counts from before the request", func(n *net, a, b, c *node) {
+			const late = 1200 * time.Millisecond
+			b.mute.Store(true)
+			c.mute.Store(true)
+			a.store.late.Store(int64(late))
+			n.mem.SetFaults(table.Faults{LoseAnswers: lost})
+			time.Sleep(DefaultTTL)
+			for range 500 {
+				time.Sleep(10 * time.Millisecond)
+				if left := time.Until(a.k.Deadline()); left <= 0 || left > DefaultTTL-DefaultMargin-late {
+					t.Fatalf("valid for %v more", left)
+				}
+			}
+		})
+	}
+	inBubble(t, "A claim fails once the session row has changed", func(n *net, a, _, _ *node) {
+		txn := table.Txn{Ops: []table.Op{{Key: "x"}}}
+		_, inc, err := a.k.Commit(context.Background(), txn)
+		So(err, ShouldBeNil)
+		So(inc, ShouldEqual, a.k.Incarnation())
+		_, _ = n.mem.Commit(context.Background(), table.Txn{Ops: []table.Op{{Key: Key("a"), Value: encode(n.row("a"))}}})
+		_, _, err = a.k.Commit(context.Background(), txn)
+		So(err, ShouldEqual, ErrNotHeld)
+		So(a.k.ValidFor(inc), ShouldBeFalse)
+	})
+}
+
 // TestPause guards against a validity that depends on a goroutine being scheduled: a process that resumes from a pause
 // must find its session expired before anything of it has run.
 func TestPause(t *testing.T) {
