Limit long requests to a fifth of the slots

Cause: bulk requests 100 times longer than previews could hold half of the slots when a crest began, and nothing can interrupt them, so urgent requests waited for them although lanes were in force. Ruled out: the learned reserve (it knows a crest only after the first one) and 10 % (half as many long requests ended beside small crests). Change: bulk requests that run more than ten times as long as the others hold at most 20 % of the slots. The check now covers the first crest of 67 %. The goal for 83 % is a test of its own, which fails and is listed in KNOWN-RED.txt; it was not asserted before.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,10 @@
 GO ?= go
 TEST_FLAGS ?=
 
+# Tests that fail because of a known fault; KNOWN-RED.txt says which and why.
+KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
 .PHONY: build fmt-check lint test check bench capacity measure demo clean
 
 build:
@@ -14,7 +18,7 @@
 	$(GO) tool staticcheck ./...
 
 test:
-	$(GO) test $(TEST_FLAGS) ./...
+	$(GO) test $(TEST_FLAGS) $(SKIP) ./...
 
 check: build fmt-check lint
 	$(MAKE) test TEST_FLAGS="-race"
--- a/internal/request/policy_test.go
+++ b/internal/request/policy_test.go
@@ -251,8 +251,7 @@
 // TestPolicyTable guards against long work that delays urgent work at a crest, and against one customer's flood that
 // delays another's short work. It prints the lanes beside a first-come-first-served baseline on the same arrivals.
 //
-// The goal is not asserted for a first crest that needs between half and all of the slots: long items that hold the half
-// that they may hold cannot be interrupted, so the wait is bounded only by the deadline. The rows show it.
+// The goal for a first crest that needs most of the slots is a test of its own, TestPolicyFirstCrest.
 func TestPolicyTable(t *testing.T) {
 	Convey("The lanes beside first come, first served", t, func() {
 		t.Logf("%-40s crest %6s  %7s  %7s  %7s   %6s  %6s  %6s", "urgent requests, seed 1", "n", "p50 ms", "p99 ms", "worst", "intime", "atonce", "late")
@@ -278,7 +277,7 @@
 				if seed == 1 {
 					t.Logf("%-40s       %d long requests ended after the first crest", name, long)
 				}
-				if load <= 0.5 || load >= 1 {
+				if load < mostSlots || load >= 1 {
 					withinGoal(without[0], with[0])
 				}
 				withinGoal(without[1], with[1])
@@ -296,3 +295,21 @@
 		}
 	})
 }
+
+// mostSlots is the load of a crest from which on long items hold slots that the crest needs.
+const mostSlots = 0.8
+
+// TestPolicyFirstCrest guards against long work that delays urgent work at a crest that was not seen before and needs
+// most of the slots. The goal is a p99 wait within 2 times that without long work.
+func TestPolicyFirstCrest(t *testing.T) {
+	Convey("A first crest that needs 83 % of the slots", t, func() {
+		for seed := uint64(1); seed <= 3; seed++ {
+			const rate = 200
+			without := crests(newLanePolicy(), crest(seed, rate, false), isUrgent)
+			with := crests(newLanePolicy(), crest(seed, rate, true), isUrgent)
+			t.Logf("seed %d without long work %s", seed, without[0])
+			t.Logf("seed %d with long work    %s", seed, with[0])
+			withinGoal(without[0], with[0])
+		}
+	})
+}
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -36,6 +36,11 @@
 	bulkPercent = 50 // of the slots, for bulk items
 	lowPercent  = 80 // of the slots, for normal and bulk items together
 
+	// longPercent of the slots are open to bulk items that run more than ten times as long as the others: a crest cannot
+	// wait for their slots. With 50 % instead, the p99 wait of urgent items at a first crest that needs 67 % of the slots
+	// was 163 ms instead of 4 ms, and 22 % more bulk items ended (TestPolicyTable, seed 1).
+	longPercent = 20
+
 	// bulkFloorPercent of the slots stay open to bulk items, however many slots are reserved. With 10 % instead, the
 	// p99 wait at a recurring crest that needs 83 % of the slots was 2.6 times that without bulk items, with 5 % it was
 	// 1.6 times (TestPolicyTable, seed 1).
@@ -242,7 +247,7 @@
 func (q *Queue[T]) limits() Limits {
 	reserved := 0
 	if q.times.mean(Bulk) > demoteFactor*max(q.times.mean(Urgent), q.times.mean(Normal)) {
-		reserved = q.peak.value()
+		reserved = max(q.peak.value(), q.slots*(100-longPercent)/100)
 	}
 	return LimitsOf(q.slots, reserved)
 }
