--- a/session/peer.go
+++ b/session/peer.go
@@ -40,7 +40,8 @@
 	Incarnation int64  `json:"incarnation"`
 }
 
-// PeerCaller calls other daemons. Every error of Promise and Consent means that no answer was received.
+// PeerCaller calls daemons, this one included: it may be a guarantor of the session that it wants to fence. Every error
+// of Promise and Consent means that no answer was received.
 type PeerCaller interface {
 	Promise(ctx context.Context, to Peer, req PromiseRequest) (PromiseReply, error)
 	Consent(ctx context.Context, to Peer, req ConsentRequest) (ConsentReply, error)
@@ -51,6 +52,7 @@
 
 // HostList is the platform's membership list.
 type HostList interface {
-	// HostListed reports whether the list shows the host of a peer address. known is false while no list is at hand.
+	// HostListed reports whether the list shows the host of a peer address. known is false while no list is at hand, and
+	// for a host that was never listed: the list lags, so a new host's absence is no evidence that it is gone.
 	HostListed(peerAddr string) (listed, known bool)
 }
