--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -102,12 +103,16 @@
 	}
 }
 
-// NewOperations registers the state dump and the drain on a group that checks the secret. The drain function must not
-// block.
+// NewOperations registers the state dump, the drain and the runtime's profiles on a group that checks the secret. The
+// drain function must not block.
 func NewOperations(g *gin.RouterGroup, s *States, drain func()) {
 	g.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, s.Dump(c.Query("part"))) })
 	g.POST("/admin/v1/drain", func(c *gin.Context) {
 		drain()
 		c.JSON(http.StatusAccepted, gin.H{"draining": true})
 	})
+	g.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
+	g.GET("/debug/pprof/:profile", func(c *gin.Context) {
+		pprof.Handler(c.Param("profile")).ServeHTTP(c.Writer, c.Request)
+	})
 }
--- /dev/null
+++ b/internal/capacity/job_test.go
@@ -0,0 +1,88 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/ownership"
+)
+
+// memoryLog takes every record and counts their bytes.
+type memoryLog struct{ bytes int }
+
+func (l *memoryLog) Append(_ context.Context, records ...[]byte) error {
+	l.AppendAsync(records...)
+	return nil
+}
+
+func (l *memoryLog) AppendAsync(records ...[]byte) {
+	for _, r := range records {
+		l.bytes += len(r)
+	}
+}
+
+func (l *memoryLog) Flush(context.Context) error             { return nil }
+func (l *memoryLog) Healthy() bool                           { return true }
+func (l *memoryLog) Bytes() int                              { return l.bytes }
+func (l *memoryLog) Compact(context.Context, [][]byte) error { return nil }
+func (l *memoryLog) Close()                                  {}
+
+func (l *memoryLog) Open(context.Context, ownership.Guard) (journal.Log, [][]byte, error) {
+	return l, nil, nil
+}
+
+// noWorkers is a pool without workers, whose tasks all stay pending.
+type noWorkers struct{}
+
+func (noWorkers) Minions(string) []membership.Endpoint { return nil }
+func (noWorkers) Workers(string) []membership.Endpoint { return nil }
+func (noWorkers) ReportLeaving(string)                 {}
+
+// everything is an allowance without limits in practice.
+type everything struct{}
+
+func (everything) Allowance(string) (plan.Allowance, error) {
+	return plan.Allowance{CPUMilli: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 30, Tasks: 1 << 30}, nil
+}
+
+// BenchmarkTaskMemory is the memory and the journal of accepted jobs.
+func BenchmarkTaskMemory(b *testing.B) {
+	for _, tasks := range []int{1, 100} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			jobs := 20_000 / tasks
+			var perTask, journaled float64
+			for b.Loop() {
+				log := &memoryLog{}
+				var p *job.Pool
+				perTask = heapPer(jobs*tasks, func() any {
+					p = job.New(job.Config{}, job.Deps{
+						Journals: log, Members: noWorkers{}, Plans: everything{}, Workers: worker.NewHTTPClient(nil),
+					})
+					if err := p.Start(context.Background(), owned{"pool/textos/0"}); err != nil {
+						b.Fatal(err)
+					}
+					for i := range jobs {
+						_, err := p.Submit(context.Background(), "pool/textos/0", job.Spec{
+							Customer: fmt.Sprintf("customer-%03d", i%690), Key: fmt.Sprintf("batch-%06d", i), Kind: job.Batch,
+							Tasks: tasks, Resources: job.Resources{CPUMilli: 1000, MemoryMB: 512}, Idempotent: true,
+						})
+						if err != nil {
+							b.Fatal(err)
+						}
+					}
+					return p
+				})
+				journaled = float64(log.bytes) / float64(jobs)
+				p.Stop(context.Background(), "pool/textos/0", false)
+			}
+			b.ReportMetric(perTask, "heap-B/task")
+			b.ReportMetric(journaled, "journal-B/job")
+		})
+	}
+}
