--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -19,6 +19,7 @@
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
@@ -119,10 +120,10 @@
 	handover := make(chan error, 1)
 	go func() {
 		err := d.Manager.Drain(ctx)
-		wait(ctx, linger)
+		wait.For(ctx, linger)
 		handover <- err
 	}()
-	wait(ctx, d.Settings.DrainNotice.Duration)
+	wait.For(ctx, d.Settings.DrainNotice.Duration)
 	d.Gate.closed.Store(true)
 	err := errors.Join(callers.stop(ctx), <-handover, d.Keeper.Close(ctx), peers.stop(ctx))
 	d.Background.stop()
@@ -135,15 +136,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (d lifecycle) callerRoutes() *gin.Engine {
 	e := newEngine()
 	api.NewRequests(e, d.Requests)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -31,7 +31,7 @@
 func (f *fakeOwners) OwnerOf(string) (Owner, bool) { return Owner{Addr: "peer"}, f.known.Load() }
 
 // run routes a call whose sendings meet the given steps; the last step repeats.
-func run(steps ...step) (sent int, lost bool, err error, took time.Duration) {
+func run(steps ...step) (sent int, lost bool, took time.Duration, err error) {
 	owners := &fakeOwners{}
 	owners.known.Store(true)
 	began := time.Now()
@@ -44,7 +44,7 @@
 		},
 		moved: func(m bool) bool { return m },
 	})
-	return sent, lost, err, time.Since(began)
+	return sent, lost, time.Since(began), err
 }
 
 // TestRoute guards against a call that is held back after it was given up, one that is repeated without end, and a
@@ -53,41 +53,41 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given a call to the owner of a partition", t, func() {
 			Convey("an answer is passed on", func() {
-				sent, lost, err, _ := run(step{})
+				sent, lost, _, err := run(step{})
 				So(err, ShouldBeNil)
 				So(lost, ShouldBeFalse)
 				So(sent, ShouldEqual, 1)
 			})
 			Convey("an owner that cannot be reached is reported at once", func() {
-				sent, _, err, took := run(step{err: peer.ErrNotSent})
+				sent, _, took, err := run(step{err: peer.ErrNotSent})
 				So(errors.Is(err, ErrOwnerGone), ShouldBeTrue)
 				So(sent, ShouldEqual, 1)
 				So(took, ShouldEqual, 0)
 			})
 			Convey("a lost answer is asked for again, a bounded number of times", func() {
-				sent, lost, err, _ := run(step{err: peer.ErrLost})
+				sent, lost, _, err := run(step{err: peer.ErrLost})
 				So(errors.Is(err, ErrLost), ShouldBeTrue)
 				So(lost, ShouldBeTrue)
 				So(sent, ShouldEqual, 1+maxLost)
 			})
 			Convey("an answer after a loss says that an earlier sending may still run", func() {
-				_, lost, err, _ := run(step{err: peer.ErrLost}, step{})
+				_, lost, _, err := run(step{err: peer.ErrLost}, step{})
 				So(err, ShouldBeNil)
 				So(lost, ShouldBeTrue)
 			})
 			Convey("an unreachable owner after a loss leaves the outcome open", func() {
-				_, lost, err, took := run(step{err: peer.ErrLost}, step{err: peer.ErrNotSent})
+				_, lost, took, err := run(step{err: peer.ErrLost}, step{err: peer.ErrNotSent})
 				So(errors.Is(err, ErrLost), ShouldBeTrue)
 				So(lost, ShouldBeTrue)
 				So(took, ShouldBeLessThanOrEqualTo, ownerWait+ownerInterval)
 			})
 			Convey("a partition that stays without owner is given up after the wait", func() {
-				_, _, err, took := run(step{moved: true})
+				_, _, took, err := run(step{moved: true})
 				So(errors.Is(err, ErrNoOwner), ShouldBeTrue)
 				So(took, ShouldBeLessThanOrEqualTo, ownerWait+ownerInterval)
 			})
 			Convey("a call that waited in the queue of the old owner reaches the new one", func() {
-				sent, _, err, _ := run(step{moved: true, takes: 3 * time.Second}, step{moved: true}, step{})
+				sent, _, _, err := run(step{moved: true, takes: 3 * time.Second}, step{moved: true}, step{})
 				So(err, ShouldBeNil)
 				So(sent, ShouldEqual, 3)
 			})
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
@@ -77,7 +78,7 @@
 			}
 			return answer, false, ErrNoOwner
 		}
-		sleep(ctx, ownerInterval)
+		wait.For(ctx, ownerInterval)
 	}
 }
 
@@ -93,12 +94,3 @@
 	}
 	return c.remote(ctx, o.Addr)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/greengagewing/greengagewing/internal/request"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // ErrNotLoopback says that a target is not on this machine.
@@ -59,7 +60,7 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i, a := range arrivals {
-		if !sleepUntil(ctx, start.Add(a.At)) {
+		if !wait.For(ctx, time.Until(start.Add(a.At))) {
 			samples = samples[:i]
 			break
 		}
@@ -69,17 +70,6 @@
 	return samples, nil
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // work is the payload of the platform's stand-in.
 type work struct {
 	Key    string `json:"key"`
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // ErrUnavailable says that the platform's membership list could not be read.
@@ -79,16 +81,7 @@
 
 // Run polls the list until ctx ends. While the list cannot be read, the last one stays in force.
 func (l *List) Run(ctx context.Context) {
-	for {
-		l.Poll(ctx)
-		t := time.NewTimer(pollInterval)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		}
-	}
+	wait.Every(ctx, pollInterval, l.Poll)
 }
 
 // Poll reads the list once.
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -4,12 +4,13 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
 	heartbeatInterval = time.Second
 	heartbeatTimeout  = time.Second
-	minWait           = 10 * time.Millisecond
 	// AliveFor is how long a peer counts as reachable after its last heartbeat.
 	AliveFor = 3 * time.Second
 )
@@ -61,17 +62,7 @@
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeater) Run(ctx context.Context) {
-	for {
-		started := time.Now()
-		h.beat(ctx)
-		t := time.NewTimer(max(heartbeatInterval-time.Since(started), minWait))
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		}
-	}
+	wait.Every(ctx, heartbeatInterval, h.beat)
 }
 
 // beat calls all peers at the same time and forgets those that are no longer in the roster.
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,40 @@
+// Package wait has waits that end with a context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// minTimer is the shortest timer that is set: a loop that is late must not spin.
+const minTimer = time.Millisecond
+
+// For waits for d and returns true, or returns false as soon as ctx ends. It does not wait if d is not positive.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(max(d, minTimer))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Every calls fn now and then once per interval, measured from start to start, until ctx ends. A call that takes longer
+// than the interval delays the next one.
+//
+// It sets a new timer for each round instead of using a ticker: with Go 1.26.8 a ticker in a synctest bubble crashed the
+// runtime under the race detector.
+func Every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+	for ctx.Err() == nil {
+		next := time.Now().Add(interval)
+		fn(ctx)
+		if !For(ctx, max(time.Until(next), minTimer)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/wait/wait_test.go
@@ -0,0 +1,35 @@
+package wait
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestWaits guards against a wait that outlives its context and a loop that drifts or spins.
+func TestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a context that ends after 10 s", t, func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			began := time.Now()
+			Convey("a longer wait ends with it", func() {
+				So(For(ctx, time.Second), ShouldBeTrue)
+				So(For(ctx, time.Hour), ShouldBeFalse)
+				So(For(ctx, 0), ShouldBeFalse)
+				So(time.Since(began), ShouldEqual, 10*time.Second)
+			})
+			Convey("a loop starts once per interval, whatever its calls take", func() {
+				var starts []time.Duration
+				Every(ctx, 2*time.Second, func(ctx context.Context) {
+					starts = append(starts, time.Since(began))
+					For(ctx, time.Duration(len(starts))*900*time.Millisecond)
+				})
+				So(starts[:4], ShouldResemble, []time.Duration{0, 2 * time.Second, 4 * time.Second, 6700*time.Millisecond + minTimer})
+			})
+		})
+	})
+}
--- a/journal/committer.go
+++ b/journal/committer.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/table"
 )
@@ -241,27 +242,16 @@
 func (c *Committer) awaitToken(ctx context.Context) bool {
 	for {
 		c.limit.rate = c.cfg.Rate()
-		wait := c.limit.take(time.Now())
-		if wait == 0 {
+		delay := c.limit.take(time.Now())
+		if delay == 0 {
 			return true
 		}
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, delay) {
 			return false
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // collect moves queued records into the units of the next commit. A compaction is a commit of its own, so that its size
 // and its failures concern one journal only. The journals take turns to be first.
 func (c *Committer) collect() (units []*unit, probe bool) {
@@ -324,7 +314,7 @@
 	c.mu.Lock()
 	d := retryDelay(max(1, c.failures), c.cfg.Rand())
 	c.mu.Unlock()
-	return sleep(ctx, d)
+	return wait.For(ctx, d)
 }
 
 // probe commits nothing under the conditions of all journals. It finds out that the store takes commits again when all
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
 )
@@ -60,9 +61,6 @@
 	notifyTimeout     = 500 * time.Millisecond
 	// decideInterval is how often decisions are made without an event; it bounds the error of the delays.
 	decideInterval = 250 * time.Millisecond
-	// minWait keeps a scan loop that is late from spinning. A timer that is already due crashes the runtime of Go 1.26.8
-	// with -race in a synctest bubble; tickers are avoided for the same reason.
-	minWait = time.Millisecond
 	// rankDelay separates the claims of daemons that are not the desired owner, so that they do not all conflict.
 	rankDelay = 500 * time.Millisecond
 )
@@ -179,17 +177,10 @@
 }
 
 func (m *Manager) scanLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		next := time.Now().Add(m.cfg.PollInterval)
+	wait.Every(ctx, m.cfg.PollInterval, func(ctx context.Context) {
 		m.scan(ctx)
 		m.wake()
-		t := time.NewTimer(max(time.Until(next), minWait))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
-	}
+	})
 }
 
 // scan reads all partition rows once.
--- a/ownership/sweep.go
+++ b/ownership/sweep.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
 )
@@ -23,14 +24,7 @@
 
 // sweepLoop deletes the rows of sessions that ended long ago. Only the live daemon with the lowest id does.
 func (m *Manager) sweepLoop(ctx context.Context) {
-	for {
-		t := time.NewTimer(sweepInterval)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		}
+	for wait.For(ctx, sweepInterval) {
 		live := m.observer.Live()
 		if len(live) == 0 || live[0].Row.ID != m.keeper.ID() || !m.keeper.AcceptsWork() {
 			continue
--- a/table/memory.go
+++ b/table/memory.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // Faults are the failures that a Memory table plays.
@@ -77,17 +79,8 @@
 // admit plays the delay and the outage that the faults ask for.
 func (m *Memory) admit(ctx context.Context) error {
 	f := m.Faults()
-	if f.Delay > 0 {
-		t := time.NewTimer(f.Delay)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return errors.Wrap(ErrUnavailable, ctx.Err().Error())
-		}
-	}
-	if err := ctx.Err(); err != nil {
-		return errors.Wrap(ErrUnavailable, err.Error())
+	if !wait.For(ctx, f.Delay) {
+		return errors.Wrap(ErrUnavailable, ctx.Err().Error())
 	}
 	if m.Faults().Down {
 		return errors.Wrap(ErrUnavailable, "outage")
--- a/versionedlist/editor.go
+++ b/versionedlist/editor.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -100,7 +101,7 @@
 		switch {
 		case err == nil:
 			return c, nil
-		case again && (uncertain || attempt < maxAttempts) && sleep(ctx, retryDelay(attempt, e.cfg.Rand())):
+		case again && (uncertain || attempt < maxAttempts) && wait.For(ctx, retryDelay(attempt, e.cfg.Rand())):
 		case uncertain && (again || !errors.Is(err, ErrConflict)):
 			// Only the log decides about the earlier commit, not a later validation or read.
 			return Change{}, errors.Wrap(ErrUnknownOutcome, err.Error())
@@ -306,14 +307,3 @@
 	}
 	return d/2 + time.Duration(r*float64(d/2))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -171,7 +172,7 @@
 // Run follows the list until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for !f.firstPass(ctx) {
-		if !sleep(ctx, f.cfg.Poll/4) {
+		if !wait.For(ctx, f.cfg.Poll/4) {
 			return nil
 		}
 	}
