--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -11,12 +11,12 @@
 
 // job is a job on the owner's books.
 type job struct {
-	id       string
-	spec     Spec
-	print    string
-	at       time.Time
-	decided  chan struct{} // closed once it is known whether the job was accepted
-	accepted bool
+	id          string
+	spec        Spec
+	fingerprint string
+	at          time.Time
+	decided     chan struct{} // closed once it is known whether the job was accepted
+	accepted    bool
 
 	tasks     []*task
 	counts    map[State]int
@@ -167,13 +167,13 @@
 	lastSeen  time.Time
 	misses    int
 
-	placed map[string]*placed // by task ID
-	aliens map[worker.TaskRef]Resources
-	used   Resources
-	starts []*placed
-	orders []order
-	turn   bool
-	acks   []worker.TaskRef
+	placed  map[string]*placed           // by task ID
+	unknown map[worker.TaskRef]Resources // reported attempts that are not on the books
+	used    Resources
+	starts  []*placed
+	orders  []order
+	turn    bool
+	acks    []worker.TaskRef
 
 	health workerHealth
 
--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -25,7 +25,7 @@
 func newWorkerBook(id, addr, domain, rack string) *workerBook {
 	return &workerBook{
 		id: id, addr: addr, domain: domain, rack: rack, placed: map[string]*placed{},
-		aliens: map[worker.TaskRef]Resources{}, wake: make(chan struct{}, 1), kick: make(chan struct{}, 1), quit: func() {},
+		unknown: map[worker.TaskRef]Resources{}, wake: make(chan struct{}, 1), kick: make(chan struct{}, 1), quit: func() {},
 	}
 }
 
@@ -326,25 +326,28 @@
 
 // applyReport reconciles the books with a worker's report. asked is when the report was requested.
 func (p *partition) applyReport(w *workerBook, rep worker.Report, asked, now time.Time) {
+	if w.misses >= probeAfter {
+		p.zap.Info("worker is reachable again", zap.String("worker", w.id))
+	}
 	w.misses, w.lastSeen, w.bootID, w.clockMS, w.clockAt = 0, now, rep.BootID, rep.ClockMS, now
 	p.noteCapacity(w, rep.Capacity)
 	if rep.Leaving && !w.leaving {
 		p.deps.Members.ReportLeaving(w.id)
 		p.leave(w, now)
 	}
-	aliens := map[worker.TaskRef]Resources{}
+	unknown := map[worker.TaskRef]Resources{}
 	seen := make(map[string]bool, len(rep.Tasks))
 	for _, rt := range rep.Tasks {
 		pl := w.placed[rt.TaskID]
 		if pl == nil || pl.attempt != rt.Attempt {
-			pl = p.unplaced(w, rt, aliens, now)
+			pl = p.unplaced(w, rt, unknown, now)
 		}
 		if pl != nil {
 			seen[rt.TaskID] = true
 			p.applyTask(pl, rt, now)
 		}
 	}
-	p.setAliens(w, aliens)
+	p.setUnknown(w, unknown)
 	for id, pl := range w.placed {
 		if !seen[id] && pl.current() {
 			p.missing(pl, asked, now)
@@ -386,15 +389,15 @@
 	})
 }
 
-func (p *partition) setAliens(w *workerBook, aliens map[worker.TaskRef]Resources) {
+func (p *partition) setUnknown(w *workerBook, unknown map[worker.TaskRef]Resources) {
 	used := w.used
-	for _, r := range w.aliens {
+	for _, r := range w.unknown {
 		used = used.Minus(r)
 	}
-	for _, r := range aliens {
+	for _, r := range unknown {
 		used = used.Plus(r)
 	}
-	w.aliens = aliens
+	w.unknown = unknown
 	if used != w.used {
 		p.setUsed(w, used)
 		signal(p.wake)
@@ -412,7 +415,7 @@
 
 // unplaced handles a reported attempt that is not on the books of the worker. It returns a placement if the attempt is
 // adopted.
-func (p *partition) unplaced(w *workerBook, rt worker.Task, aliens map[worker.TaskRef]Resources, now time.Time) *placed {
+func (p *partition) unplaced(w *workerBook, rt worker.Task, unknown map[worker.TaskRef]Resources, now time.Time) *placed {
 	t := p.findTask(rt.TaskID)
 	ref := worker.TaskRef{TaskID: rt.TaskID, Attempt: rt.Attempt}
 	if t != nil && p.adoptable(t, rt) {
@@ -425,10 +428,10 @@
 		}
 		return nil
 	}
-	aliens[ref] = rt.Resources.Max(rt.Usage)
+	unknown[ref] = rt.Resources.Max(rt.Usage)
 	w.order(verbStop, ref)
 	if t != nil && t.place != nil && t.place.phase == phaseConfirmed {
-		p.doubles++
+		p.doubleRuns++
 		p.count("double_runs", 1)
 		p.zap.Error("task runs in two places; one is stopped", zap.String("task", t.id), zap.String("worker", w.id))
 	}
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -78,14 +78,14 @@
 	openTasks  int
 	finishing  int // results being journaled
 	workers    map[string]*workerBook
-	takers     int // listed workers that are not leaving
+	eligible   int // listed workers that are not leaving
 	uses       map[string]*customerUse
 	index      *placement.Index
 	queue      *queue
 	reserved   *reservation
 	attempts   int64
 	tickets    int64
-	doubles    int64
+	doubleRuns int64
 }
 
 type journalEntry struct {
@@ -162,7 +162,7 @@
 	p.mu.Unlock()
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for !p.quiet() {
+	for !p.idle() {
 		select {
 		case <-ctx.Done():
 			return
@@ -174,7 +174,7 @@
 	}
 }
 
-func (p *partition) quiet() bool {
+func (p *partition) idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.journalCh) > 0 || p.cancelling > 0 || p.finishing > 0 {
@@ -393,7 +393,7 @@
 
 func (p *partition) readMembers(now time.Time) {
 	listed := map[string]bool{}
-	p.takers = 0
+	p.eligible = 0
 	for _, e := range p.deps.Members.Workers(p.pool) {
 		if bucket(e.ID, p.cfg.Partitions) != p.number {
 			continue
@@ -412,7 +412,7 @@
 		if w.leaving {
 			p.moveAway(w, now)
 		} else {
-			p.takers++
+			p.eligible++
 		}
 	}
 	for id, w := range p.workers {
@@ -420,15 +420,15 @@
 			continue
 		}
 		w.listed = false
-		idle := len(w.placed) == 0 && len(w.aliens) == 0
+		idle := len(w.placed) == 0 && len(w.unknown) == 0
 		if idle && now.Sub(w.lastSeen) > leaseEnd && now.Sub(p.started) > leaseEnd {
-			p.forget(w, now)
+			p.removeWorker(w, now)
 		}
 	}
 }
 
-// forget drops a worker that is not listed any more and on which nothing runs.
-func (p *partition) forget(w *workerBook, now time.Time) {
+// removeWorker drops a worker that is not listed any more and on which nothing runs.
+func (p *partition) removeWorker(w *workerBook, now time.Time) {
 	delete(p.workers, w.id)
 	if w.node != nil {
 		p.index.Remove(w.node)
@@ -516,9 +516,9 @@
 	p.customers[j.spec.Customer] = list
 }
 
-func (p *partition) addJob(s Spec, print string, at time.Time) *job {
+func (p *partition) addJob(s Spec, fingerprint string, at time.Time) *job {
 	j := &job{
-		id: jobID(s.Customer, s.Key), spec: s, print: print, at: at, decided: make(chan struct{}),
+		id: jobID(s.Customer, s.Key), spec: s, fingerprint: fingerprint, at: at, decided: make(chan struct{}),
 		counts: map[State]int{Pending: s.Tasks},
 	}
 	if s.Kind == Service {
@@ -616,7 +616,7 @@
 	if j == nil {
 		return st, err
 	}
-	rec := record{T: recordJob, At: j.at, Job: j.id, Spec: &s, Print: j.print}
+	rec := record{T: recordJob, At: j.at, Job: j.id, Spec: &s, Fingerprint: j.fingerprint}
 	if !p.gate.enter(ctx, p.ctx) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -649,7 +649,7 @@
 
 // propose enters a new job on the books, undecided. It returns no job if the key is known or the job is refused.
 func (p *partition) propose(ctx context.Context, s Spec) (*job, Status, error) {
-	print := s.fingerprint()
+	fingerprint := s.fingerprint()
 	for {
 		p.mu.Lock()
 		j := p.jobs[jobID(s.Customer, s.Key)]
@@ -659,11 +659,11 @@
 				p.count("jobs_refused", 1)
 				return nil, Status{}, err
 			}
-			return p.addJob(s, print, time.Now()), Status{}, nil
+			return p.addJob(s, fingerprint, time.Now()), Status{}, nil
 		}
 		st, accepted := j.status(), j.accepted
 		p.mu.Unlock()
-		if j.print != print {
+		if j.fingerprint != fingerprint {
 			return nil, Status{}, refuse(CodeKeyReused, 0, "the key was used for another job")
 		}
 		if accepted {
@@ -795,7 +795,7 @@
 	defer p.mu.Unlock()
 	s := PartitionState{
 		Partition: p.name, Epoch: p.guard.Epoch(), Settled: p.settled, Draining: p.draining, Jobs: map[State]int{},
-		OpenTasks: p.openTasks, Waiting: p.queue.waiting(), Cancels: len(p.cancels), DoubleRuns: p.doubles,
+		OpenTasks: p.openTasks, Waiting: p.queue.waiting(), Cancels: len(p.cancels), DoubleRuns: p.doubleRuns,
 		JournalBytes: p.log.Bytes(), JournalOK: p.log.Healthy(), Workers: []WorkerState{},
 	}
 	if p.reserved != nil {
@@ -807,7 +807,7 @@
 	for _, w := range p.workers {
 		ws := WorkerState{
 			ID: w.id, Addr: w.addr, BootID: w.bootID, Leaving: w.leaving, Reported: w.reported, Misses: w.misses, Used: w.used,
-			Tasks: len(w.placed), UnknownTasks: len(w.aliens), QuarantinedUntil: w.health.until,
+			Tasks: len(w.placed), UnknownTasks: len(w.unknown), QuarantinedUntil: w.health.until,
 		}
 		if w.node != nil {
 			ws.Open, ws.Capacity = w.node.Open(), w.node.Capacity()
--- a/internal/job/policy.go
+++ b/internal/job/policy.go
@@ -120,7 +120,7 @@
 		// A task that failed elsewhere before is more likely at fault than the worker.
 		p.noteFailure(w, t.job.id, now)
 	}
-	if len(t.failedOn) >= min(failedWorkers, max(1, p.takers)) || t.failures >= maxFailures {
+	if len(t.failedOn) >= min(failedWorkers, max(1, p.eligible)) || t.failures >= maxFailures {
 		p.giveUp(t.job, "a task failed on every worker that it was tried on", now)
 	}
 	p.requeue(t, now, t.retryDelay())
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -22,21 +22,21 @@
 
 // record is one journal record. Replaying a record twice has no further effect.
 type record struct {
-	T       recordType    `json:"t"`
-	At      time.Time     `json:"at"`
-	Job     string        `json:"job,omitempty"`
-	Spec    *Spec         `json:"spec,omitempty"`
-	Print   string        `json:"print,omitempty"` // fingerprint of the Spec; the payload of an ended job is dropped
-	Task    int           `json:"task,omitempty"`
-	Attempt int64         `json:"attempt,omitempty"`
-	Worker  string        `json:"worker,omitempty"`
-	Addr    string        `json:"addr,omitempty"`
-	Domain  string        `json:"domain,omitempty"`
-	Rack    string        `json:"rack,omitempty"`
-	State   State         `json:"state,omitempty"` // pending: the attempt failed and the task will run again
-	Reason  string        `json:"reason,omitempty"`
-	Counts  map[State]int `json:"counts,omitempty"` // job records of ended jobs
-	EndedAt time.Time     `json:"ended_at,omitzero"`
+	T           recordType    `json:"t"`
+	At          time.Time     `json:"at"`
+	Job         string        `json:"job,omitempty"`
+	Spec        *Spec         `json:"spec,omitempty"`
+	Fingerprint string        `json:"print,omitempty"` // fingerprint of the Spec; the payload of an ended job is dropped
+	Task        int           `json:"task,omitempty"`
+	Attempt     int64         `json:"attempt,omitempty"`
+	Worker      string        `json:"worker,omitempty"`
+	Addr        string        `json:"addr,omitempty"`
+	Domain      string        `json:"domain,omitempty"`
+	Rack        string        `json:"rack,omitempty"`
+	State       State         `json:"state,omitempty"` // pending: the attempt failed and the task will run again
+	Reason      string        `json:"reason,omitempty"`
+	Counts      map[State]int `json:"counts,omitempty"` // job records of ended jobs
+	EndedAt     time.Time     `json:"ended_at,omitzero"`
 }
 
 func (r record) encode() []byte {
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -57,7 +57,7 @@
 }
 
 func (p *partition) replayJob(r record) {
-	j := p.addJob(*r.Spec, r.Print, r.At)
+	j := p.addJob(*r.Spec, r.Fingerprint, r.At)
 	j.accepted = true
 	close(j.decided)
 	if !r.EndedAt.IsZero() {
@@ -194,7 +194,7 @@
 			continue
 		}
 		spec := j.spec
-		r := record{T: recordJob, At: j.at, Job: j.id, Spec: &spec, Print: j.print}
+		r := record{T: recordJob, At: j.at, Job: j.id, Spec: &spec, Fingerprint: j.fingerprint}
 		if j.ended() && j.tasks == nil {
 			r.Counts, r.EndedAt, r.Reason = j.counts, j.endedAt, j.reason
 			add(r)
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -237,10 +237,10 @@
 	})
 }
 
-// TestFailures guards against a sick worker that attracts work, a job that fails for ever, and one that quarantines
+// TestFailures guards against an unhealthy worker that attracts work, a job that fails for ever, and one that quarantines
 // healthy workers.
 func TestFailures(t *testing.T) {
-	scenario(t, "a sick worker is quarantined and its tasks run elsewhere", 8, func(f *fixture, c *fakeCluster) {
+	scenario(t, "an unhealthy worker is quarantined and its tasks run elsewhere", 8, func(f *fixture, c *fakeCluster) {
 		c.set(func() { c.workers["w03"].failsAll = true })
 		for i := range 60 {
 			_, err := f.submit(batch(fmt.Sprint("k", i), 1, small))
@@ -416,3 +416,41 @@
 		So(c.started("k"), ShouldEqual, 1)
 	})
 }
+
+// TestOrder guards against urgent work behind other work, and against a job that does not fit and holds up the rest.
+func TestOrder(t *testing.T) {
+	scenario(t, "urgent comes first and what does not fit is passed over", 1, func(f *fixture, c *fakeCluster) {
+		c.runs = func(string) fakeRun { return fakeRun{time: 10 * time.Second} }
+		whole := Resources{CPUMilli: 4000, MemoryMB: 1000}
+		for _, key := range []string{"running", "large", "bulk", "normal", "urgent"} {
+			s := batch(key, 3, small)
+			switch key {
+			case "running":
+				s.Tasks = 2
+			case "large":
+				s.Tasks, s.Resources = 1, whole
+			case "bulk", "urgent":
+				s.Class = Class(key)
+			}
+			_, err := f.submit(s)
+			So(err, ShouldBeNil)
+			if key == "running" {
+				time.Sleep(time.Second)
+				f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 2})
+			}
+		}
+		f.plans.set(plenty)
+		time.Sleep(time.Second)
+		So(f.counts("urgent"), ShouldResemble, map[State]int{Running: 2, Pending: 1})
+		So(f.counts("normal"), ShouldResemble, map[State]int{Pending: 3})
+		time.Sleep(11 * time.Second)
+		So(f.counts("urgent")[Pending], ShouldEqual, 0)
+		So(f.counts("normal")[Pending], ShouldEqual, 0)
+		So(f.counts("large"), ShouldResemble, map[State]int{Pending: 1})
+		So(f.counts("bulk"), ShouldResemble, map[State]int{Pending: 3})
+		time.Sleep(2 * time.Minute)
+		for _, key := range []string{"large", "bulk", "normal"} {
+			So(f.counts(key)[Done], ShouldBeGreaterThan, 0)
+		}
+	})
+}
