Let daemons stay dead in the random ownership histories

Until now a killed daemon was restarted at once, so its session row was replaced and fencing by consent or evidence was hardly exercised. Now some daemons die for good, with their guarantors.

--- a/ownership/manager_test.go
+++ b/ownership/manager_test.go
@@ -69,7 +69,7 @@
 func TestRejoin(t *testing.T) {
 	bubble(t, "After a pause no guard of the old incarnation passes, and claims are made again", true, func(c *cluster) {
 		p := c.most()
-		before := c.claims()
+		_, before := c.history()
 		p.pause(true)
 		c.watch(3600 * time.Millisecond)
 		for _, h := range before {
@@ -86,12 +86,13 @@
 // TestStoreOutage guards against ownership that ends, or handlers that are stopped, because the store is down.
 func TestStoreOutage(t *testing.T) {
 	bubble(t, "An outage of the store with all guarantors reachable changes nothing", true, func(c *cluster) {
-		guards := len(c.claims())
+		_, before := c.history()
 		c.mem.SetFaults(table.Faults{Down: true})
 		So(c.watch(5*time.Minute), ShouldEqual, 0)
 		c.mem.SetFaults(table.Faults{})
 		So(c.watch(time.Minute), ShouldEqual, 0)
-		So(len(c.claims()), ShouldEqual, guards)
+		_, after := c.history()
+		So(len(after), ShouldEqual, len(before))
 	})
 }
 
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -83,23 +83,11 @@
 
 func (c *cluster) chance(percent int64) bool { return percent > 0 && c.random(100) < percent }
 
-func (c *cluster) fault(format string, args ...any) {
+// history returns the violations and all guards so far.
+func (c *cluster) history() ([]string, []*held) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.faults = append(c.faults, fmt.Sprintf(format, args...))
-}
-
-func (c *cluster) violations() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.faults)
-}
-
-// claims returns all guards so far.
-func (c *cluster) claims() []*held {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.guards)
+	return slices.Clone(c.faults), slices.Clone(c.guards)
 }
 
 // start runs a new process at an address; the former one is dead.
@@ -110,11 +98,7 @@
 	p.o = session.NewObserver(cfg, store, peers, peers)
 	p.k = session.NewKeeper(cfg, store, peers, p.o.Live)
 	p.g = session.NewGuarantor(cfg, p.k.Boot())
-	mc := ownership.Config{}
-	if c.notify {
-		mc.Notifier = peers
-	}
-	p.m = ownership.New(mc, store, p.k, p.o)
+	p.m = ownership.New(ownership.Config{Notifier: peers}, store, p.k, p.o)
 	p.m.Register("pool/", c.parts, p)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -189,7 +173,8 @@
 	}
 }
 
-// owners returns the processes whose guard of the partition passes now. Paused processes count: they may resume now.
+// owners returns the guards of the partition that pass now, and notes a violation if there are two. Paused processes
+// count: they may resume now.
 func (c *cluster) owners(partition string) (out []*held) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -207,6 +192,10 @@
 			out = append(out, h)
 		}
 	}
+	if len(out) > 1 {
+		c.faults = append(c.faults, fmt.Sprintf("%s is owned by %s at epoch %d and by %s at epoch %d", partition,
+			out[0].p.id, out[0].Epoch(), out[1].p.id, out[1].Epoch()))
+	}
 	return out
 }
 
@@ -227,12 +216,7 @@
 	for range d / step {
 		time.Sleep(step)
 		for _, name := range c.parts {
-			owners := c.owners(name)
-			if len(owners) > 1 {
-				c.fault("%s is owned by %s at epoch %d and by %s at epoch %d", name, owners[0].p.id, owners[0].Epoch(),
-					owners[1].p.id, owners[1].Epoch())
-			}
-			if since[name] += step; len(owners) > 0 {
+			if since[name] += step; len(c.owners(name)) > 0 {
 				since[name] = 0
 			}
 			gap = max(gap, since[name])
@@ -339,6 +323,9 @@
 }
 
 func (l *peerLink) Released(ctx context.Context, addr string, n ownership.ReleaseNotice) error {
+	if !l.p.cl.notify {
+		return errNoAnswer
+	}
 	return l.call(ctx, addr, func(p *process) { p.m.Released(n) })
 }
 
@@ -346,7 +333,7 @@
 
 // inject makes one random change to the faults in force.
 func (c *cluster) inject(rnd *rand.Rand, ids []string) {
-	id, other, kind, n := ids[rnd.IntN(len(ids))], ids[rnd.IntN(len(ids))], rnd.IntN(12), rnd.Int64N(40)
+	id, other, kind, n := ids[rnd.IntN(len(ids))], ids[rnd.IntN(len(ids))], rnd.IntN(14), rnd.Int64N(40)
 	p := c.procs[id]
 	switch kind {
 	case 0, 1:
@@ -370,10 +357,12 @@
 		c.mu.Lock()
 		c.cuts[[2]string{id, other}] = !c.cuts[[2]string{id, other}] && id != other
 		c.mu.Unlock()
-	case 11:
+	case 11, 12: // more often than deaths, so that most daemons live
 		p.kill()
 		<-p.done
 		c.start(id)
+	case 13:
+		p.kill()
 	}
 }
 
@@ -404,7 +393,7 @@
 )
 
 // TestOneOwner guards against two owners of a partition at any time, and against a partition that stays without one,
-// under random pauses, outages, lost and late commits, stale reads, cuts and restarts.
+// under random pauses, outages, lost and late commits, stale reads, cuts, deaths and restarts.
 func TestOneOwner(t *testing.T) {
 	ids := []string{"1a", "1b", "2c", "3d"}
 	for seed := *first; seed < *first+*seeds; seed++ {
@@ -423,11 +412,15 @@
 				c.watch(time.Duration(rnd.Int64N(int64(3 * time.Second))))
 			}
 			c.heal()
+			if c.procs[ids[0]].dead.Load() {
+				c.start(ids[0]) // the others stay dead, and perhaps their guarantors too
+			}
 			c.watch(reassignBound)
 			if gap := c.watch(40 * time.Second); gap > handoverBound {
 				t.Errorf("seed %d: a partition without owner for %v after the faults ended", seed, gap)
 			}
-			for _, f := range c.violations() {
+			faults, _ := c.history()
+			for _, f := range faults {
 				t.Errorf("seed %d: %s", seed, f)
 			}
 		})
@@ -446,7 +439,8 @@
 			}
 			c.watch(20 * time.Second)
 			f(c)
-			So(c.violations(), ShouldBeEmpty)
+			faults, _ := c.history()
+			So(faults, ShouldBeEmpty)
 		})
 	})
 }
