Make the remaining delays fields of the configurations

The retry, rank, decision and notice delays were constants. They are fields with the same defaults now, as for all other durations.

--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -34,6 +34,12 @@
 	// FenceMemory is how long after a fencing a release still tells the next owner of it. It must exceed the longest
 	// task lease.
 	FenceMemory time.Duration
+	// DecideInterval is how often decisions are made without an event; it bounds the error of the delays.
+	DecideInterval time.Duration
+	// RankDelay separates the claims of daemons that are not the desired owner, so that they do not all conflict.
+	RankDelay     time.Duration
+	RetryDelay    time.Duration // between two attempts to write a release
+	NotifyTimeout time.Duration // limit of one release notice
 	// MaxMoves bounds the partitions that this daemon claims, starts or hands over at a time. A drain hands over all at
 	// once, because it must end within a bounded time.
 	MaxMoves int
@@ -51,21 +57,17 @@
 	DefaultStartRetryDelay = 5 * time.Second
 	DefaultReturnDelay     = 30 * time.Second
 	// DefaultFenceMemory is several task leases of 15 s.
-	DefaultFenceMemory = time.Minute
-	DefaultMaxMoves    = 4
+	DefaultFenceMemory    = time.Minute
+	DefaultDecideInterval = 250 * time.Millisecond
+	DefaultRankDelay      = 500 * time.Millisecond
+	DefaultRetryDelay     = 200 * time.Millisecond
+	DefaultNotifyTimeout  = 500 * time.Millisecond
+	DefaultMaxMoves       = 4
 )
 
-const (
-	releaseRetryDelay = 200 * time.Millisecond
-	notifyTimeout     = 500 * time.Millisecond
-	// decideInterval is how often decisions are made without an event; it bounds the error of the delays.
-	decideInterval = 250 * time.Millisecond
-	// minWait keeps a scan loop that is late from spinning. A timer that is already due crashes the runtime of Go 1.26.8
-	// with -race in a synctest bubble; tickers are avoided for the same reason.
-	minWait = time.Millisecond
-	// rankDelay separates the claims of daemons that are not the desired owner, so that they do not all conflict.
-	rankDelay = 500 * time.Millisecond
-)
+// minWait keeps a scan loop that is late from spinning. A timer that is already due crashes the runtime of Go 1.26.8 with
+// -race in a synctest bubble; tickers are avoided for the same reason.
+const minWait = time.Millisecond
 
 func (c Config) withDefaults() Config {
 	for _, d := range []struct {
@@ -75,7 +77,8 @@
 		{&c.PollInterval, DefaultPollInterval}, {&c.StoreTimeout, DefaultStoreTimeout}, {&c.ClaimDelay, DefaultClaimDelay},
 		{&c.HandoverDelay, DefaultHandoverDelay}, {&c.HandoverTimeout, DefaultHandoverTimeout},
 		{&c.StartRetryDelay, DefaultStartRetryDelay}, {&c.ReturnDelay, DefaultReturnDelay},
-		{&c.FenceMemory, DefaultFenceMemory},
+		{&c.FenceMemory, DefaultFenceMemory}, {&c.DecideInterval, DefaultDecideInterval}, {&c.RankDelay, DefaultRankDelay},
+		{&c.RetryDelay, DefaultRetryDelay}, {&c.NotifyTimeout, DefaultNotifyTimeout},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.value
@@ -156,7 +159,7 @@
 	for ctx.Err() == nil {
 		session, sessions := m.keeper.Changed(), m.observer.Changed()
 		m.decide(ctx)
-		t := time.NewTimer(decideInterval)
+		t := time.NewTimer(m.cfg.DecideInterval)
 		select {
 		case <-ctx.Done():
 		case <-session:
@@ -330,7 +333,7 @@
 	if at == 0 {
 		return c, true
 	}
-	return c, now.Sub(p.freeSince) >= m.cfg.ClaimDelay+time.Duration(at-1)*rankDelay
+	return c, now.Sub(p.freeSince) >= m.cfg.ClaimDelay+time.Duration(at-1)*m.cfg.RankDelay
 }
 
 // free reports whether nobody can own the partition any more, and when its owner was fenced if it did not release it.
--- a/ownership/tenure.go
+++ b/ownership/tenure.go
@@ -245,7 +245,7 @@
 			m.released(ctx, p, row, version)
 			return
 		}
-		t := time.NewTimer(releaseRetryDelay)
+		t := time.NewTimer(m.cfg.RetryDelay)
 		select {
 		case <-t.C:
 		case <-g.lost:
@@ -291,7 +291,7 @@
 	p.see(row, version)
 	m.mu.Unlock()
 	if s, ok := m.observer.Lookup(row.Successor); ok && m.cfg.Notifier != nil {
-		ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+		ctx, cancel := context.WithTimeout(ctx, m.cfg.NotifyTimeout)
 		defer cancel()
 		_ = m.cfg.Notifier.Released(ctx, s.Row.PeerAddr, ReleaseNotice{Row: row, Version: version})
 	}
--- a/session/keeper.go
+++ b/session/keeper.go
@@ -13,9 +13,6 @@
 	"github.com/greengagewing/greengagewing/table"
 )
 
-// closeRetryDelay is the time between two attempts of Close.
-const closeRetryDelay = 200 * time.Millisecond
-
 // Keeper creates, renews and closes this daemon's session. It is safe for concurrent use.
 //
 // Validity never comes back: once the deadline has passed, a late answer does not revive the incarnation, and Run joins
@@ -519,7 +516,7 @@
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "close session: %v", err)
-		case <-time.After(closeRetryDelay):
+		case <-time.After(k.cfg.RetryDelay):
 		}
 	}
 }
--- a/session/session.go
+++ b/session/session.go
@@ -124,6 +124,7 @@
 	PollInterval  time.Duration // between two scans of the session rows
 	StoreTimeout  time.Duration // limit of one call to the table
 	PeerTimeout   time.Duration // limit of one call to a peer
+	RetryDelay    time.Duration // between two attempts of Close
 	MaxGuarantors int
 
 	Log *zap.Logger // state changes only; nil discards them
@@ -139,6 +140,7 @@
 	DefaultStoreTimeout = 1500 * time.Millisecond
 	// DefaultPeerTimeout allows three rounds of promises between a missed renewal and the end of the validity.
 	DefaultPeerTimeout   = 500 * time.Millisecond
+	DefaultRetryDelay    = 200 * time.Millisecond
 	DefaultMaxGuarantors = 2
 )
 
@@ -149,6 +151,7 @@
 	}{
 		{&c.TTL, DefaultTTL}, {&c.Margin, DefaultMargin}, {&c.RenewInterval, DefaultRenewInterval},
 		{&c.PollInterval, DefaultPollInterval}, {&c.StoreTimeout, DefaultStoreTimeout}, {&c.PeerTimeout, DefaultPeerTimeout},
+		{&c.RetryDelay, DefaultRetryDelay},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.value
