Say in the session package doc which promises a consent excludes

A consent binds the row's sequence number, so a holder that has renewed since may get promises again. The former text said that it gets none. Only the comment changed; both packages pass with -race.

--- a/session/session.go
+++ b/session/session.go
@@ -4,8 +4,8 @@
 // monotonic clock from the time before a renewal was sent. An observer fences a session whose row it saw unchanged for
 // longer than the validity can last. While the holder cannot reach the store, its guarantors (up to two other daemons
 // named in the row) extend the validity with promises. An extension needs a promise from every guarantor and a fencing
-// needs the consent of at least one, which promises nothing more afterwards; so the two exclude each other. The table
-// remains the only authority: guarantors hold no replicated state.
+// needs the consent of at least one, which then promises nothing more for that state of the row; so the two exclude each
+// other. The table remains the only authority: guarantors hold no replicated state.
 package session
 
 import (
