Let records that nobody waits for join the next commit

Cause: each non-idempotent request cost two commits, one for the claim and one for its outcome, and the second one, for which nobody waits, spent the tokens that the next claims then waited for. Ruled out: a higher limit (the store's share is what it is) and writing outcomes only at compaction (after a crash all of them would be unknown). Change: records of AppendAsync wait up to 100 ms for a commit to join. After a crash within that time the outcome is unknown to those who ask later; the caller has had its answer.

--- a/journal/committer.go
+++ b/journal/committer.go
@@ -28,6 +28,9 @@
 	ErrRunning = errors.New("journal: committer was already started")
 )
 
+// idleWait is how long the committer sleeps while nothing is queued; it is woken earlier by any record.
+const idleWait = time.Minute
+
 // Stats counts what a Committer did since it was made.
 type Stats struct {
 	Commits     int64 `json:"commits"`   // calls of the store's commit, with retries and probes
@@ -220,24 +223,47 @@
 // probed; the pause between failures has passed by then. It returns false when ctx ends.
 func (c *Committer) awaitWork(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		c.mu.Lock()
-		work := c.failures > 0
-		for _, j := range c.journals {
-			j.settleFront()
-			work = work || len(j.queue) > 0
-		}
-		c.mu.Unlock()
-		if work {
+		delay, some := c.due(time.Now())
+		switch {
+		case some && delay <= 0:
 			return true
+		case !some:
+			delay = idleWait
 		}
+		t := time.NewTimer(delay)
 		select {
 		case <-c.wake:
+		case <-t.C:
 		case <-ctx.Done():
 		}
+		t.Stop()
 	}
 	return false
 }
 
+// due returns how long the next commit may wait: not at all if somebody waits for it, and until the oldest record of
+// AppendAsync has waited long enough otherwise. It returns false when there is nothing to commit.
+func (c *Committer) due(now time.Time) (delay time.Duration, some bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failures > 0 {
+		return 0, true
+	}
+	for _, j := range c.journals {
+		j.settleFront()
+		if len(j.queue) == 0 {
+			continue
+		}
+		if slices.ContainsFunc(j.queue, func(it *item) bool { return it.done != nil && !it.withdrawn }) {
+			return 0, true
+		}
+		if left := c.cfg.AsyncDelay - now.Sub(j.queue[0].queued); !some || left < delay {
+			delay, some = left, true
+		}
+	}
+	return delay, some
+}
+
 // awaitToken waits for the limiter.
 func (c *Committer) awaitToken(ctx context.Context) bool {
 	for {
--- a/journal/config.go
+++ b/journal/config.go
@@ -17,6 +17,8 @@
 	DefaultStallAfter = time.Second
 	// DefaultCommitTimeout bounds one call to the store, so that a client without a timeout cannot block all journals.
 	DefaultCommitTimeout = 3 * time.Second
+	// DefaultAsyncDelay lets records that nobody waits for join the next commit that somebody does wait for.
+	DefaultAsyncDelay = 100 * time.Millisecond
 )
 
 const (
@@ -41,6 +43,7 @@
 	BufferBytes   int
 	StallAfter    time.Duration
 	CommitTimeout time.Duration
+	AsyncDelay    time.Duration // longest time that records of AppendAsync wait for a commit to join
 	// Rand returns a number in [0,1) for the jitter of retries.
 	Rand   func() float64
 	Logger *zap.Logger
@@ -66,6 +69,9 @@
 	if c.CommitTimeout <= 0 {
 		c.CommitTimeout = DefaultCommitTimeout
 	}
+	if c.AsyncDelay <= 0 {
+		c.AsyncDelay = DefaultAsyncDelay
+	}
 	if c.Rand == nil {
 		c.Rand = rand.Float64
 	}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -27,6 +28,7 @@
 	size       int        // encoded bytes of records
 	done       chan error // capacity 1; nil if nobody waits
 	compaction bool       // records are a snapshot
+	queued     time.Time
 	inCommit   bool
 	withdrawn  bool
 	settled    bool
@@ -142,6 +144,7 @@
 		return errors.Wrap(ErrNotWritten, "buffer full")
 	}
 	j.buffered += it.size
+	it.queued = time.Now()
 	j.queue = append(j.queue, it)
 	j.c.signal()
 	return nil
