Refuse waiting claims when the store is found down, and know the peers first

A daemon that restarted while reads were stale became ready with an old list: its followers asked their peers before the sessions were read, so there was nobody to ask. They now start after the first read.

--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -14,6 +14,7 @@
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
@@ -109,10 +110,22 @@
 	b.run(m.Run)
 	b.run(h.Run)
 	for _, f := range l.followers {
-		b.run(func(ctx context.Context) { _ = f.Run(ctx) })
+		b.run(func(ctx context.Context) {
+			// A follower compares the store's version with its peers' when it starts, so it must know them: the store's
+			// reads may be stale. Without the sessions this daemon can own nothing anyway.
+			for !o.Fresh() {
+				if !wait.For(ctx, sessionsInterval) {
+					return
+				}
+			}
+			_ = f.Run(ctx)
+		})
 	}
 }
 
+// sessionsInterval is how often the start looks whether the sessions were read.
+const sessionsInterval = 20 * time.Millisecond
+
 // reachable refuses edits while a live daemon can be reached neither through the store nor directly: it might not learn
 // of the edit in time while its guarantors keep its session alive.
 func reachable(self string, o *session.Observer, h *peer.Heartbeater) func() error {
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -25,8 +25,11 @@
 	loanGrace       = 250 * time.Millisecond // lets the reply to a loan that ran to its limit arrive
 	minBorrowDelay  = 50 * time.Millisecond  // after a refused loan; idle counts of peers lag by a heartbeat
 	maxBorrowDelay  = time.Second            // after several refused loans in a row
-	compactBytes    = 4 << 20
-	compactTimeout  = 5 * time.Second
+	// claimCheckInterval is how often the store is looked at while claims wait for it.
+	claimCheckInterval = 100 * time.Millisecond
+
+	compactBytes   = 4 << 20
+	compactTimeout = 5 * time.Second
 )
 
 // phase is where a partition is in its life.
@@ -170,9 +173,28 @@
 	if t, ok := p.queue.NextDeadline(); ok && t.Before(p.nextWake) {
 		p.nextWake = t
 	}
+	if p.claiming > 0 {
+		p.refuseUnclaimed(now)
+		if t := now.Add(claimCheckInterval); t.Before(p.nextWake) {
+			p.nextWake = t
+		}
+	}
 	return max(0, p.nextWake.Sub(now))
 }
 
+// refuseUnclaimed gives up the requests whose claims wait for a store that has been found down meanwhile. The journal
+// itself would try until their deadlines.
+func (p *partition) refuseUnclaimed(now time.Time) {
+	if p.log.Healthy() {
+		return
+	}
+	for _, c := range p.calls {
+		if c.cancelClaim != nil && !c.claimed {
+			p.withdraw(c, Refuse(CodeStoreUnavailable, "the claim was not recorded", storeRetryAfter), now)
+		}
+	}
+}
+
 // wakeBy makes sure that the loop runs at a time.
 func (p *partition) wakeBy(t time.Time) {
 	if t.Before(p.nextWake) {
@@ -457,6 +479,7 @@
 		ctx, cancel := context.WithDeadline(p.ctx, c.ticket.Deadline)
 		c.cancelClaim = cancel
 		p.claiming++
+		p.wakeBy(now.Add(claimCheckInterval))
 		p.s.wg.Go(func() {
 			defer cancel()
 			p.claim(ctx, c)
