--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -138,9 +138,9 @@
 	maxJournalCommits = 80.0  // a second, of one daemon
 )
 
-func newCommitter(t table.Client, o *session.Observer, log *zap.Logger) *journal.Committer {
+func newCommitter(t table.Client, o *session.Observer, k *session.Keeper, log *zap.Logger) *journal.Committer {
 	rate := func() float64 { return min(journalCommits/float64(max(len(o.Live()), 1)), maxJournalCommits) }
-	return journal.NewCommitter(t, journal.Config{Rate: rate, Logger: log})
+	return journal.NewCommitter(t, journal.Config{Rate: rate, StoreFailing: k.StoreFailing, Logger: log})
 }
 
 // lists are the editor, the followers and the lookup of the operators' lists.
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -26,7 +26,7 @@
 	minBorrowDelay  = 50 * time.Millisecond  // after a refused loan; idle counts of peers lag by a heartbeat
 	maxBorrowDelay  = time.Second            // after several refused loans in a row
 	// claimCheckInterval is how often the store is looked at while claims wait for it.
-	claimCheckInterval = 100 * time.Millisecond
+	claimCheckInterval = 20 * time.Millisecond
 
 	compactBytes   = 4 << 20
 	compactTimeout = 5 * time.Second
--- a/journal/committer.go
+++ b/journal/committer.go
@@ -177,7 +177,7 @@
 // healthy is called with mu held.
 func (c *Committer) healthy() bool {
 	stalled := !c.inFlightSince.IsZero() && time.Since(c.inFlightSince) > c.cfg.StallAfter
-	return !c.stopped && c.failures == 0 && !stalled
+	return !c.stopped && c.failures == 0 && !stalled && !c.cfg.StoreFailing()
 }
 
 func (c *Committer) signal() {
--- a/journal/config.go
+++ b/journal/config.go
@@ -44,6 +44,9 @@
 	StallAfter    time.Duration
 	CommitTimeout time.Duration
 	AsyncDelay    time.Duration // longest time that records of AppendAsync wait for a commit to join
+	// StoreFailing, if set, tells of failures that others see. Without it an idle committer finds an outage only with the
+	// next record, whose caller then waits.
+	StoreFailing func() bool
 	// Rand returns a number in [0,1) for the jitter of retries.
 	Rand   func() float64
 	Logger *zap.Logger
@@ -72,6 +75,9 @@
 	if c.AsyncDelay <= 0 {
 		c.AsyncDelay = DefaultAsyncDelay
 	}
+	if c.StoreFailing == nil {
+		c.StoreFailing = func() bool { return false }
+	}
 	if c.Rand == nil {
 		c.Rand = rand.Float64
 	}
--- a/session/keeper.go
+++ b/session/keeper.go
@@ -24,7 +24,8 @@
 	live  func() []Info
 	boot  string
 
-	lease atomic.Pointer[lease] // nil while the session is not held
+	lease   atomic.Pointer[lease] // nil while the session is not held
+	failing atomic.Bool           // the store refused the last write of the session row
 	// writes holds one token, taken for every write to the session row and for every commit that is conditional on it.
 	writes chan struct{}
 	kick   chan struct{} // asks for a renewal at once
@@ -117,6 +118,9 @@
 	return k.held() && time.Since(k.renewed) <= k.promiseAfter()
 }
 
+// StoreFailing reports whether the store refused the last write of the session row. A lost response does not count.
+func (k *Keeper) StoreFailing() bool { return k.failing.Load() }
+
 // AcceptsWork reports whether the session is valid, and live rather than draining.
 func (k *Keeper) AcceptsWork() bool {
 	k.mu.Lock()
@@ -320,6 +324,7 @@
 		Conditions: []table.Condition{{Key: key, Version: version}},
 		Ops:        []table.Op{{Key: key, Value: encode(r)}},
 	})
+	k.failing.Store(errors.Is(err, table.ErrUnavailable))
 	return res.Versions[key], err
 }
 
