Do not wait for an owner that answers no heartbeats

Cause: each request for a frozen owner was sent up to three times and waited 1 s for a header each time, although the heartbeats had shown for seconds that the process does not answer. Ruled out: a shorter header timeout (a busy daemon may need it).

--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -190,11 +190,16 @@
 }
 
 // owners adapts ownership.Manager to the entry.
-type owners struct{ m *ownership.Manager }
+type owners struct {
+	m     *ownership.Manager
+	beats *peer.Heartbeater
+}
 
 func (o owners) OwnerOf(partition string) (entry.Owner, bool) {
 	owner, known := o.m.OwnerOf(partition)
-	return entry.Owner{Self: owner.Self, Addr: owner.PeerAddr}, known
+	return entry.Owner{
+		Self: owner.Self, Addr: owner.PeerAddr, Unresponsive: !owner.Self && o.beats.Unresponsive(owner.PeerAddr),
+	}, known
 }
 
 // entries are the callers' ways into the system.
@@ -205,11 +210,12 @@
 	Gate     *gate
 }
 
-func newEntry(s *settings.Settings, m *ownership.Manager, c *peer.Client, rs *request.Service, p *job.Pool) entries {
-	g := &gate{}
+func newEntry(s *settings.Settings, m *ownership.Manager, h *peer.Heartbeater, c *peer.Client, rs *request.Service,
+	p *job.Pool) entries {
+	g, o := &gate{}, owners{m, h}
 	return entries{
-		Requests: entry.NewRequests(owners{m}, c, rs, s.Services, g.closed.Load),
-		Jobs:     entry.NewJobs(owners{m}, c, p, s.Pools, g.closed.Load),
+		Requests: entry.NewRequests(o, c, rs, s.Services, g.closed.Load),
+		Jobs:     entry.NewJobs(o, c, p, s.Pools, g.closed.Load),
 		Gate:     g,
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,22 +24,26 @@
 	err   error
 	moved bool
 	takes time.Duration
+	// pauses lets the owner stop to answer heartbeats after this sending.
+	pauses bool
 }
 
-type fakeOwners struct{ known atomic.Bool }
+type fakeOwners struct{ paused *atomic.Bool }
 
-func (f *fakeOwners) OwnerOf(string) (Owner, bool) { return Owner{Addr: "peer"}, f.known.Load() }
+func (f fakeOwners) OwnerOf(string) (Owner, bool) {
+	return Owner{Addr: "peer", Unresponsive: f.paused.Load()}, true
+}
 
 // run routes a call whose sendings meet the given steps; the last step repeats.
 func run(steps ...step) (sent int, lost bool, took time.Duration, err error) {
-	owners := &fakeOwners{}
-	owners.known.Store(true)
+	owners := fakeOwners{new(atomic.Bool)}
 	began := time.Now()
 	_, lost, err = route(context.Background(), owners, call[bool]{
 		remote: func(context.Context, string) (bool, error) {
 			s := steps[min(sent, len(steps)-1)]
 			sent++
 			time.Sleep(s.takes)
+			owners.paused.Store(s.pauses)
 			return s.moved, s.err
 		},
 		moved: func(m bool) bool { return m },
@@ -70,6 +74,17 @@
 				So(lost, ShouldBeTrue)
 				So(sent, ShouldEqual, 1+maxLost)
 			})
+			Convey("an owner that answers no heartbeats is not asked again", func() {
+				sent, lost, _, err := run(step{err: peer.ErrLost, pauses: true})
+				So(errors.Is(err, ErrLost), ShouldBeTrue)
+				So(lost, ShouldBeTrue)
+				So(sent, ShouldEqual, 1)
+				sent, lost, took, err := run(step{moved: true, pauses: true})
+				So(errors.Is(err, ErrOwnerGone), ShouldBeTrue)
+				So(lost, ShouldBeFalse)
+				So(sent, ShouldEqual, 1)
+				So(took, ShouldBeLessThanOrEqualTo, ownerInterval)
+			})
 			Convey("an answer after a loss says that an earlier sending may still run", func() {
 				_, lost, _, err := run(step{err: peer.ErrLost}, step{})
 				So(err, ShouldBeNil)
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -33,6 +33,8 @@
 type Owner struct {
 	Self bool
 	Addr string // peer address
+	// Unresponsive says that the owner does not answer heartbeats, as when its process is paused.
+	Unresponsive bool
 }
 
 // Owners finds the owner of a partition.
@@ -70,8 +72,10 @@
 				return answer, true, ErrLost
 			}
 			continue
-		case errors.Is(err, peer.ErrNotSent) && losses == 0:
+		case (errors.Is(err, peer.ErrNotSent) || errors.Is(err, ErrOwnerGone)) && losses == 0:
 			return answer, false, ErrOwnerGone
+		case errors.Is(err, ErrOwnerGone):
+			return answer, true, ErrLost
 		case ctx.Err() != nil || !time.Now().Before(giveUp):
 			if losses > 0 {
 				return answer, true, ErrLost
@@ -91,6 +95,9 @@
 		return none, ErrNoOwner
 	case o.Self:
 		return c.local(ctx), nil
+	case o.Unresponsive:
+		var none T
+		return none, ErrOwnerGone
 	}
 	return c.remote(ctx, o.Addr)
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -74,11 +74,12 @@
 type work struct {
 	Key    string `json:"key"`
 	WorkMS int64  `json:"work_ms"`
+	Once   bool   `json:"once"` // a second run is a violation in the stand-in's audit
 }
 
 func send(ctx context.Context, hc *http.Client, t Target, s Share, customer, i int) Sample {
 	key := fmt.Sprintf("%s-%d", t.RunID, i)
-	payload, _ := json.Marshal(work{Key: key, WorkMS: s.Work.Milliseconds()})
+	payload, _ := json.Marshal(work{Key: key, WorkMS: s.Work.Milliseconds(), Once: !s.Idempotent})
 	body, _ := json.Marshal(map[string]any{
 		"customer": fmt.Sprintf("customer-%d", customer), "key": key, "class": s.Class, "idempotent": s.Idempotent,
 		"timeout_ms": s.Timeout.Milliseconds(), "payload": json.RawMessage(payload),
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -31,10 +31,13 @@
 // Status is what is known of a peer.
 type Status struct {
 	Heartbeat Heartbeat `json:"heartbeat"`
-	At        time.Time `json:"at"` // time of the last heartbeat, zero if none
-	Failures  int       `json:"failures"`
+	At        time.Time `json:"at"`       // time of the last heartbeat, zero if none
+	Failures  int       `json:"failures"` // heartbeats in a row that were not answered
 }
 
+// maxFailures is the number of unanswered heartbeats in a row from which on a peer counts as unresponsive.
+const maxFailures = 2
+
 // Alive reports whether the peer was heard from recently.
 func (s Status) Alive(now time.Time) bool { return !s.At.IsZero() && now.Sub(s.At) < AliveFor }
 
@@ -137,6 +140,13 @@
 	return out
 }
 
+// Unresponsive reports whether the peer at addr has not answered the last heartbeats. Calls to it would only wait.
+func (h *Heartbeater) Unresponsive(addr string) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.peers[addr].Failures >= maxFailures
+}
+
 // State returns a dump for operators.
 func (h *Heartbeater) State() any {
 	h.mu.RLock()
