Let the stand-in's minions report idle slots

request asks a taken-over minion for its idle slots (header Idle-Slots of the answer to a ping) and leaves it unused for 10 s if it does not say. The stand-in never said, so after every takeover all minions of the partition were blocked and callers got deadline_unreachable or no_minion.

--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -119,6 +119,7 @@
 	if leaving {
 		w.Header().Set("Leaving", "true")
 	}
+	w.Header().Set("Idle-Slots", strconv.Itoa(body["slots"]-body["in_use"]))
 	writeJSON(w, http.StatusOK, body)
 }
 
