--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -39,13 +39,19 @@
 		fmt.Println("greengaged", Version)
 		return exitOK
 	}
-	app := fx.New(
-		fx.Supply(s, network.TCP()),
+	return run(New(s, network.TCP()))
+}
+
+// New assembles a daemon that reaches others through n. Starting and stopping the app starts and drains the daemon. The
+// options come last, so that they may replace parts.
+func New(s *settings.Settings, n network.Network, options ...fx.Option) *fx.App {
+	return fx.New(
+		fx.Supply(s, n),
 		fx.WithLogger(quietLogger),
 		fx.StopTimeout(stopTimeout(s)),
 		Module,
+		fx.Options(options...),
 	)
-	return run(app)
 }
 
 // quietLogger reports the assembly of the parts at debug level only.
--- /dev/null
+++ b/internal/systemtest/check_test.go
@@ -0,0 +1,330 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/greengagewing/greengagewing/internal/request"
+	"github.com/greengagewing/greengagewing/ownership"
+)
+
+// history records the calls of all callers and operators.
+type history struct {
+	mu       sync.Mutex
+	once     []porcupine.Operation // submissions of non-idempotent requests
+	edits    []porcupine.Operation // edits of lists
+	all      map[string]int        // number of outcomes, by outcome and code
+	outcomes map[string][]string   // outcomes in order, by key
+	jobs     map[string]*jobRecord // by key
+	problems []string
+}
+
+// jobRecord is what a caller knows of a job.
+type jobRecord struct {
+	accepted bool
+	maybe    bool // a submission may have been recorded
+}
+
+func (h *history) locked(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.all == nil {
+		h.all, h.outcomes, h.jobs = map[string]int{}, map[string][]string{}, map[string]*jobRecord{}
+	}
+	f()
+}
+
+func (h *history) problem(format string, args ...any) {
+	h.locked(func() { h.problems = append(h.problems, fmt.Sprintf(format, args...)) })
+}
+
+// submission is the input of an operation on a key; runs is set for the final reading of the audit.
+type submission struct {
+	key  string
+	runs int
+}
+
+const auditReads = -1 // outcome of the final reading of the audit
+
+// onceModel is a request that runs at most once: an unknown outcome may have run it, done answers are equal, and the
+// audit shows a run only if some outcome allows it. "Not run" changes nothing, so a run after it needs another call.
+var onceModel = (&porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range ops {
+			k := op.Input.(submission).key
+			byKey[k] = append(byKey[k], op)
+		}
+		return slices.Collect(maps.Values(byKey))
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		st := state.(string) // "": not run; "?": run, result not known; otherwise the result
+		if runs, ok := output.(int); ok {
+			if runs == auditReads && input.(submission).runs == min(len(st), 1) {
+				return []any{st}
+			}
+			return nil
+		}
+		switch out := output.(request.Outcome); out.Outcome {
+		case request.Done:
+			if st == "" || st == "?" || st == string(out.Result) {
+				return []any{string(out.Result)}
+			}
+			return nil
+		case request.Unknown:
+			if st == "" {
+				return []any{"", "?"}
+			}
+		}
+		return []any{st}
+	},
+}).ToModel()
+
+// edit is the input of an operation on a list; outcome is its result.
+type edit struct {
+	list string
+	base int64
+}
+
+type editResult struct {
+	status  int // HTTP status; 0: no answer
+	version int64
+}
+
+// listModel is a register with compare-and-set: the version of a list.
+var listModel = (&porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byList := map[string][]porcupine.Operation{}
+		for _, op := range ops {
+			k := op.Input.(edit).list
+			byList[k] = append(byList[k], op)
+		}
+		return slices.Collect(maps.Values(byList))
+	},
+	Init: func() []any { return []any{int64(0)} },
+	Step: func(state, input, output any) []any {
+		version, in, out := state.(int64), input.(edit), output.(editResult)
+		switch out.status {
+		case 200:
+			if version == in.base && out.version == version+1 {
+				return []any{out.version}
+			}
+			return nil
+		case 409:
+			if version == out.version && version != in.base {
+				return []any{version}
+			}
+			return nil
+		case 0, 504:
+			if version == in.base {
+				return []any{version, version + 1}
+			}
+		}
+		return []any{version}
+	},
+}).ToModel()
+
+// checkGuarantees compares the history with the platform's audit.
+func (s *system) checkGuarantees() {
+	s.t.Helper()
+	audit := s.platform.Audit.Report()
+	for _, v := range audit.Violations {
+		s.t.Errorf("audit: %s", v)
+	}
+	for _, v := range s.owners.violations() {
+		s.t.Errorf("ownership: %s", v)
+	}
+	s.history.locked(func() {
+		for _, p := range s.history.problems {
+			s.t.Error(p)
+		}
+		s.t.Logf("outcomes: %v", s.history.all)
+		once := slices.Clone(s.history.once)
+		keys := map[string]bool{}
+		for _, op := range s.history.once {
+			keys[op.Input.(submission).key] = true
+		}
+		now := int64(time.Since(s.began))
+		for key := range keys {
+			once = append(once, porcupine.Operation{
+				Input: submission{key, audit.RequestRuns[key]}, Output: auditReads, Call: now, Return: now + 1,
+			})
+		}
+		for _, part := range onceModel.Partition(once) {
+			if !porcupine.CheckOperations(onceModel, part) {
+				key := part[0].Input.(submission).key
+				s.t.Errorf("request %s: outcomes %v, but %d runs", key, s.history.outcomes[key], audit.RequestRuns[key])
+			}
+		}
+		if !porcupine.CheckOperations(listModel, s.history.edits) {
+			s.t.Errorf("edits are not compare-and-set: %+v", s.history.edits)
+		}
+		for key, j := range s.history.jobs {
+			if !j.accepted && !j.maybe && audit.KeyRuns[key] > 0 {
+				s.t.Errorf("job %s was refused, but %d of its tasks ran", key, audit.KeyRuns[key])
+			}
+		}
+	})
+}
+
+// ownerWatch checks that commands to minions and workers come from the owner of their partition only, and that the
+// epochs of a partition grow with every change of owner.
+type ownerWatch struct {
+	s          *system
+	partitions map[string]string // address of a minion or worker to the partition that owns it
+	done       chan struct{}
+	sampler    sync.WaitGroup
+
+	mu      sync.Mutex
+	rows    map[string]ownership.Row // last known
+	owners  map[string]string        // owner by partition and epoch
+	changes int                      // of owners
+	work    map[string]time.Time     // when an address was last sent new work
+	bad     []string
+}
+
+// ownerSampling is how often the partition rows are read.
+const ownerSampling = 100 * time.Millisecond
+
+func newOwnerWatch(s *system) *ownerWatch {
+	w := &ownerWatch{
+		s: s, partitions: map[string]string{}, done: make(chan struct{}), rows: map[string]ownership.Row{},
+		owners: map[string]string{}, work: map[string]time.Time{},
+	}
+	for _, h := range s.platform.Membership.Hosts() {
+		w.partitions[h.Addr] = "pool/" + service + "/0"
+		if h.Kind == "minion" {
+			w.partitions[h.Addr] = request.PartitionOfMinion(service, h.ID)
+		}
+	}
+	s.net.sent = w.sent
+	w.sampler.Go(func() {
+		t := time.NewTicker(ownerSampling)
+		defer t.Stop()
+		for {
+			select {
+			case <-w.done:
+				return
+			case <-t.C:
+				for _, p := range w.partitions {
+					w.read(p)
+				}
+			}
+		}
+	})
+	return w
+}
+
+func (w *ownerWatch) stop() {
+	close(w.done)
+	w.sampler.Wait()
+}
+
+// read returns the row of a partition. Faults of the table hide it; then the last one is returned, which no commit has
+// replaced during an outage.
+func (w *ownerWatch) read(partition string) (ownership.Row, bool) {
+	f := w.s.platform.Table.Faults()
+	if f.Delay > 0 || f.StaleReads {
+		return ownership.Row{}, false
+	}
+	got, err := w.s.platform.Table.Get(context.Background(), ownership.Key(partition))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		row, ok := w.rows[partition]
+		return row, ok
+	}
+	var row ownership.Row
+	if err := json.Unmarshal(got.Value, &row); err != nil {
+		w.bad = append(w.bad, err.Error())
+		return row, false
+	}
+	last := w.rows[partition]
+	owner := fmt.Sprintf("%s incarnation %d", row.Owner.ID, row.Owner.Incarnation)
+	at := fmt.Sprintf("%s epoch %d", partition, row.Epoch)
+	if row.Epoch < last.Epoch {
+		w.bad = append(w.bad, fmt.Sprintf("%s: epoch %d follows %d", partition, row.Epoch, last.Epoch))
+	}
+	if known, ok := w.owners[at]; ok && known != owner {
+		w.bad = append(w.bad, fmt.Sprintf("%s: owned by %s and by %s", at, known, owner))
+	}
+	if row.Epoch != last.Epoch {
+		w.changes++
+	}
+	w.rows[partition], w.owners[at] = row, owner
+	return row, true
+}
+
+// sent checks one message on its way from a daemon.
+func (w *ownerWatch) sent(from, to string, message []byte) {
+	partition, ok := w.partitions[to]
+	if !ok || !bytes.HasPrefix(message, []byte("POST /v1/")) {
+		return
+	}
+	path, _, _ := strings.Cut(string(message[len("POST "):]), " ")
+	row, ok := w.read(partition)
+	if !ok {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if path == "/v1/execute" || path == "/v1/tasks" {
+		w.work[to] = time.Now()
+	}
+	if owner := w.s.nameOf(row.Owner.ID); owner != from || row.State != ownership.Owned {
+		w.bad = append(w.bad, fmt.Sprintf("at %.3f s %s sent %s to %s; %s is %s by %s at epoch %d",
+			time.Since(w.s.began).Seconds(), from, path, to, partition, row.State, owner, row.Epoch))
+	}
+}
+
+func (w *ownerWatch) violations() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.bad)
+}
+
+// lastWork returns when an address was last sent a request or the start of a task.
+func (w *ownerWatch) lastWork(addr string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.work[addr]
+}
+
+// ownerChanges returns how many owners the partitions of all endpoints have had.
+func (w *ownerWatch) ownerChanges() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changes
+}
+
+func (s *system) nameOf(peer string) string {
+	for _, p := range s.daemons {
+		if p.peer == peer {
+			return p.name
+		}
+	}
+	return peer
+}
+
+// ownerOf returns the daemon that owns a partition according to the table.
+func (s *system) ownerOf(partition string) *process {
+	s.t.Helper()
+	row, ok := s.owners.read(partition)
+	for _, p := range s.daemons {
+		if ok && p.peer == row.Owner.ID {
+			return p
+		}
+	}
+	s.t.Fatalf("%s has no owner", partition)
+	return nil
+}
--- /dev/null
+++ b/internal/systemtest/load_test.go
@@ -0,0 +1,199 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+// submit sends a request and records its outcome.
+func (p *process) submit(r request.Request) request.Outcome {
+	h, began := p.s.history, time.Now()
+	status, sent, body := p.call(http.MethodPost, p.entry, "/v1/services/"+service+"/requests", map[string]any{
+		"customer": r.Customer, "key": r.Key, "class": r.Class, "idempotent": r.Idempotent, "timeout_ms": r.TimeoutMS,
+		"payload": r.Payload,
+	})
+	var out request.Outcome
+	switch {
+	case status == 0 && sent:
+		out = request.Undecided("no_answer", string(body))
+	case status == 0:
+		out = request.Refuse("not_sent", string(body), 0)
+	case json.Unmarshal(body, &out) != nil:
+		h.problem("request %s: status %d with %q", r.Key, status, body)
+		return out
+	}
+	var result struct{ Key string }
+	if out.Outcome == request.Done && (json.Unmarshal(out.Result, &result) != nil || result.Key != r.Key) {
+		h.problem("request %s got the response %q", r.Key, out.Result)
+	}
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		if out.RetryAfterMS <= 0 {
+			h.problem("request %s: %s without a time to come back", r.Key, out.Code)
+		}
+	}
+	h.locked(func() {
+		h.all[fmt.Sprintf("%s %s", out.Outcome, out.Code)]++
+		h.outcomes[r.Key] = append(h.outcomes[r.Key], fmt.Sprintf("%.3f-%.3f %s: %s %s %s",
+			began.Sub(p.s.began).Seconds(), time.Since(p.s.began).Seconds(), p.name, out.Outcome, out.Code, out.Message))
+		if !r.Idempotent {
+			h.once = append(h.once, porcupine.Operation{
+				Input: submission{key: r.Key}, Output: out,
+				Call: int64(began.Sub(p.s.began)), Return: int64(time.Since(p.s.began)),
+			})
+		}
+	})
+	return out
+}
+
+// request returns a request whose payload the minions understand.
+func newRequest(customer, key string, class request.Class, idempotent bool, work time.Duration) request.Request {
+	payload, _ := json.Marshal(map[string]any{"key": key, "work_ms": work.Milliseconds(), "once": !idempotent})
+	return request.Request{
+		Customer: customer, Key: key, Class: class, Idempotent: idempotent, TimeoutMS: 5000, Payload: payload,
+	}
+}
+
+// load is a number of callers, each of which sends one request after the other.
+type load struct {
+	s     *system
+	stop  atomic.Bool
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	count int
+}
+
+const (
+	callersOfLoad = 5
+	// repeats is how often a caller sends a request whose outcome is not done.
+	repeats  = 4
+	maxPause = 100 * time.Millisecond // between two requests of a caller
+	maxWork  = 120 * time.Millisecond
+)
+
+// startLoad starts callers. Each repeats a request with the same key at another daemon after an outcome other than
+// done.
+func (s *system) startLoad() *load {
+	l := &load{s: s}
+	for i := range callersOfLoad {
+		r := s.rand(uint64(i) + 1)
+		l.wg.Go(func() {
+			for n := 0; !l.stop.Load(); n++ {
+				l.one(r, fmt.Sprintf("caller-%d-%d", i, n))
+				time.Sleep(time.Duration(r.Int64N(int64(maxPause))))
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) one(r *rand.Rand, key string) {
+	class := []request.Class{request.Urgent, request.Normal, request.Bulk}[r.IntN(3)]
+	req := newRequest(customers[r.IntN(len(customers))], key, class, r.IntN(2) == 0, time.Duration(r.Int64N(int64(maxWork))))
+	at := r.IntN(len(l.s.daemons))
+	for range repeats {
+		for l.s.daemons[at%len(l.s.daemons)].closed.Load() {
+			at++
+		}
+		out := l.s.daemons[at%len(l.s.daemons)].submit(req)
+		if out.Outcome == request.Done {
+			l.mu.Lock()
+			l.count++
+			l.mu.Unlock()
+			return
+		}
+		at++
+		time.Sleep(time.Duration(50+r.IntN(200)) * time.Millisecond)
+	}
+}
+
+// end stops the callers and returns the number of requests that were done.
+func (l *load) end() int {
+	l.stop.Store(true)
+	l.wg.Wait()
+	return l.count
+}
+
+// submitJob submits a job once and records the answer.
+func (p *process) submitJob(spec job.Spec) (int, job.Status, job.Code) {
+	h := p.s.history
+	status, sent, body := p.call(http.MethodPost, p.entry, "/v1/pools/"+service+"/jobs", spec)
+	var st job.Status
+	var refusal struct {
+		Code         job.Code
+		Kept         job.Kept
+		RetryAfterMS int64 `json:"retry_after_ms"`
+	}
+	if status == http.StatusAccepted {
+		_ = json.Unmarshal(body, &st)
+	} else if status != 0 && json.Unmarshal(body, &refusal) != nil {
+		h.problem("job %s: status %d with %q", spec.Key, status, body)
+	}
+	if status == http.StatusServiceUnavailable && refusal.RetryAfterMS <= 0 {
+		h.problem("job %s: %s without a time to come back", spec.Key, refusal.Code)
+	}
+	h.locked(func() {
+		h.all[fmt.Sprintf("job %d %s", status, refusal.Code)]++
+		rec := h.jobs[spec.Key]
+		if rec == nil {
+			rec = &jobRecord{}
+			h.jobs[spec.Key] = rec
+		}
+		rec.accepted = rec.accepted || status == http.StatusAccepted
+		rec.maybe = rec.maybe || status == 0 && sent || refusal.Kept == job.KeptMaybe
+	})
+	return status, st, refusal.Code
+}
+
+// newJob returns a job whose payload the workers understand.
+func newJob(customer, key string, kind job.Kind, tasks int, idempotent bool, runs time.Duration) job.Spec {
+	payload, _ := json.Marshal(map[string]any{"key": key, "work_ms": runs.Milliseconds(), "once": !idempotent && kind != job.Service})
+	if kind == job.Service {
+		payload, _ = json.Marshal(map[string]any{"key": key})
+	}
+	return job.Spec{
+		Customer: customer, Key: key, Kind: kind, Class: job.Normal, Idempotent: idempotent, Tasks: tasks,
+		Resources: job.Resources{CPUMilli: 1000, MemoryMB: 1024}, RunMS: runs.Milliseconds(), Payload: payload,
+	}
+}
+
+// jobStatus asks any daemon for a job.
+func (s *system) jobStatus(customer, key string) (job.Status, bool) {
+	for _, p := range s.daemons {
+		status, _, body := p.call(http.MethodGet, p.entry, "/v1/pools/"+service+"/jobs/"+customer+"/"+key, nil)
+		var st job.Status
+		if status == http.StatusOK && json.Unmarshal(body, &st) == nil {
+			return st, true
+		}
+	}
+	return job.Status{}, false
+}
+
+// awaitJob waits until a job is in one of the given states and returns its status.
+func (s *system) awaitJob(customer, key string, bound time.Duration, states ...job.State) job.Status {
+	s.t.Helper()
+	var last job.Status
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		st, ok := s.jobStatus(customer, key)
+		if !ok {
+			continue
+		}
+		last = st
+		for _, want := range states {
+			if st.State == want {
+				return st
+			}
+		}
+	}
+	s.t.Errorf("job %s is not %v after %v: %+v", key, states, bound, last)
+	return last
+}
--- /dev/null
+++ b/internal/systemtest/network_test.go
@@ -0,0 +1,409 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/network"
+)
+
+// latency is the time that a message takes from one party to another.
+const latency = time.Millisecond
+
+// memNet connects parties in memory. A connection that was silenced once stays silent, as one does whose path was lost.
+type memNet struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{} // the dialers' ends
+	cuts      map[string]func(a, b string) bool
+	changed   chan struct{} // closed at the next change of cuts
+	// sent is called for every message from a dialer. It must not block.
+	sent func(from, to string, message []byte)
+	// loses decides whether the response to a message of a dialer is lost; then its connection carries nothing back any
+	// more.
+	loses func(to string, message []byte) bool
+}
+
+func newMemNet() *memNet {
+	return &memNet{
+		listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, cuts: map[string]func(a, b string) bool{},
+		changed: make(chan struct{}), sent: func(string, string, []byte) {},
+		loses: func(string, []byte) bool { return false },
+	}
+}
+
+// party is one process. Its name stands for all of its addresses.
+type party struct {
+	net  *memNet
+	name string // empty: each address is a party of its own
+	dead chan struct{}
+}
+
+func (n *memNet) join(name string) *party {
+	return &party{net: n, name: name, dead: make(chan struct{})}
+}
+
+func (p *party) network() network.Network {
+	return network.Network{Dial: p.dial, Listen: p.listen}
+}
+
+// cut severs all pairs of parties that match, until heal is called with the same label. Open connections become silent.
+func (n *memNet) cut(label string, match func(a, b string) bool) {
+	n.mu.Lock()
+	n.cuts[label] = match
+	n.mu.Unlock()
+	n.silence(match)
+}
+
+func (n *memNet) heal(label string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, label)
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// silence makes the open connections of all matching pairs carry nothing any more. New ones work.
+func (n *memNet) silence(match func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if matches(match, c.from, c.to) {
+			c.in.silence()
+			c.out.silence()
+		}
+	}
+}
+
+// loseResponses replaces the decision about lost responses.
+func (n *memNet) loseResponses(loses func(to string, message []byte) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loses = loses
+}
+
+func matches(match func(a, b string) bool, a, b string) bool { return match(a, b) || match(b, a) }
+
+// kill ends a party as a crash of its process does: listeners and connections are closed at once and nothing is sent
+// any more.
+func (p *party) kill() {
+	n := p.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-p.dead:
+		return
+	default:
+	}
+	close(p.dead)
+	for addr, l := range n.listeners {
+		if l.owner == p {
+			delete(n.listeners, addr)
+			l.end()
+		}
+	}
+	for c := range n.conns {
+		if c.owner == p || c.peer.owner == p {
+			delete(n.conns, c)
+			c.in.reset()
+			c.out.reset()
+		}
+	}
+}
+
+// killAll ends all connections and listeners.
+func (n *memNet) killAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.in.reset()
+		c.out.reset()
+	}
+	for _, l := range n.listeners {
+		l.end()
+	}
+}
+
+func (p *party) listen(_, addr string) (net.Listener, error) {
+	n := p.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p.isDead() || n.listeners[addr] != nil {
+		return nil, &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}
+	}
+	l := &listener{owner: p, addr: memAddr(addr), accepted: make(chan *conn, 1024), closed: make(chan struct{})}
+	l.name = p.name
+	if l.name == "" {
+		l.name = addr
+	}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+func (p *party) isDead() bool {
+	select {
+	case <-p.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *party) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	failed := func(err error) (net.Conn, error) { return nil, &net.OpError{Op: "dial", Addr: memAddr(addr), Err: err} }
+	for {
+		c, changed, err := p.connect(addr)
+		if err != nil {
+			return failed(err)
+		}
+		if c != nil {
+			time.Sleep(2 * latency)
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-p.dead:
+			return failed(net.ErrClosed)
+		case <-ctx.Done():
+			return failed(ctx.Err())
+		}
+	}
+}
+
+// connect returns a connection, or a channel that is closed when a hanging dial may be tried again.
+func (p *party) connect(addr string) (*conn, <-chan struct{}, error) {
+	n := p.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p.isDead() {
+		return nil, nil, net.ErrClosed
+	}
+	l := n.listeners[addr]
+	to := addr
+	if l != nil {
+		to = l.name
+	}
+	for _, match := range n.cuts {
+		if matches(match, p.name, to) {
+			return nil, n.changed, nil
+		}
+	}
+	if l == nil {
+		return nil, nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
+	}
+	there, back := newPipe(), newPipe()
+	c := &conn{owner: p, from: p.name, to: to, in: back, out: there}
+	c.peer = &conn{owner: l.owner, from: to, to: p.name, in: there, out: back, peer: c}
+	n.conns[c] = struct{}{}
+	select {
+	case l.accepted <- c.peer:
+		return c, nil, nil
+	default:
+		return nil, nil, fmt.Errorf("backlog of %s is full", addr)
+	}
+}
+
+type memAddr string
+
+func (memAddr) Network() string  { return "mem" }
+func (a memAddr) String() string { return string(a) }
+
+type listener struct {
+	owner    *party
+	name     string
+	addr     memAddr
+	accepted chan *conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) end() { l.once.Do(func() { close(l.closed) }) }
+
+func (l *listener) Close() error {
+	n := l.owner.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[string(l.addr)] == l {
+		delete(n.listeners, string(l.addr))
+	}
+	l.end()
+	for { // connections that nobody has accepted
+		select {
+		case c := <-l.accepted:
+			c.in.reset()
+			c.out.reset()
+		default:
+			return nil
+		}
+	}
+}
+
+func (l *listener) Addr() net.Addr { return l.addr }
+
+// conn is one end of a connection.
+type conn struct {
+	owner    *party
+	from, to string
+	in, out  *pipe
+	peer     *conn
+}
+
+func (c *conn) Read(b []byte) (int, error) { return c.in.read(b) }
+
+func (c *conn) Write(b []byte) (int, error) {
+	n := c.owner.net
+	n.mu.Lock()
+	_, dialer := n.conns[c]
+	loses := n.loses
+	n.mu.Unlock()
+	if dialer {
+		n.sent(c.from, c.to, b)
+		if loses(c.to, b) {
+			c.in.silence()
+		}
+	}
+	return c.out.write(b)
+}
+
+// Close ends both directions: the peer reads what was sent before and then the end.
+func (c *conn) Close() error {
+	c.in.closeReader()
+	c.out.closeWriter()
+	n := c.owner.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !c.in.isSilent() { // the peer of a silent connection does not learn of its end, so kill has to find it
+		delete(n.conns, c)
+	}
+	return nil
+}
+
+func (c *conn) LocalAddr() net.Addr  { return memAddr(c.from) }
+func (c *conn) RemoteAddr() net.Addr { return memAddr(c.to) }
+
+func (c *conn) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
+func (c *conn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
+func (c *conn) SetWriteDeadline(_ time.Time) error { return nil } // writes never block
+
+// pipe carries bytes in one direction with the latency of the network. It is unbounded, so a write never blocks.
+type pipe struct {
+	mu       sync.Mutex
+	chunks   []chunk
+	wake     chan struct{} // closed at the next change
+	deadline time.Time
+	silent   bool
+	ended    bool  // by the writer
+	err      error // of all further reads and writes
+}
+
+type chunk struct {
+	data []byte
+	at   time.Time // when it arrives
+}
+
+func newPipe() *pipe { return &pipe{wake: make(chan struct{})} }
+
+func (p *pipe) change(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+func (p *pipe) silence()                { p.change(func() { p.silent, p.chunks = true, nil }) }
+func (p *pipe) reset()                  { p.change(func() { p.chunks, p.err = nil, syscall.ECONNRESET }) }
+func (p *pipe) setDeadline(t time.Time) { p.change(func() { p.deadline = t }) }
+
+func (p *pipe) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+func (p *pipe) closeReader() {
+	p.change(func() {
+		if p.err == nil {
+			p.chunks, p.err = nil, net.ErrClosed
+		}
+	})
+}
+
+func (p *pipe) closeWriter() { p.change(func() { p.ended = true }) }
+
+func (p *pipe) write(b []byte) (n int, err error) {
+	p.change(func() {
+		switch {
+		case p.ended:
+			err = net.ErrClosed
+		case p.silent:
+			n = len(b)
+		case p.err != nil:
+			err = syscall.ECONNRESET
+		default:
+			p.chunks = append(p.chunks, chunk{append([]byte(nil), b...), time.Now().Add(latency)})
+			n = len(b)
+		}
+	})
+	return n, err
+}
+
+func (p *pipe) read(b []byte) (int, error) {
+	for {
+		n, wake, wait, err := p.take(b)
+		if n > 0 || err != nil || len(b) == 0 {
+			return n, err
+		}
+		var timer <-chan time.Time
+		if wait > 0 {
+			timer = time.After(wait)
+		}
+		select {
+		case <-wake:
+		case <-timer:
+		}
+	}
+}
+
+// take returns what has arrived, or what to wait for. A wait of 0 has no limit.
+func (p *pipe) take(b []byte) (n int, wake <-chan struct{}, wait time.Duration, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	switch {
+	case p.err != nil:
+		return 0, nil, 0, p.err
+	case !p.deadline.IsZero() && !now.Before(p.deadline):
+		return 0, nil, 0, os.ErrDeadlineExceeded
+	case len(p.chunks) > 0 && !now.Before(p.chunks[0].at):
+		n = copy(b, p.chunks[0].data)
+		p.chunks[0].data = p.chunks[0].data[n:]
+		if len(p.chunks[0].data) == 0 {
+			p.chunks = p.chunks[1:]
+		}
+		return n, nil, 0, nil
+	case len(p.chunks) > 0:
+		wait = p.chunks[0].at.Sub(now)
+	case p.ended && !p.silent:
+		return 0, nil, 0, io.EOF
+	}
+	if left := p.deadline.Sub(now); !p.deadline.IsZero() && (wait == 0 || left < wait) {
+		wait = left
+	}
+	return 0, p.wake, wait, nil
+}
--- /dev/null
+++ b/internal/systemtest/system_test.go
@@ -0,0 +1,290 @@
+// Package systemtest runs whole daemons and the platform's stand-in in one process and in virtual time.
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/greengagewing/greengagewing/internal/daemon"
+	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/internal/standin"
+)
+
+const (
+	secret  = "system-test-secret"
+	service = "textos" // also the name of the pool
+
+	tablePort, controlPort           = 7000, 7001
+	minionBasePort, workerBasePort   = 7100, 7200
+	daemonBasePort, daemonPeerOffset = 7300, 100
+
+	// takeoverBound is how long the customers of a crashed daemon may wait until they are served again: 4.5 s until the
+	// session is fenced, 1 s until the claim, the replay, and the retry intervals of callers.
+	takeoverBound = 12 * time.Second
+	// settling is how long partitions move after a start: one that its desired owner did not claim within 2 s stays with
+	// another daemon for 30 s.
+	settling = 45 * time.Second
+	// editBound is how long an accepted edit may take until it is in force on every live daemon.
+	editBound = 5 * time.Second
+)
+
+// TestMain starts the runtime's signal loop, which fx would otherwise start inside a bubble, where it never ends.
+func TestMain(m *testing.M) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, os.Interrupt)
+	code := m.Run()
+	signal.Stop(c)
+	os.Exit(code)
+}
+
+// system is a platform with its daemons.
+type system struct {
+	t        *testing.T
+	seed     uint64
+	net      *memNet
+	platform *standin.Platform
+	daemons  []*process
+	log      zapcore.WriteSyncer
+	history  *history
+	owners   *ownerWatch
+	began    time.Time
+	edits    int
+}
+
+// process is a daemon at a fixed address, through several starts.
+type process struct {
+	s     *system
+	name  string
+	entry string                // callers' address
+	peer  string                // peers' address, also the daemon's id
+	party atomic.Pointer[party] // of the running process
+	// closed is true while the balancer sends no callers here.
+	closed atomic.Bool
+	app    *fx.App
+	httpC  *http.Client // of callers
+	ended  sync.WaitGroup
+}
+
+// run plays a scenario with the given number of daemons in a bubble, and checks the guarantees at its end.
+func run(t *testing.T, seed uint64, daemons int, scenario func(s *system)) {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	var logs syncBuffer
+	defer func() {
+		if t.Failed() {
+			t.Log("daemons' log:\n" + logs.String())
+		}
+	}()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, seed, daemons, &logs)
+		defer s.end()
+		s.bringUp()
+		scenario(s)
+		s.checkGuarantees()
+	})
+}
+
+// syncBuffer collects the log of all daemons.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func newSystem(t *testing.T, seed uint64, daemons int, logs *syncBuffer) *system {
+	s := &system{t: t, seed: seed, net: newMemNet(), log: zapcore.AddSync(logs), began: time.Now(), history: &history{}}
+	cell := standin.Textos()
+	cell.Minions, cell.Workers, cell.WorkersPerRack = 6, 6, 2
+	cell.Capacity = standin.Resources{CPUMilli: 4000, MemoryMB: 8192}
+	var err error
+	s.platform, err = standin.Start(standin.Config{
+		Cells: []standin.Cell{cell}, TablePort: tablePort, ControlPort: controlPort, MinionBasePort: minionBasePort,
+		WorkerBasePort: workerBasePort, Lag: standin.DefaultLag, Listen: s.net.join("").listen,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.owners = newOwnerWatch(s)
+	for i := range daemons {
+		p := &process{
+			s: s, name: fmt.Sprintf("daemon-%d", i), entry: fmt.Sprintf("127.0.0.1:%d", daemonBasePort+i),
+			peer: fmt.Sprintf("127.0.0.1:%d", daemonBasePort+daemonPeerOffset+i),
+		}
+		s.daemons = append(s.daemons, p)
+		s.platform.Membership.Put(standin.Host{ID: p.name, Addr: p.peer, Kind: standin.KindDaemon})
+		p.httpC = &http.Client{Transport: &http.Transport{DialContext: s.net.join("caller").dial, DisableKeepAlives: true}}
+	}
+	return s
+}
+
+// bringUp starts all daemons, waits until every partition is owned, and loads the lists.
+func (s *system) bringUp() {
+	for _, p := range s.daemons {
+		p.start()
+	}
+	time.Sleep(settling)
+	if status, body := s.daemons[0].editList("allowances", 0, map[string]any{"gold": goldAllowance}); status != http.StatusOK {
+		s.t.Fatalf("allowances were not loaded: %d %s", status, body)
+	}
+	plans := map[string]any{}
+	for _, c := range customers {
+		plans[c] = "gold"
+	}
+	if status, body := s.daemons[0].editList("plans", 0, plans); status != http.StatusOK {
+		s.t.Fatalf("plans were not loaded: %d %s", status, body)
+	}
+	time.Sleep(time.Second)
+}
+
+// customers lie in all partitions of the service.
+var customers = []string{"bakery", "school", "council", "library", "radio", "festival", "chorus", "museum", "archive", "theatre"}
+
+var goldAllowance = map[string]any{
+	"requests_per_second": 1000, "burst": 1000, "concurrency": 200, "queue": 200, "cpu_milli": 100_000, "memory_mb": 200_000,
+	"tasks": 500,
+}
+
+func (p *process) start() {
+	p.s.t.Helper()
+	cfg, err := settings.Parse([]string{
+		"--listen", p.entry, "--peer-listen", p.peer, "--failure-domain", "gt-central-" + string(rune('a'+len(p.name)%2)),
+		"--region", "gt-central", "--table", p.s.platform.TableAddr(), "--membership", p.s.platform.ControlAddr(),
+		"--secret", secret, "--services", service, "--pools", service,
+	})
+	if err != nil {
+		p.s.t.Fatal(err)
+	}
+	self := p.s.net.join(p.name)
+	p.party.Store(self)
+	p.app = daemon.New(cfg, self.network(),
+		fx.Decorate(func() (tally.Scope, http.Handler) { return tally.NoopScope, http.NotFoundHandler() }),
+		fx.Decorate(func() *zap.Logger {
+			enc := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
+				TimeKey: "t", MessageKey: "msg", NameKey: "n", LevelKey: "l", EncodeLevel: zapcore.LowercaseLevelEncoder,
+				EncodeTime: func(t time.Time, e zapcore.PrimitiveArrayEncoder) {
+					e.AppendString(fmt.Sprintf("%.3f", t.Sub(p.s.began).Seconds()))
+				},
+			})
+			return zap.New(zapcore.NewCore(enc, p.s.log, zap.InfoLevel)).With(zap.String("d", p.name))
+		}))
+	ctx, cancel := context.WithTimeout(context.Background(), p.app.StartTimeout())
+	defer cancel()
+	if err := p.app.Start(ctx); err != nil {
+		p.s.t.Fatalf("%s does not start: %v", p.name, err)
+	}
+}
+
+// crash ends the process at once. Its goroutines end as well, but nothing of what they do leaves the process.
+func (p *process) crash() {
+	p.party.Load().kill()
+	app := p.app
+	p.ended.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_ = app.Stop(ctx)
+	})
+}
+
+// drain stops the process as SIGTERM does.
+func (p *process) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), p.app.StopTimeout())
+	defer cancel()
+	err := p.app.Stop(ctx)
+	p.party.Load().kill()
+	return err
+}
+
+// end stops everything, so that no goroutine of the bubble stays.
+func (s *system) end() {
+	for _, p := range s.daemons {
+		if !p.party.Load().isDead() {
+			p.crash()
+		}
+		p.ended.Wait()
+	}
+	s.owners.stop()
+	s.platform.Close()
+	s.net.killAll()
+}
+
+// fault sets faults of the platform.
+func (s *system) fault(format string, args ...any) {
+	s.t.Helper()
+	if err := s.platform.SetFaults(fmt.Appendf(nil, format, args...)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) rand(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.seed, stream)) }
+
+// call sends one HTTP call. sent is false if certainly nothing was sent; status is 0 if no answer arrived.
+func (p *process) call(method, addr, path string, body any) (status int, sent bool, answer []byte) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		p.s.t.Error(err)
+		return 0, false, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 13*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(raw))
+	if err != nil {
+		p.s.t.Error(err)
+		return 0, false, nil
+	}
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+secret)
+	resp, err := p.httpC.Do(req)
+	if err != nil {
+		var op *net.OpError
+		return 0, !errors.As(err, &op) || op.Op != "dial", []byte(err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, true, []byte(err.Error())
+	}
+	return resp.StatusCode, true, answer
+}
+
+// editList sets entries of a list.
+func (p *process) editList(list string, base int64, set map[string]any) (int, []byte) {
+	p.s.edits++
+	status, _, body := p.call(http.MethodPatch, p.peer, "/admin/v1/lists/"+list, map[string]any{
+		"base": base, "author": p.name, "edit_id": fmt.Sprintf("edit-%d", p.s.edits), "set": set,
+	})
+	return status, body
+}
+
+// state returns a part of the daemon's state dump.
+func (p *process) state(part string, into any) bool {
+	status, _, body := p.call(http.MethodGet, p.peer, "/state?part="+part, nil)
+	if status != http.StatusOK {
+		return false
+	}
+	outer := map[string]json.RawMessage{}
+	return json.Unmarshal(body, &outer) == nil && json.Unmarshal(outer[part], into) == nil
+}
