--- /dev/null
+++ b/internal/systemtest/leave_test.go
@@ -0,0 +1,143 @@
+package systemtest
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/job"
+)
+
+const (
+	// leaveBound is how long a leaving machine may still get new work.
+	leaveBound = 3 * time.Second
+	// balancerLag is how long the balancer still sends callers to a daemon that is not ready.
+	balancerLag = time.Second
+	// drainBound is how long a drain may take until the process exits.
+	drainBound = 20 * time.Second
+)
+
+// TestLeavingMachines guards against new work for a minion or worker that is leaving, and against requests that are cut
+// or tasks that are lost because of it.
+func TestLeavingMachines(t *testing.T) {
+	t.Parallel()
+	run(t, 9, 3, func(s *system) {
+		l := s.startLoad()
+		var jobs jobLoad
+		jobs.start(s, 8, 3*time.Second)
+		time.Sleep(5 * time.Second)
+		left := map[string]string{}
+		for _, h := range s.platform.Membership.Hosts() {
+			if strings.HasSuffix(h.ID, "-00") || strings.HasSuffix(h.ID, "-03") {
+				left[h.ID] = h.Addr
+				s.fault(`{"target":%q,"leaving":true}`, h.ID)
+			}
+		}
+		limit := time.Now().Add(leaveBound)
+		time.Sleep(20 * time.Second)
+		for id, addr := range left {
+			if last := s.owners.lastWork(addr); last.After(limit) {
+				t.Errorf("%s was sent new work %v after it said that it leaves", id, last.Sub(limit)+leaveBound)
+			}
+		}
+		l.end()
+		jobs.end(s)
+		for outcome, n := range s.history.all {
+			if strings.HasPrefix(outcome, "unknown") {
+				t.Errorf("%d requests: %s", n, outcome)
+			}
+		}
+	})
+}
+
+// TestRollingReplacement guards against a drain that cuts a request, leaves an outcome open, takes too long, or loses
+// or repeats a task, while every daemon is replaced under load.
+func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
+	run(t, 10, 3, func(s *system) {
+		l := s.startLoad()
+		var jobs jobLoad
+		jobs.start(s, 10, 8*time.Second)
+		for _, p := range s.daemons {
+			time.Sleep(5 * time.Second)
+			time.AfterFunc(balancerLag, func() { p.closed.Store(true) })
+			began := time.Now()
+			if err := p.drain(); err != nil || time.Since(began) > drainBound {
+				t.Errorf("%s drained for %v: %v", p.name, time.Since(began), err)
+			}
+			time.Sleep(time.Second)
+			p.start()
+			time.Sleep(2 * time.Second)
+			p.closed.Store(false)
+		}
+		time.Sleep(5 * time.Second)
+		l.end()
+		jobs.end(s)
+		for outcome, n := range s.history.all {
+			if strings.HasPrefix(outcome, "unknown") || strings.Contains(outcome, "not_sent") || outcome == "job 0 " {
+				t.Errorf("%d requests: %s", n, outcome)
+			}
+		}
+		for key, outcomes := range s.history.outcomes {
+			if last := outcomes[len(outcomes)-1]; !strings.Contains(last, ": done") {
+				t.Errorf("request %s was never done: %v", key, outcomes)
+			}
+		}
+	})
+}
+
+// jobLoad is a number of jobs of random kinds and sizes.
+type jobLoad struct {
+	specs []job.Spec
+	done  chan struct{}
+}
+
+// start submits n jobs, one after the other over the given time. Each submission is repeated at another daemon until it
+// is accepted.
+func (j *jobLoad) start(s *system, n int, over time.Duration) {
+	r := s.rand(1000)
+	for i := range n {
+		kind := []job.Kind{job.Batch, job.Batch, job.Gang}[r.IntN(3)]
+		runs := time.Second + time.Duration(r.Int64N(int64(15*time.Second)))
+		spec := newJob(customers[r.IntN(len(customers))], fmt.Sprintf("job-%d", i), kind, 1+r.IntN(6), r.IntN(2) == 0, runs)
+		j.specs = append(j.specs, spec)
+	}
+	j.done = make(chan struct{})
+	go func() {
+		defer close(j.done)
+		for i, spec := range j.specs {
+			for at := i; ; at++ {
+				p := s.daemons[at%len(s.daemons)]
+				if p.closed.Load() {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				if status, _, _ := p.submitJob(spec); status == 202 {
+					break
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			time.Sleep(over / time.Duration(n))
+		}
+	}()
+}
+
+// jobBound is how long a job may take to end after everything works again: placement after a takeover, run times of up
+// to 16 s for jobs that wait for each other, and retries of gangs.
+const jobBound = 3 * time.Minute
+
+// end waits until all jobs have ended. A job of idempotent tasks, or one that met no fault, must be done.
+func (j *jobLoad) end(s *system) {
+	s.t.Helper()
+	<-j.done
+	for _, spec := range j.specs {
+		st := s.awaitJob(spec.Customer, spec.Key, jobBound, job.Done, job.Failed, job.Cancelled, job.Unknown)
+		if spec.Idempotent && st.State != job.Done {
+			s.t.Errorf("job %s of idempotent tasks ended as %s: %s %v", spec.Key, st.State, st.Reason, st.Counts)
+		}
+		if n := st.Counts[job.Done] + st.Counts[job.Failed] + st.Counts[job.Cancelled] + st.Counts[job.Unknown]; n != spec.Tasks {
+			s.t.Errorf("job %s ended with %v of %d tasks", spec.Key, st.Counts, spec.Tasks)
+		}
+	}
+}
