Name the attempt in the refusals of the stand-in's minions

Whether the users' minions name the attempt in refusals has to be asked; if not, a request that meets a leaving minion on a reused connection stays unknown.

--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -133,6 +133,7 @@
 	f, reason := m.acquire()
 	if reason != "" {
 		w.Header().Set("Not-Run", "true")
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 		if f.Leaving {
 			w.Header().Set("Leaving", "true")
 		}
