Name the requests that a leaving machine leaves open

The count alone did not tell which answer was taken for lost. A run of requests without any checked command to a minion fails now, so that the check of owners cannot pass because it sees nothing.

--- a/internal/systemtest/check_test.go
+++ b/internal/systemtest/check_test.go
@@ -144,6 +144,9 @@
 	for _, v := range s.owners.violations() {
 		s.t.Errorf("ownership: %s", v)
 	}
+	if len(audit.RequestRuns) > 0 && !s.owners.sawWork() {
+		s.t.Error("requests ran, but no command to a minion was checked")
+	}
 	s.history.locked(func() {
 		for _, p := range s.history.problems {
 			s.t.Error(p)
@@ -293,6 +296,12 @@
 	return slices.Clone(w.bad)
 }
 
+func (w *ownerWatch) sawWork() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.work) > 0
+}
+
 // lastWork returns when an address was last sent a request or the start of a task.
 func (w *ownerWatch) lastWork(addr string) time.Time {
 	w.mu.Lock()
--- a/internal/systemtest/leave_test.go
+++ b/internal/systemtest/leave_test.go
@@ -43,9 +43,9 @@
 		}
 		l.end()
 		jobs.end(s)
-		for outcome, n := range s.history.all {
-			if strings.HasPrefix(outcome, "unknown") {
-				t.Errorf("%d requests: %s", n, outcome)
+		for key, outcomes := range s.history.outcomes {
+			if strings.Contains(strings.Join(outcomes, "\n"), ": unknown") {
+				t.Errorf("request %s: %v", key, outcomes)
 			}
 		}
 	})
