--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -25,7 +25,7 @@
 func newWorkerBook(id, addr, domain, rack string) *workerBook {
 	return &workerBook{
 		id: id, addr: addr, domain: domain, rack: rack, placed: map[string]*placed{},
-		aliens: map[worker.TaskRef]Resources{}, wake: make(chan struct{}, 1), kick: make(chan struct{}, 1), quit: func() {},
+		unknown: map[worker.TaskRef]Resources{}, wake: make(chan struct{}, 1), kick: make(chan struct{}, 1), quit: func() {},
 	}
 }
 
@@ -66,7 +66,9 @@
 // renew extends the leases on a worker, applies its report and acknowledges journaled results.
 func (p *partition) renew(ctx context.Context, w *workerBook) {
 	p.mu.Lock()
-	addr, msg, asked := w.addr, p.renewal(w, time.Now()), time.Now()
+	asked := time.Now()
+	msg, renewed := p.renewal(w, asked)
+	addr := w.addr
 	p.mu.Unlock()
 	var rep worker.Report
 	err := p.guard.Check()
@@ -75,6 +77,9 @@
 	}
 	p.mu.Lock()
 	now := time.Now()
+	for _, pl := range renewed {
+		pl.leaseUntil = now.Add(leaseEnd) // the call may have been delivered as late as this
+	}
 	if err != nil || rep.WorkerID != w.id {
 		if errors.Is(err, worker.ErrLeaving) {
 			p.deps.Members.ReportLeaving(w.id)
@@ -97,20 +102,20 @@
 
 // renewal builds the next renewal. Attempts whose start is not confirmed and those that are to stop are left out, so
 // that the end of their lease stays known.
-func (p *partition) renewal(w *workerBook, now time.Time) worker.Renew {
-	msg := worker.Renew{Epoch: p.guard.Epoch(), LeaseMS: taskLease.Milliseconds(), Tasks: []worker.TaskRef{}}
+func (p *partition) renewal(w *workerBook, now time.Time) (msg worker.Renew, renewed []*placed) {
+	msg = worker.Renew{Epoch: p.guard.Epoch(), LeaseMS: taskLease.Milliseconds(), Tasks: []worker.TaskRef{}}
 	if w.misses >= probeAfter {
-		return msg
+		return msg, nil
 	}
 	msg.NotAfterMS = w.notAfter(now)
 	for id, pl := range w.placed {
 		if pl.phase != phaseConfirmed || pl.stop != stopNone && pl.stop != stopMove {
 			continue
 		}
-		pl.leaseUntil = now.Add(leaseEnd)
 		msg.Tasks = append(msg.Tasks, worker.TaskRef{TaskID: id, Attempt: pl.attempt})
+		renewed = append(renewed, pl)
 	}
-	return msg
+	return msg, renewed
 }
 
 // notAfter returns the time on the worker's clock until which a message sent now may take effect.
@@ -241,10 +246,11 @@
 	t := pl.task
 	switch {
 	case err == nil:
+		pl.leaseUntil = now.Add(leaseEnd)
 		p.confirm(pl, now)
 		p.count("starts", 1)
 	case !errors.Is(err, worker.ErrNotDelivered):
-		pl.lostAt = now
+		pl.lostAt, pl.leaseUntil = now, now.Add(leaseEnd)
 		p.count("starts_lost", 1)
 	case pl.sends > 1:
 		pl.lostAt, pl.leaseUntil = now, before // an earlier send may have started it
@@ -320,25 +326,28 @@
 
 // applyReport reconciles the books with a worker's report. asked is when the report was requested.
 func (p *partition) applyReport(w *workerBook, rep worker.Report, asked, now time.Time) {
+	if w.misses >= probeAfter {
+		p.zap.Info("worker is reachable again", zap.String("worker", w.id))
+	}
 	w.misses, w.lastSeen, w.bootID, w.clockMS, w.clockAt = 0, now, rep.BootID, rep.ClockMS, now
 	p.noteCapacity(w, rep.Capacity)
 	if rep.Leaving && !w.leaving {
 		p.deps.Members.ReportLeaving(w.id)
 		p.leave(w, now)
 	}
-	aliens := map[worker.TaskRef]Resources{}
+	unknown := map[worker.TaskRef]Resources{}
 	seen := make(map[string]bool, len(rep.Tasks))
 	for _, rt := range rep.Tasks {
 		pl := w.placed[rt.TaskID]
 		if pl == nil || pl.attempt != rt.Attempt {
-			pl = p.unplaced(w, rt, aliens, now)
+			pl = p.unplaced(w, rt, unknown, now)
 		}
 		if pl != nil {
 			seen[rt.TaskID] = true
 			p.applyTask(pl, rt, now)
 		}
 	}
-	p.setAliens(w, aliens)
+	p.setUnknown(w, unknown)
 	for id, pl := range w.placed {
 		if !seen[id] && pl.current() {
 			p.missing(pl, asked, now)
@@ -380,15 +389,15 @@
 	})
 }
 
-func (p *partition) setAliens(w *workerBook, aliens map[worker.TaskRef]Resources) {
+func (p *partition) setUnknown(w *workerBook, unknown map[worker.TaskRef]Resources) {
 	used := w.used
-	for _, r := range w.aliens {
+	for _, r := range w.unknown {
 		used = used.Minus(r)
 	}
-	for _, r := range aliens {
+	for _, r := range unknown {
 		used = used.Plus(r)
 	}
-	w.aliens = aliens
+	w.unknown = unknown
 	if used != w.used {
 		p.setUsed(w, used)
 		signal(p.wake)
@@ -406,7 +415,7 @@
 
 // unplaced handles a reported attempt that is not on the books of the worker. It returns a placement if the attempt is
 // adopted.
-func (p *partition) unplaced(w *workerBook, rt worker.Task, aliens map[worker.TaskRef]Resources, now time.Time) *placed {
+func (p *partition) unplaced(w *workerBook, rt worker.Task, unknown map[worker.TaskRef]Resources, now time.Time) *placed {
 	t := p.findTask(rt.TaskID)
 	ref := worker.TaskRef{TaskID: rt.TaskID, Attempt: rt.Attempt}
 	if t != nil && p.adoptable(t, rt) {
@@ -419,10 +428,10 @@
 		}
 		return nil
 	}
-	aliens[ref] = rt.Resources.Max(rt.Usage)
+	unknown[ref] = rt.Resources.Max(rt.Usage)
 	w.order(verbStop, ref)
 	if t != nil && t.place != nil && t.place.phase == phaseConfirmed {
-		p.doubles++
+		p.doubleRuns++
 		p.count("double_runs", 1)
 		p.zap.Error("task runs in two places; one is stopped", zap.String("task", t.id), zap.String("worker", w.id))
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -4,8 +4,8 @@
 // monotonic clock from the time before a renewal was sent. An observer fences a session whose row it saw unchanged for
 // longer than the validity can last. While the holder cannot reach the store, its guarantors (up to two other daemons
 // named in the row) extend the validity with promises. An extension needs a promise from every guarantor and a fencing
-// needs the consent of at least one, which promises nothing more afterwards; so the two exclude each other. The table
-// remains the only authority: guarantors hold no replicated state.
+// needs the consent of at least one, which then promises nothing more for that state of the row; so the two exclude each
+// other. The table remains the only authority: guarantors hold no replicated state.
 package session
 
 import (
@@ -130,6 +130,7 @@
 	PollInterval  time.Duration // between two scans of the session rows
 	StoreTimeout  time.Duration // limit of one call to the table
 	PeerTimeout   time.Duration // limit of one call to a peer
+	RetryDelay    time.Duration // between two attempts of Close
 	MaxGuarantors int
 
 	Log *zap.Logger // state changes only; nil discards them
@@ -145,6 +146,7 @@
 	DefaultStoreTimeout = 1500 * time.Millisecond
 	// DefaultPeerTimeout allows three rounds of promises between a missed renewal and the end of the validity.
 	DefaultPeerTimeout   = 500 * time.Millisecond
+	DefaultRetryDelay    = 200 * time.Millisecond
 	DefaultMaxGuarantors = 2
 )
 
@@ -155,6 +157,7 @@
 	}{
 		{&c.TTL, DefaultTTL}, {&c.Margin, DefaultMargin}, {&c.RenewInterval, DefaultRenewInterval},
 		{&c.PollInterval, DefaultPollInterval}, {&c.StoreTimeout, DefaultStoreTimeout}, {&c.PeerTimeout, DefaultPeerTimeout},
+		{&c.RetryDelay, DefaultRetryDelay},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.value
