--- a/internal/systemtest/cut_test.go
+++ b/internal/systemtest/cut_test.go
@@ -1,11 +1,13 @@
 package systemtest
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/request"
 )
 
 // platformAddrs starts the names of all of the platform's parties: the store, the membership list, minions and workers.
@@ -93,3 +95,33 @@
 		})
 	}
 }
+
+// TestCutFromStoreOnly guards against a daemon that loses its partitions, or against callers of idempotent requests that
+// are refused, because one daemon does not reach the store while all daemons reach each other.
+func TestCutFromStoreOnly(t *testing.T) {
+	t.Parallel()
+	run(t, 13, 3, func(s *system) {
+		const cutFor = 20 * time.Second
+		victim := s.ownerOf("pool/" + service + "/0")
+		mine := s.customersOf(victim)
+		changes := s.owners.ownerChanges()
+		s.net.cut("victim", func(a, b string) bool { return a == victim.name && b == s.platform.TableAddr() })
+		began := time.Now()
+		for n := 0; time.Since(began) < cutFor; n++ {
+			p := s.daemons[n%len(s.daemons)]
+			for _, c := range mine {
+				out := p.submit(newRequest(c, fmt.Sprintf("cut-%s-%d", c, n), request.Normal, true, 10*time.Millisecond))
+				if out.Outcome != request.Done {
+					t.Errorf("request of %s at %s: %s %s %s", c, p.name, out.Outcome, out.Code, out.Message)
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		s.net.heal("victim")
+		s.allServed("after", 5*time.Second, s.daemons...)
+		time.Sleep(5 * time.Second)
+		if now := s.owners.ownerChanges(); now != changes {
+			t.Errorf("%d partitions changed their owner", now-changes)
+		}
+	})
+}
