--- a/internal/systemtest/leave_test.go
+++ b/internal/systemtest/leave_test.go
@@ -59,7 +59,7 @@
 // or repeats a task, while every daemon is replaced under load.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
-	run(t, 10, 3, func(s *system) {
+	run(t, 10, 5, func(s *system) {
 		l := s.startLoad()
 		var jobs jobLoad
 		jobs.start(s, 10, 8*time.Second)
