Borrow idle slots of the same daemon

Cause: a partition without a usable minion borrowed from other daemons only, so after a crash or in a small system it refused requests with no_minion while another partition of the same daemon had idle slots. Lenders also offered nothing while any request waited, even one that waited for the store only. Change: own partitions are asked first; a lender offers its idle slots less those that its waiting requests will need. TestLocalLoan fails before (not_run) and passes after.

--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -117,7 +117,7 @@
 	if now.Before(p.borrowAt) {
 		return
 	}
-	idle := p.s.deps.Lender.Idle(p.service)
+	idle := p.s.lendable(p)
 	for p.borrowed < idle {
 		t := p.queue.NextRemote(now)
 		if t == nil {
@@ -143,7 +143,7 @@
 			p.returned(c, now, sent{result: sendNotOwner, reason: err.Error()}, false)
 			return
 		}
-		reply, err := p.s.deps.Lender.Borrow(ctx, loan)
+		reply, err := p.s.borrow(ctx, loan, l, p)
 		p.returned(c, now, loanResult(reply, err), reply.Status == LoanRefused || errors.Is(err, ErrNotSent))
 	})
 }
@@ -234,14 +234,52 @@
 func (p *partition) idleSlots() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.phase != serving || p.guard.Check() != nil {
+	if p.guard.Check() != nil {
 		return 0
 	}
-	waiting := p.queue.Waiting()
-	if waiting[lanes.Urgent]+waiting[lanes.Normal]+waiting[lanes.Bulk] > 0 {
+	return p.countIdle()
+}
+
+// countIdle returns the slots that others may borrow: those that are idle and that no waiting request will need. The
+// caller holds mu.
+func (p *partition) countIdle() int {
+	if p.phase != serving {
 		return 0
 	}
-	return p.router.idleSlots()
+	waiting := p.queue.Waiting()
+	return max(0, p.router.idleSlots()-waiting[lanes.Urgent]-waiting[lanes.Normal]-waiting[lanes.Bulk])
+}
+
+// lendable returns the idle slots that a partition may borrow: those of this daemon's other partitions of the service and
+// those of other daemons. It takes no lock of a partition, because the caller holds one.
+func (s *Service) lendable(borrower *partition) int {
+	idle := s.deps.Lender.Idle(borrower.service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.parts {
+		if p != borrower && p.service == borrower.service {
+			idle += int(p.idle.Load())
+		}
+	}
+	return idle
+}
+
+// borrow runs one attempt in a slot of another partition of this daemon, or else of another daemon.
+func (s *Service) borrow(ctx context.Context, l Loan, lane lanes.Lane, borrower *partition) (LoanReply, error) {
+	for _, p := range s.partitions() {
+		if p == borrower || p.service != borrower.service || p.idle.Load() == 0 {
+			continue
+		}
+		if done := p.lend(l, lane); done != nil {
+			select {
+			case reply := <-done:
+				return reply, nil
+			case <-ctx.Done():
+				return LoanReply{Status: LoanLost, Message: "the attempt was cut"}, nil
+			}
+		}
+	}
+	return s.deps.Lender.Borrow(ctx, l)
 }
 
 // idleSlots asks the minion how many slots are idle. It returns zero when the minion does not say.
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -71,6 +72,7 @@
 	ctx     context.Context // ends when attempts are cut
 	cancel  context.CancelFunc
 	wake    chan struct{}
+	idle    atomic.Int32 // slots that others may borrow, as of the last pump; read without mu
 
 	mu           sync.Mutex
 	phase        phase
@@ -413,7 +415,7 @@
 	lane, _ := laneOf(c.req.Class)
 	wait := p.estimate(c.req.Customer, lane, now)
 	a := p.account(c.req.Customer, now)
-	idle := p.s.deps.Lender.Idle(p.service)
+	idle := p.s.lendable(p)
 	switch {
 	case a.active+p.adopted(a, now) >= allowed.Concurrency:
 		return no(CodeAllowanceConcurrency, "too many requests in flight", retryAfter(wait))
@@ -582,6 +584,7 @@
 		p.expire(t.Value, now)
 	}
 	if p.phase != serving {
+		p.idle.Store(0)
 		return
 	}
 	for len(p.router.available) > 0 {
@@ -592,6 +595,7 @@
 		p.dispatch(t.Value, now)
 	}
 	p.borrow(now)
+	p.idle.Store(int32(p.countIdle()))
 	if !p.router.next.IsZero() {
 		p.wakeBy(p.router.next)
 	}
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -486,6 +486,31 @@
 	})
 }
 
+// TestLocalLoan guards against a partition without minions that refuses requests while slots of another partition of the
+// same daemon are idle.
+func TestLocalLoan(t *testing.T) {
+	inBubble(t, "A partition without minions uses the idle slots of its daemon", 2, func(b *bench) {
+		other := "request/textos/7"
+		So(other, ShouldNotEqual, part)
+		So(b.Start(context.Background(), &guard{partition: other, epoch: 1}), ShouldBeNil)
+		customer := idsOf(other, "customer", 1)[0]
+		synctest.Wait()
+		outcomes := make(chan Outcome, 20)
+		for i := range cap(outcomes) {
+			go func() {
+				outcomes <- b.Submit(context.Background(), other, Request{
+					Service: service, Customer: customer, Class: Urgent, Idempotent: i%2 == 0, Key: fmt.Sprint("k", i),
+					TimeoutMS: 5000, Payload: []byte(`{"key":"local","ms":100}`),
+				})
+			}()
+		}
+		for range cap(outcomes) {
+			So((<-outcomes).Outcome, ShouldEqual, Done)
+		}
+		So(b.net.runsOf("local"), ShouldEqual, cap(outcomes))
+	})
+}
+
 // TestValidate guards against a request that is refused with the wrong stable code or status.
 func TestValidate(t *testing.T) {
 	ok := Request{Service: "s", Customer: "c", Key: "k", Class: Urgent, TimeoutMS: 1000}
