Tell all daemons of a partition's new owner at once

Cause: only the successor was told of a release; the others learned the new owner from their next scan, up to 1 s later, while the entry waits 500 ms for a handover. Ruled out: a longer wait (callers would wait for a scan at each handover) and forwarding by the former owner (a second hop, and it may be gone). Change: a release and the start of a partition are announced to every live daemon; a lost notice costs a scan as before.

--- a/internal/peer/sessions.go
+++ b/internal/peer/sessions.go
@@ -13,10 +13,10 @@
 
 // Paths of the calls that keep sessions and ownership.
 const (
-	pathPromise  = "/peer/v1/promise"
-	pathConsent  = "/peer/v1/consent"
-	pathProbe    = "/peer/v1/probe"
-	pathReleased = "/peer/v1/released"
+	pathPromise    = "/peer/v1/promise"
+	pathConsent    = "/peer/v1/consent"
+	pathProbe      = "/peer/v1/probe"
+	pathRowChanged = "/peer/v1/partition"
 )
 
 // Sessions carries the calls of the session and ownership packages. It implements session.PeerCaller and
@@ -45,9 +45,9 @@
 	return reply, err
 }
 
-// Released implements ownership.Notifier.
-func (s Sessions) Released(ctx context.Context, addr string, n ownership.ReleaseNotice) error {
-	_, err := Call[struct{}](ctx, s.Client, addr, pathReleased, n)
+// RowChanged implements ownership.Notifier.
+func (s Sessions) RowChanged(ctx context.Context, addr string, n ownership.RowNotice) error {
+	_, err := Call[struct{}](ctx, s.Client, addr, pathRowChanged, n)
 	return err
 }
 
@@ -60,8 +60,8 @@
 		return g.Consent(req), nil
 	})
 	Handle(r, pathProbe, func(context.Context, struct{}) (session.ProbeReply, error) { return k.Probe(), nil })
-	Handle(r, pathReleased, func(_ context.Context, n ownership.ReleaseNotice) (struct{}, error) {
-		m.Released(n)
+	Handle(r, pathRowChanged, func(_ context.Context, n ownership.RowNotice) (struct{}, error) {
+		m.RowChanged(n)
 		return struct{}{}, nil
 	})
 }
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -90,15 +90,15 @@
 	return c
 }
 
-// ReleaseNotice tells a successor that a partition was released for it.
-type ReleaseNotice struct {
+// RowNotice tells another daemon of a partition's new row: released, or owned by the sender.
+type RowNotice struct {
 	Row     Row   `json:"row"`
 	Version int64 `json:"version"`
 }
 
-// Notifier sends release notices to other daemons. A lost notice only delays the successor until its next scan.
+// Notifier sends notices to other daemons. A lost notice only delays its receiver until the next scan.
 type Notifier interface {
-	Released(ctx context.Context, peerAddr string, n ReleaseNotice) error
+	RowChanged(ctx context.Context, peerAddr string, n RowNotice) error
 }
 
 // Owner is the daemon that owns a partition as far as this daemon knows.
@@ -211,11 +211,11 @@
 	}
 }
 
-// Released takes a notice that a peer has sent. A wrong notice cannot lead to a wrong claim, because the claim is
+// RowChanged takes a notice that a peer has sent. A wrong notice cannot lead to a wrong claim, because the claim is
 // conditional on the row's version.
-func (m *Manager) Released(n ReleaseNotice) {
+func (m *Manager) RowChanged(n RowNotice) {
 	m.mu.Lock()
-	if p := m.parts[n.Row.Partition]; p != nil && n.Row.State == Released {
+	if p := m.parts[n.Row.Partition]; p != nil {
 		p.see(n.Row, n.Version)
 	}
 	m.mu.Unlock()
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -322,11 +322,11 @@
 	return r, err
 }
 
-func (l *peerLink) Released(ctx context.Context, addr string, n ownership.ReleaseNotice) error {
+func (l *peerLink) RowChanged(ctx context.Context, addr string, n ownership.RowNotice) error {
 	if !l.p.cl.notify {
 		return errNoAnswer
 	}
-	return l.call(ctx, addr, func(p *process) { p.m.Released(n) })
+	return l.call(ctx, addr, func(p *process) { p.m.RowChanged(n) })
 }
 
 func (l *peerLink) HostListed(string) (listed, known bool) { return true, true }
--- a/ownership/tenure.go
+++ b/ownership/tenure.go
@@ -134,6 +134,7 @@
 		return
 	}
 	m.enter(p, running)
+	m.announce(ctx, g.row, g.version)
 	select {
 	case successor := <-p.handover:
 		m.handOver(ctx, p, g, successor)
@@ -280,7 +281,7 @@
 	return 0, false
 }
 
-// released notes the release and tells the successor, which would otherwise learn of it from its next scan.
+// released notes the release and tells the others, which would otherwise learn of it from their next scan.
 func (m *Manager) released(ctx context.Context, p *part, row Row, version int64) {
 	m.cfg.Log.Info("partition released", zap.String("partition", p.name), zap.Int64("epoch", row.Epoch),
 		zap.String("successor", row.Successor))
@@ -290,9 +291,22 @@
 	m.mu.Lock()
 	p.see(row, version)
 	m.mu.Unlock()
-	if s, ok := m.observer.Lookup(row.Successor); ok && m.cfg.Notifier != nil {
-		ctx, cancel := context.WithTimeout(ctx, m.cfg.NotifyTimeout)
-		defer cancel()
-		_ = m.cfg.Notifier.Released(ctx, s.Row.PeerAddr, ReleaseNotice{Row: row, Version: version})
+	m.announce(ctx, row, version)
+}
+
+// announce tells the other daemons of a partition's row, in the background. It is called from a tenure.
+func (m *Manager) announce(ctx context.Context, row Row, version int64) {
+	if m.cfg.Notifier == nil {
+		return
+	}
+	for _, s := range m.observer.Live() {
+		if s.Row.ID == m.keeper.ID() {
+			continue
+		}
+		m.tenures.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, m.cfg.NotifyTimeout)
+			defer cancel()
+			_ = m.cfg.Notifier.RowChanged(ctx, s.Row.PeerAddr, RowNotice{Row: row, Version: version})
+		})
 	}
 }
