Let old keys give way when a table is full

Cause: a partition's table of keys took 1,000,000 keys (340 MB, measured slope 339 B) and then refused every new non-idempotent request until the 24 h of the oldest had passed, after 3 h at 93 keys a second on one partition. Ruled out: no bound (a host would run out of memory) and a shorter retention for all (a key is cheap to keep while there is room). Change: a full table drops the oldest ended key if it is at least an hour old; the table holds 500,000 keys and 64 MB of answers by default. Before: the third key of a table for two is refused for 24 h. After: for an hour at most (TestTable).

--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -19,10 +19,13 @@
 // Default limits of a Table.
 const (
 	DefaultRetention   = 24 * time.Hour
-	DefaultMaxEntries  = 1_000_000
-	DefaultAnswerBytes = 64 << 10 // bytes of one recorded answer
-	// DefaultTotalAnswerBytes bounds the answers in memory: a million of them at 64 KB would not fit into a host.
-	DefaultTotalAnswerBytes = 512 << 20
+	// DefaultMinRetention is far longer than callers retry, and lets a table of the default size take 139 keys a second for
+	// good.
+	DefaultMinRetention = time.Hour
+	DefaultMaxEntries   = 500_000  // at about 340 bytes each
+	DefaultAnswerBytes  = 64 << 10 // bytes of one recorded answer
+	// DefaultTotalAnswerBytes bounds the answers in memory: all of them at 64 KB would not fit into a host.
+	DefaultTotalAnswerBytes = 64 << 20
 )
 
 // minChanges is the length from which the queue of expiries is cleaned.
@@ -31,7 +34,8 @@
 // Config sets the limits of a Table. Zero values mean the defaults.
 type Config struct {
 	Retention        time.Duration // from an entry's last change; entries in progress do not expire
-	MaxEntries       int           // Begin returns ErrNotClaimed beyond it
+	MinRetention     time.Duration // entries older than that give way when the table is full
+	MaxEntries       int           // Begin returns ErrNotClaimed beyond it, unless an old entry gives way
 	AnswerBytes      int           // a larger answer is recorded as done without its body
 	TotalAnswerBytes int           // answers beyond it are recorded without their bodies
 	Now              func() time.Time
@@ -41,6 +45,9 @@
 	if c.Retention <= 0 {
 		c.Retention = DefaultRetention
 	}
+	if c.MinRetention <= 0 {
+		c.MinRetention = DefaultMinRetention
+	}
 	if c.MaxEntries <= 0 {
 		c.MaxEntries = DefaultMaxEntries
 	}
@@ -69,6 +76,7 @@
 	Refused     int64 `json:"refused"` // calls refused because the table was full
 	Failed      int64 `json:"failed"`  // claims that were not recorded or whose recording is unknown
 	Expired     int64 `json:"expired"` // entries removed after their retention
+	Evicted     int64 `json:"evicted"` // entries removed earlier, because the table was full
 }
 
 // attempt is the run of a claimed request in this process.
@@ -181,7 +189,7 @@
 	if s != nil && s.entry.State != NotRun {
 		return Claim{Entry: s.entry}, nil, nil
 	}
-	if s == nil && len(t.slots) >= t.cfg.MaxEntries {
+	if s == nil && len(t.slots) >= t.cfg.MaxEntries && !t.evict() {
 		t.state.Refused++
 		return Claim{}, nil, errors.Wrap(ErrNotClaimed, "table is full")
 	}
@@ -349,15 +357,32 @@
 
 // expire removes the entries whose retention has passed. An entry that changed later has a later change in the queue.
 func (t *Table) expire() {
+	for t.dropOldest(t.cfg.Retention) {
+		t.state.Expired++
+	}
+}
+
+// evict makes room for one entry. It returns false if all ended entries are too young to give way.
+func (t *Table) evict() bool {
+	dropped := t.dropOldest(t.cfg.MinRetention)
+	if dropped {
+		t.state.Evicted++
+	}
+	return dropped
+}
+
+// dropOldest removes the ended entry that changed first if that is at least age ago.
+func (t *Table) dropOldest(age time.Duration) bool {
 	now := t.cfg.Now()
-	for len(t.changes) > 0 && now.Sub(t.changes[0].at) >= t.cfg.Retention {
+	for len(t.changes) > 0 && now.Sub(t.changes[0].at) >= age {
 		c := t.changes[0]
 		t.changes = t.changes[1:]
 		if t.current(c) {
 			t.drop(c.key)
-			t.state.Expired++
+			return true
 		}
 	}
+	return false
 }
 
 func encode(e Entry) []byte {
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -162,6 +162,21 @@
 				So(e.AnswerOmitted, ShouldBeTrue)
 				So(e.Answer, ShouldBeEmpty)
 			})
+			Convey("a full table drops the oldest ended entry, but none that may still be retried", func() {
+				tab = idempotency.New(log, idempotency.Config{MaxEntries: 2})
+				for _, k := range []string{"first", "second"} {
+					So(begin(k).Run, ShouldBeTrue)
+					tab.Finish(key(k), idempotency.Done, "", nil)
+					time.Sleep(time.Second)
+				}
+				time.Sleep(idempotency.DefaultMinRetention - 2*time.Second)
+				_, err := tab.Begin(ctx, key("third"), "f")
+				So(errors.Is(err, idempotency.ErrNotClaimed), ShouldBeTrue)
+				time.Sleep(time.Second)
+				So(begin("third").Run, ShouldBeTrue)
+				So(begin("second").Run, ShouldBeFalse)
+				So(tab.State().Evicted, ShouldEqual, 1)
+			})
 			Convey("entries are bounded and expire after the retention, but not while they run", func() {
 				tab = idempotency.New(log, idempotency.Config{MaxEntries: 2})
 				So(begin("running").Run, ShouldBeTrue)
