Correct the time of the eviction test

The first key was exactly an hour old, which the table takes as old enough; the test now looks half a second earlier and half a second later.

--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -169,7 +169,7 @@
 					tab.Finish(key(k), idempotency.Done, "", nil)
 					time.Sleep(time.Second)
 				}
-				time.Sleep(idempotency.DefaultMinRetention - 2*time.Second)
+				time.Sleep(idempotency.DefaultMinRetention - 2500*time.Millisecond)
 				_, err := tab.Begin(ctx, key("third"), "f")
 				So(errors.Is(err, idempotency.ErrNotClaimed), ShouldBeTrue)
 				time.Sleep(time.Second)
