Exchange heartbeats among daemons that share work only

Both users' daemons share one table; with 16 of them each exchanged 15 heartbeats a second although it shares partitions with 7 only. Worked out for 104 daemons in groups of 8: 5.6 KB a second instead of 82 KB.

--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -151,7 +151,7 @@
 }
 
 func newLists(s *settings.Settings, t table.Client, c *peer.Client, o *session.Observer, log *zap.Logger) *lists {
-	roster := peer.RosterOf(o, s.PeerListen.String())
+	roster := peer.RosterOf(o, s.PeerListen.String(), groups(s))
 	cfg := versionedlist.FollowerConfig{Logger: log, Peers: func() []versionedlist.Peer {
 		var peers []versionedlist.Peer
 		for _, addr := range roster() {
@@ -221,7 +221,7 @@
 }
 
 func newHeartbeater(s *settings.Settings, c *peer.Client, o *session.Observer, b *beat) *peer.Heartbeater {
-	return peer.NewHeartbeater(c, peer.RosterOf(o, s.PeerListen.String()), b.self, b.receive)
+	return peer.NewHeartbeater(c, peer.RosterOf(o, s.PeerListen.String(), groups(s)), b.self, b.receive)
 }
 
 func newEngine() *gin.Engine {
--- a/internal/peer/sessions.go
+++ b/internal/peer/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
@@ -66,15 +67,21 @@
 	})
 }
 
-// RosterOf returns the peer addresses of the live sessions other than self.
-func RosterOf(o *session.Observer, self string) Roster {
+// RosterOf returns the peer addresses of the other live sessions that serve one of the groups. The traffic between daemons
+// grows with the square of their number, so daemons that share no work exchange no heartbeats.
+func RosterOf(o *session.Observer, self string, groups []string) Roster {
 	return func() []string {
 		var addrs []string
 		for _, info := range o.Live() {
-			if _, _, err := net.SplitHostPort(info.Row.PeerAddr); err == nil && info.Row.PeerAddr != self {
-				addrs = append(addrs, info.Row.PeerAddr)
+			r := info.Row
+			if _, _, err := net.SplitHostPort(r.PeerAddr); err == nil && r.PeerAddr != self && share(r.Groups, groups) {
+				addrs = append(addrs, r.PeerAddr)
 			}
 		}
 		return addrs
 	}
 }
+
+func share(a, b []string) bool {
+	return slices.ContainsFunc(a, func(g string) bool { return slices.Contains(b, g) })
+}
