--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -18,7 +18,7 @@
 
 // Default limits of a Table.
 const (
-	DefaultRetention   = 24 * time.Hour
+	DefaultRetention = 24 * time.Hour
 	// DefaultMinRetention is far longer than callers retry, and lets a table of the default size take 139 keys a second for
 	// good.
 	DefaultMinRetention = time.Hour
