Show which version of a list a daemon decides by

Cause: the demonstration took the version in the table for the version in force, so its check of an edit proved nothing, and on a fresh start 31 of 62 requests were refused as unknown_customer in the second before the owners had the list. Change: the list's answer has in_force, the version of the asked daemon's copy, and the demonstration waits for that on every daemon.

--- a/internal/admin/lists.go
+++ b/internal/admin/lists.go
@@ -30,6 +30,8 @@
 	Editor *plan.Editor
 	// Reachable returns ErrMembersUnreachable while some live daemon could miss an edit.
 	Reachable func() error
+	// InForce returns the version of a list that this daemon decides by.
+	InForce func(list string) int64
 	// Publish puts an accepted edit in force here and tells the peers.
 	Publish func(list string, c versionedlist.Change)
 }
@@ -65,7 +67,10 @@
 	for k, v := range snap.All() {
 		entries[k] = v
 	}
-	c.JSON(http.StatusOK, gin.H{"name": c.Param("name"), "version": snap.Version(), "entries": entries})
+	name := c.Param("name")
+	c.JSON(http.StatusOK, gin.H{
+		"name": name, "version": snap.Version(), "in_force": l.InForce(name), "entries": entries,
+	})
 }
 
 func (l *Lists) put(c *gin.Context) {
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -153,6 +153,7 @@
 	editing := &admin.Lists{
 		Editor:    d.Lists.editor,
 		Reachable: reachable(d.Keeper.ID(), d.Observer, d.Beats),
+		InForce:   func(list string) int64 { return d.Lists.followers[list].Snapshot().Version() },
 		Publish: func(list string, c versionedlist.Change) {
 			d.Lists.followers[list].Publish(c)
 		},
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -157,7 +157,8 @@
 	[[ -n $state && " $* " == *" $state "* ]]
 }
 
-version_is() { [[ $(ctl --admin "$1" --output json "$2" get 2>/dev/null | field version) == "$3" ]]; }
+# version_is tells whether a daemon decides by a version of a list.
+version_is() { [[ $(ctl --admin "$1" --output json "$2" get 2>/dev/null | field in_force) == "$3" ]]; }
 
 # runs_of prints how often a key ran on minions.
 runs_of() {
