Test silent connections in both directions

Disabling either half of a silent connection left the tests green, since each hides the other: a request that is discarded gets no response anyway. One test now sends a request on a silent connection, and one silences the connection of a request under way.

--- a/internal/standin/rate_test.go
+++ b/internal/standin/internal_test.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -32,3 +34,30 @@
 		})
 	})
 }
+
+// TestSilence guards against a silent connection that still delivers the response to a request that was under way.
+func TestSilence(t *testing.T) {
+	Convey("Given a request under way when its connection becomes silent", t, func() {
+		entered, silenced, served := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		e := &endpoint{handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer close(served)
+			close(entered)
+			<-silenced
+			_, _ = io.WriteString(w, "response")
+			_ = http.NewResponseController(w).Flush()
+		})}
+		So(e.listen("127.0.0.1:0"), ShouldBeNil)
+		Reset(e.close)
+		c, err := net.Dial("tcp", e.addr)
+		So(err, ShouldBeNil)
+		Reset(func() { _ = c.Close() })
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		<-entered
+		e.silence()
+		close(silenced)
+		<-served
+		e.close()
+		rest, _ := io.ReadAll(c)
+		So(rest, ShouldBeEmpty)
+	})
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -189,24 +190,23 @@
 			old, err := net.Dial("tcp", minion.Addr)
 			So(err, ShouldBeNil)
 			Reset(func() { _ = old.Close() })
-			ping := "GET /v1/ping HTTP/1.1\r\nHost: x\r\n\r\n"
-			buf := make([]byte, 16)
-			_, _ = io.WriteString(old, ping)
-			_, err = io.ReadFull(old, buf)
+			request := "POST /v1/execute HTTP/1.1\r\nHost: x\r\nContent-Length: 13\r\n\r\n{\"key\":\"old\"}"
+			_, _ = io.WriteString(old, request)
+			_, err = http.ReadResponse(bufio.NewReader(old), nil)
 			So(err, ShouldBeNil)
 			fault(`{"target":"textos-minion-00","silence":true}`)
+			_, _ = io.WriteString(old, request)
 			_, _, err = send("new")
 			So(err, ShouldBeNil)
-			_, _ = io.WriteString(old, ping)
 			fault(`{"target":"textos-minion-00","down":true}`)
 			rest, _ := io.ReadAll(old)
-			So(strings.Count(string(rest), "HTTP/1.1"), ShouldEqual, 0)
+			So(string(rest), ShouldNotContainSubstring, "HTTP/1.1")
 			_, _, err = send("down")
 			So(err, ShouldNotBeNil)
 			fault(`{"target":"textos-minion-00","clear":true}`)
 			_, _, err = send("up")
 			So(err, ShouldBeNil)
-			So(runs(), ShouldResemble, map[string]int{"new": 1, "up": 1})
+			So(runs(), ShouldResemble, map[string]int{"old": 1, "new": 1, "up": 1})
 		})
 		Convey("a response that the table loses belongs to a write that took effect", func() {
 			tc := table.NewHTTPClient(p.TableAddr())
