Keep the lines of a list file in the request

The daemon reports errors in a list by line and field. The standard encoder joined the file's lines, so that every error was in line 1. put now sends the text as it is; the golden session shows the requests, retries with the same edit id included. An error without a line prints none.

The demonstration's outdated edit now sets a valid entry: removing a plan in use could be refused for that reason instead of the version.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -78,8 +79,11 @@
 }
 
 func (f *fakeDaemon) put(w http.ResponseWriter, r *http.Request) {
+	var body bytes.Buffer
+	_, _ = body.ReadFrom(r.Body)
+	f.recorded = append(f.recorded, body.String())
 	var e listEdit
-	_ = json.NewDecoder(r.Body).Decode(&e)
+	_ = json.Unmarshal(body.Bytes(), &e)
 	name, fault := r.PathValue("name"), f.fault
 	f.fault = ""
 	l := f.lists[name]
@@ -105,7 +109,7 @@
 	}
 	f.apply(name, e)
 	if fault == "overtake" {
-		f.apply(name, listEdit{EditID: "other", Author: "bea", Set: map[string]json.RawMessage{"bakery": []byte(`"x"`)}})
+		f.apply(name, listEdit{EditID: "other", Author: "bea", Replace: []byte("null"), Set: map[string]json.RawMessage{"bakery": []byte(`"x"`)}})
 	}
 	if fault != "" {
 		panic(http.ErrAbortHandler)
@@ -119,8 +123,10 @@
 	f.edits[e.EditID] = l.Version
 	c := listChange{Version: l.Version, Author: e.Author, EditID: e.EditID, Set: e.Set, Remove: e.Remove,
 		Time: time.Date(2026, 1, 2, 3, 4, int(l.Version), 0, time.UTC)}
-	if e.Replace != nil {
-		l.Entries, c.Set = e.Replace, e.Replace
+	if string(e.Replace) != "null" {
+		l.Entries = map[string]json.RawMessage{}
+		_ = json.Unmarshal(e.Replace, &l.Entries)
+		c.Set = maps.Clone(l.Entries)
 	}
 	for k, v := range e.Set {
 		l.Entries[k] = v
@@ -249,7 +255,7 @@
 			"--output json plans edit --expect 1 --set school=basic", "plans edit --set a=b", "plans edit --expect 2",
 			"plans put --expect 2 $TWICE", "plans put --expect 2 $BROKEN", "plans put --expect 2 /nonexistent",
 			"allowances put --expect 0 $LIMITS", "allowances get", "allowances get --output json",
-			"allowances edit --expect 1 --set bad={}",
+			"allowances put --expect 1 $SAVED", "allowances get", "allowances edit --expect 2 --set bad={}",
 			"refuse|plans edit --expect 2 --set bakery=gold",
 			"drop|plans edit --expect 2 --set bakery=gold",
 			"lose|plans edit --expect 3 --set bakery=basic",
@@ -284,7 +290,8 @@
 			file(t, dir, "plans", `{"bakery":"gold","school":"basic"}`)
 			file(t, dir, "twice", "{\"a\":\"x\",\n\"a\":\"y\"}")
 			file(t, dir, "broken", "{\"a\":\"x\",\n\n}")
-			file(t, dir, "limits", `{"gold":{"burst":100,"queue":200},"basic":{"burst":5}}`)
+			file(t, dir, "limits", "{\"gold\":{\"burst\":100,\"queue\":200},\n\"basic\":{\"burst\":5}}\n")
+			file(t, dir, "saved", `{"name":"allowances","version":1,"entries":{"basic":{"burst":6}}}`)
 			for _, line := range lines {
 				s.run(t, line)
 			}
--- a/internal/cli/lists.go
+++ b/internal/cli/lists.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -30,9 +31,22 @@
 	ExpectedVersion int64                      `json:"expected_version"`
 	EditID          string                     `json:"edit_id"`
 	Author          string                     `json:"author"`
-	Replace         map[string]json.RawMessage `json:"replace"`
 	Set             map[string]json.RawMessage `json:"set,omitempty"`
 	Remove          []string                   `json:"remove,omitempty"`
+	Replace         json.RawMessage            `json:"replace"` // an object of all entries, or null
+}
+
+// body encodes e with Replace as it is, since the standard encoder would join its lines, by which the daemon reports
+// errors.
+func (e listEdit) body() ([]byte, error) {
+	replace := e.Replace
+	e.Replace = nil
+	raw, err := json.Marshal(e)
+	if err != nil || replace == nil {
+		return raw, err
+	}
+	raw = bytes.TrimSuffix(raw, []byte("null}"))
+	return slices.Concat(raw, bytes.TrimSpace(replace), []byte("}")), nil
 }
 
 // listChange is one element of GET /admin/v1/lists/{name}/history.
@@ -55,7 +69,7 @@
 		name: name, short: "Read or change the list of " + name + ": " + about, example: name + " get",
 		sub: []command{
 			{"get", "Show the list and its version", name + " get --output json", &getList{listRef: l}, nil},
-			{"put", "Replace the whole list by a JSON file of the form " + file + ", or by the output of get --output json",
+			{"put", "Replace the whole list by a JSON file of the form " + file + ", or by the output of get --output json, where lines in errors count from the entries",
 				name + " put --expect 7 " + name + ".json", &putList{listRef: l}, nil},
 			{"edit", "Set or remove single entries", name + " edit --expect 7 " + editExample, &editList{listRef: l}, nil},
 			{"history", "Show the latest changes", name + " history --limit 5", &listHistory{listRef: l}, nil},
@@ -122,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	entries, err := parseEntries(raw, c.name)
+	entries, err := entriesOf(raw, c.name)
 	if err != nil {
 		return fail(ExitUsage, "invalid_file", "%s: %v", c.Args.File, err)
 	}
@@ -145,18 +159,19 @@
 	return raw, nil
 }
 
-// parseEntries accepts an object of entries or the output of get --output json. A name that occurs twice is an error,
-// since the standard decoder would silently keep the last.
-func parseEntries(raw []byte, name string) (map[string]json.RawMessage, error) {
+// entriesOf accepts an object of entries or the output of get --output json, and returns the text of the entries. A
+// name that occurs twice is an error, since the standard decoder would silently keep the last.
+func entriesOf(raw []byte, name string) (json.RawMessage, error) {
 	entries, err := parseObject(raw)
 	if err != nil {
 		return nil, err
 	}
 	var l list
-	if json.Unmarshal(raw, &l) == nil && l.Name == name && l.Version > 0 && l.Entries != nil {
-		return parseObject(entries["entries"])
+	if json.Unmarshal(raw, &l) != nil || l.Name != name || l.Entries == nil {
+		return raw, nil
 	}
-	return entries, nil
+	_, err = parseObject(entries["entries"])
+	return entries["entries"], err
 }
 
 func parseObject(raw []byte) (map[string]json.RawMessage, error) {
@@ -241,7 +256,7 @@
 		return fail(ExitUsage, "usage", "set --admin or GREENGAGE_ADMIN")
 	}
 	e.EditID = a.newEditID()
-	body, err := json.Marshal(e)
+	body, err := e.body()
 	if err != nil {
 		return errors.Wrap(err, "encode edit")
 	}
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -142,7 +142,11 @@
 		text += fmt.Sprintf(": the list is at version %d, last changed by %s", p.CurrentVersion, p.Author)
 	}
 	for _, e := range p.Errors {
-		text += fmt.Sprintf("\n  line %d: %s: %s", e.Line, e.Field, e.Message)
+		text += "\n  "
+		if e.Line > 0 { // 0: the error has no line
+			text += fmt.Sprintf("line %d: ", e.Line)
+		}
+		text += e.Field + ": " + e.Message
 	}
 	return text
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -245,7 +245,7 @@
 	wait_for "$EDIT_S" "the edit to reach daemon$i" version_is "${ADMINS[i]}" allowances 2
 done
 say "the edit is in force on both remaining daemons"
-ctl allowances edit --expect 1 --remove utility >"$OUT/stale-edit.log" 2>&1
+ctl allowances edit --expect 1 --set 'spare={"burst":1}' >"$OUT/stale-edit.log" 2>&1
 (($? == 4)) || broken "an edit of an old version was not refused as a conflict"
 
 # --- ends ------------------------------------------------------------------------------------------------------------
