--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -57,6 +57,7 @@
 	Lists     *lists
 	Members   *membership.List
 	Beats     *peer.Heartbeater
+	Gauges    *gauges
 	Client    *peer.Client
 
 	Requests *entry.Requests
@@ -106,6 +107,7 @@
 				return err
 			}
 			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, d.Beats)
+			d.Background.run(d.Gauges.run)
 			return callers.start(d.Network.Listen, d.Log)
 		},
 		func(ctx context.Context) error { return d.drain(ctx, callers, peers) },
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -191,6 +191,13 @@
 	return listed, seen && time.Since(l.readAt) < freshFor
 }
 
+// Age returns the time since the list was last read, or a very long time if it never was.
+func (l *List) Age() time.Duration {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return time.Since(l.readAt)
+}
+
 // State returns a dump for operators.
 func (l *List) State() any {
 	l.mu.RLock()
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -401,6 +401,19 @@
 	return Owner{ID: p.row.Owner.ID, PeerAddr: p.row.Owner.PeerAddr, Epoch: p.row.Epoch}, true
 }
 
+// Owned returns the number of partitions that this daemon certainly owns now.
+func (m *Manager) Owned() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, p := range m.parts {
+		if p.guard != nil && p.guard.Check() == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Drain marks the session as draining, refuses new claims, and hands over every partition. It returns nil once nothing
 // is left, or the error of ctx. Run must still be running.
 func (m *Manager) Drain(ctx context.Context) error {
