Check ownership with porcupine and give the stand-in an object store

A claim raises the register of a partition's epoch and a guard may pass only at the highest claimed epoch. The stand-in lacked the platform's object store; it fails together with the table.

--- /dev/null
+++ b/internal/standin/objects.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// maxObjectBytes bounds one object.
+const maxObjectBytes = 64 << 20
+
+// objects is the platform's object store, in memory: PUT, GET and DELETE of /v1/objects/{key}. It fails, and is limited
+// in rate, together with the table service.
+type objects struct {
+	down func() bool
+
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+func newObjects(down func() bool) *objects { return &objects{down: down, data: map[string][]byte{}} }
+
+// ServeHTTP implements http.Handler.
+func (o *objects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if o.down() {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	key := r.PathValue("key")
+	switch r.Method {
+	case http.MethodPut:
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		o.mu.Lock()
+		o.data[key] = raw
+		o.mu.Unlock()
+		w.WriteHeader(http.StatusNoContent)
+	case http.MethodGet:
+		o.mu.Lock()
+		raw, ok := o.data[key]
+		o.mu.Unlock()
+		if !ok {
+			http.Error(w, "no such object", http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(raw)
+	case http.MethodDelete:
+		o.mu.Lock()
+		delete(o.data, key)
+		o.mu.Unlock()
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		http.Error(w, "PUT, GET or DELETE", http.StatusMethodNotAllowed)
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -161,7 +161,10 @@
 }
 
 func (p *Platform) startTable(port int) error {
-	p.table = &endpoint{handler: limitRate(table.Handler(p.Table))}
+	mux := http.NewServeMux()
+	mux.Handle("/", table.Handler(p.Table))
+	mux.Handle("/v1/objects/{key...}", newObjects(func() bool { return p.Table.Faults().Down }))
+	p.table = &endpoint{handler: limitRate(mux)}
 	p.targets["table"] = target{
 		kind: "table",
 		get: func() Faults {
@@ -335,7 +338,7 @@
 	commits, reads := newBucket(commitRate), newBucket(readRate)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b := reads
-		if r.Method == http.MethodPost {
+		if r.Method != http.MethodGet {
 			b = commits
 		}
 		if !b.take(time.Now()) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -208,6 +208,28 @@
 			So(err, ShouldBeNil)
 			So(runs(), ShouldResemble, map[string]int{"old": 1, "new": 1, "up": 1})
 		})
+		Convey("an object is kept, and out of reach in an outage of the store", func() {
+			do := func(method string) (int, string) {
+				req, err := http.NewRequest(method, "http://"+p.TableAddr()+"/v1/objects/a/b", strings.NewReader("bytes"))
+				So(err, ShouldBeNil)
+				resp, err := http.DefaultClient.Do(req)
+				So(err, ShouldBeNil)
+				defer func() { _ = resp.Body.Close() }()
+				raw, _ := io.ReadAll(resp.Body)
+				return resp.StatusCode, string(raw)
+			}
+			_, _ = do(http.MethodPut)
+			status, body := do(http.MethodGet)
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "bytes")
+			fault(`{"target":"table","outage":true}`)
+			status, _ = do(http.MethodGet)
+			So(status, ShouldEqual, http.StatusServiceUnavailable)
+			fault(`{"target":"table","clear":true}`)
+			_, _ = do(http.MethodDelete)
+			status, _ = do(http.MethodGet)
+			So(status, ShouldEqual, http.StatusNotFound)
+		})
 		Convey("a response that the table loses belongs to a write that took effect", func() {
 			tc := table.NewHTTPClient(p.TableAddr(), nil)
 			Reset(tc.Close)
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
@@ -60,6 +62,48 @@
 	running map[string]int64 // highest epoch started, by partition
 	active  map[*process]map[string]bool
 	faults  []string
+	ops     []porcupine.Operation // claims, and guards that passed
+	sample  int
+}
+
+// tenure is the input of an operation on the register of a partition's epoch: a claim raises it, and a guard passes only
+// while no higher epoch has been claimed.
+type tenure struct {
+	partition string
+	epoch     int64
+	claim     bool
+}
+
+// sampleEvery is how many checks of the guards there are for one that is added to the history.
+const sampleEvery = 10
+
+var epochs = porcupine.Model{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byName := map[string][]porcupine.Operation{}
+		for _, op := range ops {
+			name := op.Input.(tenure).partition
+			byName[name] = append(byName[name], op)
+		}
+		return slices.Collect(maps.Values(byName))
+	},
+	Init: func() any { return int64(0) },
+	Step: func(state, input, _ any) (bool, any) {
+		t := input.(tenure)
+		if t.claim {
+			return t.epoch > state.(int64), t.epoch
+		}
+		return t.epoch == state.(int64), state
+	},
+}
+
+// record adds an operation that ended now. A claim took effect at some time before its handler was started.
+func (c *cluster) record(t tenure) {
+	now := time.Now().UnixNano()
+	call := now
+	if t.claim {
+		call = 0
+	}
+	c.ops = append(c.ops, porcupine.Operation{Input: t, Call: call, Return: now})
 }
 
 // held is a guard that some process got.
@@ -159,6 +203,7 @@
 	c.running[g.Partition()] = max(c.running[g.Partition()], g.Epoch())
 	c.active[p][g.Partition()] = true
 	c.guards = append(c.guards, &held{Guard: g, p: p})
+	c.record(tenure{g.Partition(), g.Epoch(), true})
 	return nil
 }
 
@@ -190,6 +235,9 @@
 		}
 		if h.failed.IsZero() {
 			out = append(out, h)
+			if c.sample++; c.sample%sampleEvery == 0 {
+				c.record(tenure{partition, h.Epoch(), false})
+			}
 		}
 	}
 	if len(out) > 1 {
@@ -419,6 +467,9 @@
 			if gap := c.watch(40 * time.Second); gap > handoverBound {
 				t.Errorf("seed %d: a partition without owner for %v after the faults ended", seed, gap)
 			}
+			if !porcupine.CheckOperations(epochs, c.ops) {
+				t.Errorf("seed %d: a guard passed after a higher epoch was claimed", seed)
+			}
 			faults, _ := c.history()
 			for _, f := range faults {
 				t.Errorf("seed %d: %s", seed, f)
