--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,20 +13,21 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// Settings are the daemon's settings. Every flag has an environment variable.
+// Settings are the daemon's settings. Every flag has an environment variable. Nothing is left to the parser to refuse,
+// because it would report a missing flag without the wrong ones.
 type Settings struct {
-	Listen        Addr     `long:"listen" env:"GREENGAGED_LISTEN" required:"true" description:"IP:port of the callers' listener"`
-	PeerListen    Addr     `long:"peer-listen" env:"GREENGAGED_PEER_LISTEN" required:"true" description:"IP:port of the listener for peers and operators; also the daemon's id"`
-	FailureDomain Name     `long:"failure-domain" env:"GREENGAGED_FAILURE_DOMAIN" required:"true" description:"failure domain of this host"`
-	Region        Name     `long:"region" env:"GREENGAGED_REGION" required:"true" description:"region of this host"`
-	Table         Addr     `long:"table" env:"GREENGAGED_TABLE" required:"true" description:"IP:port of the platform's table service"`
-	Membership    Addr     `long:"membership" env:"GREENGAGED_MEMBERSHIP" required:"true" description:"IP:port of the platform's membership list"`
-	Secret        string   `long:"secret" env:"GREENGAGED_SECRET" required:"true" description:"shared secret of peers and operators, 16 bytes or more"`
+	Listen        Addr     `long:"listen" env:"GREENGAGED_LISTEN" description:"IP:port of the callers' listener"`
+	PeerListen    Addr     `long:"peer-listen" env:"GREENGAGED_PEER_LISTEN" description:"IP:port of the listener for peers and operators; also the daemon's id"`
+	FailureDomain Name     `long:"failure-domain" env:"GREENGAGED_FAILURE_DOMAIN" description:"failure domain of this host"`
+	Region        Name     `long:"region" env:"GREENGAGED_REGION" description:"region of this host"`
+	Table         Addr     `long:"table" env:"GREENGAGED_TABLE" description:"IP:port of the platform's table service"`
+	Membership    Addr     `long:"membership" env:"GREENGAGED_MEMBERSHIP" description:"IP:port of the platform's membership list"`
+	Secret        string   `long:"secret" env:"GREENGAGED_SECRET" description:"shared secret of peers and operators, 16 bytes or more"`
 	Services      Names    `long:"services" env:"GREENGAGED_SERVICES" description:"services to serve, comma-separated"`
 	Pools         Names    `long:"pools" env:"GREENGAGED_POOLS" description:"worker pools to schedule, comma-separated"`
 	DrainNotice   Duration `long:"drain-notice" env:"GREENGAGED_DRAIN_NOTICE" default:"2s" description:"time that new requests are still served after a drain began"`
 	DrainTimeout  Duration `long:"drain-timeout" env:"GREENGAGED_DRAIN_TIMEOUT" default:"15s" description:"longest time from the end of the notice until the daemon exits"`
-	LogLevel      string   `long:"log-level" env:"GREENGAGED_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+	LogLevel      string   `long:"log-level" env:"GREENGAGED_LOG_LEVEL" default:"info" description:"lowest level that is logged"`
 	ShowVersion   bool     `long:"version" description:"print the version and exit"`
 }
 
@@ -103,9 +105,12 @@
 	bad(!s.DrainNotice.within(0, maxDrainNotice), "drain-notice", s.DrainNotice.raw, "duration from 0s to "+maxDrainNotice.String())
 	bad(!s.DrainTimeout.within(minDrainTimeout, maxDrainTimeout), "drain-timeout", s.DrainTimeout.raw,
 		"duration from "+minDrainTimeout.String()+" to "+maxDrainTimeout.String())
+	bad(!slices.Contains(logLevels, s.LogLevel), "log-level", s.LogLevel, strings.Join(logLevels, ", "))
 	return ps
 }
 
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // Addr is an IP number and a port. A wrong one is kept, so that all wrong settings are reported together.
 type Addr struct {
 	raw   string
