--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,7 +32,8 @@
 		So(names, ShouldResemble, []string{"listen", "table", "region", "pools", "secret", "drain-notice", "drain-timeout"})
 		So(err.Error(), ShouldNotContainSubstring, "short")
 		So(err.Error(), ShouldContainSubstring, `--drain-timeout: "1s" is not allowed; allowed: duration from 11s to 5m0s`)
-	})	Convey("Missing settings are reported together with wrong ones", t, func() {
+	})
+	Convey("Missing settings are reported together with wrong ones", t, func() {
 		_, err := Parse([]string{"--log-level=loud", "--listen=127.0.0.1:1"})
 		ps, ok := err.(Problems)
 		So(ok, ShouldBeTrue)
