--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -17,7 +16,6 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/greengagewing/greengagewing/idempotency"
@@ -26,11 +24,7 @@
 	"github.com/greengagewing/greengagewing/table"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { tabletest.Main(m) }
 
 // memoryLog is a log in memory. While fail is set, Append returns it; while hold is set, Append waits for it.
 type memoryLog struct {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -14,7 +13,6 @@
 
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/greengagewing/greengagewing/internal/plan"
@@ -23,11 +21,7 @@
 	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { tabletest.Main(m) }
 
 func problems(err error) []string {
 	var p plan.Problems
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,7 +14,6 @@
 
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/greengagewing/greengagewing/internal/tabletest"
@@ -23,11 +21,7 @@
 	"github.com/greengagewing/greengagewing/table"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { tabletest.Main(m) }
 
 // fixture is a committer that runs on a table.
 type fixture struct {
--- a/versionedlist/list_test.go
+++ b/versionedlist/list_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -16,7 +15,6 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/greengagewing/greengagewing/internal/tabletest"
@@ -24,11 +22,7 @@
 	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { tabletest.Main(m) }
 
 const list = "plans"
 
