Lend slots to this daemon and to others by one loop

The loop over a service's partitions stood in ExecuteLoan and again in the borrowing within a daemon. Behaviour is unchanged: a daemon still skips partitions that had nothing idle, a peer's loan asks each.

--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -266,20 +266,11 @@
 
 // borrow runs one attempt in a slot of another partition of this daemon, or else of another daemon.
 func (s *Service) borrow(ctx context.Context, l Loan, lane lanes.Lane, borrower *partition) (LoanReply, error) {
-	for _, p := range s.partitions() {
-		if p == borrower || p.service != borrower.service || p.idle.Load() == 0 {
-			continue
-		}
-		if done := p.lend(l, lane); done != nil {
-			select {
-			case reply := <-done:
-				return reply, nil
-			case <-ctx.Done():
-				return LoanReply{Status: LoanLost, Message: "the attempt was cut"}, nil
-			}
-		}
+	done := s.lend(l, lane, func(p *partition) bool { return p != borrower && p.idle.Load() > 0 })
+	if done == nil {
+		return s.deps.Lender.Borrow(ctx, l)
 	}
-	return s.deps.Lender.Borrow(ctx, l)
+	return awaitLoan(ctx, done, "the attempt was cut"), nil
 }
 
 // idleSlots asks the minion how many slots are idle. It returns zero when the minion does not say.
--- a/internal/request/loan.go
+++ b/internal/request/loan.go
@@ -63,21 +63,35 @@
 	if !s.firstLoan(l.AttemptID, time.Now()) {
 		return LoanReply{Status: LoanLost, Message: "this attempt was received before"}
 	}
+	done := s.lend(l, lane, func(*partition) bool { return true })
+	if done == nil {
+		return LoanReply{Status: LoanRefused, Message: "no idle slot"}
+	}
+	s.m.lent.Inc(1)
+	return awaitLoan(ctx, done, "the borrower went away")
+}
+
+// lend executes a loan in a slot of the first partition of its service that may lend one. It returns nil if none does.
+func (s *Service) lend(l Loan, lane lanes.Lane, may func(*partition) bool) <-chan LoanReply {
 	for _, p := range s.partitions() {
-		if p.service != l.Service {
+		if p.service != l.Service || !may(p) {
 			continue
 		}
 		if done := p.lend(l, lane); done != nil {
-			s.m.lent.Inc(1)
-			select {
-			case reply := <-done:
-				return reply
-			case <-ctx.Done():
-				return LoanReply{Status: LoanLost, Message: "the borrower went away"}
-			}
+			return done
 		}
 	}
-	return LoanReply{Status: LoanRefused, Message: "no idle slot"}
+	return nil
+}
+
+// awaitLoan returns the reply to a loan under way, or lost for the given reason when ctx ends first.
+func awaitLoan(ctx context.Context, done <-chan LoanReply, reason string) LoanReply {
+	select {
+	case reply := <-done:
+		return reply
+	case <-ctx.Done():
+		return LoanReply{Status: LoanLost, Message: reason}
+	}
 }
 
 // check returns the loan's lane, or why the loan cannot be executed.
