Take partition names, random ids and timers from one place each

The daemon spelled the partitions' names out although the slices own them, and named one partition per pool whatever job.Config said. Three packages had the same random id, which crypto/rand.Text gives, and the session package had its own timer beside internal/wait. Ids are now base32 instead of hex; they are opaque to all readers.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"time"
@@ -58,7 +59,7 @@
 
 // Main runs greengagectl with args, which do not include the program's name, and returns the exit code.
 func Main(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
-	a := &app{ctx: ctx, in: in, out: out, newEditID: randomID, retryDelay: 500 * time.Millisecond}
+	a := &app{ctx: ctx, in: in, out: out, newEditID: rand.Text, retryDelay: 500 * time.Millisecond}
 	return a.run(args, errOut)
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net"
@@ -151,9 +149,3 @@
 	}
 	return ExitFailed
 }
-
-func randomID() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -61,27 +62,33 @@
 // groups names the groups of partitions that this daemon serves. Each user's daemons serve that user's services and
 // pools, so that a request never waits for another region.
 func groups(s *settings.Settings) []string {
+	requests, pools := partitions(s)
 	var gs []string
-	for _, service := range s.Services {
-		gs = append(gs, "request/"+service)
-	}
-	for _, pool := range s.Pools {
-		gs = append(gs, "pool/"+pool)
+	for _, name := range append(requests, pools...) {
+		if g := ownership.GroupOf(name); !slices.Contains(gs, g) {
+			gs = append(gs, g)
+		}
 	}
 	return gs
 }
 
-// registerPartitions declares which partitions this daemon may own.
-func registerPartitions(s *settings.Settings, m *ownership.Manager, rs *request.Service, p *job.Pool) {
-	var requests, pools []string
+// poolConfig is the same on all daemons that serve a pool.
+var poolConfig job.Config
+
+// partitions names the partitions of all services and pools that this daemon serves.
+func partitions(s *settings.Settings) (requests, pools []string) {
 	for _, service := range s.Services {
-		for n := range request.Partitions {
-			requests = append(requests, "request/"+service+"/"+strconv.Itoa(n))
-		}
+		requests = append(requests, request.PartitionsOf(service)...)
 	}
 	for _, pool := range s.Pools {
-		pools = append(pools, "pool/"+pool+"/0")
+		pools = append(pools, poolConfig.PartitionsOf(pool)...)
 	}
+	return requests, pools
+}
+
+// registerPartitions declares which partitions this daemon may own.
+func registerPartitions(s *settings.Settings, m *ownership.Manager, rs *request.Service, p *job.Pool) {
+	requests, pools := partitions(s)
 	m.Register("request/", requests, rs)
 	m.Register("pool/", pools, p)
 }
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -185,7 +185,7 @@
 
 func newPool(j *journal.Committer, m *membership.List, l *lists, scope tally.Scope, log *zap.Logger,
 	n network.Network) *job.Pool {
-	return job.New(job.Config{}, job.Deps{
+	return job.New(poolConfig, job.Deps{
 		Journals: j, Members: m, Plans: l.lookup, Workers: worker.NewHTTPClient(n.Dial), Metrics: scope.SubScope("job"), Log: log,
 	})
 }
--- a/internal/request/validate.go
+++ b/internal/request/validate.go
@@ -80,6 +80,15 @@
 	return true
 }
 
+// PartitionsOf returns all partitions of a service.
+func PartitionsOf(service string) []string {
+	names := make([]string, Partitions)
+	for n := range names {
+		names[n] = partitionPrefix + service + "/" + strconv.Itoa(n)
+	}
+	return names
+}
+
 // PartitionOf returns the partition that serves a customer.
 func PartitionOf(service, customer string) string { return partitionName(service, customer) }
 
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -9,12 +9,16 @@
 // minTimer is the shortest timer that is set: a loop that is late must not spin.
 const minTimer = time.Millisecond
 
+// NewTimer returns a timer that is not due yet, for a wait that selects on more than a context. With Go 1.26.8 and the race
+// detector, a synctest bubble that selects on a timer that is already due crashes the runtime.
+func NewTimer(d time.Duration) *time.Timer { return time.NewTimer(max(d, minTimer)) }
+
 // For waits for d and returns true, or returns false as soon as ctx ends. It does not wait if d is not positive.
 func For(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(max(d, minTimer))
+	t := NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/ownership/assign.go
+++ b/ownership/assign.go
@@ -8,9 +8,9 @@
 	"github.com/greengagewing/greengagewing/session"
 )
 
-// groupOf returns the group of a partition: its name without the number, such as "request/textos". The partitions of a
+// GroupOf returns the group of a partition: its name without the number, such as "request/textos". The partitions of a
 // group are divided evenly among the daemons that serve it.
-func groupOf(partition string) string {
+func GroupOf(partition string) string {
 	return partition[:max(strings.LastIndexByte(partition, '/'), 0)]
 }
 
--- a/ownership/assign_test.go
+++ b/ownership/assign_test.go
@@ -93,6 +93,6 @@
 		}
 		So(eligible("request/textos", "self", true, live), ShouldResemble, []string{"self", "a", "c"})
 		So(eligible("request/eierabo", "self", false, live), ShouldResemble, []string{"b", "c"})
-		So(groupOf("request/textos/3"), ShouldEqual, "request/textos")
+		So(GroupOf("request/textos/3"), ShouldEqual, "request/textos")
 	})
 }
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"maps"
 	"slices"
@@ -264,7 +262,7 @@
 func (m *Manager) assign(self bool, live []session.Info) map[string][]string {
 	groups := map[string][]holding{}
 	for _, name := range slices.Sorted(maps.Keys(m.parts)) {
-		g := groupOf(name)
+		g := GroupOf(name)
 		groups[g] = append(groups[g], holding{name, m.parts[name].row.holder()})
 	}
 	out := make(map[string][]string, len(m.parts))
@@ -479,9 +477,3 @@
 	}
 	return s
 }
-
-func randomTag() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
--- a/ownership/tenure.go
+++ b/ownership/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,7 +149,7 @@
 
 // other returns the desired owner among the other daemons, or "".
 func (m *Manager) other(partition string) string {
-	if ranked := rank(partition, eligible(groupOf(partition), m.keeper.ID(), false, m.observer.Live())); len(ranked) > 0 {
+	if ranked := rank(partition, eligible(GroupOf(partition), m.keeper.ID(), false, m.observer.Live())); len(ranked) > 0 {
 		return ranked[0]
 	}
 	return ""
@@ -184,7 +185,7 @@
 		return m.won(p, c, c.row, c.version)
 	}
 	row := Row{
-		Partition: p.name, Epoch: c.row.Epoch + 1, State: Owned, Tag: randomTag(), FencedBefore: !c.fencedAt.IsZero(),
+		Partition: p.name, Epoch: c.row.Epoch + 1, State: Owned, Tag: rand.Text(), FencedBefore: !c.fencedAt.IsZero(),
 		Owner: RowOwner{ID: m.keeper.ID(), Incarnation: m.keeper.Incarnation(), PeerAddr: m.keeper.PeerAddr()},
 	}
 	key := Key(p.name)
@@ -239,7 +240,7 @@
 func (m *Manager) release(ctx context.Context, p *part, g *guard, successor string) {
 	g.revoked.Store(true)
 	row := g.row
-	row.State, row.Successor, row.Tag = Released, successor, randomTag()
+	row.State, row.Successor, row.Tag = Released, successor, rand.Text()
 	row.FencedBefore = !g.fencedAt.IsZero() && time.Since(g.fencedAt) < m.cfg.FenceMemory
 	for !g.isLost() {
 		if version, done := m.releaseOnce(ctx, row, g.version); done {
--- a/session/keeper.go
+++ b/session/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -57,7 +59,7 @@
 // Observer.Live. Without peers the session has no guarantors.
 func NewKeeper(cfg Config, store table.Client, peers PeerCaller, live func() []Info) *Keeper {
 	k := &Keeper{
-		cfg: cfg.withDefaults(), store: store, peers: peers, live: live, boot: randomID(), want: Live,
+		cfg: cfg.withDefaults(), store: store, peers: peers, live: live, boot: rand.Text(), want: Live,
 		writes: make(chan struct{}, 1), kick: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	return k
@@ -170,11 +172,11 @@
 // watchDeadline ends the incarnation when its validity passes.
 func (k *Keeper) watchDeadline(ctx context.Context) {
 	for {
-		changed, wait := k.Changed(), k.cfg.TTL
+		changed, left := k.Changed(), k.cfg.TTL
 		if l := k.lease.Load(); l != nil {
-			wait = time.Until(l.deadline)
+			left = time.Until(l.deadline)
 		}
-		t := newTimer(wait)
+		t := wait.NewTimer(left)
 		select {
 		case <-ctx.Done():
 			t.Stop()
@@ -224,7 +226,7 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		k.write(ctx)
-		t := newTimer(time.Until(started.Add(k.cfg.RenewInterval)))
+		t := wait.NewTimer(time.Until(started.Add(k.cfg.RenewInterval)))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -426,7 +428,7 @@
 
 func (k *Keeper) promiseLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		t := newTimer(k.cfg.RenewInterval / 2)
+		t := wait.NewTimer(k.cfg.RenewInterval / 2)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
--- a/session/observer.go
+++ b/session/observer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -151,7 +153,7 @@
 		for _, id := range due {
 			fences.Go(func() { o.tryFence(ctx, id) })
 		}
-		t := newTimer(time.Until(wake))
+		t := wait.NewTimer(time.Until(wake))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -295,7 +297,7 @@
 	if _, v, s, err := o.candidate(id); err != nil || v != version || s != series {
 		return ErrNotObserved
 	}
-	r.State, r.Tag = Fenced, randomID()
+	r.State, r.Tag = Fenced, rand.Text()
 	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout)
 	defer cancel()
 	res, err := o.store.Commit(ctx, table.Txn{
--- a/session/session.go
+++ b/session/session.go
@@ -9,8 +9,6 @@
 package session
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"time"
 
@@ -174,16 +172,3 @@
 
 // validity is how long the holder relies on a renewal or promise, counted from before the request was sent.
 func (c Config) validity() time.Duration { return c.TTL - c.Margin }
-
-func randomID() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
-
-// minWait is the shortest wait of a loop, so that a loop that is late does not spin.
-const minWait = time.Millisecond
-
-// newTimer returns a timer that is not due yet. Go 1.26.8 with -race crashes in the runtime when a synctest bubble
-// selects on a timer that is already due; tickers are avoided for the same reason.
-func newTimer(d time.Duration) *time.Timer { return time.NewTimer(max(d, minWait)) }
