Look allowances up once per placement round

Cause: withinQuota looked the allowance up at each decision. An edit that arrived between the decision for an urgent task (refused under the old allowance) and that for a normal one (accepted under the new one) let the normal task pass the urgent one within the same round.

Change: a round looks an allowance up once per customer. TestOrder now places the edit inside a round on purpose.

Conclusion: a fault of the scheduler, not of the test.

--- a/internal/job/fakes_test.go
+++ b/internal/job/fakes_test.go
@@ -145,8 +145,9 @@
 
 // fakePlans gives every customer the same allowance.
 type fakePlans struct {
-	mu sync.Mutex
-	a  plan.Allowance
+	mu   sync.Mutex
+	a    plan.Allowance
+	next *plan.Allowance // takes the place of a after the next lookup
 }
 
 var plenty = plan.Allowance{CPUMilli: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 20, Tasks: 1 << 20}
@@ -157,7 +158,11 @@
 	if customer == "nobody" {
 		return plan.Allowance{}, plan.ErrUnknownCustomer
 	}
-	return f.a, nil
+	a := f.a
+	if f.next != nil {
+		f.a, f.next = *f.next, nil
+	}
+	return a, nil
 }
 
 func (f *fakePlans) set(a plan.Allowance) {
@@ -166,6 +171,12 @@
 	f.a = a
 }
 
+func (f *fakePlans) setAfterLookup(a plan.Allowance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = &a
+}
+
 // fakeCluster holds workers that start whatever they are given, and notes every violation of a guarantee.
 type fakeCluster struct {
 	mu         sync.Mutex
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -80,6 +80,7 @@
 	workers    map[string]*workerBook
 	eligible   int // listed workers that are not leaving
 	uses       map[string]*customerUse
+	allowances map[string]plan.Allowance // as looked up in this scheduling round
 	index      *placement.Index
 	queue      *queue
 	reserved   *reservation
@@ -111,7 +112,7 @@
 		started: time.Now(), base: time.Now(),
 		wake: make(chan struct{}, 1), wakeCancel: make(chan struct{}, 1), journalCh: make(chan journalEntry, journalQueue),
 		jobs: map[string]*job{}, customers: map[string][]*job{}, deadlines: map[string]*job{}, gangs: map[string]*job{},
-		workers: map[string]*workerBook{}, uses: map[string]*customerUse{},
+		workers: map[string]*workerBook{}, uses: map[string]*customerUse{}, allowances: map[string]plan.Allowance{},
 		index: placement.NewIndex(), queue: newQueue(), attempts: g.Epoch() << attemptBits,
 	}
 	if at := g.FencedAt(); !at.IsZero() && at.Before(p.base) {
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -439,7 +439,7 @@
 				f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 2})
 			}
 		}
-		f.plans.set(plenty)
+		f.plans.setAfterLookup(plenty) // an edit that arrives within a scheduling round
 		time.Sleep(time.Second)
 		So(f.counts("urgent"), ShouldResemble, map[State]int{Running: 2, Pending: 1})
 		So(f.counts("normal"), ShouldResemble, map[State]int{Pending: 3})
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -30,6 +30,7 @@
 	if p.draining {
 		return false
 	}
+	clear(p.allowances)
 	p.queue.wake(now)
 	p.checkReservation(now)
 	healthy := p.log.Healthy()
@@ -108,12 +109,19 @@
 	return true
 }
 
-// withinQuota looks the allowance up at each decision, so that an edited one is in force at once.
-func (p *partition) withinQuota(s Spec, n int) bool {
-	a, err := p.deps.Plans.Allowance(s.Customer)
-	if err != nil {
-		return false
+// allowance looks a customer's allowance up once per round. An edit within a round is in force from the next one:
+// otherwise, urgent work that was refused earlier in the round would lose its places to other work.
+func (p *partition) allowance(customer string) plan.Allowance {
+	a, ok := p.allowances[customer]
+	if !ok {
+		a, _ = p.deps.Plans.Allowance(customer) // an unknown customer may use nothing
+		p.allowances[customer] = a
 	}
+	return a
+}
+
+func (p *partition) withinQuota(s Spec, n int) bool {
+	a := p.allowance(s.Customer)
 	var use customerUse
 	if u := p.uses[s.Customer]; u != nil {
 		use = *u
