Forget the peak of a crest when only bulk items are served

Cause: the peak of urgent and normal items is remembered for one to two minutes, but time passed for it only when such an item was offered. When urgent and normal traffic stopped after a crest, as it may at night, long bulk items stayed confined to the 5 % that the crest had left them.

Ruled out: the estimate of run times (only the reserve follows the peak).

Change: the peak's age is also checked when the next item is taken.

Before: 3 minutes after a crest of 46 of 48 slots, 2 bulk items ran (TestReserve).

Conclusion: bulk items get their slots back two minutes after the last crest at the latest.

--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -276,6 +276,7 @@
 // run. Items past their deadline are never returned; Expire hands them out.
 func (q *Queue[T]) Next(now time.Time) *Ticket[T] {
 	q.collect(now)
+	q.peak.advance(now)
 	l, ok := q.limits().Next(q.running, q.ready())
 	if !ok {
 		return nil
--- a/lanes/lanes_test.go
+++ b/lanes/lanes_test.go
@@ -223,3 +223,33 @@
 		So(q.Hopeless("b", lanes.Urgent, 200*time.Millisecond), ShouldBeFalse)
 	})
 }
+
+// TestReserve guards against bulk work that stays confined by a crest that is long over, as at night.
+func TestReserve(t *testing.T) {
+	Convey("Long bulk items get their slots back minutes after a crest", t, func() {
+		q := lanes.New[string](lanes.Config{MaxWait: time.Hour})
+		q.SetSlots(48)
+		q.Observe(zero, "b", lanes.Bulk, lanes.Bulk, 2*time.Second)
+		q.Observe(zero, "u", lanes.Urgent, lanes.Urgent, 20*time.Millisecond)
+		for range 46 {
+			So(offer(q, "u", lanes.Urgent, "u"), ShouldBeNil)
+		}
+		var urgent []*lanes.Ticket[string]
+		for tk := q.Next(zero); tk != nil; tk = q.Next(zero) {
+			urgent = append(urgent, tk)
+		}
+		for _, tk := range urgent {
+			q.Release(tk)
+		}
+		for range 48 {
+			So(offer(q, "b", lanes.Bulk, "b"), ShouldBeNil)
+		}
+		running := func(at time.Time) int {
+			for q.Next(at) != nil {
+			}
+			return q.Running()[lanes.Bulk]
+		}
+		So(running(zero.Add(time.Second)), ShouldEqual, 2)
+		So(running(zero.Add(3*time.Minute)), ShouldEqual, 10) // 20 %, rounded up
+	})
+}
