Keep long bulk items at 20 % of the slots at any time

Ruled out: 30 % (14.1 ms); a higher SwingFactor (the reserve would cover crests of 42 % that need none).

Change: the share of 20 % applies in addition to the foreseen crest. TestPolicyFirstCrest covers a crest twice as high as foreseen, and the table checks the goal at first crests of any height.

Conclusion: service at the crest weighs more than the gain of long work at small loads.

--- a/internal/request/policy_test.go
+++ b/internal/request/policy_test.go
@@ -210,8 +210,8 @@
 var counters = []string{"c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8"}
 
 // crest returns urgent arrivals with a crest, and long bulk work that wants more than all slots if asked for.
-func crest(seed uint64, rate float64, long bool) []*arrival {
-	urgent := stream(seed, rate, crestFactor, shortRun, shortPatient, lanes.Urgent, counters...)
+func crest(seed uint64, rate, factor float64, long bool) []*arrival {
+	urgent := stream(seed, rate, factor, shortRun, shortPatient, lanes.Urgent, counters...)
 	if !long {
 		return urgent
 	}
@@ -259,8 +259,6 @@
 
 // TestPolicyTable guards against long work that delays urgent work at a crest, and against one customer's flood that
 // delays another's short work. It prints the lanes beside a first-come-first-served baseline on the same arrivals.
-//
-// The goal for a first crest that needs most of the slots is a test of its own, TestPolicyFirstCrest.
 func TestPolicyTable(t *testing.T) {
 	Convey("The lanes beside first come, first served", t, func() {
 		t.Logf("%-40s crest %6s  %7s  %7s  %7s   %6s  %6s  %6s  %8s", "urgent requests, seed 1", "n", "p50 ms", "p99 ms", "worst", "intime", "atonce", "late", "recov ms")
@@ -274,21 +272,19 @@
 			for _, rate := range []float64{60, 100, 160, 200, 400} {
 				load := rate * crestFactor * shortRun.Seconds() / policySlots
 				name := fmt.Sprintf("crest %3.0f%% of slots, ", 100*load)
-				as := crest(seed, rate, true)
-				fifo := crests(&fifoPolicy{}, crest(seed, rate, false), isUrgent)
-				without := crests(newLanePolicy(), crest(seed, rate, false), isUrgent)
+				as := crest(seed, rate, crestFactor, true)
+				fifo := crests(&fifoPolicy{}, crest(seed, rate, crestFactor, false), isUrgent)
+				without := crests(newLanePolicy(), crest(seed, rate, crestFactor, false), isUrgent)
 				with := crests(newLanePolicy(), as, isUrgent)
 				show(name+"fcfs", fifo)
-				show(name+"fcfs, long work", crests(&fifoPolicy{}, crest(seed, rate, true), isUrgent))
+				show(name+"fcfs, long work", crests(&fifoPolicy{}, crest(seed, rate, crestFactor, true), isUrgent))
 				show(name+"lanes", without)
 				show(name+"lanes, long work", with)
 				long := endedAfter(as, crestStart+crestLength, isLong)
 				if seed == 1 {
 					t.Logf("%-40s       %d long requests ended, %d after the first crest", name, endedAfter(as, 0, isLong), long)
 				}
-				if load < mostSlots || load >= 1 {
-					withinGoal(without[0], with[0])
-				}
+				withinGoal(without[0], with[0])
 				withinGoal(without[1], with[1])
 				So(long, ShouldBeGreaterThan, 0)
 				if load >= 1 {
@@ -306,20 +302,19 @@
 	})
 }
 
-// mostSlots is the load of a crest from which on long items hold slots that the crest needs.
-const mostSlots = 0.8
-
-// TestPolicyFirstCrest guards against long work that delays urgent work at a crest that was not seen before and needs
-// most of the slots. The goal is a p99 wait within 2 times that without long work.
+// TestPolicyFirstCrest guards against long work that delays urgent work at a crest that was not seen before: one that needs
+// most of the slots, and one that is twice as high as foreseen. The goal is a p99 wait within 2 times that without long
+// work.
 func TestPolicyFirstCrest(t *testing.T) {
-	Convey("A first crest that needs 83 % of the slots", t, func() {
+	Convey("A first crest", t, func() {
 		for seed := uint64(1); seed <= 3; seed++ {
-			const rate = 200
-			without := crests(newLanePolicy(), crest(seed, rate, false), isUrgent)
-			with := crests(newLanePolicy(), crest(seed, rate, true), isUrgent)
-			t.Logf("seed %d without long work %s", seed, without[0])
-			t.Logf("seed %d with long work    %s", seed, with[0])
-			withinGoal(without[0], with[0])
+			for _, c := range []struct{ rate, factor float64 }{{200, crestFactor}, {80, 2 * crestFactor}} {
+				without := crests(newLanePolicy(), crest(seed, c.rate, c.factor, false), isUrgent)
+				with := crests(newLanePolicy(), crest(seed, c.rate, c.factor, true), isUrgent)
+				t.Logf("seed %d, %2.0f times, without long work %s", seed, c.factor, without[0])
+				t.Logf("seed %d, %2.0f times, with long work    %s", seed, c.factor, with[0])
+				withinGoal(without[0], with[0])
+			}
 		}
 	})
 }
--- a/lanes/demand.go
+++ b/lanes/demand.go
@@ -76,12 +76,10 @@
 }
 
 // reserve returns how many of the slots urgent and normal items may need soon: as many as at their recent peak, and as
-// many as a crest of factor times the ordinary load needs so that hardly an item waits. The number of items in a crest
-// varies by about its square root.
+// many as a crest of factor times the ordinary load needs so that hardly an item waits, but no less than what long items
+// must leave free at any time. The number of items in a crest varies by about its square root.
 func (d *demand) reserve(slots int, factor float64) int {
-	if d.ordinary == 0 {
-		return max(d.peak, d.last, slots*(100-longPercent)/100)
-	}
 	crest := factor * d.ordinary
-	return max(d.peak, d.last, int(math.Ceil(crest+swingHeadroom*math.Sqrt(crest))))
+	foreseen := int(math.Ceil(crest + swingHeadroom*math.Sqrt(crest)))
+	return max(d.peak, d.last, foreseen, slots*(100-longPercent)/100)
 }
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -36,10 +36,10 @@
 	bulkPercent = 50 // of the slots, for bulk items
 	lowPercent  = 80 // of the slots, for normal and bulk items together
 
-	// longPercent of the slots are open to long bulk items while no ordinary load is known from which a crest could be
-	// foreseen. With 30 % instead, the p99 wait of urgent items at a first crest of 67 % of the slots that came out of
-	// nothing was 9.3 ms instead of 1.6 ms, with 50 % it was 106 ms; with 10 %, 70 instead of 118 long items ended beside
-	// crests of 42 % (trials, 24 s, seed 1).
+	// longPercent of the slots are open to bulk items that run more than ten times as long as the others: a crest cannot
+	// wait for their slots, and it may be higher than foreseen. With 30 % instead, the p99 wait of urgent items at a first
+	// crest of 67 % of the slots and 20 times the ordinary load was 14 ms instead of 3.3 ms, with 50 % it was 147 ms
+	// (trials, seed 1).
 	longPercent = 20
 
 	// bulkFloorPercent of the slots stay open to bulk items, however many slots are reserved. With 10 % instead, the
