--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -25,6 +25,7 @@
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
@@ -175,9 +176,10 @@
 	return t, t.Restore(records)
 }
 
-func newRequestService(j *journal.Committer, m *membership.List, l *lists, lender *peer.Lender, scope tally.Scope,
-	log *zap.Logger, n network.Network) *request.Service {
-	return request.NewService(request.Config{}, request.Deps{
+func newRequestService(s *settings.Settings, j *journal.Committer, m *membership.List, l *lists, lender *peer.Lender,
+	scope tally.Scope, log *zap.Logger, n network.Network) *request.Service {
+	cfg := request.Config{Queue: lanes.Config{SwingFactor: s.SwingFactor.Value}}
+	return request.NewService(cfg, request.Deps{
 		Journal: j, Claims: claims, Members: m, Plans: l.lookup, Lender: lender,
 		Scope: scope, Log: log, Dial: n.Dial,
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	Pools         Names    `long:"pools" env:"GREENGAGED_POOLS" description:"worker pools to schedule, comma-separated"`
 	DrainNotice   Duration `long:"drain-notice" env:"GREENGAGED_DRAIN_NOTICE" default:"2s" description:"time that new requests are still served after a drain began"`
 	DrainTimeout  Duration `long:"drain-timeout" env:"GREENGAGED_DRAIN_TIMEOUT" default:"15s" description:"longest time from the end of the notice until the daemon exits"`
+	SwingFactor   Factor   `long:"swing-factor" env:"GREENGAGED_SWING_FACTOR" default:"10" description:"times the ordinary load that a sudden crest of short requests may reach; long requests leave room for it"`
 	LogLevel      string   `long:"log-level" env:"GREENGAGED_LOG_LEVEL" default:"info" description:"lowest level that is logged"`
 	ShowVersion   bool     `long:"version" description:"print the version and exit"`
 }
@@ -36,6 +37,8 @@
 	maxDrainNotice  = 30 * time.Second
 	minDrainTimeout = 11 * time.Second // a request in flight may take 10 s
 	maxDrainTimeout = 5 * time.Minute
+	minSwingFactor  = 1
+	maxSwingFactor  = 100
 )
 
 // Problem is one wrong setting.
@@ -105,6 +108,8 @@
 	bad(!s.DrainNotice.within(0, maxDrainNotice), "drain-notice", s.DrainNotice.raw, "duration from 0s to "+maxDrainNotice.String())
 	bad(!s.DrainTimeout.within(minDrainTimeout, maxDrainTimeout), "drain-timeout", s.DrainTimeout.raw,
 		"duration from "+minDrainTimeout.String()+" to "+maxDrainTimeout.String())
+	bad(!s.SwingFactor.within(minSwingFactor, maxSwingFactor), "swing-factor", s.SwingFactor.raw,
+		fmt.Sprintf("number from %d to %d", minSwingFactor, maxSwingFactor))
 	bad(!slices.Contains(logLevels, s.LogLevel), "log-level", s.LogLevel, strings.Join(logLevels, ", "))
 	return ps
 }
@@ -144,6 +149,22 @@
 	return d.valid && d.Duration >= low && d.Duration <= high
 }
 
+// Factor is a number without a unit. A wrong one is kept, so that all wrong settings are reported together.
+type Factor struct {
+	Value float64
+	raw   string
+	valid bool
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (f *Factor) UnmarshalFlag(v string) error {
+	parsed, err := strconv.ParseFloat(v, 64)
+	*f = Factor{Value: parsed, raw: v, valid: err == nil}
+	return nil
+}
+
+func (f Factor) within(low, high float64) bool { return f.valid && f.Value >= low && f.Value <= high }
+
 // Name is the name of a service, pool, region or failure domain.
 type Name string
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -19,17 +19,18 @@
 		s, err := Parse(good())
 		So(err, ShouldBeNil)
 		So([]string(s.Services), ShouldResemble, []string{"textos", "eierabo"})
+		So(s.SwingFactor.Value, ShouldEqual, 10)
 	})
 	Convey("All wrong settings are reported in one run", t, func() {
 		_, err := Parse(append(good(), "--listen=localhost:1", "--table=127.0.0.1", "--secret=short", "--pools=Big",
-			"--drain-timeout=1s", "--drain-notice=soon", "--region="))
+			"--drain-timeout=1s", "--drain-notice=soon", "--region=", "--swing-factor=NaN"))
 		ps, ok := err.(Problems)
 		So(ok, ShouldBeTrue)
 		names := []string{}
 		for _, p := range ps {
 			names = append(names, p.Name)
 		}
-		So(names, ShouldResemble, []string{"listen", "table", "region", "pools", "secret", "drain-notice", "drain-timeout"})
+		So(names, ShouldResemble, []string{"listen", "table", "region", "pools", "secret", "drain-notice", "drain-timeout", "swing-factor"})
 		So(err.Error(), ShouldNotContainSubstring, "short")
 		So(err.Error(), ShouldContainSubstring, `--drain-timeout: "1s" is not allowed; allowed: duration from 11s to 5m0s`)
 	})
