Archive old idempotency keys instead of rewriting them at each compaction

Ruled out: dropping whole old segments (555 B per key stay in the table and in the replay); keeping fewer keys (a retry after hours would run twice); the object store (a second place to make durable with each compaction).

Change: a compaction can add archives, rows that later compactions keep until they drop them. The idempotency table keeps the newest 4,096 ended entries with their answers and archives older ones as 29 bytes each: digests of key and fingerprint, time and state. Requests that were not run are forgotten, because they may run again anyway. A change of the archives is repeated unchanged until a compaction succeeds, since one whose response was lost may take effect late; ids are never used twice for the same reason. A compaction at the place of an earlier one is not taken for written if it archives anything. The bound rises from 500,000 to 1,000,000 keys.

TestJournal covers an archive whose compaction meets an earlier one at the same place; it failed when that conflict counted as success.

Conclusion: what a compaction and a takeover cost no longer grows with the history. Late retries, after 4,096 keys of the partition, get the outcome without the answer.

--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -22,8 +22,12 @@
 	// DefaultMinRetention is far longer than callers retry, and lets a table of the default size take 139 keys a second for
 	// good.
 	DefaultMinRetention = time.Hour
-	DefaultMaxEntries   = 500_000  // at about 340 bytes each
-	DefaultAnswerBytes  = 64 << 10 // bytes of one recorded answer
+	// DefaultMaxEntries lets a table take 11 keys a second for the whole retention. At 32 bytes each they need 32 MB.
+	DefaultMaxEntries = 1_000_000
+	// DefaultMaxRecent bounds what one compaction writes: the journals of a daemon wait for it. With 10,000 entries a claim
+	// waited for 0.19 s, with 100,000 for 1.4 s (BenchmarkKeyHistory).
+	DefaultMaxRecent   = 4096     // at about 340 bytes each, and their answers
+	DefaultAnswerBytes = 64 << 10 // bytes of one recorded answer
 	// DefaultTotalAnswerBytes bounds the answers in memory: all of them at 64 KB would not fit into a host.
 	DefaultTotalAnswerBytes = 64 << 20
 )
@@ -35,7 +39,8 @@
 type Config struct {
 	Retention        time.Duration // from an entry's last change; entries in progress do not expire
 	MinRetention     time.Duration // entries older than that give way when the table is full
-	MaxEntries       int           // Begin returns ErrNotClaimed beyond it, unless an old entry gives way
+	MaxEntries       int           // Begin returns ErrNotClaimed beyond it, unless old entries give way
+	MaxRecent        int           // ended entries that a compaction keeps with their answers; older ones are archived
 	AnswerBytes      int           // a larger answer is recorded as done without its body
 	TotalAnswerBytes int           // answers beyond it are recorded without their bodies
 	Now              func() time.Time
@@ -51,6 +56,9 @@
 	if c.MaxEntries <= 0 {
 		c.MaxEntries = DefaultMaxEntries
 	}
+	if c.MaxRecent <= 0 {
+		c.MaxRecent = DefaultMaxRecent
+	}
 	if c.AnswerBytes <= 0 {
 		c.AnswerBytes = DefaultAnswerBytes
 	}
@@ -66,6 +74,8 @@
 // TableState is a Table's part of the state dump.
 type TableState struct {
 	Entries     int   `json:"entries"`
+	Archived    int   `json:"archived"` // entries without answers, counted as done or unknown no more
+	Archives    int   `json:"archives"` // rows that hold them
 	Claimed     int   `json:"claimed"`
 	Done        int   `json:"done"`
 	NotRun      int   `json:"not_run"`
@@ -110,6 +120,7 @@
 	mu      sync.Mutex
 	slots   map[Key]*slot
 	changes []change // in the order in which they happened, for expiry
+	old     archives
 	state   TableState
 }
 
@@ -128,6 +139,14 @@
 	now := t.cfg.Now()
 	latest := map[Key]Entry{}
 	for _, r := range records {
+		if isArchive(r) {
+			a, err := decodeArchive(r)
+			if err != nil {
+				return err
+			}
+			t.old.add(a)
+			continue
+		}
 		var e Entry
 		if err := json.Unmarshal(r, &e); err != nil || e.State == "" {
 			return errors.Wrapf(ErrCorrupt, "%.100q", r)
@@ -143,6 +162,7 @@
 			t.put(e, nil)
 		}
 	}
+	slices.SortStableFunc(t.old.list, func(a, b *archive) int { return a.newest.Compare(b.newest) })
 	return nil
 }
 
@@ -189,7 +209,15 @@
 	if s != nil && s.entry.State != NotRun {
 		return Claim{Entry: s.entry}, nil, nil
 	}
-	if s == nil && len(t.slots) >= t.cfg.MaxEntries && !t.evict() {
+	if s == nil {
+		if e, ok := t.archived(k); ok {
+			if e.fingerprint != digestFingerprint(fingerprint) {
+				return Claim{}, nil, ErrKeyReused
+			}
+			return Claim{Entry: e.entry(k, fingerprint)}, nil, nil
+		}
+	}
+	if s == nil && len(t.slots)+t.old.count >= t.cfg.MaxEntries && !t.evict() {
 		t.state.Refused++
 		return Claim{}, nil, errors.Wrap(ErrNotClaimed, "table is full")
 	}
@@ -266,27 +294,83 @@
 	if s := t.slots[k]; s != nil {
 		return s.entry, nil
 	}
+	if e, ok := t.archived(k); ok {
+		return e.entry(k, ""), nil
+	}
 	return Entry{}, ErrNoEntry
 }
 
-// Snapshot returns records that restore the table, for compaction. Entries that change between this call and the
-// compaction would be lost; Compact rules that out.
-func (t *Table) Snapshot() [][]byte {
+// archived returns the archived entry of a key, unless its retention has passed. It is called with mu held.
+func (t *Table) archived(k Key) (archived, bool) {
+	e, ok := t.old.find(k)
+	return e, ok && t.cfg.Now().Sub(time.Unix(int64(e.at), 0)) < t.cfg.Retention
+}
+
+// Compaction returns what restores the table, and a function that must be called with the compaction's outcome. Entries
+// that change between this call and the start of the compaction would be lost; Compact rules that out.
+func (t *Table) Compaction() (journal.Compaction, func(error)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.snapshot()
+	return t.compaction()
 }
 
-func (t *Table) snapshot() [][]byte {
+func (t *Table) compaction() (journal.Compaction, func(error)) {
 	t.expire()
-	out := make([][]byte, 0, len(t.slots))
-	for _, s := range t.slots {
+	if t.old.next == nil {
+		t.old.next = t.old.prepare(t.excess())
+	}
+	moving := t.old.next
+	leaving := make(map[Key]bool, len(moving.leaving))
+	for _, c := range moving.leaving {
+		leaving[c.key] = t.current(c)
+	}
+	out := journal.Compaction{Drop: moving.drop}
+	for _, a := range moving.add {
+		out.Archive = append(out.Archive, journal.Archive{ID: a.id, Record: a.encode()})
+	}
+	for k, s := range t.slots {
 		if s.run != nil {
 			s.run.inSnapshot = true
 		}
-		out = append(out, encode(s.entry))
+		if !leaving[k] {
+			out.Snapshot = append(out.Snapshot, encode(s.entry))
+		}
+	}
+	return out, func(err error) { t.compacted(moving, err) }
+}
+
+// excess returns the oldest ended entries beyond MaxRecent: those to remember without their answers, and the changes of
+// all. Requests that were not run need not be remembered.
+func (t *Table) excess() (old []Entry, leaving []change) {
+	n := len(t.slots) - t.state.Claimed - t.cfg.MaxRecent
+	for i := 0; i < len(t.changes) && len(leaving) < n; i++ {
+		c := t.changes[i]
+		if !t.current(c) {
+			continue
+		}
+		leaving = append(leaving, c)
+		if e := t.slots[c.key].entry; e.State != NotRun {
+			old = append(old, e)
+		}
+	}
+	return old, leaving
+}
+
+// compacted applies the outcome of a compaction. Done and unknown entries have not changed since, unless their retention
+// has passed; a request that was not run may have been begun again.
+func (t *Table) compacted(moved *archiving, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil || t.old.next != moved {
+		return
+	}
+	t.old.next = nil
+	t.old.apply(moved)
+	for _, c := range moved.leaving {
+		if t.current(c) {
+			t.drop(c.key)
+		}
 	}
-	return out
 }
 
 // Compact replaces the journal by a snapshot of the table, which must be all that the journal holds. No record can come
@@ -294,10 +378,12 @@
 // leaves the compaction running and returns journal.ErrOutcomeUnknown.
 func (t *Table) Compact(ctx context.Context, log journal.Compactor) error {
 	t.mu.Lock()
-	done := log.StartCompact(t.snapshot())
+	c, ended := t.compaction()
+	done := log.StartCompact(c)
 	t.mu.Unlock()
 	select {
 	case err := <-done:
+		ended(err)
 		return err
 	case <-ctx.Done():
 		return errors.Wrap(journal.ErrOutcomeUnknown, ctx.Err().Error())
@@ -309,7 +395,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state
-	s.Entries, s.MaxEntries = len(t.slots), t.cfg.MaxEntries
+	s.Entries, s.MaxEntries = len(t.slots)+t.old.count, t.cfg.MaxEntries
+	s.Archived, s.Archives = t.old.count, len(t.old.list)
 	return s
 }
 
@@ -357,13 +444,21 @@
 
 // expire removes the entries whose retention has passed. An entry that changed later has a later change in the queue.
 func (t *Table) expire() {
+	for n := t.old.dropOldest(t.cfg.Now(), t.cfg.Retention); n > 0; n = t.old.dropOldest(t.cfg.Now(), t.cfg.Retention) {
+		t.state.Expired += int64(n)
+	}
 	for t.dropOldest(t.cfg.Retention) {
 		t.state.Expired++
 	}
 }
 
-// evict makes room for one entry. It returns false if all ended entries are too young to give way.
+// evict makes room for one entry, by the oldest archive if there is one. It returns false if all ended entries are too
+// young to give way.
 func (t *Table) evict() bool {
+	if n := t.old.dropOldest(t.cfg.Now(), t.cfg.MinRetention); n > 0 {
+		t.state.Evicted += int64(n)
+		return true
+	}
 	dropped := t.dropOldest(t.cfg.MinRetention)
 	if dropped {
 		t.state.Evicted++
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -59,6 +59,11 @@
 	return t
 }
 
+func snapshot(t *idempotency.Table) [][]byte {
+	c, _ := t.Compaction()
+	return c.Snapshot
+}
+
 func key(k string) idempotency.Key { return idempotency.Key{Customer: "c", Key: k} }
 
 func TestTable(t *testing.T) {
@@ -102,7 +107,7 @@
 			Convey("a claim of a predecessor becomes unknown for good", func() {
 				So(begin("k").Run, ShouldBeTrue)
 				first := restored(log.records, idempotency.Config{})
-				second := restored(first.Snapshot(), idempotency.Config{})
+				second := restored(snapshot(first), idempotency.Config{})
 				second.Finish(key("k"), idempotency.NotRun, "", nil)
 				c, err := second.Begin(ctx, key("k"), "f")
 				So(err, ShouldBeNil)
@@ -140,7 +145,7 @@
 				failed := make(chan error)
 				go func() { _, err := tab.Begin(ctx, key("k"), "f"); failed <- err }()
 				synctest.Wait()
-				snapshot := tab.Snapshot()
+				snapshot := snapshot(tab)
 				close(log.hold)
 				<-failed
 				log.fail = nil
@@ -171,6 +176,39 @@
 				So(begin("second").Run, ShouldBeFalse)
 				So(tab.State().Evicted, ShouldEqual, 1)
 			})
+			Convey("older entries are archived without their answers, and never run again", func() {
+				tab = idempotency.New(log, idempotency.Config{MaxRecent: 1})
+				archive := func(err error) [][]byte {
+					c, ended := tab.Compaction()
+					ended(err)
+					records := c.Snapshot
+					for _, a := range c.Archive {
+						records = slices.Insert(records, 0, a.Record)
+					}
+					return records
+				}
+				for i, state := range []idempotency.State{idempotency.Done, idempotency.Unknown, idempotency.NotRun, idempotency.Done} {
+					k := fmt.Sprint("k", i)
+					So(begin(k).Run, ShouldBeTrue)
+					tab.Finish(key(k), state, "", []byte("answer"))
+					time.Sleep(time.Second)
+				}
+				archive(journal.ErrOutcomeUnknown)
+				So(tab.State().Archived, ShouldEqual, 0)
+				records := archive(nil)
+				So(tab.State().Archived, ShouldEqual, 2)
+				for _, tab = range []*idempotency.Table{tab, restored(records, idempotency.Config{})} {
+					So(begin("k0").Entry.State, ShouldEqual, idempotency.Done)
+					So(begin("k0").Entry.AnswerOmitted, ShouldBeTrue)
+					So(begin("k1").Entry.State, ShouldEqual, idempotency.Unknown)
+					_, err := tab.Begin(ctx, key("k0"), "other")
+					So(errors.Is(err, idempotency.ErrKeyReused), ShouldBeTrue)
+					So(begin("k2").Run, ShouldBeTrue)
+					So(string(begin("k3").Entry.Answer), ShouldEqual, "answer")
+				}
+				time.Sleep(idempotency.DefaultRetention)
+				So(begin("k0").Run, ShouldBeTrue)
+			})
 			Convey("entries are bounded and expire after the retention, but not while they run", func() {
 				tab = idempotency.New(log, idempotency.Config{MaxEntries: 2})
 				So(begin("running").Run, ShouldBeTrue)
@@ -292,7 +330,7 @@
 		if err != nil {
 			panic(err)
 		}
-		tab := idempotency.New(log, idempotency.Config{})
+		tab := idempotency.New(log, idempotency.Config{MaxRecent: 1})
 		if err := tab.Restore(records); err != nil {
 			panic(err)
 		}
--- a/internal/capacity/job_test.go
+++ b/internal/capacity/job_test.go
@@ -27,11 +27,11 @@
 	}
 }
 
-func (l *memoryLog) Flush(context.Context) error             { return nil }
-func (l *memoryLog) Healthy() bool                           { return true }
-func (l *memoryLog) Bytes() int                              { return l.bytes }
-func (l *memoryLog) Compact(context.Context, [][]byte) error { return nil }
-func (l *memoryLog) Close()                                  {}
+func (l *memoryLog) Flush(context.Context) error                       { return nil }
+func (l *memoryLog) Healthy() bool                                     { return true }
+func (l *memoryLog) Bytes() int                                        { return l.bytes }
+func (l *memoryLog) Compact(context.Context, journal.Compaction) error { return nil }
+func (l *memoryLog) Close()                                            {}
 
 func (l *memoryLog) Open(context.Context, ownership.Guard) (journal.Log, [][]byte, error) {
 	return l, nil, nil
--- /dev/null
+++ b/internal/capacity/keys_test.go
@@ -0,0 +1,144 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/idempotency"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// keyRecord is the journal's record of a key that ended.
+func keyRecord(i int, at time.Time) []byte {
+	raw, _ := json.Marshal(idempotency.Entry{
+		Key:         idempotency.Key{Customer: "panaderia-sol", Key: fmt.Sprintf("order-%09d", i)},
+		Fingerprint: "fingerprint-fingerprint-fingerpr", State: idempotency.Done, At: at,
+		Answer: []byte(`{"minion":"textos-minion-07","key":"order-000000000"}`),
+	})
+	return raw
+}
+
+// newKeys is how many keys fill a journal up to the size at which it is compacted.
+const newKeys = 7_500
+
+// BenchmarkKeyHistory is a partition that remembers n keys, on a table service over HTTP: one compaction of its journal
+// after 7,500 new keys, a claim that comes meanwhile, and the replay by a successor.
+func BenchmarkKeyHistory(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000, 500_000} {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) { keyHistory(b, n) })
+	}
+}
+
+func keyHistory(b *testing.B, n int) {
+	srv := httptest.NewServer(table.Handler(table.NewMemory()))
+	defer srv.Close()
+	store := table.NewHTTPClient(strings.TrimPrefix(srv.URL, "http://"), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	g := owned{"request/textos/0"}
+	_, _ = store.Commit(ctx, table.Txn{Ops: []table.Op{{Key: g.RowKey(), Value: []byte("{}")}}})
+	c := journal.NewCommitter(store, journal.Config{CommitsPerSecond: 1000, Burst: 1000})
+	done := make(chan struct{})
+	go func() { _ = c.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	log, _, err := c.Open(ctx, g)
+	if err != nil {
+		b.Fatal(err)
+	}
+	records := make([][]byte, n)
+	now := time.Now()
+	for i := range records {
+		records[i] = keyRecord(i, now.Add(time.Duration(i-n)*10*time.Millisecond))
+	}
+	claims := idempotency.New(log, idempotency.Config{})
+	if err := claims.Restore(records); err != nil {
+		b.Fatal(err)
+	}
+	failed, next := 0, n
+	fill := func() {
+		var wg sync.WaitGroup
+		for w := range 250 {
+			wg.Go(func() {
+				for i := next + w; i < next+newKeys; i += 250 {
+					k := idempotency.Key{Customer: "panaderia-sol", Key: fmt.Sprintf("order-%09d", i)}
+					_, _ = claims.Begin(ctx, k, "fingerprint-fingerprint-fingerpr")
+					claims.Finish(k, idempotency.Done, "", []byte(`{"minion":"textos-minion-07","key":"order-000000000"}`))
+				}
+			})
+		}
+		wg.Wait()
+		next += newKeys
+	}
+	fill()
+	_ = claims.Compact(ctx, log.(journal.Compactor))
+	var compaction, claim, replay time.Duration
+	written := int64(0)
+	for i := 0; b.Loop(); i++ {
+		fill()
+		before := c.Stats().Bytes
+		began := time.Now()
+		ended := make(chan error, 1)
+		go func() { ended <- claims.Compact(ctx, log.(journal.Compactor)) }()
+		time.Sleep(time.Millisecond)
+		if _, err := claims.Begin(ctx, idempotency.Key{Customer: "c", Key: fmt.Sprint(i)}, "f"); err != nil {
+			failed++
+		}
+		claim += time.Since(began)
+		if <-ended != nil {
+			failed++
+		}
+		compaction += time.Since(began)
+		written += c.Stats().Bytes - before
+		began = time.Now()
+		_, records, err := journal.NewCommitter(store, journal.Config{}).Open(ctx, g)
+		if err == nil {
+			err = idempotency.New(discard{}, idempotency.Config{}).Restore(records)
+		}
+		if err != nil {
+			failed++
+		}
+		replay += time.Since(began)
+	}
+	per := func(d time.Duration) float64 { return 1e3 * d.Seconds() / float64(b.N) }
+	b.ReportMetric(per(compaction), "ms/compaction")
+	b.ReportMetric(per(claim), "ms/claim")
+	b.ReportMetric(per(replay), "ms/replay")
+	b.ReportMetric(float64(written)/float64(b.N)/1e6, "MB/compaction")
+	b.ReportMetric(float64(failed)/float64(b.N), "failures")
+}
+
+// BenchmarkArchivedKey is the memory of one archived key, and the search for a new key among those of a full partition.
+func BenchmarkArchivedKey(b *testing.B) {
+	const n = 500_000
+	records := make([][]byte, n)
+	for i := range records {
+		records[i] = keyRecord(i, time.Now())
+	}
+	first := idempotency.New(discard{}, idempotency.Config{MaxRecent: 1})
+	if err := first.Restore(records); err != nil {
+		b.Fatal(err)
+	}
+	c, _ := first.Compaction()
+	var claims *idempotency.Table
+	per := heapPer(n, func() any {
+		claims = idempotency.New(discard{}, idempotency.Config{})
+		for _, a := range c.Archive {
+			_ = claims.Restore([][]byte{a.Record})
+		}
+		return claims
+	})
+	runtime.KeepAlive(first)
+	runtime.KeepAlive(records)
+	runtime.KeepAlive(c)
+	for b.Loop() {
+		_, _ = claims.Lookup(idempotency.Key{Customer: "panaderia-sol", Key: "order-999999999"})
+	}
+	b.ReportMetric(per, "heap-B/key")
+}
--- a/internal/job/fakes_test.go
+++ b/internal/job/fakes_test.go
@@ -131,13 +131,13 @@
 	return l.s.size
 }
 
-func (l *fakeLog) Compact(_ context.Context, snapshot [][]byte) error {
+func (l *fakeLog) Compact(_ context.Context, c journal.Compaction) error {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
 	if l.s.epoch != l.epoch || l.s.down {
 		return journal.ErrNotWritten
 	}
-	l.s.records, l.s.size = snapshot, 0
+	l.s.records, l.s.size = c.Snapshot, 0
 	return nil
 }
 
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/journal"
 )
 
 // restore rebuilds the books from journal records. Workers' reports complete them.
@@ -177,7 +179,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
 	defer cancel()
-	return p.log.Compact(ctx, records)
+	return p.log.Compact(ctx, journal.Compaction{Snapshot: records})
 }
 
 // snapshot returns records that restore to the same books.
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -250,9 +250,9 @@
 	locked(&s.mu, func() { s.records = append(s.records, records...) })
 }
 
-func (s *store) Compact(_ context.Context, snapshot [][]byte) error {
+func (s *store) Compact(_ context.Context, c journal.Compaction) error {
 	<-s.hang
-	locked(&s.mu, func() { s.records = snapshot })
+	locked(&s.mu, func() { s.records = c.Snapshot })
 	return nil
 }
 
@@ -324,7 +324,9 @@
 	return idempotency.Entry{}, idempotency.ErrNoEntry
 }
 
-func (c *claims) Snapshot() [][]byte { return nil }
+func (c *claims) Compaction() (journal.Compaction, func(error)) {
+	return journal.Compaction{}, func(error) {}
+}
 
 // members and plans in one.
 type lists struct {
--- a/internal/request/heldlog.go
+++ b/internal/request/heldlog.go
@@ -63,13 +63,16 @@
 }
 
 // compact replaces the journal by the snapshot while new records are held back. Records whose Append was called before
-// are in the snapshot already, as Claims.Snapshot promises.
-func (l *heldLog) compact(ctx context.Context, snapshot func() [][]byte) error {
+// are in the snapshot already, as Claims.Compaction promises.
+func (l *heldLog) compact(ctx context.Context, take func() (journal.Compaction, func(error))) error {
 	l.mu.Lock()
 	l.held = make(chan struct{})
 	l.mu.Unlock()
 	defer l.release()
-	return l.Compact(ctx, snapshot())
+	c, ended := take()
+	err := l.Compact(ctx, c)
+	ended(err)
+	return err
 }
 
 func (l *heldLog) release() {
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -283,7 +283,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
 	defer cancel()
 	p.s.m.compacts.Inc(1)
-	if err := p.log.compact(ctx, p.claims.Snapshot); err != nil {
+	if err := p.log.compact(ctx, p.claims.Compaction); err != nil {
 		p.s.deps.Log.Warn("journal compaction failed", zap.String("partition", p.name), zap.Error(err))
 	}
 	p.mu.Lock()
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -25,8 +25,9 @@
 // Claims is the at-most-once table of one partition.
 type Claims interface {
 	idempotency.Beginner
-	// Snapshot returns the records that restore the table, including entries whose Append has not returned yet.
-	Snapshot() [][]byte
+	// Compaction returns what restores the table, including entries whose Append has not returned yet, and a function that
+	// must be called with the compaction's outcome.
+	Compaction() (journal.Compaction, func(error))
 }
 
 // NewClaims restores the at-most-once table of a partition from its journal's records. Entries that are claimed but not
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -214,7 +214,11 @@
 			s := &store{hang: make(chan struct{})}
 			l := newHeldLog(s)
 			l.AppendAsync([]byte("old"))
-			go func() { _ = l.compact(context.Background(), func() [][]byte { return [][]byte{[]byte("snapshot")} }) }()
+			ended := context.Canceled // until the compaction reports its outcome
+			snapshot := journal.Compaction{Snapshot: [][]byte{[]byte("snapshot")}}
+			go func() {
+				_ = l.compact(context.Background(), func() (journal.Compaction, func(error)) { return snapshot, func(err error) { ended = err } })
+			}()
 			synctest.Wait()
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
@@ -226,6 +230,7 @@
 			close(s.hang)
 			So(<-appended, ShouldBeNil)
 			So(l.Flush(context.Background()), ShouldBeNil)
+			So(ended, ShouldBeNil)
 			So(fmt.Sprintf("%s", s.records), ShouldEqual, "[snapshot finish claim]")
 		})
 	})
--- a/journal/committer.go
+++ b/journal/committer.go
@@ -290,7 +290,7 @@
 		if len(j.queue) == 0 || j.inFlight || size >= maxCommitBytes {
 			continue
 		}
-		if j.queue[0].compaction {
+		if j.queue[0].compaction != nil {
 			if len(units) == 0 {
 				units = append(units, j.takeCompaction())
 				break
@@ -454,9 +454,10 @@
 		return units
 	}
 	if hit[0].snapshot && hit[0].key == conflict.Key {
-		// An earlier compaction at the same place, whose outcome was unknown, took effect. It replaced the same rows.
+		// An earlier compaction at the same place, whose outcome was unknown, took effect. It replaced the same rows, but
+		// may have archived other records.
 		hit[0].keys = append(hit[0].keys, hit[0].deletes...)
-		c.settle(hit, nil)
+		c.settle(hit, hit[0].items[0].compaction.replacesNothing())
 		return rest
 	}
 	outcome := ErrFenced
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -19,15 +19,15 @@
 // appended between taking a snapshot and starting the compaction.
 type Compactor interface {
 	// StartCompact queues a compaction as Log.Compact does and returns at once. The channel gets its outcome.
-	StartCompact(snapshot [][]byte) <-chan error
+	StartCompact(c Compaction) <-chan error
 }
 
 // item is one call of Append, AppendAsync, Flush or Compact. Its fields are guarded by the committer's mutex.
 type item struct {
 	records    [][]byte
-	size       int        // encoded bytes of records
-	done       chan error // capacity 1; nil if nobody waits
-	compaction bool       // records are a snapshot
+	size       int         // encoded bytes of records
+	done       chan error  // capacity 1; nil if nobody waits
+	compaction *Compaction // nil: records are appended
 	queued     time.Time
 	inCommit   bool
 	withdrawn  bool
@@ -97,9 +97,9 @@
 }
 
 // Compact implements Log. The caller must not append between taking the snapshot and this call; see Compactor. When the
-// store refuses the compaction it returns ErrNotWritten, and nothing has changed.
-func (j *journal) Compact(ctx context.Context, snapshot [][]byte) error {
-	it, err := j.startCompact(snapshot)
+// store refuses the compaction, or there is nothing to replace, it returns ErrNotWritten, and nothing has changed.
+func (j *journal) Compact(ctx context.Context, c Compaction) error {
+	it, err := j.startCompact(c)
 	if err != nil {
 		return err
 	}
@@ -107,8 +107,8 @@
 }
 
 // StartCompact implements Compactor.
-func (j *journal) StartCompact(snapshot [][]byte) <-chan error {
-	it, err := j.startCompact(snapshot)
+func (j *journal) StartCompact(c Compaction) <-chan error {
+	it, err := j.startCompact(c)
 	if err != nil {
 		failed := make(chan error, 1)
 		failed <- err
@@ -117,8 +117,14 @@
 	return it.done
 }
 
-func (j *journal) startCompact(snapshot [][]byte) (*item, error) {
-	it := &item{records: slices.Clone(snapshot), compaction: true, done: make(chan error, 1)}
+func (j *journal) startCompact(c Compaction) (*item, error) {
+	for _, a := range c.Archive {
+		if len(a.Record) > MaxRecordBytes {
+			return nil, errors.Wrapf(ErrNotWritten, "archive %d has %d bytes", a.ID, len(a.Record))
+		}
+	}
+	c.Snapshot = slices.Clone(c.Snapshot)
+	it := &item{compaction: &c, done: make(chan error, 1)}
 	return it, j.enqueue(it, j.c.cfg.BufferBytes)
 }
 
@@ -236,8 +242,8 @@
 	for len(j.queue) > 0 && !j.inFlight {
 		it := j.queue[0]
 		switch {
-		case it.compaction && j.snapshotAt == j.at() && j.lost == 0:
-			j.settleItem(it, nil)
+		case it.compaction != nil && j.snapshotAt == j.at() && j.lost == 0:
+			j.settleItem(it, it.compaction.replacesNothing())
 		case it.isFlush():
 			j.settleItem(it, j.flushed())
 		default:
@@ -247,8 +253,17 @@
 	}
 }
 
+// replacesNothing is the outcome of a compaction right after another one. Its snapshot is in force already, but what it
+// archives cannot become durable together with a snapshot.
+func (c *Compaction) replacesNothing() error {
+	if len(c.Archive) > 0 || len(c.Drop) > 0 {
+		return errors.Wrap(ErrNotWritten, "nothing was appended since the last compaction")
+	}
+	return nil
+}
+
 // isFlush says that the item has no records of its own and only waits for those before it.
-func (it *item) isFlush() bool { return !it.compaction && len(it.records) == 0 }
+func (it *item) isFlush() bool { return it.compaction == nil && len(it.records) == 0 }
 
 // flushed is the outcome of a flush once everything queued before it is durable.
 func (j *journal) flushed() error {
@@ -279,7 +294,7 @@
 func (j *journal) takeSegment() *unit {
 	u := &unit{j: j, at: position{j.epoch, j.seq + 1}}
 	size, n := rowOverhead, 0
-	for n < len(j.queue) && !j.queue[n].compaction {
+	for n < len(j.queue) && j.queue[n].compaction == nil {
 		it := j.queue[n]
 		if len(u.items) > 0 && size+it.size > maxRowBytes {
 			break
@@ -314,10 +329,17 @@
 		u.put(segmentKey(u.j.partition, u.at), row)
 		return
 	}
-	parts := splitParts(u.items[0].records)
+	c := u.items[0].compaction
+	parts := splitParts(c.Snapshot)
 	for i, records := range parts {
 		u.put(snapshotKey(u.j.partition, u.at, i), snapshotRow{Tag: u.tag, Part: i, Parts: len(parts), Records: records})
 	}
+	for _, a := range c.Archive {
+		u.write(archiveKey(u.j.partition, a.ID), archiveRow{Tag: u.tag, Record: a.Record})
+	}
+	for _, id := range c.Drop {
+		u.ops = append(u.ops, table.Op{Key: archiveKey(u.j.partition, id), Delete: true})
+	}
 	for _, key := range u.deletes {
 		if !slices.Contains(u.keys, key) {
 			u.ops = append(u.ops, table.Op{Key: key, Delete: true})
@@ -325,15 +347,20 @@
 	}
 }
 
+// put adds a row that the next compaction replaces.
 func (u *unit) put(key string, row any) {
-	value, err := json.Marshal(row)
-	if err != nil {
-		panic(err) // strings, numbers and bytes always encode
-	}
 	if u.key == "" {
 		u.key = key
 	}
 	u.keys = append(u.keys, key)
+	u.write(key, row)
+}
+
+func (u *unit) write(key string, row any) {
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // strings, numbers and bytes always encode
+	}
 	u.ops = append(u.ops, table.Op{Key: key, Value: value})
 	u.size += len(value)
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -122,7 +122,7 @@
 		So(errors.Is(err, journal.ErrFenced), ShouldBeTrue)
 		a.AppendAsync([]byte("a3"))
 		So(errors.Is(a.Append(f.ctx, []byte("a4")), journal.ErrFenced), ShouldBeTrue)
-		So(errors.Is(a.Compact(f.ctx, nil), journal.ErrFenced), ShouldBeTrue)
+		So(errors.Is(a.Compact(f.ctx, journal.Compaction{}), journal.ErrFenced), ShouldBeTrue)
 		So(a.Healthy(), ShouldBeFalse)
 		So(b.Healthy(), ShouldBeTrue)
 		So(replay(mem, "a", 3), ShouldResemble, []string{"a1"})
@@ -215,7 +215,7 @@
 		So(f.c.Stats().Dropped, ShouldEqual, 2)
 		mem.SetFaults(table.Faults{})
 		So(errors.Is(a.Flush(f.ctx), journal.ErrNotWritten), ShouldBeTrue)
-		So(a.Compact(f.ctx, [][]byte{[]byte("all")}), ShouldBeNil)
+		So(a.Compact(f.ctx, journal.Compaction{Snapshot: [][]byte{[]byte("all")}}), ShouldBeNil)
 		So(a.Flush(f.ctx), ShouldBeNil)
 		So(replay(mem, "a", 2), ShouldResemble, []string{"all"})
 	})
@@ -228,7 +228,7 @@
 			So(a.Append(f.ctx, fmt.Appendf(nil, "old %d", i)), ShouldBeNil)
 		}
 		big := strings.Repeat("x", 200<<10)
-		So(a.Compact(f.ctx, [][]byte{[]byte(big), []byte(big), []byte(big)}), ShouldBeNil)
+		So(a.Compact(f.ctx, journal.Compaction{Snapshot: [][]byte{[]byte(big), []byte(big), []byte(big)}}), ShouldBeNil)
 		So(a.Bytes(), ShouldEqual, 0)
 		So(a.Append(f.ctx, []byte("new")), ShouldBeNil)
 		rows, err := mem.Scan(f.ctx, "", "", 100)
@@ -239,6 +239,39 @@
 		}
 		So(replay(mem, "a", 2), ShouldResemble, []string{big, big, big, "new"})
 	})
+	conveyInBubble(t, "An archive stays in force until it is dropped, and is never taken for written when it is not", func() {
+		mem := table.NewMemory()
+		f := run(mem, journal.Config{})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem, "a", 1))
+		archive := func(id int64, drop ...int64) error {
+			c := journal.Compaction{Snapshot: [][]byte{fmt.Appendf(nil, "snapshot %d", id)}, Drop: drop}
+			c.Archive = []journal.Archive{{ID: id, Record: fmt.Appendf(nil, "archive %d", id)}}
+			return a.Compact(f.ctx, c)
+		}
+		for i := range int64(2) {
+			So(a.Append(f.ctx, []byte("old")), ShouldBeNil)
+			So(archive(i), ShouldBeNil)
+		}
+		So(errors.Is(archive(2), journal.ErrNotWritten), ShouldBeTrue)
+		So(a.Append(f.ctx, []byte("new")), ShouldBeNil)
+		So(archive(3, 0, 2), ShouldBeNil)
+		So(replay(mem, "a", 2), ShouldResemble, []string{"archive 1", "archive 3", "snapshot 3"})
+	})
+	conveyInBubble(t, "An archive is not taken for written when an earlier compaction at the same place took effect", func() {
+		mem := &lossy{Memory: table.NewMemory()}
+		f := run(mem, journal.Config{})
+		defer f.stop()
+		a := f.open(tabletest.Claim(mem.Memory, "a", 1))
+		So(a.Append(f.ctx, []byte("old")), ShouldBeNil)
+		mem.lost = true
+		snapshot := [][]byte{[]byte("snapshot")}
+		So(errors.Is(a.Compact(f.ctx, journal.Compaction{Snapshot: snapshot}), journal.ErrOutcomeUnknown), ShouldBeTrue)
+		mem.lost = false
+		c := journal.Compaction{Archive: []journal.Archive{{ID: 1, Record: []byte("archive")}}}
+		So(errors.Is(a.Compact(f.ctx, c), journal.ErrNotWritten), ShouldBeTrue)
+		So(replay(mem.Memory, "a", 2), ShouldResemble, []string{"snapshot"})
+	})
 	conveyInBubble(t, "Open refuses stale reads, an outdated claim and lost rows", func() {
 		mem := table.NewMemory()
 		f := run(mem, journal.Config{})
@@ -264,6 +297,27 @@
 	})
 }
 
+// lossy is a table whose commits take effect while their responses, and all reads, are lost.
+type lossy struct {
+	*table.Memory
+	lost bool
+}
+
+func (l *lossy) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
+	r, err := l.Memory.Commit(ctx, txn)
+	if l.lost {
+		return table.Result{}, table.ErrUnknownOutcome
+	}
+	return r, err
+}
+
+func (l *lossy) Get(ctx context.Context, key string) (table.Row, error) {
+	if l.lost {
+		return table.Row{}, table.ErrUnavailable
+	}
+	return l.Memory.Get(ctx, key)
+}
+
 // outcomes of appended records by record.
 type outcomes struct {
 	mu sync.Mutex
@@ -413,5 +467,5 @@
 	for i, r := range keep {
 		snapshot[i] = []byte(r)
 	}
-	_ = l.Compact(timeout(5*time.Second), snapshot)
+	_ = l.Compact(timeout(5*time.Second), journal.Compaction{Snapshot: snapshot})
 }
--- a/journal/log.go
+++ b/journal/log.go
@@ -32,15 +32,32 @@
 	Healthy() bool
 	// Bytes returns the size of the segments since the last snapshot, for deciding when to compact.
 	Bytes() int
-	// Compact replaces all that was appended before the call by the records of a snapshot.
-	Compact(ctx context.Context, snapshot [][]byte) error
+	// Compact replaces all that was appended before the call.
+	Compact(ctx context.Context, c Compaction) error
 	// Close stops the journal. Records that are not yet part of a commit are withdrawn.
 	Close()
 }
 
+// Compaction replaces what was appended to a journal. It takes effect as a whole or not at all.
+type Compaction struct {
+	// Snapshot is in force from now on, instead of the last snapshot and all that was appended after it.
+	Snapshot [][]byte
+	// Archive holds records that stay in force until a later compaction drops them, so that it need not repeat them.
+	Archive []Archive
+	// Drop holds the ids of archives that are no longer in force. Those that do not exist are ignored.
+	Drop []int64
+}
+
+// Archive is a record that is kept in a row of its own. An owner must not use an id for two different records, and a new
+// owner only higher ids than those in force.
+type Archive struct {
+	ID     int64
+	Record []byte // at most MaxRecordBytes
+}
+
 // Opener opens the journal of a partition that this daemon owns.
 type Opener interface {
-	// Open returns the journal and the records that are in force, oldest first: those of the last snapshot and of the
+	// Open returns the journal and the records that are in force, oldest first: the archives, the last snapshot and the
 	// segments after it.
 	Open(ctx context.Context, g ownership.Guard) (Log, [][]byte, error)
 }
--- a/journal/rows.go
+++ b/journal/rows.go
@@ -28,6 +28,12 @@
 	Records [][]byte `json:"records"`
 }
 
+// archiveRow is the value of an archive's row.
+type archiveRow struct {
+	Tag    string `json:"tag"`
+	Record []byte `json:"record"`
+}
+
 // position is the place of a segment, or the last segment that a snapshot covers.
 type position struct{ epoch, seq int64 }
 
@@ -38,6 +44,12 @@
 func segmentPrefix(partition string) string  { return "journal/" + partition + "/" }
 func snapshotPrefix(partition string) string { return "snapshot/" + partition + "/" }
 
+func archivePrefix(partition string) string { return "archive/" + partition + "/" }
+
+func archiveKey(partition string, id int64) string {
+	return fmt.Sprintf("%s%016d", archivePrefix(partition), id)
+}
+
 func segmentKey(partition string, p position) string {
 	return fmt.Sprintf("%s%010d/%012d", segmentPrefix(partition), p.epoch, p.seq)
 }
@@ -107,6 +119,10 @@
 	if err != nil {
 		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
+	archives, err := table.ScanAll(ctx, c, archivePrefix(g.Partition()))
+	if err != nil {
+		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
 	segs, err := table.ScanAll(ctx, c, segmentPrefix(g.Partition()))
 	if err != nil {
 		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
@@ -118,7 +134,10 @@
 	if err := out.addSnapshot(g.Partition(), snaps); err != nil {
 		return replayed{}, err
 	}
-	return out, out.addSegments(g, segs)
+	if err := out.addSegments(g, segs); err != nil {
+		return replayed{}, err
+	}
+	return out, out.addArchives(archives)
 }
 
 func checkOwned(ctx context.Context, c table.Client, g ownership.Guard) error {
@@ -161,6 +180,20 @@
 	return nil
 }
 
+// addArchives puts the archives before the other records.
+func (r *replayed) addArchives(rows []table.Row) error {
+	records := make([][]byte, 0, len(rows)+len(r.records))
+	for _, row := range rows {
+		var v archiveRow
+		if err := json.Unmarshal(row.Value, &v); err != nil {
+			return errors.Wrapf(ErrCorrupt, "row %q: %v", row.Key, err)
+		}
+		records = append(records, v.Record)
+	}
+	r.records = append(records, r.records...)
+	return nil
+}
+
 // addSegments appends the records of the segments after the snapshot. The segments of an epoch are numbered without
 // gaps, so a gap means lost rows.
 func (r *replayed) addSegments(g ownership.Guard, rows []table.Row) error {
