Measure the control cost of placements and idle workers

Cause: the capacity page worked out messages, bytes and table writes per placement and per worker from the sizes of single messages. The calls that a placement causes beyond its start were not counted anywhere.

Ruled out: virtual time. testing/synctest needs a *testing.T, and running a test from inside a benchmark is not supported, so the benchmarks use real time and fixed loads instead of b.N. Counting renewals per placement without the idle ones: at 10 placements a second the idle renewals of 50 workers are most of the traffic, so the idle rate is measured first and subtracted.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -1,4 +1,3 @@
-// Package capacity measures the slopes from which docs/CAPACITY.md works out the load of each role.
 package capacity
 
 import (
--- /dev/null
+++ b/internal/capacity/traffic_test.go
@@ -0,0 +1,288 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+const (
+	poolWorkers = 50
+	// settleTime covers the first renewals, the journaling of the workers and the spreading of the later renewals.
+	settleTime = 5 * time.Second
+	// idleWindow is a multiple of the interval of the renewals, so that every worker has the same number in it.
+	idleWindow = 4 * time.Second
+	loadTime   = 4 * time.Second
+	endTimeout = 30 * time.Second
+	runTime    = 100 * time.Millisecond
+)
+
+var machine = worker.Resources{CPUMilli: 32_000, MemoryMB: 131_072}
+
+// fakeWorkers are workers without faults. A task of a service runs for good, any other for its declared time.
+type fakeWorkers struct {
+	noWorkers
+	mu    sync.Mutex
+	list  []membership.Endpoint
+	tasks map[string]map[worker.TaskRef]started // by address
+	acked int
+}
+
+type started struct {
+	worker.Start
+	at time.Time
+}
+
+func (f *fakeWorkers) Workers(string) []membership.Endpoint { return f.list }
+
+func (f *fakeWorkers) Start(_ context.Context, addr string, s worker.Start) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tasks[addr][worker.TaskRef{TaskID: s.TaskID, Attempt: s.Attempt}] = started{s, time.Now()}
+	return nil
+}
+
+func (f *fakeWorkers) Renew(_ context.Context, addr string, r worker.Renew) (worker.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rep := worker.Report{WorkerID: addr, BootID: "0123456789abcdef", MaxEpoch: r.Epoch, Capacity: machine, Tasks: []worker.Task{}}
+	for ref, s := range f.tasks[addr] {
+		t := worker.Task{
+			TaskID: ref.TaskID, Attempt: ref.Attempt, State: worker.Running, Resources: s.Resources, Usage: s.Resources,
+			RemainingLeaseMS: r.LeaseMS,
+		}
+		if s.Kind != string(job.Service) && time.Since(s.at) >= time.Duration(s.RunMS)*time.Millisecond {
+			t.State, t.Usage = worker.Done, worker.Resources{}
+		}
+		rep.Tasks = append(rep.Tasks, t)
+	}
+	return rep, nil
+}
+
+func (f *fakeWorkers) Ack(_ context.Context, addr string, a worker.Ack) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, ref := range a.Tasks {
+		if _, ok := f.tasks[addr][ref]; ok {
+			delete(f.tasks[addr], ref)
+			f.acked++
+		}
+	}
+	return nil
+}
+
+func (f *fakeWorkers) Stop(context.Context, string, string, worker.Order) error       { return nil }
+func (f *fakeWorkers) Throttle(context.Context, string, string, worker.Order) error   { return nil }
+func (f *fakeWorkers) Checkpoint(context.Context, string, string, worker.Order) error { return nil }
+
+// controlled is a pool with its journal in a table in memory and its workers behind a Counter.
+type controlled struct {
+	store     *table.Memory
+	committer *journal.Committer
+	workers   *fakeWorkers
+	counter   *Counter
+	pool      *job.Pool
+	jobs      int
+}
+
+const controlledPart = "pool/textos/0"
+
+func newControlled(b *testing.B) *controlled {
+	c := &controlled{store: table.NewMemory(), workers: &fakeWorkers{tasks: map[string]map[worker.TaskRef]started{}}}
+	for i := range poolWorkers {
+		addr := id(i)
+		c.workers.tasks[addr] = map[worker.TaskRef]started{}
+		c.workers.list = append(c.workers.list, membership.Endpoint{
+			ID: addr, Addr: addr, FailureDomain: fmt.Sprintf("gt-central-%d", i%4), Rack: fmt.Sprintf("textos-rack-%02d", i/6),
+		})
+	}
+	g := owned{controlledPart}
+	_, _ = c.store.Commit(context.Background(), table.Txn{Ops: []table.Op{{Key: g.RowKey(), Value: []byte("{}")}}})
+	// The rate of one of eight daemons.
+	c.committer = journal.NewCommitter(c.store, journal.Config{CommitsPerSecond: 26})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = c.committer.Run(ctx); close(done) }()
+	c.counter = NewCounter(c.workers)
+	c.pool = job.New(job.Config{CompactBytes: 1 << 30}, job.Deps{
+		Journals: c.committer, Members: c.workers, Plans: everything{}, Workers: c.counter,
+	})
+	if err := c.pool.Start(ctx, g); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { c.pool.Stop(ctx, controlledPart, false); cancel(); <-done })
+	time.Sleep(settleTime)
+	return c
+}
+
+// submit accepts one job.
+func (c *controlled) submit(b *testing.B, n int, s job.Spec) {
+	s.Customer, s.Key = fmt.Sprintf("customer-%03d", n%690), fmt.Sprintf("batch-%06d", n)
+	if _, err := c.pool.Submit(context.Background(), controlledPart, s); err != nil {
+		b.Error(err)
+	}
+}
+
+// reading is what a pool has used so far.
+type reading struct {
+	Traffic
+	writes, journal int64
+	at              time.Time
+}
+
+func (c *controlled) read() reading {
+	return reading{c.counter.Traffic(), c.store.Stats().Commits, c.committer.Stats().Bytes, time.Now()}
+}
+
+// rates are per worker and second.
+type rates struct{ messages, bytes, writes float64 }
+
+func (c *controlled) idle() rates {
+	before := c.read()
+	time.Sleep(idleWindow)
+	after := c.read()
+	n := poolWorkers * after.at.Sub(before.at).Seconds()
+	t := after.Minus(before.Traffic)
+	return rates{float64(t.Messages()) / n, float64(t.Bytes) / n, float64(after.writes-before.writes) / n}
+}
+
+// BenchmarkIdleWorker is the control traffic of a worker whose tasks neither start nor end.
+func BenchmarkIdleWorker(b *testing.B) {
+	for _, tasks := range []int{0, 5, 20} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			c := newControlled(b)
+			if tasks > 0 {
+				size := worker.Resources{CPUMilli: machine.CPUMilli / int64(tasks), MemoryMB: machine.MemoryMB / int64(tasks)}
+				c.submit(b, 0, job.Spec{Kind: job.Service, Tasks: tasks * poolWorkers, Resources: size})
+				time.Sleep(settleTime)
+				if n := c.counter.Traffic().Starts; n != int64(tasks*poolWorkers) {
+					b.Fatalf("%d tasks started", n)
+				}
+			}
+			var r rates
+			for b.Loop() {
+				r = c.idle()
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(r.messages, "messages/s")
+			b.ReportMetric(r.bytes, "B/s")
+			b.ReportMetric(r.writes, "writes/s")
+		})
+	}
+}
+
+// BenchmarkPlacement is the control cost of the placements of short tasks, from the acceptance of the job to the last
+// acknowledgement, beyond that of idle workers. Jobs arrive at a steady rate whatever became of the earlier ones.
+func BenchmarkPlacement(b *testing.B) {
+	c := newControlled(b)
+	idle := c.idle()
+	for _, load := range []struct{ tasks, jobsPerSecond int }{{1, 10}, {1, 1000}, {100, 10}} {
+		for _, idempotent := range []bool{true, false} {
+			name := fmt.Sprintf("tasks=%d/rate=%d/idempotent=%t", load.tasks, load.jobsPerSecond, idempotent)
+			b.Run(name, func(b *testing.B) {
+				spec := job.Spec{
+					Kind: job.Batch, Tasks: load.tasks, Idempotent: idempotent, RunMS: runTime.Milliseconds(),
+					Resources: worker.Resources{CPUMilli: 50, MemoryMB: 32},
+				}
+				placed := 0
+				before, began := c.read(), time.Now()
+				for b.Loop() {
+					placed += c.run(b, spec, load.jobsPerSecond)
+				}
+				after, took := c.read(), time.Since(began).Seconds()
+				t := after.Minus(before.Traffic)
+				if t.Starts != int64(placed) {
+					b.Fatalf("%d starts of %d tasks", t.Starts, placed)
+				}
+				perPlacement := func(total int64, idle float64, unit string) {
+					b.ReportMetric((float64(total)-idle*poolWorkers*took)/float64(placed), unit+"/placement")
+				}
+				b.ReportMetric(0, "ns/op")
+				perPlacement(t.Messages(), idle.messages, "messages")
+				perPlacement(t.Renewals, idle.messages, "renewals")
+				perPlacement(t.Bytes, idle.bytes, "B")
+				perPlacement(after.writes-before.writes, idle.writes, "writes")
+				perPlacement(after.journal-before.journal, 0, "journal-B")
+			})
+		}
+	}
+}
+
+// run submits jobs for loadTime and waits until all tasks have ended. It returns the number of tasks.
+func (c *controlled) run(b *testing.B, s job.Spec, jobsPerSecond int) int {
+	jobs := int(loadTime.Seconds()) * jobsPerSecond
+	acked := func() int { c.workers.mu.Lock(); defer c.workers.mu.Unlock(); return c.workers.acked }
+	want := acked() + jobs*s.Tasks
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range jobs {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(jobsPerSecond))))
+		n := c.jobs
+		c.jobs++
+		wg.Go(func() { c.submit(b, n, s) })
+	}
+	wg.Wait()
+	for acked() < want {
+		if time.Since(began) > loadTime+endTimeout {
+			b.Fatalf("%d tasks have not ended", want-acked())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return jobs * s.Tasks
+}
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkWorkerHeaders is what HTTP adds to the bodies of one renewal and its report, TCP and IP not counted.
+func BenchmarkWorkerHeaders(b *testing.B) {
+	const report = `{"worker_id":"textos-worker-07","tasks":[]}`
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, report)
+	}))
+	defer srv.Close()
+	var bytes atomic.Int64
+	c := worker.NewHTTPClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return countedConn{conn, &bytes}, err
+	})
+	defer c.Close()
+	renew, addr := worker.Renew{Epoch: 7, LeaseMS: 15000, Tasks: []worker.TaskRef{}}, strings.TrimPrefix(srv.URL, "http://")
+	for b.Loop() {
+		if _, err := c.Renew(context.Background(), addr, renew); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N)-size(b, renew)-float64(len(report)), "headers-B/message")
+}
