Print one table from make measure, with ratios to direct calls

Cause: make measure printed a table per run, so what the daemons add had to be worked out by hand from two tables. Table writes were an average over a whole run, which hides a second above the limit of 300.

Ruled out: ratios of the whole latency, since the minions' work (5 ms, and 200 ms for bulk) hides what the daemons add; the table compares the latency beyond the work. Computing placements a second in the shell, which includes the start of a process per poll: the load tool submits the job itself.

The last line of the table says whether the writes stayed under 300. The figures by class and the codes are in the reports only.

--- a/cmd/greengageload/main.go
+++ b/cmd/greengageload/main.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/greengagewing/greengagewing/internal/load"
@@ -18,9 +19,9 @@
 )
 
 type options struct {
-	Entries     []string      `long:"entry" env:"GREENGAGELOAD_ENTRIES" env-delim:"," required:"true" description:"IP:port of a callers' listener; repeat for more"`
+	Entries     []string      `long:"entry" env:"GREENGAGELOAD_ENTRIES" env-delim:"," description:"IP:port of a callers' listener; repeat for more"`
 	Service     string        `long:"service" env:"GREENGAGELOAD_SERVICE" default:"textos" description:"service to call"`
-	Rate        float64       `long:"rate" env:"GREENGAGELOAD_RATE" default:"200" description:"requests a second"`
+	Rate        float64       `long:"rate" env:"GREENGAGELOAD_RATE" default:"200" description:"requests a second; 0 sends none"`
 	Duration    time.Duration `long:"duration" env:"GREENGAGELOAD_DURATION" default:"10s" description:"length of the run, at most 5m"`
 	CrestFactor float64       `long:"crest-factor" env:"GREENGAGELOAD_CREST_FACTOR" default:"1" description:"rate during the crest as a multiple"`
 	CrestAt     time.Duration `long:"crest-at" env:"GREENGAGELOAD_CREST_AT" default:"4s" description:"start of the crest"`
@@ -32,7 +33,11 @@
 	Customers   int           `long:"customers" env:"GREENGAGELOAD_CUSTOMERS" default:"100" description:"number of customers, named customer-0 and up"`
 	Seed        uint64        `long:"seed" env:"GREENGAGELOAD_SEED" default:"1" description:"seed of the arrivals"`
 	Direct      bool          `long:"direct" env:"GREENGAGELOAD_DIRECT" description:"the entries are minions, for comparison"`
-	JSON        bool          `long:"json" env:"GREENGAGELOAD_JSON" description:"print JSON"`
+	Tasks       int           `long:"tasks" env:"GREENGAGELOAD_TASKS" description:"run one job of that many tasks instead of requests"`
+	Control     string        `long:"control" env:"GREENGAGELOAD_CONTROL" description:"IP:port of the stand-in's control listener, to count the table's writes"`
+	Name        string        `long:"name" env:"GREENGAGELOAD_NAME" default:"run" description:"name of the run in its report"`
+	JSON        bool          `long:"json" env:"GREENGAGELOAD_JSON" description:"print the report as JSON"`
+	Compare     []string      `long:"compare" description:"print one table of the JSON reports in these files, with ratios to the direct run; repeat for more"`
 }
 
 const maxDuration = 5 * time.Minute
@@ -42,6 +47,10 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
+	if len(o.Entries) == 0 && len(o.Compare) == 0 {
+		fmt.Fprintln(os.Stderr, "--entry or --compare is required")
+		os.Exit(2)
+	}
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -49,19 +58,61 @@
 }
 
 func run(o options) error {
+	if len(o.Compare) > 0 {
+		return compare(o.Compare)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	duration := min(o.Duration, maxDuration)
-	target := load.Target{Entries: o.Entries, Service: o.Service, RunID: strconv.FormatInt(time.Now().UnixNano(), 36), Direct: o.Direct}
-	samples, err := load.Run(ctx, pattern(o, duration), target)
-	if err != nil {
+	report, err := measure(ctx, o)
+	switch {
+	case err != nil:
 		return err
+	case o.JSON:
+		return json.NewEncoder(os.Stdout).Encode(report)
+	case o.Tasks > 0:
+		fmt.Printf("%.0f tasks a second\n", report.TasksASecond)
+		return nil
+	default:
+		return load.WriteTable(os.Stdout, report.Classes)
+	}
+}
+
+// measure makes one run and counts the table's writes meanwhile, if the control address is known.
+func measure(ctx context.Context, o options) (report load.Report, err error) {
+	f := func() (err error) { report, err = generate(ctx, o); return err }
+	if o.Control == "" {
+		err = f()
+		return report, err
 	}
-	lines := load.Summarize(samples, duration)
-	if o.JSON {
-		return json.NewEncoder(os.Stdout).Encode(lines)
+	writes, err := load.CountWrites(ctx, o.Control, f)
+	report.Writes = &writes
+	return report, err
+}
+
+func generate(ctx context.Context, o options) (load.Report, error) {
+	id := strconv.FormatInt(time.Now().UnixNano(), 36)
+	target := load.Target{Entries: o.Entries, Service: o.Service, RunID: id, Direct: o.Direct}
+	if o.Tasks > 0 {
+		took, err := load.RunTasks(ctx, target, o.Tasks)
+		return load.Report{Run: o.Name, TasksASecond: float64(o.Tasks) / took.Seconds()}, err
+	}
+	duration := min(o.Duration, maxDuration)
+	samples, err := load.Run(ctx, pattern(o, duration), target)
+	return load.NewReport(o.Name, o.Direct, samples, duration), err
+}
+
+func compare(files []string) error {
+	reports := make([]load.Report, len(files))
+	for i, name := range files {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(raw, &reports[i]); err != nil {
+			return errors.Wrap(err, name)
+		}
 	}
-	return load.WriteTable(os.Stdout, lines)
+	return load.WriteComparison(os.Stdout, reports)
 }
 
 func pattern(o options, duration time.Duration) load.Pattern {
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -10,7 +10,7 @@
 
 // Pattern describes the arrivals.
 type Pattern struct {
-	Rate        float64       // requests a second
+	Rate        float64       // requests a second; 0: none
 	Duration    time.Duration // of the whole run
 	CrestFactor float64       // the rate during the crest is Rate x CrestFactor; 1: no crest
 	CrestAt     time.Duration
@@ -38,6 +38,9 @@
 
 // Arrivals returns the whole stream of a pattern; the same seed gives the same stream.
 func (p Pattern) Arrivals() []Arrival {
+	if p.Rate <= 0 {
+		return nil
+	}
 	rng := rand.New(rand.NewPCG(p.Seed, 1))
 	var out []Arrival
 	for at := time.Duration(0); ; {
--- /dev/null
+++ b/internal/load/comparison.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/request"
+)
+
+// ErrNoDirectRun says that there is no run to compare the others with.
+var ErrNoDirectRun = errors.New("load: no report of a direct run")
+
+// MaxWrites is the commits a second that the table service is to take from all daemons together.
+const MaxWrites = 300
+
+// AllClasses is the class of the line over all samples.
+const AllClasses request.Class = "all"
+
+// Report is what one run gave.
+type Report struct {
+	Run          string  `json:"run"`
+	Direct       bool    `json:"direct"`
+	All          Line    `json:"all"`
+	Classes      []Line  `json:"classes"`
+	TasksASecond float64 `json:"tasks_per_second,omitempty"` // of a run of tasks
+	Writes       *Writes `json:"writes,omitempty"`           // nil: not counted
+}
+
+// NewReport sums up the samples of one run.
+func NewReport(name string, direct bool, samples []Sample, run time.Duration) Report {
+	return Report{Run: name, Direct: direct, All: summarize(AllClasses, samples, run), Classes: Summarize(samples, run)}
+}
+
+// WriteComparison writes one table with a row for each report. Latencies are those of done requests beyond the minions'
+// work; their ratios are to the first direct run.
+func WriteComparison(w io.Writer, reports []Report) error {
+	var direct *Report
+	for i := range reports {
+		if reports[i].Direct && direct == nil {
+			direct = &reports[i]
+		}
+	}
+	if direct == nil {
+		return ErrNoDirectRun
+	}
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "run\tsent\tdone\tnot run\tunknown\twrong\tadded p50\tadded p99\tp50/direct\tp99/direct\t"+
+		"writes/s\tworst second\tplacements/s")
+	for _, r := range reports {
+		l, writes := r.All, Writes{}
+		if r.Writes != nil {
+			writes = *r.Writes
+		}
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Run, l.Sent,
+			share(l.Done, l.Sent), share(l.NotRun, l.Sent), share(l.Unknown, l.Sent), l.Wrong,
+			latency(l, l.AddedP50), latency(l, l.AddedP99),
+			ratio(l, l.AddedP50, direct.All.AddedP50), ratio(l, l.AddedP99, direct.All.AddedP99),
+			number(writes.PerSecond, r.Writes != nil), number(writes.WorstSecond, r.Writes != nil),
+			number(r.TasksASecond, r.TasksASecond > 0))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(w, verdict(reports))
+	return err
+}
+
+const none = "-"
+
+func share(n, of int) string {
+	if of == 0 {
+		return none
+	}
+	return fmt.Sprintf("%.2f %%", 100*float64(n)/float64(of))
+}
+
+func latency(l Line, d time.Duration) string {
+	if l.Done == 0 {
+		return none
+	}
+	return round(d).String()
+}
+
+func ratio(l Line, d, direct time.Duration) string {
+	if l.Done == 0 || direct <= 0 {
+		return none
+	}
+	return fmt.Sprintf("%.2f", float64(d)/float64(direct))
+}
+
+func number(x float64, known bool) string {
+	if !known {
+		return none
+	}
+	return fmt.Sprintf("%.0f", x)
+}
+
+// verdict says whether the table's writes stayed under MaxWrites.
+func verdict(reports []Report) string {
+	worst, counted := 0.0, false
+	for _, r := range reports {
+		if r.Writes != nil {
+			worst, counted = max(worst, r.Writes.WorstSecond, r.Writes.PerSecond), true
+		}
+	}
+	switch {
+	case !counted:
+		return "table writes were not counted"
+	case worst < MaxWrites:
+		return fmt.Sprintf("table writes stayed under %d a second: yes, at most %.0f in a second", MaxWrites, worst)
+	default:
+		return fmt.Sprintf("table writes stayed under %d a second: NO, up to %.0f in a second", MaxWrites, worst)
+	}
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +53,33 @@
 		So(errors.Is(err, ErrNotLoopback), ShouldBeTrue)
 	})
 }
+
+// TestComparison guards against ratios to anything but the direct run, and against a burst of writes that the average of
+// its run hides.
+func TestComparison(t *testing.T) {
+	Convey("Reports are compared with the direct run, wherever it is", t, func() {
+		at := func(ms int64) time.Time { return time.UnixMilli(ms) }
+		readings := []reading{{at(0), 100}, {at(1000), 399}, {at(2000), 400}, {at(2100), 520}}
+		calm := countWrites(readings)
+		So(calm.WorstSecond, ShouldEqual, 299)
+		So(calm.PerSecond, ShouldEqual, 200)
+		samples := func(d time.Duration) []Sample {
+			return []Sample{{Outcome: request.Done, Latency: d + time.Second, Work: time.Second}, {Outcome: request.NotRun}}
+		}
+		daemons := NewReport("daemons", false, samples(9*time.Millisecond), time.Second)
+		daemons.Writes = &calm
+		reports := []Report{daemons, NewReport("minions", true, samples(2*time.Millisecond), time.Second)}
+		var out strings.Builder
+		So(WriteComparison(&out, reports), ShouldBeNil)
+		lines := strings.Split(out.String(), "\n")
+		So(strings.Fields(lines[1]), ShouldResemble,
+			strings.Fields("daemons 2 50.00 % 50.00 % 0.00 % 0 9ms 9ms 4.50 4.50 200 299 -"))
+		So(strings.Fields(lines[2])[10:], ShouldResemble, strings.Fields("2ms 2ms 1.00 1.00 - - -")[1:])
+		So(lines[3], ShouldContainSubstring, "yes")
+
+		readings[1].commits++
+		*reports[0].Writes = countWrites(readings)
+		So(verdict(reports), ShouldContainSubstring, "NO")
+		So(errors.Is(WriteComparison(&out, reports[:1]), ErrNoDirectRun), ShouldBeTrue)
+	})
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -46,7 +46,8 @@
 	return nil
 }
 
-// Run sends all arrivals at their times, whether or not earlier ones were answered, and returns what callers got.
+// Run sends all arrivals at their times, whether or not earlier ones were answered, and returns what callers got. It
+// takes at least the duration of the pattern.
 func Run(ctx context.Context, p Pattern, t Target) ([]Sample, error) {
 	if err := t.check(); err != nil {
 		return nil, err
@@ -66,6 +67,7 @@
 		}
 		wg.Go(func() { samples[i] = send(ctx, hc, t, p.Mix[a.Share], a.Customer, i) })
 	}
+	wait.For(ctx, time.Until(start.Add(p.Duration)))
 	wg.Wait()
 	return samples, nil
 }
@@ -105,14 +107,14 @@
 // post sends a request to a random daemon.
 func post(ctx context.Context, hc *http.Client, t Target, s Share, body []byte) (request.Outcome, error) {
 	var out request.Outcome
-	_, err := exchange(ctx, hc, t, s, "/v1/services/"+t.Service+"/requests", body, &out)
+	_, err := attempt(ctx, hc, t, s, "/v1/services/"+t.Service+"/requests", body, &out)
 	return out, err
 }
 
 // execute sends an attempt to a random minion.
 func execute(ctx context.Context, hc *http.Client, t Target, s Share, body []byte) (request.Outcome, error) {
 	var result json.RawMessage
-	status, err := exchange(ctx, hc, t, s, "/v1/execute", body, &result)
+	status, err := attempt(ctx, hc, t, s, "/v1/execute", body, &result)
 	switch {
 	case status == http.StatusServiceUnavailable:
 		return request.Refuse(request.CodeNoMinion, "no free slot", 0), nil
@@ -122,15 +124,23 @@
 	return request.Outcome{Outcome: request.Done, Result: result}, nil
 }
 
-func exchange(ctx context.Context, hc *http.Client, t Target, s Share, path string, body []byte, out any) (int, error) {
+// attempt posts to a random entry.
+func attempt(ctx context.Context, hc *http.Client, t Target, s Share, path string, body []byte, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout+callSlack)
 	defer cancel()
 	url := "http://" + t.Entries[rand.IntN(len(t.Entries))] + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	return exchange(ctx, hc, http.MethodPost, url, http.Header{request.HeaderAttemptID: {t.RunID}}, body, out)
+}
+
+// exchange makes one call and decodes its response whatever the status.
+func exchange(ctx context.Context, hc *http.Client, method, url string, h http.Header, body []byte, out any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
-	req.Header.Set(request.HeaderAttemptID, t.RunID)
+	for name, values := range h {
+		req.Header[name] = values
+	}
 	resp, err := hc.Do(req)
 	if err != nil {
 		return 0, err
--- /dev/null
+++ b/internal/load/tasks.go
@@ -0,0 +1,49 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+const (
+	taskTime    = 100 * time.Millisecond
+	jobPoll     = 50 * time.Millisecond
+	jobCustomer = "customer-1"
+)
+
+// RunTasks submits one job of n idempotent tasks to the pool that is named like the service, and returns how long it
+// took from its submission until it was done.
+func RunTasks(ctx context.Context, t Target, n int) (time.Duration, error) {
+	if err := t.check(); err != nil {
+		return 0, err
+	}
+	payload, _ := json.Marshal(work{Key: t.RunID, WorkMS: taskTime.Milliseconds()})
+	body, _ := json.Marshal(job.Spec{
+		Customer: jobCustomer, Key: t.RunID, Kind: job.Batch, Class: job.Normal, Idempotent: true, Tasks: n,
+		Resources: job.Resources{CPUMilli: 50, MemoryMB: 32}, RunMS: taskTime.Milliseconds(), Payload: payload,
+	})
+	hc := &http.Client{Timeout: callSlack}
+	defer hc.CloseIdleConnections()
+	jobs := "http://" + t.Entries[rand.IntN(len(t.Entries))] + "/v1/pools/" + t.Service + "/jobs"
+	began := time.Now()
+	var st job.Status
+	status, err := exchange(ctx, hc, http.MethodPost, jobs, nil, body, &st)
+	for err == nil && status < http.StatusMultipleChoices && !st.State.Final() && wait.For(ctx, jobPoll) {
+		status, err = exchange(ctx, hc, http.MethodGet, jobs+"/"+jobCustomer+"/"+t.RunID, nil, nil, &st)
+	}
+	switch {
+	case err != nil:
+		return 0, errors.Wrap(err, "run tasks")
+	case st.State != job.Done:
+		return 0, errors.Errorf("run tasks: status %d, job is %q", status, st.State)
+	}
+	return time.Since(began), nil
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Measures the real processes on this machine: the platform's stand-in and three daemons (or $1).
 #
-# It prints what callers got, beside direct calls to the minions in the same run: in calm, with a crest of ten times the
-# rate, and with a daemon killed. It also prints the store's commits a second and the daemons' processor time and
-# memory, idle and under load. Bounded in time; ends only what it started.
+# It prints one table with a row per run: idle, direct calls to the minions, the same load through the daemons, with a
+# crest of ten times the rate, with one daemon killed, and a job of 10,000 tasks through one pool owner. greengageload
+# computes all columns, with the ratios to the direct calls. Processor time and memory of the first daemon and the
+# stand-in's audit follow. Bounded in time; ends only what it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 daemons=${1:-3}
@@ -54,41 +55,35 @@
 sleep 2
 
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
-commits() { curl -s "http://127.0.0.1:$control/v1/table" | sed 's/.*"commits":\([0-9]*\).*/\1/'; }
-# usage NAME SECONDS COMMAND... runs a command and prints what it cost the first daemon and the store.
-usage() {
-  local name=$1 seconds=$2 cpu before
-  shift 2
-  cpu=$(ticks "${pids[1]}") before=$(commits)
-  "$@"
-  echo "$name: first daemon $(((($(ticks "${pids[1]}") - cpu) * 10) / seconds)) ms of processor a second," \
-    "$(awk '/VmRSS/ {print int($2 / 1024)}' "/proc/${pids[1]}/status") MB resident; store $((($(commits) - before) / seconds)) commits a second"
+load() {
+  bin/greengageload --service textos --bulk-share 0.05 --long-work 200ms --timeout 2s --control 127.0.0.1:$control --json "$@"
+}
+reports=()
+# measure NAME FLAGS... makes one run, keeps its report, and notes what it cost the first daemon.
+measure() {
+  local name=$1 cpu began report
+  shift
+  report="$out/report-${#reports[@]}.json"
+  echo "measuring: $name" >&2
+  cpu=$(ticks "${pids[1]}") began=$(date +%s%N)
+  load --name "$name" "$@" >"$report"
+  reports+=(--compare "$report")
+  echo "$name: $(((($(ticks "${pids[1]}") - cpu) * 10000) / (($(date +%s%N) - began) / 1000000))) ms of processor a second," \
+    "$(awk '/VmRSS/ {print int($2 / 1024)}' "/proc/${pids[1]}/status") MB resident" >>"$out/first-daemon"
 }
-load() { bin/greengageload --service textos --bulk-share 0.05 --long-work 200ms --timeout 2s "$@"; }
 direct=()
 for i in $(seq 0 49); do direct+=(--entry 127.0.0.1:$((minions + i))); done
 
-echo "== idle"
-usage idle 10 sleep 10
-echo "== 300 requests a second, straight to the minions"
-load "${direct[@]}" --direct --rate 300 --duration 10s
-echo "== 300 requests a second, through $daemons daemons"
-usage calm 10 load "${entries[@]}" --rate 300 --duration 10s
-echo "== crest of 3,000 requests a second for 2 s of 10 s"
-usage crest 10 load "${entries[@]}" --rate 300 --duration 10s --crest-factor 10
-echo "== 10,000 tasks of 100 ms, idempotent"
-began=$(date +%s%N)
-bin/greengagectl submit job --pool textos --customer customer-1 --key batch --tasks 10000 --cpu-milli 50 --memory-mb 32 \
-  --run 100ms --idempotent --payload '{"key":"batch","work_ms":100}' >/dev/null
-for _ in $(seq 600); do
-  state=$(bin/greengagectl --output json status job textos customer-1 batch 2>/dev/null || true)
-  case $state in *'"state":"done"'* | *'"state": "done"'*) break ;; esac
-  sleep 0.1
-done
-took=$((($(date +%s%N) - began) / 1000000))
-echo "done after $took ms: $((10000 * 1000 / took)) tasks a second"
-echo "== 300 requests a second, last daemon killed after 5 s of 20 s"
+measure "idle" "${entries[@]}" --rate 0 --duration 10s
+measure "direct to minions, 300/s" "${direct[@]}" --direct --rate 300 --duration 10s
+measure "$daemons daemons, 300/s" "${entries[@]}" --rate 300 --duration 10s
+measure "$daemons daemons, crest of 3,000/s" "${entries[@]}" --rate 300 --duration 10s --crest-factor 10
+measure "10,000 tasks of 100 ms" "${entries[@]}" --tasks 10000
+disown "${pids[-1]}" # or the shell reports the kill between the results
 (sleep 5 && kill -9 "${pids[-1]}") &
-load "${survivors[@]}" --rate 300 --duration 20s
-echo "== audit"
-curl -s "http://127.0.0.1:$control/v1/audit" | grep -o '"violations": *\[[^]]*\]'
+measure "one daemon killed after 5 of 20 s" "${survivors[@]}" --rate 300 --duration 20s
+
+bin/greengageload "${reports[@]}"
+echo "first daemon:"
+cat "$out/first-daemon"
+echo "audit: $(curl -s "http://127.0.0.1:$control/v1/audit" | grep -o '"violations": *\[[^]]*\]')"
