Take the waits of the job package from internal/wait

Cause: renewLoop, scheduleLoop, pollLoop and drain used tickers, and the spread of renewals is 0 for some workers. With Go 1.26.8, the race detector and testing/synctest, a timer or ticker that is already due can crash the runtime inside a test. The package also had its own sleep and its own wait on two contexts.

Ruled out: two timers in each loop (one for the interval, one for the signal), which repeats the same select in three places.

Change: wait.ForOrSignal and wait.EveryOrSignal, of which For and Every are the cases without a signal. The loops use them. Intervals still count from start to start; a signal adds a call and does not move the others. Different: a call that is late by a whole interval moves the following ones instead of keeping the ticker's phase, and the scheduling loop makes its first round at once instead of after 250 ms or the first signal.

Before: 4 tickers and 3 timers in internal/job. After: none. go test -race -count=5 ./internal/wait ./internal/job passes (382 s for the job package); go test ./internal/systemtest passes.

Conclusion: no loop of the package arms a timer while it works.

--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
@@ -39,27 +40,10 @@
 }
 
 func (p *partition) renewLoop(ctx context.Context, w *workerBook) {
-	tick := time.NewTicker(renewInterval)
-	defer tick.Stop()
 	// The first renewals of all workers come at once; the later ones are spread over the interval.
 	p.renew(ctx, w)
-	spread := time.NewTimer(renewInterval * time.Duration(bucket(w.id, renewSlots)) / renewSlots)
-	defer spread.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-w.kick:
-	case <-spread.C:
-	}
-	tick.Reset(renewInterval)
-	for {
-		p.renew(ctx, w)
-		select {
-		case <-ctx.Done():
-			return
-		case <-w.kick:
-		case <-tick.C:
-		}
+	if wait.ForOrSignal(ctx, renewInterval*time.Duration(bucket(w.id, renewSlots))/renewSlots, w.kick) {
+		wait.EveryOrSignal(ctx, renewInterval, w.kick, func(ctx context.Context) { p.renew(ctx, w) })
 	}
 }
 
--- a/internal/job/gate.go
+++ b/internal/job/gate.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // gatePoll is the interval at which a closed gate is tried again. Compactions are rare and take a few commits.
@@ -60,14 +62,7 @@
 		if ok {
 			return true
 		}
-		t := time.NewTimer(gatePoll)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return false
-		case <-owner.Done():
-			t.Stop()
+		if !wait.ForOrSignal(ctx, gatePoll, owner.Done()) || owner.Err() != nil {
 			return false
 		}
 	}
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/ownership"
 )
@@ -161,13 +162,9 @@
 	p.mu.Lock()
 	p.draining = true
 	p.mu.Unlock()
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
 	for !p.idle() {
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, drainPoll) {
 			return
-		case <-tick.C:
 		}
 	}
 	if err := p.log.Flush(ctx); err != nil {
@@ -252,7 +249,7 @@
 		if errors.Is(err, journal.ErrFenced) || p.ctx.Err() != nil {
 			return false
 		}
-		if !p.sleep(journalRetry) {
+		if !wait.For(p.ctx, journalRetry) {
 			return false
 		}
 	}
@@ -267,27 +264,8 @@
 	return true
 }
 
-func (p *partition) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-p.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (p *partition) scheduleLoop() {
-	tick := time.NewTicker(roundInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-p.ctx.Done():
-			return
-		case <-p.wake:
-		case <-tick.C:
-		}
+	wait.EveryOrSignal(p.ctx, roundInterval, p.wake, func(ctx context.Context) {
 		p.mu.Lock()
 		began := time.Now()
 		if p.round(began) {
@@ -296,10 +274,10 @@
 		took := time.Since(began)
 		p.mu.Unlock()
 		// With very many waiting jobs a round is long. Reports and submissions get the books for as long as it took.
-		if took > roundPause && !p.sleep(took) {
-			return
+		if took > roundPause {
+			wait.For(ctx, took)
 		}
-	}
+	})
 }
 
 // cancelLoop stops what remains of abandoned jobs, a chunk of tasks at a time.
@@ -344,18 +322,11 @@
 }
 
 func (p *partition) pollLoop() {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
-	for {
+	wait.Every(p.ctx, pollInterval, func(context.Context) {
 		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.poll(time.Now())
-		p.mu.Unlock()
-		select {
-		case <-p.ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
+	})
 }
 
 // poll reads the membership list and handles everything that is due by time.
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // restore rebuilds the books from journal records. Workers' reports complete them.
@@ -157,7 +159,7 @@
 }
 
 func (p *partition) compactLoop() {
-	for p.sleep(pollInterval) {
+	for wait.For(p.ctx, pollInterval) {
 		if p.log.Bytes() < p.cfg.CompactBytes || !p.log.Healthy() {
 			continue
 		}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -14,7 +14,10 @@
 func NewTimer(d time.Duration) *time.Timer { return time.NewTimer(max(d, minTimer)) }
 
 // For waits for d and returns true, or returns false as soon as ctx ends. It does not wait if d is not positive.
-func For(ctx context.Context, d time.Duration) bool {
+func For(ctx context.Context, d time.Duration) bool { return ForOrSignal(ctx, d, nil) }
+
+// ForOrSignal is For, but returns true earlier when signal is received from or closed.
+func ForOrSignal(ctx context.Context, d time.Duration, signal <-chan struct{}) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
@@ -23,6 +26,8 @@
 	select {
 	case <-t.C:
 		return true
+	case <-signal:
+		return true
 	case <-ctx.Done():
 		return false
 	}
@@ -34,10 +39,19 @@
 // It sets a new timer for each round instead of using a ticker: with Go 1.26.8 a ticker in a synctest bubble crashed the
 // runtime under the race detector.
 func Every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+	EveryOrSignal(ctx, interval, nil, fn)
+}
+
+// EveryOrSignal is Every with one more call of fn for each value received from signal. These do not put off the calls
+// of the interval.
+func EveryOrSignal(ctx context.Context, interval time.Duration, signal <-chan struct{}, fn func(context.Context)) {
+	var next time.Time
 	for ctx.Err() == nil {
-		next := time.Now().Add(interval)
+		if now := time.Now(); !now.Before(next) {
+			next = now.Add(interval)
+		}
 		fn(ctx)
-		if !For(ctx, max(time.Until(next), minTimer)) {
+		if !ForOrSignal(ctx, max(time.Until(next), minTimer), signal) {
 			return
 		}
 	}
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -30,6 +30,18 @@
 				})
 				So(starts[:4], ShouldResemble, []time.Duration{0, 2 * time.Second, 4 * time.Second, 6700*time.Millisecond + minTimer})
 			})
+			Convey("a signal ends a wait early and adds a call to a loop without moving the others", func() {
+				signal := make(chan struct{}, 1)
+				time.AfterFunc(time.Second, func() { signal <- struct{}{} })
+				So(ForOrSignal(ctx, time.Hour, signal), ShouldBeTrue)
+				So(time.Since(began), ShouldEqual, time.Second)
+				time.AfterFunc(5*time.Second, func() { signal <- struct{}{} })
+				var starts []time.Duration
+				EveryOrSignal(ctx, 2*time.Second, signal, func(context.Context) { starts = append(starts, time.Since(began)) })
+				So(starts, ShouldResemble, []time.Duration{
+					time.Second, 3 * time.Second, 5 * time.Second, 6 * time.Second, 7 * time.Second, 9 * time.Second,
+				})
+			})
 		})
 	})
 }
