Take the other waits that may be due from internal/wait

With Go 1.26.8, the race detector and testing/synctest, a timer that is already due can crash the runtime inside a test.

Ruled out: timers with a constant, positive duration (internal/peer); they are never due when they are set.

A wait of less than 1 ms, an overdue poll and the commit of records that nobody waits for now take 1 ms. The loop of a request partition ticks at once instead of after a timer of 0.

Before: 7 timers set directly in these packages.

Conclusion: the daemon's loops share one kind of timer.

--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -15,6 +15,7 @@
 
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
 )
@@ -143,16 +144,16 @@
 
 // loop applies changes that come with time: expired requests, ends of ejections, and the membership list.
 func (p *partition) loop() {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	for {
+		t := wait.NewTimer(p.tick(time.Now()))
 		select {
 		case <-p.stopLoop:
+			t.Stop()
 			return
 		case <-p.wake:
-		case <-timer.C:
+		case <-t.C:
 		}
-		timer.Reset(p.tick(time.Now()))
+		t.Stop()
 	}
 }
 
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -14,6 +14,7 @@
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
@@ -193,7 +194,7 @@
 
 // wait returns the outcome of a call, or unknown when the caller's time is over first.
 func (p *partition) wait(ctx context.Context, c *call, timeout time.Duration) Outcome {
-	timer := time.NewTimer(timeout)
+	timer := wait.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-c.done:
--- a/journal/committer.go
+++ b/journal/committer.go
@@ -230,13 +230,7 @@
 		case !some:
 			delay = idleWait
 		}
-		t := time.NewTimer(delay)
-		select {
-		case <-c.wake:
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
+		wait.ForOrSignal(ctx, delay, c.wake)
 	}
 	return false
 }
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -155,7 +155,7 @@
 	for ctx.Err() == nil {
 		session, sessions := m.keeper.Changed(), m.observer.Changed()
 		m.decide(ctx)
-		t := time.NewTimer(m.cfg.DecideInterval)
+		t := wait.NewTimer(m.cfg.DecideInterval)
 		select {
 		case <-ctx.Done():
 		case <-session:
--- a/ownership/tenure.go
+++ b/ownership/tenure.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
 )
@@ -247,15 +248,9 @@
 			m.released(ctx, p, row, version)
 			return
 		}
-		t := time.NewTimer(m.cfg.RetryDelay)
-		select {
-		case <-t.C:
-		case <-g.lost:
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.ForOrSignal(ctx, m.cfg.RetryDelay, g.lost) {
 			return
 		}
-		t.Stop()
 	}
 }
 
--- a/session/keeper.go
+++ b/session/keeper.go
@@ -521,10 +521,8 @@
 		if done {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, k.cfg.RetryDelay) {
 			return errors.Wrapf(ctx.Err(), "close session: %v", err)
-		case <-time.After(k.cfg.RetryDelay):
 		}
 	}
 }
--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -200,16 +200,17 @@
 func (f *Follower) followStore(ctx context.Context) {
 	next := time.Now().Add(f.cfg.Poll)
 	for {
-		due, stop := dueAt(next)
+		t := wait.NewTimer(time.Until(next))
 		select {
-		case <-due:
+		case <-t.C:
 			next = nextPoll(next, f.cfg.Poll)
 		case <-f.polls:
 		case <-ctx.Done():
-			stop()
+		}
+		t.Stop()
+		if ctx.Err() != nil {
 			return
 		}
-		stop()
 		f.readStore(ctx)
 	}
 }
@@ -217,9 +218,9 @@
 func (f *Follower) followPeers(ctx context.Context) {
 	next := time.Now().Add(f.cfg.Poll)
 	for {
-		due, stop := dueAt(next)
+		t := wait.NewTimer(time.Until(next))
 		select {
-		case <-due:
+		case <-t.C:
 			next = nextPoll(next, f.cfg.Poll)
 			f.askPeers(ctx)
 		case h := <-f.hints:
@@ -227,26 +228,11 @@
 				f.pull(ctx, h.peer)
 			}
 		case <-ctx.Done():
-			stop()
+			t.Stop()
 			return
 		}
-		stop()
-	}
-}
-
-// closed is a channel for polls that are overdue.
-var closed = func() chan time.Time { c := make(chan time.Time); close(c); return c }()
-
-// dueAt returns a channel that is ready at a time, and a function that releases it. Unlike a time.Ticker it is not
-// armed while a poll runs: with Go 1.26.8, a ticker that elapses while nobody waits for it can crash a test that uses
-// the race detector and testing/synctest.
-func dueAt(at time.Time) (due <-chan time.Time, stop func() bool) {
-	d := time.Until(at)
-	if d <= 0 {
-		return closed, func() bool { return true }
+		t.Stop()
 	}
-	t := time.NewTimer(d)
-	return t.C, t.Stop
 }
 
 // nextPoll returns the time of the poll after one that was due at last. Polls that were missed are skipped.
