Split the partition, control and book files of the job package by duty

A reader had to know the whole file to find one duty.

Ruled out: separate packages or types. The duties share the books under one lock, so a split would add interfaces without separating state.

Declarations move unchanged; constants stand where they are used. Each file begins with what a reader needs to know.

Conclusion: no change of behaviour.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -9,6 +9,8 @@
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 )
 
+// The books: jobs, tasks, workers and the attempts that are placed on them. All of it is guarded by the partition's mu.
+
 // job is a job on the owner's books.
 type job struct {
 	id          string
@@ -31,13 +33,6 @@
 	placed int // placements on the books
 }
 
-// gangState is the progress of a gang's current start.
-type gangState struct {
-	confirmBy time.Time // zero unless a start is under way
-	undoing   bool
-	retries   int
-}
-
 func (j *job) ended() bool { return !j.endedAt.IsZero() }
 
 // open returns the number of tasks that have not ended.
@@ -410,53 +405,3 @@
 		p.abandon(t.job, Failed, "a task of the gang was lost")
 	}
 }
-
-// gangLost is called when a task of a gang waits again: the rest of the gang is undone.
-func (p *partition) gangLost(j *job, now time.Time) {
-	if !j.gang.undoing {
-		j.gang.undoing = true
-		for _, t := range j.tasks {
-			if t.place != nil {
-				p.stopPlaced(t.place, stopUndo, now)
-			}
-		}
-	}
-	p.gangStep(j, now)
-}
-
-const (
-	gangConfirmTimeout = 10 * time.Second // for all starts of a gang
-	gangRetryMin       = 5 * time.Second
-	gangRetryMax       = time.Minute
-)
-
-// gangStep queues an undone gang again once nothing of it is on the books.
-func (p *partition) gangStep(j *job, now time.Time) {
-	if j.spec.Kind != Gang || !j.gang.undoing || j.placed > 0 || j.ended() {
-		return
-	}
-	j.gang.undoing, j.gang.confirmBy = false, time.Time{}
-	if j.cancelled {
-		return
-	}
-	for _, t := range j.tasks {
-		if t.finishing || t.held {
-			j.gang.undoing = true // its result, or the end of the wait after a takeover, comes first
-			return
-		}
-	}
-	delay := min(gangRetryMin<<min(j.gang.retries, 8), gangRetryMax)
-	j.gang.retries++
-	p.count("gangs_undone", 1)
-	if j.open() > 0 {
-		p.enqueueGang(j, now, now.Add(delay))
-	}
-}
-
-// gangConfirmed ends the start phase of a gang once all its tasks run.
-func (j *job) gangConfirmed() {
-	if j.gang.confirmBy.IsZero() || j.counts[Starting] > 0 || j.counts[Pending] > 0 {
-		return
-	}
-	j.gang.confirmBy, j.gang.retries = time.Time{}, 0
-}
--- /dev/null
+++ b/internal/job/cancel.go
@@ -0,0 +1,111 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/journal"
+)
+
+// A cancellation is journaled in the call and takes effect in a loop of its own, so that a burst of cancellations neither
+// holds the books for long nor delays starts.
+
+const (
+	cancelQueue = 1024 // jobs
+	cancelChunk = 64   // tasks that the cancellation loop handles before it yields the books
+)
+
+func (p *partition) cancelByKey(ctx context.Context, customer, key string) (Status, error) {
+	p.mu.Lock()
+	j := p.find(customer, key)
+	switch {
+	case j == nil:
+		p.mu.Unlock()
+		return Status{}, refuse(CodeNotFound, 0, "no job with this key")
+	case j.ended() || j.cancelled:
+		defer p.mu.Unlock()
+		return j.status(), nil
+	case len(p.cancels)+p.cancelling >= cancelQueue:
+		p.mu.Unlock()
+		return Status{}, refuse(CodeQueueFull, retrySoon, "too many cancellations are waiting")
+	case !p.log.Healthy():
+		p.mu.Unlock()
+		return Status{}, refuse(CodeStoreUnavailable, retryStore, "the cancellation cannot be journaled now")
+	}
+	p.cancelling++
+	p.mu.Unlock()
+	if !p.gate.enter(ctx, p.ctx) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.cancelling--
+		return Status{}, refuse(CodeStoreUnavailable, retrySoon, "the journal is being compacted")
+	}
+	defer p.gate.leave()
+	err := p.log.Append(ctx, record{T: recordCancel, At: time.Now(), Job: j.id, State: Cancelled}.encode())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancelling--
+	switch {
+	case err == nil:
+		p.abandon(j, Cancelled, "cancelled by the customer")
+		p.count("cancellations", 1)
+		return j.status(), nil
+	case errors.Is(err, journal.ErrFenced):
+		return Status{}, refuse(CodeNoOwner, retrySoon, "another daemon owns %s", p.name)
+	case errors.Is(err, journal.ErrNotWritten):
+		return Status{}, refuse(CodeStoreUnavailable, retryStore, "the cancellation was not journaled")
+	}
+	return Status{}, &Refusal{
+		Code: CodeOutcomeUnknown, Message: "the cancellation may take effect", Kept: KeptMaybe, RetryAfter: retryStore,
+	}
+}
+
+func (p *partition) giveUp(j *job, reason string, now time.Time) {
+	if !j.cancelled && !j.ended() {
+		p.journalAsync(record{T: recordCancel, At: now, Job: j.id, State: Failed, Reason: reason})
+		p.abandon(j, Failed, reason)
+	}
+}
+
+// cancelLoop stops what remains of abandoned jobs, a chunk of tasks at a time.
+func (p *partition) cancelLoop() {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.wakeCancel:
+		}
+		for p.cancelJob() {
+		}
+	}
+}
+
+func (p *partition) cancelJob() bool {
+	p.mu.Lock()
+	if len(p.cancels) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	j := p.cancels[0]
+	p.cancels = p.cancels[1:]
+	tasks := j.tasks
+	p.mu.Unlock()
+	for len(tasks) > 0 {
+		n := min(cancelChunk, len(tasks))
+		p.mu.Lock()
+		now := time.Now()
+		for _, t := range tasks[:n] {
+			switch {
+			case t.place != nil:
+				p.stopPlaced(t.place, stopEnd, now)
+			case t.state == Pending && !t.held && !t.finishing:
+				p.endTask(t, j.endAs, now)
+			}
+		}
+		p.mu.Unlock()
+		tasks = tasks[n:]
+	}
+	return true
+}
--- /dev/null
+++ b/internal/job/commands.go
@@ -0,0 +1,162 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/job/worker"
+)
+
+// Each worker has a loop that sends its starts and orders, one at a time. The books are unlocked during a call; its
+// outcome is applied afterwards. A start whose response was lost counts as possibly running.
+
+// maxSends bounds the starts of one attempt whose responses are lost.
+const maxSends = 3
+
+func (p *partition) commandLoop(ctx context.Context, w *workerBook) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		for ctx.Err() == nil && p.command(ctx, w) {
+		}
+	}
+}
+
+// command sends the next start or order. They take turns, so that a wave of cancellations leaves half of the control
+// budget to starts.
+func (p *partition) command(ctx context.Context, w *workerBook) bool {
+	p.mu.Lock()
+	if w.misses > 0 {
+		w.orders = nil // each would take a timeout; the next report repeats them
+	}
+	if len(w.starts) == 0 && len(w.orders) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	w.turn = !w.turn
+	if len(w.orders) == 0 || w.turn && len(w.starts) > 0 {
+		pl := w.starts[0]
+		w.starts = w.starts[1:]
+		p.sendStart(ctx, w, pl)
+		return true
+	}
+	o := w.orders[0]
+	w.orders = w.orders[1:]
+	addr := w.addr
+	p.mu.Unlock()
+	p.sendOrder(ctx, addr, o)
+	return true
+}
+
+func (p *partition) sendOrder(ctx context.Context, addr string, o order) {
+	body := worker.Order{Attempt: o.ref.Attempt, Epoch: p.guard.Epoch()}
+	send := p.deps.Workers.Stop
+	switch o.verb {
+	case verbThrottle:
+		send = p.deps.Workers.Throttle
+	case verbCheckpoint:
+		send = p.deps.Workers.Checkpoint
+	}
+	if p.guard.Check() != nil {
+		return
+	}
+	// The next report shows whether the order had its effect; if not, it is repeated.
+	_ = send(ctx, addr, o.ref.TaskID, body)
+}
+
+// sendStart is called with the books locked and unlocks them.
+func (p *partition) sendStart(ctx context.Context, w *workerBook, pl *placed) {
+	now := time.Now()
+	if !pl.current() || pl.phase != phaseSend {
+		p.mu.Unlock()
+		return
+	}
+	if pl.sends > 0 && w.misses > 0 {
+		pl.phase = phaseSent // sent again after the next report
+		p.mu.Unlock()
+		return
+	}
+	if pl.sends == 0 && (pl.task.job.cancelled || !w.node.Open()) {
+		p.unstart(pl, now, 0)
+		p.mu.Unlock()
+		return
+	}
+	t, s := pl.task, pl.task.job.spec
+	msg := worker.Start{
+		TaskID: t.id, Attempt: pl.attempt, Epoch: p.guard.Epoch(), LeaseMS: taskLease.Milliseconds(),
+		Resources: s.Resources, Kind: string(s.Kind), RunMS: s.RunMS, Payload: s.Payload,
+	}
+	msg.NotAfterMS = w.notAfter(now)
+	before := pl.leaseUntil
+	pl.phase, pl.inFlight, pl.lostAt = phaseSent, true, time.Time{}
+	pl.sends++
+	pl.leaseUntil = now.Add(leaseEnd)
+	addr := w.addr
+	p.mu.Unlock()
+
+	err := errors.Wrap(worker.ErrNotDelivered, "not the owner")
+	if p.guard.Check() == nil {
+		err = p.deps.Workers.Start(ctx, addr, msg)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.inFlight = false
+	if !pl.current() {
+		return
+	}
+	p.startSent(pl, err, before, time.Now())
+}
+
+// startSent applies the outcome of a start.
+func (p *partition) startSent(pl *placed, err error, before, now time.Time) {
+	t := pl.task
+	switch {
+	case err == nil:
+		pl.leaseUntil = now.Add(leaseEnd)
+		p.confirm(pl, now)
+		p.count("starts", 1)
+	case !errors.Is(err, worker.ErrNotDelivered):
+		pl.lostAt, pl.leaseUntil = now, now.Add(leaseEnd)
+		p.count("starts_lost", 1)
+	case pl.sends > 1:
+		pl.lostAt, pl.leaseUntil = now, before // an earlier send may have started it
+	default:
+		p.startRefused(pl, err, now)
+		p.unstart(pl, now, t.retryDelay())
+	}
+}
+
+func (p *partition) startRefused(pl *placed, err error, now time.Time) {
+	p.count("starts_refused", 1)
+	w := pl.w
+	if errors.Is(err, worker.ErrLeaving) {
+		p.deps.Members.ReportLeaving(w.id)
+		p.leave(w, now)
+		return
+	}
+	if errors.Is(err, worker.ErrStaleEpoch) {
+		return
+	}
+	p.noteFailure(w, pl.task.job.id, now)
+}
+
+// confirm notes that an attempt certainly started.
+func (p *partition) confirm(pl *placed, now time.Time) {
+	if pl.phase == phaseConfirmed {
+		return
+	}
+	pl.phase, pl.confirmed = phaseConfirmed, now
+	if pl.task.state == Starting {
+		pl.task.setState(Running)
+		pl.task.startedAt = now
+	}
+	pl.task.job.gangConfirmed()
+	if pl.stop != stopNone {
+		pl.w.order(verbStop, worker.TaskRef{TaskID: pl.task.id, Attempt: pl.attempt})
+	}
+}
--- /dev/null
+++ b/internal/job/drain.go
@@ -0,0 +1,51 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+// Before a handover, a partition starts nothing new and waits until its books agree with the journal and no start is
+// under way. Running tasks stay on their workers for the successor.
+
+const drainPoll = 20 * time.Millisecond
+
+// drain stops scheduling and returns once no start is under way and all results are journaled, or ctx ends.
+func (p *partition) drain(ctx context.Context) {
+	p.mu.Lock()
+	p.draining = true
+	p.mu.Unlock()
+	for !p.idle() {
+		if !wait.For(ctx, drainPoll) {
+			return
+		}
+	}
+	if err := p.log.Flush(ctx); err != nil {
+		p.zap.Warn("journal not flushed at handover", zap.Error(err))
+	}
+}
+
+func (p *partition) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.journalCh) > 0 || p.cancelling > 0 || p.finishing > 0 {
+		return false
+	}
+	for _, w := range p.workers {
+		for _, pl := range w.placed {
+			if pl.phase == phaseJournal || pl.phase == phaseSend || pl.inFlight {
+				return false
+			}
+		}
+	}
+	for _, j := range p.jobs {
+		if !j.accepted {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/job/gang.go
@@ -0,0 +1,63 @@
+package job
+
+import "time"
+
+// All tasks of a gang start together. If one start fails, the gang is undone: its other tasks are stopped, and it is
+// queued again after a delay when nothing of it is on the books.
+
+const (
+	gangConfirmTimeout = 10 * time.Second // for all starts of a gang
+	gangRetryMin       = 5 * time.Second
+	gangRetryMax       = time.Minute
+)
+
+// gangState is the progress of a gang's current start.
+type gangState struct {
+	confirmBy time.Time // zero unless a start is under way
+	undoing   bool
+	retries   int
+}
+
+// gangLost is called when a task of a gang waits again: the rest of the gang is undone.
+func (p *partition) gangLost(j *job, now time.Time) {
+	if !j.gang.undoing {
+		j.gang.undoing = true
+		for _, t := range j.tasks {
+			if t.place != nil {
+				p.stopPlaced(t.place, stopUndo, now)
+			}
+		}
+	}
+	p.gangStep(j, now)
+}
+
+// gangStep queues an undone gang again once nothing of it is on the books.
+func (p *partition) gangStep(j *job, now time.Time) {
+	if j.spec.Kind != Gang || !j.gang.undoing || j.placed > 0 || j.ended() {
+		return
+	}
+	j.gang.undoing, j.gang.confirmBy = false, time.Time{}
+	if j.cancelled {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.finishing || t.held {
+			j.gang.undoing = true // its result, or the end of the wait after a takeover, comes first
+			return
+		}
+	}
+	delay := min(gangRetryMin<<min(j.gang.retries, 8), gangRetryMax)
+	j.gang.retries++
+	p.count("gangs_undone", 1)
+	if j.open() > 0 {
+		p.enqueueGang(j, now, now.Add(delay))
+	}
+}
+
+// gangConfirmed ends the start phase of a gang once all its tasks run.
+func (j *job) gangConfirmed() {
+	if j.gang.confirmBy.IsZero() || j.counts[Starting] > 0 || j.counts[Pending] > 0 {
+		return
+	}
+	j.gang.confirmBy, j.gang.retries = time.Time{}, 0
+}
--- /dev/null
+++ b/internal/job/poll.go
@@ -0,0 +1,107 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+// Once per pollInterval, a partition reads the membership list and handles what is due by time: deadlines of jobs and
+// gangs, and ended jobs whose retention is over.
+
+const pollInterval = time.Second // of the membership list and of deadlines
+
+func (p *partition) pollLoop() {
+	wait.Every(p.ctx, pollInterval, func(context.Context) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.poll(time.Now())
+	})
+}
+
+// poll reads the membership list and handles everything that is due by time.
+func (p *partition) poll(now time.Time) {
+	p.readMembers(now)
+	p.trySettle(now)
+	for _, w := range p.workers {
+		p.refresh(w, now)
+	}
+	for _, j := range p.deadlines {
+		if now.After(j.at.Add(time.Duration(j.spec.TimeoutMS) * time.Millisecond)) {
+			delete(p.deadlines, j.id)
+			p.giveUp(j, "timeout_ms has passed", now)
+		}
+	}
+	for id, j := range p.gangs {
+		if j.gangConfirmed(); j.gang.confirmBy.IsZero() || j.ended() {
+			delete(p.gangs, id)
+		} else if now.After(j.gang.confirmBy) {
+			delete(p.gangs, id)
+			j.gang.confirmBy = time.Time{}
+			p.gangLost(j, now)
+		}
+	}
+	p.expire(now)
+	p.scope.Gauge("waiting").Update(float64(p.queue.waiting()))
+	p.scope.Gauge("workers").Update(float64(len(p.workers)))
+}
+
+func (p *partition) readMembers(now time.Time) {
+	listed := map[string]bool{}
+	p.eligible = 0
+	for _, e := range p.deps.Members.Workers(p.pool) {
+		if bucket(e.ID, p.cfg.Partitions) != p.number {
+			continue
+		}
+		listed[e.ID] = true
+		w := p.workers[e.ID]
+		if w == nil {
+			w = newWorkerBook(e.ID, e.Addr, e.FailureDomain, e.Rack)
+			p.workers[e.ID] = w
+			p.control(w)
+		}
+		if e.Leaving && !w.leaving {
+			p.zap.Info("worker is leaving", zap.String("worker", w.id))
+		}
+		w.addr, w.listed, w.leaving = e.Addr, true, e.Leaving
+		if w.leaving {
+			p.moveAway(w, now)
+		} else {
+			p.eligible++
+		}
+	}
+	for id, w := range p.workers {
+		if listed[id] {
+			continue
+		}
+		w.listed = false
+		idle := len(w.placed) == 0 && len(w.unknown) == 0
+		if idle && now.Sub(w.lastSeen) > leaseEnd && now.Sub(p.started) > leaseEnd {
+			p.removeWorker(w, now)
+		}
+	}
+}
+
+// removeWorker drops a worker that is not listed any more and on which nothing runs.
+func (p *partition) removeWorker(w *workerBook, now time.Time) {
+	delete(p.workers, w.id)
+	if w.node != nil {
+		p.index.Remove(w.node)
+	}
+	w.quit()
+	if w.enrolled {
+		p.journalAsync(record{T: recordGone, At: now, Worker: w.id})
+	}
+}
+
+func (p *partition) expire(now time.Time) {
+	for len(p.endedJobs) > 0 && now.Sub(p.endedJobs[0].endedAt) > p.cfg.Retention {
+		j := p.endedJobs[0]
+		p.endedJobs = p.endedJobs[1:]
+		delete(p.jobs, j.id)
+		p.dropFromCustomer(j)
+	}
+}
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -10,6 +10,9 @@
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
+// After a takeover, the books are rebuilt from the journal, and workers' reports complete them. A task that may still run
+// somewhere is held back until the partition is settled. The journal is compacted to records that restore the same books.
+
 // restore rebuilds the books from journal records. Workers' reports complete them.
 func (p *partition) restore(records [][]byte) error {
 	for _, raw := range records {
@@ -158,6 +161,61 @@
 	slices.SortStableFunc(p.endedJobs, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
 }
 
+// trySettle ends the wait after a takeover: once every worker has reported, or every lease that the previous owner can
+// have given has expired, a task that was not found does not run.
+func (p *partition) trySettle(now time.Time) {
+	if p.settled {
+		return
+	}
+	if now.Before(p.base.Add(leaseEnd)) {
+		if len(p.workers) == 0 {
+			return
+		}
+		for _, w := range p.workers {
+			if !w.reported {
+				return
+			}
+		}
+	}
+	p.settled = true
+	for _, j := range p.jobs {
+		if j.accepted && !j.ended() {
+			p.settleJob(j, now)
+		}
+	}
+}
+
+func (p *partition) settleJob(j *job, now time.Time) {
+	found, missing := 0, 0
+	for _, t := range j.tasks {
+		switch {
+		case t.place != nil || t.finishing:
+			found++
+		case t.held:
+			t.held = false
+			missing++
+			if j.cancelled {
+				p.endTask(t, j.endAs, now)
+			} else if j.spec.Kind != Gang {
+				p.enqueueTask(t, now, now)
+			}
+		}
+	}
+	if j.spec.Kind != Gang || j.cancelled || j.ended() {
+		return
+	}
+	switch {
+	case j.gang.undoing:
+		p.gangStep(j, now)
+	case missing > 0 && found > 0:
+		p.gangLost(j, now)
+	case missing > 0:
+		p.enqueueGang(j, now, now)
+	}
+}
+
+const compactTimeout = 5 * time.Second
+
 func (p *partition) compactLoop() {
 	for wait.For(p.ctx, pollInterval) {
 		if p.log.Bytes() < p.cfg.CompactBytes || !p.log.Healthy() {
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -1,10 +1,12 @@
 package job
 
 import (
+	"context"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
@@ -14,6 +16,9 @@
 	reserveAfter = 30 * time.Second
 	// reserveFor bounds a reservation, so that one that never completes does not withhold workers.
 	reserveFor = 10 * time.Minute
+
+	roundInterval = 250 * time.Millisecond
+	roundPause    = 5 * time.Millisecond
 )
 
 // reservation withholds workers from other jobs until one job fits. There is at most one at a time, so that two jobs
@@ -25,6 +30,22 @@
 	until time.Time
 }
 
+func (p *partition) scheduleLoop() {
+	wait.EveryOrSignal(p.ctx, roundInterval, p.wake, func(ctx context.Context) {
+		p.mu.Lock()
+		began := time.Now()
+		if p.round(began) {
+			signal(p.wake)
+		}
+		took := time.Since(began)
+		p.mu.Unlock()
+		// With very many waiting jobs a round is long. Reports and submissions get the books for as long as it took.
+		if took > roundPause {
+			wait.For(ctx, took)
+		}
+	})
+}
+
 // round places queued tasks until nothing more fits. It returns true if it stopped at its limit.
 func (p *partition) round(now time.Time) bool {
 	if p.draining {
--- /dev/null
+++ b/internal/job/submit.go
@@ -0,0 +1,202 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/job/placement"
+	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/journal"
+)
+
+// A job is put on the books undecided, journaled, and then accepted. Calls with the same key wait for the decision, so a
+// key stands for one job only.
+
+const (
+	retrySoon  = time.Second
+	retryStore = 2 * time.Second
+)
+
+func (p *partition) submit(ctx context.Context, s Spec) (Status, error) {
+	j, st, err := p.propose(ctx, s)
+	if j == nil {
+		return st, err
+	}
+	rec := record{T: recordJob, At: j.at, Job: j.id, Spec: &s, Fingerprint: j.fingerprint}
+	if !p.gate.enter(ctx, p.ctx) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.dropJob(j)
+		return Status{}, refuse(CodeStoreUnavailable, retrySoon, "the journal is being compacted")
+	}
+	defer p.gate.leave()
+	err = p.log.Append(ctx, rec.encode())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		p.accept(j, time.Now())
+		return j.status(), nil
+	case errors.Is(err, journal.ErrFenced):
+		p.dropJob(j)
+		return Status{}, refuse(CodeNoOwner, retrySoon, "another daemon owns %s", p.name)
+	case errors.Is(err, journal.ErrNotWritten):
+		p.dropJob(j)
+		return Status{}, refuse(CodeStoreUnavailable, retryStore, "the job was not journaled")
+	}
+	// Appending again decides whether the job is accepted; until then a call with the same key waits.
+	if !p.journal([]record{rec}, func(now time.Time) { p.accept(j, now) }) {
+		p.dropJob(j)
+	}
+	return Status{}, &Refusal{
+		Code: CodeOutcomeUnknown, Message: "the job may have been accepted", Kept: KeptMaybe, RetryAfter: retryStore,
+	}
+}
+
+// propose enters a new job on the books, undecided. It returns no job if the key is known or the job is refused.
+func (p *partition) propose(ctx context.Context, s Spec) (*job, Status, error) {
+	fingerprint := s.fingerprint()
+	for {
+		p.mu.Lock()
+		j := p.jobs[jobID(s.Customer, s.Key)]
+		if j == nil {
+			defer p.mu.Unlock()
+			if err := p.admit(s); err != nil {
+				p.count("jobs_refused", 1)
+				return nil, Status{}, err
+			}
+			return p.addJob(s, fingerprint, time.Now()), Status{}, nil
+		}
+		st, accepted := j.status(), j.accepted
+		p.mu.Unlock()
+		if j.fingerprint != fingerprint {
+			return nil, Status{}, refuse(CodeKeyReused, 0, "the key was used for another job")
+		}
+		if accepted {
+			return nil, st, nil
+		}
+		select {
+		case <-j.decided:
+		case <-ctx.Done():
+			return nil, Status{}, &Refusal{
+				Code: CodeOutcomeUnknown, Message: "the job may have been accepted", Kept: KeptMaybe, RetryAfter: retryStore,
+			}
+		case <-p.ctx.Done():
+			return nil, Status{}, &Refusal{
+				Code: CodeNoOwner, Message: "the partition moves to another daemon", Kept: KeptMaybe, RetryAfter: retrySoon,
+			}
+		}
+	}
+}
+
+// admit returns a refusal for a job that cannot be accepted now. It runs with the books locked.
+func (p *partition) admit(s Spec) error {
+	if p.draining {
+		return refuse(CodeDraining, retrySoon, "the partition is being handed over")
+	}
+	if p.guard.Check() != nil {
+		return refuse(CodeNoOwner, retrySoon, "this daemon does not own %s", p.name)
+	}
+	a, err := p.deps.Plans.Allowance(s.Customer)
+	switch {
+	case errors.Is(err, plan.ErrUnknownCustomer):
+		return refuse(CodeUnknownCustomer, 0, "customer %q holds no plan", s.Customer)
+	case err != nil:
+		return refuse(CodeStoreUnavailable, retryStore, "allowances are not confirmed")
+	}
+	if err := checkAllowance(s, a); err != nil {
+		return err
+	}
+	if n := s.needAtOnce(); p.index.Len() > 0 && p.index.FitsEmpty(s.Resources, n) < n {
+		return refuse(CodeTooLarge, 0, "%d tasks of this size do not fit on the workers of the pool", n)
+	}
+	if p.openTasks+s.Tasks > p.cfg.MaxTasks {
+		return refuse(CodeQueueFull, retryStore, "the pool has %d tasks that have not ended", p.openTasks)
+	}
+	if !p.log.Healthy() {
+		return refuse(CodeStoreUnavailable, retryStore, "the job cannot be journaled now")
+	}
+	return nil
+}
+
+// needAtOnce returns how many tasks must fit on the pool together for the job to run.
+func (s Spec) needAtOnce() int {
+	if s.Kind == Batch {
+		return 1
+	}
+	return s.Tasks
+}
+
+// checkAllowance refuses a job that the customer's allowance would never let run.
+func checkAllowance(s Spec, a plan.Allowance) error {
+	need := s.Resources.Times(s.needAtOnce())
+	over := func(code Code, what string, need, have int64) error {
+		return refuse(code, 0, "the job needs %d %s at once; the allowance is %d", need, what, have)
+	}
+	switch {
+	case s.needAtOnce() > a.Tasks:
+		return over(CodeAllowanceTasks, "tasks", int64(s.needAtOnce()), int64(a.Tasks))
+	case need.CPUMilli > a.CPUMilli:
+		return over(CodeAllowanceCPU, "cpu_milli", need.CPUMilli, a.CPUMilli)
+	case need.MemoryMB > a.MemoryMB:
+		return over(CodeAllowanceMemory, "memory_mb", need.MemoryMB, a.MemoryMB)
+	case need.Accelerators > a.Accelerators:
+		return over(CodeAllowanceAccelerators, "accelerators", need.Accelerators, a.Accelerators)
+	}
+	return nil
+}
+
+func (p *partition) addJob(s Spec, fingerprint string, at time.Time) *job {
+	j := &job{
+		id: jobID(s.Customer, s.Key), spec: s, fingerprint: fingerprint, at: at, decided: make(chan struct{}),
+		counts: map[State]int{Pending: s.Tasks},
+	}
+	if s.Kind == Service {
+		j.spread = placement.NewSpread()
+	}
+	j.tasks = make([]*task, s.Tasks)
+	for i := range j.tasks {
+		j.tasks[i] = &task{job: j, idx: i, id: taskID(j.id, i), state: Pending, size: s.Resources}
+	}
+	p.jobs[j.id] = j
+	p.customers[s.Customer] = append(p.customers[s.Customer], j)
+	p.openTasks += s.Tasks
+	return j
+}
+
+func (p *partition) accept(j *job, now time.Time) {
+	if j.accepted {
+		return
+	}
+	j.accepted = true
+	close(j.decided)
+	if j.spec.TimeoutMS > 0 {
+		p.deadlines[j.id] = j
+	}
+	p.enqueueJob(j, now)
+	p.count("jobs_accepted", 1)
+}
+
+func (p *partition) dropJob(j *job) {
+	delete(p.jobs, j.id)
+	p.dropFromCustomer(j)
+	p.openTasks -= len(j.tasks)
+	close(j.decided)
+}
+
+func (p *partition) dropFromCustomer(j *job) {
+	list := p.customers[j.spec.Customer]
+	for i, o := range list {
+		if o == j {
+			list = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(p.customers, j.spec.Customer)
+		return
+	}
+	p.customers[j.spec.Customer] = list
+}
