Acknowledge results before the next renewal

Cause: results that were journaled after a report were acknowledged after the next one, so each finished task was reported twice (BenchmarkPlacement).

Ruled out: acknowledging within the renewal (a change of the worker protocol); a message per result.

Change: acknowledgements that are due are sent before the renewal, unless the worker missed the last one: a call to a worker that does not answer would delay the renewal of its leases.

Before and after, bytes of bodies per placement: jobs of one task, 10 a second: 1,044 to 754; 1,000 a second: 1,023 to 692; jobs of 100: 945 to 668; non-idempotent 881 to 555. The number of messages is unchanged.

Conclusion: a quarter to a third less control traffic per placement.

--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -46,8 +46,27 @@
 	}
 }
 
-// renew extends the leases on a worker, applies its report and acknowledges journaled results.
+// acknowledge tells a worker which results are journaled. It comes before the renewal, so that the worker's next report
+// leaves them out.
+func (p *partition) acknowledge(ctx context.Context, w *workerBook) {
+	p.mu.Lock()
+	if len(w.acks) == 0 || w.misses > 0 { // a call to an unreachable worker would delay the renewal
+		p.mu.Unlock()
+		return
+	}
+	acks, addr := w.acks, w.addr
+	w.acks = nil
+	p.mu.Unlock()
+	if p.guard.Check() != nil {
+		return
+	}
+	// A lost acknowledgement is repeated when the worker reports the attempt again.
+	_ = p.deps.Workers.Ack(ctx, addr, worker.Ack{Epoch: p.guard.Epoch(), Tasks: acks})
+}
+
+// renew acknowledges journaled results, extends the leases on a worker and applies its report.
 func (p *partition) renew(ctx context.Context, w *workerBook) {
+	p.acknowledge(ctx, w)
 	p.mu.Lock()
 	asked := time.Now()
 	msg, renewed := p.renewal(w, asked)
@@ -59,6 +78,7 @@
 		rep, err = p.deps.Workers.Renew(ctx, addr, msg)
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := time.Now()
 	for _, pl := range renewed {
 		pl.leaseUntil = now.Add(leaseEnd) // the call may have been delivered as late as this
@@ -69,18 +89,9 @@
 			p.leave(w, now)
 		}
 		p.missed(w, now)
-		p.mu.Unlock()
 		return
 	}
 	p.applyReport(w, rep, asked, now)
-	acks := w.acks
-	w.acks = nil
-	p.mu.Unlock()
-	if len(acks) == 0 || p.guard.Check() != nil {
-		return
-	}
-	// A lost acknowledgement is repeated when the worker reports the attempt again.
-	_ = p.deps.Workers.Ack(ctx, addr, worker.Ack{Epoch: p.guard.Epoch(), Tasks: acks})
 }
 
 // renewal builds the next renewal. Attempts whose start is not confirmed and those that are to stop are left out, so
