Show wrong declared sizes in the policy table

Cause: the table compared policies only with true declared sizes, while guarantees have to hold when sizes are far off.

Change: tasks whose true processors and memory are 0.1 to 10 times what they declare (log-uniform, three fixed seeds, 50 workers, at most one worker) fill the pool until the first refusal, by first fit that trusts declared sizes and by the scheduling loop of a partition. The loop gets its reports through applyReport, so that the books, the steps against overuse and the moves are the real ones. Throttling has no effect on memory in this model. The test asserts what the design promises: after 5 min of reports no worker's memory is overcommitted, and the books hold no less than what each task uses. Ruled out: bounds on the shares in use, which nothing promises.

--- a/internal/job/policy_table_test.go
+++ b/internal/job/policy_table_test.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"maps"
+	"math"
 	"math/rand"
 	"slices"
 	"strings"
@@ -13,10 +15,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
+	"github.com/greengagewing/greengagewing/internal/job/worker"
 )
 
-// TestPolicyTable guards against a policy that packs worse than first fit or lets short tasks wait behind long ones. It
-// prints both beside a first-come-first-served, first-fit baseline on the same arrivals.
+// TestPolicyTable guards against a policy that packs worse than first fit, lets short tasks wait behind long ones, or
+// trusts declared sizes against reports. It prints each beside a first-come-first-served, first-fit baseline.
 func TestPolicyTable(t *testing.T) {
 	out := &strings.Builder{}
 	Convey("The placement policy packs at least as well as first fit", t, func() {
@@ -38,6 +41,36 @@
 			So(ours.mean(false)*10, ShouldBeLessThan, base.mean(false))
 		}
 	})
+	Convey("Once usage is reported, no worker's memory stays overcommitted and the books hold what tasks use", t, func() {
+		fmt.Fprintf(out, "\ndeclared sizes off by up to 10 times, 50 workers, %% of cpu / memory\n%5s %-33s %15s %15s\n", "seed", "policy", "in use", "workers over")
+		for seed := int64(1); seed <= 3; seed++ {
+			row := func(policy string, actual []Resources, where map[int]int) (over shares) {
+				inUse, over := trueUse(actual, where)
+				fmt.Fprintf(out, "%5d %-33s %15s %15s\n", seed, policy, inUse, over)
+				return over
+			}
+			base := newFCFS()
+			row("first fit, trusts declared sizes", fillWrongSized(seed, base, func(int, []Resources) time.Duration { return 0 }), base.where)
+			for _, reports := range []bool{false, true} {
+				s, now := newScheduled(50), time.Duration(0)
+				actual := fillWrongSized(seed, s, func(i int, actual []Resources) time.Duration {
+					if reports && i%10 == 9 {
+						now += s.report(actual, now)
+					}
+					return now
+				})
+				row(fmt.Sprintf("greengagewing, reports: %t", reports), actual, s.where())
+				// Patience and a report take 6 s, for two steps against each of up to 25 tasks of a worker.
+				for end := now + 5*time.Minute; now < end; now += s.report(actual, now) {
+					s.place(now)
+				}
+				So(row("  5 min of reports later", actual, s.where()).memory, ShouldEqual, 0)
+				for i, t := range s.tasks {
+					So(t.place == nil || actual[i].Fits(t.place.size), ShouldBeTrue)
+				}
+			}
+		}
+	})
 	t.Log(out.String())
 }
 
@@ -163,6 +196,36 @@
 	}
 }
 
+// fillWrongSized adds tasks until one is refused, and returns their true sizes. added returns the time of the next one.
+func fillWrongSized(seed int64, s scheduler, added func(i int, actual []Resources) time.Duration) (actual []Resources) {
+	rng := rand.New(rand.NewSource(seed))
+	off := func(n, most int64) int64 { return min(int64(float64(n)*math.Pow(10, 2*rng.Float64()-1)), most) }
+	for i, now := 0, time.Duration(0); ; i++ {
+		size := randomUnit(rng).size
+		actual = append(actual, Resources{CPUMilli: off(size.CPUMilli, tableWorker.CPUMilli), MemoryMB: off(size.MemoryMB, tableWorker.MemoryMB)})
+		s.arrive(i, waitArrival{run: time.Minute, size: size}, now)
+		if !slices.Contains(s.place(now), i) {
+			return actual
+		}
+		now = added(i, actual)
+	}
+}
+
+// trueUse returns what is in use, at most the capacity of each worker, and the share of workers asked for more.
+func trueUse(actual []Resources, where map[int]int) (inUse, over shares) {
+	workers := make([]Resources, 50)
+	for i, w := range where {
+		workers[w] = workers[w].Plus(actual[i])
+	}
+	for _, u := range workers {
+		part := sharesOf(u, tableWorker)
+		inUse.cpu, inUse.memory = inUse.cpu+min(part.cpu, 1)/50, inUse.memory+min(part.memory, 1)/50
+		over.cpu += float64(min(u.CPUMilli/(tableWorker.CPUMilli+1), 1)) / 50
+		over.memory += float64(min(u.MemoryMB/(tableWorker.MemoryMB+1), 1)) / 50
+	}
+	return inUse, over
+}
+
 // waitArrival is one batch task of the waiting-time table.
 type waitArrival struct {
 	at   time.Duration
@@ -349,6 +412,33 @@
 	s.p.endTask(t, Done, tableStart.Add(now))
 }
 
+// where returns the worker of each placed task.
+func (s *scheduled) where() map[int]int {
+	out := map[int]int{}
+	for w := range len(s.p.workers) {
+		for _, pl := range s.p.workers[fmt.Sprint(w)].placed {
+			out[s.index[pl.task]] = w
+		}
+	}
+	return out
+}
+
+// report carries out the orders to the workers and applies their reports. Throttling does not reduce memory here.
+func (s *scheduled) report(actual []Resources, now time.Duration) (took time.Duration) {
+	at := tableStart.Add(now)
+	for i := range len(s.p.workers) {
+		w, rep := s.p.workers[fmt.Sprint(i)], worker.Report{Capacity: tableWorker}
+		for _, pl := range slices.SortedFunc(maps.Values(w.placed), func(a, b *placed) int { return strings.Compare(a.task.id, b.task.id) }) {
+			pl.leaseUntil = at.Add(leaseEnd)
+			state := map[bool]worker.State{false: worker.Running, true: worker.Checkpointed}[pl.stop != stopNone]
+			rep.Tasks = append(rep.Tasks, worker.Task{TaskID: pl.task.id, Attempt: pl.attempt, State: state, Usage: actual[s.index[pl.task]]})
+		}
+		w.orders, w.acks, w.listed, w.enrolled = nil, nil, true, true
+		s.p.applyReport(w, rep, at, at)
+	}
+	return renewInterval
+}
+
 // BenchmarkRound measures the scheduling loop per placed task: queue, quota, decision, books and the later release.
 func BenchmarkRound(b *testing.B) {
 	for _, workers := range []int{50, 500, 5_000, 25_000} {
