Say why true use is below the books in the policy table

Change: the comment of trueUse says that the books hold at least what is declared.

Tasks that use less than they declare keep their declared size on the books, as the design says, and workers without free processors take nothing.

--- a/internal/job/policy_table_test.go
+++ b/internal/job/policy_table_test.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// trueUse returns what is in use, at most the capacity of each worker, and the share of workers asked for more.
+// trueUse returns what workers can use, and the share of them asked for more. The books hold at least what is declared.
 func trueUse(actual []Resources, where map[int]int) (inUse, over shares) {
 	workers := make([]Resources, 50)
 	for i, w := range where {
