Move tasks away from workers whose processors are overused

Cause: checkOveruse looked at memory only.

Ruled out: stopping tasks for processors, as for memory (work that cannot run again would be lost although it only runs slower); acting on a task that is over its declaration while its worker has processors to spare.

Change: memory and accelerators are checked first and processors next. A task with the largest overuse of processors is throttled and then moved if it may run again. The table's check covers processors too.

Throttling is taken to have no effect in the table.

Conclusion: within 5 minutes of reports no worker of the table is asked for more than it has.

--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -150,8 +150,7 @@
 // moveAway checkpoints what can run again elsewhere. Gangs stay, since a gang would have to move as a whole.
 func (p *partition) moveAway(w *workerBook, now time.Time) {
 	for _, pl := range w.placed {
-		s := pl.task.job.spec
-		if s.Idempotent && s.Kind != Gang && pl.phase == phaseConfirmed && pl.stop == stopNone {
+		if pl.movable() && pl.phase == phaseConfirmed && pl.stop == stopNone {
 			p.stopPlaced(pl, stopMove, now)
 		}
 	}
--- a/internal/job/policy.go
+++ b/internal/job/policy.go
@@ -126,19 +126,40 @@
 	p.requeue(t, now, t.retryDelay())
 }
 
-// checkOveruse acts when the tasks of a worker use more memory than it has: the task with the largest overuse is
-// throttled, then moved if it may run again, and stopped as a last resort.
+// usage is one kind of resource that tasks may use beyond what they declare.
+type usage struct {
+	of func(Resources) int64
+	// hard says that the worker fails when there is not enough of it. Processors are only shared by more tasks.
+	hard bool
+}
+
+var usages = []usage{
+	{of: func(r Resources) int64 { return r.MemoryMB }, hard: true},
+	{of: func(r Resources) int64 { return r.Accelerators }, hard: true},
+	{of: func(r Resources) int64 { return r.CPUMilli }},
+}
+
+// checkOveruse acts when the tasks of a worker use more than it has: the task with the largest overuse is throttled, then
+// moved if it may run again. As a last resort it is stopped, unless processors are all that is short.
 func (p *partition) checkOveruse(w *workerBook, now time.Time) {
-	if w.used.MemoryMB <= w.node.Capacity().MemoryMB {
-		return
+	for _, u := range usages {
+		if u.of(w.used) > u.of(w.node.Capacity()) {
+			p.reduce(w, u, now)
+			return
+		}
 	}
+}
+
+// reduce takes the next step against the task with the largest overuse. A step that had no effect is followed by the next
+// one when overusePatience has passed.
+func (p *partition) reduce(w *workerBook, u usage, now time.Time) {
 	var worst *placed
 	for _, pl := range w.placed {
-		over := pl.overuse()
-		if over <= 0 || pl.stop != stopNone || pl.phase != phaseConfirmed {
+		over := pl.overuse(u)
+		if over <= 0 || pl.stop != stopNone || pl.phase != phaseConfirmed || !u.hard && pl.overStage > 0 && !pl.movable() {
 			continue
 		}
-		if worst == nil || over > worst.overuse() || over == worst.overuse() && pl.task.id < worst.task.id {
+		if worst == nil || over > worst.overuse(u) || over == worst.overuse(u) && pl.task.id < worst.task.id {
 			worst = pl
 		}
 	}
@@ -151,12 +172,17 @@
 	switch {
 	case worst.overStage == 1:
 		w.order(verbThrottle, worker.TaskRef{TaskID: worst.task.id, Attempt: worst.attempt})
-	case worst.task.job.spec.Idempotent && worst.task.job.spec.Kind != Gang:
+	case worst.movable():
 		p.stopPlaced(worst, stopMove, now)
 	default:
 		p.stopPlaced(worst, stopOveruse, now)
 	}
 }
 
-// overuse is by how much an attempt exceeds its declared memory, in MB.
-func (pl *placed) overuse() int64 { return pl.size.MemoryMB - pl.task.job.spec.Resources.MemoryMB }
+// overuse is by how much an attempt exceeds what it declared.
+func (pl *placed) overuse(u usage) int64 { return u.of(pl.size) - u.of(pl.task.job.spec.Resources) }
+
+// movable says whether an attempt can be checkpointed and run again elsewhere. Gangs would have to move as a whole.
+func (pl *placed) movable() bool {
+	return pl.task.job.spec.Idempotent && pl.task.job.spec.Kind != Gang
+}
--- a/internal/job/policy_table_test.go
+++ b/internal/job/policy_table_test.go
@@ -64,7 +64,7 @@
 				for end := now + 5*time.Minute; now < end; now += s.report(actual, now) {
 					s.place(now)
 				}
-				So(row("  5 min of reports later", actual, s.where()).memory, ShouldEqual, 0)
+				So(row("  5 min of reports later", actual, s.where()), ShouldResemble, shares{})
 				for i, t := range s.tasks {
 					So(t.place == nil || actual[i].Fits(t.place.size), ShouldBeTrue)
 				}
