Make the test of overused processors fail without the change

Change: two workers, so that the task that uses 3.5 times its declared processors shares one. The test covers it as an idempotent task, which must move, and as one that may run once only, which must stay.

--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -303,25 +303,31 @@
 // TestProcessorOveruse guards against workers whose tasks use more processors than they have, and against work that is
 // stopped for it though it cannot run again.
 func TestProcessorOveruse(t *testing.T) {
-	scenario(t, "tasks move to free processors, and what runs once stays", 2, func(f *fixture, c *fakeCluster) {
-		c.runs = func(id string) fakeRun {
-			return fakeRun{time: time.Minute, usage: Resources{CPUMilli: 2000, MemoryMB: 10}, once: strings.HasPrefix(id, jobID("c", "once"))}
-		}
-		for _, key := range []string{"once1", "once2", "k1", "k2"} {
-			s := batch(key, 1, Resources{CPUMilli: 1000, MemoryMB: 10})
-			s.Idempotent = key[0] == 'k'
-			_, err := f.submit(s)
-			So(err, ShouldBeNil)
-		}
-		time.Sleep(30 * time.Second)
-		for _, w := range f.pool.State().([]PartitionState)[0].Workers {
-			So(w.Used.Fits(w.Capacity), ShouldBeTrue)
-		}
-		time.Sleep(2 * time.Minute)
-		for _, key := range []string{"once1", "once2", "k1", "k2"} {
-			So(f.counts(key), ShouldResemble, map[State]int{Done: 1})
-		}
-	})
+	for _, idempotent := range []bool{true, false} {
+		scenario(t, fmt.Sprintf("the largest overuse moves if it is idempotent: %t", idempotent), 2, func(f *fixture, c *fakeCluster) {
+			c.runs = func(id string) fakeRun {
+				if strings.HasPrefix(id, jobID("c", "big")) {
+					return fakeRun{time: time.Minute, usage: Resources{CPUMilli: 3500}, once: !idempotent}
+				}
+				return fakeRun{time: time.Minute}
+			}
+			for _, key := range []string{"big", "k1", "k2", "k3"} {
+				s := batch(key, 1, Resources{CPUMilli: 1000, MemoryMB: 10})
+				s.Idempotent = key != "big" || idempotent
+				_, err := f.submit(s)
+				So(err, ShouldBeNil)
+			}
+			time.Sleep(30 * time.Second)
+			for _, w := range f.pool.State().([]PartitionState)[0].Workers {
+				So(!idempotent || w.Used.Fits(w.Capacity), ShouldBeTrue)
+			}
+			time.Sleep(2 * time.Minute)
+			for _, key := range []string{"big", "k1", "k2", "k3"} {
+				So(f.counts(key), ShouldResemble, map[State]int{Done: 1})
+			}
+			So(c.started("big") == 1, ShouldEqual, !idempotent)
+		})
+	}
 }
 
 // TestTakeover guards against a successor that starts a task while it may still run under the previous owner.
