Share the set-up of the job and request tests

Cause: both packages set rapid's flags and the goroutine check themselves beside tabletest.Main, 18 places in the job tests submitted a job and checked that it was accepted, and three let the owner lose its session in the same steps.

Theirs inject different faults, and a common one would hold the faults of both.

Change: tabletest.MainWithChecks, fixture.accept and fixture.fence. The number of cases per property stays (40 and 30).

Conclusion: no check is weaker.

--- a/internal/job/fakes_test.go
+++ b/internal/job/fakes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand"
 	"sort"
@@ -13,26 +12,17 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
-func TestMain(m *testing.M) {
-	// Defaults; the command line overrides them.
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "40"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { tabletest.MainWithChecks(m, 40) }
 
 // fakeGuard is an ownership that a test ends.
 type fakeGuard struct {
@@ -488,6 +478,13 @@
 	return f.pool.Start(context.Background(), f.guard)
 }
 
+// fence lets the owner lose its session and starts a new one after a while. The old pool is not told.
+func (f *fixture) fence(after time.Duration) error {
+	f.guard.lost.Store(true)
+	time.Sleep(after)
+	return f.own(true)
+}
+
 func (f *fixture) handOver() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
--- a/internal/job/faults_test.go
+++ b/internal/job/faults_test.go
@@ -125,9 +125,7 @@
 // takeOver lets the owner lose its session, be fenced after the session's time to live, and resume afterwards.
 func (f *fixture) takeOver(rng *rand.Rand) error {
 	old := f.pool
-	f.guard.lost.Store(true)
-	time.Sleep(time.Duration(1000+rng.Intn(4000)) * time.Millisecond)
-	if err := f.own(true); err != nil {
+	if err := f.fence(time.Duration(1000+rng.Intn(4000)) * time.Millisecond); err != nil {
 		return err
 	}
 	time.AfterFunc(time.Duration(rng.Intn(5))*time.Second, func() { old.Stop(context.Background(), part, false) })
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -42,6 +42,12 @@
 	return ""
 }
 
+// accept submits a job that must be accepted.
+func (f *fixture) accept(s Spec) {
+	_, err := f.submit(s)
+	So(err, ShouldBeNil)
+}
+
 func (f *fixture) counts(key string) map[State]int {
 	st, err := f.pool.Status(part, "c", key)
 	So(err, ShouldBeNil)
@@ -100,8 +106,7 @@
 	scenario(t, "a lowered quota lets tasks run on and starts nothing new", 3, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: time.Minute} }
 		f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 4})
-		_, err := f.submit(batch("k", 8, small))
-		So(err, ShouldBeNil)
+		f.accept(batch("k", 8, small))
 		time.Sleep(time.Second)
 		So(f.counts("k"), ShouldResemble, map[State]int{Running: 4, Pending: 4})
 		f.plans.set(plan.Allowance{CPUMilli: 2000, MemoryMB: 1 << 20, Tasks: 4})
@@ -120,8 +125,7 @@
 		for key, idempotent := range map[string]bool{"idempotent": true, "once": false} {
 			s := batch(key, 12, small)
 			s.Idempotent = idempotent
-			_, err := f.submit(s)
-			So(err, ShouldBeNil)
+			f.accept(s)
 		}
 		time.Sleep(time.Second)
 		f.store.set(func() { f.store.down = true })
@@ -136,9 +140,7 @@
 		So(c.started("idempotent"), ShouldEqual, 12)
 		So(f.counts("idempotent")[Done], ShouldEqual, 0)
 		old := f.pool
-		f.guard.lost.Store(true)
-		time.Sleep(2 * time.Second)
-		So(f.own(true), ShouldBeNil)
+		So(f.fence(2*time.Second), ShouldBeNil)
 		old.Stop(context.Background(), part, false)
 		f.store.set(func() { f.store.down = false })
 		time.Sleep(time.Minute)
@@ -167,8 +169,7 @@
 		c.runs = func(string) fakeRun { return fakeRun{time: 5 * time.Second, once: true} }
 		s := batch("k", 1, small)
 		s.Idempotent = false
-		_, err := f.submit(s)
-		So(err, ShouldBeNil)
+		f.accept(s)
 		time.Sleep(time.Second)
 		w := c.workers[c.running(jobID("c", "k"))[0]]
 		c.set(func() { w.cutUntil = time.Now().Add(time.Minute) })
@@ -189,12 +190,10 @@
 	scenario(t, "two gangs and a stream of small tasks all run", 2, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: 8 * time.Second} }
 		for i := range 40 {
-			_, err := f.submit(batch(fmt.Sprint("s", i), 2, small))
-			So(err, ShouldBeNil)
+			f.accept(batch(fmt.Sprint("s", i), 2, small))
 			if i == 8 {
 				for _, key := range []string{"g1", "g2"} {
-					_, err := f.submit(Spec{Customer: "c", Key: key, Kind: Gang, Idempotent: true, Tasks: 6, Resources: small})
-					So(err, ShouldBeNil)
+					f.accept(Spec{Customer: "c", Key: key, Kind: Gang, Idempotent: true, Tasks: 6, Resources: small})
 				}
 			}
 			time.Sleep(2 * time.Second)
@@ -206,8 +205,7 @@
 	scenario(t, "a gang that starts only in part is undone and tried again", 2, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: 20 * time.Second} }
 		c.set(func() { c.workers["w01"].pauseEnd = time.Now().Add(12 * time.Second) })
-		_, err := f.submit(Spec{Customer: "c", Key: "g", Kind: Gang, Idempotent: true, Tasks: 2, Resources: Resources{CPUMilli: 3000, MemoryMB: 1}})
-		So(err, ShouldBeNil)
+		f.accept(Spec{Customer: "c", Key: "g", Kind: Gang, Idempotent: true, Tasks: 2, Resources: Resources{CPUMilli: 3000, MemoryMB: 1}})
 		time.Sleep(900 * time.Millisecond)
 		So(len(c.running(jobID("c", "g"))), ShouldEqual, 1)
 		time.Sleep(13 * time.Second)
@@ -221,8 +219,7 @@
 func TestLeaving(t *testing.T) {
 	scenario(t, "a service moves off a leaving worker", 2, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{} }
-		_, err := f.submit(Spec{Customer: "c", Key: "s", Kind: Service, Tasks: 2, Resources: small})
-		So(err, ShouldBeNil)
+		f.accept(Spec{Customer: "c", Key: "s", Kind: Service, Tasks: 2, Resources: small})
 		time.Sleep(time.Second)
 		So(c.running(jobID("c", "s")), ShouldResemble, []string{"w00", "w01"})
 		c.set(func() { c.workers["w00"].leaving = true })
@@ -243,8 +240,7 @@
 	scenario(t, "an unhealthy worker is quarantined and its tasks run elsewhere", 8, func(f *fixture, c *fakeCluster) {
 		c.set(func() { c.workers["w03"].failsAll = true })
 		for i := range 60 {
-			_, err := f.submit(batch(fmt.Sprint("k", i), 1, small))
-			So(err, ShouldBeNil)
+			f.accept(batch(fmt.Sprint("k", i), 1, small))
 		}
 		time.Sleep(20 * time.Second)
 		state := f.pool.State().([]PartitionState)[0]
@@ -257,8 +253,7 @@
 	scenario(t, "jobs that can never run fail and most workers stay open", 8, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: time.Second, fails: true} }
 		for i := range 20 {
-			_, err := f.submit(batch(fmt.Sprint("k", i), 1, small))
-			So(err, ShouldBeNil)
+			f.accept(batch(fmt.Sprint("k", i), 1, small))
 		}
 		time.Sleep(2 * time.Minute)
 		for i := range 20 {
@@ -287,8 +282,7 @@
 			return run
 		}
 		for _, key := range []string{"big", "k1", "k2", "k3"} {
-			_, err := f.submit(batch(key, 1, Resources{CPUMilli: 1000, MemoryMB: 2000}))
-			So(err, ShouldBeNil)
+			f.accept(batch(key, 1, Resources{CPUMilli: 1000, MemoryMB: 2000}))
 		}
 		time.Sleep(20 * time.Second)
 		for _, w := range f.pool.State().([]PartitionState)[0].Workers {
@@ -304,14 +298,11 @@
 func TestTakeover(t *testing.T) {
 	scenario(t, "a successor waits for every worker or for the end of the leases", 3, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: time.Minute} }
-		_, err := f.submit(batch("k", 3, Resources{CPUMilli: 3000, MemoryMB: 1000}))
-		So(err, ShouldBeNil)
+		f.accept(batch("k", 3, Resources{CPUMilli: 3000, MemoryMB: 1000}))
 		time.Sleep(time.Second)
 		c.set(func() { c.workers["w02"].cutUntil = time.Now().Add(time.Hour) })
 		old := f.pool
-		f.guard.lost.Store(true)
-		time.Sleep(2 * time.Second)
-		So(f.own(true), ShouldBeNil)
+		So(f.fence(2*time.Second), ShouldBeNil)
 		old.Stop(context.Background(), part, false)
 		time.Sleep(5 * time.Second)
 		So(f.counts("k"), ShouldResemble, map[State]int{Running: 2, Pending: 1})
@@ -322,8 +313,7 @@
 	scenario(t, "an owner that lost its session sends nothing more", 3, func(f *fixture, c *fakeCluster) {
 		f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 6})
 		for _, key := range []string{"stopped", "waiting"} {
-			_, err := f.submit(batch(key, 5, small))
-			So(err, ShouldBeNil)
+			f.accept(batch(key, 5, small))
 		}
 		time.Sleep(time.Second)
 		So(f.counts("waiting"), ShouldResemble, map[State]int{Running: 1, Pending: 4})
@@ -338,8 +328,7 @@
 	})
 	scenario(t, "a handover keeps tasks running and loses no accepted job", 3, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: 10 * time.Second} }
-		_, err := f.submit(batch("k", 20, small))
-		So(err, ShouldBeNil)
+		f.accept(batch("k", 20, small))
 		time.Sleep(time.Second)
 		So(f.handOver(), ShouldBeNil)
 		time.Sleep(time.Minute)
@@ -353,8 +342,7 @@
 	scenario(t, "a wave of cancellations ends and other jobs go on", 4, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: 10 * time.Second} }
 		for i := range 200 {
-			_, err := f.submit(batch(fmt.Sprint("k", i), 50, small))
-			So(err, ShouldBeNil)
+			f.accept(batch(fmt.Sprint("k", i), 50, small))
 		}
 		for i := range 199 {
 			So(f.cancel(fmt.Sprint("k", i)), ShouldBeNil)
@@ -369,8 +357,7 @@
 		p.mu.Lock()
 		p.cancels = make([]*job, cancelQueue) // the loop is not woken
 		p.mu.Unlock()
-		_, err := f.submit(batch("last", 1, small))
-		So(err, ShouldBeNil)
+		f.accept(batch("last", 1, small))
 		So(code(f.cancel("last")), ShouldEqual, CodeQueueFull)
 	})
 }
@@ -382,8 +369,7 @@
 		s := batch("deadline", 1, small)
 		s.TimeoutMS = 5000
 		for _, s := range []Spec{s, batch("open", 2, small)} {
-			_, err := f.submit(s)
-			So(err, ShouldBeNil)
+			f.accept(s)
 		}
 		time.Sleep(10 * time.Second)
 		So(f.counts("deadline"), ShouldResemble, map[State]int{Failed: 1})
@@ -406,8 +392,7 @@
 		start := worker.Start{TaskID: "stray-0", Attempt: 1, Epoch: 1, LeaseMS: 600_000, Resources: host}
 		So(c.Start(context.Background(), "w00", start), ShouldBeNil)
 		time.Sleep(2100 * time.Millisecond)
-		_, err := f.submit(batch("k", 1, small))
-		So(err, ShouldBeNil)
+		f.accept(batch("k", 1, small))
 		time.Sleep(10 * time.Second)
 		So(c.started("k"), ShouldEqual, 0)
 		c.set(func() { c.workers["w00"].ignoresOrders = false })
@@ -432,8 +417,7 @@
 			case "bulk", "urgent":
 				s.Class = Class(key)
 			}
-			_, err := f.submit(s)
-			So(err, ShouldBeNil)
+			f.accept(s)
 			if key == "running" {
 				time.Sleep(time.Second)
 				f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 2})
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -20,24 +19,16 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/goleak"
 
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
-// TestMain fixes the seed of the property tests and guards against goroutines that outlive a service.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "30", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	goleak.VerifyTestMain(m)
-}
+func TestMain(m *testing.M) { tabletest.MainWithChecks(m, 30) }
 
 // job is the payload that the fake minion understands.
 type job struct {
