Take signals, doubling delays and jitter from internal/wait

Cause: six places put a value into a channel of capacity 1 unless it is full, and five computed a doubling delay with a limit, two of them with the same jitter.

Ruled out: leaving out the limit on the shift where the count is small; the counts of failures have no bound.

All delays have the values that they had. The router's constant for a minion that is not in its list of available ones is called notAvailable (before: unboundedIndex).

Conclusion: no change of behaviour.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -7,6 +7,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // The books: jobs, tasks, workers and the attempts that are placed on them. All of it is guarded by the partition's mu.
@@ -191,13 +192,6 @@
 	ref  worker.TaskRef
 }
 
-func signal(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
-}
-
 // customerUse is what the tasks of a customer have on the books.
 type customerUse struct {
 	size  Resources
@@ -242,7 +236,7 @@
 		delete(p.uses, t.job.spec.Customer)
 	}
 	p.countService(pl, -1)
-	signal(p.wake)
+	wait.Signal(p.wake)
 }
 
 func (p *partition) resize(pl *placed, size Resources) {
@@ -277,14 +271,14 @@
 	p.tickets++
 	t.ticket = p.tickets
 	p.queue.add(item{job: t.job, task: t, ticket: t.ticket, due: dueTime(t.job.spec, now), since: now}, now, notBefore)
-	signal(p.wake)
+	wait.Signal(p.wake)
 }
 
 func (p *partition) enqueueGang(j *job, now, notBefore time.Time) {
 	p.tickets++
 	j.ticket = p.tickets
 	p.queue.add(item{job: j, ticket: j.ticket, due: dueTime(j.spec, now), since: now}, now, notBefore)
-	signal(p.wake)
+	wait.Signal(p.wake)
 }
 
 func (p *partition) enqueueJob(j *job, now time.Time) {
@@ -337,7 +331,7 @@
 	j.cancelled, j.endAs, j.reason = true, endAs, reason
 	p.endReservation(j)
 	p.cancels = append(p.cancels, j)
-	signal(p.wakeCancel)
+	wait.Signal(p.wakeCancel)
 }
 
 // stopPlaced decides that an attempt is to stop.
@@ -367,7 +361,7 @@
 func (w *workerBook) order(v verb, ref worker.TaskRef) {
 	if len(w.orders) < maxOrders {
 		w.orders = append(w.orders, order{verb: v, ref: ref})
-		signal(w.wake)
+		wait.Signal(w.wake)
 	}
 }
 
--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -155,7 +155,7 @@
 	if open != w.node.Open() {
 		p.index.SetOpen(w.node, open)
 		if open {
-			signal(p.wake)
+			wait.Signal(p.wake)
 		}
 	}
 	p.index.SetPenalty(w.node, w.health.penalty(now))
--- a/internal/job/gang.go
+++ b/internal/job/gang.go
@@ -1,6 +1,10 @@
 package job
 
-import "time"
+import (
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
 
 // All tasks of a gang start together. If one start fails, the gang is undone: its other tasks are stopped, and it is
 // queued again after a delay when nothing of it is on the books.
@@ -46,7 +50,7 @@
 			return
 		}
 	}
-	delay := min(gangRetryMin<<min(j.gang.retries, 8), gangRetryMax)
+	delay := wait.Backoff(gangRetryMin, gangRetryMax, j.gang.retries)
 	j.gang.retries++
 	p.count("gangs_undone", 1)
 	if j.open() > 0 {
--- a/internal/job/policy.go
+++ b/internal/job/policy.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
@@ -106,7 +107,7 @@
 }
 
 func (t *task) retryDelay() time.Duration {
-	return min(retryMin<<min(t.failures, 8), retryMax)
+	return wait.Backoff(retryMin, retryMax, t.failures)
 }
 
 // attemptFailed runs a failed task again elsewhere, or gives its job up.
--- a/internal/job/report.go
+++ b/internal/job/report.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/job/worker"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // A worker's report is reconciled with the books: attempts that it does not show, attempts that the books do not have,
@@ -90,7 +91,7 @@
 	w.unknown = unknown
 	if used != w.used {
 		p.setUsed(w, used)
-		signal(p.wake)
+		wait.Signal(p.wake)
 	}
 }
 
@@ -159,7 +160,7 @@
 	} else if t.job.gang.undoing {
 		p.stopPlaced(pl, stopUndo, now)
 	}
-	signal(w.kick)
+	wait.Signal(w.kick)
 	p.count("adopted", 1)
 	return pl
 }
@@ -281,7 +282,7 @@
 	t.finishing = false
 	p.finishing--
 	w.acks = append(w.acks, ref)
-	signal(w.kick)
+	wait.Signal(w.kick)
 	if end == Pending {
 		p.attemptFailed(t, w, quick, now)
 	} else {
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -35,7 +35,7 @@
 		p.mu.Lock()
 		began := time.Now()
 		if p.round(began) {
-			signal(p.wake)
+			wait.Signal(p.wake)
 		}
 		took := time.Since(began)
 		p.mu.Unlock()
@@ -246,7 +246,7 @@
 func (pl *placed) send() {
 	pl.phase = phaseSend
 	pl.w.starts = append(pl.w.starts, pl)
-	signal(pl.w.wake)
+	wait.Signal(pl.w.wake)
 }
 
 // startsDurable sends journaled starts, unless the decision is out of date by now.
@@ -299,5 +299,5 @@
 	}
 	p.index.Release(p.reserved.nodes)
 	p.reserved = nil
-	signal(p.wake)
+	wait.Signal(p.wake)
 }
--- a/internal/request/partition.go
+++ b/internal/request/partition.go
@@ -151,10 +151,7 @@
 // wakeBy makes sure that the loop runs at a time.
 func (p *partition) wakeBy(t time.Time) {
 	if t.Before(p.nextWake) {
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		wait.Signal(p.wake)
 	}
 }
 
--- a/internal/request/route.go
+++ b/internal/request/route.go
@@ -3,14 +3,16 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
-	minionSlots    = 8
-	ejectAfter     = 3 // consecutive failures
-	minEjection    = time.Second
-	maxEjection    = 30 * time.Second
-	unboundedIndex = -1
+	minionSlots  = 8
+	ejectAfter   = 3 // consecutive failures
+	minEjection  = time.Second
+	maxEjection  = 30 * time.Second
+	notAvailable = -1 // index of a minion that is not in router.available
 )
 
 // minion is one back end that this partition owns.
@@ -34,7 +36,7 @@
 	trialDue  bool
 
 	counted bool // in router.usable
-	index   int  // in router.available, or -1
+	index   int  // in router.available, or notAvailable
 	share   int  // its part of router.total
 }
 
@@ -108,21 +110,21 @@
 		}
 	}
 	switch {
-	case idle > 0 && m.index == unboundedIndex:
+	case idle > 0 && m.index == notAvailable:
 		m.index = len(r.available)
 		r.available = append(r.available, m)
-	case idle == 0 && m.index != unboundedIndex:
+	case idle == 0 && m.index != notAvailable:
 		last := r.available[len(r.available)-1]
 		r.available[m.index] = last
 		last.index = m.index
 		r.available[len(r.available)-1] = nil
 		r.available = r.available[:len(r.available)-1]
-		m.index = unboundedIndex
+		m.index = notAvailable
 	}
 }
 
 func (r *router) add(m *minion) {
-	m.index = unboundedIndex
+	m.index = notAvailable
 	r.minions[m.id] = m
 	r.update(m)
 }
@@ -168,12 +170,7 @@
 }
 
 // ejection returns how long a minion is ejected for the n-th time in a row, counted from zero.
-func ejection(n int) time.Duration {
-	if n >= 5 {
-		return maxEjection
-	}
-	return min(minEjection<<n, maxEjection)
-}
+func ejection(n int) time.Duration { return wait.Backoff(minEjection, maxEjection, n) }
 
 func (r *router) wakeAt(t time.Time) {
 	if r.next.IsZero() || t.Before(r.next) {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait has waits that end with a context.
+// Package wait has waits that end with a context, the signals that end them early, and the delays between attempts.
 package wait
 
 import (
@@ -33,6 +33,26 @@
 	}
 }
 
+// Signal puts a value into a channel of capacity 1 unless it holds one already.
+func Signal(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// Backoff returns first doubled n times, at most limit.
+func Backoff(first, limit time.Duration, n int) time.Duration {
+	d := first
+	for ; n > 0 && d < limit; n-- {
+		d *= 2
+	}
+	return min(d, limit)
+}
+
+// Jitter returns a time between half of d and d; r in [0,1) chooses it.
+func Jitter(d time.Duration, r float64) time.Duration { return d/2 + time.Duration(r*float64(d/2)) }
+
 // Every calls fn now and then once per interval, measured from start to start, until ctx ends. A call that takes longer
 // than the interval delays the next one.
 //
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -30,6 +30,14 @@
 				})
 				So(starts[:4], ShouldResemble, []time.Duration{0, 2 * time.Second, 4 * time.Second, 6700*time.Millisecond + minTimer})
 			})
+			Convey("delays double up to a limit, also after very many attempts", func() {
+				for n, want := range map[int]time.Duration{0: 5, 1: 10, 3: 40, 4: 60, 1000: 60} {
+					So(Backoff(5, 60, n), ShouldEqual, want)
+				}
+				So(Backoff(5, 3, 0), ShouldEqual, 3)
+				So(Jitter(100, 0), ShouldEqual, 50)
+				So(Jitter(100, 0.5), ShouldEqual, 75)
+			})
 			Convey("a signal ends a wait early and adds a call to a loop without moving the others", func() {
 				signal := make(chan struct{}, 1)
 				time.AfterFunc(time.Second, func() { signal <- struct{}{} })
--- a/journal/committer.go
+++ b/journal/committer.go
@@ -181,10 +181,7 @@
 }
 
 func (c *Committer) signal() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	wait.Signal(c.wake)
 }
 
 // Run writes queued records until ctx ends. Then records that are not part of a commit are withdrawn, and every journal
--- a/journal/config.go
+++ b/journal/config.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // Default limits of a Committer.
@@ -89,11 +91,7 @@
 
 // retryDelay returns the wait after the given number of failures in a row, at least 1. r in [0,1) is the jitter.
 func retryDelay(failures int, r float64) time.Duration {
-	d := maxRetryDelay
-	if shift := failures - 1; shift < 5 {
-		d = min(minRetryDelay<<shift, maxRetryDelay)
-	}
-	return d/2 + time.Duration(r*float64(d/2))
+	return wait.Jitter(wait.Backoff(minRetryDelay, maxRetryDelay, failures-1), r)
 }
 
 // bucket is a token bucket. It starts full.
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -169,12 +169,7 @@
 	m.tenures.Wait()
 }
 
-func (m *Manager) wake() {
-	select {
-	case m.kick <- struct{}{}:
-	default:
-	}
-}
+func (m *Manager) wake() { wait.Signal(m.kick) }
 
 func (m *Manager) scanLoop(ctx context.Context) {
 	wait.Every(ctx, m.cfg.PollInterval, func(ctx context.Context) {
--- a/session/keeper.go
+++ b/session/keeper.go
@@ -141,12 +141,7 @@
 	k.renewNow()
 }
 
-func (k *Keeper) renewNow() {
-	select {
-	case k.kick <- struct{}{}:
-	default:
-	}
-}
+func (k *Keeper) renewNow() { wait.Signal(k.kick) }
 
 // notify wakes those that wait for a change. The caller holds mu.
 func (k *Keeper) notify() {
--- a/versionedlist/editor.go
+++ b/versionedlist/editor.go
@@ -301,9 +301,5 @@
 
 // retryDelay returns the wait after the given attempt, at least 1. r in [0,1) is the jitter.
 func retryDelay(attempt int, r float64) time.Duration {
-	d := maxRetryDelay
-	if shift := attempt - 1; shift < 5 {
-		d = min(minRetryDelay<<shift, maxRetryDelay)
-	}
-	return d/2 + time.Duration(r*float64(d/2))
+	return wait.Jitter(wait.Backoff(minRetryDelay, maxRetryDelay, attempt-1), r)
 }
--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -376,12 +376,8 @@
 }
 
 func (f *Follower) pollIfBehind(version int64) {
-	if version <= f.Snapshot().version {
-		return
-	}
-	select {
-	case f.polls <- struct{}{}:
-	default:
+	if version > f.Snapshot().version {
+		wait.Signal(f.polls)
 	}
 }
 
