Lock the fakes of the job tests in one place

Cause: three fakes of the job tests had the same method that changes them under their lock, and the fake guard had two methods that nothing calls.

Change: lockable is embedded in fakeStore, fakePlans and fakeCluster. fakeGuard embeds ownership.Guard instead of its own RowKey and RowVersion, so a call of these now panics.

Conclusion: no check is weaker.

--- a/internal/job/fakes_test.go
+++ b/internal/job/fakes_test.go
@@ -24,8 +24,18 @@
 
 func TestMain(m *testing.M) { tabletest.MainWithChecks(m, 40) }
 
+// lockable is embedded in fakes that a test changes while the pool uses them.
+type lockable struct{ mu sync.Mutex }
+
+func (l *lockable) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
 // fakeGuard is an ownership that a test ends.
 type fakeGuard struct {
+	ownership.Guard
 	epoch    int64
 	fencedAt time.Time
 	lost     atomic.Bool
@@ -33,8 +43,6 @@
 
 func (g *fakeGuard) Partition() string   { return "pool/p/0" }
 func (g *fakeGuard) Epoch() int64        { return g.epoch }
-func (g *fakeGuard) RowKey() string      { return "partition/pool/p/0" }
-func (g *fakeGuard) RowVersion() int64   { return g.epoch }
 func (g *fakeGuard) FencedAt() time.Time { return g.fencedAt }
 func (g *fakeGuard) Check() error {
 	if g.lost.Load() {
@@ -45,7 +53,7 @@
 
 // fakeStore is the table behind the journals of successive owners.
 type fakeStore struct {
-	mu      sync.Mutex
+	lockable
 	epoch   int64
 	records [][]byte
 	size    int
@@ -60,12 +68,6 @@
 	return &fakeLog{s: s, epoch: g.Epoch(), closed: make(chan struct{})}, append([][]byte(nil), s.records...), nil
 }
 
-func (s *fakeStore) set(f func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f()
-}
-
 type fakeLog struct {
 	s      *fakeStore
 	epoch  int64
@@ -135,7 +137,7 @@
 
 // fakePlans gives every customer the same allowance.
 type fakePlans struct {
-	mu   sync.Mutex
+	lockable
 	a    plan.Allowance
 	next *plan.Allowance // takes the place of a after the next lookup
 }
@@ -155,21 +157,11 @@
 	return a, nil
 }
 
-func (f *fakePlans) set(a plan.Allowance) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.a = a
-}
-
-func (f *fakePlans) setAfterLookup(a plan.Allowance) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.next = &a
-}
+func (f *fakePlans) change(a plan.Allowance) { f.set(func() { f.a = a }) }
 
 // fakeCluster holds workers that start whatever they are given, and notes every violation of a guarantee.
 type fakeCluster struct {
-	mu         sync.Mutex
+	lockable
 	rng        *rand.Rand
 	workers    map[string]*fakeWorker
 	lossRate   float64 // of requests and of responses
@@ -239,12 +231,6 @@
 func (c *fakeCluster) Minions(string) []membership.Endpoint { return nil }
 func (c *fakeCluster) ReportLeaving(string)                 {}
 
-func (c *fakeCluster) set(f func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	f()
-}
-
 // settle ends tasks whose run or lease is over.
 func (w *fakeWorker) settle(now time.Time) {
 	for _, t := range w.tasks {
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -80,11 +80,11 @@
 			CodeAllowanceTasks: {CPUMilli: 1000, MemoryMB: 1000}, CodeAllowanceCPU: {Tasks: 1, MemoryMB: 1000},
 			CodeAllowanceMemory: {Tasks: 1, CPUMilli: 1000},
 		} {
-			f.plans.set(a)
+			f.plans.change(a)
 			_, err := f.submit(ok)
 			So(code(err), ShouldEqual, want)
 		}
-		f.plans.set(plenty)
+		f.plans.change(plenty)
 		first, err := f.submit(ok)
 		So(err, ShouldBeNil)
 		again, err := f.submit(ok)
@@ -105,11 +105,11 @@
 func TestQuota(t *testing.T) {
 	scenario(t, "a lowered quota lets tasks run on and starts nothing new", 3, func(f *fixture, c *fakeCluster) {
 		c.runs = func(string) fakeRun { return fakeRun{time: time.Minute} }
-		f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 4})
+		f.plans.change(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 4})
 		f.accept(batch("k", 8, small))
 		time.Sleep(time.Second)
 		So(f.counts("k"), ShouldResemble, map[State]int{Running: 4, Pending: 4})
-		f.plans.set(plan.Allowance{CPUMilli: 2000, MemoryMB: 1 << 20, Tasks: 4})
+		f.plans.change(plan.Allowance{CPUMilli: 2000, MemoryMB: 1 << 20, Tasks: 4})
 		time.Sleep(30 * time.Second)
 		So(f.counts("k"), ShouldResemble, map[State]int{Running: 4, Pending: 4})
 		time.Sleep(35 * time.Second)
@@ -311,14 +311,14 @@
 		So(c.started("k"), ShouldEqual, 4)
 	})
 	scenario(t, "an owner that lost its session sends nothing more", 3, func(f *fixture, c *fakeCluster) {
-		f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 6})
+		f.plans.change(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 6})
 		for _, key := range []string{"stopped", "waiting"} {
 			f.accept(batch(key, 5, small))
 		}
 		time.Sleep(time.Second)
 		So(f.counts("waiting"), ShouldResemble, map[State]int{Running: 1, Pending: 4})
 		f.guard.lost.Store(true)
-		f.plans.set(plenty)
+		f.plans.change(plenty)
 		So(f.cancel("stopped"), ShouldBeNil)
 		before := c.calls
 		time.Sleep(30 * time.Second)
@@ -420,10 +420,10 @@
 			f.accept(s)
 			if key == "running" {
 				time.Sleep(time.Second)
-				f.plans.set(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 2})
+				f.plans.change(plan.Allowance{CPUMilli: 1 << 20, MemoryMB: 1 << 20, Tasks: 2})
 			}
 		}
-		f.plans.setAfterLookup(plenty) // an edit that arrives within a scheduling round
+		f.plans.set(func() { f.plans.next = &plenty }) // an edit that arrives within a scheduling round
 		time.Sleep(time.Second)
 		So(f.counts("urgent"), ShouldResemble, map[State]int{Running: 2, Pending: 1})
 		So(f.counts("normal"), ShouldResemble, map[State]int{Pending: 3})
