Give the stand-in's workers a clock and messages that wait out a pause

Cause: the worker protocol has clock_ms and not_after_ms, so that a message that is read late neither starts a task nor extends a lease. The stand-in's workers had neither, so nothing checked that the owner sets a limit that holds.

A late start of an unknown attempt is answered 412, which the protocol counts as no effect, and counted in the audit as too_late. "paused" now keeps every order until the worker goes on, whether or not its sender has gone; before, that depended on whether the body had been read. A restart loses what is kept; before, it took effect after the restart. Run uses wait.Every instead of a ticker.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,7 @@
 	WorkerBasePort int           `long:"worker-base-port" env:"STANDIN_WORKER_BASE_PORT" default:"7300" description:"port of the first worker; the others follow"`
 	Lag            time.Duration `long:"lag" env:"STANDIN_LAG" default:"2s" description:"lag of the membership list"`
 	CompareEpochs  bool          `long:"compare-epochs" env:"STANDIN_COMPARE_EPOCHS" description:"workers refuse commands of older epochs"`
+	Clock          bool          `long:"clock" env:"STANDIN_CLOCK" description:"workers have a clock and obey not_after_ms"`
 	UsageRatio     float64       `long:"usage-ratio" env:"STANDIN_USAGE_RATIO" default:"1" description:"real usage of a task relative to its declared size"`
 	UsageLag       time.Duration `long:"usage-lag" env:"STANDIN_USAGE_LAG" default:"2s" description:"age of a task at which its usage first appears in reports"`
 }
@@ -31,7 +32,7 @@
 	cfg := standin.Config{
 		TablePort: o.TablePort, ControlPort: o.ControlPort,
 		MinionBasePort: o.MinionBasePort, WorkerBasePort: o.WorkerBasePort,
-		Lag: o.Lag, CompareEpochs: o.CompareEpochs, UsageRatio: o.UsageRatio, UsageLag: o.UsageLag,
+		Lag: o.Lag, CompareEpochs: o.CompareEpochs, Clock: o.Clock, UsageRatio: o.UsageRatio, UsageLag: o.UsageLag,
 	}
 	for _, name := range o.Presets {
 		c := standin.Textos()
--- a/internal/standin/audit.go
+++ b/internal/standin/audit.go
@@ -48,6 +48,7 @@
 	MaxAssigned Resources `json:"max_assigned"` // declared sizes, highest of each dimension
 	MaxUsed     Resources `json:"max_used"`     // real usage, highest of each dimension
 	Starts      int       `json:"starts"`
+	TooLate     int       `json:"too_late"` // starts refused because of not_after_ms
 }
 
 // Overlap is a task that ran in two places at once.
@@ -172,6 +173,12 @@
 	w.Starts += starts
 }
 
+func (a *Audit) startTooLate(worker string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.workers[worker].TooLate++
+}
+
 // Report returns a copy of the record.
 func (a *Audit) Report() AuditReport {
 	a.mu.Lock()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -35,11 +35,13 @@
   duplicate      the response is sent again in place of the next response on the connection
   leaving        requests are answered 503 with Leaving: true; the list shows it after its lag
 Workers:
-  paused         nothing runs and nothing is answered; lapsed leases stop their tasks on resumption
+  paused         nothing runs and nothing is answered; on resumption lapsed leases stop their tasks, and messages that
+                 arrived meanwhile take effect
   freeze_leases  with paused: the lease clock stands still too
   restart        all tasks and results are lost, the boot id changes (takes effect once)
   fail_all       every task fails at once with exit 1
   compare_epochs commands of an epoch older than the highest seen are answered 409
+  clock          reports carry clock_ms; starts and renewals read after their not_after_ms have no effect
   usage_ratio    real usage of processors and memory relative to the declared size
   usage_lag_ms   age of a task at which its usage first appears in reports
   leaving        starts are answered 503 with Leaving: true; the list shows it after its lag`
@@ -70,6 +72,7 @@
 	Restart       bool    `json:"restart,omitempty"`
 	FailAll       bool    `json:"fail_all,omitempty"`
 	CompareEpochs bool    `json:"compare_epochs,omitempty"`
+	Clock         bool    `json:"clock,omitempty"`
 	UsageRatio    float64 `json:"usage_ratio,omitempty"`
 	UsageLagMS    int64   `json:"usage_lag_ms,omitempty"`
 }
@@ -81,7 +84,7 @@
 	KindMinion: {"down", "unreachable", "silence", "leaving", "crash_before", "crash_after", "truncate", "late",
 		"late_ms", "cross", "duplicate"},
 	KindWorker: {"down", "unreachable", "silence", "leaving", "paused", "freeze_leases", "restart", "fail_all",
-		"compare_epochs", "usage_ratio", "usage_lag_ms"},
+		"compare_epochs", "clock", "usage_ratio", "usage_lag_ms"},
 }
 
 var (
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -64,6 +64,7 @@
 	WorkerBasePort int
 	Lag            time.Duration // of the membership list
 	CompareEpochs  bool          // workers refuse commands of older epochs
+	Clock          bool          // workers have a clock and obey not_after_ms
 	UsageRatio     float64       // real usage of a task relative to its declared size; 0 means 1
 	UsageLag       time.Duration
 	Listen         network.ListenFunc // nil: TCP
@@ -201,7 +202,8 @@
 func (p *Platform) startWorker(ctx context.Context, cfg Config, c Cell, i, offset int) error {
 	w := newWorker(fmt.Sprintf("%s-worker-%02d", c.Name, i), c.Capacity, p.Audit, &p.saved)
 	usual := Faults{
-		CompareEpochs: cfg.CompareEpochs, UsageRatio: cfg.UsageRatio, UsageLagMS: cfg.UsageLag.Milliseconds(),
+		CompareEpochs: cfg.CompareEpochs, Clock: cfg.Clock, UsageRatio: cfg.UsageRatio,
+		UsageLagMS: cfg.UsageLag.Milliseconds(),
 	}
 	w.SetFaults(usual)
 	e := &endpoint{handler: w}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,14 +1,18 @@
 package standin
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // workerTick is how often a worker looks for ended tasks and lapsed leases. Every request looks too.
@@ -63,6 +67,8 @@
 	Kind      string          `json:"kind"` // batch, gang or service
 	RunMS     int64           `json:"run_ms"`
 	Payload   json.RawMessage `json:"payload,omitempty"`
+	// NotAfterMS is on the worker's clock. A worker with a clock refuses the start afterwards. 0: no limit.
+	NotAfterMS int64 `json:"not_after_ms,omitempty"`
 }
 
 // TaskCommand is the body of renew, ack, stop, throttle and checkpoint. Each uses the fields that it needs.
@@ -71,6 +77,8 @@
 	LeaseMS int64    `json:"lease_ms"`
 	Attempt int64    `json:"attempt"`
 	Tasks   TaskRefs `json:"tasks"`
+	// NotAfterMS, in a renewal, is as in StartTask: afterwards a worker with a clock extends no lease.
+	NotAfterMS int64 `json:"not_after_ms"`
 }
 
 // TaskReport is one task in a worker's report.
@@ -90,6 +98,7 @@
 	WorkerID string       `json:"worker_id"`
 	BootID   string       `json:"boot_id"`
 	MaxEpoch int64        `json:"max_epoch"`
+	ClockMS  int64        `json:"clock_ms,omitempty"` // 0: the worker has no clock and ignores not_after_ms
 	Capacity Resources    `json:"capacity"`
 	Leaving  bool         `json:"leaving,omitempty"`
 	Tasks    []TaskReport `json:"tasks"`
@@ -122,6 +131,7 @@
 	last     time.Duration // when advance last ran
 	pausedAt time.Time
 	resumed  chan struct{} // nil while not paused
+	stopped  chan struct{} // closed when Run ends
 }
 
 // NewWorker returns a worker of the given capacity. Leases are watched only while Run is running.
@@ -134,6 +144,7 @@
 	w := &Worker{
 		ID: id, capacity: capacity, audit: a, saved: saved, mux: http.NewServeMux(), boots: 1,
 		tasks: map[TaskRef]*task{}, origin: time.Now(),
+		stopped: make(chan struct{}),
 	}
 	w.mux.HandleFunc("POST /v1/tasks", w.serveStart)
 	w.mux.HandleFunc("POST /v1/renew", w.command(w.renew))
@@ -165,20 +176,14 @@
 	return d, ok
 }
 
-// Run ends tasks whose work is done or whose lease has lapsed, until ctx ends.
+// Run ends tasks whose work is done or whose lease has lapsed, until ctx ends. It is called once.
 func (w *Worker) Run(ctx context.Context) {
-	t := time.NewTicker(workerTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			w.mu.Lock()
-			w.advance()
-			w.mu.Unlock()
-		}
-	}
+	defer close(w.stopped)
+	wait.Every(ctx, workerTick, func(context.Context) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.advance()
+	})
 }
 
 // Audit returns the record that the worker writes to.
@@ -247,6 +252,14 @@
 // clock is the worker's lease clock.
 func (w *Worker) clock() time.Duration { return time.Since(w.origin) - w.frozen }
 
+// clockMS is the lease clock as reports show it. It is never 0, which stands for a worker without a clock.
+func (w *Worker) clockMS() int64 { return w.clock().Milliseconds() + 1 }
+
+// late reports whether a message that takes effect until notAfterMS was read too late.
+func (w *Worker) late(notAfterMS int64) bool {
+	return w.faults.Clock && notAfterMS > 0 && w.clockMS() > notAfterMS
+}
+
 func (w *Worker) place(t *task) string { return fmt.Sprintf("%s/%d", w.ID, t.Attempt) }
 
 // advance ends the tasks whose work ended or whose lease lapsed since the last call.
@@ -290,19 +303,38 @@
 	w.audit.leave(t.TaskID, w.place(t))
 }
 
-// ServeHTTP serves the worker protocol.
+// ServeHTTP serves the worker protocol. A message to a paused worker takes effect when the worker goes on, even if its
+// sender has given up and closed the connection; a restart loses it. Reports have no effect and end with their caller.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	resumed := w.resumed
+	resumed, boots := w.resumed, w.boots
 	w.mu.Unlock()
-	if resumed != nil {
-		select {
-		case <-resumed:
-		case <-r.Context().Done():
-			return
-		}
+	if resumed == nil {
+		w.mux.ServeHTTP(rw, r)
+		return
+	}
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(raw))
+	var gone <-chan struct{}
+	if r.Method == http.MethodGet {
+		gone = r.Context().Done()
+	}
+	select {
+	case <-resumed:
+	case <-gone:
+		return
+	case <-w.stopped:
+		return
+	}
+	w.mu.Lock()
+	lost := w.boots != boots
+	w.mu.Unlock()
+	if !lost {
+		w.mux.ServeHTTP(rw, r)
 	}
-	w.mux.ServeHTTP(rw, r)
 }
 
 func (w *Worker) serveReport(rw http.ResponseWriter, _ *http.Request) {
@@ -341,6 +373,11 @@
 		return
 	}
 	t := w.tasks[req.TaskRef]
+	if t == nil && w.late(req.NotAfterMS) {
+		w.audit.startTooLate(w.ID)
+		writeJSON(rw, http.StatusPreconditionFailed, map[string]any{"code": "too_late", "clock_ms": w.clockMS()})
+		return
+	}
 	if t == nil {
 		t = w.start(req)
 	}
@@ -414,8 +451,9 @@
 
 func (w *Worker) renew(rw http.ResponseWriter, _ *http.Request, cmd TaskCommand) {
 	until := w.clock() + time.Duration(cmd.LeaseMS)*time.Millisecond
+	late := w.late(cmd.NotAfterMS)
 	for _, ref := range cmd.Tasks {
-		if t := w.find(ref); t != nil && t.State == TaskRunning {
+		if t := w.find(ref); t != nil && t.State == TaskRunning && !late {
 			t.leaseUntil = until
 		}
 	}
@@ -479,6 +517,9 @@
 		WorkerID: w.ID, BootID: w.bootID(), MaxEpoch: w.maxEpoch, Capacity: w.capacity, Leaving: w.faults.Leaving,
 		Tasks: make([]TaskReport, 0, len(w.tasks)),
 	}
+	if w.faults.Clock {
+		r.ClockMS = w.clockMS()
+	}
 	for _, t := range w.tasks {
 		tr := t.TaskReport
 		if t.State == TaskRunning {
