Keep an endpoint's own word while the membership list is unread

Cause: an endpoint that says that it leaves outweighs the list for 30 s, measured by the clock. In an outage of the list that lasts longer, the next report of any endpoint rebuilt the groups, and the first endpoint counted as live again, from a list that was read before it left.

Ruled out: the platform's list showing it meanwhile; it cannot be read.

Change: the 30 s are measured at the last list that was read.

Result: the new lines of TestList fail before (expected true, actual false) and pass after, with -race. The whole-system test of the outage did not show the fault: the owner of a minion remembers the minion's word itself, and a worker repeats its own within 2 s.

Conclusion: the word holds for the whole outage. A list that is read again outweighs it after 30 s, as before.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -116,10 +116,9 @@
 
 // rebuild makes new groups, because callers keep the slices that they were given.
 func (l *List) rebuild() {
-	now := time.Now()
 	l.groups = map[groupKey][]Endpoint{}
 	for _, h := range l.hosts {
-		reported := held(l.reported, h.ID, now) || held(l.heard, h.ID, now)
+		reported := held(l.reported, h.ID, l.readAt) || held(l.heard, h.ID, l.readAt)
 		k := groupKey{h.Kind, h.ServiceOrPool}
 		l.groups[k] = append(l.groups[k], Endpoint{
 			ID: h.ID, Addr: h.Addr, FailureDomain: h.FailureDomain, Rack: h.Rack,
@@ -128,10 +127,11 @@
 	}
 }
 
-// held reports whether a report still outweighs the list, and forgets it otherwise.
-func held(reports map[string]time.Time, id string, now time.Time) bool {
+// held reports whether a report still outweighs the list that was read at readAt, and forgets it otherwise. While the list
+// cannot be read, it shows an endpoint as it was before the report.
+func held(reports map[string]time.Time, id string, readAt time.Time) bool {
 	at, ok := reports[id]
-	if ok && now.Sub(at) > reportHold {
+	if ok && readAt.Sub(at) > reportHold {
 		delete(reports, id)
 		return false
 	}
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -33,12 +33,17 @@
 			}}
 			l := NewList(f)
 			l.Poll(t.Context())
-			Convey("an endpoint's own word goes before the list, for a while", func() {
+			Convey("an endpoint's own word goes before the list, for a while and for an outage of the list", func() {
 				l.ReportLeaving("m1")
 				So(l.Minions("textos")[0].Leaving, ShouldBeTrue)
 				l.Poll(t.Context())
 				So(l.Minions("textos")[0].Leaving, ShouldBeTrue)
 				time.Sleep(reportHold + time.Second)
+				f.err = ErrUnavailable
+				l.Poll(t.Context())
+				l.ReportLeaving("m2") // a new report makes the groups anew
+				So(l.Minions("textos")[0].Leaving, ShouldBeTrue)
+				f.err = nil
 				l.Poll(t.Context())
 				So(l.Minions("textos")[0].Leaving, ShouldBeFalse)
 			})
