Let a gang avoid the workers on which its tasks failed

Cause: a task avoids the workers on which it failed, but a gang is placed as a whole and avoided none. A gang of idempotent tasks went back to a worker that fails everything until one of its tasks had failed 10 times, and its job failed: "a task failed on every worker that it was tried on". Quarantine does not prevent it: it lasts 30 s at first and needs failures of 3 jobs.

Ruled out: a task that failed on several workers; only one worker failed tasks in the test.

Change: a gang avoids the workers on which any of its tasks failed, unless there are 3 or more (then the gang is more likely at fault) or it has waited for 30 s (then the others may be too few for it).

Conclusion: one failing worker no longer ends idempotent gangs. While a gang fits nowhere else it still waits up to 30 s.

--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
@@ -95,7 +96,7 @@
 	if refused[shape] {
 		return false
 	}
-	nodes := p.findNodes(g, it, n)
+	nodes := p.findNodes(g, it, n, now)
 	if nodes == nil {
 		refused[shape] = true
 		p.reserveIfOld(g, it, n, now)
@@ -133,16 +134,33 @@
 	return Resources{CPUMilli: a.CPUMilli, MemoryMB: a.MemoryMB, Accelerators: a.Accelerators}
 }
 
-func request(g *group, it item) placement.Request {
-	r := placement.Request{Job: it.job.id, Size: g.key.size, Limited: g.key.limited, Spread: it.job.spread}
+func request(g *group, it item, now time.Time) placement.Request {
+	return placement.Request{
+		Job: it.job.id, Size: g.key.size, Limited: g.key.limited, Spread: it.job.spread, Avoid: it.avoid(now),
+	}
+}
+
+// avoid returns the workers on which a task, or any task of a gang, failed. A gang avoids none when it has failed on so
+// many workers that the gang is more likely at fault, nor when it has waited so long that the others may be too few for it.
+func (it item) avoid(now time.Time) (workers []string) {
 	if it.task != nil {
-		r.Avoid = it.task.failedOn
+		return it.task.failedOn
+	}
+	for _, t := range it.job.tasks {
+		for _, w := range t.failedOn {
+			if !slices.Contains(workers, w) {
+				workers = append(workers, w)
+			}
+		}
+	}
+	if len(workers) >= failedWorkers || now.Sub(it.since) >= reserveAfter {
+		return nil
 	}
-	return r
+	return workers
 }
 
-func (p *partition) findNodes(g *group, it item, n int) []*placement.Node {
-	r := request(g, it)
+func (p *partition) findNodes(g *group, it item, n int, now time.Time) []*placement.Node {
+	r := request(g, it, now)
 	var reserved []*placement.Node
 	if p.reserved != nil && p.reserved.job == it.job && p.reserved.task == it.task {
 		reserved = p.reserved.nodes
@@ -229,7 +247,7 @@
 	if p.reserved != nil || now.Sub(it.since) < reserveAfter || it.job.spread != nil {
 		return
 	}
-	nodes := p.index.Reserve(request(g, it), n)
+	nodes := p.index.Reserve(request(g, it, now), n)
 	if nodes == nil {
 		return
 	}
