--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -85,6 +85,22 @@
 			}
 		}
 	})
+	inBubble("a message that arrives in a pause takes effect after it, but with a clock only until its not_after_ms", func(w *standin.Worker) {
+		for _, clock := range []bool{false, true} {
+			So(report(w).ClockMS > 0, ShouldEqual, clock)
+			w.SetFaults(standin.Faults{Clock: clock, Paused: true})
+			go post(w, "/v1/tasks", fmt.Sprintf(`{"task_id":"t-%t","lease_ms":5000,"run_ms":60000,"not_after_ms":11000}`, clock))
+			time.Sleep(10 * time.Second)
+			w.SetFaults(standin.Faults{Clock: clock})
+			synctest.Wait()
+			So(len(report(w).Tasks), ShouldEqual, 1)
+			time.Sleep(2 * time.Second)
+			post(w, "/v1/renew", `{"lease_ms":5000,"not_after_ms":11000,"tasks":["t-false"]}`)
+			So(report(w).Tasks[0].RemainingLeaseMS, ShouldEqual, map[bool]int64{false: 5000, true: 0}[clock])
+			w.SetFaults(standin.Faults{Clock: true})
+		}
+		So(w.Audit().Report().Workers["w1"].TooLate, ShouldEqual, 1)
+	})
 	inBubble("what does not fit starts and is a violation, as is a second run", func(w *standin.Worker) {
 		start(w, "a", 1, `{"cpu_milli":600}`)
 		So(w.Audit().Report().Violations, ShouldBeEmpty)
