Use a new connection after a repeated answer in the stand-in's test

Ruled out: a fault of the stand-in, which closes the connection on purpose.

Change: the request that checks a leaving minion opens its own connection.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -196,6 +196,8 @@
 			So(err, ShouldBeNil)
 			So(resp.Header.Get("Attempt-Id"), ShouldEqual, "duplicated")
 			So(runs(), ShouldResemble, map[string]int{"after": 1, "truncated": 1, "crossed": 1, "duplicated": 1})
+			// The minion closes the connection after the repeated answer, which the client may not know yet.
+			hc = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 			fault(`{"target":"textos-minion-00","leaving":true}`)
 			resp, _, err = send("left")
 			So(err, ShouldBeNil)
