--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -124,7 +124,7 @@
 func (p *partition) missed(w *workerBook, now time.Time) {
 	w.misses++
 	if w.misses == probeAfter {
-		p.zap.Warn("worker is unreachable", zap.String("worker", w.id))
+		p.logger.Warn("worker is unreachable", zap.String("worker", w.id))
 	}
 	p.refresh(w, now)
 	p.expireLeases(w, now)
@@ -141,7 +141,7 @@
 func (p *partition) leave(w *workerBook, now time.Time) {
 	if !w.leaving {
 		w.leaving = true
-		p.zap.Info("worker is leaving", zap.String("worker", w.id))
+		p.logger.Info("worker is leaving", zap.String("worker", w.id))
 	}
 	p.moveAway(w, now)
 	p.refresh(w, now)
--- a/internal/job/drain.go
+++ b/internal/job/drain.go
@@ -25,7 +25,7 @@
 		}
 	}
 	if err := p.log.Flush(ctx); err != nil {
-		p.zap.Warn("journal not flushed at handover", zap.Error(err))
+		p.logger.Warn("journal not flushed at handover", zap.Error(err))
 	}
 }
 
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -34,7 +34,7 @@
 	deps    Deps
 	guard   ownership.Guard
 	log     journal.Log
-	zap     *zap.Logger
+	logger  *zap.Logger
 	scope   tally.Scope
 	started time.Time
 	base    time.Time // the previous owner has sent nothing since
@@ -87,7 +87,7 @@
 	}
 	p := &partition{
 		name: g.Partition(), pool: pool, number: n, cfg: cfg, deps: deps, guard: g, log: log,
-		zap:     deps.Log.With(zap.String("partition", g.Partition()), zap.Int64("epoch", g.Epoch())),
+		logger:  deps.Log.With(zap.String("partition", g.Partition()), zap.Int64("epoch", g.Epoch())),
 		scope:   deps.Metrics.Tagged(map[string]string{"partition": g.Partition()}),
 		started: time.Now(), base: time.Now(),
 		wake: make(chan struct{}, 1), wakeCancel: make(chan struct{}, 1), journalCh: make(chan journalEntry, journalQueue),
--- a/internal/job/policy.go
+++ b/internal/job/policy.go
@@ -94,7 +94,7 @@
 		return
 	}
 	w.health.quarantine(now)
-	p.zap.Warn("worker is quarantined", zap.String("worker", w.id), zap.Duration("for", w.health.backoff))
+	p.logger.Warn("worker is quarantined", zap.String("worker", w.id), zap.Duration("for", w.health.backoff))
 	p.count("quarantines", 1)
 	p.refresh(w, now)
 }
--- a/internal/job/poll.go
+++ b/internal/job/poll.go
@@ -64,7 +64,7 @@
 			p.control(w)
 		}
 		if e.Leaving && !w.leaving {
-			p.zap.Info("worker is leaving", zap.String("worker", w.id))
+			p.logger.Info("worker is leaving", zap.String("worker", w.id))
 		}
 		w.addr, w.listed, w.leaving = e.Addr, true, e.Leaving
 		if w.leaving {
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -231,7 +231,7 @@
 			continue
 		}
 		if err := p.compact(); err != nil {
-			p.zap.Warn("journal not compacted", zap.Error(err))
+			p.logger.Warn("journal not compacted", zap.Error(err))
 		}
 	}
 }
--- a/internal/job/report.go
+++ b/internal/job/report.go
@@ -18,7 +18,7 @@
 // applyReport reconciles the books with a worker's report. asked is when the report was requested.
 func (p *partition) applyReport(w *workerBook, rep worker.Report, asked, now time.Time) {
 	if w.misses >= probeAfter {
-		p.zap.Info("worker is reachable again", zap.String("worker", w.id))
+		p.logger.Info("worker is reachable again", zap.String("worker", w.id))
 	}
 	w.misses, w.lastSeen, w.bootID, w.clockMS, w.clockAt = 0, now, rep.BootID, rep.ClockMS, now
 	p.noteCapacity(w, rep.Capacity)
@@ -124,7 +124,7 @@
 	if t != nil && t.place != nil && t.place.phase == phaseConfirmed {
 		p.doubleRuns++
 		p.count("double_runs", 1)
-		p.zap.Error("task runs in two places; one is stopped", zap.String("task", t.id), zap.String("worker", w.id))
+		p.logger.Error("task runs in two places; one is stopped", zap.String("task", t.id), zap.String("worker", w.id))
 	}
 	return nil
 }
