Test platform faults in the whole system

Cause: an outage of the membership list, minions that crash, cut or swap answers, accelerators, wrong sizes and quarantine were tested in their packages only.

All whole-system tests now also check that no request ran whose every outcome was "not run". The stand-in's audit records for how long a worker's tasks use more memory than it has, and how many requests met a minion's fault.

--- a/internal/standin/audit.go
+++ b/internal/standin/audit.go
@@ -5,6 +5,7 @@
 	"maps"
 	"sort"
 	"sync"
+	"time"
 )
 
 // Resources is a declared size, a usage or a capacity.
@@ -40,6 +41,7 @@
 	OverConnections int `json:"over_connections"` // connections closed because of the limit
 	Runs            int `json:"runs"`
 	Refused         int `json:"refused"` // requests refused for lack of a slot
+	Faults          int `json:"faults"`  // requests that met a fault which counts requests
 }
 
 // WorkerAudit holds the highest sums over the tasks of one worker.
@@ -49,6 +51,8 @@
 	MaxUsed     Resources `json:"max_used"`     // real usage, highest of each dimension
 	Starts      int       `json:"starts"`
 	TooLate     int       `json:"too_late"` // starts refused because of not_after_ms
+	// LongestOveruseMS is the longest time for which the tasks used more memory than the worker has.
+	LongestOveruseMS int64 `json:"longest_overuse_ms"`
 }
 
 // Overlap is a task that ran in two places at once.
@@ -179,6 +183,13 @@
 	a.workers[worker].TooLate++
 }
 
+func (a *Audit) overuse(worker string, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := a.workers[worker]
+	w.LongestOveruseMS = max(w.LongestOveruseMS, d.Milliseconds())
+}
+
 // Report returns a copy of the record.
 func (a *Audit) Report() AuditReport {
 	a.mu.Lock()
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -175,6 +175,7 @@
 		if *n.left > 0 {
 			*n.left--
 			*n.now = 1
+			m.audit.minion(m.ID, func(a *MinionAudit) { a.Faults++ })
 			break
 		}
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -86,19 +86,17 @@
 		}
 	})
 	inBubble("a message that arrives in a pause takes effect after it, but with a clock only until its not_after_ms", func(w *standin.Worker) {
-		for _, f := range []standin.Faults{{}, {Clock: true}} {
-			So(report(w).ClockMS > 0, ShouldEqual, f.Clock)
-			paused := f
-			paused.Paused = true
-			w.SetFaults(paused)
-			go post(w, "/v1/tasks", fmt.Sprintf(`{"task_id":"t-%t","lease_ms":5000,"run_ms":60000,"not_after_ms":11000}`, f.Clock))
+		for _, clock := range []bool{false, true} {
+			So(report(w).ClockMS > 0, ShouldEqual, clock)
+			w.SetFaults(standin.Faults{Clock: clock, Paused: true})
+			go post(w, "/v1/tasks", fmt.Sprintf(`{"task_id":"t-%t","lease_ms":5000,"run_ms":60000,"not_after_ms":11000}`, clock))
 			time.Sleep(10 * time.Second)
-			w.SetFaults(f)
+			w.SetFaults(standin.Faults{Clock: clock})
 			synctest.Wait()
 			So(len(report(w).Tasks), ShouldEqual, 1)
 			time.Sleep(2 * time.Second)
 			post(w, "/v1/renew", `{"lease_ms":5000,"not_after_ms":11000,"tasks":["t-false"]}`)
-			So(report(w).Tasks[0].RemainingLeaseMS, ShouldEqual, map[bool]int64{false: 5000, true: 0}[f.Clock])
+			So(report(w).Tasks[0].RemainingLeaseMS, ShouldEqual, map[bool]int64{false: 5000, true: 0}[clock])
 			w.SetFaults(standin.Faults{Clock: true})
 		}
 		So(w.Audit().Report().Workers["w1"].TooLate, ShouldEqual, 1)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -130,8 +130,10 @@
 	frozen   time.Duration // time for which the lease clock stood still
 	last     time.Duration // when advance last ran
 	pausedAt time.Time
-	resumed  chan struct{} // nil while not paused
-	stopped  chan struct{} // closed when Run ends
+	// overSince is when the tasks began to use more memory than the worker has; zero: they do not.
+	overSince time.Time
+	resumed   chan struct{} // nil while not paused
+	stopped   chan struct{} // closed when Run ends
 }
 
 // NewWorker returns a worker of the given capacity. Leases are watched only while Run is running.
@@ -183,9 +185,23 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.advance()
+		w.watchMemory()
 	})
 }
 
+// watchMemory records for how long the tasks have used more memory than the worker has.
+func (w *Worker) watchMemory() {
+	_, used := w.load()
+	switch {
+	case used.MemoryMB <= w.capacity.MemoryMB:
+		w.overSince = time.Time{}
+	case w.overSince.IsZero():
+		w.overSince = time.Now()
+	default:
+		w.audit.overuse(w.ID, time.Since(w.overSince))
+	}
+}
+
 // Audit returns the record that the worker writes to.
 func (w *Worker) Audit() *Audit { return w.audit }
 
--- a/internal/systemtest/check_test.go
+++ b/internal/systemtest/check_test.go
@@ -25,6 +25,7 @@
 	all      map[string]int        // number of outcomes, by outcome and code
 	outcomes map[string][]string   // outcomes in order, by key
 	jobs     map[string]*jobRecord // by key
+	mayRun   map[string]bool       // by key of a request: some outcome was not a certain refusal
 	problems []string
 }
 
@@ -39,6 +40,7 @@
 	defer h.mu.Unlock()
 	if h.all == nil {
 		h.all, h.outcomes, h.jobs = map[string]int{}, map[string][]string{}, map[string]*jobRecord{}
+		h.mayRun = map[string]bool{}
 	}
 	f()
 }
@@ -169,6 +171,11 @@
 				s.t.Errorf("request %s: outcomes %v, but %d runs", key, s.history.outcomes[key], audit.RequestRuns[key])
 			}
 		}
+		for key, may := range s.history.mayRun {
+			if !may && audit.RequestRuns[key] > 0 {
+				s.t.Errorf("request %s was refused, but it ran %d times: %v", key, audit.RequestRuns[key], s.history.outcomes[key])
+			}
+		}
 		if !porcupine.CheckOperations(listModel, s.history.edits) {
 			s.t.Errorf("edits are not compare-and-set: %+v", s.history.edits)
 		}
--- a/internal/systemtest/leave_test.go
+++ b/internal/systemtest/leave_test.go
@@ -105,8 +105,9 @@
 
 // jobLoad is a number of jobs of random kinds and sizes.
 type jobLoad struct {
-	specs []job.Spec
-	done  chan struct{}
+	specs  []job.Spec
+	done   chan struct{}
+	adjust func(i int, spec *job.Spec) // nil: specs stay as they are drawn
 }
 
 // start submits n jobs, one after the other over the given time. Each submission is repeated at another daemon until it
@@ -117,6 +118,9 @@
 		kind := []job.Kind{job.Batch, job.Batch, job.Gang}[r.IntN(3)]
 		runs := time.Second + time.Duration(r.Int64N(int64(15*time.Second)))
 		spec := newJob(customers[r.IntN(len(customers))], fmt.Sprintf("job-%d", i), kind, 1+r.IntN(6), r.IntN(2) == 0, runs)
+		if j.adjust != nil {
+			j.adjust(i, &spec)
+		}
 		j.specs = append(j.specs, spec)
 	}
 	j.done = make(chan struct{})
--- a/internal/systemtest/load_test.go
+++ b/internal/systemtest/load_test.go
@@ -45,6 +45,7 @@
 		h.all[fmt.Sprintf("%s %s", out.Outcome, out.Code)]++
 		h.outcomes[r.Key] = append(h.outcomes[r.Key], fmt.Sprintf("%.3f-%.3f %s: %s %s %s",
 			began.Sub(p.s.began).Seconds(), time.Since(p.s.began).Seconds(), p.name, out.Outcome, out.Code, out.Message))
+		h.mayRun[r.Key] = h.mayRun[r.Key] || out.Outcome != request.NotRun
 		if !r.Idempotent {
 			h.once = append(h.once, porcupine.Operation{
 				Input: submission{key: r.Key}, Output: out,
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -119,7 +119,7 @@
 	s := &system{t: t, seed: seed, net: newMemNet(), log: zapcore.AddSync(logs), began: time.Now(), history: &history{}}
 	cell := standin.Textos()
 	cell.Minions, cell.Workers, cell.WorkersPerRack = 6, 6, 2
-	cell.Capacity = standin.Resources{CPUMilli: 4000, MemoryMB: 8192}
+	cell.Capacity = standin.Resources{CPUMilli: 4000, MemoryMB: 8192, Accelerators: 2}
 	var err error
 	s.platform, err = standin.Start(standin.Config{
 		Cells: []standin.Cell{cell}, TablePort: tablePort, ControlPort: controlPort, MinionBasePort: minionBasePort,
