Archive ended jobs instead of rewriting them at each compaction

The replay of 100,000 jobs failed, too: a page of 500 large rows is more than the 64 MB that the table's client reads of a response (found by BenchmarkJobHistory).

The change is repeated unchanged until a compaction succeeds.

TestRetention covers a failed compaction, archives that are not written again and their end; the random faults run with small archives; TestJournal checks the size of pages.

Conclusion: compactions no longer grow with the history. The replay still does; several partitions per pool would divide it.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -27,6 +27,7 @@
 	endAs     State // Cancelled, or Failed when the job was given up
 	reason    string
 	endedAt   time.Time
+	archived  bool // it is in an archive of the journal
 
 	ticket int64 // of the queued gang
 	spread *placement.Spread
--- a/internal/job/fakes_test.go
+++ b/internal/job/fakes_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -54,18 +56,23 @@
 // fakeStore is the table behind the journals of successive owners.
 type fakeStore struct {
 	lockable
-	epoch   int64
-	records [][]byte
-	size    int
-	down    bool
-	loses   bool // the next append takes effect but its outcome stays unknown
+	epoch    int64
+	records  [][]byte
+	archives map[int64][]byte
+	size     int
+	down     bool
+	loses    bool // the next append takes effect but its outcome stays unknown
 }
 
 func (s *fakeStore) Open(_ context.Context, g ownership.Guard) (journal.Log, [][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch = g.Epoch()
-	return &fakeLog{s: s, epoch: g.Epoch(), closed: make(chan struct{})}, append([][]byte(nil), s.records...), nil
+	var records [][]byte
+	for _, id := range slices.Sorted(maps.Keys(s.archives)) {
+		records = append(records, s.archives[id])
+	}
+	return &fakeLog{s: s, epoch: g.Epoch(), closed: make(chan struct{})}, append(records, s.records...), nil
 }
 
 type fakeLog struct {
@@ -130,6 +137,12 @@
 		return journal.ErrNotWritten
 	}
 	l.s.records, l.s.size = c.Snapshot, 0
+	for _, id := range c.Drop {
+		delete(l.s.archives, id)
+	}
+	for _, a := range c.Archive {
+		l.s.archives[a.ID] = a.Record
+	}
 	return nil
 }
 
@@ -447,7 +460,7 @@
 )
 
 func newFixture(c *fakeCluster) *fixture {
-	return &fixture{store: &fakeStore{}, cluster: c, plans: &fakePlans{a: plenty}}
+	return &fixture{store: &fakeStore{archives: map[int64][]byte{}}, cluster: c, plans: &fakePlans{a: plenty}}
 }
 
 // own starts a new owner. fenced says that the previous one was fenced now.
--- a/internal/job/faults_test.go
+++ b/internal/job/faults_test.go
@@ -39,7 +39,7 @@
 	behaviour := map[string]fakeRun{}
 	c.runs = func(taskID string) fakeRun { jid, _, _ := splitTaskID(taskID); return behaviour[jid] }
 	f := newFixture(c)
-	f.cfg.CompactBytes = 4000
+	f.cfg.CompactBytes, f.cfg.ArchiveBytes = 4000, 1000
 	c.lossRate = loss
 	if err := f.own(false); err != nil {
 		return []string{err.Error()}
--- /dev/null
+++ b/internal/job/history_test.go
@@ -0,0 +1,82 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/tabletest"
+	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// newJobs is about how many jobs fill a journal up to the size at which it is compacted.
+const newJobs = 5_000
+
+// BenchmarkJobHistory is a partition that remembers n ended jobs, on a table service over HTTP: a compaction of its journal
+// after 5,000 more jobs, and the replay by a successor.
+func BenchmarkJobHistory(b *testing.B) {
+	for _, n := range []int{5_000, 20_000, 100_000} {
+		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) { jobHistory(b, n) })
+	}
+}
+
+func jobHistory(b *testing.B, n int) {
+	mem := table.NewMemory()
+	srv := httptest.NewServer(table.Handler(mem))
+	defer srv.Close()
+	c := journal.NewCommitter(table.NewHTTPClient(strings.TrimPrefix(srv.URL, "http://"), nil), journal.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = c.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	open := func(epoch int64) *partition {
+		cfg := Config{}
+		p, err := openPartition(ctx, cfg.withDefaults(), Deps{Journals: c, Metrics: noMetrics, Log: noLog}, tabletest.Claim(mem, part, epoch))
+		if err != nil {
+			b.Fatal(err)
+		}
+		return p
+	}
+	p := open(1)
+	ended, count := time.Now().Add(-time.Hour), 0
+	add := func() {
+		for range newJobs {
+			count++
+			s := batch(fmt.Sprintf("order-%09d", count), 1, small)
+			p.replayJob(record{Spec: &s, At: ended, EndedAt: ended, Counts: map[State]int{Done: 1}, Fingerprint: strings.Repeat("f", 64)})
+		}
+	}
+	failed, written := 0, int64(0)
+	compact := func() {
+		err := p.log.Append(ctx, record{T: recordGone, Worker: "none"}.encode())
+		if err == nil {
+			err = p.compact()
+		}
+		if err != nil {
+			failed++
+		}
+	}
+	for count < n {
+		add()
+		compact()
+	}
+	var compaction, replay time.Duration
+	for epoch := int64(2); b.Loop(); epoch++ {
+		add()
+		before, began := c.Stats().Bytes, time.Now()
+		compact()
+		compaction += time.Since(began)
+		written += c.Stats().Bytes - before
+		began = time.Now()
+		p = open(epoch)
+		replay += time.Since(began)
+	}
+	b.ReportMetric(1e3*compaction.Seconds()/float64(b.N), "ms/compaction")
+	b.ReportMetric(1e3*replay.Seconds()/float64(b.N), "ms/replay")
+	b.ReportMetric(float64(written)/float64(b.N)/1e6, "MB/compaction")
+	b.ReportMetric(float64(failed)/float64(b.N), "failures")
+}
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -50,28 +50,30 @@
 	wakeCancel chan struct{} // capacity 1: the cancellation loop
 	journalCh  chan journalEntry
 
-	mu         sync.Mutex
-	draining   bool
-	settled    bool // tasks of the previous owner are accounted for
-	jobs       map[string]*job
-	customers  map[string][]*job
-	deadlines  map[string]*job
-	gangs      map[string]*job // with a start under way
-	endedJobs  []*job          // in the order of their ends
-	cancels    []*job
-	cancelling int // cancellations being journaled
-	openTasks  int
-	finishing  int // results being journaled
-	workers    map[string]*workerBook
-	eligible   int // listed workers that are not leaving
-	uses       map[string]*customerUse
-	allowances map[string]plan.Allowance // as looked up in this scheduling round
-	index      *placement.Index
-	queue      *queue
-	reserved   *reservation
-	attempts   int64
-	tickets    int64
-	doubleRuns int64
+	mu            sync.Mutex
+	draining      bool
+	settled       bool // tasks of the previous owner are accounted for
+	jobs          map[string]*job
+	customers     map[string][]*job
+	deadlines     map[string]*job
+	gangs         map[string]*job // with a start under way
+	endedJobs     []*job          // in the order of their ends
+	archives      archives
+	snapshotBytes int // of the last compaction
+	cancels       []*job
+	cancelling    int // cancellations being journaled
+	openTasks     int
+	finishing     int // results being journaled
+	workers       map[string]*workerBook
+	eligible      int // listed workers that are not leaving
+	uses          map[string]*customerUse
+	allowances    map[string]plan.Allowance // as looked up in this scheduling round
+	index         *placement.Index
+	queue         *queue
+	reserved      *reservation
+	attempts      int64
+	tickets       int64
+	doubleRuns    int64
 }
 
 const attemptBits = 32 // attempts per epoch
--- a/internal/job/pool.go
+++ b/internal/job/pool.go
@@ -25,7 +25,8 @@
 	Partitions   int           // partitions per pool; default 1
 	Retention    time.Duration // of jobs that have ended; default 24 h
 	MaxTasks     int           // tasks that have not ended, per partition; default 1,000,000
-	CompactBytes int           // journal size at which it is compacted; default 8 MB
+	CompactBytes int           // journal size at which it is compacted, at least; default 2 MB
+	ArchiveBytes int           // size of an archive, but for its last job; fewer ended jobs stay in the snapshot; default 180 KB
 }
 
 func (c Config) withDefaults() Config {
@@ -39,7 +40,10 @@
 		c.MaxTasks = 1_000_000
 	}
 	if c.CompactBytes <= 0 {
-		c.CompactBytes = 8 << 20
+		c.CompactBytes = 2 << 20
+	}
+	if c.ArchiveBytes <= 0 {
+		c.ArchiveBytes = journal.MaxRecordBytes / 2
 	}
 	return c
 }
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -18,6 +18,8 @@
 	recordResult recordType = "result" // the task ended, or an attempt failed
 	recordWorker recordType = "worker" // tasks may be started on the worker from now on
 	recordGone   recordType = "gone"   // nothing runs on the worker any more
+	// recordArchive holds the records of ended jobs; it is a row of its own.
+	recordArchive recordType = "archive"
 )
 
 // record is one journal record. Replaying a record twice has no further effect.
@@ -37,6 +39,8 @@
 	Reason      string        `json:"reason,omitempty"`
 	Counts      map[State]int `json:"counts,omitempty"` // job records of ended jobs
 	EndedAt     time.Time     `json:"ended_at,omitzero"`
+	Archive     int64         `json:"archive,omitempty"` // id of an archive
+	Jobs        []record      `json:"jobs,omitempty"`    // of an archive
 }
 
 func (r record) encode() []byte {
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -42,6 +42,9 @@
 	case recordGone:
 		delete(p.workers, r.Worker)
 		return
+	case recordArchive:
+		p.replayArchive(r)
+		return
 	case recordJob:
 		if p.jobs[r.Job] == nil && r.Spec != nil {
 			p.replayJob(r)
@@ -227,7 +230,7 @@
 
 func (p *partition) compactLoop() {
 	for wait.For(p.ctx, pollInterval) {
-		if p.log.Bytes() < p.cfg.CompactBytes || !p.log.Healthy() {
+		if !p.compactionDue() {
 			continue
 		}
 		if err := p.compact(); err != nil {
@@ -236,21 +239,41 @@
 	}
 }
 
+// compactionDue says whether the journal has grown enough. A large snapshot of open jobs is not written again before as
+// many new records have come.
+func (p *partition) compactionDue() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Bytes() >= max(p.cfg.CompactBytes, p.snapshotBytes) && p.log.Healthy()
+}
+
 func (p *partition) compact() error {
 	if !p.gate.close(p.ctx) {
 		return nil
 	}
 	defer p.gate.open()
 	p.mu.Lock()
-	records := p.snapshot()
+	change := p.prepareArchiving(time.Now())
+	c := journal.Compaction{Snapshot: p.snapshot(change.jobs), Archive: change.rows, Drop: change.drop}
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
 	defer cancel()
-	return p.log.Compact(ctx, journal.Compaction{Snapshot: records})
+	if err := p.log.Compact(ctx, c); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.archived(change)
+	p.snapshotBytes = 0
+	for _, r := range c.Snapshot {
+		p.snapshotBytes += len(r)
+	}
+	return nil
 }
 
-// snapshot returns records that restore to the same books.
-func (p *partition) snapshot() [][]byte {
+// snapshot returns records that restore to the same books, together with the archives and the jobs that are about to be
+// archived.
+func (p *partition) snapshot(leaving []*job) [][]byte {
 	var out [][]byte
 	add := func(r record) { out = append(out, r.encode()) }
 	for _, w := range p.workers {
@@ -258,18 +281,20 @@
 			add(record{T: recordWorker, Worker: w.id, Addr: w.addr, Domain: w.domain, Rack: w.rack})
 		}
 	}
+	left := make(map[*job]bool, len(leaving))
+	for _, j := range leaving {
+		left[j] = true
+	}
 	for _, j := range p.jobs {
-		if !j.accepted {
+		if !j.accepted || j.archived || left[j] {
 			continue
 		}
-		spec := j.spec
-		r := record{T: recordJob, At: j.at, Job: j.id, Spec: &spec, Fingerprint: j.fingerprint}
 		if j.ended() && j.tasks == nil {
-			r.Counts, r.EndedAt, r.Reason = j.counts, j.endedAt, j.reason
-			add(r)
+			add(endedRecord(j))
 			continue
 		}
-		add(r)
+		spec := j.spec
+		add(record{T: recordJob, At: j.at, Job: j.id, Spec: &spec, Fingerprint: j.fingerprint})
 		if j.cancelled {
 			add(record{T: recordCancel, At: j.at, Job: j.id, State: j.endAs, Reason: j.reason})
 		}
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -392,9 +392,12 @@
 	})
 }
 
-// TestRetention guards against ended jobs that are never dropped, and against a snapshot that loses jobs.
+// TestRetention guards against ended jobs that are never dropped, against a snapshot that loses jobs, and against one that
+// writes archived jobs again.
 func TestRetention(t *testing.T) {
 	scenario(t, "ended jobs survive a compaction and are dropped after a day", 2, func(f *fixture, c *fakeCluster) {
+		f.cfg.ArchiveBytes = 1
+		So(f.handOver(), ShouldBeNil)
 		c.runs = func(string) fakeRun { return fakeRun{time: time.Hour} }
 		s := batch("deadline", 1, small)
 		s.TimeoutMS = 5000
@@ -403,14 +406,23 @@
 		}
 		time.Sleep(10 * time.Second)
 		So(f.counts("deadline"), ShouldResemble, map[State]int{Failed: 1})
-		So(f.pool.parts[part].compact(), ShouldBeNil)
-		So(f.handOver(), ShouldBeNil)
-		So(f.counts("deadline"), ShouldResemble, map[State]int{Failed: 1})
+		f.store.set(func() { f.store.down = true })
+		So(f.pool.parts[part].compact(), ShouldNotBeNil)
+		f.store.set(func() { f.store.down = false })
+		for range 2 {
+			So(f.pool.parts[part].compact(), ShouldBeNil)
+			So(len(f.store.archives), ShouldEqual, 1)
+			So(fmt.Sprintf("%s", f.store.records), ShouldNotContainSubstring, "deadline")
+			So(f.handOver(), ShouldBeNil)
+			So(f.counts("deadline"), ShouldResemble, map[State]int{Failed: 1})
+		}
 		time.Sleep(2 * time.Hour)
 		So(f.counts("open"), ShouldResemble, map[State]int{Done: 2})
 		time.Sleep(25 * time.Hour)
 		_, err := f.pool.Status(part, "c", "open")
 		So(code(err), ShouldEqual, CodeNotFound)
+		So(f.pool.parts[part].compact(), ShouldBeNil)
+		So(f.store.archives, ShouldBeEmpty)
 	})
 }
 
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -271,6 +271,8 @@
 		c := journal.Compaction{Archive: []journal.Archive{{ID: 1, Record: []byte("archive")}}}
 		So(errors.Is(a.Compact(f.ctx, c), journal.ErrNotWritten), ShouldBeTrue)
 		So(replay(mem.Memory, "a", 2), ShouldResemble, []string{"snapshot"})
+		_, _, err := f.c.Open(f.ctx, tabletest.Claim(mem.Memory, "a", 3))
+		So(err, ShouldBeNil)
 	})
 	conveyInBubble(t, "Open refuses stale reads, an outdated claim and lost rows", func() {
 		mem := table.NewMemory()
@@ -297,7 +299,7 @@
 	})
 }
 
-// lossy is a table whose commits take effect while their responses, and all reads, are lost.
+// lossy is a table whose commits take effect while their responses, and all reads, are lost. It refuses oversized pages.
 type lossy struct {
 	*table.Memory
 	lost bool
@@ -311,6 +313,14 @@
 	return r, err
 }
 
+// Scan checks that a page of the largest rows fits into what a client accepts of a response, 64 MB with base64.
+func (l *lossy) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	if large := !strings.HasPrefix(prefix, "journal/"); large && limit*512<<10*4/3 > 64<<20 {
+		return nil, errors.Errorf("%d rows of %s in one page", limit, prefix)
+	}
+	return l.Memory.Scan(ctx, prefix, after, limit)
+}
+
 func (l *lossy) Get(ctx context.Context, key string) (table.Row, error) {
 	if l.lost {
 		return table.Row{}, table.ErrUnavailable
--- a/journal/rows.go
+++ b/journal/rows.go
@@ -115,11 +115,11 @@
 	if err := checkOwned(ctx, c, g); err != nil {
 		return replayed{}, err
 	}
-	snaps, err := table.ScanAll(ctx, c, snapshotPrefix(g.Partition()))
+	snaps, err := table.ScanLarge(ctx, c, snapshotPrefix(g.Partition()))
 	if err != nil {
 		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	archives, err := table.ScanAll(ctx, c, archivePrefix(g.Partition()))
+	archives, err := table.ScanLarge(ctx, c, archivePrefix(g.Partition()))
 	if err != nil {
 		return replayed{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -83,21 +83,34 @@
 	Commit(ctx context.Context, txn Txn) (Result, error)
 }
 
-// scanPage is the number of rows that ScanAll reads with one call.
-const scanPage = 500
+const (
+	// scanPage is the number of rows that ScanAll reads with one call.
+	scanPage = 500
+	// scanPageLarge keeps a page of rows of up to 512 KB below the 64 MB that a client accepts.
+	scanPageLarge = 32
+)
 
 // ScanAll returns all rows whose keys start with prefix, in key order. The rows are read page by page and are not one
 // snapshot.
 func ScanAll(ctx context.Context, c Client, prefix string) ([]Row, error) {
+	return scan(ctx, c, prefix, scanPage)
+}
+
+// ScanLarge is ScanAll for rows of up to 512 KB.
+func ScanLarge(ctx context.Context, c Client, prefix string) ([]Row, error) {
+	return scan(ctx, c, prefix, scanPageLarge)
+}
+
+func scan(ctx context.Context, c Client, prefix string, page int) ([]Row, error) {
 	var all []Row
 	after := ""
 	for {
-		rows, err := c.Scan(ctx, prefix, after, scanPage)
+		rows, err := c.Scan(ctx, prefix, after, page)
 		if err != nil {
 			return nil, err
 		}
 		all = append(all, rows...)
-		if len(rows) < scanPage {
+		if len(rows) < page {
 			return all, nil
 		}
 		after = rows[len(rows)-1].Key
