Compare archived keys by the digest of their fingerprint everywhere

Cause: an archived entry has no fingerprint, and Table.Lookup returned an empty one. Admission compares fingerprints after a Lookup, so a retry of a request whose key had been archived was refused as key_reused, which says that it did not run although it was done. Found by reading the callers of Lookup.

Ruled out: keeping the fingerprint (64 bytes a key); leaving the comparison to Begin (admission answers known keys before it counts them against the allowance).

Change: Entry.Matches compares fingerprints, by digest if the entry is archived. The message of a done request without its answer says that the answer may be too old.

Before: TestKeys with the real table, one archived key: not_run (key_reused). After: done, on the same owner and on its successor, and key_reused for another request only.

--- a/idempotency/archive.go
+++ b/idempotency/archive.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// entry returns what is known of an archived key. The fingerprint is the one that matched.
-func (a archived) entry(k Key, fingerprint string) Entry {
+// entry returns what is known of an archived key.
+func (a archived) entry(k Key) Entry {
 	state := archivedStates[a.state]
 	return Entry{
-		Key: k, Fingerprint: fingerprint, State: state, AnswerOmitted: state == Done, At: time.Unix(int64(a.at), 0),
+		Key: k, State: state, AnswerOmitted: state == Done, At: time.Unix(int64(a.at), 0), digest: &a.fingerprint,
 	}
 }
 
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -45,9 +45,20 @@
 	State       State  `json:"state"`
 	Code        string `json:"code,omitempty"`   // stable code of the outcome, empty when done
 	Answer      []byte `json:"answer,omitempty"` // the minion's answer when done
-	// AnswerOmitted says that the request is done but its answer was too large to be recorded.
+	// AnswerOmitted says that the request is done but its answer was too large to be recorded, or is no longer kept.
 	AnswerOmitted bool      `json:"answer_omitted,omitempty"`
 	At            time.Time `json:"at"` // time of the last change, for retention only
+
+	digest *uint64 // of the fingerprint of an archived entry, which has no Fingerprint
+}
+
+// Matches reports whether the entry was recorded for a request with the fingerprint. Otherwise the key was used for
+// another one.
+func (e Entry) Matches(fingerprint string) bool {
+	if e.digest != nil {
+		return *e.digest == digestFingerprint(fingerprint)
+	}
+	return e.Fingerprint == fingerprint
 }
 
 // Claim is the result of Begin. When Run is true the caller must run the request and then call Finish; otherwise Entry
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -199,7 +199,7 @@
 	defer t.mu.Unlock()
 	t.expire()
 	s := t.slots[k]
-	if s != nil && s.entry.Fingerprint != fingerprint {
+	if s != nil && !s.entry.Matches(fingerprint) {
 		return Claim{}, nil, ErrKeyReused
 	}
 	if s != nil && s.run != nil {
@@ -211,10 +211,10 @@
 	}
 	if s == nil {
 		if e, ok := t.archived(k); ok {
-			if e.fingerprint != digestFingerprint(fingerprint) {
+			if !e.entry(k).Matches(fingerprint) {
 				return Claim{}, nil, ErrKeyReused
 			}
-			return Claim{Entry: e.entry(k, fingerprint)}, nil, nil
+			return Claim{Entry: e.entry(k)}, nil, nil
 		}
 	}
 	if s == nil && len(t.slots)+t.old.count >= t.cfg.MaxEntries && !t.evict() {
@@ -295,7 +295,7 @@
 		return s.entry, nil
 	}
 	if e, ok := t.archived(k); ok {
-		return e.entry(k, ""), nil
+		return e.entry(k), nil
 	}
 	return Entry{}, ErrNoEntry
 }
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -242,8 +242,16 @@
 }
 
 func (s *store) Compact(_ context.Context, c journal.Compaction) error {
-	<-s.hang
-	locked(&s.mu, func() { s.records = c.Snapshot })
+	if s.hang != nil {
+		<-s.hang
+	}
+	locked(&s.mu, func() {
+		s.records = nil
+		for _, a := range c.Archive {
+			s.records = append(s.records, a.Record)
+		}
+		s.records = append(s.records, c.Snapshot...)
+	})
 	return nil
 }
 
--- a/internal/request/outcome.go
+++ b/internal/request/outcome.go
@@ -32,7 +32,7 @@
 	switch {
 	case err != nil:
 		return nil, Outcome{}, false
-	case e.Fingerprint != fp:
+	case !e.Matches(fp):
 		return nil, reused, true
 	case e.State == idempotency.Done || e.State == idempotency.Unknown:
 		return nil, outcomeOf(e), true
@@ -61,7 +61,7 @@
 	case idempotency.Done:
 		o := Outcome{Outcome: Done, Result: e.Answer}
 		if len(e.Answer) == 0 {
-			o.Message = "the request was done; its answer was too large to be kept"
+			o.Message = "the request was done; its answer was too large to be kept, or is no longer kept"
 		}
 		return o
 	case idempotency.NotRun:
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/journal"
@@ -119,6 +120,31 @@
 			locked(&b.lists.mu, func() { b.lists.allowed.Concurrency = 10 })
 		}
 	})
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An archived key gives the outcome of its request again, and only of that", t, func() {
+			b := newBench(part, 1, func(d *Deps) {
+				d.Claims = func(log idempotency.Log, records [][]byte) (Claims, error) {
+					claims := idempotency.New(log, idempotency.Config{MaxRecent: 1})
+					return claims, claims.Restore(records)
+				}
+			})
+			Reset(b.close)
+			for _, key := range []string{"old", "new"} {
+				So(b.once(time.Second, job{Key: key}).Outcome, ShouldEqual, Done)
+			}
+			b.Service.partition(part).compact()
+			next := b.successor()
+			Reset(next.close)
+			for _, owner := range []*bench{b, next} {
+				o := owner.once(time.Second, job{Key: "old"})
+				So(o.Outcome, ShouldEqual, Done)
+				So(o.Message, ShouldContainSubstring, "no longer kept")
+				So(owner.Lookup(part, b.customer, "old").Outcome, ShouldEqual, Done)
+				So(owner.once(time.Second, job{Key: "old", MS: 7}).Code, ShouldEqual, CodeKeyReused)
+			}
+			So(b.net.runsOf("old"), ShouldEqual, 1)
+		})
+	})
 }
 
 // TestTakeover guards against a second run after the owner was lost in mid-request, and against more than 8 attempts on
