Count a predecessor's open claims against the concurrency

Cause: after a takeover, the claims that the predecessor left open are to count against each customer's concurrency until their attempts are over. The request path asked its table for them through an optional interface, which only the table of the tests implemented, so in a daemon nothing was counted. Found by reading.

Ruled out: an allowance that is merely late (the count was never set).

Change: Open is part of the Claims interface and the idempotency table implements it. Claims that it finds open are journaled as unknown, so that the next owner does not count them again. The digest of an archived key includes the length of the customer's name, so that no two pairs of customer and key share one.

Before: with Open returning nothing, as in a daemon, TestTakeover fails (the request is sent instead of refused with allowance_concurrency).

--- a/idempotency/archive.go
+++ b/idempotency/archive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
@@ -74,7 +75,8 @@
 }
 
 func digestOf(k Key) (d [digestBytes]byte) {
-	sum := sha256.Sum256([]byte(k.Customer + "\x00" + k.Key))
+	// The length keeps two pairs of customer and key apart whose concatenations are equal.
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d %s%s", len(k.Customer), k.Customer, k.Key))
 	copy(d[:], sum[:])
 	return d
 }
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -121,6 +121,7 @@
 	slots   map[Key]*slot
 	changes []change // in the order in which they happened, for expiry
 	old     archives
+	open    map[string]int // claims that Restore found open, per customer
 	state   TableState
 }
 
@@ -132,7 +133,8 @@
 }
 
 // Restore loads the records that were in force when the journal was opened, before any other call. Claims become
-// Unknown for good: their former owner may have run them. Errors: ErrCorrupt.
+// Unknown for good: their former owner may have run them. This is journaled, so that the next owner does not count them as
+// open again. Errors: ErrCorrupt.
 func (t *Table) Restore(records [][]byte) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -151,10 +153,16 @@
 		if err := json.Unmarshal(r, &e); err != nil || e.State == "" {
 			return errors.Wrapf(ErrCorrupt, "%.100q", r)
 		}
+		latest[e.Key] = e
+	}
+	t.open = map[string]int{}
+	for k, e := range latest {
 		if e.State == Claimed {
+			t.open[k.Customer]++
 			e.State, e.At = Unknown, now
+			latest[k] = e
+			t.log.AppendAsync(encode(e))
 		}
-		latest[e.Key] = e
 	}
 	oldestFirst := slices.SortedFunc(maps.Values(latest), func(a, b Entry) int { return a.At.Compare(b.At) })
 	for _, e := range oldestFirst {
@@ -166,6 +174,13 @@
 	return nil
 }
 
+// Open returns the claims per customer that the former owner left open. Their attempts may still run for a while.
+func (t *Table) Open() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.open)
+}
+
 // Begin implements Beginner. An entry in state NotRun is begun again.
 func (t *Table) Begin(ctx context.Context, k Key, fingerprint string) (Claim, error) {
 	for {
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -106,7 +106,11 @@
 			})
 			Convey("a claim of a predecessor becomes unknown for good", func() {
 				So(begin("k").Run, ShouldBeTrue)
-				first := restored(log.records, idempotency.Config{})
+				taken := &memoryLog{}
+				first := idempotency.New(taken, idempotency.Config{})
+				So(first.Restore(log.records), ShouldBeNil)
+				So(first.Open(), ShouldResemble, map[string]int{"c": 1})
+				So(restored(append(log.records, taken.records...), idempotency.Config{}).Open(), ShouldBeEmpty)
 				second := restored(snapshot(first), idempotency.Config{})
 				second.Finish(key("k"), idempotency.NotRun, "", nil)
 				c, err := second.Begin(ctx, key("k"), "f")
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -260,71 +260,13 @@
 func (s *store) Bytes() int                  { return 0 }
 func (s *store) Close()                      { s.mu.Lock(); defer s.mu.Unlock(); s.closed++ }
 
-// claims is a small at-most-once table.
-type claims struct {
-	log     idempotency.Log
-	mu      sync.Mutex
-	entries map[idempotency.Key]idempotency.Entry
-}
-
-func newFakeClaims(log idempotency.Log, records [][]byte) (Claims, error) {
-	c := &claims{log: log, entries: map[idempotency.Key]idempotency.Entry{}}
-	for _, r := range records {
-		var e idempotency.Entry
-		_ = json.Unmarshal(r, &e)
-		if e.State == idempotency.Claimed {
-			e.State, e.Code = idempotency.Unknown, string(CodeOutcomeUnknown)
-		}
-		c.entries[e.Key] = e
-	}
-	return c, nil
-}
-
-func (c *claims) Open() map[string]int {
-	open := map[string]int{}
-	for _, e := range c.entries {
-		if e.State == idempotency.Unknown {
-			open[e.Key.Customer]++
-		}
+// newClaims returns the table that the daemon uses. With a table of their own, these tests once missed that a successor did
+// not learn of its predecessor's open claims.
+func newClaims(cfg idempotency.Config) NewClaims {
+	return func(log idempotency.Log, records [][]byte) (Claims, error) {
+		t := idempotency.New(log, cfg)
+		return t, t.Restore(records)
 	}
-	return open
-}
-
-func (c *claims) Begin(ctx context.Context, k idempotency.Key, fp string) (idempotency.Claim, error) {
-	e := idempotency.Entry{Key: k, Fingerprint: fp, State: idempotency.Claimed}
-	if old, err := c.Lookup(k); err == nil && old.State != idempotency.NotRun {
-		return idempotency.Claim{Entry: old}, nil
-	}
-	locked(&c.mu, func() { c.entries[k] = e })
-	raw, _ := json.Marshal(e)
-	if err := c.log.Append(ctx, raw); err != nil {
-		locked(&c.mu, func() { delete(c.entries, k) })
-		return idempotency.Claim{}, idempotency.ErrNotClaimed
-	}
-	return idempotency.Claim{Run: true, Entry: e}, nil
-}
-
-func (c *claims) Finish(k idempotency.Key, s idempotency.State, code string, answer []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e := c.entries[k]
-	e.State, e.Code, e.Answer = s, code, answer
-	c.entries[k] = e
-	raw, _ := json.Marshal(e)
-	c.log.(*heldLog).AppendAsync(raw)
-}
-
-func (c *claims) Lookup(k idempotency.Key) (idempotency.Entry, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e, ok := c.entries[k]; ok {
-		return e, nil
-	}
-	return idempotency.Entry{}, idempotency.ErrNoEntry
-}
-
-func (c *claims) Compaction() (journal.Compaction, func(error)) {
-	return journal.Compaction{}, func(error) {}
 }
 
 // members and plans in one.
@@ -405,7 +347,7 @@
 	for _, id := range idsOf(partition, "m", minions) {
 		b.lists.minions = append(b.lists.minions, membership.Endpoint{ID: id, Addr: id + ":1"})
 	}
-	d := Deps{Journal: b.store, Claims: newFakeClaims, Members: b.lists, Plans: b.lists, Dial: b.net.dial}
+	d := Deps{Journal: b.store, Claims: newClaims(idempotency.Config{}), Members: b.lists, Plans: b.lists, Dial: b.net.dial}
 	if change != nil {
 		change(&d)
 	}
--- a/internal/request/handover.go
+++ b/internal/request/handover.go
@@ -11,14 +11,13 @@
 // more is sent. A successor takes over the open claims, and after a fencing it uses a minion's slots only as far as the
 // predecessor's attempts cannot occupy them.
 
-// openClaims is an optional part of Claims: the claims per customer that a predecessor left open.
-type openClaims interface{ Open() map[string]int }
-
+// adoptClaims counts a fenced predecessor's open claims against the customers' concurrency until their attempts are over.
 func (p *partition) adoptClaims() {
-	if oc, ok := p.claims.(openClaims); ok && !p.blockedUntil.IsZero() {
-		for customer, n := range oc.Open() {
-			p.account(customer, time.Now()).adopted = n
-		}
+	if p.blockedUntil.IsZero() {
+		return
+	}
+	for customer, n := range p.claims.Open() {
+		p.account(customer, time.Now()).adopted = n
 	}
 }
 
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -28,6 +28,8 @@
 	// Compaction returns what restores the table, including entries whose Append has not returned yet, and a function that
 	// must be called with the compaction's outcome.
 	Compaction() (journal.Compaction, func(error))
+	// Open returns the claims per customer that a predecessor left open.
+	Open() map[string]int
 }
 
 // NewClaims restores the at-most-once table of a partition from its journal's records. Entries that are claimed but not
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -122,12 +122,7 @@
 	})
 	synctest.Test(t, func(t *testing.T) {
 		Convey("An archived key gives the outcome of its request again, and only of that", t, func() {
-			b := newBench(part, 1, func(d *Deps) {
-				d.Claims = func(log idempotency.Log, records [][]byte) (Claims, error) {
-					claims := idempotency.New(log, idempotency.Config{MaxRecent: 1})
-					return claims, claims.Restore(records)
-				}
-			})
+			b := newBench(part, 1, func(d *Deps) { d.Claims = newClaims(idempotency.Config{MaxRecent: 1}) })
 			Reset(b.close)
 			for _, key := range []string{"old", "new"} {
 				So(b.once(time.Second, job{Key: key}).Outcome, ShouldEqual, Done)
