Print the request policy table in one piece

Change: the table is logged after the checks, as that of the job package. All rows appear now; the checks are unchanged.

--- a/internal/request/policy_test.go
+++ b/internal/request/policy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -260,13 +261,15 @@
 // TestPolicyTable guards against long work that delays urgent work at a crest, and against one customer's flood that
 // delays another's short work. It prints the lanes beside a first-come-first-served baseline on the same arrivals.
 func TestPolicyTable(t *testing.T) {
+	var out strings.Builder
+	row := func(format string, args ...any) { _, _ = fmt.Fprintf(&out, "\n"+format, args...) }
 	Convey("The lanes beside first come, first served", t, func() {
-		t.Logf("%-40s crest %6s  %7s  %7s  %7s   %6s  %6s  %6s  %8s", "urgent requests, seed 1", "n", "p50 ms", "p99 ms", "worst", "intime", "atonce", "late", "recov ms")
+		row("%-40s crest %6s  %7s  %7s  %7s   %6s  %6s  %6s  %8s", "urgent requests, seed 1", "n", "p50 ms", "p99 ms", "worst", "intime", "atonce", "late", "recov ms")
 		for seed := uint64(1); seed <= 3; seed++ {
 			show := func(name string, r crestRow) {
 				if seed == 1 {
-					t.Logf("%-40s     1 %s", name, r[0])
-					t.Logf("%-40s     2 %s", name, r[1])
+					row("%-40s     1 %s", name, r[0])
+					row("%-40s     2 %s", name, r[1])
 				}
 			}
 			for _, rate := range []float64{60, 100, 160, 200, 400} {
@@ -282,7 +285,7 @@
 				show(name+"lanes, long work", with)
 				long := endedAfter(as, crestStart+crestLength, isLong)
 				if seed == 1 {
-					t.Logf("%-40s       %d long requests ended, %d after the first crest", name, endedAfter(as, 0, isLong), long)
+					row("%-40s       %d long requests ended, %d after the first crest", name, endedAfter(as, 0, isLong), long)
 				}
 				withinGoal(without[0], with[0])
 				withinGoal(without[1], with[1])
@@ -300,6 +303,7 @@
 			So(other[0].p99, ShouldBeLessThan, shortRun)
 		}
 	})
+	t.Log(out.String()) // in one piece, since the checks print their own marks
 }
 
 // TestPolicyFirstCrest guards against long work that delays urgent work at a crest that was not seen before: one that needs
