Test which workers a gang avoids

This test covers the rule itself and its two exceptions. The comment on the whole-system tests' customers named a partition too many.

--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -324,6 +324,22 @@
 	}
 }
 
+// TestGangAvoids guards against a gang that goes back to the one worker that fails its tasks until the job has failed.
+func TestGangAvoids(t *testing.T) {
+	Convey("Given a gang with failed tasks", t, func() {
+		now := time.Now()
+		gang := item{job: &job{tasks: []*task{{failedOn: []string{"w1"}}, {failedOn: []string{"w1", "w2"}}}}, since: now}
+		So(gang.avoid(now), ShouldResemble, []string{"w1", "w2"})
+		Convey("it avoids none of them after a wait, when the others may be too few", func() {
+			So(gang.avoid(now.Add(reserveAfter)), ShouldBeEmpty)
+		})
+		Convey("it avoids none when it is more likely at fault itself", func() {
+			gang.job.tasks[0].failedOn = append(gang.job.tasks[0].failedOn, "w3")
+			So(gang.avoid(now), ShouldBeEmpty)
+		})
+	})
+}
+
 // TestTakeover guards against a successor that starts a task while it may still run under the previous owner.
 func TestTakeover(t *testing.T) {
 	scenario(t, "a successor waits for every worker or for the end of the leases", 3, func(f *fixture, c *fakeCluster) {
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -160,7 +160,7 @@
 	time.Sleep(time.Second)
 }
 
-// customers lie in all partitions of the service.
+// customers lie in all partitions of the service but request/textos/2.
 var customers = []string{"bakery", "school", "council", "library", "radio", "festival", "chorus", "museum", "archive", "theatre"}
 
 var goldAllowance = map[string]any{
