Try ejected minions with attempts that can be repeated

Cause: a minion that is due for a trial shows one idle slot, and the router prefers the one of two minions with more. With another minion idle, the ejected one was tried only when the others were nearly full: at a crest, and then as likely with a non-idempotent request, whose failure leaves the outcome unknown.

Ruled out: trials by ping (a minion may answer pings and fail every request).

Change: an attempt that can be repeated prefers a minion that is due for a trial, and others avoid it while another minion has an idle slot. Attempts for other partitions avoid it, too, since the lender does not know whether they can be repeated.

Before: the new case of TestRouter chose the healthy minion 100 times of 100 for both kinds. After: the minion on trial for repeatable attempts, the healthy one for the others.

--- a/internal/request/borrow.go
+++ b/internal/request/borrow.go
@@ -105,7 +105,7 @@
 	if p.phase != serving || len(p.router.available) == 0 || p.guard.Check() != nil || !p.queue.Lend(lane) {
 		return nil
 	}
-	m := p.router.pick(nil)
+	m := p.router.pick(nil, false)
 	p.router.use(m)
 	p.begin()
 	a := p.newAttempt(l.AttemptID, l.Payload)
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -44,7 +44,7 @@
 
 // dispatch sends a call's attempt to an own minion. The caller has checked that one is available.
 func (p *partition) dispatch(c *call, now time.Time) {
-	m := p.router.pick(c.avoid)
+	m := p.router.pick(c.avoid, c.req.Idempotent)
 	p.router.use(m)
 	p.begin()
 	p.unqueue(c)
--- a/internal/request/path_test.go
+++ b/internal/request/path_test.go
@@ -71,7 +71,7 @@
 		rng := rand.New(rand.NewPCG(3, 3))
 		var inUse []*minion
 		for range 20_000 {
-			if m := r.pick(nil); m != nil && (len(inUse) == 0 || rng.IntN(100) < 55) {
+			if m := r.pick(nil, true); m != nil && (len(inUse) == 0 || rng.IntN(100) < 55) {
 				So(m.idle(), ShouldBeGreaterThan, 0)
 				r.use(m)
 				inUse = append(inUse, m)
@@ -85,12 +85,25 @@
 		So(r.idleSlots(), ShouldEqual, 50*minionSlots-len(inUse))
 		other := r.available[0]
 		for range 100 {
-			So(r.pick(other), ShouldNotEqual, other)
+			So(r.pick(other, true), ShouldNotEqual, other)
+		}
+	})
+	Convey("An ejected minion is tried with an attempt that can be repeated", t, func() {
+		r := benchRouter(2)
+		sick, now := r.available[0], time.Now()
+		for range ejectAfter {
+			r.failed(sick, now)
+		}
+		r.advance(now.Add(minEjection))
+		for range 100 {
+			So(r.pick(nil, true), ShouldEqual, sick)
+			So(r.pick(nil, false), ShouldNotEqual, sick)
+			So(r.pick(sick, true), ShouldNotEqual, sick)
 		}
 	})
 	Convey("A routing decision does not allocate, whatever the number of minions", t, func() {
 		r := benchRouter(25_000)
-		So(testing.AllocsPerRun(1000, func() { r.use(r.pick(nil)) }), ShouldEqual, 0)
+		So(testing.AllocsPerRun(1000, func() { r.use(r.pick(nil, true)) }), ShouldEqual, 0)
 	})
 	Convey("Ejections double up to their limit", t, func() {
 		So(ejection(0), ShouldEqual, time.Second)
@@ -116,13 +129,13 @@
 			r := benchRouter(n)
 			inUse := make([]*minion, n*minionSlots*8/10) // a load of 80 %
 			for i := range inUse {
-				inUse[i] = r.pick(nil)
+				inUse[i] = r.pick(nil, true)
 				r.use(inUse[i])
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
-				m := r.pick(nil)
+				m := r.pick(nil, true)
 				r.use(m)
 				j := i % len(inUse)
 				r.free(inUse[j], time.Time{})
--- a/internal/request/route.go
+++ b/internal/request/route.go
@@ -74,8 +74,11 @@
 	return &router{rng: rand.New(rand.NewPCG(seed, 0)), minions: map[string]*minion{}}
 }
 
-// pick returns the minion with more idle slots of two random ones that have any, or nil. It avoids one minion if it can.
-func (r *router) pick(avoid *minion) *minion {
+// pick returns the better of two random minions with idle slots, or nil. It avoids one minion if it can. A trial of an
+// ejected minion goes first if its attempt could be repeated elsewhere, and last otherwise: a failed trial would leave the
+// outcome unknown, and without preference an idle partition would try no minion. Of others, the one with more idle slots
+// is better.
+func (r *router) pick(avoid *minion, repeatable bool) *minion {
 	n := len(r.available)
 	switch n {
 	case 0:
@@ -89,7 +92,16 @@
 		j++
 	}
 	a, b := r.available[i], r.available[j]
-	if a == avoid || b != avoid && b.idle() > a.idle() {
+	second := b.idle() > a.idle()
+	switch {
+	case a == avoid:
+		second = true
+	case b == avoid:
+		second = false
+	case a.ejected != b.ejected:
+		second = b.ejected == repeatable
+	}
+	if second {
 		return b
 	}
 	return a
