Look an archived key up in one place

Begin converted the archived entry twice and tested for a new key twice; the retention was computed from a second conversion of the time. archived returns the Entry now, and the sort uses the comparison that the search uses.

--- a/idempotency/archive.go
+++ b/idempotency/archive.go
@@ -104,7 +104,7 @@
 func compareDigest(a archived, d [digestBytes]byte) int { return bytes.Compare(a.digest[:], d[:]) }
 
 func newArchive(id int64, entries []archived) *archive {
-	slices.SortFunc(entries, func(a, b archived) int { return bytes.Compare(a.digest[:], b.digest[:]) })
+	slices.SortFunc(entries, func(a, b archived) int { return compareDigest(a, b.digest) })
 	a := &archive{id: id, entries: entries, filter: make(filter, filterBits/64)}
 	for _, e := range entries {
 		a.filter.add(e.digest)
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -226,15 +226,15 @@
 	}
 	if s == nil {
 		if e, ok := t.archived(k); ok {
-			if !e.entry(k).Matches(fingerprint) {
+			if !e.Matches(fingerprint) {
 				return Claim{}, nil, ErrKeyReused
 			}
-			return Claim{Entry: e.entry(k)}, nil, nil
+			return Claim{Entry: e}, nil, nil
+		}
+		if len(t.slots)+t.old.count >= t.cfg.MaxEntries && !t.evict() {
+			t.state.Refused++
+			return Claim{}, nil, errors.Wrap(ErrNotClaimed, "table is full")
 		}
-	}
-	if s == nil && len(t.slots)+t.old.count >= t.cfg.MaxEntries && !t.evict() {
-		t.state.Refused++
-		return Claim{}, nil, errors.Wrap(ErrNotClaimed, "table is full")
 	}
 	run := &attempt{ended: make(chan struct{})}
 	if s != nil {
@@ -310,15 +310,19 @@
 		return s.entry, nil
 	}
 	if e, ok := t.archived(k); ok {
-		return e.entry(k), nil
+		return e, nil
 	}
 	return Entry{}, ErrNoEntry
 }
 
 // archived returns the archived entry of a key, unless its retention has passed. It is called with mu held.
-func (t *Table) archived(k Key) (archived, bool) {
-	e, ok := t.old.find(k)
-	return e, ok && t.cfg.Now().Sub(time.Unix(int64(e.at), 0)) < t.cfg.Retention
+func (t *Table) archived(k Key) (Entry, bool) {
+	found, ok := t.old.find(k)
+	if !ok {
+		return Entry{}, false
+	}
+	e := found.entry(k)
+	return e, t.cfg.Now().Sub(e.At) < t.cfg.Retention
 }
 
 // Compaction returns what restores the table, and a function that must be called with the compaction's outcome. Entries
