Stop a test's services before the network they share

Cause: TestKeys failed under -race. Its last case closed the fake network while the successor's partition still dialed it: goconvey runs Reset functions in the order of their registration, so the predecessor's teardown, which closes the network, came first. Adding to the network's WaitGroup during its Wait is the reported race, and the successor then never ended.

Ruled out: a fault of the product. Both stacks end in the fake network, and Service.Close waits for the goroutine that dials.

Change: the case defers its teardowns, which run in reverse order, and a closed network refuses to be dialed, as a closed listener does.

--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -53,6 +53,7 @@
 	silent  bool           // connections that are used now never answer again
 	ping    string         // answer to a ping
 	answers int            // after this number of answers a connection is closed; 0: never
+	closed  bool           // nothing is dialed any more
 	ending  string         // how: "idle", at once; "read", after reading one more attempt; "partial", in the middle of it
 }
 
@@ -64,7 +65,7 @@
 func (n *network) dial(_ context.Context, _, addr string) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.down[addr] {
+	if n.closed || n.down[addr] {
 		return nil, errors.New("connection refused")
 	}
 	client, server := net.Pipe()
@@ -98,6 +99,7 @@
 
 func (n *network) close() {
 	locked(&n.mu, func() {
+		n.closed = true
 		for _, c := range n.conns {
 			_ = c.Close()
 		}
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -123,13 +123,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("An archived key gives the outcome of its request again, and only of that", t, func() {
 			b := newBench(part, 1, func(d *Deps) { d.Claims = newClaims(idempotency.Config{MaxRecent: 1}) })
-			Reset(b.close)
+			defer b.close()
 			for _, key := range []string{"old", "new"} {
 				So(b.once(time.Second, job{Key: key}).Outcome, ShouldEqual, Done)
 			}
 			b.Service.partition(part).compact()
 			next := b.successor()
-			Reset(next.close)
+			defer next.Close() // before the network that both use
 			for _, owner := range []*bench{b, next} {
 				o := owner.once(time.Second, job{Key: "old"})
 				So(o.Outcome, ShouldEqual, Done)
