Bound the dials to the table service and the membership list

Cause: the HTTP transport lets a dial go on after the call that began it has ended. The clients of the table and of the membership list had no limit of their own in a daemon, so while packets to the store were dropped, each call left a dial behind. A real network ends a dial by itself, after a time that was not measured here.

Besides, a commit that could not even be dialed was reported as one of unknown outcome, because its call ended before its dial did.

Ruled out: the peers' and workers' clients, which bound their dials.

Change: a dial to the table or the membership list ends after 500 ms, before the call does. A commit without a connection is then known not to have left.

Before: TestUnreachableService fails with a dial that never ends, and with an unknown outcome instead of ErrUnavailable. After: it passes.

Conclusion: what a daemon holds in an outage does not grow with its length.

--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -32,8 +32,11 @@
 	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
-// metricsInterval is how often counters are passed to the page that a scraper reads.
-const metricsInterval = time.Second
+const (
+	// metricsInterval is how often counters are passed to the page that a scraper reads.
+	metricsInterval       = time.Second
+	membershipDialTimeout = 500 * time.Millisecond
+)
 
 // Module holds all parts of the daemon.
 var Module = fx.Options(
@@ -101,7 +104,7 @@
 }
 
 func newMembership(s *settings.Settings, n network.Network) *membership.List {
-	hc := &http.Client{Transport: &http.Transport{DialContext: n.Dial}}
+	hc := &http.Client{Transport: &http.Transport{DialContext: network.WithTimeout(n.Dial, membershipDialTimeout)}}
 	return membership.NewList(membership.NewHTTPFetcher(s.Membership.String(), hc))
 }
 
--- a/table/http.go
+++ b/table/http.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// dialTimeout bounds a dial, which goes on after the end of the call that began it. It is shorter than a call, so that
+	// a commit to a service that is out of reach is known not to have left.
 	dialTimeout = 500 * time.Millisecond
 	// callTimeout bounds one call. A renewal that takes longer is of no use to a session with a validity of 3.5 s.
 	callTimeout = 2 * time.Second
@@ -39,10 +41,14 @@
 // NewHTTPClient returns a client of the service at addr, an IP:port. A nil dial means TCP.
 func NewHTTPClient(addr string, dial DialFunc) *HTTPClient {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = new(net.Dialer).DialContext
 	}
 	tr := &http.Transport{
-		DialContext:         dial,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			return dial(ctx, network, addr)
+		},
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     10 * time.Second,
 	}
--- a/table/memory_test.go
+++ b/table/memory_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
@@ -59,3 +63,27 @@
 		}
 	})
 }
+
+// TestUnreachableService guards against dials that outlive their calls and pile up while packets to the service are
+// dropped, and against a commit that did not leave but is reported as one that may have taken effect.
+func TestUnreachableService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A dial that is not answered ends before its call does", t, func() {
+			var open atomic.Int32
+			c := table.NewHTTPClient("127.0.0.1:1", func(ctx context.Context, _, _ string) (net.Conn, error) {
+				open.Add(1)
+				defer open.Add(-1)
+				<-ctx.Done()
+				return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+			})
+			for _, limit := range []time.Duration{100 * time.Millisecond, time.Second} {
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				_, err := c.Commit(ctx, table.Txn{Ops: []table.Op{{Key: "k"}}})
+				cancel()
+				So(errors.Is(err, table.ErrUnavailable), ShouldEqual, limit == time.Second)
+			}
+			time.Sleep(time.Second)
+			So(open.Load(), ShouldEqual, 0)
+		})
+	})
+}
