Announce edits of the lists to all live daemons before they are committed

Cause: an edit was refused only once a daemon's session row was seen unchanged for longer than 4 s. Within about 5 s after a cut between two regions an edit was therefore accepted although the daemons on the far side of the store could not learn of it. Their guarantors, of the same region, kept them alive, and they confirmed the old version to each other until the cut ended.

Ruled out: confirmations from the store only, because a store outage would then stop everything; refusing edits until every row was seen renewed, because a daemon can be cut off between its renewal and the commit.

Change: an edit is announced to every live daemon and commits only if each answers, or is gone (its address refuses connections), or renews its session at the store after it did not answer. A daemon that knows of an announced edit takes confirmations from the store only, until it learns the outcome. Whoever is cut off in the moment of the commit admits nothing after 4 s.

An edit costs one more exchange with each daemon, and up to 2.5 s while a daemon can only be reached through the store.

--- a/internal/admin/lists.go
+++ b/internal/admin/lists.go
@@ -28,8 +28,9 @@
 // Lists edits and shows the lists.
 type Lists struct {
 	Editor *plan.Editor
-	// Reachable returns ErrMembersUnreachable while some live daemon could miss an edit.
-	Reachable func() error
+	// Announce tells all live daemons of a coming edit and returns what tells them its outcome: the version, or zero if it
+	// was not accepted. It returns ErrMembersUnreachable if some live daemon could miss the edit.
+	Announce func(ctx context.Context, list string) (release func(version int64), err error)
 	// InForce returns the version of a list that this daemon decides by.
 	InForce func(list string) int64
 	// Publish puts an accepted edit in force here and tells the peers.
@@ -98,19 +99,23 @@
 		c.JSON(http.StatusRequestEntityTooLarge, listError{Code: "too_large", Message: err.Error()})
 		return
 	}
-	if err := l.Reachable(); err != nil {
-		writeListError(c, err)
-		return
-	}
 	// An edit goes on when the operator's connection ends, so that its outcome does not depend on when that happens.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request.Context()), listTimeout)
 	defer cancel()
+	release, err := l.Announce(ctx, c.Param("name"))
+	if err != nil {
+		writeListError(c, err)
+		return
+	}
 	change, err := apply(ctx, doc)
 	if err != nil {
+		// An edit of unknown outcome was not accepted. It is announced again when it is repeated.
+		release(0)
 		writeListError(c, err)
 		return
 	}
 	l.Publish(c.Param("name"), change)
+	release(change.Version)
 	c.JSON(http.StatusOK, gin.H{"version": change.Version})
 }
 
--- /dev/null
+++ b/internal/daemon/announce.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/admin"
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/wait"
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/table"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+const (
+	// renewalWait is how long an edit waits for a renewal by a daemon that cannot be called. A daemon that reaches the store
+	// renews every second.
+	renewalWait    = 2500 * time.Millisecond
+	renewalPoll    = 250 * time.Millisecond
+	releaseTimeout = time.Second
+)
+
+// announcer tells all live daemons of an edit before it is committed. Daemons that lose both the editor and the store
+// later do not confirm each other's old version then, so an accepted edit is in force also on the far side of a cut: a
+// daemon there either learned of it or admits nothing.
+type announcer struct {
+	keeper   *session.Keeper
+	sessions *session.Observer
+	store    table.Client
+	client   *peer.Client
+	releases *background
+	count    atomic.Int64
+}
+
+func newAnnouncer(b *background, k *session.Keeper, o *session.Observer, t table.Client, c *peer.Client) *announcer {
+	return &announcer{keeper: k, sessions: o, store: t, client: c, releases: b}
+}
+
+// announce implements admin.Lists.Announce.
+func (a *announcer) announce(ctx context.Context, list string) (func(version int64), error) {
+	if !a.sessions.Fresh() {
+		return nil, errors.Wrap(versionedlist.ErrUnavailable, "the store was not read recently")
+	}
+	id := fmt.Sprintf("%s/%d", a.keeper.Boot(), a.count.Add(1))
+	var rows []session.Row
+	for _, info := range a.sessions.Live() {
+		if info.Row.ID != a.keeper.ID() {
+			rows = append(rows, info.Row)
+		}
+	}
+	failures := make([]error, len(rows))
+	var wg sync.WaitGroup
+	for i, row := range rows {
+		wg.Go(func() { failures[i] = a.tell(ctx, row, list, id) })
+	}
+	wg.Wait()
+	release := func(version int64) {
+		for _, row := range rows {
+			a.releases.run(func(ctx context.Context) { a.release(ctx, row, list, id, version) })
+		}
+	}
+	if err := errors.Join(failures...); err != nil {
+		release(0)
+		return nil, err
+	}
+	return release, nil
+}
+
+// tell announces an edit to one daemon. One that cannot be called must show that it reaches the store, where it finds the
+// edit, or that it is gone.
+func (a *announcer) tell(ctx context.Context, row session.Row, list, id string) error {
+	to := peer.ListPeer{Client: a.client, Addr: row.PeerAddr}
+	if to.Hold(ctx, list, id) == nil {
+		return nil
+	}
+	// A pooled connection may have been the cause, so the address is tried on a new one.
+	_, err := peer.Sessions{Client: a.client}.Probe(ctx, row.PeerAddr)
+	switch {
+	case errors.Is(err, session.ErrRefused):
+		return nil
+	case err == nil && to.Hold(ctx, list, id) == nil:
+		return nil
+	}
+	return a.awaitRenewal(ctx, row)
+}
+
+// awaitRenewal waits until the session is renewed at the store, or over.
+func (a *announcer) awaitRenewal(ctx context.Context, row session.Row) error {
+	ctx, cancel := context.WithTimeout(ctx, renewalWait)
+	defer cancel()
+	var first int64
+	for {
+		got, err := a.store.Get(ctx, session.Key(row.ID))
+		switch {
+		case errors.Is(err, table.ErrNotFound):
+			return nil
+		case err == nil && first == 0:
+			first = got.Version
+		case err == nil && got.Version != first:
+			return nil
+		}
+		if !wait.For(ctx, renewalPoll) {
+			return errors.Wrap(admin.ErrMembersUnreachable, row.PeerAddr)
+		}
+	}
+}
+
+// release tells the outcome. A daemon that does not hear of it finds it in the store.
+func (a *announcer) release(ctx context.Context, row session.Row, list, id string, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_ = peer.ListPeer{Client: a.client, Addr: row.PeerAddr}.Release(ctx, list, id, version)
+}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -19,7 +19,6 @@
 	"github.com/greengagewing/greengagewing/journal"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
-	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
 // gate turns new callers away once a drain has told the balancer long enough.
@@ -133,26 +132,6 @@
 // sessionsInterval is how often the start looks whether the sessions were read.
 const sessionsInterval = 20 * time.Millisecond
 
-// reachable refuses edits while a live daemon can be reached neither through the store nor directly: it might not learn
-// of the edit in time while its guarantors keep its session alive.
-func reachable(self string, o *session.Observer, h *peer.Heartbeater) func() error {
-	return func() error {
-		if !o.Fresh() {
-			return errors.Wrap(versionedlist.ErrUnavailable, "the store was not read recently")
-		}
-		heard := map[string]bool{self: true}
-		for _, hb := range h.Alive() {
-			heard[hb.ID] = true
-		}
-		for _, info := range o.Live() {
-			if info.Unchanged && !heard[info.Row.PeerAddr] {
-				return errors.Wrap(admin.ErrMembersUnreachable, info.Row.PeerAddr)
-			}
-		}
-		return nil
-	}
-}
-
 // readinessChecks make the daemon ready once it can decide on requests and bring them to their owners.
 func readinessChecks(r *admin.Readiness, l *lists, o *session.Observer, k *session.Keeper) {
 	r.Check("lists", func() error {
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -55,6 +55,7 @@
 	Manager   *ownership.Manager
 	Committer *journal.Committer
 	Lists     *lists
+	Announcer *announcer
 	Members   *membership.List
 	Beats     *peer.Heartbeater
 	Gauges    *gauges
@@ -153,9 +154,9 @@
 	var once sync.Once
 	admin.NewOperations(g, d.States, func() { once.Do(func() { _ = d.Shutdowner.Shutdown() }) })
 	editing := &admin.Lists{
-		Editor:    d.Lists.editor,
-		Reachable: reachable(d.Keeper.ID(), d.Observer, d.Beats),
-		InForce:   func(list string) int64 { return d.Lists.followers[list].Snapshot().Version() },
+		Editor:   d.Lists.editor,
+		Announce: d.Announcer.announce,
+		InForce:  func(list string) int64 { return d.Lists.followers[list].Snapshot().Version() },
 		Publish: func(list string, c versionedlist.Change) {
 			d.Lists.followers[list].Publish(c)
 		},
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -44,7 +44,7 @@
 		newLogger, newMetrics, newBackground, admin.NewReadiness, admin.NewStates,
 		newTable, newMembership, newPeerClient,
 		newSessionConfig, newKeeper, newObserver, newGuarantor, newManager,
-		newCommitter, newLists, newBeat, newHeartbeater, peer.NewLender, newGauges,
+		newCommitter, newLists, newAnnouncer, newBeat, newHeartbeater, peer.NewLender, newGauges,
 		newRequestService, newPool, newEntry,
 	),
 	fx.Invoke(func(b *beat, rs *request.Service) { b.service = rs }),
--- a/internal/peer/lists.go
+++ b/internal/peer/lists.go
@@ -13,16 +13,20 @@
 	pathListVersion = "/peer/v1/list/version"
 	pathListAfter   = "/peer/v1/list/after"
 	pathListPush    = "/peer/v1/list/push"
+	pathListHold    = "/peer/v1/list/hold"
+	pathListRelease = "/peer/v1/list/release"
 )
 
 // errNoList says that a peer asked for a list that is not followed here.
 var errNoList = errors.New("peer: no such list")
 
-// listCall asks for a list, or pushes an update of it.
+// listCall asks for a list, pushes an update of it, or announces an edit and its outcome.
 type listCall struct {
-	List   string               `json:"list"`
-	After  int64                `json:"after,omitempty"`
-	Update versionedlist.Update `json:"update,omitzero"`
+	List    string               `json:"list"`
+	After   int64                `json:"after,omitempty"`
+	Update  versionedlist.Update `json:"update,omitzero"`
+	Hold    string               `json:"hold,omitempty"`
+	Version int64                `json:"version,omitempty"` // of the announced edit, zero if it was not accepted
 }
 
 // ListPeer reaches another daemon's copies of the lists. It implements versionedlist.Peer and versionedlist.Pusher.
@@ -47,6 +51,18 @@
 	return err
 }
 
+// Hold announces an edit; see versionedlist.Follower.Hold.
+func (p ListPeer) Hold(ctx context.Context, list, id string) error {
+	_, err := Call[struct{}](ctx, p.Client, p.Addr, pathListHold, listCall{List: list, Hold: id})
+	return err
+}
+
+// Release tells the outcome of an announced edit; see versionedlist.Follower.Release.
+func (p ListPeer) Release(ctx context.Context, list, id string, version int64) error {
+	_, err := Call[struct{}](ctx, p.Client, p.Addr, pathListRelease, listCall{List: list, Hold: id, Version: version})
+	return err
+}
+
 // RegisterLists serves the calls of ListPeer from the followers by list name.
 func RegisterLists(r gin.IRoutes, followers map[string]*versionedlist.Follower) {
 	find := func(name string) (*versionedlist.Follower, error) {
@@ -76,4 +92,18 @@
 		}
 		return f.Accept(c.Update), nil
 	})
+	Handle(r, pathListHold, func(_ context.Context, c listCall) (struct{}, error) {
+		f, err := find(c.List)
+		if err == nil {
+			f.Hold(c.Hold)
+		}
+		return struct{}{}, err
+	})
+	Handle(r, pathListRelease, func(_ context.Context, c listCall) (struct{}, error) {
+		f, err := find(c.List)
+		if err == nil {
+			f.Release(c.Hold, c.Version)
+		}
+		return struct{}{}, err
+	})
 }
--- a/internal/systemtest/cut_test.go
+++ b/internal/systemtest/cut_test.go
@@ -1,12 +1,17 @@
 package systemtest
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
 )
 
@@ -125,3 +130,146 @@
 		}
 	})
 }
+
+// near and far are regions; the table is in the first one.
+const near, far = "near", "far"
+
+// runRegions plays a scenario with two daemons in each of two regions. cut severs the regions from each other.
+func runRegions(t *testing.T, seed uint64, scenario func(s *system, cut func())) {
+	runIn(t, seed, []string{near, far, near, far}, func(s *system) {
+		regionOf := map[string]string{s.platform.TableAddr(): near}
+		for _, p := range s.daemons {
+			regionOf[p.name] = p.region
+			s.customersOf(p)
+		}
+		scenario(s, func() {
+			s.net.cut("regions", func(a, b string) bool {
+				return regionOf[a] != "" && regionOf[b] != "" && regionOf[a] != regionOf[b]
+			})
+		})
+	})
+}
+
+// TestRegionCut guards against two regions that take over each other's partitions while they are cut from each other,
+// against work that stops within a region, an edit that is accepted but not in force everywhere, and dials that pile up.
+func TestRegionCut(t *testing.T) {
+	t.Parallel()
+	const (
+		cutFor   = 2 * time.Minute
+		noticing = 8 * time.Second // until every daemon has noticed the cut
+		// A process has at most a few calls under way to each of the parties that it cannot reach.
+		maxDialing = 100
+	)
+	runRegions(t, 21, func(s *system, cut func()) {
+		if status, _, code := s.daemons[0].submitJob(newJob("radio", "service", job.Service, 2, true, 0)); status != 202 {
+			t.Errorf("job: %d %s", status, code)
+		}
+		s.awaitJob("radio", "service", 10*time.Second, job.Running)
+		changes := s.owners.ownerChanges()
+		cut()
+		began := time.Now()
+		for time.Since(began) < noticing {
+			s.editInForce(s.daemons[0])
+		}
+		for n := 0; time.Since(began) < cutFor; n++ {
+			s.duringRegionCut(n, near)
+			time.Sleep(5 * time.Second)
+		}
+		if n := s.net.dialing.Load(); n > maxDialing {
+			t.Errorf("%d dials are open", n)
+		}
+		s.net.heal("regions")
+		s.allServed("after", 5*time.Second, s.daemons...)
+		if st := s.awaitJob("radio", "service", time.Second, job.Running); st.Counts[job.Running] != 2 {
+			t.Errorf("service has %v", st.Counts)
+		}
+		if now := s.owners.ownerChanges(); now != changes {
+			t.Errorf("%d partitions changed their owner", now-changes)
+		}
+		if !s.editInForce(s.daemons[1]) {
+			t.Error("no edit is accepted after the cut")
+		}
+	})
+}
+
+// TestEditAtRegionCut guards against an old list that stays in force on the far side of a cut because the daemons there
+// confirm it to each other, when the edit commits in the moment of the cut.
+func TestEditAtRegionCut(t *testing.T) {
+	t.Parallel()
+	runRegions(t, 22, func(s *system, cut func()) {
+		var once sync.Once
+		s.net.loseResponses(func(to string, message []byte) bool {
+			if to == s.platform.TableAddr() && bytes.HasPrefix(message, []byte("POST")) && bytes.Contains(message, []byte(`"list/allowances/log`)) {
+				once.Do(cut)
+			}
+			return false
+		})
+		if !s.editInForce(s.daemons[0]) {
+			t.Error("the edit was not accepted")
+		}
+		time.Sleep(time.Minute)
+		s.net.heal("regions")
+		s.allServed("after", 5*time.Second, s.daemons...)
+		if !s.editInForce(s.daemons[1]) {
+			t.Error("no edit is accepted after the cut")
+		}
+	})
+}
+
+// editInForce sends an edit and, if it is accepted, checks that after the bound of edits no daemon admits work by an
+// older version.
+func (s *system) editInForce(at *process) bool {
+	status, body := at.editAllowances()
+	if status != http.StatusOK {
+		time.Sleep(250 * time.Millisecond)
+		return false
+	}
+	var accepted struct{ Version int64 }
+	if err := json.Unmarshal(body, &accepted); err != nil {
+		s.t.Error(err)
+	}
+	time.Sleep(editBound)
+	for _, p := range s.daemons {
+		var st plan.ListsState
+		if p.state("lists", &st) && st.Fresh && st.Allowances.Version < accepted.Version {
+			s.t.Errorf("%s decides by version %d, %v after version %d was accepted", p.name, st.Allowances.Version, editBound, accepted.Version)
+		}
+	}
+	return true
+}
+
+// duringRegionCut checks one round of calls at all daemons. Only the daemons of one region reach the store.
+func (s *system) duringRegionCut(n int, storeRegion string) {
+	for _, p := range s.daemons {
+		for _, owner := range s.daemons {
+			for _, c := range s.customersOf(owner) {
+				for _, idempotent := range []bool{true, false} {
+					began := time.Now()
+					out := p.submit(newRequest(c, fmt.Sprintf("region-%s-%s-%d-%v", c, p.name, n, idempotent), request.Normal, idempotent, 10*time.Millisecond))
+					want := request.Code("")
+					switch {
+					case p.region != owner.region:
+						want = request.CodeNoOwner
+					case !idempotent && p.region != storeRegion:
+						want = request.CodeStoreUnavailable
+					}
+					if out.Code != want || (out.Outcome == request.Done) != (want == "") {
+						s.t.Errorf("round %d: %s to %s, idempotent %v: %s %s", n, p.region, owner.region, idempotent, out.Outcome, out.Code)
+					}
+					if took := time.Since(began); want != "" && took > atOnce {
+						s.t.Errorf("round %d: %s to %s, idempotent %v: refused after %v", n, p.region, owner.region, idempotent, took)
+					}
+				}
+			}
+		}
+		if status, body := p.editAllowances(); status != http.StatusServiceUnavailable {
+			s.t.Errorf("edit at %s in the cut: %d %s", p.name, status, body)
+		}
+	}
+}
+
+// editAllowances repeats the allowances in force.
+func (p *process) editAllowances() (int, []byte) {
+	version, _ := p.allowances()
+	return p.editList("allowances", version, map[string]any{"gold": goldAllowance})
+}
--- a/internal/systemtest/network_test.go
+++ b/internal/systemtest/network_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]struct{} // the dialers' ends
+	dialing   atomic.Int32
 	cuts      map[string]func(a, b string) bool
 	changed   chan struct{} // closed at the next change of cuts
 	// sent is called for every message from a dialer. It must not block.
@@ -156,6 +158,8 @@
 }
 
 func (p *party) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	p.net.dialing.Add(1)
+	defer p.net.dialing.Add(-1)
 	failed := func(err error) (net.Conn, error) { return nil, &net.OpError{Op: "dial", Addr: memAddr(addr), Err: err} }
 	for {
 		c, changed, err := p.connect(addr)
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -72,11 +73,12 @@
 
 // process is a daemon at a fixed address, through several starts.
 type process struct {
-	s     *system
-	name  string
-	entry string                // callers' address
-	peer  string                // peers' address, also the daemon's id
-	party atomic.Pointer[party] // of the running process
+	s      *system
+	name   string
+	entry  string // callers' address
+	peer   string // peers' address, also the daemon's id
+	region string
+	party  atomic.Pointer[party] // of the running process
 	// closed is true while the balancer sends no callers here.
 	closed atomic.Bool
 	app    *fx.App
@@ -86,6 +88,12 @@
 
 // run plays a scenario with the given number of daemons in a bubble, and checks the guarantees at its end.
 func run(t *testing.T, seed uint64, daemons int, scenario func(s *system)) {
+	t.Helper()
+	runIn(t, seed, slices.Repeat([]string{"gt-central"}, daemons), scenario)
+}
+
+// runIn is run with one daemon for each of the given regions.
+func runIn(t *testing.T, seed uint64, regions []string, scenario func(s *system)) {
 	t.Helper()
 	t.Logf("seed %d", seed)
 	var logs syncBuffer
@@ -95,7 +103,7 @@
 		}
 	}()
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, seed, daemons, &logs)
+		s := newSystem(t, seed, regions, &logs)
 		defer s.end()
 		s.bringUp()
 		scenario(s)
@@ -115,7 +123,7 @@
 	return b.Buffer.Write(p)
 }
 
-func newSystem(t *testing.T, seed uint64, daemons int, logs *syncBuffer) *system {
+func newSystem(t *testing.T, seed uint64, regions []string, logs *syncBuffer) *system {
 	s := &system{t: t, seed: seed, net: newMemNet(), log: zapcore.AddSync(logs), began: time.Now(), history: &history{}}
 	cell := standin.Textos()
 	cell.Minions, cell.Workers, cell.WorkersPerRack = 6, 6, 2
@@ -129,10 +137,10 @@
 		t.Fatal(err)
 	}
 	s.owners = newOwnerWatch(s)
-	for i := range daemons {
+	for i, region := range regions {
 		p := &process{
 			s: s, name: fmt.Sprintf("daemon-%d", i), entry: fmt.Sprintf("127.0.0.1:%d", daemonBasePort+i),
-			peer: fmt.Sprintf("127.0.0.1:%d", daemonBasePort+daemonPeerOffset+i),
+			peer: fmt.Sprintf("127.0.0.1:%d", daemonBasePort+daemonPeerOffset+i), region: region,
 		}
 		s.daemons = append(s.daemons, p)
 		s.platform.Membership.Put(standin.Host{ID: p.name, Addr: p.peer, Kind: standin.KindDaemon})
@@ -172,7 +180,7 @@
 	p.s.t.Helper()
 	cfg, err := settings.Parse([]string{
 		"--listen", p.entry, "--peer-listen", p.peer, "--failure-domain", "gt-central-" + string(rune('a'+len(p.name)%2)),
-		"--region", "gt-central", "--table", p.s.platform.TableAddr(), "--membership", p.s.platform.ControlAddr(),
+		"--region", p.region, "--table", p.s.platform.TableAddr(), "--membership", p.s.platform.ControlAddr(),
 		"--secret", secret, "--services", service, "--pools", service,
 	})
 	if err != nil {
--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -57,6 +57,7 @@
 type FollowerConfig struct {
 	Poll        time.Duration // period of reading the store and of asking the peers
 	CallTimeout time.Duration // of one pass over the store, and of one exchange with a peer
+	HoldLimit   time.Duration // see Follower.Hold
 	// Peers returns the peers to ask and to push to. It is called from several goroutines. Default: none.
 	Peers  func() []Peer
 	Logger *zap.Logger
@@ -75,6 +76,7 @@
 	Pulled      int64  `json:"pulled"`  // updates taken from peers that were asked
 	Pushed      int64  `json:"pushed"`  // updates taken from peers that pushed
 	Ignored     int64  `json:"ignored"` // updates that led no further
+	Held        int    `json:"held"`    // announced edits without a known outcome
 }
 
 // followed is the immutable state of a follower.
@@ -99,6 +101,7 @@
 	push  chan Update
 
 	mu        sync.Mutex // serializes changes of state
+	holds     map[string]hold
 	state     atomic.Pointer[followed]
 	confirmed atomic.Int64 // nanoseconds after start, -1 before the first confirmation
 	ready     atomic.Bool
@@ -114,6 +117,9 @@
 	if cfg.CallTimeout <= 0 {
 		cfg.CallTimeout = DefaultCallTimeout
 	}
+	if cfg.HoldLimit <= 0 {
+		cfg.HoldLimit = DefaultHoldLimit
+	}
 	if cfg.Peers == nil {
 		cfg.Peers = func() []Peer { return nil }
 	}
@@ -122,7 +128,7 @@
 	}
 	f := &Follower{
 		reader: reader{client: client, list: list}, cfg: cfg, start: time.Now(),
-		hints: make(chan hint, queuedHints), polls: make(chan struct{}, 1), push: make(chan Update, queuedPushes),
+		holds: map[string]hold{}, hints: make(chan hint, queuedHints), polls: make(chan struct{}, 1), push: make(chan Update, queuedPushes),
 	}
 	f.state.Store(&followed{snap: NewSnapshot(0, nil)})
 	f.confirmed.Store(-1)
@@ -136,7 +142,7 @@
 func (f *Follower) Ready() bool { return f.ready.Load() }
 
 // Confirmed returns the time since the store or a peer last showed that it has no newer version, measured from before
-// the question was sent.
+// the question was sent. While an edit is announced (Hold), a peer cannot show this.
 func (f *Follower) Confirmed() time.Duration {
 	at := f.confirmed.Load()
 	if at < 0 {
@@ -163,6 +169,9 @@
 		StoreErrors: f.storeErrors.Load(), StaleReads: f.staleReads.Load(), PeerErrors: f.peerErrors.Load(),
 		Pulled: f.pulled.Load(), Pushed: f.pushed.Load(), Ignored: f.ignored.Load(),
 	}
+	f.mu.Lock()
+	s.Held = len(f.holds)
+	f.mu.Unlock()
 	if age := f.Confirmed(); age != NeverConfirmed {
 		s.ConfirmedMS = age.Milliseconds()
 	}
@@ -273,9 +282,12 @@
 	if version < had {
 		// Edits that this process knows are missing from the read, so newer ones could be missing as well.
 		f.staleReads.Add(1)
-	} else {
-		f.confirm(asked)
+		return true
 	}
+	f.confirm(asked)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endHolds(asked)
 	return true
 }
 
@@ -314,7 +326,7 @@
 			return err
 		}
 		if version <= f.Snapshot().version {
-			f.confirm(asked)
+			f.confirmByPeer(asked)
 			return nil
 		}
 		return f.pullFrom(ctx, p)
@@ -358,7 +370,7 @@
 		f.pulled.Add(1)
 	}
 	if f.Snapshot().version >= u.Version {
-		f.confirm(asked)
+		f.confirmByPeer(asked)
 	}
 	return nil
 }
@@ -399,7 +411,7 @@
 // version is pulled from the peer in the background.
 func (f *Follower) Heard(p Peer, version int64, asked time.Time) {
 	if version <= f.Snapshot().version {
-		f.confirm(asked)
+		f.confirmByPeer(asked)
 		return
 	}
 	select {
@@ -428,6 +440,7 @@
 func (f *Follower) apply(u Update) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.endHolds(time.Time{})
 	old := f.state.Load()
 	if u.Version <= old.snap.version {
 		return false
--- /dev/null
+++ b/versionedlist/hold.go
@@ -0,0 +1,63 @@
+package versionedlist
+
+import "time"
+
+// DefaultHoldLimit is the time after which an announced edit has been committed or never will be. An editor gives up
+// within 5 s, and a call to the store lasts 2 s at most.
+const DefaultHoldLimit = 10 * time.Second
+
+// hold is an edit that another process announced and whose outcome is not known here.
+type hold struct {
+	since   time.Time
+	version int64 // of the committed edit, zero while unknown
+}
+
+// Hold notes that another process is about to commit the edit id. From now on no peer can confirm that the version in
+// force is the newest, because the peer may be cut off from the store and from the editor as well; only the store can.
+// This ends with Release, or with a read of the store that began HoldLimit later.
+func (f *Follower) Hold(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, known := f.holds[id]; !known {
+		f.holds[id] = hold{since: time.Now()}
+	}
+}
+
+// Release ends a hold. version is that of the committed edit, which has to be in force here first; it is zero if the edit
+// was not accepted.
+func (f *Follower) Release(id string, version int64) {
+	f.mu.Lock()
+	if h, known := f.holds[id]; known && version > f.Snapshot().version {
+		h.version = version
+		f.holds[id] = h
+	} else {
+		delete(f.holds, id)
+	}
+	f.mu.Unlock()
+	f.pollIfBehind(version)
+}
+
+// confirmByPeer notes that a peer that was asked at the given time has no newer version.
+func (f *Follower) confirmByPeer(asked time.Time) {
+	f.mu.Lock()
+	for _, h := range f.holds {
+		if !asked.Before(h.since) {
+			f.mu.Unlock()
+			return
+		}
+	}
+	f.mu.Unlock()
+	f.confirm(asked)
+}
+
+// endHolds ends the holds whose edits are in force. Those whose outcome a read of the store that began at the given time
+// must have shown end as well; a zero time stands for no such read. The caller holds mu.
+func (f *Follower) endHolds(read time.Time) {
+	version := f.Snapshot().version
+	for id, h := range f.holds {
+		shown := h.version == 0 && !read.IsZero() && read.Sub(h.since) >= f.cfg.HoldLimit
+		if shown || h.version != 0 && h.version <= version {
+			delete(f.holds, id)
+		}
+	}
+}
--- a/versionedlist/list_test.go
+++ b/versionedlist/list_test.go
@@ -482,6 +482,50 @@
 	return back()
 }
 
+// TestHold guards against a peer that confirms a version while an announced edit may have replaced it, and against a hold
+// that outlives its edit or its editor.
+func TestHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a follower that only its peer confirms", t, func() {
+			g := &gate{Client: table.NewMemory()}
+			f := versionedlist.NewFollower(g, list, versionedlist.FollowerConfig{})
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = f.Run(ctx) })
+			defer wg.Wait()
+			defer cancel()
+			synctest.Wait()
+			g.shut.Store(true)
+			time.Sleep(time.Second)
+			heard := func() bool {
+				time.Sleep(time.Millisecond)
+				f.Heard(nil, 0, time.Now())
+				return f.Confirmed() == 0
+			}
+			So(heard(), ShouldBeTrue)
+			f.Hold("edit")
+			So(heard(), ShouldBeFalse)
+			Convey("an edit that was not accepted ends the hold", func() {
+				f.Release("edit", 0)
+				So(heard(), ShouldBeTrue)
+			})
+			Convey("an accepted edit ends it once it is in force", func() {
+				f.Release("edit", 1)
+				So(heard(), ShouldBeFalse)
+				f.Accept(versionedlist.Update{Version: 1, Full: true})
+				So(heard(), ShouldBeTrue)
+			})
+			Convey("so does a read of the store long after the announcement, but not an earlier one", func() {
+				g.shut.Store(false)
+				time.Sleep(versionedlist.DefaultHoldLimit - time.Second)
+				So(heard(), ShouldBeFalse)
+				time.Sleep(2 * time.Second)
+				So(heard(), ShouldBeTrue)
+			})
+		})
+	})
+}
+
 // watch samples the versions until ctx ends or the returned function is called, which reports a follower that went
 // back.
 func watch(ctx context.Context, wg *sync.WaitGroup, links []*link) func() error {
