Keep a job whose key belonged to a dropped one through a takeover

When the key was used again meanwhile, a replay took the earlier record and ignored the later one as a repetition: the accepted job was lost, and a caller that repeated it would have made it run a second time.

Ruled out: leaving out records older than 24 h, because the clocks of two owners differ and the end of a cancelled job is not always journaled; comparing the acceptance with the earlier end, for the same reasons.

Change: a job record that differs in its time of acceptance from the one on the books replaces it. A repeated record has the same time.

TestReusedKey fails without the change in all three cases (done, archived, cancelled), and in the last one if only ended jobs are replaced. go test -race ./internal/job passes.

--- a/internal/job/poll.go
+++ b/internal/job/poll.go
@@ -101,7 +101,11 @@
 	for len(p.endedJobs) > 0 && now.Sub(p.endedJobs[0].endedAt) > p.cfg.Retention {
 		j := p.endedJobs[0]
 		p.endedJobs = p.endedJobs[1:]
-		delete(p.jobs, j.id)
-		p.dropFromCustomer(j)
+		p.forget(j)
 	}
 }
+
+func (p *partition) forget(j *job) {
+	delete(p.jobs, j.id)
+	p.dropFromCustomer(j)
+}
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -46,7 +46,7 @@
 		p.replayArchive(r)
 		return
 	case recordJob:
-		if p.jobs[r.Job] == nil && r.Spec != nil {
+		if r.Spec != nil && p.replaces(r) {
 			p.replayJob(r)
 		}
 		return
@@ -65,6 +65,27 @@
 	p.replayTask(j, j.tasks[r.Task], r)
 }
 
+// replaces says whether a job record is in force. One that repeats the record on the books is not. Another one is of a job
+// with the same key that was accepted after the job on the books had been dropped.
+func (p *partition) replaces(r record) bool {
+	old := p.jobs[r.Job]
+	if old == nil {
+		return true
+	}
+	if r.At.Equal(old.at) {
+		return false
+	}
+	p.openTasks -= old.open()
+	for _, t := range old.tasks {
+		if t.place != nil {
+			p.release(t.place)
+		}
+	}
+	p.endedJobs = slices.DeleteFunc(p.endedJobs, func(j *job) bool { return j == old })
+	p.forget(old)
+	return true
+}
+
 func (p *partition) replayJob(r record) {
 	j := p.addJob(*r.Spec, r.Fingerprint, r.At)
 	j.accepted = true
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -447,6 +447,36 @@
 	})
 }
 
+// TestReusedKey guards against the loss of an accepted job whose key belonged to a job that has been dropped, while the
+// journal still has the record of the earlier job.
+func TestReusedKey(t *testing.T) {
+	for _, earlier := range []string{"done", "archived", "cancelled"} {
+		scenario(t, "the key of a job is used again after a day: "+earlier, 1, func(f *fixture, c *fakeCluster) {
+			f.cfg.ArchiveBytes = 1
+			So(f.handOver(), ShouldBeNil)
+			f.accept(batch("k", 1, small))
+			time.Sleep(2 * time.Second)
+			if earlier == "cancelled" {
+				So(f.cancel("k"), ShouldBeNil) // its end is not journaled
+			}
+			time.Sleep(10 * time.Second)
+			if earlier == "archived" {
+				So(f.pool.parts[part].compact(), ShouldBeNil)
+				So(len(f.store.archives), ShouldEqual, 1)
+			}
+			time.Sleep(25 * time.Hour)
+			f.accept(batch("k", 2, small))
+			for range 2 {
+				So(f.handOver(), ShouldBeNil)
+				time.Sleep(10 * time.Second)
+				So(f.counts("k"), ShouldResemble, map[State]int{Done: 2})
+			}
+			p := f.pool.parts[part]
+			So([]int{len(p.jobs), len(p.customers["c"]), len(p.endedJobs), p.openTasks}, ShouldResemble, []int{1, 1, 1, 0})
+		})
+	}
+}
+
 // TestArchiveFormat guards against archives that lose part of a job, against one that was cut off and is taken for a smaller
 // one, and against JSON archives of earlier versions being ignored, whose jobs would run again.
 func TestArchiveFormat(t *testing.T) {
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -184,8 +184,7 @@
 }
 
 func (p *partition) dropJob(j *job) {
-	delete(p.jobs, j.id)
-	p.dropFromCustomer(j)
+	p.forget(j)
 	p.openTasks -= len(j.tasks)
 	close(j.decided)
 }
