Put ended jobs on the books without tasks

Each ended job was decoded into a record, made into an open job with tasks and a channel, and then ended; its id was worked out twice.

Change: an archive is decoded into jobs, which go on the books as ended.

Ruled out: decoding archives in several goroutines, which holds all of them in memory at once and gains little on hosts with few processors.

go test -race ./internal/job passes; the tests of the archives go through restore now.

--- a/internal/job/archive.go
+++ b/internal/job/archive.go
@@ -80,15 +80,16 @@
 	}), a.add...)
 }
 
-func (p *partition) replayArchive(r record) {
-	row := archive{id: r.Archive}
-	for _, ended := range r.Jobs {
-		p.replay(ended)
-		if j := p.jobs[ended.Job]; j != nil {
-			j.archived = true
+// addArchive puts the jobs of an archive on the books.
+func (p *partition) addArchive(id int64, jobs []*job) {
+	row := archive{id: id}
+	for _, j := range jobs {
+		j.archived = true
+		if p.replaces(j.id, j.at) {
+			p.addEnded(j)
 		}
-		if ended.EndedAt.After(row.newest) {
-			row.newest = ended.EndedAt
+		if j.endedAt.After(row.newest) {
+			row.newest = j.endedAt
 		}
 	}
 	p.archives.list = append(p.archives.list, row)
@@ -135,27 +136,29 @@
 	return raw
 }
 
-// decodeArchive returns the record of an archive and of its jobs.
-func decodeArchive(raw []byte) (record, error) {
+func isArchive(record []byte) bool { return len(record) > 0 && record[0] == archiveFormat }
+
+// decodeArchive returns the id of an archive and its jobs.
+func decodeArchive(raw []byte) (id int64, jobs []*job, err error) {
 	d := archiveDecoder{raw: raw[1:]}
-	r := record{T: recordArchive, Archive: d.number()}
+	id = d.number()
 	for len(d.raw) > 0 {
-		s := &Spec{Customer: d.text(), Key: d.text(), Kind: Kind(d.text()), Class: Class(d.text())}
-		j := record{T: recordJob, Spec: s, Reason: d.text(), Counts: map[State]int{}}
-		j.Fingerprint = hex.EncodeToString([]byte(d.text()))
-		j.At, j.EndedAt = time.Unix(0, d.number()), time.Unix(0, d.number())
+		j := &job{counts: map[State]int{}}
+		j.spec = Spec{Customer: d.text(), Key: d.text(), Kind: Kind(d.text()), Class: Class(d.text())}
+		j.reason, j.fingerprint = d.text(), hex.EncodeToString([]byte(d.text()))
+		j.at, j.endedAt = time.Unix(0, d.number()), time.Unix(0, d.number())
 		for _, s := range archivedStates {
 			if n := d.number(); n != 0 {
-				j.Counts[s] = int(n)
+				j.counts[s] = int(n)
 			}
 		}
-		j.Job = jobID(s.Customer, s.Key)
-		r.Jobs = append(r.Jobs, j)
+		j.id = jobID(j.spec.Customer, j.spec.Key)
+		jobs = append(jobs, j)
 	}
 	if d.short {
-		return record{}, errors.Errorf("job: archive of %d bytes is cut off", len(raw))
+		return 0, nil, errors.Errorf("job: archive of %d bytes is cut off", len(raw))
 	}
-	return r, nil
+	return id, jobs, nil
 }
 
 // archiveDecoder reads fields. When one is incomplete, it sets short and returns zero values.
--- a/internal/job/history_test.go
+++ b/internal/job/history_test.go
@@ -64,7 +64,10 @@
 		for range newJobs {
 			count++
 			s := batch(fmt.Sprintf("order-%09d", count), 1, small)
-			p.replayJob(record{Spec: &s, At: ended, EndedAt: ended, Counts: map[State]int{Done: 1}, Fingerprint: strings.Repeat("f", 64)})
+			p.addEnded(&job{
+				id: jobID(s.Customer, s.Key), spec: s, at: ended, endedAt: ended, counts: map[State]int{Done: 1},
+				fingerprint: strings.Repeat("f", 64),
+			})
 		}
 	}
 	compact := func() {
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -18,7 +18,7 @@
 	recordResult recordType = "result" // the task ended, or an attempt failed
 	recordWorker recordType = "worker" // tasks may be started on the worker from now on
 	recordGone   recordType = "gone"   // nothing runs on the worker any more
-	// recordArchive holds the records of ended jobs; it is a row of its own.
+	// recordArchive is an archive that an earlier version wrote.
 	recordArchive recordType = "archive"
 )
 
@@ -49,9 +49,6 @@
 }
 
 func decodeRecord(raw []byte) (record, error) {
-	if len(raw) > 0 && raw[0] == archiveFormat {
-		return decodeArchive(raw)
-	}
 	var r record
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return record{}, errors.Wrap(err, "job: journal record")
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -17,6 +17,14 @@
 // restore rebuilds the books from journal records. Workers' reports complete them.
 func (p *partition) restore(records [][]byte) error {
 	for _, raw := range records {
+		if isArchive(raw) {
+			id, jobs, err := decodeArchive(raw)
+			if err != nil {
+				return err
+			}
+			p.addArchive(id, jobs)
+			continue
+		}
 		r, err := decodeRecord(raw)
 		if err != nil {
 			return err
@@ -43,10 +51,14 @@
 		delete(p.workers, r.Worker)
 		return
 	case recordArchive:
-		p.replayArchive(r)
+		jobs := make([]*job, len(r.Jobs))
+		for i, ended := range r.Jobs {
+			jobs[i] = endedJob(ended)
+		}
+		p.addArchive(r.Archive, jobs)
 		return
 	case recordJob:
-		if r.Spec != nil && p.replaces(r) {
+		if r.Spec != nil && p.replaces(r.Job, r.At) {
 			p.replayJob(r)
 		}
 		return
@@ -65,14 +77,14 @@
 	p.replayTask(j, j.tasks[r.Task], r)
 }
 
-// replaces says whether a job record is in force. One that repeats the record on the books is not. Another one is of a job
-// with the same key that was accepted after the job on the books had been dropped.
-func (p *partition) replaces(r record) bool {
-	old := p.jobs[r.Job]
+// replaces says whether the record of a job accepted at the given time is in force. One that repeats the record on the books
+// is not. Another one is of a job with the same key that was accepted after the job on the books had been dropped.
+func (p *partition) replaces(id string, at time.Time) bool {
+	old := p.jobs[id]
 	if old == nil {
 		return true
 	}
-	if r.At.Equal(old.at) {
+	if at.Equal(old.at) {
 		return false
 	}
 	p.openTasks -= old.open()
@@ -87,16 +99,32 @@
 }
 
 func (p *partition) replayJob(r record) {
+	if !r.EndedAt.IsZero() {
+		p.addEnded(endedJob(r))
+		return
+	}
 	j := p.addJob(*r.Spec, r.Fingerprint, r.At)
 	j.accepted = true
 	close(j.decided)
-	if !r.EndedAt.IsZero() {
-		p.openTasks -= len(j.tasks)
-		j.counts, j.endedAt, j.reason, j.tasks, j.spread = r.Counts, r.EndedAt, r.Reason, nil, nil
-		p.endedJobs = append(p.endedJobs, j)
+}
+
+// endedJob is the opposite of endedRecord.
+func endedJob(r record) *job {
+	return &job{
+		id: r.Job, spec: *r.Spec, fingerprint: r.Fingerprint, at: r.At, counts: r.Counts, endedAt: r.EndedAt, reason: r.Reason,
 	}
 }
 
+// closed is for jobs whose decision nobody can wait for.
+var closed = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+// addEnded puts a job that has ended on the books. It has no tasks.
+func (p *partition) addEnded(j *job) {
+	j.accepted, j.decided = true, closed
+	p.enter(j)
+	p.endedJobs = append(p.endedJobs, j)
+}
+
 func (p *partition) replayTask(j *job, t *task, r record) {
 	switch r.T {
 	case recordStart:
--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -490,10 +490,8 @@
 		raw := appendEnded(archiveHeader(7), j)
 		former := record{T: recordArchive, Archive: 7, Jobs: []record{endedRecord(j)}}.encode()
 		for _, raw := range [][]byte{raw, former} {
-			r, err := decodeRecord(raw)
-			So(err, ShouldBeNil)
-			p := &partition{jobs: map[string]*job{}, customers: map[string][]*job{}}
-			p.replay(r)
+			p := &partition{cfg: Config{Retention: time.Hour}, jobs: map[string]*job{}, customers: map[string][]*job{}}
+			So(p.restore([][]byte{raw}), ShouldBeNil)
 			So(p.archives.list, ShouldHaveLength, 1)
 			So(p.archives.lastID, ShouldEqual, 7)
 			So(p.archives.list[0].newest.Equal(at), ShouldBeTrue)
@@ -506,8 +504,7 @@
 			So(st, ShouldResemble, want)
 		}
 		for n := len(archiveHeader(7)) + 1; n < len(raw); n++ {
-			_, err := decodeRecord(raw[:n])
-			So(err, ShouldNotBeNil)
+			So(new(partition).restore([][]byte{raw[:n]}), ShouldNotBeNil)
 		}
 	})
 }
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -164,12 +164,16 @@
 	for i := range j.tasks {
 		j.tasks[i] = &task{job: j, idx: i, id: taskID(j.id, i), state: Pending, size: s.Resources}
 	}
-	p.jobs[j.id] = j
-	p.customers[s.Customer] = append(p.customers[s.Customer], j)
+	p.enter(j)
 	p.openTasks += s.Tasks
 	return j
 }
 
+func (p *partition) enter(j *job) {
+	p.jobs[j.id] = j
+	p.customers[j.spec.Customer] = append(p.customers[j.spec.Customer], j)
+}
+
 func (p *partition) accept(j *job, now time.Time) {
 	if j.accepted {
 		return
