--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -18,7 +18,7 @@
 	recordResult recordType = "result" // the task ended, or an attempt failed
 	recordWorker recordType = "worker" // tasks may be started on the worker from now on
 	recordGone   recordType = "gone"   // nothing runs on the worker any more
-	// recordArchive holds the records of ended jobs; it is a row of its own.
+	// recordArchive is an archive that an earlier version wrote.
 	recordArchive recordType = "archive"
 )
 
