Take the membership list from a peer while it was never read

Cause: a daemon that starts while the platform's list cannot be read knows no minions and no workers until the list is back. Hosts are replaced at any time, so a rolling replacement during an outage of the list empties the whole system of its knowledge.

Ruled out: a row in the table service (one more authority for what the platform owns, a write of 4.2 MB per change at 25,000 hosts, and no help in an outage of both); waiting (nothing is served once all daemons are replaced); the age on heartbeats (bytes every second for a rare case); giving a part of a large list, which would look like a whole one.

The age counts from the read at the platform through any number of copies. A copy never replaces an own read and adds nothing to what HostListed, the evidence for fencing, goes by. It carries the marks of endpoints that said that they leave: without them, leaving minions were sent new work after the replacement, because nobody was left who had heard them. State dump: age_ms, copied_from, copies, copy_error. Gauges: membership_age_seconds counts the age of the copy; membership_copied is new.

A copy needs one live daemon that has a list, and the store, from which the peers are known.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -246,19 +246,51 @@
 	b.ReportMetric(size(b, o), "B/outcome")
 }
 
+// BenchmarkMembershipCopy is the list as one daemon gives it to another that cannot read it, encoded and decoded, and the
+// answer to a question for its age.
+func BenchmarkMembershipCopy(b *testing.B) {
+	for _, n := range []int{100, 25_000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			l := membership.NewList(hostList(workers(n)))
+			l.Poll(context.Background())
+			var raw []byte
+			for b.Loop() {
+				c, err := l.Copy(true)
+				if err != nil {
+					b.Fatal(err)
+				}
+				raw, _ = json.Marshal(c)
+				var out membership.Copy
+				_ = json.Unmarshal(raw, &out)
+			}
+			age, _ := l.Copy(false)
+			b.ReportMetric(size(b, age), "B/age")
+			b.ReportMetric(float64(len(raw)), "B/copy")
+		})
+	}
+}
+
+type hostList []membership.Host
+
+func (h hostList) Hosts(context.Context) ([]membership.Host, error) { return h, nil }
+
+func workers(n int) []membership.Host {
+	hosts := make([]membership.Host, n)
+	for i := range hosts {
+		hosts[i] = membership.Host{
+			ID: fmt.Sprintf("textos-worker-%05d", i), Addr: id(i), Kind: membership.KindWorker, ServiceOrPool: "textos",
+			FailureDomain: "gt-central-a", Rack: "textos-rack-03", State: "live",
+		}
+	}
+	return hosts
+}
+
 // BenchmarkMembership is one poll of the platform's list by one daemon, changed or unchanged since the last one.
 func BenchmarkMembership(b *testing.B) {
 	for _, n := range []int{100, 25_000} {
 		for _, changed := range []bool{false, true} {
 			b.Run(fmt.Sprintf("hosts=%d/changed=%t", n, changed), func(b *testing.B) {
-				hosts := make([]membership.Host, n)
-				for i := range hosts {
-					hosts[i] = membership.Host{
-						ID: fmt.Sprintf("textos-worker-%05d", i), Addr: id(i), Kind: membership.KindWorker, ServiceOrPool: "textos",
-						FailureDomain: "gt-central-a", Rack: "textos-rack-03", State: "live",
-					}
-				}
-				raw, _ := json.Marshal(map[string]any{"hosts": hosts})
+				raw, _ := json.Marshal(map[string]any{"hosts": workers(n)})
 				version := 0
 				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					etag := strconv.Quote(strconv.Itoa(version))
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -109,8 +109,9 @@
 
 // duties are the goroutines that run from the start to the end of a drain.
 func duties(b *background, k *session.Keeper, o *session.Observer, m *ownership.Manager, j *journal.Committer, l *lists,
-	ml *membership.List, h *peer.Heartbeater) {
+	ml *membership.List, mp peer.Members, h *peer.Heartbeater) {
 	b.run(ml.Run)
+	b.run(func(ctx context.Context) { ml.CopyFrom(ctx, mp) })
 	b.run(func(ctx context.Context) { _ = j.Run(ctx) })
 	b.run(o.Run)
 	b.run(k.Run)
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -45,6 +45,7 @@
 	set("partitions_owned", float64(g.manager.Owned()))
 	set("peers_alive", float64(len(g.beats.Alive())))
 	set("membership_age_seconds", g.members.Age().Seconds())
+	set("membership_copied", flag(g.members.Copied()))
 	set("lists_fresh", flag(g.lists.lookup.Fresh()))
 	for name, f := range g.lists.followers {
 		g.scope.Tagged(map[string]string{"list": name}).Gauge("list_version").Update(float64(f.Snapshot().Version()))
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -106,7 +106,8 @@
 			if err := peers.start(d.Network.Listen, d.Log); err != nil {
 				return err
 			}
-			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, d.Beats)
+			others := peer.Members{Client: d.Client, Roster: peer.RosterOf(d.Observer, d.Keeper.ID(), groups(d.Settings))}
+			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, others, d.Beats)
 			d.Background.run(d.Gauges.run)
 			return callers.start(d.Network.Listen, d.Log)
 		},
@@ -164,6 +165,7 @@
 	peer.RegisterSessions(g, d.Keeper, d.Guarantor, d.Manager)
 	peer.RegisterLists(g, d.Lists.followers)
 	peer.RegisterLender(g, d.Service)
+	peer.RegisterMembers(g, d.Members)
 	peer.Handle(g, peer.PathHeartbeat, d.Beats.Serve)
 	peer.Handle(g, entry.PathRequest, d.Requests.ServeRequest)
 	peer.Handle(g, entry.PathLookup, d.Requests.ServeLookup)
--- /dev/null
+++ b/internal/membership/copy_test.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fakePeers are other daemons' lists by address.
+type fakePeers struct {
+	lists map[string]*List
+	calls atomic.Int64
+	hook  func() // runs before hosts are told
+}
+
+func (p *fakePeers) Addrs() []string {
+	var addrs []string
+	for a := range p.lists {
+		addrs = append(addrs, a)
+	}
+	return addrs
+}
+
+func (p *fakePeers) Copy(_ context.Context, addr string, hosts bool) (Copy, error) {
+	p.calls.Add(1)
+	if hosts && p.hook != nil {
+		p.hook()
+	}
+	if p.lists[addr] == nil {
+		return Copy{}, errors.New("unreachable")
+	}
+	return p.lists[addr].Copy(hosts)
+}
+
+// TestCopy guards against a daemon that knows nobody when it starts while the list cannot be read, and against a copy that
+// is taken for fresher than it is, for evidence that a host is gone, for the daemon's own reading, or for the word of an
+// endpoint.
+func TestCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const addr = "127.0.0.1:1" // of a daemon
+		read := func(ids ...string) *List {
+			f := &fakeFetcher{hosts: []Host{{ID: "d1", Addr: addr, Kind: KindDaemon, State: "live"}}}
+			for _, id := range ids {
+				f.hosts = append(f.hosts, Host{ID: id, Kind: KindMinion, ServiceOrPool: "textos", State: "live"})
+			}
+			l := NewList(f)
+			l.Poll(t.Context())
+			return l
+		}
+		// start returns the list of a new daemon, some time after its start.
+		start := func(p *fakePeers, f *fakeFetcher, after time.Duration) *List {
+			ctx, cancel := context.WithTimeout(t.Context(), after)
+			defer cancel()
+			l := NewList(f)
+			go l.Run(ctx)
+			l.CopyFrom(ctx, p)
+			synctest.Wait()
+			return l
+		}
+		outage := &fakeFetcher{err: ErrUnavailable}
+		own := &fakeFetcher{hosts: []Host{{ID: "m3", Kind: KindMinion, ServiceOrPool: "textos"}}}
+		ids := func(l *List) (out []string) {
+			for _, e := range l.Minions("textos") {
+				out = append(out, e.ID)
+			}
+			return out
+		}
+		Convey("Given two peers that read the list 5 s apart and one that has none", t, func() {
+			old := read("m1")
+			time.Sleep(5 * time.Second)
+			young := read("m1", "m2")
+			peers := &fakePeers{lists: map[string]*List{"a": old, "b": young, "c": NewList(outage), "d": nil}}
+			time.Sleep(time.Second)
+			Convey("the freshest list is used, is no evidence, and its age adds up from daemon to daemon", func() {
+				first := start(peers, outage, 200*time.Millisecond)
+				So(ids(first), ShouldResemble, []string{"m1", "m2"})
+				So(first.Copied(), ShouldBeTrue)
+				_, known := first.HostListed(addr)
+				So(known, ShouldBeFalse)
+				time.Sleep(10 * time.Second)
+				second := start(&fakePeers{lists: map[string]*List{"e": first}}, outage, 200*time.Millisecond)
+				So(ids(second), ShouldResemble, []string{"m1", "m2"})
+				So(second.Age(), ShouldBeBetweenOrEqual, young.Age(), young.Age()+10*time.Millisecond)
+				So(fmt.Sprintf("%+v", second.State()), ShouldContainSubstring, "CopiedFrom:e Copies:2")
+				second.fetch = own
+				second.Poll(t.Context())
+				So(ids(second), ShouldResemble, []string{"m3"})
+				So(second.Copied(), ShouldBeFalse)
+				_, known = second.HostListed(addr) // only the copy has ever shown it
+				So(known, ShouldBeFalse)
+			})
+			Convey("the daemon's own reading goes before a copy that arrives later", func() {
+				l := NewList(own)
+				peers.hook = func() { l.Poll(t.Context()) }
+				l.askAll(t.Context(), peers)
+				So(ids(l), ShouldResemble, []string{"m3"})
+			})
+			Convey("a list that is too large is left out", func() {
+				many := make([]string, MaxCopyHosts)
+				peers.lists["huge"] = read(many...)
+				So(len(ids(start(peers, outage, 200*time.Millisecond))), ShouldEqual, 2)
+				_, err := peers.lists["huge"].Copy(true)
+				So(errors.Is(err, ErrTooLarge), ShouldBeTrue)
+			})
+			Convey("an endpoint's word goes before the copy, whoever heard it, as it goes before a list", func() {
+				young.HearLeaving([]string{"m1"})
+				l := NewList(outage)
+				l.HearLeaving([]string{"m2"})
+				leaving := func() []bool {
+					l.askAll(t.Context(), peers)
+					es := l.Minions("textos")
+					return []bool{es[0].Leaving, es[1].Leaving}
+				}
+				So(leaving(), ShouldResemble, []bool{true, true})
+				time.Sleep(reportHold + time.Second)
+				So(leaving(), ShouldResemble, []bool{true, true})
+				young.Poll(t.Context())
+				So(leaving(), ShouldResemble, []bool{false, false})
+			})
+			Convey("the peers are asked rarely, and never once the list was read", func() {
+				start(peers, outage, time.Minute)
+				So(peers.calls.Load(), ShouldBeBetweenOrEqual, 4*len(peers.lists), 10*len(peers.lists))
+				peers.calls.Store(0)
+				start(peers, &fakeFetcher{}, time.Minute)
+				So(peers.calls.Load(), ShouldEqual, 0)
+			})
+		})
+	})
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -68,7 +68,9 @@
 	daemons  map[string]bool      // addresses that were listed at some time: listed now
 	reported map[string]time.Time // by this daemon's own calls to the endpoint
 	heard    map[string]time.Time // by other daemons
-	readAt   time.Time
+	readAt   time.Time            // by this daemon itself
+	copied   copied               // of the hosts that are held, while readAt is zero
+	copyErr  error                // of the last round of calls to peers
 	failures int64
 }
 
@@ -77,7 +79,7 @@
 	return &List{fetch: f, daemons: map[string]bool{}, reported: map[string]time.Time{}, heard: map[string]time.Time{}}
 }
 
-// Run polls the list until ctx ends. While the list cannot be read, the last one stays in force.
+// Run polls the list until ctx ends. While the list cannot be read, the last one stays in force, or a copy of a peer's.
 func (l *List) Run(ctx context.Context) {
 	wait.Every(ctx, pollInterval, l.Poll)
 }
@@ -93,7 +95,7 @@
 		l.failures++
 		return
 	}
-	l.readAt = time.Now()
+	l.readAt, l.copied, l.copyErr = time.Now(), copied{}, nil
 	if same(l.hosts, hosts) && len(l.reported)+len(l.heard) == 0 {
 		return
 	}
@@ -118,7 +120,7 @@
 func (l *List) rebuild() {
 	l.groups = map[groupKey][]Endpoint{}
 	for _, h := range l.hosts {
-		reported := held(l.reported, h.ID, l.readAt) || held(l.heard, h.ID, l.readAt)
+		reported := held(l.reported, h.ID, l.asOf()) || held(l.heard, h.ID, l.asOf())
 		k := groupKey{h.Kind, h.ServiceOrPool}
 		l.groups[k] = append(l.groups[k], Endpoint{
 			ID: h.ID, Addr: h.Addr, FailureDomain: h.FailureDomain, Rack: h.Rack,
@@ -127,6 +129,15 @@
 	}
 }
 
+// asOf returns when the list that is held was read from the platform, by this daemon or by the one that it comes from. It
+// is zero while none is held. The caller holds mu.
+func (l *List) asOf() time.Time {
+	if l.readAt.IsZero() {
+		return l.copied.at
+	}
+	return l.readAt
+}
+
 // held reports whether a report still outweighs the list that was read at readAt, and forgets it otherwise. While the list
 // cannot be read, it shows an endpoint as it was before the report.
 func held(reports map[string]time.Time, id string, readAt time.Time) bool {
@@ -182,8 +193,9 @@
 	return ids
 }
 
-// HostListed reports whether the daemon at addr is listed. known is false unless the list was read recently and has
-// shown the daemon at some time, because a daemon that was never listed proves nothing by its absence.
+// HostListed reports whether the daemon at addr is listed. known is false unless this daemon has read the list recently
+// and it has shown the daemon at some time, because a daemon that was never listed proves nothing by its absence. A copy
+// of a peer's list is no evidence.
 func (l *List) HostListed(addr string) (listed, known bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -191,22 +203,44 @@
 	return listed, seen && time.Since(l.readAt) < freshFor
 }
 
-// Age returns the time since the list was last read, or a very long time if it never was.
+// Age returns the time since the list that is held was read from the platform, by this daemon or by the one that a copy
+// comes from, or a very long time if none is held.
 func (l *List) Age() time.Duration {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return time.Since(l.readAt)
+	return time.Since(l.asOf())
+}
+
+// Copied reports whether the list that is held is a copy of a peer's.
+func (l *List) Copied() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.copied.copies > 0
 }
 
 // State returns a dump for operators.
 func (l *List) State() any {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return struct {
-		Hosts    []Host               `json:"hosts"`
-		Reported map[string]time.Time `json:"reported_leaving"`
-		Heard    map[string]time.Time `json:"heard_leaving"`
-		ReadAt   time.Time            `json:"read_at"`
-		Failures int64                `json:"failed_reads"`
-	}{l.hosts, maps.Clone(l.reported), maps.Clone(l.heard), l.readAt, l.failures}
+	s := struct {
+		Hosts      []Host               `json:"hosts"`
+		Reported   map[string]time.Time `json:"reported_leaving"`
+		Heard      map[string]time.Time `json:"heard_leaving"`
+		ReadAt     time.Time            `json:"read_at"` // by this daemon
+		AgeMS      int64                `json:"age_ms"`  // as of Age; -1: no list is held
+		CopiedFrom string               `json:"copied_from,omitempty"`
+		Copies     int                  `json:"copies,omitempty"` // how many times the list was passed on
+		CopyError  string               `json:"copy_error,omitempty"`
+		Failures   int64                `json:"failed_reads"`
+	}{
+		Hosts: l.hosts, Reported: maps.Clone(l.reported), Heard: maps.Clone(l.heard), ReadAt: l.readAt, AgeMS: -1,
+		CopiedFrom: l.copied.from, Copies: l.copied.copies, Failures: l.failures,
+	}
+	if at := l.asOf(); !at.IsZero() {
+		s.AgeMS = time.Since(at).Milliseconds()
+	}
+	if l.copyErr != nil {
+		s.CopyError = l.copyErr.Error()
+	}
+	return s
 }
--- a/internal/systemtest/leave_test.go
+++ b/internal/systemtest/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -161,3 +162,64 @@
 		}
 	}
 }
+
+// TestReplacementDuringMembershipOutage guards against a system that forgets its minions and workers, or that one of them
+// leaves, when all daemons are replaced one after the other while the membership list cannot be read.
+func TestReplacementDuringMembershipOutage(t *testing.T) {
+	t.Parallel()
+	run(t, 19, 3, func(s *system) {
+		type members struct {
+			Reported map[string]time.Time `json:"reported_leaving"`
+			Copies   int                  `json:"copies"`
+			AgeMS    int64                `json:"age_ms"`
+		}
+		l, began := s.startLoad(), time.Now()
+		time.Sleep(3 * time.Second)
+		s.fault(`{"target":"membership","outage":true}`)
+		s.fault(`{"target":"textos-minion-0[0-2]","leaving":true}`)
+		time.Sleep(leaveBound)
+		limit, left := time.Now(), map[string]bool{} // without those that nobody has asked yet
+		for _, p := range s.daemons {
+			var m members
+			p.state("membership", &m)
+			for id := range m.Reported {
+				left[id] = true
+			}
+		}
+		if len(left) == 0 {
+			t.Error("no minion has said that it leaves")
+		}
+		for _, p := range s.daemons {
+			p.closed.Store(true)
+			if err := p.drain(); err != nil {
+				t.Errorf("%s: %v", p.name, err)
+			}
+			p.start()
+			time.Sleep(5 * time.Second)
+			p.closed.Store(false)
+		}
+		s.allServed("replaced", 5*time.Second, s.daemons...)
+		spec := newJob("festival", "replaced", job.Batch, 4, true, 100*time.Millisecond)
+		if status, _, code := s.daemons[0].submitJob(spec); status != http.StatusAccepted {
+			t.Errorf("job: %d %s", status, code)
+		}
+		s.awaitJob("festival", "replaced", jobBound, job.Done)
+		l.end()
+		for _, p := range s.daemons {
+			var m members
+			p.state("membership", &m)
+			// The outage began 3 s after the load.
+			if age := time.Duration(m.AgeMS) * time.Millisecond; m.Copies == 0 || age < time.Since(began)-3*time.Second {
+				t.Errorf("%s: a list that was passed on %d times is %v old, but the outage began %v ago", p.name, m.Copies, age,
+					time.Since(began)-3*time.Second)
+			}
+		}
+		for _, h := range s.platform.Membership.Hosts() {
+			if last := s.owners.lastWork(h.Addr); left[h.ID] && last.After(limit) {
+				t.Errorf("%s was sent new work %v after the limit", h.ID, last.Sub(limit))
+			}
+		}
+		s.fault(`{"target":"membership","clear":true}`)
+		s.allServed("after", 5*time.Second, s.daemons...)
+	})
+}
