--- /dev/null
+++ b/session/promise.go
@@ -0,0 +1,83 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+// While the store does not confirm renewals, promises of all guarantors extend the validity.
+
+func (k *Keeper) promiseLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := wait.NewTimer(k.cfg.RenewInterval / 2)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+			k.askPromises(ctx)
+		}
+		t.Stop()
+	}
+}
+
+// askPromises extends the validity if the store has not renewed it for a while and every guarantor promises.
+func (k *Keeper) askPromises(ctx context.Context) {
+	k.mu.Lock()
+	sent := time.Now()
+	if !k.held() || k.peers == nil || sent.Sub(k.renewed) <= k.promiseAfter() {
+		k.mu.Unlock()
+		return
+	}
+	rows := []Row{k.confirmed}
+	if k.pending != nil {
+		rows = append(rows, k.pending.row)
+	}
+	req := PromiseRequest{Session: k.cfg.ID, Incarnation: k.confirmed.Incarnation, Seq: k.confirmed.Seq}
+	k.mu.Unlock()
+	all, ok := allGuarantors(rows)
+	if !ok || !k.promisedByAll(ctx, all, req) {
+		return
+	}
+	k.mu.Lock()
+	k.extend(req.Incarnation, sent)
+	k.mu.Unlock()
+}
+
+// allGuarantors returns every process that could consent to the fencing of one of the rows. ok is false if one of them
+// can be fenced without consent. The same id with two boots stays listed twice, and only one of the two can promise.
+func allGuarantors(rows []Row) (all []Peer, ok bool) {
+	seen := map[string]bool{}
+	for _, r := range rows {
+		if len(r.Guarantors) == 0 {
+			return nil, false
+		}
+		for _, g := range r.Guarantors {
+			if id := g.ID + "\x00" + g.Boot; !seen[id] {
+				seen[id] = true
+				all = append(all, g)
+			}
+		}
+	}
+	return all, true
+}
+
+func (k *Keeper) promisedByAll(ctx context.Context, all []Peer, req PromiseRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, k.cfg.PeerTimeout)
+	defer cancel()
+	granted := make(chan bool, len(all))
+	for _, g := range all {
+		go func() {
+			r := req
+			r.GuarantorBoot = g.Boot
+			reply, err := k.peers.Promise(ctx, g, r)
+			granted <- err == nil && reply.Granted
+		}()
+	}
+	for range all {
+		if !<-granted {
+			return false
+		}
+	}
+	return true
+}
