Measure placements of services with filled spread counts

Change: services of 3, 20 and 200 tasks grow in turn and end, counts included; one case has a fifth of service tasks beside batch, one has room on one worker in ten only.

--- a/internal/job/placement/place_test.go
+++ b/internal/job/placement/place_test.go
@@ -152,39 +152,86 @@
 	return x, rng
 }
 
-// BenchmarkPlace measures one decision with its update of the index, and the release of an earlier task.
+// BenchmarkPlace measures one decision with its update of the index and of the spread counts, and the release of an
+// earlier task. Services grow to their size one task at a time, in a mixed load beside four times as many batch tasks. In
+// the full pool one worker in ten has room.
 func BenchmarkPlace(b *testing.B) {
-	for _, n := range []int{50, 500, 5_000, 25_000} {
-		for _, kind := range []string{"batch", "service"} {
+	for _, kind := range []string{"batch", "service=3", "service=20", "service=200", "full=20", "mixed"} {
+		for _, n := range []int{50, 500, 5_000, 25_000} {
 			b.Run(fmt.Sprintf("%s/workers=%d", kind, n), func(b *testing.B) { benchPlace(b, n, kind) })
 		}
 	}
 }
 
+type benchUse struct {
+	node *Node
+	size Resources
+}
+
+// benchService is a service whose counts are kept when it ends, so that their memory is used again.
+type benchService struct {
+	spread *Spread
+	uses   []benchUse
+	tasks  int
+}
+
+func (s *benchService) end(x *Index) {
+	for _, u := range s.uses {
+		x.SetUsed(u.node, u.node.Used().Minus(u.size))
+		s.spread.Count(u.node, -1)
+	}
+	s.uses = s.uses[:0]
+}
+
 func benchPlace(b *testing.B, n int, kind string) {
 	x, rng := randomPool(n)
-	type use struct {
-		node *Node
-		size Resources
+	if kind == "full=20" {
+		for i := range n {
+			if node := x.nodes[fmt.Sprint(i)]; i%10 > 0 {
+				x.SetUsed(node, Resources{CPUMilli: 31_900, MemoryMB: node.Used().MemoryMB})
+			}
+		}
+	}
+	sizes := map[string][]int{"service=3": {3}, "service=20": {20}, "service=200": {200}, "full=20": {20}, "mixed": {3, 20, 200}}[kind]
+	mixed := len(sizes) > 1
+	var services []*benchService
+	for i := range 2 * len(sizes) {
+		services = append(services, &benchService{spread: NewSpread(), tasks: sizes[i%len(sizes)]})
 	}
-	var live [64]use
-	spread := NewSpread()
+	var live [64]benchUse
+	growing, batch, refused := 0, 0, 0
 	b.ReportAllocs()
-	i := 0
 	for b.Loop() {
-		r := Request{Size: Resources{CPUMilli: 250 + rng.Int63n(8000), MemoryMB: 500 + rng.Int63n(16_000)}}
-		if kind == "service" {
-			r.Spread = spread
+		if len(services) > 0 && (!mixed || rng.Intn(5) == 0) {
+			s := services[growing%len(services)]
+			size := Resources{CPUMilli: 250 + rng.Int63n(1000), MemoryMB: 500 + rng.Int63n(2000)}
+			node := x.Place(Request{Size: size, Spread: s.spread})
+			if node == nil {
+				refused++
+			} else {
+				x.SetUsed(node, node.Used().Plus(size))
+				s.spread.Count(node, 1)
+				s.uses = append(s.uses, benchUse{node, size})
+			}
+			if node == nil || len(s.uses) == s.tasks {
+				growing++
+				services[growing%len(services)].end(x)
+			}
+			continue
 		}
-		node := x.Place(r)
+		size := Resources{CPUMilli: 250 + rng.Int63n(8000), MemoryMB: 500 + rng.Int63n(16_000)}
+		node := x.Place(Request{Size: size})
 		if node == nil {
+			refused++
 			continue
 		}
-		x.SetUsed(node, node.Used().Plus(r.Size))
-		if old := live[i%len(live)]; old.node != nil {
+		x.SetUsed(node, node.Used().Plus(size))
+		old := &live[batch%len(live)]
+		if old.node != nil {
 			x.SetUsed(old.node, old.node.Used().Minus(old.size))
 		}
-		live[i%len(live)] = use{node, r.Size}
-		i++
+		*old = benchUse{node, size}
+		batch++
 	}
+	b.ReportMetric(float64(refused)/float64(b.N), "refused/op")
 }
