Don't fill the only free rack of a failure domain with one service

Cause: a service took the failure domain with the fewest of its tasks first, whatever was free there. One with room on a single rack got a thirteenth of the tasks, all in that rack.

Change: a failure domain counts as holding at least the tasks of its best rack times its racks (up to the 8 that are examined), and the next ones are tried while they hold fewer. The count of each failure domain is read once for this, instead of at each comparison of the sort.

TestSpreadAroundFullWorkers fails without the change: 4 of 12 tasks in one rack.

Losing a rack is weekly and losing a failure domain is rare, so one or two tasks more in the other failure domains are the smaller loss.

--- a/internal/job/placement/place.go
+++ b/internal/job/placement/place.go
@@ -259,20 +259,37 @@
 	return found, score
 }
 
-// placeSpread prefers the failure domain, then the rack, then the worker with the fewest tasks of the service.
+// placeSpread prefers the failure domain, then the rack, then the worker with the fewest tasks of the service. A failure
+// domain whose best rack already holds more than its part of the tasks counts as if all its racks held as many, so that
+// one with room on a single rack is not filled up to the level of the others.
 func (x *Index) placeSpread(r Request) *Node {
-	var order [32]*domain
-	domains := append(order[:0], x.domains...)
-	slices.SortStableFunc(domains, func(a, b *domain) int { return r.Spread.Domains[a.name] - r.Spread.Domains[b.name] })
-	for _, d := range domains {
-		if n := d.place(r); n != nil {
-			return n
+	type entry struct {
+		tasks int
+		d     *domain
+	}
+	var order [32]entry
+	entries := order[:0]
+	for _, d := range x.domains {
+		entries = append(entries, entry{r.Spread.Domains[d.name], d})
+	}
+	slices.SortStableFunc(entries, func(a, b entry) int { return a.tasks - b.tasks })
+	var found *Node
+	load := 0
+	for _, e := range entries {
+		if found != nil && e.tasks >= load {
+			break
+		}
+		n, inRack := e.d.place(r)
+		l := max(e.tasks, inRack*min(len(e.d.racks), maxRacks))
+		if n != nil && (found == nil || l < load) {
+			found, load = n, l
 		}
 	}
-	return nil
+	return found
 }
 
-func (d *domain) place(r Request) *Node {
+// place returns a node and how many tasks of the service its rack holds.
+func (d *domain) place(r Request) (*Node, int) {
 	var found *Node
 	var foundRack, foundNode int
 	score := 0.0
@@ -301,7 +318,9 @@
 		d.cursor = (d.cursor + maxRacks) % len(d.racks)
 	}
 	if found == nil {
-		found, _ = d.grid.best(r)
+		if found, _ = d.grid.best(r); found != nil {
+			foundRack = r.Spread.Racks[found.rack.key]
+		}
 	}
-	return found
+	return found, foundRack
 }
--- a/internal/job/placement/place_test.go
+++ b/internal/job/placement/place_test.go
@@ -139,6 +139,29 @@
 	})
 }
 
+// TestSpreadAroundFullWorkers guards against a service that piles up on the only rack of a failure domain that has room.
+func TestSpreadAroundFullWorkers(t *testing.T) {
+	Convey("Given a failure domain with room on one of its four racks, and two with room on all", t, func() {
+		x, s := NewIndex(), NewSpread()
+		for i := range 12 {
+			if n := x.Add(fmt.Sprint(i), fmt.Sprint(i%3), fmt.Sprint(i/3), Resources{CPUMilli: 1000, MemoryMB: 1000}); i%3 > 0 || i == 0 {
+				x.SetOpen(n, true)
+			}
+		}
+		Convey("a service of 12 tasks loses at most 2 with a rack", func() {
+			for range 12 {
+				n := x.Place(Request{Size: Resources{CPUMilli: 10, MemoryMB: 10}, Spread: s})
+				s.Count(n, 1)
+			}
+			So(s.Domains, ShouldResemble, map[string]int{"0": 2, "1": 5, "2": 5})
+			So(s.Racks, ShouldContainKey, "0/0")
+			for _, tasks := range s.Racks {
+				So(tasks, ShouldBeLessThanOrEqualTo, 2)
+			}
+		})
+	})
+}
+
 // randomPool returns a pool of which about two thirds are in use.
 func randomPool(n int) (*Index, *rand.Rand) {
 	rng := rand.New(rand.NewSource(1))
