Spread services beyond the racks that are examined first

Cause: in a failure domain of more than 8 racks, 8 are examined in turn. Where all of them were full, the best fit followed, which ignores where the service's tasks are and returns the same worker until that is full. Where all 8 held tasks already, a second task went to one of them.

Change: in both cases up to 64 workers are examined by free capacity, until one is in a rack without tasks of the service. Nothing changes for failure domains of up to 8 racks.

TestSpreadBeyondExaminedRacks fails without the change: 8 tasks in 3 racks.

--- a/internal/job/placement/place.go
+++ b/internal/job/placement/place.go
@@ -19,6 +19,9 @@
 	// maxRacks bounds the racks that are examined in one failure domain for a service. Pools of up to this many racks
 	// per failure domain are spread exactly.
 	maxRacks = 8
+	// spreadCandidates bounds the workers that are examined by free capacity where all racks that were examined are full
+	// or hold tasks of the service.
+	spreadCandidates = 64
 	// imbalanceWeight weighs the difference between the free shares of processors and memory. With weights of 0, 1 and
 	// 4, 25,000 workers were filled to 93, 95 and 97 % in TestPolicyTable.
 	imbalanceWeight = 4
@@ -288,39 +291,78 @@
 	return found
 }
 
+// choice is the best node for a task of a service among those that were examined.
+type choice struct {
+	node           *Node
+	inRack, onNode int // tasks of the service
+	score          float64
+}
+
+// offer takes a node on which the task fits if it is better.
+func (c *choice) offer(r Request, n *Node, m *room, inRack int) {
+	onNode := 0
+	if inRack > 0 {
+		onNode = r.Spread.Nodes[n.ID]
+	}
+	s := m.leftover(r.Size)
+	if c.node == nil || inRack < c.inRack || inRack == c.inRack && (onNode < c.onNode || onNode == c.onNode && s < c.score) {
+		*c = choice{n, inRack, onNode, s}
+	}
+}
+
+func (r *Request) suits(n *Node, free Resources) bool {
+	return r.Size.Fits(free) && (len(r.Avoid) == 0 || !slices.Contains(r.Avoid, n.ID))
+}
+
 // place returns a node and how many tasks of the service its rack holds.
 func (d *domain) place(r Request) (*Node, int) {
-	var found *Node
-	var foundRack, foundNode int
-	score := 0.0
+	var best choice
 	for i := 0; i < len(d.racks) && i < maxRacks; i++ {
 		rk := d.racks[(d.cursor+i)%len(d.racks)]
 		inRack := r.Spread.Racks[rk.key]
-		if found != nil && inRack > foundRack {
+		if best.node != nil && inRack > best.inRack {
 			continue
 		}
 		for k := range rk.seats {
-			c := &rk.seats[k]
-			if !r.Size.Fits(c.free) || len(r.Avoid) > 0 && slices.Contains(r.Avoid, c.node.ID) {
-				continue
-			}
-			onNode := 0
-			if inRack > 0 {
-				onNode = r.Spread.Nodes[c.node.ID]
-			}
-			s := c.leftover(r.Size)
-			if found == nil || inRack < foundRack || inRack == foundRack && (onNode < foundNode || onNode == foundNode && s < score) {
-				found, foundRack, foundNode, score = c.node, inRack, onNode, s
+			if c := &rk.seats[k]; r.suits(c.node, c.free) {
+				best.offer(r, c.node, &c.room, inRack)
 			}
 		}
 	}
 	if len(d.racks) > maxRacks {
 		d.cursor = (d.cursor + maxRacks) % len(d.racks)
+		if best.node == nil || best.inRack > 0 {
+			d.grid.spread(r, &best)
+		}
+	}
+	if best.node == nil {
+		if best.node, _ = d.grid.best(r); best.node != nil {
+			best.inRack = r.Spread.Racks[best.node.rack.key]
+		}
 	}
-	if found == nil {
-		if found, _ = d.grid.best(r); found != nil {
-			foundRack = r.Spread.Racks[found.rack.key]
+	return best.node, best.inRack
+}
+
+// spread offers nodes by free capacity until one is in a rack without tasks of the service.
+func (g *grid) spread(r Request, best *choice) {
+	cpu, mem, left := level(r.Size.CPUMilli>>cpuShift), level(r.Size.MemoryMB>>memoryShift), spreadCandidates
+	for acc := accLevel(r.Size.Accelerators); acc < accLevels; acc++ {
+		row := g.rows[acc]
+		if row == nil || row.count == 0 {
+			continue
+		}
+		for cols := row.mask & (^uint64(0) << cpu); cols != 0; cols &= cols - 1 {
+			col := row.cols[bits.TrailingZeros64(cols)]
+			for rest := col.mask & (^uint64(0) << mem); rest != 0; rest &= rest - 1 {
+				for _, n := range col.buckets[bits.TrailingZeros64(rest)] {
+					if r.suits(n, n.room.free) {
+						best.offer(r, n, &n.room, r.Spread.Racks[n.rack.key])
+					}
+					if left--; left == 0 || best.node != nil && best.inRack == 0 {
+						return
+					}
+				}
+			}
 		}
 	}
-	return found, foundRack
 }
--- a/internal/job/placement/place_test.go
+++ b/internal/job/placement/place_test.go
@@ -162,6 +162,22 @@
 	})
 }
 
+// TestSpreadBeyondExaminedRacks guards against a service that piles up on one worker when the racks that are examined first
+// are full.
+func TestSpreadBeyondExaminedRacks(t *testing.T) {
+	Convey("A failure domain with room on the last 8 of its 24 racks takes 8 tasks in 8 racks", t, func() {
+		x, s := NewIndex(), NewSpread()
+		for i := range 24 {
+			n := x.Add(fmt.Sprint(i), "domain", fmt.Sprint(i), Resources{CPUMilli: 1000, MemoryMB: 1000})
+			x.SetOpen(n, i >= 16)
+		}
+		for range 8 {
+			s.Count(x.Place(Request{Size: Resources{CPUMilli: 10, MemoryMB: 10}, Spread: s}), 1)
+		}
+		So(len(s.Racks), ShouldEqual, 8)
+	})
+}
+
 // randomPool returns a pool of which about two thirds are in use.
 func randomPool(n int) (*Index, *rand.Rand) {
 	rng := rand.New(rand.NewSource(1))
