Forget racks and failure domains without workers

Cause: removing the last worker of a rack or failure domain left it in the index. Empty racks took up places among the 8 that a decision for a service examines and made their failure domain count as fuller than it was; more than 32 failure domains, empty ones included, made each such decision allocate. The index also grew with each new name.

Change: they are removed with their last worker.

TestRemovedRacks fails without the change: of 16 tasks 4 and 12 instead of 8 and 8 are in the two failure domains, and with that check taken out, each decision allocates once. TestSpreadPolicyTable removes no workers and is unchanged.

--- a/internal/job/placement/index.go
+++ b/internal/job/placement/index.go
@@ -139,15 +139,24 @@
 	return n
 }
 
-// Remove removes a worker.
+// Remove removes a worker, and its rack and failure domain if it was the last worker there.
 func (x *Index) Remove(n *Node) {
 	x.SetOpen(n, false)
-	n.rack.seats = slices.Delete(n.rack.seats, n.pos, n.pos+1)
-	for i, s := range n.rack.seats[n.pos:] {
+	r, d := n.rack, n.domain
+	r.seats = slices.Delete(r.seats, n.pos, n.pos+1)
+	for i, s := range r.seats[n.pos:] {
 		s.node.pos = n.pos + i
 	}
 	delete(x.nodes, n.ID)
 	x.countCapacity(n.capacity, -1)
+	if len(r.seats) == 0 {
+		delete(x.byRack, r.key)
+		d.racks = slices.DeleteFunc(d.racks, func(o *rack) bool { return o == r })
+	}
+	if len(d.racks) == 0 {
+		delete(x.byDomain, d.name)
+		x.domains = slices.DeleteFunc(x.domains, func(o *domain) bool { return o == d })
+	}
 }
 
 // SetCapacity changes what a worker has.
--- a/internal/job/placement/place_test.go
+++ b/internal/job/placement/place_test.go
@@ -178,6 +178,39 @@
 	})
 }
 
+// TestRemovedRacks guards against racks and failure domains that go on counting when their last worker was removed.
+func TestRemovedRacks(t *testing.T) {
+	Convey("Given two failure domains of two racks, after 16 racks of one and 40 failure domains were removed", t, func() {
+		x, s := NewIndex(), NewSpread()
+		add := func(domain, rack int) *Node {
+			n := x.Add(fmt.Sprint(domain, rack), fmt.Sprint(domain), fmt.Sprint(rack), Resources{CPUMilli: 1000, MemoryMB: 1000})
+			x.SetOpen(n, true)
+			return n
+		}
+		var gone []*Node
+		for i := range 4 {
+			add(i%2, i/2)
+		}
+		for i := range 40 {
+			gone = append(gone, add(2+i, 0))
+			if i < 16 {
+				gone = append(gone, add(0, 2+i))
+			}
+		}
+		for _, n := range gone {
+			x.Remove(n)
+		}
+		Convey("a service of 16 tasks has half of them in each, and decisions do not allocate", func() {
+			r := Request{Size: Resources{CPUMilli: 10, MemoryMB: 10}, Spread: s}
+			for range 16 {
+				s.Count(x.Place(r), 1)
+			}
+			So(s.Domains, ShouldResemble, map[string]int{"0": 8, "1": 8})
+			So(testing.AllocsPerRun(100, func() { x.Place(r) }), ShouldEqual, 0)
+		})
+	})
+}
+
 // randomPool returns a pool of which about two thirds are in use.
 func randomPool(n int) (*Index, *rand.Rand) {
 	rng := rand.New(rand.NewSource(1))
