Test spread counts through losses and takeovers

Looked for counts that are not given back or not rebuilt: a task whose worker is lost, one that moves off a leaving worker, a handover and a fenced owner. No fault was found: release and adopt count both ways, and the reports of the first seconds after a takeover rebuild the counts before anything is placed, because tasks of services are idempotent and therefore held until all workers have reported or all leases have ended.

TestServiceSpread compares the counts with the placements on the books after each step. It fails if release does not give a count back, and if adopted attempts are not counted.

--- /dev/null
+++ b/internal/job/spread_test.go
@@ -0,0 +1,56 @@
+package job
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/job/placement"
+)
+
+// counted returns the spread counts of a job on the owner's books, and what they must be by its placements.
+func (f *fixture) counted(key string) (counts, want *placement.Spread) {
+	p := f.pool.parts[part]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	want = placement.NewSpread()
+	j := p.jobs[jobID("c", key)]
+	for _, t := range j.tasks {
+		if t.place != nil {
+			want.Count(t.place.w.node, 1)
+		}
+	}
+	// Copied, because the owner goes on.
+	return &placement.Spread{Domains: maps.Clone(j.spread.Domains), Racks: maps.Clone(j.spread.Racks), Nodes: maps.Clone(j.spread.Nodes)}, want
+}
+
+// TestServiceSpread guards against spread counts that a lost worker, a leaving one or a takeover leaves wrong, so that
+// later tasks of the service are placed beside others.
+func TestServiceSpread(t *testing.T) {
+	scenario(t, "a service keeps one task in each rack through losses and takeovers", 12, func(f *fixture, c *fakeCluster) {
+		c.runs = func(string) fakeRun { return fakeRun{} }
+		f.accept(Spec{Customer: "c", Key: "s", Kind: Service, Tasks: 6, Resources: small})
+		check := func(after time.Duration) {
+			time.Sleep(after)
+			So(f.counts("s"), ShouldResemble, map[State]int{Running: 6})
+			counts, want := f.counted("s")
+			So(counts, ShouldResemble, want)
+			So(len(counts.Racks), ShouldEqual, 6)
+		}
+		check(time.Second)
+		on := c.running(jobID("c", "s"))
+		c.set(func() { c.workers[on[0]].cutUntil = time.Now().Add(time.Minute) })
+		check(40 * time.Second)
+		c.set(func() { c.workers[on[1]].leaving = true })
+		check(10 * time.Second)
+		So(f.handOver(), ShouldBeNil)
+		check(20 * time.Second)
+		old := f.pool
+		So(f.fence(2*time.Second), ShouldBeNil)
+		old.Stop(context.Background(), part, false)
+		check(20 * time.Second)
+	})
+}
