Weigh a rack by its workers when services are spread

Cause: the rule that keeps a service from filling the only free rack of a failure domain counted all racks as equal.

Change: a rack's part of a failure domain's tasks follows from its workers.

Ruled out: acting only when a rack holds twice its part. It favours failure domains, which are lost less often than racks, and TestSpreadAroundFullWorkers would allow 3 tasks instead of 2 in the full failure domain.

--- a/internal/job/placement/index.go
+++ b/internal/job/placement/index.go
@@ -71,6 +71,7 @@
 	name   string
 	grid   grid
 	racks  []*rack
+	seats  int // of all racks
 	cursor int
 }
 
@@ -134,6 +135,7 @@
 	}
 	n.domain, n.rack, n.pos = d, r, len(r.seats)
 	r.seats = append(r.seats, seat{room: room{free: noRoom}, node: n})
+	d.seats++
 	x.nodes[id] = n
 	x.capacities[capacity]++
 	return n
@@ -144,6 +146,7 @@
 	x.SetOpen(n, false)
 	r, d := n.rack, n.domain
 	r.seats = slices.Delete(r.seats, n.pos, n.pos+1)
+	d.seats--
 	for i, s := range r.seats[n.pos:] {
 		s.node.pos = n.pos + i
 	}
--- a/internal/job/placement/place.go
+++ b/internal/job/placement/place.go
@@ -263,8 +263,8 @@
 }
 
 // placeSpread prefers the failure domain, then the rack, then the worker with the fewest tasks of the service. A failure
-// domain whose best rack already holds more than its part of the tasks counts as if all its racks held as many, so that
-// one with room on a single rack is not filled up to the level of the others.
+// domain whose best rack already holds more than its part of the tasks, by its number of workers, counts as if all its
+// racks held as many, so that one with room on a single rack is not filled up to the level of the others.
 func (x *Index) placeSpread(r Request) *Node {
 	type entry struct {
 		tasks int
@@ -283,8 +283,11 @@
 			break
 		}
 		n, inRack := e.d.place(r)
-		l := max(e.tasks, inRack*min(len(e.d.racks), maxRacks))
-		if n != nil && (found == nil || l < load) {
+		if n == nil {
+			continue
+		}
+		l := max(e.tasks, min(inRack*e.d.seats/len(n.rack.seats), inRack*maxRacks))
+		if found == nil || l < load {
 			found, load = n, l
 		}
 	}
