Follow a worker that is listed in another rack

A host that came back in another rack under its id within 16 s, or between two owners, was taken for one in its old rack, so a service could put several tasks into one rack or failure domain.

Change: when the list shows another place, the worker moves in the index and its tasks in the spread counts of their services. Running tasks are not moved for it.

TestRelocatedWorker fails without the change (counts stay in the four old racks), and if the old place's counts are not given back.

--- a/internal/job/placement/index.go
+++ b/internal/job/placement/index.go
@@ -120,13 +120,21 @@
 func (x *Index) Add(id, domainName, rackName string, capacity Resources) *Node {
 	n := &Node{ID: id, Domain: domainName, Rack: rackName}
 	n.setCapacity(capacity)
-	d := x.byDomain[domainName]
+	x.join(n)
+	x.nodes[id] = n
+	x.capacities[capacity]++
+	return n
+}
+
+// join enters a node in its failure domain and rack.
+func (x *Index) join(n *Node) {
+	d := x.byDomain[n.Domain]
 	if d == nil {
-		d = &domain{name: domainName}
-		x.byDomain[domainName] = d
+		d = &domain{name: n.Domain}
+		x.byDomain[n.Domain] = d
 		x.domains = append(x.domains, d)
 	}
-	key := domainName + "/" + rackName
+	key := n.Domain + "/" + n.Rack
 	r := x.byRack[key]
 	if r == nil {
 		r = &rack{key: key}
@@ -136,22 +144,34 @@
 	n.domain, n.rack, n.pos = d, r, len(r.seats)
 	r.seats = append(r.seats, seat{room: room{free: noRoom}, node: n})
 	d.seats++
-	x.nodes[id] = n
-	x.capacities[capacity]++
-	return n
 }
 
-// Remove removes a worker, and its rack and failure domain if it was the last worker there.
+// Move changes where a worker is.
+func (x *Index) Move(n *Node, domainName, rackName string) {
+	open := n.open
+	x.SetOpen(n, false)
+	x.part(n)
+	n.Domain, n.Rack = domainName, rackName
+	x.join(n)
+	x.SetOpen(n, open)
+}
+
+// Remove removes a worker.
 func (x *Index) Remove(n *Node) {
 	x.SetOpen(n, false)
+	x.part(n)
+	delete(x.nodes, n.ID)
+	x.countCapacity(n.capacity, -1)
+}
+
+// part takes a node that is not open out of its rack, and removes a rack and a failure domain without workers.
+func (x *Index) part(n *Node) {
 	r, d := n.rack, n.domain
 	r.seats = slices.Delete(r.seats, n.pos, n.pos+1)
 	d.seats--
 	for i, s := range r.seats[n.pos:] {
 		s.node.pos = n.pos + i
 	}
-	delete(x.nodes, n.ID)
-	x.countCapacity(n.capacity, -1)
 	if len(r.seats) == 0 {
 		delete(x.byRack, r.key)
 		d.racks = slices.DeleteFunc(d.racks, func(o *rack) bool { return o == r })
--- a/internal/job/placement/place_test.go
+++ b/internal/job/placement/place_test.go
@@ -52,7 +52,7 @@
 }
 
 // TestSpreadFollowsChanges guards against a decision for a service that reads an outdated copy of a worker, or that of
-// another one, after workers were removed or changed.
+// another one, after workers were removed, moved or changed.
 func TestSpreadFollowsChanges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		x := NewIndex()
@@ -62,7 +62,7 @@
 		for i := range 60 {
 			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(rt, "worker")
 			n := x.nodes[id]
-			switch change := rapid.IntRange(0, 4).Draw(rt, "change"); {
+			switch change := rapid.IntRange(0, 5).Draw(rt, "change"); {
 			case n == nil:
 				x.SetOpen(x.Add(id, "domain", "rack", size("capacity")), true)
 			case change == 0:
@@ -75,6 +75,8 @@
 				x.SetOpen(n, !n.Open())
 			case change == 4:
 				x.SetUsed(n, size("used"))
+			case change == 5:
+				x.Move(n, "domain", "rack")
 			}
 			r := Request{Size: size("task"), Spread: NewSpread()}
 			got := x.Place(r)
--- a/internal/job/poll.go
+++ b/internal/job/poll.go
@@ -66,6 +66,9 @@
 		if e.Leaving && !w.leaving {
 			p.logger.Info("worker is leaving", zap.String("worker", w.id))
 		}
+		if e.FailureDomain != w.domain || e.Rack != w.rack {
+			p.relocate(w, e.FailureDomain, e.Rack)
+		}
 		w.addr, w.listed, w.leaving = e.Addr, true, e.Leaving
 		if w.leaving {
 			p.moveAway(w, now)
@@ -85,6 +88,21 @@
 	}
 }
 
+// relocate notes that a worker is elsewhere than it was, as after a repair or while the journal is older than the list.
+func (p *partition) relocate(w *workerBook, domain, rack string) {
+	w.domain, w.rack = domain, rack
+	if w.node == nil {
+		return
+	}
+	for _, pl := range w.placed {
+		p.countService(pl, -1)
+	}
+	p.index.Move(w.node, domain, rack)
+	for _, pl := range w.placed {
+		p.countService(pl, 1)
+	}
+}
+
 // removeWorker drops a worker that is not listed any more and on which nothing runs.
 func (p *partition) removeWorker(w *workerBook, now time.Time) {
 	delete(p.workers, w.id)
--- a/internal/job/spread_test.go
+++ b/internal/job/spread_test.go
@@ -54,3 +54,25 @@
 		check(20 * time.Second)
 	})
 }
+
+// TestRelocatedWorker guards against a worker that keeps the rack and failure domain that it was first listed with, so that
+// services share one.
+func TestRelocatedWorker(t *testing.T) {
+	scenario(t, "services take account of workers that came back elsewhere", 4, func(f *fixture, c *fakeCluster) {
+		c.runs = func(string) fakeRun { return fakeRun{} }
+		f.accept(Spec{Customer: "c", Key: "first", Kind: Service, Tasks: 4, Resources: small})
+		time.Sleep(time.Second)
+		c.set(func() {
+			c.workers["w02"].rack = "r0"
+			c.workers["w03"].domain, c.workers["w03"].rack = "d2", "r0"
+		})
+		time.Sleep(2 * time.Second)
+		counts, want := f.counted("first")
+		So(counts, ShouldResemble, want)
+		So(counts.Racks, ShouldResemble, map[string]int{"d0/r0": 2, "d1/r0": 1, "d2/r0": 1})
+		f.accept(Spec{Customer: "c", Key: "later", Kind: Service, Tasks: 3, Resources: small})
+		time.Sleep(time.Second)
+		counts, _ = f.counted("later")
+		So(counts.Domains, ShouldResemble, map[string]int{"d0": 1, "d1": 1, "d2": 1})
+	})
+}
