--- a/internal/job/placement/index.go
+++ b/internal/job/placement/index.go
@@ -71,6 +71,7 @@
 	name   string
 	grid   grid
 	racks  []*rack
+	seats  int // of all racks
 	cursor int
 }
 
@@ -119,13 +120,21 @@
 func (x *Index) Add(id, domainName, rackName string, capacity Resources) *Node {
 	n := &Node{ID: id, Domain: domainName, Rack: rackName}
 	n.setCapacity(capacity)
-	d := x.byDomain[domainName]
+	x.join(n)
+	x.nodes[id] = n
+	x.capacities[capacity]++
+	return n
+}
+
+// join enters a node in its failure domain and rack.
+func (x *Index) join(n *Node) {
+	d := x.byDomain[n.Domain]
 	if d == nil {
-		d = &domain{name: domainName}
-		x.byDomain[domainName] = d
+		d = &domain{name: n.Domain}
+		x.byDomain[n.Domain] = d
 		x.domains = append(x.domains, d)
 	}
-	key := domainName + "/" + rackName
+	key := n.Domain + "/" + n.Rack
 	r := x.byRack[key]
 	if r == nil {
 		r = &rack{key: key}
@@ -134,22 +143,45 @@
 	}
 	n.domain, n.rack, n.pos = d, r, len(r.seats)
 	r.seats = append(r.seats, seat{room: room{free: noRoom}, node: n})
-	x.nodes[id] = n
-	x.capacities[capacity]++
-	return n
+	d.seats++
+}
+
+// Move changes where a worker is.
+func (x *Index) Move(n *Node, domainName, rackName string) {
+	open := n.open
+	x.SetOpen(n, false)
+	x.part(n)
+	n.Domain, n.Rack = domainName, rackName
+	x.join(n)
+	x.SetOpen(n, open)
 }
 
 // Remove removes a worker.
 func (x *Index) Remove(n *Node) {
 	x.SetOpen(n, false)
-	n.rack.seats = slices.Delete(n.rack.seats, n.pos, n.pos+1)
-	for i, s := range n.rack.seats[n.pos:] {
-		s.node.pos = n.pos + i
-	}
+	x.part(n)
 	delete(x.nodes, n.ID)
 	x.countCapacity(n.capacity, -1)
 }
 
+// part takes a node that is not open out of its rack, and removes a rack and a failure domain without workers.
+func (x *Index) part(n *Node) {
+	r, d := n.rack, n.domain
+	r.seats = slices.Delete(r.seats, n.pos, n.pos+1)
+	d.seats--
+	for i, s := range r.seats[n.pos:] {
+		s.node.pos = n.pos + i
+	}
+	if len(r.seats) == 0 {
+		delete(x.byRack, r.key)
+		d.racks = slices.DeleteFunc(d.racks, func(o *rack) bool { return o == r })
+	}
+	if len(d.racks) == 0 {
+		delete(x.byDomain, d.name)
+		x.domains = slices.DeleteFunc(x.domains, func(o *domain) bool { return o == d })
+	}
+}
+
 // SetCapacity changes what a worker has.
 func (x *Index) SetCapacity(n *Node, capacity Resources) {
 	if capacity == n.capacity {
--- a/internal/job/placement/place_test.go
+++ b/internal/job/placement/place_test.go
@@ -52,7 +52,7 @@
 }
 
 // TestSpreadFollowsChanges guards against a decision for a service that reads an outdated copy of a worker, or that of
-// another one, after workers were removed or changed.
+// another one, after workers were removed, moved or changed.
 func TestSpreadFollowsChanges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		x := NewIndex()
@@ -62,7 +62,7 @@
 		for i := range 60 {
 			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(rt, "worker")
 			n := x.nodes[id]
-			switch change := rapid.IntRange(0, 4).Draw(rt, "change"); {
+			switch change := rapid.IntRange(0, 5).Draw(rt, "change"); {
 			case n == nil:
 				x.SetOpen(x.Add(id, "domain", "rack", size("capacity")), true)
 			case change == 0:
@@ -75,6 +75,8 @@
 				x.SetOpen(n, !n.Open())
 			case change == 4:
 				x.SetUsed(n, size("used"))
+			case change == 5:
+				x.Move(n, "domain", "rack")
 			}
 			r := Request{Size: size("task"), Spread: NewSpread()}
 			got := x.Place(r)
@@ -139,6 +141,78 @@
 	})
 }
 
+// TestSpreadAroundFullWorkers guards against a service that piles up on the only rack of a failure domain that has room.
+func TestSpreadAroundFullWorkers(t *testing.T) {
+	Convey("Given a failure domain with room on one of its four racks, and two with room on all", t, func() {
+		x, s := NewIndex(), NewSpread()
+		for i := range 12 {
+			if n := x.Add(fmt.Sprint(i), fmt.Sprint(i%3), fmt.Sprint(i/3), Resources{CPUMilli: 1000, MemoryMB: 1000}); i%3 > 0 || i == 0 {
+				x.SetOpen(n, true)
+			}
+		}
+		Convey("a service of 12 tasks loses at most 2 with a rack", func() {
+			for range 12 {
+				n := x.Place(Request{Size: Resources{CPUMilli: 10, MemoryMB: 10}, Spread: s})
+				s.Count(n, 1)
+			}
+			So(s.Domains, ShouldResemble, map[string]int{"0": 2, "1": 5, "2": 5})
+			So(s.Racks, ShouldContainKey, "0/0")
+			for _, tasks := range s.Racks {
+				So(tasks, ShouldBeLessThanOrEqualTo, 2)
+			}
+		})
+	})
+}
+
+// TestSpreadBeyondExaminedRacks guards against a service that piles up on one worker when the racks that are examined first
+// are full.
+func TestSpreadBeyondExaminedRacks(t *testing.T) {
+	Convey("A failure domain with room on the last 8 of its 24 racks takes 8 tasks in 8 racks", t, func() {
+		x, s := NewIndex(), NewSpread()
+		for i := range 24 {
+			n := x.Add(fmt.Sprint(i), "domain", fmt.Sprint(i), Resources{CPUMilli: 1000, MemoryMB: 1000})
+			x.SetOpen(n, i >= 16)
+		}
+		for range 8 {
+			s.Count(x.Place(Request{Size: Resources{CPUMilli: 10, MemoryMB: 10}, Spread: s}), 1)
+		}
+		So(len(s.Racks), ShouldEqual, 8)
+	})
+}
+
+// TestRemovedRacks guards against racks and failure domains that go on counting when their last worker was removed.
+func TestRemovedRacks(t *testing.T) {
+	Convey("Given two failure domains of two racks, after 16 racks of one and 40 failure domains were removed", t, func() {
+		x, s := NewIndex(), NewSpread()
+		add := func(domain, rack int) *Node {
+			n := x.Add(fmt.Sprint(domain, rack), fmt.Sprint(domain), fmt.Sprint(rack), Resources{CPUMilli: 1000, MemoryMB: 1000})
+			x.SetOpen(n, true)
+			return n
+		}
+		var gone []*Node
+		for i := range 4 {
+			add(i%2, i/2)
+		}
+		for i := range 40 {
+			gone = append(gone, add(2+i, 0))
+			if i < 16 {
+				gone = append(gone, add(0, 2+i))
+			}
+		}
+		for _, n := range gone {
+			x.Remove(n)
+		}
+		Convey("a service of 16 tasks has half of them in each, and decisions do not allocate", func() {
+			r := Request{Size: Resources{CPUMilli: 10, MemoryMB: 10}, Spread: s}
+			for range 16 {
+				s.Count(x.Place(r), 1)
+			}
+			So(s.Domains, ShouldResemble, map[string]int{"0": 8, "1": 8})
+			So(testing.AllocsPerRun(100, func() { x.Place(r) }), ShouldEqual, 0)
+		})
+	})
+}
+
 // randomPool returns a pool of which about two thirds are in use.
 func randomPool(n int) (*Index, *rand.Rand) {
 	rng := rand.New(rand.NewSource(1))
@@ -152,39 +226,110 @@
 	return x, rng
 }
 
-// BenchmarkPlace measures one decision with its update of the index, and the release of an earlier task.
+// BenchmarkPlace measures one decision with its update of the index and of the spread counts, and the release of an
+// earlier task. Services grow to their size one task at a time, in a mixed load beside four times as many batch tasks. In
+// the full pool one worker in ten has room.
 func BenchmarkPlace(b *testing.B) {
-	for _, n := range []int{50, 500, 5_000, 25_000} {
-		for _, kind := range []string{"batch", "service"} {
+	for _, kind := range []string{"batch", "service=3", "service=20", "service=200", "full=20", "mixed"} {
+		for _, n := range []int{50, 500, 5_000, 25_000} {
 			b.Run(fmt.Sprintf("%s/workers=%d", kind, n), func(b *testing.B) { benchPlace(b, n, kind) })
 		}
 	}
 }
 
+type benchUse struct {
+	node *Node
+	size Resources
+}
+
+// benchService is a service whose counts are kept when it ends, so that their memory is used again.
+type benchService struct {
+	spread *Spread
+	uses   []benchUse
+	tasks  int
+}
+
+func (s *benchService) end(x *Index) {
+	for _, u := range s.uses {
+		x.SetUsed(u.node, u.node.Used().Minus(u.size))
+		s.spread.Count(u.node, -1)
+	}
+	s.uses = s.uses[:0]
+}
+
 func benchPlace(b *testing.B, n int, kind string) {
 	x, rng := randomPool(n)
-	type use struct {
-		node *Node
-		size Resources
+	if kind == "full=20" {
+		for i := range n {
+			if node := x.nodes[fmt.Sprint(i)]; i%10 > 0 {
+				x.SetUsed(node, Resources{CPUMilli: 31_900, MemoryMB: node.Used().MemoryMB})
+			}
+		}
+	}
+	sizes := map[string][]int{"service=3": {3}, "service=20": {20}, "service=200": {200}, "full=20": {20}, "mixed": {3, 20, 200}}[kind]
+	mixed := len(sizes) > 1
+	var services []*benchService
+	for i := range 2 * len(sizes) {
+		services = append(services, &benchService{spread: NewSpread(), tasks: sizes[i%len(sizes)]})
 	}
-	var live [64]use
-	spread := NewSpread()
+	var live [64]benchUse
+	growing, batch, refused := 0, 0, 0
 	b.ReportAllocs()
-	i := 0
 	for b.Loop() {
-		r := Request{Size: Resources{CPUMilli: 250 + rng.Int63n(8000), MemoryMB: 500 + rng.Int63n(16_000)}}
-		if kind == "service" {
-			r.Spread = spread
+		if len(services) > 0 && (!mixed || rng.Intn(5) == 0) {
+			s := services[growing%len(services)]
+			size := Resources{CPUMilli: 250 + rng.Int63n(1000), MemoryMB: 500 + rng.Int63n(2000)}
+			node := x.Place(Request{Size: size, Spread: s.spread})
+			if node == nil {
+				refused++
+			} else {
+				x.SetUsed(node, node.Used().Plus(size))
+				s.spread.Count(node, 1)
+				s.uses = append(s.uses, benchUse{node, size})
+			}
+			if node == nil || len(s.uses) == s.tasks {
+				growing++
+				services[growing%len(services)].end(x)
+			}
+			continue
 		}
-		node := x.Place(r)
+		size := Resources{CPUMilli: 250 + rng.Int63n(8000), MemoryMB: 500 + rng.Int63n(16_000)}
+		node := x.Place(Request{Size: size})
 		if node == nil {
+			refused++
 			continue
 		}
-		x.SetUsed(node, node.Used().Plus(r.Size))
-		if old := live[i%len(live)]; old.node != nil {
+		x.SetUsed(node, node.Used().Plus(size))
+		old := &live[batch%len(live)]
+		if old.node != nil {
 			x.SetUsed(old.node, old.node.Used().Minus(old.size))
 		}
-		live[i%len(live)] = use{node, r.Size}
-		i++
+		*old = benchUse{node, size}
+		batch++
+	}
+	b.ReportMetric(float64(refused)/float64(b.N), "refused/op")
+}
+
+// BenchmarkRefuse measures a decision that finds nothing, where most workers lack a little.
+func BenchmarkRefuse(b *testing.B) {
+	for _, kind := range []string{"batch", "service"} {
+		for _, n := range []int{50, 500, 5_000, 25_000} {
+			b.Run(fmt.Sprintf("%s/workers=%d", kind, n), func(b *testing.B) {
+				x, _ := randomPool(n)
+				for i := range n {
+					x.SetUsed(x.nodes[fmt.Sprint(i)], Resources{CPUMilli: 24_500 + int64(i%7), MemoryMB: 64_000 + int64(i%17)})
+				}
+				r := Request{Size: Resources{CPUMilli: 7900, MemoryMB: 16_000}}
+				if kind == "service" {
+					r.Spread = NewSpread()
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					if x.Place(r) != nil {
+						b.Fatal("placed")
+					}
+				}
+			})
+		}
 	}
 }
