--- a/internal/systemtest/network_test.go
+++ b/internal/systemtest/network_test.go
@@ -28,13 +28,15 @@
 	// loses decides whether the response to a message of a dialer is lost; then its connection carries nothing back any
 	// more.
 	loses func(to string, message []byte) bool
+	// carried is called for every message in either direction, with the dialer's end of its connection. It must not block.
+	carried func(c *conn, message []byte)
 }
 
 func newMemNet() *memNet {
 	return &memNet{
 		listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, cuts: map[string]func(a, b string) bool{},
 		changed: make(chan struct{}), sent: func(string, string, []byte) {},
-		loses: func(string, []byte) bool { return false },
+		loses: func(string, []byte) bool { return false }, carried: func(*conn, []byte) {},
 	}
 }
 
@@ -269,13 +271,16 @@
 	n := c.owner.net
 	n.mu.Lock()
 	_, dialer := n.conns[c]
-	loses := n.loses
+	loses, carried := n.loses, n.carried
 	n.mu.Unlock()
 	if dialer {
+		carried(c, b)
 		n.sent(c.from, c.to, b)
 		if loses(c.to, b) {
 			c.in.silence()
 		}
+	} else {
+		carried(c.peer, b)
 	}
 	return c.out.write(b)
 }
