Ask only silent peers for the versions of their lists

Cause: each follower asked every peer for its version every second, for both lists, although the heartbeats of every second carry the versions in both directions and confirm the lists as well. With eight daemons these were 28 calls and 10.3 KB a second per daemon, the largest part of the control traffic.

Ruled out: dropping the question. A peer whose heartbeats fail would then never be asked, and a daemon in a store outage would rely on heartbeats alone.

Change: versionedlist.FollowerConfig.Unheard names the peers to ask at a poll after the first; the daemon leaves out those that answered a heartbeat within 1.5 s, counted from before it was sent. The first pass at a start still asks all. A peer that stops answering heartbeats is asked after 2.5 s at the latest, while lists count as confirmed for 4 s.

--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -52,6 +52,9 @@
 
 func (b *beat) receive(hb peer.Heartbeat, asked time.Time) {
 	b.members.HearLeaving(hb.Leaving)
+	if !asked.IsZero() {
+		b.lists.answered.note(hb.ID, asked)
+	}
 	for name, version := range hb.ListVersions {
 		if f, ok := b.lists.followers[name]; ok {
 			f.Heard(peer.ListPeer{Client: b.client, Addr: hb.ID}, version, asked)
--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -58,8 +58,11 @@
 	Poll        time.Duration // period of reading the store and of asking the peers
 	CallTimeout time.Duration // of one pass over the store, and of one exchange with a peer
 	// Peers returns the peers to ask and to push to. It is called from several goroutines. Default: none.
-	Peers  func() []Peer
-	Logger *zap.Logger
+	Peers func() []Peer
+	// Unheard returns the peers to ask at each poll after the first. Peers whose versions reach Heard anyway can be left
+	// out. Default: all of Peers.
+	Unheard func() []Peer
+	Logger  *zap.Logger
 }
 
 // FollowerState is a Follower's part of the state dump.
@@ -117,6 +120,9 @@
 	if cfg.Peers == nil {
 		cfg.Peers = func() []Peer { return nil }
 	}
+	if cfg.Unheard == nil {
+		cfg.Unheard = cfg.Peers
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
@@ -192,7 +198,7 @@
 	var wg sync.WaitGroup
 	var store, peers bool
 	wg.Go(func() { store = f.readStore(ctx) })
-	wg.Go(func() { peers = f.askPeers(ctx) })
+	wg.Go(func() { peers = f.askPeers(ctx, f.cfg.Peers()) })
 	wg.Wait()
 	return store || peers
 }
@@ -222,7 +228,7 @@
 		select {
 		case <-t.C:
 			next = nextPoll(next, f.cfg.Poll)
-			f.askPeers(ctx)
+			f.askPeers(ctx, f.cfg.Unheard())
 		case h := <-f.hints:
 			if h.version > f.Snapshot().version {
 				f.pull(ctx, h.peer)
@@ -248,7 +254,7 @@
 	for {
 		select {
 		case u := <-f.push:
-			f.eachPeer(ctx, func(ctx context.Context, p Peer) error {
+			f.eachPeer(ctx, f.cfg.Peers(), func(ctx context.Context, p Peer) error {
 				if to, ok := p.(Pusher); ok {
 					return to.Push(ctx, f.list, u)
 				}
@@ -305,9 +311,9 @@
 	}
 }
 
-// askPeers asks all peers at once and pulls from those that are ahead. It returns false if none answered.
-func (f *Follower) askPeers(ctx context.Context) bool {
-	return f.eachPeer(ctx, func(ctx context.Context, p Peer) error {
+// askPeers asks peers at once and pulls from those that are ahead. It returns false if none answered.
+func (f *Follower) askPeers(ctx context.Context, peers []Peer) bool {
+	return f.eachPeer(ctx, peers, func(ctx context.Context, p Peer) error {
 		asked := time.Now()
 		version, err := p.Version(ctx, f.list)
 		if err != nil {
@@ -321,11 +327,11 @@
 	}) > 0
 }
 
-// eachPeer calls every peer at once, waits for all, and returns the number of calls that succeeded.
-func (f *Follower) eachPeer(ctx context.Context, call func(context.Context, Peer) error) int {
+// eachPeer calls all peers at once, waits for them, and returns the number of calls that succeeded.
+func (f *Follower) eachPeer(ctx context.Context, peers []Peer, call func(context.Context, Peer) error) int {
 	var wg sync.WaitGroup
 	var ok atomic.Int64
-	for _, p := range f.cfg.Peers() {
+	for _, p := range peers {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout)
 			defer cancel()
@@ -405,7 +411,7 @@
 	select {
 	case f.hints <- hint{peer: p, version: version}:
 	default:
-		// The next poll finds it.
+		// The next heartbeat or poll finds it.
 	}
 }
 
