Scan the partition rows every 5 s while nothing is to move

Ruled out: scanning only after notices. A lost notice would never be made up for. Reading faster again only once a session has ended: a handover depends on rows that are fresher than 2 s, so every partition that is not with its desired owner has to count.

Change: the rows are scanned every second while some partition is, as far as the daemon knows, not owned by its desired owner or is being claimed, started or handed over; at once when that begins and when a session begins, ends or changes its state; and every 5 s otherwise. A manager without a notifier and one whose last scan failed scan every second as before.

A lost notice that no change of a session goes with costs up to 5 s instead of 1 s; calls are sent on by the former owner or retried in the meantime.

--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -29,7 +29,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	// linger is how long the peer listener stays open after the handover: the other daemons read the partition rows every
-	// second, and until then they still bring calls here, which are sent on.
+	// second while partitions move, and until then they still bring calls here, which are sent on.
 	linger = 1500 * time.Millisecond
 )
 
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -19,7 +19,10 @@
 // Config configures a Manager. Zero durations and counts take the defaults.
 type Config struct {
 	PollInterval time.Duration // between two scans of the partition rows
-	StoreTimeout time.Duration // limit of one call to the table
+	// SettledPollInterval is the time between two scans while every partition is with its desired owner. It is used only
+	// with a Notifier.
+	SettledPollInterval time.Duration
+	StoreTimeout        time.Duration // limit of one call to the table
 	// ClaimDelay is how long others leave a free partition to its desired owner.
 	ClaimDelay time.Duration
 	// HandoverDelay is how long another daemon must be the desired owner before a partition is handed over to it.
@@ -48,13 +51,16 @@
 
 // The defaults of Config.
 const (
-	DefaultPollInterval    = time.Second
-	DefaultStoreTimeout    = 1500 * time.Millisecond
-	DefaultClaimDelay      = 2 * time.Second
-	DefaultHandoverDelay   = 3 * time.Second
-	DefaultHandoverTimeout = 10 * time.Second
-	DefaultStartRetryDelay = 5 * time.Second
-	DefaultReturnDelay     = 30 * time.Second
+	DefaultPollInterval = time.Second
+	// DefaultSettledPollInterval is how late a daemon may learn of a new owner when the notice was lost and no session
+	// has changed.
+	DefaultSettledPollInterval = 5 * time.Second
+	DefaultStoreTimeout        = 1500 * time.Millisecond
+	DefaultClaimDelay          = 2 * time.Second
+	DefaultHandoverDelay       = 3 * time.Second
+	DefaultHandoverTimeout     = 10 * time.Second
+	DefaultStartRetryDelay     = 5 * time.Second
+	DefaultReturnDelay         = 30 * time.Second
 	// DefaultFenceMemory is several task leases of 15 s.
 	DefaultFenceMemory    = time.Minute
 	DefaultDecideInterval = 250 * time.Millisecond
@@ -69,7 +75,8 @@
 		field *time.Duration
 		value time.Duration
 	}{
-		{&c.PollInterval, DefaultPollInterval}, {&c.StoreTimeout, DefaultStoreTimeout}, {&c.ClaimDelay, DefaultClaimDelay},
+		{&c.PollInterval, DefaultPollInterval}, {&c.SettledPollInterval, DefaultSettledPollInterval},
+		{&c.StoreTimeout, DefaultStoreTimeout}, {&c.ClaimDelay, DefaultClaimDelay},
 		{&c.HandoverDelay, DefaultHandoverDelay}, {&c.HandoverTimeout, DefaultHandoverTimeout},
 		{&c.StartRetryDelay, DefaultStartRetryDelay}, {&c.ReturnDelay, DefaultReturnDelay},
 		{&c.FenceMemory, DefaultFenceMemory}, {&c.DecideInterval, DefaultDecideInterval}, {&c.RankDelay, DefaultRankDelay},
@@ -114,20 +121,24 @@
 	keeper   *session.Keeper
 	observer *session.Observer
 	kick     chan struct{}
+	rescan   chan struct{} // asks for a scan at once
 	tenures  sync.WaitGroup
 
 	mu       sync.Mutex
 	parts    map[string]*part
 	draining bool
 	broken   bool      // the last scan failed
+	scanned  time.Time // start of the last scan
 	lastScan time.Time // end of the last successful scan
+	moving   bool      // some partition is not with its desired owner, as far as this daemon knows
+	asked    bool      // a scan was asked for
 	settled  chan struct{}
 }
 
 // New returns a manager of the daemon whose session k keeps. The caller runs k and o.
 func New(cfg Config, store table.Client, k *session.Keeper, o *session.Observer) *Manager {
 	return &Manager{cfg: cfg.withDefaults(), store: store, keeper: k, observer: o, kick: make(chan struct{}, 1),
-		parts: map[string]*part{}, settled: make(chan struct{})}
+		rescan: make(chan struct{}, 1), parts: map[string]*part{}, settled: make(chan struct{})}
 }
 
 // Register adds partitions of one kind. prefix is the start of their names, such as "request/". It panics if a partition
@@ -164,6 +175,11 @@
 		case <-t.C:
 		}
 		t.Stop()
+		select {
+		case <-sessions:
+			m.scanNow()
+		default:
+		}
 	}
 	wg.Wait()
 	m.tenures.Wait()
@@ -172,12 +188,36 @@
 func (m *Manager) wake() { wait.Signal(m.kick) }
 
 func (m *Manager) scanLoop(ctx context.Context) {
-	wait.Every(ctx, m.cfg.PollInterval, func(ctx context.Context) {
-		m.scan(ctx)
-		m.wake()
+	wait.EveryOrSignal(ctx, m.cfg.PollInterval, m.rescan, func(ctx context.Context) {
+		if m.scanDue(time.Now()) {
+			m.scan(ctx)
+			m.wake()
+		}
 	})
 }
 
+// scanNow asks for a scan that does not wait for the interval.
+func (m *Manager) scanNow() {
+	m.mu.Lock()
+	m.asked = true
+	m.mu.Unlock()
+	wait.Signal(m.rescan)
+}
+
+// scanDue reports whether to scan now. Owners announce each start and release, and a session that begins, ends or changes
+// its state asks for a scan, so while nothing is to move the scans only make up for lost notices.
+func (m *Manager) scanDue(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// Calls come about every PollInterval; half of one is the tolerance for those that come early.
+	due := m.asked || m.moving || m.broken || m.cfg.Notifier == nil ||
+		now.Sub(m.scanned) >= m.cfg.SettledPollInterval-m.cfg.PollInterval/2
+	if due {
+		m.asked, m.scanned = false, now
+	}
+	return due
+}
+
 // scan reads all partition rows once.
 func (m *Manager) scan(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
@@ -224,6 +264,7 @@
 	now := time.Now()
 	fresh = fresh && !m.broken && now.Sub(m.lastScan) <= 2*m.cfg.PollInterval
 	ranking := m.assign(accepts && !m.draining, live)
+	m.noteMoves(ranking)
 	moves := 0
 	for _, p := range m.parts {
 		if p.phase == claiming || p.phase == starting || p.phase == handing {
@@ -267,6 +308,23 @@
 	return out
 }
 
+// noteMoves notes whether some partition is to move or is moving, and asks for a scan when that begins. The caller holds
+// mu.
+func (m *Manager) noteMoves(ranking map[string][]string) {
+	moving := false
+	for name, p := range m.parts {
+		ranked, owner := ranking[name], p.row.Owner
+		_, ended := m.observer.Ended(owner.ID, owner.Incarnation)
+		moving = moving || p.phase != idle && p.phase != running || p.row.State != Owned || ended ||
+			len(ranked) == 0 || ranked[0] != owner.ID || owner.ID == m.keeper.ID() && p.phase != running
+	}
+	if moving && !m.moving {
+		m.asked = true
+		wait.Signal(m.rescan)
+	}
+	m.moving = moving
+}
+
 // checkLost revokes the guard of a partition if the session is lost or another daemon has claimed it.
 func (m *Manager) checkLost(p *part) {
 	g := p.guard
