Leave empty and unused fields out of heartbeats

Ruled out: leaving the id out of the answer, which the caller knows. A daemon of the previous version would file the answer under an empty id while hosts are replaced one after the other.

Empty fields are not sent; a receiver of any version reads a missing field as empty.

TestIdleTraffic fails with the former traffic.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -83,7 +83,7 @@
 // both directions.
 func BenchmarkHeartbeat(b *testing.B) {
 	hb := peer.Heartbeat{
-		ID: id(1), Incarnation: "3", ListVersions: map[string]int64{"plans": 100000, "allowances": 1000},
+		ID: id(1), ListVersions: map[string]int64{"plans": 100000, "allowances": 1000},
 		IdleSlots: map[string]int{"textos": 40},
 	}
 	for b.Loop() {
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -45,7 +44,7 @@
 		versions[name] = f.Snapshot().Version()
 	}
 	return peer.Heartbeat{
-		ID: b.keeper.ID(), Incarnation: strconv.FormatInt(b.keeper.Incarnation(), 10), Draining: b.ready.Draining(),
+		ID: b.keeper.ID(), Draining: b.ready.Draining(),
 		ListVersions: versions, IdleSlots: b.service.IdleSlots(), Leaving: b.members.Reported(),
 	}
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -18,14 +18,13 @@
 // PathHeartbeat is the path of heartbeat calls.
 const PathHeartbeat = "/peer/v1/heartbeat"
 
-// Heartbeat is what daemons tell each other every second, in both directions of one call.
+// Heartbeat is what daemons tell each other every second, in both directions of one call. Empty fields are not sent.
 type Heartbeat struct {
 	ID           string           `json:"id"` // the daemon's peer address
-	Incarnation  string           `json:"incarnation"`
-	Draining     bool             `json:"draining"`
-	ListVersions map[string]int64 `json:"list_versions"` // accepted version by list
-	IdleSlots    map[string]int   `json:"idle_slots"`    // slots to lend by service
-	Leaving      []string         `json:"leaving"`       // endpoints that told this daemon that they are leaving
+	Draining     bool             `json:"draining,omitempty"`
+	ListVersions map[string]int64 `json:"list_versions,omitempty"` // accepted version by list
+	IdleSlots    map[string]int   `json:"idle_slots,omitempty"`    // slots to lend by service
+	Leaving      []string         `json:"leaving,omitempty"`       // endpoints that told this daemon that they are leaving
 }
 
 // Status is what is known of a peer.
