--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -44,13 +43,16 @@
 		versions[name] = f.Snapshot().Version()
 	}
 	return peer.Heartbeat{
-		ID: b.keeper.ID(), Incarnation: strconv.FormatInt(b.keeper.Incarnation(), 10), Draining: b.ready.Draining(),
+		ID: b.keeper.ID(), Draining: b.ready.Draining(),
 		ListVersions: versions, IdleSlots: b.service.IdleSlots(), Leaving: b.members.Reported(),
 	}
 }
 
 func (b *beat) receive(hb peer.Heartbeat, asked time.Time) {
 	b.members.HearLeaving(hb.Leaving)
+	if !asked.IsZero() {
+		b.lists.answered.note(hb.ID, asked)
+	}
 	for name, version := range hb.ListVersions {
 		if f, ok := b.lists.followers[name]; ok {
 			f.Heard(peer.ListPeer{Client: b.client, Addr: hb.ID}, version, asked)
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -29,7 +29,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	// linger is how long the peer listener stays open after the handover: the other daemons read the partition rows every
-	// second, and until then they still bring calls here, which are sent on.
+	// second while partitions move, and until then they still bring calls here, which are sent on.
 	linger = 1500 * time.Millisecond
 )
 
@@ -167,7 +167,7 @@
 	peer.RegisterLists(g, d.Lists.followers)
 	peer.RegisterLender(g, d.Service)
 	peer.RegisterMembers(g, d.Members)
-	peer.Handle(g, peer.PathHeartbeat, d.Beats.Serve)
+	peer.HandleAtOnce(g, peer.PathHeartbeat, d.Beats.Serve)
 	peer.Handle(g, entry.PathRequest, d.Requests.ServeRequest)
 	peer.Handle(g, entry.PathLookup, d.Requests.ServeLookup)
 	peer.Handle(g, entry.PathJob, d.Jobs.Serve)
