Shorten the retention in TestReusedKey

The test slept through 25 h of renewals in virtual time, three times: 25 s under -race. With a retention of an hour it takes 1 s and still fails when a record with another time of acceptance does not replace the earlier one.

--- a/internal/job/scenarios_test.go
+++ b/internal/job/scenarios_test.go
@@ -480,8 +480,8 @@
 // journal still has the record of the earlier job.
 func TestReusedKey(t *testing.T) {
 	for _, earlier := range []string{"done", "archived", "cancelled"} {
-		scenario(t, "the key of a job is used again after a day: "+earlier, 1, func(f *fixture, c *fakeCluster) {
-			f.cfg.ArchiveBytes = 1
+		scenario(t, "the key of a job is used again after its retention: "+earlier, 1, func(f *fixture, c *fakeCluster) {
+			f.cfg.ArchiveBytes, f.cfg.Retention = 1, time.Hour
 			So(f.handOver(), ShouldBeNil)
 			f.accept(batch("k", 1, small))
 			time.Sleep(2 * time.Second)
@@ -493,7 +493,7 @@
 				So(f.pool.parts[part].compact(), ShouldBeNil)
 				So(len(f.store.archives), ShouldEqual, 1)
 			}
-			time.Sleep(25 * time.Hour)
+			time.Sleep(f.cfg.Retention + time.Minute)
 			f.accept(batch("k", 2, small))
 			for range 2 {
 				So(f.handOver(), ShouldBeNil)
