Keep a peer unresponsive while only its own heartbeats arrive

Cause: a heartbeat that a peer sends on its own reset the count of calls that it has not answered. While only the direction to the peer was broken, it never counted as unresponsive, and each call that was brought to it waited for its time limit instead of being refused at once. Found by reading.

Ruled out: leaving out heartbeats from the peer's side, which confirm that it is alive and carry its idle slots.

Change: only an answer resets the count.

Before: TestOneWay fails. After: it passes, as do the whole-system tests.

--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -95,9 +95,15 @@
 	return h.self(), nil
 }
 
+// heard notes a heartbeat. One that the peer sent on its own says nothing about whether the peer answers calls, so it
+// leaves the failures; asked is zero then.
 func (h *Heartbeater) heard(hb Heartbeat, asked time.Time) {
 	h.mu.Lock()
-	h.peers[hb.ID] = Status{Heartbeat: hb, At: time.Now()}
+	s := Status{Heartbeat: hb, At: time.Now()}
+	if asked.IsZero() {
+		s.Failures = h.peers[hb.ID].Failures
+	}
+	h.peers[hb.ID] = s
 	h.mu.Unlock()
 	h.receive(hb, asked)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,14 +6,18 @@
 	"net"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/network"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 type ping struct {
@@ -127,3 +131,28 @@
 		So(p.N, ShouldEqual, 7)
 	})
 }
+
+// TestOneWay guards against an owner that is taken for responsive because its own calls arrive while calls to it fail.
+func TestOneWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A peer that sends heartbeats but answers none is unresponsive", t, func() {
+			const addr = "127.0.0.1:1"
+			client := NewClient("secret", func(context.Context, string, string) (net.Conn, error) {
+				return nil, errors.New("no route")
+			})
+			h := NewHeartbeater(client, func() []string { return []string{addr} },
+				func() Heartbeat { return Heartbeat{} }, func(Heartbeat, time.Time) {})
+			ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+			defer cancel()
+			var wg sync.WaitGroup
+			wg.Go(func() { h.Run(ctx) })
+			for wait.For(ctx, 700*time.Millisecond) {
+				_, err := h.Serve(ctx, Heartbeat{ID: addr})
+				So(err, ShouldBeNil)
+			}
+			So(h.Unresponsive(addr), ShouldBeTrue)
+			So(h.Alive(), ShouldHaveLength, 1)
+			wg.Wait()
+		})
+	})
+}
