--- /dev/null
+++ b/internal/daemon/lists.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/peer"
+	"github.com/greengagewing/greengagewing/internal/plan"
+	"github.com/greengagewing/greengagewing/internal/settings"
+	"github.com/greengagewing/greengagewing/session"
+	"github.com/greengagewing/greengagewing/table"
+	"github.com/greengagewing/greengagewing/versionedlist"
+)
+
+// lists are the editor, the followers and the lookup of the operators' lists.
+type lists struct {
+	editor    *plan.Editor
+	followers map[string]*versionedlist.Follower
+	lookup    *plan.Lists
+	answered  *answered
+}
+
+// heardFor is how long a peer's answer to a heartbeat stands for its answer about the versions of the lists. It covers
+// the heartbeat interval and a slow answer; a peer whose heartbeat fails is asked again before the lists of this daemon
+// count as unconfirmed.
+const heardFor = 1500 * time.Millisecond
+
+// answered notes when peers answered heartbeats, which carry the versions of their lists.
+type answered struct {
+	mu    sync.Mutex
+	asked map[string]time.Time // by peer address: before the heartbeat was sent
+}
+
+func (a *answered) note(addr string, asked time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asked[addr] = asked
+}
+
+// missing returns those of addrs that have not answered recently, and forgets the addresses that are not among them.
+func (a *answered) missing(addrs []string, now time.Time) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.asked, func(addr string, _ time.Time) bool { return !slices.Contains(addrs, addr) })
+	return slices.DeleteFunc(addrs, func(addr string) bool { return now.Sub(a.asked[addr]) <= heardFor })
+}
+
+func newLists(s *settings.Settings, t table.Client, c *peer.Client, o *session.Observer, log *zap.Logger) *lists {
+	roster := peer.RosterOf(o, s.PeerListen.String(), groups(s))
+	peers := func(addrs []string) []versionedlist.Peer {
+		var out []versionedlist.Peer
+		for _, addr := range addrs {
+			out = append(out, peer.ListPeer{Client: c, Addr: addr})
+		}
+		return out
+	}
+	heard := &answered{asked: map[string]time.Time{}}
+	cfg := versionedlist.FollowerConfig{
+		Logger:  log,
+		Peers:   func() []versionedlist.Peer { return peers(roster()) },
+		Unheard: func() []versionedlist.Peer { return peers(heard.missing(roster(), time.Now())) },
+	}
+	plans := versionedlist.NewFollower(t, plan.PlansList, cfg)
+	allowances := versionedlist.NewFollower(t, plan.AllowancesList, cfg)
+	return &lists{
+		editor:    plan.NewEditor(t, versionedlist.EditorConfig{}),
+		followers: map[string]*versionedlist.Follower{plan.PlansList: plans, plan.AllowancesList: allowances},
+		lookup:    plan.NewLists(plans, allowances),
+		answered:  heard,
+	}
+}
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +21,6 @@
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/peer"
-	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/journal"
@@ -31,7 +28,6 @@
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
-	"github.com/greengagewing/greengagewing/versionedlist"
 )
 
 const (
@@ -150,64 +146,6 @@
 	return journal.NewCommitter(t, journal.Config{Rate: rate, StoreFailing: k.StoreFailing, Logger: log})
 }
 
-// lists are the editor, the followers and the lookup of the operators' lists.
-type lists struct {
-	editor    *plan.Editor
-	followers map[string]*versionedlist.Follower
-	lookup    *plan.Lists
-	answered  *answered
-}
-
-// heardFor is how long a peer's answer to a heartbeat stands for its answer about the versions of the lists. It covers
-// the heartbeat interval and a slow answer; a peer whose heartbeat fails is asked again before the lists of this daemon
-// count as unconfirmed.
-const heardFor = 1500 * time.Millisecond
-
-// answered notes when peers answered heartbeats, which carry the versions of their lists.
-type answered struct {
-	mu    sync.Mutex
-	asked map[string]time.Time // by peer address: before the heartbeat was sent
-}
-
-func (a *answered) note(addr string, asked time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.asked[addr] = asked
-}
-
-// missing returns those of addrs that have not answered recently, and forgets the addresses that are not among them.
-func (a *answered) missing(addrs []string, now time.Time) []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	maps.DeleteFunc(a.asked, func(addr string, _ time.Time) bool { return !slices.Contains(addrs, addr) })
-	return slices.DeleteFunc(addrs, func(addr string) bool { return now.Sub(a.asked[addr]) <= heardFor })
-}
-
-func newLists(s *settings.Settings, t table.Client, c *peer.Client, o *session.Observer, log *zap.Logger) *lists {
-	roster := peer.RosterOf(o, s.PeerListen.String(), groups(s))
-	peers := func(addrs []string) []versionedlist.Peer {
-		var out []versionedlist.Peer
-		for _, addr := range addrs {
-			out = append(out, peer.ListPeer{Client: c, Addr: addr})
-		}
-		return out
-	}
-	heard := &answered{asked: map[string]time.Time{}}
-	cfg := versionedlist.FollowerConfig{
-		Logger:  log,
-		Peers:   func() []versionedlist.Peer { return peers(roster()) },
-		Unheard: func() []versionedlist.Peer { return peers(heard.missing(roster(), time.Now())) },
-	}
-	plans := versionedlist.NewFollower(t, plan.PlansList, cfg)
-	allowances := versionedlist.NewFollower(t, plan.AllowancesList, cfg)
-	return &lists{
-		editor:    plan.NewEditor(t, versionedlist.EditorConfig{}),
-		followers: map[string]*versionedlist.Follower{plan.PlansList: plans, plan.AllowancesList: allowances},
-		lookup:    plan.NewLists(plans, allowances),
-		answered:  heard,
-	}
-}
-
 // claims adapts idempotency.Table to the request path.
 func claims(log idempotency.Log, records [][]byte) (request.Claims, error) {
 	t := idempotency.New(log, idempotency.Config{})
--- /dev/null
+++ b/ownership/scan.go
@@ -0,0 +1,83 @@
+package ownership
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/wait"
+	"github.com/greengagewing/greengagewing/table"
+)
+
+// The rows of all partitions are scanned every PollInterval while something moves, and otherwise every
+// SettledPollInterval, to make up for lost notices.
+
+func (m *Manager) scanLoop(ctx context.Context) {
+	wait.EveryOrSignal(ctx, m.cfg.PollInterval, m.rescan, func(ctx context.Context) {
+		if m.scanDue(time.Now()) {
+			m.scan(ctx)
+			m.wake()
+		}
+	})
+}
+
+// scanNow asks for a scan that does not wait for the interval.
+func (m *Manager) scanNow() {
+	m.mu.Lock()
+	m.asked = true
+	m.mu.Unlock()
+	wait.Signal(m.rescan)
+}
+
+// scanDue reports whether to scan now. Owners announce each start and release, and a session that begins, ends or changes
+// its state asks for a scan, so while nothing is to move the scans only make up for lost notices.
+func (m *Manager) scanDue(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// Calls come about every PollInterval; half of one is the tolerance for those that come early.
+	due := m.asked || m.moving || m.broken || m.cfg.Notifier == nil ||
+		now.Sub(m.scanned) >= m.cfg.SettledPollInterval-m.cfg.PollInterval/2
+	if due {
+		m.asked, m.scanned = false, now
+	}
+	return due
+}
+
+// scan reads all partition rows once.
+func (m *Manager) scan(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
+	defer cancel()
+	rows, err := table.ScanAll(ctx, m.store, Prefix)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.broken = err != nil
+	if err != nil {
+		return
+	}
+	m.lastScan = time.Now()
+	for _, got := range rows {
+		p := m.parts[strings.TrimPrefix(got.Key, Prefix)]
+		if p == nil {
+			continue
+		}
+		r, err := decode(got.Value)
+		if err != nil {
+			m.cfg.Log.Warn("invalid partition row", zap.String("key", got.Key), zap.Error(err))
+			continue
+		}
+		p.see(r, got.Version)
+	}
+}
+
+// RowChanged takes a notice that a peer has sent. A wrong notice cannot lead to a wrong claim, because the claim is
+// conditional on the row's version.
+func (m *Manager) RowChanged(n RowNotice) {
+	m.mu.Lock()
+	if p := m.parts[n.Row.Partition]; p != nil {
+		p.see(n.Row, n.Version)
+	}
+	m.mu.Unlock()
+	m.wake()
+}
