Bound dials by network.WithTimeout in the table's and the minions' clients

The limits stay 500 ms. The fake minions of the request tests are renamed, because their type had the package's name.

--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -37,8 +37,8 @@
 	Fault string `json:"fault,omitempty"`
 }
 
-// network is a set of fake minions behind net.Pipe connections.
-type network struct {
+// minionNet is a set of fake minions behind net.Pipe connections.
+type minionNet struct {
 	wg      sync.WaitGroup
 	mu      sync.Mutex
 	conns   []net.Conn
@@ -57,12 +57,12 @@
 	ending  string         // how: "idle", at once; "read", after reading one more attempt; "partial", in the middle of it
 }
 
-func newNetwork() *network {
-	return &network{running: map[string]int{}, most: map[string]int{}, runs: map[string]int{}, served: map[string]int{},
+func newNetwork() *minionNet {
+	return &minionNet{running: map[string]int{}, most: map[string]int{}, runs: map[string]int{}, served: map[string]int{},
 		open: map[string]int{}, seen: map[string]int{}, down: map[string]bool{}}
 }
 
-func (n *network) dial(_ context.Context, _, addr string) (net.Conn, error) {
+func (n *minionNet) dial(_ context.Context, _, addr string) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed || n.down[addr] {
@@ -73,7 +73,7 @@
 	return client, nil
 }
 
-func (n *network) accept(addr string, server net.Conn) {
+func (n *minionNet) accept(addr string, server net.Conn) {
 	n.conns = append(n.conns, server)
 	n.open[addr]++
 	n.wide = max(n.wide, n.open[addr])
@@ -84,7 +84,7 @@
 }
 
 // listen serves TCP connections until the listener is closed.
-func (n *network) listen(l net.Listener) {
+func (n *minionNet) listen(l net.Listener) {
 	n.wg.Go(func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 			locked(&n.mu, func() { n.accept(l.Addr().String(), c) })
@@ -94,10 +94,10 @@
 
 func locked(mu *sync.Mutex, f func()) { mu.Lock(); defer mu.Unlock(); f() }
 
-func (n *network) dialed() int           { n.mu.Lock(); defer n.mu.Unlock(); return len(n.conns) }
-func (n *network) runsOf(key string) int { n.mu.Lock(); defer n.mu.Unlock(); return n.runs[key] }
+func (n *minionNet) dialed() int           { n.mu.Lock(); defer n.mu.Unlock(); return len(n.conns) }
+func (n *minionNet) runsOf(key string) int { n.mu.Lock(); defer n.mu.Unlock(); return n.runs[key] }
 
-func (n *network) close() {
+func (n *minionNet) close() {
 	locked(&n.mu, func() {
 		n.closed = true
 		for _, c := range n.conns {
@@ -107,7 +107,7 @@
 	n.wg.Wait()
 }
 
-func (n *network) serve(addr string, c net.Conn) {
+func (n *minionNet) serve(addr string, c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for i := 1; n.answers == 0 || i <= n.answers || n.ending != "idle"; i++ {
@@ -137,7 +137,7 @@
 	}
 }
 
-func (n *network) execute(addr string, c net.Conn, id string, body []byte) bool {
+func (n *minionNet) execute(addr string, c net.Conn, id string, body []byte) bool {
 	var j job
 	_ = json.Unmarshal(body, &j)
 	n.mu.Lock()
@@ -320,7 +320,7 @@
 // bench is a service with one partition and its surroundings.
 type bench struct {
 	*Service
-	net       *network
+	net       *minionNet
 	store     *store
 	lists     *lists
 	guard     *guard
--- a/internal/request/path.go
+++ b/internal/request/path.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/network"
 )
 
 // Headers of the protocol between a daemon and a minion.
@@ -134,14 +136,11 @@
 	closed bool
 }
 
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-func newLink(dial dialFunc) *link {
+func newLink(dial network.DialFunc) *link {
 	l := &link{}
+	dial = network.WithTimeout(dial, minionDialTimeout)
 	l.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, minionDialTimeout)
-			defer cancel()
 			c, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
@@ -183,14 +182,14 @@
 // idle ones, so that a minion's slots bound their number.
 type path struct {
 	addr string
-	dial dialFunc
+	dial network.DialFunc
 
 	mu     sync.Mutex
 	idle   []*link // the one used last is at the end
 	closed bool
 }
 
-func newPath(addr string, dial dialFunc) *path { return &path{addr: addr, dial: dial} }
+func newPath(addr string, dial network.DialFunc) *path { return &path{addr: addr, dial: dial} }
 
 func (p *path) take() *link {
 	p.mu.Lock()
--- a/table/http.go
+++ b/table/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/network"
 )
 
 const (
@@ -44,11 +46,7 @@
 		dial = new(net.Dialer).DialContext
 	}
 	tr := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			return dial(ctx, network, addr)
-		},
+		DialContext:         network.WithTimeout(network.DialFunc(dial), dialTimeout),
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     10 * time.Second,
 	}
