--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -291,9 +291,7 @@
 		return true
 	}
 	f.confirm(asked)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endHolds(asked)
+	f.endShown(asked)
 	return true
 }
 
@@ -446,7 +444,7 @@
 func (f *Follower) apply(u Update) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer f.endHolds(time.Time{})
+	defer f.endReached()
 	old := f.state.Load()
 	if u.Version <= old.snap.version {
 		return false
--- a/versionedlist/hold.go
+++ b/versionedlist/hold.go
@@ -1,6 +1,9 @@
 package versionedlist
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // DefaultHoldLimit is the time after which an announced edit has been committed or never will be. An editor gives up
 // within 5 s, and a call to the store lasts 2 s at most.
@@ -39,25 +42,32 @@
 
 // confirmByPeer notes that a peer that was asked at the given time has no newer version.
 func (f *Follower) confirmByPeer(asked time.Time) {
+	if !f.heldAt(asked) {
+		f.confirm(asked)
+	}
+}
+
+// heldAt reports whether an edit was announced at the given time whose outcome is still unknown.
+func (f *Follower) heldAt(t time.Time) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, h := range f.holds {
-		if !asked.Before(h.since) {
-			f.mu.Unlock()
-			return
+		if !t.Before(h.since) {
+			return true
 		}
 	}
-	f.mu.Unlock()
-	f.confirm(asked)
+	return false
 }
 
-// endHolds ends the holds whose edits are in force. Those whose outcome a read of the store that began at the given time
-// must have shown end as well; a zero time stands for no such read. The caller holds mu.
-func (f *Follower) endHolds(read time.Time) {
+// endReached ends the holds whose edits are in force. The caller holds mu.
+func (f *Follower) endReached() {
 	version := f.Snapshot().version
-	for id, h := range f.holds {
-		shown := h.version == 0 && !read.IsZero() && read.Sub(h.since) >= f.cfg.HoldLimit
-		if shown || h.version != 0 && h.version <= version {
-			delete(f.holds, id)
-		}
-	}
+	maps.DeleteFunc(f.holds, func(_ string, h hold) bool { return h.version != 0 && h.version <= version })
+}
+
+// endShown ends the holds whose outcome a read of the store that began at the given time must have shown.
+func (f *Follower) endShown(read time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.holds, func(_ string, h hold) bool { return h.version == 0 && read.Sub(h.since) >= f.cfg.HoldLimit })
 }
