--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -57,6 +57,7 @@
 	Lists     *lists
 	Announcer *announcer
 	Members   *membership.List
+	Others    peer.Members // the other daemons' lists
 	Beats     *peer.Heartbeater
 	Gauges    *gauges
 	Client    *peer.Client
@@ -107,8 +108,7 @@
 			if err := peers.start(d.Network.Listen, d.Log); err != nil {
 				return err
 			}
-			others := peer.Members{Client: d.Client, Roster: peer.RosterOf(d.Observer, d.Keeper.ID(), groups(d.Settings))}
-			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, others, d.Beats)
+			duties(d.Background, d.Keeper, d.Observer, d.Manager, d.Committer, d.Lists, d.Members, d.Others, d.Beats)
 			d.Background.run(d.Gauges.run)
 			return callers.start(d.Network.Listen, d.Log)
 		},
--- a/internal/daemon/lists.go
+++ b/internal/daemon/lists.go
@@ -10,8 +10,6 @@
 
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/internal/settings"
-	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
 	"github.com/greengagewing/greengagewing/versionedlist"
 )
@@ -49,8 +47,7 @@
 	return slices.DeleteFunc(addrs, func(addr string) bool { return now.Sub(a.asked[addr]) <= heardFor })
 }
 
-func newLists(s *settings.Settings, t table.Client, c *peer.Client, o *session.Observer, log *zap.Logger) *lists {
-	roster := peer.RosterOf(o, s.PeerListen.String(), groups(s))
+func newLists(t table.Client, c *peer.Client, roster peer.Roster, log *zap.Logger) *lists {
 	peers := func(addrs []string) []versionedlist.Peer {
 		var out []versionedlist.Peer
 		for _, addr := range addrs {
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -42,7 +42,7 @@
 		newLogger, newMetrics, newBackground, admin.NewReadiness, admin.NewStates,
 		newTable, newMembership, newPeerClient,
 		newSessionConfig, newKeeper, newObserver, newGuarantor, newManager,
-		newCommitter, newLists, newAnnouncer, newBeat, newHeartbeater, peer.NewLender, newGauges,
+		newCommitter, newRoster, newMembers, newLists, newAnnouncer, newBeat, newHeartbeater, peer.NewLender, newGauges,
 		newRequestService, newPool, newEntry,
 	),
 	fx.Invoke(func(b *beat, rs *request.Service) { b.service = rs }),
@@ -199,8 +199,16 @@
 	}
 }
 
-func newHeartbeater(s *settings.Settings, c *peer.Client, o *session.Observer, b *beat) *peer.Heartbeater {
-	return peer.NewHeartbeater(c, peer.RosterOf(o, s.PeerListen.String(), groups(s)), b.self, b.receive)
+func newRoster(s *settings.Settings, o *session.Observer) peer.Roster {
+	return peer.RosterOf(o, s.PeerListen.String(), groups(s))
+}
+
+func newMembers(c *peer.Client, r peer.Roster) peer.Members {
+	return peer.Members{Client: c, Roster: r}
+}
+
+func newHeartbeater(c *peer.Client, r peer.Roster, b *beat) *peer.Heartbeater {
+	return peer.NewHeartbeater(c, r, b.self, b.receive)
 }
 
 func newEngine() *gin.Engine {
