--- a/internal/job/control.go
+++ b/internal/job/control.go
@@ -48,9 +48,9 @@
 
 func (p *partition) untilRenewal(w *workerBook) time.Duration {
 	p.mu.Lock()
-	batches := (len(p.workers) + workersPerBatch - 1) / workersPerBatch
+	batches := max(1, (len(p.workers)+workersPerBatch-1)/workersPerBatch)
 	p.mu.Unlock()
-	return untilBatch(time.Since(p.started), bucket(w.id, max(batches, 1)), max(batches, 1))
+	return untilBatch(time.Since(p.started), bucket(w.id, batches), batches)
 }
 
 // untilBatch returns the time until renewals of batch i of n are due, more than zero and at most renewInterval. The batches
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -251,8 +251,7 @@
 			len(ranked) == 0 || ranked[0] != owner.ID || owner.ID == m.keeper.ID() && p.phase != running
 	}
 	if moving && !m.moving {
-		m.asked = true
-		wait.Signal(m.rescan)
+		m.askScan()
 	}
 	m.moving = moving
 }
--- a/ownership/scan.go
+++ b/ownership/scan.go
@@ -26,8 +26,13 @@
 // scanNow asks for a scan that does not wait for the interval.
 func (m *Manager) scanNow() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.askScan()
+}
+
+// askScan is scanNow for a caller that holds mu.
+func (m *Manager) askScan() {
 	m.asked = true
-	m.mu.Unlock()
 	wait.Signal(m.rescan)
 }
 
