--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/journal"
 )
 
@@ -47,24 +48,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Retention <= 0 {
-		c.Retention = DefaultRetention
-	}
-	if c.MinRetention <= 0 {
-		c.MinRetention = DefaultMinRetention
-	}
-	if c.MaxEntries <= 0 {
-		c.MaxEntries = DefaultMaxEntries
-	}
-	if c.MaxRecent <= 0 {
-		c.MaxRecent = DefaultMaxRecent
-	}
-	if c.AnswerBytes <= 0 {
-		c.AnswerBytes = DefaultAnswerBytes
-	}
-	if c.TotalAnswerBytes <= 0 {
-		c.TotalAnswerBytes = DefaultTotalAnswerBytes
-	}
+	defaults.Set(&c.Retention, DefaultRetention)
+	defaults.Set(&c.MinRetention, DefaultMinRetention)
+	defaults.Set(&c.MaxEntries, DefaultMaxEntries)
+	defaults.Set(&c.MaxRecent, DefaultMaxRecent)
+	defaults.Set(&c.AnswerBytes, DefaultAnswerBytes)
+	defaults.Set(&c.TotalAnswerBytes, DefaultTotalAnswerBytes)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/job/pool.go
+++ b/internal/job/pool.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
@@ -30,21 +31,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Partitions <= 0 {
-		c.Partitions = 1
-	}
-	if c.Retention <= 0 {
-		c.Retention = 24 * time.Hour
-	}
-	if c.MaxTasks <= 0 {
-		c.MaxTasks = 1_000_000
-	}
-	if c.CompactBytes <= 0 {
-		c.CompactBytes = 2 << 20
-	}
-	if c.ArchiveBytes <= 0 {
-		c.ArchiveBytes = journal.MaxRecordBytes / 8
-	}
+	defaults.Set(&c.Partitions, 1)
+	defaults.Set(&c.Retention, 24*time.Hour)
+	defaults.Set(&c.MaxTasks, 1_000_000)
+	defaults.Set(&c.CompactBytes, 2<<20)
+	defaults.Set(&c.ArchiveBytes, journal.MaxRecordBytes/8)
 	return c
 }
 
--- a/journal/config.go
+++ b/journal/config.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -55,28 +56,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.CommitsPerSecond <= 0 {
-		c.CommitsPerSecond = DefaultCommitsPerSecond
-	}
+	defaults.Set(&c.CommitsPerSecond, DefaultCommitsPerSecond)
 	if c.Rate == nil {
 		rate := c.CommitsPerSecond
 		c.Rate = func() float64 { return rate }
 	}
-	if c.Burst <= 0 {
-		c.Burst = DefaultBurst
-	}
-	if c.BufferBytes <= 0 {
-		c.BufferBytes = DefaultBufferBytes
-	}
-	if c.StallAfter <= 0 {
-		c.StallAfter = DefaultStallAfter
-	}
-	if c.CommitTimeout <= 0 {
-		c.CommitTimeout = DefaultCommitTimeout
-	}
-	if c.AsyncDelay <= 0 {
-		c.AsyncDelay = DefaultAsyncDelay
-	}
+	defaults.Set(&c.Burst, DefaultBurst)
+	defaults.Set(&c.BufferBytes, DefaultBufferBytes)
+	defaults.Set(&c.StallAfter, DefaultStallAfter)
+	defaults.Set(&c.CommitTimeout, DefaultCommitTimeout)
+	defaults.Set(&c.AsyncDelay, DefaultAsyncDelay)
 	if c.StoreFailing == nil {
 		c.StoreFailing = func() bool { return false }
 	}
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/defaults"
 )
 
 // Lane orders items when slots are scarce.
@@ -72,15 +74,9 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxItems <= 0 {
-		c.MaxItems = 4096
-	}
-	if c.MaxWait <= 0 {
-		c.MaxWait = 10 * time.Second
-	}
-	if c.SwingFactor <= 0 {
-		c.SwingFactor = 10
-	}
+	defaults.Set(&c.MaxItems, 4096)
+	defaults.Set(&c.MaxWait, 10*time.Second)
+	defaults.Set(&c.SwingFactor, 10)
 	return c
 }
 
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
@@ -71,24 +72,20 @@
 )
 
 func (c Config) withDefaults() Config {
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.PollInterval, DefaultPollInterval}, {&c.SettledPollInterval, DefaultSettledPollInterval},
-		{&c.StoreTimeout, DefaultStoreTimeout}, {&c.ClaimDelay, DefaultClaimDelay},
-		{&c.HandoverDelay, DefaultHandoverDelay}, {&c.HandoverTimeout, DefaultHandoverTimeout},
-		{&c.StartRetryDelay, DefaultStartRetryDelay}, {&c.ReturnDelay, DefaultReturnDelay},
-		{&c.FenceMemory, DefaultFenceMemory}, {&c.DecideInterval, DefaultDecideInterval}, {&c.RankDelay, DefaultRankDelay},
-		{&c.RetryDelay, DefaultRetryDelay}, {&c.NotifyTimeout, DefaultNotifyTimeout},
-	} {
-		if *d.field <= 0 {
-			*d.field = d.value
-		}
-	}
-	if c.MaxMoves <= 0 {
-		c.MaxMoves = DefaultMaxMoves
-	}
+	defaults.Set(&c.PollInterval, DefaultPollInterval)
+	defaults.Set(&c.SettledPollInterval, DefaultSettledPollInterval)
+	defaults.Set(&c.StoreTimeout, DefaultStoreTimeout)
+	defaults.Set(&c.ClaimDelay, DefaultClaimDelay)
+	defaults.Set(&c.HandoverDelay, DefaultHandoverDelay)
+	defaults.Set(&c.HandoverTimeout, DefaultHandoverTimeout)
+	defaults.Set(&c.StartRetryDelay, DefaultStartRetryDelay)
+	defaults.Set(&c.ReturnDelay, DefaultReturnDelay)
+	defaults.Set(&c.FenceMemory, DefaultFenceMemory)
+	defaults.Set(&c.DecideInterval, DefaultDecideInterval)
+	defaults.Set(&c.RankDelay, DefaultRankDelay)
+	defaults.Set(&c.RetryDelay, DefaultRetryDelay)
+	defaults.Set(&c.NotifyTimeout, DefaultNotifyTimeout)
+	defaults.Set(&c.MaxMoves, DefaultMaxMoves)
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -14,6 +14,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/defaults"
 )
 
 // Prefix is the prefix of the keys of session rows.
@@ -149,21 +151,14 @@
 )
 
 func (c Config) withDefaults() Config {
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.TTL, DefaultTTL}, {&c.Margin, DefaultMargin}, {&c.RenewInterval, DefaultRenewInterval},
-		{&c.PollInterval, DefaultPollInterval}, {&c.StoreTimeout, DefaultStoreTimeout}, {&c.PeerTimeout, DefaultPeerTimeout},
-		{&c.RetryDelay, DefaultRetryDelay},
-	} {
-		if *d.field <= 0 {
-			*d.field = d.value
-		}
-	}
-	if c.MaxGuarantors <= 0 {
-		c.MaxGuarantors = DefaultMaxGuarantors
-	}
+	defaults.Set(&c.TTL, DefaultTTL)
+	defaults.Set(&c.Margin, DefaultMargin)
+	defaults.Set(&c.RenewInterval, DefaultRenewInterval)
+	defaults.Set(&c.PollInterval, DefaultPollInterval)
+	defaults.Set(&c.StoreTimeout, DefaultStoreTimeout)
+	defaults.Set(&c.PeerTimeout, DefaultPeerTimeout)
+	defaults.Set(&c.RetryDelay, DefaultRetryDelay)
+	defaults.Set(&c.MaxGuarantors, DefaultMaxGuarantors)
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
--- a/versionedlist/follower.go
+++ b/versionedlist/follower.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/table"
 )
@@ -114,15 +115,9 @@
 
 // NewFollower returns a follower at version 0 that is not ready before Run was called.
 func NewFollower(client table.Client, list string, cfg FollowerConfig) *Follower {
-	if cfg.Poll <= 0 {
-		cfg.Poll = DefaultPoll
-	}
-	if cfg.CallTimeout <= 0 {
-		cfg.CallTimeout = DefaultCallTimeout
-	}
-	if cfg.HoldLimit <= 0 {
-		cfg.HoldLimit = DefaultHoldLimit
-	}
+	defaults.Set(&cfg.Poll, DefaultPoll)
+	defaults.Set(&cfg.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&cfg.HoldLimit, DefaultHoldLimit)
 	if cfg.Peers == nil {
 		cfg.Peers = func() []Peer { return nil }
 	}
