--- a/journal/config.go
+++ b/commitlog/config.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"math/rand/v2"
--- a/journal/example_test.go
+++ b/commitlog/example_test.go
@@ -1,18 +1,18 @@
-package journal_test
+package commitlog_test
 
 import (
 	"context"
 	"fmt"
 
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
 func Example() {
 	ctx, cancel := context.WithCancel(context.Background())
 	client := table.NewMemory()
-	committer := journal.NewCommitter(client, journal.Config{})
+	committer := commitlog.NewCommitter(client, commitlog.Config{})
 	stopped := make(chan struct{})
 	go func() { defer close(stopped); _ = committer.Run(ctx) }()
 
--- a/journal/journal.go
+++ b/commitlog/journal.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"context"
--- a/journal/journal_test.go
+++ b/commitlog/journal_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package commitlog_test
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -25,21 +25,21 @@
 
 // fixture is a committer that runs on a table.
 type fixture struct {
-	c    *journal.Committer
+	c    *commitlog.Committer
 	ctx  context.Context
 	stop func()
 }
 
-func run(client table.Client, cfg journal.Config) *fixture {
+func run(client table.Client, cfg commitlog.Config) *fixture {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fixture{c: journal.NewCommitter(client, cfg), ctx: ctx}
+	f := &fixture{c: commitlog.NewCommitter(client, cfg), ctx: ctx}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.c.Run(ctx) }()
 	f.stop = func() { cancel(); <-done }
 	return f
 }
 
-func (f *fixture) open(g tabletest.Guard) journal.Log {
+func (f *fixture) open(g tabletest.Guard) commitlog.Log {
 	l, _, err := f.c.Open(f.ctx, g)
 	if err != nil {
 		panic(err)
@@ -49,7 +49,7 @@
 
 // replay opens the partition at a new epoch and returns its records.
 func replay(mem *table.Memory, partition string, epoch int64) []string {
-	c := journal.NewCommitter(mem, journal.Config{})
+	c := commitlog.NewCommitter(mem, commitlog.Config{})
 	_, records, err := c.Open(context.Background(), tabletest.Claim(mem, partition, epoch))
 	if err != nil {
 		panic(err)
@@ -77,7 +77,7 @@
 func TestGroupCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a, b := f.open(tabletest.Claim(mem, "a", 1)), f.open(tabletest.Claim(mem, "b", 1))
 		start := time.Now()
@@ -90,7 +90,7 @@
 		for i := range writers {
 			wg.Go(func() {
 				for n := 0; time.Since(start) < seconds*time.Second; n++ {
-					if err := []journal.Log{a, b}[i%2].Append(f.ctx, fmt.Appendf(nil, "%d/%d", i, n)); err != nil {
+					if err := []commitlog.Log{a, b}[i%2].Append(f.ctx, fmt.Appendf(nil, "%d/%d", i, n)); err != nil {
 						panic(err)
 					}
 				}
@@ -98,7 +98,7 @@
 		}
 		wg.Wait()
 		s := f.c.Stats()
-		if limit := int64(seconds*journal.DefaultCommitsPerSecond) + journal.DefaultBurst + 1; s.Commits > limit {
+		if limit := int64(seconds*commitlog.DefaultCommitsPerSecond) + commitlog.DefaultBurst + 1; s.Commits > limit {
 			t.Errorf("%d commits in %d s, want at most %d", s.Commits, seconds, limit)
 		}
 		if want := s.Commits * writers * 9 / 10; s.Records < want {
@@ -110,7 +110,7 @@
 func TestJournal(t *testing.T) {
 	conveyInBubble(t, "A claim by another owner fences exactly that journal, which never writes again", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a, b := f.open(tabletest.Claim(mem, "a", 1)), f.open(tabletest.Claim(mem, "b", 1))
 		So(a.Append(f.ctx, []byte("a1")), ShouldBeNil)
@@ -119,10 +119,10 @@
 		wg.Go(func() { _ = b.Append(f.ctx, []byte("b1")) })
 		err := a.Append(f.ctx, []byte("a2"))
 		wg.Wait()
-		So(errors.Is(err, journal.ErrFenced), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrFenced), ShouldBeTrue)
 		a.AppendAsync([]byte("a3"))
-		So(errors.Is(a.Append(f.ctx, []byte("a4")), journal.ErrFenced), ShouldBeTrue)
-		So(errors.Is(a.Compact(f.ctx, journal.Compaction{}), journal.ErrFenced), ShouldBeTrue)
+		So(errors.Is(a.Append(f.ctx, []byte("a4")), commitlog.ErrFenced), ShouldBeTrue)
+		So(errors.Is(a.Compact(f.ctx, commitlog.Compaction{}), commitlog.ErrFenced), ShouldBeTrue)
 		So(a.Healthy(), ShouldBeFalse)
 		So(b.Healthy(), ShouldBeTrue)
 		So(replay(mem, "a", 3), ShouldResemble, []string{"a1"})
@@ -130,7 +130,7 @@
 	})
 	conveyInBubble(t, "A lost response is resolved by reading back, without another commit", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		mem.SetFaults(table.Faults{LoseAnswers: 1})
@@ -140,23 +140,23 @@
 	})
 	conveyInBubble(t, "A second writer at the same epoch is fenced and overwrites nothing", func() {
 		mem := table.NewMemory()
-		first, second := run(mem, journal.Config{}), run(mem, journal.Config{})
+		first, second := run(mem, commitlog.Config{}), run(mem, commitlog.Config{})
 		defer first.stop()
 		defer second.stop()
 		g := tabletest.Claim(mem, "a", 1)
 		a, b := first.open(g), second.open(g)
 		So(a.Append(first.ctx, []byte("a1")), ShouldBeNil)
-		So(errors.Is(b.Append(second.ctx, []byte("b1")), journal.ErrFenced), ShouldBeTrue)
+		So(errors.Is(b.Append(second.ctx, []byte("b1")), commitlog.ErrFenced), ShouldBeTrue)
 		So(replay(mem, "a", 2), ShouldResemble, []string{"a1"})
 	})
 	conveyInBubble(t, "In an outage records are withdrawn, async ones are kept, and health returns without traffic", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		mem.SetFaults(table.Faults{Down: true})
 		err := a.Append(timeout(5*time.Second), []byte("withdrawn"))
-		So(errors.Is(err, journal.ErrNotWritten), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrNotWritten), ShouldBeTrue)
 		So(a.Healthy(), ShouldBeFalse)
 		time.Sleep(time.Minute)
 		So(a.Healthy(), ShouldBeFalse)
@@ -173,7 +173,7 @@
 	})
 	conveyInBubble(t, "A commit that hangs makes the journal unhealthy after 1 s", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		mem.SetFaults(table.Faults{Delay: 2 * time.Second})
@@ -188,7 +188,7 @@
 	})
 	conveyInBubble(t, "Records that nobody waits for join the next commit, and wait 100 ms for it at most", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		before := f.c.Stats().Commits
@@ -204,31 +204,31 @@
 	})
 	conveyInBubble(t, "The buffer is bounded, and a dropped record fails Flush until a compaction", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{BufferBytes: 1000})
+		f := run(mem, commitlog.Config{BufferBytes: 1000})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		mem.SetFaults(table.Faults{Down: true})
 		for range 4 {
 			a.AppendAsync(make([]byte, 600))
 		}
-		So(errors.Is(a.Append(f.ctx, make([]byte, 600)), journal.ErrNotWritten), ShouldBeTrue)
+		So(errors.Is(a.Append(f.ctx, make([]byte, 600)), commitlog.ErrNotWritten), ShouldBeTrue)
 		So(f.c.Stats().Dropped, ShouldEqual, 2)
 		mem.SetFaults(table.Faults{})
-		So(errors.Is(a.Flush(f.ctx), journal.ErrNotWritten), ShouldBeTrue)
-		So(a.Compact(f.ctx, journal.Compaction{Snapshot: [][]byte{[]byte("all")}}), ShouldBeNil)
+		So(errors.Is(a.Flush(f.ctx), commitlog.ErrNotWritten), ShouldBeTrue)
+		So(a.Compact(f.ctx, commitlog.Compaction{Snapshot: [][]byte{[]byte("all")}}), ShouldBeNil)
 		So(a.Flush(f.ctx), ShouldBeNil)
 		So(replay(mem, "a", 2), ShouldResemble, []string{"all"})
 	})
 	conveyInBubble(t, "A compaction replaces what was appended before, in parts of at most 512 KB", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		for i := range 10 {
 			So(a.Append(f.ctx, fmt.Appendf(nil, "old %d", i)), ShouldBeNil)
 		}
 		big := strings.Repeat("x", 200<<10)
-		So(a.Compact(f.ctx, journal.Compaction{Snapshot: [][]byte{[]byte(big), []byte(big), []byte(big)}}), ShouldBeNil)
+		So(a.Compact(f.ctx, commitlog.Compaction{Snapshot: [][]byte{[]byte(big), []byte(big), []byte(big)}}), ShouldBeNil)
 		So(a.Bytes(), ShouldEqual, 0)
 		So(a.Append(f.ctx, []byte("new")), ShouldBeNil)
 		rows, err := mem.Scan(f.ctx, "", "", 100)
@@ -241,19 +241,19 @@
 	})
 	conveyInBubble(t, "An archive stays in force until it is dropped, and is never taken for written when it is not", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem, "a", 1))
 		archive := func(id int64, drop ...int64) error {
-			c := journal.Compaction{Snapshot: [][]byte{fmt.Appendf(nil, "snapshot %d", id)}, Drop: drop}
-			c.Archive = []journal.Archive{{ID: id, Record: fmt.Appendf(nil, "archive %d", id)}}
+			c := commitlog.Compaction{Snapshot: [][]byte{fmt.Appendf(nil, "snapshot %d", id)}, Drop: drop}
+			c.Archive = []commitlog.Archive{{ID: id, Record: fmt.Appendf(nil, "archive %d", id)}}
 			return a.Compact(f.ctx, c)
 		}
 		for i := range int64(2) {
 			So(a.Append(f.ctx, []byte("old")), ShouldBeNil)
 			So(archive(i), ShouldBeNil)
 		}
-		So(errors.Is(archive(2), journal.ErrNotWritten), ShouldBeTrue)
+		So(errors.Is(archive(2), commitlog.ErrNotWritten), ShouldBeTrue)
 		So(a.Append(f.ctx, []byte("new")), ShouldBeNil)
 		So(archive(3, 0, 2), ShouldBeNil)
 		So(replay(mem, "a", 2), ShouldResemble, []string{"archive 1", "archive 3", "snapshot 3"})
@@ -266,46 +266,46 @@
 		_, err = mem.Commit(f.ctx, table.Txn{Ops: []table.Op{row}})
 		So(err, ShouldBeNil)
 		_, _, err = f.c.Open(f.ctx, tabletest.Claim(mem, "a", 4))
-		So(errors.Is(err, journal.ErrCorrupt), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrCorrupt), ShouldBeTrue)
 	})
 	conveyInBubble(t, "An archive is not taken for written when an earlier compaction at the same place took effect", func() {
 		mem := &lossy{Memory: table.NewMemory()}
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		a := f.open(tabletest.Claim(mem.Memory, "a", 1))
 		So(a.Append(f.ctx, []byte("old")), ShouldBeNil)
 		mem.lost = true
 		snapshot := [][]byte{[]byte("snapshot")}
-		So(errors.Is(a.Compact(f.ctx, journal.Compaction{Snapshot: snapshot}), journal.ErrOutcomeUnknown), ShouldBeTrue)
+		So(errors.Is(a.Compact(f.ctx, commitlog.Compaction{Snapshot: snapshot}), commitlog.ErrOutcomeUnknown), ShouldBeTrue)
 		mem.lost = false
-		c := journal.Compaction{Archive: []journal.Archive{{ID: 1, Record: []byte("archive")}}}
-		So(errors.Is(a.Compact(f.ctx, c), journal.ErrNotWritten), ShouldBeTrue)
+		c := commitlog.Compaction{Archive: []commitlog.Archive{{ID: 1, Record: []byte("archive")}}}
+		So(errors.Is(a.Compact(f.ctx, c), commitlog.ErrNotWritten), ShouldBeTrue)
 		So(replay(mem.Memory, "a", 2), ShouldResemble, []string{"snapshot"})
 		_, _, err := f.c.Open(f.ctx, tabletest.Claim(mem.Memory, "a", 3))
 		So(err, ShouldBeNil)
 	})
 	conveyInBubble(t, "Open refuses stale reads, an outdated claim and lost rows", func() {
 		mem := table.NewMemory()
-		f := run(mem, journal.Config{})
+		f := run(mem, commitlog.Config{})
 		defer f.stop()
 		first := tabletest.Claim(mem, "a", 1)
 		a := f.open(first)
 		_, _, err := f.c.Open(f.ctx, first)
-		So(errors.Is(err, journal.ErrOpen), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrOpen), ShouldBeTrue)
 		mem.SetFaults(table.Faults{StaleReads: true})
 		for range 3 {
 			So(a.Append(f.ctx, []byte("r")), ShouldBeNil)
 		}
 		second := tabletest.Claim(mem, "a", 2)
 		_, _, err = f.c.Open(f.ctx, second)
-		So(errors.Is(err, journal.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrUnavailable), ShouldBeTrue)
 		mem.SetFaults(table.Faults{})
 		_, _, err = f.c.Open(f.ctx, first)
-		So(errors.Is(err, journal.ErrFenced), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrFenced), ShouldBeTrue)
 		_, err = mem.Commit(f.ctx, table.Txn{Ops: []table.Op{{Key: "journal/a/0000000001/000000000002", Delete: true}}})
 		So(err, ShouldBeNil)
 		_, _, err = f.c.Open(f.ctx, second)
-		So(errors.Is(err, journal.ErrCorrupt), ShouldBeTrue)
+		So(errors.Is(err, commitlog.ErrCorrupt), ShouldBeTrue)
 	})
 }
 
@@ -369,7 +369,7 @@
 			return errors.Errorf("record %s appears %d times", r, n)
 		case err == nil && n == 0:
 			return errors.Errorf("durable record %s is missing", r)
-		case n > 0 && (errors.Is(err, journal.ErrNotWritten) || errors.Is(err, journal.ErrFenced)):
+		case n > 0 && (errors.Is(err, commitlog.ErrNotWritten) || errors.Is(err, commitlog.ErrFenced)):
 			return errors.Errorf("record %s appears after %v", r, err)
 		}
 	}
@@ -398,10 +398,10 @@
 	o := &outcomes{of: map[string]error{}}
 	partitions := []string{"p", "q"}
 	var committers []*fixture
-	var logs []journal.Log
+	var logs []commitlog.Log
 	var wg sync.WaitGroup
 	for epoch := 1; epoch <= owners; epoch++ {
-		f := run(faulty, journal.Config{Rand: rand.New(rand.NewPCG(seed, 1)).Float64})
+		f := run(faulty, commitlog.Config{Rand: rand.New(rand.NewPCG(seed, 1)).Float64})
 		committers = append(committers, f)
 		for i, p := range partitions {
 			l, err := openUntil(f, tabletest.Claim(mem, p, int64(epoch)))
@@ -434,10 +434,10 @@
 	return o.check(all)
 }
 
-func openUntil(f *fixture, g tabletest.Guard) (journal.Log, error) {
+func openUntil(f *fixture, g tabletest.Guard) (commitlog.Log, error) {
 	for {
 		l, _, err := f.c.Open(f.ctx, g)
-		if !errors.Is(err, journal.ErrUnavailable) {
+		if !errors.Is(err, commitlog.ErrUnavailable) {
 			return l, err
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -446,7 +446,7 @@
 
 // work runs writers with short deadlines, and between their rounds a compaction that keeps all records which may be
 // in force.
-func work(l journal.Log, o *outcomes, owner string, seed uint64) {
+func work(l commitlog.Log, o *outcomes, owner string, seed uint64) {
 	next := make([]int, 3)
 	for round := range 3 {
 		var wg sync.WaitGroup
@@ -470,7 +470,7 @@
 
 // compact writes a snapshot of the owner's records. The records of predecessors are not known to this test's owner, so
 // it compacts only at epoch 1.
-func compact(l journal.Log, o *outcomes, owner string) {
+func compact(l commitlog.Log, o *outcomes, owner string) {
 	if !strings.HasSuffix(owner, "1") {
 		return
 	}
@@ -487,5 +487,5 @@
 	for i, r := range keep {
 		snapshot[i] = []byte(r)
 	}
-	_ = l.Compact(timeout(5*time.Second), journal.Compaction{Snapshot: snapshot})
+	_ = l.Compact(timeout(5*time.Second), commitlog.Compaction{Snapshot: snapshot})
 }
--- a/journal/log.go
+++ b/commitlog/log.go
@@ -1,5 +1,5 @@
-// Package journal makes small records durable by group commit to the table service, fenced by the ownership epoch.
-package journal
+// Package commitlog makes small records durable by group commit to the table service, fenced by the ownership epoch.
+package commitlog
 
 import (
 	"context"
--- a/idempotency/archive.go
+++ b/idempotency/archive.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 const (
@@ -20,7 +20,7 @@
 	// archivedBytes is the encoded size of one key: digest, fingerprint, time and state.
 	archivedBytes     = digestBytes + 8 + 4 + 1
 	archiveHeader     = 1 + 8 // format and id
-	maxArchiveEntries = (journal.MaxRecordBytes - archiveHeader) / archivedBytes
+	maxArchiveEntries = (commitlog.MaxRecordBytes - archiveHeader) / archivedBytes
 )
 
 // archived is what remains of an entry that ended long ago: enough to never run its request again. Its answer and its
--- a/idempotency/example_test.go
+++ b/idempotency/example_test.go
@@ -9,7 +9,7 @@
 
 func Example() {
 	ctx := context.Background()
-	log := &memoryLog{} // a journal.Log in a daemon
+	log := &memoryLog{} // a commitlog.Log in a daemon
 	claims := idempotency.New(log, idempotency.Config{})
 	k := idempotency.Key{Customer: "aarwil", Key: "invoice-17"}
 
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -68,9 +68,9 @@
 	Entry Entry
 }
 
-// Log makes records durable, in order. journal.Log implements it.
+// Log makes records durable, in order. commitlog.Log implements it.
 type Log interface {
-	// Append returns nil once the records are durable, journal.ErrNotWritten or journal.ErrFenced if they certainly are
+	// Append returns nil once the records are durable, commitlog.ErrNotWritten or commitlog.ErrFenced if they certainly are
 	// not and never will be, and another error if that is unknown.
 	Append(ctx context.Context, records ...[]byte) error
 	// AppendAsync queues records without waiting, in the order of the calls. It must not call back into the table.
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/greengagewing/greengagewing/internal/defaults"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // ErrCorrupt says that a record of the journal is not an entry.
@@ -246,7 +246,7 @@
 		return nil
 	}
 	t.state.Failed++
-	absent := errors.Is(err, journal.ErrNotWritten) || errors.Is(err, journal.ErrFenced)
+	absent := errors.Is(err, commitlog.ErrNotWritten) || errors.Is(err, commitlog.ErrFenced)
 	switch {
 	case !absent || run.inSnapshot:
 		e.State, e.At = NotRun, t.cfg.Now()
@@ -316,13 +316,13 @@
 
 // Compaction returns what restores the table, and a function that must be called with the compaction's outcome. Entries
 // that change between this call and the start of the compaction would be lost; Compact rules that out.
-func (t *Table) Compaction() (journal.Compaction, func(error)) {
+func (t *Table) Compaction() (commitlog.Compaction, func(error)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.compaction()
 }
 
-func (t *Table) compaction() (journal.Compaction, func(error)) {
+func (t *Table) compaction() (commitlog.Compaction, func(error)) {
 	t.expire()
 	if t.old.next == nil {
 		t.old.next = t.old.prepare(t.excess())
@@ -332,9 +332,9 @@
 	for _, c := range moving.leaving {
 		leaving[c.key] = t.current(c)
 	}
-	out := journal.Compaction{Drop: moving.drop}
+	out := commitlog.Compaction{Drop: moving.drop}
 	for _, a := range moving.add {
-		out.Archive = append(out.Archive, journal.Archive{ID: a.id, Record: a.encode()})
+		out.Archive = append(out.Archive, commitlog.Archive{ID: a.id, Record: a.encode()})
 	}
 	for k, s := range t.slots {
 		if s.run != nil {
@@ -382,9 +382,9 @@
 }
 
 // Compact replaces the journal by a snapshot of the table, which must be all that the journal holds. No record can come
-// between the snapshot and its place in the journal. Errors: those of journal.Log.Compact, except that ctx ending
-// leaves the compaction running and returns journal.ErrOutcomeUnknown.
-func (t *Table) Compact(ctx context.Context, log journal.Compactor) error {
+// between the snapshot and its place in the journal. Errors: those of commitlog.Log.Compact, except that ctx ending
+// leaves the compaction running and returns commitlog.ErrOutcomeUnknown.
+func (t *Table) Compact(ctx context.Context, log commitlog.Compactor) error {
 	t.mu.Lock()
 	c, ended := t.compaction()
 	done := log.StartCompact(c)
@@ -394,7 +394,7 @@
 		ended(err)
 		return err
 	case <-ctx.Done():
-		return errors.Wrap(journal.ErrOutcomeUnknown, ctx.Err().Error())
+		return errors.Wrap(commitlog.ErrOutcomeUnknown, ctx.Err().Error())
 	}
 }
 
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -119,7 +119,7 @@
 				So(c.Entry.State, ShouldEqual, idempotency.Unknown)
 			})
 			Convey("a claim that is not recorded is not run, and a waiting call claims in its place", func() {
-				log.hold, log.fail = make(chan struct{}), journal.ErrNotWritten
+				log.hold, log.fail = make(chan struct{}), commitlog.ErrNotWritten
 				errs := make(chan error, 2)
 				for range 2 {
 					go func() {
@@ -137,7 +137,7 @@
 				So(log.records, ShouldBeEmpty)
 			})
 			Convey("a claim with unknown outcome is followed by a record that it was not run", func() {
-				log.fail = journal.ErrOutcomeUnknown
+				log.fail = commitlog.ErrOutcomeUnknown
 				_, err := tab.Begin(ctx, key("k"), "f")
 				So(errors.Is(err, idempotency.ErrClaimUnknown), ShouldBeTrue)
 				e, err := restored(log.records, idempotency.Config{}).Lookup(key("k"))
@@ -145,7 +145,7 @@
 				So(e.State, ShouldEqual, idempotency.NotRun)
 			})
 			Convey("a withdrawn claim that a snapshot contains is revoked", func() {
-				log.hold, log.fail = make(chan struct{}), journal.ErrNotWritten
+				log.hold, log.fail = make(chan struct{}), commitlog.ErrNotWritten
 				failed := make(chan error)
 				go func() { _, err := tab.Begin(ctx, key("k"), "f"); failed <- err }()
 				synctest.Wait()
@@ -197,7 +197,7 @@
 					tab.Finish(key(k), state, "", []byte("answer"))
 					time.Sleep(time.Second)
 				}
-				archive(journal.ErrOutcomeUnknown)
+				archive(commitlog.ErrOutcomeUnknown)
 				So(tab.State().Archived, ShouldEqual, 0)
 				records := archive(nil)
 				So(tab.State().Archived, ShouldEqual, 2)
@@ -324,11 +324,11 @@
 	var runs, clientsDone sync.WaitGroup
 	ctx, stop := context.WithCancel(context.Background())
 	for epoch := range owners {
-		c := journal.NewCommitter(faulty, journal.Config{})
+		c := commitlog.NewCommitter(faulty, commitlog.Config{})
 		runs.Go(func() { _ = c.Run(ctx) })
 		guard := tabletest.Claim(mem, "p", int64(epoch+1))
 		log, records, err := c.Open(ctx, guard)
-		for errors.Is(err, journal.ErrUnavailable) {
+		for errors.Is(err, commitlog.ErrUnavailable) {
 			log, records, err = c.Open(ctx, guard)
 		}
 		if err != nil {
@@ -354,7 +354,7 @@
 	return rec.ops
 }
 
-func client(id int, tab *idempotency.Table, log journal.Log, rec *recorder, rng *rand.Rand) {
+func client(id int, tab *idempotency.Table, log commitlog.Log, rec *recorder, rng *rand.Rand) {
 	for range 12 {
 		k := strconv.Itoa(rng.IntN(4))
 		wait, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(600))*time.Millisecond)
@@ -372,7 +372,7 @@
 			})
 		}
 		if rng.IntN(5) == 0 {
-			_ = tab.Compact(context.Background(), log.(journal.Compactor))
+			_ = tab.Compact(context.Background(), log.(commitlog.Compactor))
 		}
 		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
 	}
@@ -399,7 +399,7 @@
 		mem := table.NewMemory()
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		c := journal.NewCommitter(mem, journal.Config{CommitsPerSecond: 1e6, Burst: 1000})
+		c := commitlog.NewCommitter(mem, commitlog.Config{CommitsPerSecond: 1e6, Burst: 1000})
 		go func() { _ = c.Run(ctx) }()
 		log, _, err := c.Open(ctx, tabletest.Claim(mem, "p", 1))
 		if err != nil {
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -18,7 +18,7 @@
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/table"
@@ -109,7 +109,7 @@
 	store := table.NewMemory()
 	g := owned{"request/textos/0"}
 	_, _ = store.Commit(context.Background(), table.Txn{Ops: []table.Op{{Key: g.RowKey(), Value: []byte("{}")}}})
-	c := journal.NewCommitter(store, journal.Config{CommitsPerSecond: 1000, Burst: 1000})
+	c := commitlog.NewCommitter(store, commitlog.Config{CommitsPerSecond: 1000, Burst: 1000})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = c.Run(ctx); close(done) }()
--- a/internal/capacity/job_test.go
+++ b/internal/capacity/job_test.go
@@ -9,7 +9,7 @@
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
@@ -30,10 +30,10 @@
 func (l *memoryLog) Flush(context.Context) error                       { return nil }
 func (l *memoryLog) Healthy() bool                                     { return true }
 func (l *memoryLog) Bytes() int                                        { return l.bytes }
-func (l *memoryLog) Compact(context.Context, journal.Compaction) error { return nil }
+func (l *memoryLog) Compact(context.Context, commitlog.Compaction) error { return nil }
 func (l *memoryLog) Close()                                            {}
 
-func (l *memoryLog) Open(context.Context, ownership.Guard) (journal.Log, [][]byte, error) {
+func (l *memoryLog) Open(context.Context, ownership.Guard) (commitlog.Log, [][]byte, error) {
 	return l, nil, nil
 }
 
--- a/internal/capacity/keys_test.go
+++ b/internal/capacity/keys_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/idempotency"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := owned{"request/textos/0"}
 	_, _ = store.Commit(ctx, table.Txn{Ops: []table.Op{{Key: g.RowKey(), Value: []byte("{}")}}})
-	c := journal.NewCommitter(store, journal.Config{CommitsPerSecond: 1000, Burst: 1000})
+	c := commitlog.NewCommitter(store, commitlog.Config{CommitsPerSecond: 1000, Burst: 1000})
 	done := make(chan struct{})
 	go func() { _ = c.Run(ctx); close(done) }()
 	defer func() { cancel(); <-done }()
@@ -77,7 +77,7 @@
 		next += newKeys
 	}
 	fill()
-	_ = claims.Compact(ctx, log.(journal.Compactor))
+	_ = claims.Compact(ctx, log.(commitlog.Compactor))
 	var compaction, claim, replay time.Duration
 	written := int64(0)
 	for i := 0; b.Loop(); i++ {
@@ -85,7 +85,7 @@
 		before := c.Stats().Bytes
 		began := time.Now()
 		ended := make(chan error, 1)
-		go func() { ended <- claims.Compact(ctx, log.(journal.Compactor)) }()
+		go func() { ended <- claims.Compact(ctx, log.(commitlog.Compactor)) }()
 		time.Sleep(time.Millisecond)
 		if _, err := claims.Begin(ctx, idempotency.Key{Customer: "c", Key: fmt.Sprint(i)}, "f"); err != nil {
 			failed++
@@ -97,7 +97,7 @@
 		compaction += time.Since(began)
 		written += c.Stats().Bytes - before
 		began = time.Now()
-		_, records, err := journal.NewCommitter(store, journal.Config{}).Open(ctx, g)
+		_, records, err := commitlog.NewCommitter(store, commitlog.Config{}).Open(ctx, g)
 		if err == nil {
 			err = idempotency.New(discard{}, idempotency.Config{}).Restore(records)
 		}
--- a/internal/capacity/traffic_test.go
+++ b/internal/capacity/traffic_test.go
@@ -16,7 +16,7 @@
 	"github.com/greengagewing/greengagewing/internal/job"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -92,7 +92,7 @@
 // controlled is a pool with its journal in a table in memory and its workers behind a Counter.
 type controlled struct {
 	store     *table.Memory
-	committer *journal.Committer
+	committer *commitlog.Committer
 	workers   *fakeWorkers
 	counter   *Counter
 	pool      *job.Pool
@@ -113,7 +113,7 @@
 	g := owned{controlledPart}
 	_, _ = c.store.Commit(context.Background(), table.Txn{Ops: []table.Op{{Key: g.RowKey(), Value: []byte("{}")}}})
 	// The rate of one of eight daemons.
-	c.committer = journal.NewCommitter(c.store, journal.Config{CommitsPerSecond: 26})
+	c.committer = commitlog.NewCommitter(c.store, commitlog.Config{CommitsPerSecond: 26})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = c.committer.Run(ctx); close(done) }()
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -15,7 +15,7 @@
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 )
@@ -95,7 +95,7 @@
 }
 
 func registerStates(st *admin.States, k *session.Keeper, o *session.Observer, g *session.Guarantor, m *ownership.Manager,
-	j *journal.Committer, l *lists, ml *membership.List, h *peer.Heartbeater, rs *request.Service, p *job.Pool) {
+	j *commitlog.Committer, l *lists, ml *membership.List, h *peer.Heartbeater, rs *request.Service, p *job.Pool) {
 	st.Add("session", k.State)
 	st.Add("sessions", o.State)
 	st.Add("guarantor", g.State)
@@ -109,7 +109,7 @@
 }
 
 // duties are the goroutines that run from the start to the end of a drain.
-func duties(b *background, k *session.Keeper, o *session.Observer, m *ownership.Manager, j *journal.Committer, l *lists,
+func duties(b *background, k *session.Keeper, o *session.Observer, m *ownership.Manager, j *commitlog.Committer, l *lists,
 	ml *membership.List, mp peer.Members, h *peer.Heartbeater) {
 	b.run(ml.Run)
 	b.run(func(ctx context.Context) { ml.CopyFrom(ctx, mp) })
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -9,7 +9,7 @@
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 )
@@ -22,13 +22,13 @@
 	scope   tally.Scope
 	keeper  *session.Keeper
 	manager *ownership.Manager
-	journal *journal.Committer
+	journal *commitlog.Committer
 	lists   *lists
 	members *membership.List
 	beats   *peer.Heartbeater
 }
 
-func newGauges(s tally.Scope, k *session.Keeper, m *ownership.Manager, j *journal.Committer, l *lists,
+func newGauges(s tally.Scope, k *session.Keeper, m *ownership.Manager, j *commitlog.Committer, l *lists,
 	ml *membership.List, h *peer.Heartbeater) *gauges {
 	return &gauges{scope: s, keeper: k, manager: m, journal: j, lists: l, members: ml, beats: h}
 }
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -20,7 +20,7 @@
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/versionedlist"
@@ -53,7 +53,7 @@
 	Observer  *session.Observer
 	Guarantor *session.Guarantor
 	Manager   *ownership.Manager
-	Committer *journal.Committer
+	Committer *commitlog.Committer
 	Lists     *lists
 	Announcer *announcer
 	Members   *membership.List
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -23,7 +23,7 @@
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
@@ -141,9 +141,9 @@
 	maxJournalCommits = 80.0  // a second, of one daemon
 )
 
-func newCommitter(t table.Client, o *session.Observer, k *session.Keeper, log *zap.Logger) *journal.Committer {
+func newCommitter(t table.Client, o *session.Observer, k *session.Keeper, log *zap.Logger) *commitlog.Committer {
 	rate := func() float64 { return min(journalCommits/float64(max(len(o.Live()), 1)), maxJournalCommits) }
-	return journal.NewCommitter(t, journal.Config{Rate: rate, StoreFailing: k.StoreFailing, Logger: log})
+	return commitlog.NewCommitter(t, commitlog.Config{Rate: rate, StoreFailing: k.StoreFailing, Logger: log})
 }
 
 // claims adapts idempotency.Table to the request path.
@@ -152,7 +152,7 @@
 	return t, t.Restore(records)
 }
 
-func newRequestService(s *settings.Settings, j *journal.Committer, m *membership.List, l *lists, lender *peer.Lender,
+func newRequestService(s *settings.Settings, j *commitlog.Committer, m *membership.List, l *lists, lender *peer.Lender,
 	scope tally.Scope, log *zap.Logger, n network.Network) *request.Service {
 	cfg := request.Config{Queue: lanes.Config{SwingFactor: s.SwingFactor.Value}}
 	return request.NewService(cfg, request.Deps{
@@ -161,7 +161,7 @@
 	})
 }
 
-func newPool(j *journal.Committer, m *membership.List, l *lists, scope tally.Scope, log *zap.Logger,
+func newPool(j *commitlog.Committer, m *membership.List, l *lists, scope tally.Scope, log *zap.Logger,
 	n network.Network) *job.Pool {
 	return job.New(poolConfig, job.Deps{
 		Journals: j, Members: m, Plans: l.lookup, Workers: worker.NewHTTPClient(n.Dial), Metrics: scope.SubScope("job"), Log: log,
--- a/internal/job/archive.go
+++ b/internal/job/archive.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // Ended jobs are remembered for a day, but do not change any more. A compaction moves them into archives, rows that later
@@ -33,7 +33,7 @@
 // outcome may have taken effect, or may do so later.
 type archiving struct {
 	add  []archive
-	rows []journal.Archive
+	rows []commitlog.Archive
 	jobs []*job
 	drop []int64
 }
@@ -61,7 +61,7 @@
 		if w.raw.Len() >= p.cfg.ArchiveBytes {
 			p.archives.lastID++
 			a.add = append(a.add, archive{id: p.archives.lastID, newest: j.endedAt})
-			a.rows = append(a.rows, journal.Archive{ID: p.archives.lastID, Record: w.raw.Bytes()})
+			a.rows = append(a.rows, commitlog.Archive{ID: p.archives.lastID, Record: w.raw.Bytes()})
 			a.jobs = append(a.jobs, w.jobs...)
 			w = nil
 		}
--- a/internal/job/fakes_test.go
+++ b/internal/job/fakes_test.go
@@ -20,7 +20,7 @@
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
@@ -64,7 +64,7 @@
 	loses    bool // the next append takes effect but its outcome stays unknown
 }
 
-func (s *fakeStore) Open(_ context.Context, g ownership.Guard) (journal.Log, [][]byte, error) {
+func (s *fakeStore) Open(_ context.Context, g ownership.Guard) (commitlog.Log, [][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch = g.Epoch()
@@ -88,16 +88,16 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return journal.ErrNotWritten
+			return commitlog.ErrNotWritten
 		case <-l.closed:
-			return journal.ErrNotWritten
+			return commitlog.ErrNotWritten
 		case <-time.After(fakeCommit):
 		}
 		l.s.mu.Lock()
 		switch {
 		case l.s.epoch != l.epoch:
 			l.s.mu.Unlock()
-			return journal.ErrFenced
+			return commitlog.ErrFenced
 		case !l.s.down:
 			l.s.records = append(l.s.records, records...)
 			for _, r := range records {
@@ -107,7 +107,7 @@
 			l.s.loses = false
 			l.s.mu.Unlock()
 			if lost {
-				return journal.ErrOutcomeUnknown
+				return commitlog.ErrOutcomeUnknown
 			}
 			return nil
 		}
@@ -130,11 +130,11 @@
 	return l.s.size
 }
 
-func (l *fakeLog) Compact(_ context.Context, c journal.Compaction) error {
+func (l *fakeLog) Compact(_ context.Context, c commitlog.Compaction) error {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
 	if l.s.epoch != l.epoch || l.s.down {
-		return journal.ErrNotWritten
+		return commitlog.ErrNotWritten
 	}
 	l.s.records, l.s.size = c.Snapshot, 0
 	for _, id := range c.Drop {
--- a/internal/job/history_test.go
+++ b/internal/job/history_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
@@ -45,7 +45,7 @@
 	mem := table.NewMemory()
 	srv := httptest.NewServer(table.Handler(mem))
 	defer srv.Close()
-	c := journal.NewCommitter(table.NewHTTPClient(strings.TrimPrefix(srv.URL, "http://"), nil), journal.Config{})
+	c := commitlog.NewCommitter(table.NewHTTPClient(strings.TrimPrefix(srv.URL, "http://"), nil), commitlog.Config{})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = c.Run(ctx); close(done) }()
--- a/internal/job/journaling.go
+++ b/internal/job/journaling.go
@@ -6,7 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // Records that no caller waits for pass through one queue, which a loop appends to the journal in batches. The effect of
@@ -75,7 +75,7 @@
 		if err == nil {
 			break
 		}
-		if errors.Is(err, journal.ErrFenced) || p.ctx.Err() != nil {
+		if errors.Is(err, commitlog.ErrFenced) || p.ctx.Err() != nil {
 			return false
 		}
 		if !wait.For(p.ctx, journalRetry) {
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -11,7 +11,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
@@ -33,7 +33,7 @@
 	cfg     Config
 	deps    Deps
 	guard   ownership.Guard
-	log     journal.Log
+	log     commitlog.Log
 	logger  *zap.Logger
 	scope   tally.Scope
 	started time.Time
--- a/internal/job/pool.go
+++ b/internal/job/pool.go
@@ -17,7 +17,7 @@
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
@@ -35,13 +35,13 @@
 	defaults.Set(&c.Retention, 24*time.Hour)
 	defaults.Set(&c.MaxTasks, 1_000_000)
 	defaults.Set(&c.CompactBytes, 2<<20)
-	defaults.Set(&c.ArchiveBytes, journal.MaxRecordBytes/8)
+	defaults.Set(&c.ArchiveBytes, commitlog.MaxRecordBytes/8)
 	return c
 }
 
 // Deps are what a Pool depends on.
 type Deps struct {
-	Journals journal.Opener
+	Journals commitlog.Opener
 	Members  membership.Source
 	Plans    plan.Lookup
 	Workers  worker.Client
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // After a takeover, the books are rebuilt from the journal, and workers' reports complete them. A task that may still run
@@ -303,7 +303,7 @@
 	defer p.gate.open()
 	p.mu.Lock()
 	change := p.prepareArchiving(time.Now())
-	c := journal.Compaction{Snapshot: p.snapshot(change.jobs), Archive: change.rows, Drop: change.drop}
+	c := commitlog.Compaction{Snapshot: p.snapshot(change.jobs), Archive: change.rows, Drop: change.drop}
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.ctx, compactTimeout)
 	defer cancel()
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -8,7 +8,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // A job is put on the books undecided, journaled, and then accepted. Calls with the same key wait for the decision, so a
@@ -51,9 +51,9 @@
 // not written and for one that may have been.
 func (p *partition) notAppended(err error, not, maybe string) *Refusal {
 	switch {
-	case errors.Is(err, journal.ErrFenced):
+	case errors.Is(err, commitlog.ErrFenced):
 		return refuse(CodeNoOwner, retrySoon, "another daemon owns %s", p.name)
-	case errors.Is(err, journal.ErrNotWritten):
+	case errors.Is(err, commitlog.ErrNotWritten):
 		return refuse(CodeStoreUnavailable, retryStore, "%s", not)
 	}
 	return &Refusal{Code: CodeOutcomeUnknown, Message: maybe, Kept: KeptMaybe, RetryAfter: retryStore}
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -24,7 +24,7 @@
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
@@ -215,7 +215,7 @@
 	closed  int
 }
 
-func (s *store) Open(context.Context, ownership.Guard) (journal.Log, [][]byte, error) {
+func (s *store) Open(context.Context, ownership.Guard) (commitlog.Log, [][]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s, append([][]byte{}, s.records...), nil
@@ -232,7 +232,7 @@
 		select {
 		case <-hang:
 		case <-ctx.Done():
-			return journal.ErrNotWritten
+			return commitlog.ErrNotWritten
 		}
 	}
 	s.AppendAsync(records...)
@@ -243,7 +243,7 @@
 	locked(&s.mu, func() { s.records = append(s.records, records...) })
 }
 
-func (s *store) Compact(_ context.Context, c journal.Compaction) error {
+func (s *store) Compact(_ context.Context, c commitlog.Compaction) error {
 	if s.hang != nil {
 		<-s.hang
 	}
--- a/internal/request/heldlog.go
+++ b/internal/request/heldlog.go
@@ -4,25 +4,25 @@
 	"context"
 	"sync"
 
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // heldLog holds back new records while a snapshot is taken and written. A record that is appended between the taking of
 // the snapshot and the call of Compact would be replaced by a snapshot without it, and the claim would be lost.
 type heldLog struct {
-	journal.Log
+	commitlog.Log
 
 	mu      sync.Mutex
 	held    chan struct{} // closed when the hold ends; nil: no hold
 	waiting [][]byte      // from AppendAsync during a hold
 }
 
-func newHeldLog(l journal.Log) *heldLog { return &heldLog{Log: l} }
+func newHeldLog(l commitlog.Log) *heldLog { return &heldLog{Log: l} }
 
 // Append waits for the end of a hold and appends.
 func (l *heldLog) Append(ctx context.Context, records ...[]byte) error {
 	if l.wait(ctx) != nil {
-		return journal.ErrNotWritten
+		return commitlog.ErrNotWritten
 	}
 	return l.Log.Append(ctx, records...)
 }
@@ -64,7 +64,7 @@
 
 // compact replaces the journal by the snapshot while new records are held back. Records whose Append was called before
 // are in the snapshot already, as Claims.Compaction promises.
-func (l *heldLog) compact(ctx context.Context, take func() (journal.Compaction, func(error))) error {
+func (l *heldLog) compact(ctx context.Context, take func() (commitlog.Compaction, func(error))) error {
 	l.mu.Lock()
 	l.held = make(chan struct{})
 	l.mu.Unlock()
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -14,7 +14,7 @@
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
 )
@@ -27,7 +27,7 @@
 	idempotency.Beginner
 	// Compaction returns what restores the table, including entries whose Append has not returned yet, and a function that
 	// must be called with the compaction's outcome.
-	Compaction() (journal.Compaction, func(error))
+	Compaction() (commitlog.Compaction, func(error))
 	// Open returns the claims per customer that a predecessor left open.
 	Open() map[string]int
 }
@@ -48,7 +48,7 @@
 
 // Deps are the components that a Service uses.
 type Deps struct {
-	Journal journal.Opener
+	Journal commitlog.Opener
 	Claims  NewClaims
 	Members membership.Source
 	Plans   plan.Lookup
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -14,7 +14,7 @@
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/journal"
+	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 const part = "request/textos/3"
@@ -236,14 +236,14 @@
 			l := newHeldLog(s)
 			l.AppendAsync([]byte("old"))
 			ended := context.Canceled // until the compaction reports its outcome
-			snapshot := journal.Compaction{Snapshot: [][]byte{[]byte("snapshot")}}
+			snapshot := commitlog.Compaction{Snapshot: [][]byte{[]byte("snapshot")}}
 			go func() {
-				_ = l.compact(context.Background(), func() (journal.Compaction, func(error)) { return snapshot, func(err error) { ended = err } })
+				_ = l.compact(context.Background(), func() (commitlog.Compaction, func(error)) { return snapshot, func(err error) { ended = err } })
 			}()
 			synctest.Wait()
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			So(l.Append(ctx, []byte("withdrawn")), ShouldEqual, journal.ErrNotWritten)
+			So(l.Append(ctx, []byte("withdrawn")), ShouldEqual, commitlog.ErrNotWritten)
 			l.AppendAsync([]byte("finish"))
 			appended := make(chan error)
 			go func() { appended <- l.Append(context.Background(), []byte("claim")) }()
