--- a/commitlog/example_test.go
+++ b/commitlog/example_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 
-	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/table"
 )
 
--- a/commitlog/journal_test.go
+++ b/commitlog/journal_test.go
@@ -16,8 +16,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/table"
 )
 
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/internal/defaults"
 )
 
 // ErrCorrupt says that a record of the journal is not an entry.
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -18,9 +18,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
--- a/internal/capacity/job_test.go
+++ b/internal/capacity/job_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"testing"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/job"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
@@ -27,11 +27,11 @@
 	}
 }
 
-func (l *memoryLog) Flush(context.Context) error                       { return nil }
-func (l *memoryLog) Healthy() bool                                     { return true }
-func (l *memoryLog) Bytes() int                                        { return l.bytes }
+func (l *memoryLog) Flush(context.Context) error                         { return nil }
+func (l *memoryLog) Healthy() bool                                       { return true }
+func (l *memoryLog) Bytes() int                                          { return l.bytes }
 func (l *memoryLog) Compact(context.Context, commitlog.Compaction) error { return nil }
-func (l *memoryLog) Close()                                            {}
+func (l *memoryLog) Close()                                              {}
 
 func (l *memoryLog) Open(context.Context, ownership.Guard) (commitlog.Log, [][]byte, error) {
 	return l, nil, nil
--- a/internal/capacity/keys_test.go
+++ b/internal/capacity/keys_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/table"
 )
 
--- a/internal/capacity/traffic_test.go
+++ b/internal/capacity/traffic_test.go
@@ -13,10 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/job"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/table"
 )
 
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/job"
 	"github.com/greengagewing/greengagewing/internal/membership"
@@ -15,7 +16,6 @@
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 )
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -6,10 +6,10 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 )
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/api"
 	"github.com/greengagewing/greengagewing/internal/entry"
@@ -20,7 +21,6 @@
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/internal/wait"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
 	"github.com/greengagewing/greengagewing/versionedlist"
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/entry"
@@ -23,7 +24,6 @@
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/internal/settings"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
 	"github.com/greengagewing/greengagewing/session"
--- a/internal/job/history_test.go
+++ b/internal/job/history_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/internal/tabletest"
 	"github.com/greengagewing/greengagewing/table"
 )
 
--- a/internal/job/journaling.go
+++ b/internal/job/journaling.go
@@ -5,8 +5,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // Records that no caller waits for pass through one queue, which a loop appends to the journal in batches. The effect of
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -9,9 +9,9 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
--- a/internal/job/pool.go
+++ b/internal/job/pool.go
@@ -13,11 +13,11 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/defaults"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
--- a/internal/job/recovery.go
+++ b/internal/job/recovery.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/greengagewing/greengagewing/internal/wait"
 	"github.com/greengagewing/greengagewing/commitlog"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // After a takeover, the books are rebuilt from the journal, and workers' reports complete them. A task that may still run
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/internal/job/placement"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 // A job is put on the books undecided, journaled, and then accepted. Calls with the same key wait for the decision, so a
--- a/internal/request/fakes_test.go
+++ b/internal/request/fakes_test.go
@@ -20,11 +20,11 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/tabletest"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/ownership"
 )
 
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -11,10 +11,10 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/lanes"
 	"github.com/greengagewing/greengagewing/ownership"
 )
--- a/internal/request/service_test.go
+++ b/internal/request/service_test.go
@@ -11,10 +11,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"github.com/greengagewing/greengagewing/commitlog"
 	"github.com/greengagewing/greengagewing/idempotency"
 	"github.com/greengagewing/greengagewing/internal/membership"
 	"github.com/greengagewing/greengagewing/internal/plan"
-	"github.com/greengagewing/greengagewing/commitlog"
 )
 
 const part = "request/textos/3"
