Count a failed run once, however often its end is listed

Ruled out: a run number used twice (the trace shows 4097 and 4098 only). Change: the numbers of the failed runs are stored instead of their count.

--- /dev/null
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+// at returns the time d after the beginning of a test.
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
+const testService = "textos"
+
+// fixture is a scheduler with workers that accept every start.
+type fixture struct {
+	*Scheduler
+	queue  queues.Queue
+	ends   map[string]int64       // by worker: number of the last end
+	ended  map[string][]EndedRun  // by worker: ends that are not acknowledged
+	active map[string][]ActiveRun // by worker
+	starts []Start
+}
+
+func newFixture(epoch int64, workers int) *fixture {
+	f := &fixture{
+		Scheduler: New(Config{Epoch: epoch, GangTimeout: 3 * time.Second, Retention: time.Minute}),
+		queue: queues.Queue{Name: "q", Service: testService, MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second,
+			Priority: 1},
+		ends: map[string]int64{}, ended: map[string][]EndedRun{}, active: map[string][]ActiveRun{},
+	}
+	for i := range workers {
+		f.addWorker(fmt.Sprintf("w%d", i))
+	}
+	return f
+}
+
+func (f *fixture) addWorker(id string) {
+	f.UpsertWorker(t0, WorkerInfo{ID: id, Service: testService, Address: id, Rack: "r1",
+		Capacity: workload.Resources{CPUMilli: 10_000, MemoryMB: 10_000}, Born: 1})
+	f.report(id, t0)
+}
+
+// report sends the worker's report.
+func (f *fixture) report(id string, now time.Time) {
+	f.Report(now, Report{Worker: id, Born: f.workers[id].info.Born, Asked: now, LeaseUntil: now.Add(5 * time.Second),
+		Active: f.active[id], Ended: f.ended[id]})
+}
+
+func (f *fixture) job(id string, now time.Time, steps ...workload.Step) *workload.Spec {
+	return &workload.Spec{ID: id, Queue: f.queue, Steps: steps, Accepted: now}
+}
+
+// plan plans and lets the workers accept every start.
+func (f *fixture) plan(now time.Time) Plan {
+	p := f.Plan(now)
+	for _, s := range p.Starts {
+		f.active[s.Worker.ID] = append(f.active[s.Worker.ID], ActiveRun{Task: s.Task, Run: s.Run})
+		f.StartDone(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartAccepted, LeaseUntil: now.Add(5 * time.Second)})
+	}
+	f.starts = append(f.starts, p.Starts...)
+	for _, s := range p.Stops {
+		f.StopDone(now, s.Worker.ID, s.Task, s.Run)
+	}
+	return p
+}
+
+// end ends a run on its worker and reports it.
+func (f *fixture) end(s Start, how End, now time.Time) {
+	id := s.Worker.ID
+	f.ends[id]++
+	f.ended[id] = append(f.ended[id], EndedRun{Number: f.ends[id], Task: s.Task, Run: s.Run, How: how})
+	var left []ActiveRun
+	for _, a := range f.active[id] {
+		if a.Task != s.Task || a.Run != s.Run {
+			left = append(left, a)
+		}
+	}
+	f.active[id] = left
+	f.report(id, now)
+}
+
+// persist makes everything durable and returns the records.
+func (f *fixture) persist() map[string]*workload.Progress {
+	generation, records := f.TakeRecords()
+	out := map[string]*workload.Progress{}
+	for _, r := range records {
+		out[r.JobID] = r.Progress
+	}
+	f.Persisted(generation, records)
+	return out
+}
+
+func simpleStep(count int) workload.Step {
+	return workload.Step{Count: count, Resources: workload.Resources{CPUMilli: 2000, MemoryMB: 1000}, Estimate: time.Second}
+}
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -39,8 +39,7 @@
 	// of gangs
 	run        int64
 	checkpoint string
-	failures   int
-	failedRun  int64
+	failedRuns []int64
 
 	tickets  map[string]ticket
 	denied   map[string]struct{}
@@ -58,7 +57,7 @@
 	unit       *unit
 	index      int
 	done       bool
-	failures   int
+	failedRuns []int64
 	checkpoint string
 	run        int64 // the last run number that was used
 	placement  *placement
@@ -142,15 +141,15 @@
 	for _, t := range u.tasks {
 		tp := workload.TaskProgress{
 			Occurrence: u.occurrence.k, Step: u.index, Index: t.index,
-			Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint, Run: t.run,
+			Done: t.done, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, Run: t.run,
 		}
 		if u.step.Gang {
-			tp.Failures, tp.Checkpoint, tp.Run = u.failures, u.checkpoint, u.run
+			tp.FailedRuns, tp.Checkpoint, tp.Run = u.failedRuns, u.checkpoint, u.run
 		}
 		if t.done {
-			tp.Failures, tp.Checkpoint, tp.Run = 0, "", 0
+			tp.FailedRuns, tp.Checkpoint, tp.Run = nil, "", 0
 		}
-		if tp.Done || tp.Failures > 0 || tp.Checkpoint != "" {
+		if tp.Done || len(tp.FailedRuns) > 0 || tp.Checkpoint != "" {
 			out = append(out, tp)
 		}
 	}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
@@ -242,19 +243,15 @@
 	}
 	t.avoid[w.info.ID] = struct{}{}
 	s.keepCheckpoint(t, e.Checkpoint)
-	failures := 0
+	failed := &t.failedRuns
 	if u.step.Gang {
-		if u.failedRun < e.Run {
-			u.failures++
-			u.failedRun = e.Run
-		}
-		failures = u.failures
+		failed = &u.failedRuns
 		s.stopUnit(u, now, "a member of the gang failed")
-	} else {
-		t.failures++
-		failures = t.failures
 	}
-	if limit := u.job.queue.MaxAttempts; limit > 0 && failures >= limit {
+	if !slices.Contains(*failed, e.Run) {
+		*failed = append(*failed, e.Run)
+	}
+	if limit := u.job.queue.MaxAttempts; limit > 0 && len(*failed) >= limit {
 		s.finish(u.job, workload.Failed, now)
 	}
 }
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -131,9 +131,9 @@
 			continue
 		}
 		t := u.tasks[tp.Index]
-		t.failures, t.checkpoint, t.run = tp.Failures, tp.Checkpoint, tp.Run
+		t.failedRuns, t.checkpoint, t.run = tp.FailedRuns, tp.Checkpoint, tp.Run
 		if u.step.Gang {
-			u.failures = max(u.failures, tp.Failures)
+			u.failedRuns = tp.FailedRuns
 			u.checkpoint = tp.Checkpoint
 			u.run = max(u.run, tp.Run)
 		}
--- /dev/null
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// Guards against a failure that counts twice: an owner dies after it has stored an end and before it has acknowledged it,
+// and the worker lists the end to the successor again.
+func TestFailureListedAgainAfterTakeover(t *testing.T) {
+	Convey("Given a task that failed twice under an owner that dies before it acknowledges the ends", t, func() {
+		f := newFixture(1, 2)
+		spec := f.job("j", t0, simpleStep(1))
+		f.AddJob(t0, spec, nil, false)
+		for i := range 2 {
+			now := at(time.Duration(i) * time.Second)
+			p := f.plan(now)
+			So(p.Starts, ShouldHaveLength, 1)
+			f.end(p.Starts[0], EndFailed, now.Add(500*time.Millisecond))
+		}
+		stored := f.persist()["j"]
+		Convey("When a successor is told of the same ends, the job is not failed and runs a third time", func() {
+			g := newFixture(2, 0)
+			g.AddJob(at(3*time.Second), spec, stored, true)
+			for _, id := range []string{"w0", "w1"} {
+				g.ended[id] = f.ended[id]
+				g.addWorker(id)
+			}
+			state, _ := g.Lookup("j")
+			So(state, ShouldNotEqual, workload.Failed)
+			p := g.plan(at(4 * time.Second))
+			So(p.Starts, ShouldHaveLength, 1)
+			Convey("And the third failure ends it", func() {
+				g.ends[p.Starts[0].Worker.ID] = 10
+				g.end(p.Starts[0], EndFailed, at(5*time.Second))
+				g.persist()
+				state, _ := g.Lookup("j")
+				So(state, ShouldEqual, workload.Failed)
+			})
+		})
+	})
+}
+
+// Guards against a second run of a task beside one that an earlier owner started on a worker that has not reported yet.
+func TestInheritedTaskWaitsForWorkers(t *testing.T) {
+	Convey("Given a successor that knows of a worker which has not reported", t, func() {
+		g := newFixture(2, 1)
+		g.Inherit("w9", at(10*time.Second))
+		g.AddJob(t0, g.job("old", t0, simpleStep(1)), nil, true)
+		So(g.plan(at(time.Second)).Starts, ShouldBeEmpty)
+		Convey("A job of an earlier owner is started once the worker has reported", func() {
+			g.addWorker("w9")
+			So(g.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+		Convey("Or once everything there has lapsed", func() {
+			So(g.plan(at(11*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+		Convey("A run that the worker reports is taken over and not started again", func() {
+			g.active["w9"] = []ActiveRun{{Task: workload.TaskID{Job: "old"}, Run: 7}}
+			g.addWorker("w9")
+			So(g.plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+			state, _ := g.Lookup("old")
+			So(state, ShouldEqual, workload.Running)
+		})
+	})
+}
--- /dev/null
+++ b/internal/cluster/tenure/tenure_test.go
@@ -0,0 +1,170 @@
+package tenure
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+)
+
+// stepClock is a clock that a test moves.
+type stepClock struct{ now time.Duration }
+
+func (c *stepClock) since() time.Duration { return c.now }
+
+func identity(host string) Identity {
+	return Identity{Host: host, Addr: host + ":1", Boot: "boot-" + host}
+}
+
+func put(name, value string) []rowstore.Put {
+	return []rowstore.Put{{Key: rowstore.Key{Table: "t", Part: Part, Name: name}, Value: []byte(value)}}
+}
+
+func value(store rowstore.Store, name string) string {
+	page, err := store.Read(context.Background(), rowstore.Range{Table: "t", Part: Part, From: name, To: name + "\x00"})
+	if err != nil || len(page.Rows) == 0 {
+		return ""
+	}
+	return string(page.Rows[0].Value)
+}
+
+// Guards against an owner that goes on writing after another daemon has claimed.
+func TestClaimFencesPredecessor(t *testing.T) {
+	Convey("Given an owner and a daemon that claims", t, func() {
+		ctx := context.Background()
+		store := rowstore.NewMemory()
+		clock := &stepClock{}
+		a, err := Claim(ctx, store, identity("a"), clock.since)
+		So(err, ShouldBeNil)
+		So(a.Commit(ctx, put("x", "a"), nil), ShouldBeNil)
+		b, err := Claim(ctx, store, identity("b"), clock.since)
+		So(err, ShouldBeNil)
+		So(b.Epoch(), ShouldEqual, a.Epoch()+1)
+		Convey("The predecessor's next commit fails, changes nothing and ends its validity", func() {
+			So(a.Commit(ctx, put("x", "late"), nil), ShouldEqual, ErrLost)
+			So(value(store, "x"), ShouldEqual, "a")
+			So(a.Valid(), ShouldBeFalse)
+			So(b.Commit(ctx, put("x", "b"), nil), ShouldBeNil)
+		})
+	})
+}
+
+// Guards against a commit that takes effect without an answer and is taken for another daemon's.
+func TestLostAnswers(t *testing.T) {
+	Convey("Given a store that loses the answers of every second commit", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			ctx := context.Background()
+			store := rowstore.NewMemory()
+			n := 0
+			store.Lose = func() bool { n++; return n%2 == 0 }
+			a, err := Claim(ctx, store, identity("a"), (&stepClock{}).since)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range []string{"1", "2", "3", "4"} {
+				if err := a.Commit(ctx, put("x", v), nil); err != nil {
+					t.Fatalf("commit %s: %v", v, err)
+				}
+				if got := value(store, "x"); got != v {
+					t.Fatalf("stored %q, want %q", got, v)
+				}
+			}
+		})
+	})
+}
+
+// lateStore applies a commit only when the next one arrives, just before it, and answers neither.
+type lateStore struct {
+	*rowstore.Memory
+	held *rowstore.Txn
+	hold bool
+}
+
+func (s *lateStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	if s.hold {
+		s.held, s.hold = &txn, false
+		return 0, rowstore.ErrUnknownOutcome
+	}
+	if s.held != nil {
+		_, _ = s.Memory.Commit(ctx, *s.held) // the answer is lost
+		s.held = nil
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+// Guards against a commit that is taken for done because an earlier one of the same owner took effect late.
+func TestLateCommitOfTheSameOwner(t *testing.T) {
+	Convey("Given a commit that was given up and takes effect just before the next one", t, func() {
+		store := &lateStore{Memory: rowstore.NewMemory()}
+		a, err := Claim(context.Background(), store, identity("a"), (&stepClock{}).since)
+		So(err, ShouldBeNil)
+		store.hold = true
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		So(a.Commit(ctx, put("x", "given up"), nil), ShouldEqual, rowstore.ErrUnknownOutcome)
+		Convey("The next commit is applied after it", func() {
+			So(a.Commit(context.Background(), put("x", "next"), nil), ShouldBeNil)
+			So(value(store, "x"), ShouldEqual, "next")
+		})
+	})
+}
+
+// Guards against orders of an owner that was suspended or cut off from the store for long.
+func TestValidityEnds(t *testing.T) {
+	Convey("An owner may send orders for a limited time after its last confirmed commit", t, func() {
+		ctx := context.Background()
+		clock := &stepClock{now: time.Hour}
+		store := rowstore.NewMemory()
+		a, err := Claim(ctx, store, identity("a"), clock.since)
+		So(err, ShouldBeNil)
+		clock.now += Validity - time.Millisecond
+		So(a.Valid(), ShouldBeTrue)
+		clock.now += time.Millisecond
+		So(a.Valid(), ShouldBeFalse)
+		So(a.Commit(ctx, nil, nil), ShouldBeNil)
+		So(a.Valid(), ShouldBeTrue)
+		So(a.Release(ctx, "b"), ShouldBeNil)
+		So(a.Valid(), ShouldBeFalse)
+	})
+}
+
+// Guards against needless changes of the owner and against an ownership that nobody takes.
+func TestShouldClaim(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	self := identity("self")
+	view := func(change func(*View)) View {
+		v := View{Known: true, Present: true, Owner: Owner{Identity: identity("owner"), Epoch: 3}, ChangedAt: now, FedAt: now}
+		change(&v)
+		return v
+	}
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	for _, c := range []struct {
+		name string
+		view View
+		want bool
+	}{
+		{"a live owner", view(func(*View) {}), false},
+		{"the row was not read", view(func(v *View) { v.Known = false; v.Present = false; v.ChangedAt = ago(time.Minute) }), false},
+		{"no owner yet", view(func(v *View) { v.Present = false; v.ChangedAt = ago(time.Second) }), true},
+		{"an owner that is silent", view(func(v *View) { v.ChangedAt = ago(3 * time.Second) }), true},
+		{"a silent row while the store does not answer", view(func(v *View) { v.ChangedAt = ago(time.Minute); v.FedAt = ago(2 * time.Second) }), false},
+		{"a beat that is late, and the owner answers", view(func(v *View) { v.ChangedAt = ago(2 * time.Second) }), false},
+		{"a beat that is late, and the owner does not answer", view(func(v *View) { v.ChangedAt = ago(2 * time.Second); v.Unreachable = true }), true},
+		{"the owner's process is gone", view(func(v *View) { v.ChangedAt = ago(400 * time.Millisecond); v.GoneAt = ago(300 * time.Millisecond) }), true},
+		{"only the path to the owner is refused", view(func(v *View) { v.GoneAt = ago(time.Second) }), false},
+		{"released to this host", view(func(v *View) { v.Owner.Released = true; v.Owner.Successor = "self" }), true},
+		{"released to another host", view(func(v *View) {
+			v.Owner.Released = true
+			v.Owner.Successor = "x"
+			v.ChangedAt = ago(300 * time.Millisecond)
+		}), false},
+		{"released to a host that does not claim", view(func(v *View) { v.Owner.Released = true; v.Owner.Successor = "x"; v.ChangedAt = ago(time.Second) }), true},
+		{"an earlier process of this host", view(func(v *View) { v.Owner.Identity = self; v.Owner.Boot = "other"; v.ChangedAt = ago(time.Second) }), true},
+	} {
+		Convey(c.name, t, func() { So(ShouldClaim(c.view, self, now), ShouldEqual, c.want) })
+	}
+}
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -138,13 +138,13 @@
 
 // TaskProgress is what is durable of a task.
 type TaskProgress struct {
-	Occurrence int    `json:"k,omitempty"`
-	Step       int    `json:"s,omitempty"`
-	Index      int    `json:"i,omitempty"`
-	Done       bool   `json:"d,omitempty"`
-	Failures   int    `json:"f,omitempty"` // runs that ended by a failure
-	Checkpoint string `json:"c,omitempty"`
-	Run        int64  `json:"r,omitempty"` // highest run number known to be used
+	Occurrence int     `json:"k,omitempty"`
+	Step       int     `json:"s,omitempty"`
+	Index      int     `json:"i,omitempty"`
+	Done       bool    `json:"d,omitempty"`
+	FailedRuns []int64 `json:"f,omitempty"` // a failure may be listed again to a successor, and counts once
+	Checkpoint string  `json:"c,omitempty"`
+	Run        int64   `json:"r,omitempty"` // highest run number known to be used
 }
 
 // Progress is what is durable of a job beyond its acceptance.
