Wait for the end of a run whose start is rejected as old

Change: such a run keeps its place until a report that was asked for afterwards shows its end or that it is gone.

--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -85,11 +85,24 @@
 			s.stop(p, now, "the start was not answered")
 			s.stopGangOf(p, now)
 		}
+	case RejectedOld:
+		s.rejectedAsOld(p, now)
 	default:
 		s.rejected(w, p, r.Outcome, now)
 	}
 }
 
+// rejectedAsOld waits for the next report: the worker has seen the end of this run or of a higher one, and may be about to
+// list it.
+func (s *Scheduler) rejectedAsOld(p *placement, now time.Time) {
+	p.state, p.stopAcked = stopping, now
+	if t := p.task; t != nil {
+		t.run += oldRunStep
+		t.unit.run += oldRunStep
+		s.stopGangOf(p, now)
+	}
+}
+
 // rejected puts a task whose start was rejected back into the queue.
 func (s *Scheduler) rejected(w *worker, p *placement, outcome StartOutcome, now time.Time) {
 	w.remove(p)
@@ -100,9 +113,6 @@
 	t.placement = nil
 	u := t.unit
 	switch outcome {
-	case RejectedOld:
-		t.run += oldRunStep
-		u.run += oldRunStep
 	case RejectedTicket:
 		delete(u.tickets, w.info.ID)
 	case RejectedUnhealthy, RejectedRoom:
--- /dev/null
+++ b/internal/cluster/scheduler/starts_test.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// Guards against a second run of a task that is done: the answer of its start is lost, the task ends, and the repeated
+// start is rejected as old before the end is listed.
+func TestStartRejectedAsOldWaitsForTheEnd(t *testing.T) {
+	Convey("Given a start that is rejected as old", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		p := f.Plan(t0)
+		So(p.Starts, ShouldHaveLength, 1)
+		s := p.Starts[0]
+		f.StartDone(at(400*time.Millisecond), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: RejectedOld})
+		So(f.plan(at(410*time.Millisecond)).Starts, ShouldBeEmpty)
+		Convey("When its end is listed, the job is completed", func() {
+			f.end(s, EndDone, at(500*time.Millisecond))
+			f.persist()
+			state, _ := f.Lookup("j")
+			So(state, ShouldEqual, workload.Completed)
+			So(f.plan(at(600*time.Millisecond)).Starts, ShouldBeEmpty)
+		})
+		Convey("When a later report lists neither the run nor its end, the task starts again with a higher run", func() {
+			f.report("w0", at(500*time.Millisecond))
+			p := f.plan(at(600 * time.Millisecond))
+			So(p.Starts, ShouldHaveLength, 1)
+			So(p.Starts[0].Run, ShouldBeGreaterThan, s.Run)
+		})
+	})
+}
+
+// Guards against a task that runs twice because its start had no answer and is carried out late.
+func TestUnansweredStartIsStoppedFirst(t *testing.T) {
+	Convey("Given a start without an answer", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		s := f.Plan(t0).Starts[0]
+		f.StartDone(at(time.Second), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartUnknown})
+		p := f.Plan(at(time.Second))
+		Convey("The run is stopped, and its task stays where it is until a report shows that it is gone", func() {
+			So(p.Starts, ShouldBeEmpty)
+			So(p.Stops, ShouldHaveLength, 1)
+			f.report("w0", at(1100*time.Millisecond))
+			So(f.Plan(at(1200*time.Millisecond)).Starts, ShouldBeEmpty)
+			f.StopDone(at(1300*time.Millisecond), "w0", s.Task, s.Run)
+			f.report("w0", at(1400*time.Millisecond))
+			So(f.Plan(at(1500*time.Millisecond)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
+
+// Guards against a worker that is given more than it has: what is being stopped still counts.
+func TestCapacityIncludesWhatIsBeingStopped(t *testing.T) {
+	Convey("Given a full worker", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("a", t0, simpleStep(5)), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 5)
+		f.AddJob(t0, f.job("b", t0, simpleStep(1)), nil, false)
+		Convey("A cancelled job's places are free only once its ends are listed", func() {
+			f.Cancel(at(time.Second), "a")
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			f.end(f.starts[0], EndStopped, at(2*time.Second))
+			So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
