Start tasks of a job once a commit shows that there is no other owner

Runs of jobs that the successor did not know counted for nothing on their workers. Ruled out: the barrier for inherited jobs (the jobs were accepted after the claim). Change: a job's tasks start only after a commit that began after the job was learned of, so every job that an owner starts is found by its successor; an unknown run fills its worker; workers that have not reported stay in the stored list. Tests: TestJobWaitsForAConfirmedOwnership, TestUnknownRunFillsItsWorker.

--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -18,7 +18,7 @@
 
 const (
 	// saveInterval is the least time between two commits; it gathers changes of several jobs.
-	saveInterval = 25 * time.Millisecond
+	saveInterval = 15 * time.Millisecond
 	// commitTimeout is the limit of one commit with its repetitions; afterwards the same records are tried again.
 	commitTimeout = 5 * time.Second
 	// maxRecords and maxRecordBytes keep a commit within the store's limits; the head and the owner row come along.
@@ -33,18 +33,17 @@
 func (t *term) persist(ctx context.Context) {
 	lastCommit, lastForget := time.Now(), time.Now()
 	for ctx.Err() == nil && !t.tenure.Lost() {
-		generation, recs, used := t.takeRecords()
-		idle := len(recs) == 0 && used == nil
-		if idle && time.Since(lastCommit) < tenure.BeatInterval {
-			t.persisted(generation, nil)
-			wait.ForOrSignal(ctx, tenure.BeatInterval-time.Since(lastCommit), t.save)
+		due := time.Until(lastCommit.Add(tenure.BeatInterval))
+		batch := t.takeRecords()
+		if !batch.needed && due > 0 {
+			wait.ForOrSignal(ctx, due, t.save)
 			continue
 		}
-		if !t.store(ctx, recs, used) {
+		if !t.store(ctx, batch.records, batch.used) {
 			break
 		}
 		lastCommit = time.Now()
-		t.persisted(generation, recs)
+		t.persisted(batch.generation, batch.records)
 		if time.Since(lastForget) > forgetInterval {
 			lastForget = time.Now()
 			t.forget(ctx)
@@ -54,27 +53,38 @@
 	t.wake()
 }
 
-// takeRecords returns what has to be stored, and the list of used workers if it has changed.
-func (t *term) takeRecords() (int64, []scheduler.Record, []string) {
+// batch is what one round of commits covers.
+type batch struct {
+	generation int64
+	records    []scheduler.Record
+	used       []string // the workers in use, if the stored list lacks one
+	needed     bool
+}
+
+func (t *term) takeRecords() batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	generation, recs := t.sched.TakeRecords()
-	var used []string
+	var b batch
+	b.generation, b.records, b.needed = t.sched.TakeRecords()
 	for id := range t.runners {
 		if !t.used[id] {
-			used = append(used, id)
+			b.used = append(b.used, id)
 		}
 	}
-	if used == nil {
-		return generation, recs, nil
+	if b.used == nil {
+		return b
 	}
+	b.needed = true
 	for id := range t.used {
 		if t.runners[id] != nil {
-			used = append(used, id)
+			b.used = append(b.used, id)
 		}
 	}
-	slices.Sort(used)
-	return generation, recs, used
+	// A worker that is not listed any more may still run tasks of an earlier owner.
+	b.used = append(b.used, t.sched.Unresolved()...)
+	slices.Sort(b.used)
+	b.used = slices.Compact(b.used)
+	return b
 }
 
 // store writes records in as many commits as they need and retries until ctx ends. It returns false if it ends without.
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -22,8 +22,6 @@
 	planInterval = 100 * time.Millisecond
 	// planDelay gathers events that come together, so that one plan serves them.
 	planDelay = 3 * time.Millisecond
-	// settleTime is twice the interval in which an owner that reaches the store commits, and so learns of its successor.
-	settleTime = 2 * tenure.BeatInterval
 	// leaseDrift covers a worker's clock that is 2 % slow, and the reading of clocks.
 	leaseDrift  = 1.03
 	leaseMargin = 300 * time.Millisecond
@@ -53,10 +51,8 @@
 func newTerm(c *Coordinator, held *tenure.Tenure) *term {
 	t := &term{
 		c: c, cfg: c.cfg, deps: c.deps, tenure: held,
-		log: c.deps.Log.With(zap.Int64("epoch", held.Epoch())),
-		sched: scheduler.New(scheduler.Config{
-			Epoch: held.Epoch(), GangTimeout: c.cfg.GangTimeout, Settled: time.Now().Add(settleTime), Retention: c.cfg.Retention,
-		}),
+		log:      c.deps.Log.With(zap.Int64("epoch", held.Epoch())),
+		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), GangTimeout: c.cfg.GangTimeout, Retention: c.cfg.Retention}),
 		runners:  map[string]*runner{},
 		used:     map[string]bool{},
 		planSoon: make(chan struct{}, 1),
@@ -85,7 +81,7 @@
 		return err
 	}
 	t.log.Info("term begins", zap.Int("rows", len(rows)), zap.Int("progress", len(progress)),
-		zap.Int("unresolved_workers", t.sched.Unresolved()), zap.Duration("load", time.Since(began)))
+		zap.Int("unresolved_workers", len(t.sched.Unresolved())), zap.Duration("load", time.Since(began)))
 	return nil
 }
 
@@ -209,6 +205,7 @@
 	defer t.mu.Unlock()
 	t.applyJobs(rows, nil, false)
 	t.wake()
+	wait.Signal(t.save) // new jobs wait for a commit
 }
 
 // run follows the inputs and plans until ctx ends or the ownership is lost.
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -61,8 +61,8 @@
 // reason tells why tasks of a unit wait.
 func (s *Scheduler) reason(u *unit, now time.Time) string {
 	switch {
-	case s.blocked(u, now):
-		return "an earlier owner's tasks may still run"
+	case s.blocked(u):
+		return "the task may run under the order of another owner"
 	case now.Before(u.notUntil):
 		return "delayed after a failed call"
 	case u.step.Gang && !u.idle():
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -54,8 +54,9 @@
 	return &workload.Spec{ID: id, Queue: f.queue, Steps: steps, Accepted: now}
 }
 
-// plan plans and lets the workers accept every start.
+// plan confirms the ownership, plans and lets the workers accept every start.
 func (f *fixture) plan(now time.Time) Plan {
+	f.confirm()
 	p := f.Plan(now)
 	for _, s := range p.Starts {
 		f.active[s.Worker.ID] = append(f.active[s.Worker.ID], ActiveRun{Task: s.Task, Run: s.Run})
@@ -83,9 +84,15 @@
 	f.report(id, now)
 }
 
+// confirm lets a commit end that began after everything that is known now.
+func (f *fixture) confirm() {
+	generation, records, _ := f.TakeRecords()
+	f.Persisted(generation, records)
+}
+
 // persist makes everything durable and returns the records.
 func (f *fixture) persist() map[string]*workload.Progress {
-	generation, records := f.TakeRecords()
+	generation, records, _ := f.TakeRecords()
 	out := map[string]*workload.Progress{}
 	for _, r := range records {
 		out[r.JobID] = r.Progress
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -13,8 +13,9 @@
 	state       workload.State
 	shown       workload.State // the state that is durable
 	ended       time.Time
-	started     bool // a task has started
-	inherited   bool // an earlier owner may have started tasks
+	started     bool  // a task has started
+	inherited   bool  // an earlier owner may have started tasks
+	learned     int64 // generation of records in which a new job was learned of
 	occurrences []*occurrence
 
 	writing           workload.State // state in the record that is being written
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -47,7 +47,7 @@
 func (s *Scheduler) candidates(now time.Time) []candidate {
 	var out []candidate
 	for u := range s.open {
-		if s.blocked(u, now) {
+		if s.blocked(u) {
 			continue
 		}
 		waiting := u.pending(now)
@@ -81,9 +81,13 @@
 	return c.unit.job.spec.ID < o.unit.job.spec.ID
 }
 
-// blocked reports whether tasks of the unit may still run under an earlier owner's order.
-func (s *Scheduler) blocked(u *unit, now time.Time) bool {
-	return len(s.unresolved) > 0 && (u.job.inherited || now.Before(s.cfg.Settled))
+// blocked reports whether tasks of the unit may run under the order of another owner: of an earlier one whose workers have
+// not reported, or of a later one, as long as no commit has shown that there was none when the job was learned of.
+func (s *Scheduler) blocked(u *unit) bool {
+	if u.job.inherited {
+		return len(s.unresolved) > 0
+	}
+	return u.job.learned > s.confirmed
 }
 
 // latestStart is when a unit has to start for its job to meet its objective.
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -99,6 +99,9 @@
 		percent: a.Percent, percentAt: now, firstPercent: a.Percent, firstAt: now, checkpoint: a.Checkpoint}
 	if t != nil {
 		p.task, p.resources = t, t.unit.resources()
+	} else {
+		// Nothing tells what the run takes, so nothing else may be started beside it.
+		p.resources = w.info.Capacity
 	}
 	w.add(p)
 	if t == nil || !s.adopt(t, p) {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -4,6 +4,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,9 +20,6 @@
 	Epoch int64
 	// GangTimeout is how long members of a gang wait for each other on their workers.
 	GangTimeout time.Duration
-	// Settled is when an earlier owner that reaches the store has certainly noticed that it is replaced. It can't start
-	// tasks of jobs that were accepted later.
-	Settled time.Time
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 }
@@ -43,6 +42,8 @@
 
 	dirty      map[*job]struct{}
 	generation int64 // of the records that are gathered now
+	confirmed  int64 // the last generation that was committed
+	learned    int64 // the generation in which the last new job was learned of
 
 	stops     []Stop
 	durations map[string]*durationRatio // by queue
@@ -82,8 +83,8 @@
 	s.unresolved[workerID] = lapsed
 }
 
-// Unresolved returns the number of workers on which an earlier owner's tasks may still run unseen.
-func (s *Scheduler) Unresolved() int { return len(s.unresolved) }
+// Unresolved returns the workers on which an earlier owner's tasks may still run unseen.
+func (s *Scheduler) Unresolved() []string { return slices.Collect(maps.Keys(s.unresolved)) }
 
 func (s *Scheduler) resolve(workerID string) { delete(s.unresolved, workerID) }
 
@@ -102,6 +103,9 @@
 		return false
 	}
 	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, shown: workload.Queued, inherited: inherited}
+	if !inherited {
+		j.learned, s.learned = s.generation, s.generation
+	}
 	if q, ok := s.queues.ByName(spec.Queue.Name); ok {
 		j.queue = q
 	}
@@ -295,9 +299,11 @@
 	Progress *workload.Progress
 }
 
-// TakeRecords returns the progress of all jobs that changed since the last call and the generation that Persisted names
-// once they are durable.
-func (s *Scheduler) TakeRecords() (int64, []Record) {
+// TakeRecords returns the progress of all jobs that changed since the last call, the generation that Persisted names once
+// they are durable, and whether a commit is needed: for them, for acknowledgements that wait, or to confirm the ownership
+// after new jobs were learned of.
+func (s *Scheduler) TakeRecords() (int64, []Record, bool) {
+	needed := len(s.dirty) > 0 || s.learned > s.confirmed || s.acksWait()
 	records := make([]Record, 0, len(s.dirty))
 	for j := range s.dirty {
 		records = append(records, Record{j.spec.ID, j.progress()})
@@ -307,12 +313,23 @@
 	clear(s.dirty)
 	sort.Slice(records, func(a, b int) bool { return records[a].JobID < records[b].JobID })
 	s.generation++
-	return s.generation - 1, records
+	return s.generation - 1, records, needed
+}
+
+func (s *Scheduler) acksWait() bool {
+	for _, w := range s.sorted {
+		if len(w.acks) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// Persisted tells that the records of a generation and of all before it are durable. Ends that they cover may be
-// acknowledged to the workers.
+// Persisted tells that the records of a generation and of all before it are durable, by a commit that began after
+// TakeRecords. Ends that they cover may be acknowledged to the workers. The commit also shows that nobody else had claimed
+// the ownership when it was applied, so a successor will find the jobs that were known then.
 func (s *Scheduler) Persisted(generation int64, records []Record) {
+	s.confirmed = max(s.confirmed, generation)
 	for _, r := range records {
 		if j := s.jobs[r.JobID]; j != nil && j.writingGeneration <= generation {
 			j.shown = j.writing
--- a/internal/cluster/scheduler/starts_test.go
+++ b/internal/cluster/scheduler/starts_test.go
@@ -15,6 +15,7 @@
 	Convey("Given a start that is rejected as old", t, func() {
 		f := newFixture(1, 1)
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		f.confirm()
 		p := f.Plan(t0)
 		So(p.Starts, ShouldHaveLength, 1)
 		s := p.Starts[0]
@@ -41,6 +42,7 @@
 	Convey("Given a start without an answer", t, func() {
 		f := newFixture(1, 1)
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		f.confirm()
 		s := f.Plan(t0).Starts[0]
 		f.StartDone(at(time.Second), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartUnknown})
 		p := f.Plan(at(time.Second))
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -68,3 +68,43 @@
 		})
 	})
 }
+
+// Guards against a task that two owners start: an owner that does not know yet that it is replaced learns of a job that its
+// successor takes for one that nobody else can have started.
+func TestJobWaitsForAConfirmedOwnership(t *testing.T) {
+	Convey("Given an owner that learns of a job while a commit is in flight", t, func() {
+		f := newFixture(1, 1)
+		generation, records, _ := f.TakeRecords()
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		So(f.Plan(t0).Starts, ShouldBeEmpty)
+		Convey("That commit does not show that the owner still was one when it learned of the job", func() {
+			f.Persisted(generation, records)
+			So(f.Plan(t0).Starts, ShouldBeEmpty)
+		})
+		Convey("A commit that begins later does, and is asked for", func() {
+			generation, records, needed := f.TakeRecords()
+			So(needed, ShouldBeTrue)
+			So(records, ShouldBeEmpty)
+			f.Persisted(generation, records)
+			So(f.Plan(t0).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
+
+// Guards against a worker that is given more than it has, because it still runs a task of a job that is not known.
+func TestUnknownRunFillsItsWorker(t *testing.T) {
+	Convey("Given a worker that runs a task of an unknown job", t, func() {
+		f := newFixture(2, 0)
+		f.active["w0"] = []ActiveRun{{Task: workload.TaskID{Job: "unknown"}, Run: 3}}
+		f.addWorker("w0")
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		p := f.plan(t0)
+		So(p.Starts, ShouldBeEmpty)
+		So(p.Stops, ShouldHaveLength, 1)
+		Convey("Its room is free once the run is gone", func() {
+			f.active["w0"] = nil
+			f.report("w0", at(time.Second))
+			So(f.plan(at(time.Second)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
