--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -79,15 +79,33 @@
 	}
 }
 
+// readyPercent is the percent from which on a member of a gang may only wait for the others to end with it.
+const readyPercent = 99
+
 func (p *placement) stalled(now time.Time) bool {
 	if p.state != running || p.task == nil || p.task.unit.step.LongRunning || p.firstAt.IsZero() {
 		return false
 	}
+	moved := p.percentAt
+	if p.task.unit.step.Gang && p.percent >= readyPercent {
+		moved = p.task.unit.lastProgress()
+	}
 	// A gang's members wait for each other before they progress.
 	if p.task.unit.step.Gang && p.percent == 0 {
-		return now.Sub(p.firstAt) > 2*stallTimeout
+		return now.Sub(moved) > 2*stallTimeout
+	}
+	return now.Sub(moved) > stallTimeout
+}
+
+// lastProgress is when a task of the unit last made progress.
+func (u *unit) lastProgress() time.Time {
+	var last time.Time
+	for _, t := range u.tasks {
+		if t.placement != nil && t.placement.percentAt.After(last) {
+			last = t.placement.percentAt
+		}
 	}
-	return now.Sub(p.percentAt) > stallTimeout
+	return last
 }
 
 // durationRatio is the learned relation between the declared and the actual duration of a queue's tasks.
--- a/internal/cluster/scheduler/starts_test.go
+++ b/internal/cluster/scheduler/starts_test.go
@@ -73,3 +73,32 @@
 		})
 	})
 }
+
+// Guards against a gang that is stopped because a member has finished its own work and waits for the others.
+func TestMemberThatWaitsForItsGangIsNotStalled(t *testing.T) {
+	Convey("Given a gang of which one member is ready and the other still works", t, func() {
+		f := newFixture(1, 2)
+		step := simpleStep(2)
+		step.Gang = true
+		f.AddJob(t0, f.job("j", t0, step), nil, false)
+		p := f.plan(t0)
+		So(p.Starts, ShouldHaveLength, 2)
+		progress := func(now time.Duration, percents ...int) Plan {
+			f.active = map[string][]ActiveRun{}
+			for i, s := range p.Starts {
+				f.active[s.Worker.ID] = append(f.active[s.Worker.ID], ActiveRun{Task: s.Task, Run: s.Run, Percent: percents[i]})
+			}
+			for _, id := range []string{"w0", "w1"} {
+				f.report(id, at(now))
+			}
+			return f.plan(at(now))
+		}
+		for i := 0; i <= 10; i++ {
+			So(progress(time.Duration(i)*time.Second, min(20*i, 100), 5*i).Stops, ShouldBeEmpty)
+		}
+		Convey("It is stopped once the other one stands still", func() {
+			So(progress(11*time.Second, 100, 50).Stops, ShouldBeEmpty)
+			So(progress(14*time.Second, 100, 50).Stops, ShouldHaveLength, 2)
+		})
+	})
+}
