--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -83,7 +83,7 @@
 const readyPercent = 99
 
 func (p *placement) stalled(now time.Time) bool {
-	if p.state != running || p.task == nil || p.task.unit.step.LongRunning || p.firstAt.IsZero() {
+	if p.state != running || p.task == nil || p.task.done || p.task.unit.step.LongRunning || p.firstAt.IsZero() {
 		return false
 	}
 	moved := p.percentAt
--- a/internal/cluster/scheduler/starts_test.go
+++ b/internal/cluster/scheduler/starts_test.go
@@ -96,6 +96,11 @@
 		for i := 0; i <= 10; i++ {
 			So(progress(time.Duration(i)*time.Second, min(20*i, 100), 5*i).Stops, ShouldBeEmpty)
 		}
+		Convey("Nor is it when the gang has ended and only its own end is not listed yet", func() {
+			f.end(p.Starts[1], EndDone, at(11*time.Second))
+			So(f.plan(at(15*time.Second)).Stops, ShouldBeEmpty)
+			So(f.workers["w0"].health.aside(at(15*time.Second)), ShouldBeFalse)
+		})
 		Convey("It is stopped once the other one stands still", func() {
 			So(progress(11*time.Second, 100, 50).Stops, ShouldBeEmpty)
 			So(progress(14*time.Second, 100, 50).Stops, ShouldHaveLength, 2)
