--- a/internal/cluster/coordinator/orders.go
+++ b/internal/cluster/coordinator/orders.go
@@ -13,10 +13,10 @@
 
 // startTimeouts are the time limits of a start's attempts. All attempts carry the same run, which a worker starts once.
 // Together they stay well under the time that members of a gang wait for each other.
-var startTimeouts = [...]time.Duration{300 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond}
+var startTimeouts = [...]time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond}
 
 const (
-	stopTimeout    = 400 * time.Millisecond
+	stopTimeout    = 250 * time.Millisecond
 	stopRetryFirst = 50 * time.Millisecond
 	stopRetryLimit = 400 * time.Millisecond
 )
--- a/internal/cluster/coordinator/runner.go
+++ b/internal/cluster/coordinator/runner.go
@@ -15,8 +15,8 @@
 const (
 	// renewWait is how long a worker holds its answer back until a run ends. It bounds the age of the progress that is
 	// known and, with renewTimeout, the time until a silent worker is noticed.
-	renewWait    = 1000 * time.Millisecond
-	renewTimeout = 700 * time.Millisecond
+	renewWait    = 600 * time.Millisecond
+	renewTimeout = 250 * time.Millisecond
 	// renewPause gathers ends that come together into one answer.
 	renewPause = 15 * time.Millisecond
 	// ackWait is how long the next renewal waits for the ends of the last one to become durable. A renewal that does not
--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	ErrNoSuchJob = errors.New("entry: no such job")
 	// ErrUnavailable means that the state can't be told now.
 	ErrUnavailable = errors.New("entry: state unavailable")
+
+	errNoPeer = errors.New("entry: no peer is known")
 )
 
 const (
@@ -36,11 +39,11 @@
 	readTimeout = 900 * time.Millisecond
 	// ownerTimeout is the limit of one question to the owner.
 	ownerTimeout = 400 * time.Millisecond
-	retryDelay   = 60 * time.Millisecond
-	// ownStoreTries are the refusals of the store after which peers are asked to store instead.
-	ownStoreTries = 1
-	// relayPeers is how many peers are asked at most.
-	relayPeers = 2
+	retryDelay   = 30 * time.Millisecond
+	// waysToStore are this host's own access to the store and a peer's.
+	waysToStore = 2
+	// troubleTime is how long peers are asked first after this host's access to the store failed.
+	troubleTime = time.Second
 	// pendingAge is how long a count of waiting jobs may be given again.
 	pendingAge = 400 * time.Millisecond
 )
@@ -60,8 +63,9 @@
 type Entry struct {
 	Deps
 
-	mu     sync.Mutex
-	counts map[string]pendingCount
+	mu            sync.Mutex
+	counts        map[string]pendingCount
+	troubledUntil time.Time // peers are asked first to store
 }
 
 type pendingCount struct {
@@ -74,20 +78,16 @@
 
 // Submit accepts a job. A job with the id of an accepted one is that one. Errors: ErrNotAccepted, ErrUnknown.
 func (e *Entry) Submit(ctx context.Context, spec *workload.Spec) error {
-	outcome, err := e.StoreJob(ctx, spec)
-	if outcome == peers.NotStored {
-		outcome, err = e.relay(ctx, err, func(addr string) (peers.StoreOutcome, error) { return e.Peers.Submit(ctx, addr, spec) })
-	}
-	return outcomeError(outcome, err)
+	return outcomeError(e.store(ctx,
+		func() (peers.StoreOutcome, error) { return e.StoreJob(ctx, spec) },
+		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Submit(ctx, addr, spec) }))
 }
 
 // Cancel ends a job. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
 func (e *Entry) Cancel(ctx context.Context, id string) error {
-	outcome, err := e.StoreCancel(ctx, id)
-	if outcome == peers.NotStored {
-		outcome, err = e.relay(ctx, err, func(addr string) (peers.StoreOutcome, error) { return e.Peers.Cancel(ctx, addr, id) })
-	}
-	return outcomeError(outcome, err)
+	return outcomeError(e.store(ctx,
+		func() (peers.StoreOutcome, error) { return e.StoreCancel(ctx, id) },
+		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Cancel(ctx, addr, id) }))
 }
 
 func outcomeError(o peers.StoreOutcome, cause error) error {
@@ -106,25 +106,70 @@
 	return errors.Wrap(ErrUnknown, text)
 }
 
-// relay lets peers write while the store refuses this host: at times it serves others.
-func (e *Entry) relay(ctx context.Context, cause error, write func(addr string) (peers.StoreOutcome, error)) (peers.StoreOutcome, error) {
-	hosts := e.Roster.Hosts()
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	tried := 0
-	for _, h := range hosts {
-		if h.Host == e.Self.Host || tried == relayPeers || ctx.Err() != nil {
-			continue
+// store writes by this host's access to the store or by a peer's: at times the store refuses some hosts and serves others.
+// Once an attempt may have taken effect, it goes on until one certainly has, or until ctx ends; before, it gives up after
+// both ways were refused.
+func (e *Entry) store(ctx context.Context, own func() (peers.StoreOutcome, error), by func(addr string) (peers.StoreOutcome, error)) (peers.StoreOutcome, error) {
+	unknown, refused := false, 0
+	peersFirst := e.troubled()
+	for {
+		var outcome peers.StoreOutcome
+		var err error
+		if peersFirst {
+			outcome, err = e.byPeer(by)
+		} else {
+			outcome, err = own()
+			e.noteOwn(outcome)
 		}
-		tried++
-		outcome, err := write(h.Addr)
-		if outcome != peers.NotStored {
+		peersFirst = !peersFirst
+		switch outcome {
+		case peers.Stored, peers.NoSuchJob:
 			return outcome, err
+		case peers.NotStored:
+			refused++
+		default:
+			unknown = true
+		}
+		if !unknown && refused >= waysToStore {
+			return peers.NotStored, err
+		}
+		if !wait.For(ctx, retryDelay) {
+			if unknown {
+				return peers.StoreUnknown, err
+			}
+			return peers.NotStored, err
 		}
 	}
-	return peers.NotStored, cause
 }
 
-// StoreJob writes the row of a job, and tries again while the outcome is not known.
+// byPeer lets one of the peers write, chosen at random.
+func (e *Entry) byPeer(by func(addr string) (peers.StoreOutcome, error)) (peers.StoreOutcome, error) {
+	hosts := e.Roster.Hosts()
+	hosts = slices.DeleteFunc(hosts, func(h peers.Host) bool { return h.Host == e.Self.Host })
+	if len(hosts) == 0 {
+		return peers.NotStored, errNoPeer
+	}
+	return by(hosts[rand.IntN(len(hosts))].Addr)
+}
+
+// noteOwn remembers whether this host's access to the store works.
+func (e *Entry) noteOwn(o peers.StoreOutcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o == peers.Stored || o == peers.NoSuchJob {
+		e.troubledUntil = time.Time{}
+	} else {
+		e.troubledUntil = time.Now().Add(troubleTime)
+	}
+}
+
+func (e *Entry) troubled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.troubledUntil)
+}
+
+// StoreJob writes the row of a job by this host's access to the store.
 func (e *Entry) StoreJob(ctx context.Context, spec *workload.Spec) (peers.StoreOutcome, error) {
 	value, err := workload.EncodeSpec(spec)
 	if err != nil {
@@ -158,23 +203,14 @@
 
 // write commits a row that must be absent. A conflict means that it is there already, by an earlier attempt.
 func (e *Entry) write(ctx context.Context, txn rowstore.Txn) (peers.StoreOutcome, error) {
-	unknown := false
-	for tries := 1; ; tries++ {
-		_, err := e.Store.Commit(ctx, txn)
-		if err == nil || errors.Is(err, rowstore.ErrConflict) {
-			return peers.Stored, nil
-		}
-		unknown = unknown || !errors.Is(err, rowstore.ErrUnavailable)
-		if !unknown && tries >= ownStoreTries {
-			return peers.NotStored, err
-		}
-		if !wait.For(ctx, retryDelay) {
-			if unknown {
-				return peers.StoreUnknown, err
-			}
-			return peers.NotStored, err
-		}
+	_, err := e.Store.Commit(ctx, txn)
+	switch {
+	case err == nil, errors.Is(err, rowstore.ErrConflict):
+		return peers.Stored, nil
+	case errors.Is(err, rowstore.ErrUnavailable):
+		return peers.NotStored, err
 	}
+	return peers.StoreUnknown, err
 }
 
 // Lookup returns a job's state: from the owner, and from the store if the owner can't tell. Errors: ErrNoSuchJob,
