Tell the owner of jobs at once; offer the ownership while the store refuses its owner

Change: an owner whose commits are refused, or unanswered for 1.4 s, asks peers one by one to claim; an entry host that has stored a job or a cancellation tells the owner. The memory network of the system tests becomes a package, so that the tests of the platform's daemon can use it.

--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +38,10 @@
 	// watchTimeout is how long the owner may take to answer a watch; it holds its answers back for half a second.
 	watchTimeout = 900 * time.Millisecond
 	watchRetry   = 100 * time.Millisecond
+	// takeOverTimeout is how long a peer tries to claim an ownership that it was offered; offerTimeout includes the way.
+	takeOverTimeout = 500 * time.Millisecond
+	offerTimeout    = 700 * time.Millisecond
+	offerRetry      = 100 * time.Millisecond
 	// releaseTimeout bounds the hand-over of the ownership when the daemon stops.
 	releaseTimeout = 1500 * time.Millisecond
 )
@@ -119,7 +125,7 @@
 
 func (n *Node) servePeers() error {
 	e := gin.New()
-	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.Entry, n.parts.Self.Boot, n.parts.Log).Register(e)
+	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.Entry, n, n.parts.Self.Boot, n.parts.Log).Register(e)
 	admin.NewHealth(e, n.parts.Readiness, n.parts.Metrics, Version)
 	e.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
 	e.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
@@ -168,7 +174,10 @@
 
 // own carries out the owner's duties and releases the ownership when the daemon stops.
 func (n *Node) own(ctx context.Context, held *tenure.Tenure) {
+	offering, stop := context.WithCancel(ctx)
+	n.lead.Go(func() { n.offer(offering, held) })
 	err := n.parts.Coordinator.Run(ctx, held)
+	stop()
 	if err != nil {
 		n.parts.Log.Warn("term ended", zap.Int64("epoch", held.Epoch()), asynclog.Error(err))
 	}
@@ -187,6 +196,57 @@
 	n.parts.Log.Info("ownership released", zap.Int64("epoch", held.Epoch()), zap.String("successor", successor))
 }
 
+// offer asks peers to take over while the store does not serve this owner: it may serve them.
+func (n *Node) offer(ctx context.Context, held *tenure.Tenure) {
+	for wait.For(ctx, electInterval) && !held.Lost() {
+		if !held.Troubled() {
+			continue
+		}
+		h, ok := n.randomPeer()
+		if !ok {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
+		claimed, err := n.parts.Peers.Offer(callCtx, h.Addr, n.parts.Self.Boot)
+		cancel()
+		n.parts.Log.Info("ownership offered", zap.String("to", h.Host), zap.Int64("epoch", held.Epoch()), zap.Bool("claimed", claimed),
+			zap.Duration("confirmed_age", held.ConfirmedAge()), asynclog.Error(err))
+		if claimed {
+			held.GiveUp()
+			return
+		}
+		wait.For(ctx, offerRetry)
+	}
+}
+
+func (n *Node) randomPeer() (peers.Host, bool) {
+	hosts := slices.DeleteFunc(n.parts.Roster.Hosts(), func(h peers.Host) bool { return h.Host == n.parts.Self.Host })
+	if len(hosts) == 0 {
+		return peers.Host{}, false
+	}
+	return hosts[rand.IntN(len(hosts))], true
+}
+
+// TakeOver implements peers.Successor.
+func (n *Node) TakeOver(ctx context.Context, boot string) bool {
+	v := n.parts.Watch.View()
+	if v.Owner.Boot != boot || n.parts.Readiness.Draining() {
+		return false
+	}
+	n.parts.Watch.Offer(boot, true)
+	defer n.parts.Watch.Offer(boot, false)
+	limit := time.Now().Add(takeOverTimeout)
+	for time.Now().Before(limit) && wait.For(ctx, electInterval) {
+		if n.parts.Coordinator.Epoch() > v.Owner.Epoch {
+			return true
+		}
+		if now := n.parts.Watch.View().Owner; now.Boot != boot {
+			return now.Boot == n.parts.Self.Boot
+		}
+	}
+	return false
+}
+
 // successor is the host that started last: in a rolling restart it is the last one that will be restarted again.
 func (n *Node) successor() string {
 	var best peers.Host
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -86,6 +86,20 @@
 	return t.sched.Pending()[queue], nil
 }
 
+// TakeJob tells the owner of a job that is stored. Without a term it does nothing: the next owner reads the job.
+func (c *Coordinator) TakeJob(spec *workload.Spec) {
+	if t := c.current(); t != nil {
+		t.takeJob(spec)
+	}
+}
+
+// TakeCancel tells the owner of a cancellation that is stored.
+func (c *Coordinator) TakeCancel(id string) {
+	if t := c.current(); t != nil {
+		t.takeCancel(id)
+	}
+}
+
 // Run carries out the owner's duties until ctx ends or the ownership is lost.
 func (c *Coordinator) Run(ctx context.Context, held *tenure.Tenure) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -174,14 +174,18 @@
 			t.sched.AddEnded(r.Name, p)
 			continue
 		}
+		if t.sched.Known(r.Name) {
+			continue // an entry host has told of it before the feed
+		}
 		spec, err := workload.DecodeSpec(r.Value)
 		if err != nil {
 			t.log.Error("job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
 			continue
 		}
-		if t.sched.AddJob(now, spec, progress[spec.ID], inherited) && !inherited {
-			t.log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue.Name),
-				zap.Int64("version", r.Version), zap.Duration("age", now.Sub(spec.Accepted)))
+		if inherited {
+			t.sched.AddJob(now, spec, progress[spec.ID], true)
+		} else {
+			t.addJob(now, spec, "feed")
 		}
 	}
 	for _, r := range rows {
@@ -189,13 +193,39 @@
 		if !cancelled || r.Deleted {
 			continue
 		}
-		known := t.sched.Cancel(now, id)
-		if !inherited {
-			t.log.Info("job cancelled", zap.String("job", id), zap.Int64("version", r.Version), zap.Bool("known", known))
-		}
+		t.cancelJob(now, id, "feed")
+	}
+}
+
+func (t *term) addJob(now time.Time, spec *workload.Spec, from string) {
+	if t.sched.AddJob(now, spec, nil, false) {
+		t.log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue.Name), zap.String("from", from),
+			zap.Duration("age", now.Sub(spec.Accepted)))
 	}
 }
 
+func (t *term) cancelJob(now time.Time, id, from string) {
+	if t.sched.Cancel(now, id) {
+		t.log.Info("job cancelled", zap.String("job", id), zap.String("from", from))
+	}
+}
+
+// takeJob takes a job that an entry host has stored. The feed brings it too, at times a second later.
+func (t *term) takeJob(spec *workload.Spec) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addJob(time.Now(), spec, "entry")
+	t.wake()
+	wait.Signal(t.save) // new jobs wait for a commit
+}
+
+func (t *term) takeCancel(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cancelJob(time.Now(), id, "entry")
+	t.wake()
+}
+
 // Snapshot implements rowstore.Handler for the table of jobs.
 func (t *term) Snapshot(rows []rowstore.Row) { t.Apply(rows) }
 
--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
@@ -44,6 +45,8 @@
 	waysToStore = 2
 	// troubleTime is how long peers are asked first after this host's access to the store failed.
 	troubleTime = time.Second
+	// maxTelling bounds the calls that tell the owner of changes.
+	maxTelling = 32
 	// pendingAge is how long a count of waiting jobs may be given again.
 	pendingAge = 400 * time.Millisecond
 )
@@ -65,7 +68,8 @@
 
 	mu            sync.Mutex
 	counts        map[string]pendingCount
-	troubledUntil time.Time // peers are asked first to store
+	telling       chan struct{} // holds a value for each call of tellOwner in progress
+	troubledUntil time.Time     // peers are asked first to store
 }
 
 type pendingCount struct {
@@ -74,20 +78,54 @@
 }
 
 // New returns an entry.
-func New(d Deps) *Entry { return &Entry{Deps: d, counts: map[string]pendingCount{}} }
+func New(d Deps) *Entry {
+	return &Entry{Deps: d, counts: map[string]pendingCount{}, telling: make(chan struct{}, maxTelling)}
+}
 
 // Submit accepts a job. A job with the id of an accepted one is that one. Errors: ErrNotAccepted, ErrUnknown.
 func (e *Entry) Submit(ctx context.Context, spec *workload.Spec) error {
-	return outcomeError(e.store(ctx,
+	outcome, err := e.store(ctx,
 		func() (peers.StoreOutcome, error) { return e.StoreJob(ctx, spec) },
-		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Submit(ctx, addr, spec) }))
+		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Submit(ctx, addr, spec) })
+	if outcome == peers.Stored {
+		e.Coordinator.TakeJob(spec)
+		e.tellOwner(func(ctx context.Context, addr string) error { return e.Peers.TakeJob(ctx, addr, spec) })
+	}
+	return outcomeError(outcome, err)
 }
 
 // Cancel ends a job. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
 func (e *Entry) Cancel(ctx context.Context, id string) error {
-	return outcomeError(e.store(ctx,
+	outcome, err := e.store(ctx,
 		func() (peers.StoreOutcome, error) { return e.StoreCancel(ctx, id) },
-		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Cancel(ctx, addr, id) }))
+		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Cancel(ctx, addr, id) })
+	if outcome == peers.Stored {
+		e.Coordinator.TakeCancel(id)
+		e.tellOwner(func(ctx context.Context, addr string) error { return e.Peers.TakeCancel(ctx, addr, id) })
+	}
+	return outcomeError(outcome, err)
+}
+
+// tellOwner passes a stored change on, so that the owner need not wait for its feed. A call that fails is made up for by
+// the feed, so it is not repeated; beyond a bounded number of calls in progress none is made.
+func (e *Entry) tellOwner(tell func(ctx context.Context, addr string) error) {
+	owner := e.Watch.View().Owner
+	if owner.Addr == "" || owner.Boot == e.Self.Boot {
+		return
+	}
+	select {
+	case e.telling <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-e.telling }()
+		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+		defer cancel()
+		if err := tell(ctx, owner.Addr); err != nil {
+			e.Log.Debug("owner not told, its feed brings the change", zap.String("owner", owner.Host), asynclog.Error(err))
+		}
+	}()
 }
 
 func outcomeError(o peers.StoreOutcome, cause error) error {
@@ -96,7 +134,7 @@
 		text = cause.Error()
 	}
 	switch o {
-	case peers.Stored:
+	case peers.Stored, peers.StoredBefore:
 		return nil
 	case peers.NoSuchJob:
 		return ErrNoSuchJob
@@ -123,7 +161,7 @@
 		}
 		peersFirst = !peersFirst
 		switch outcome {
-		case peers.Stored, peers.NoSuchJob:
+		case peers.Stored, peers.StoredBefore, peers.NoSuchJob:
 			return outcome, err
 		case peers.NotStored:
 			refused++
@@ -156,7 +194,7 @@
 func (e *Entry) noteOwn(o peers.StoreOutcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if o == peers.Stored || o == peers.NoSuchJob {
+	if o == peers.Stored || o == peers.StoredBefore || o == peers.NoSuchJob {
 		e.troubledUntil = time.Time{}
 	} else {
 		e.troubledUntil = time.Now().Add(troubleTime)
@@ -205,8 +243,10 @@
 func (e *Entry) write(ctx context.Context, txn rowstore.Txn) (peers.StoreOutcome, error) {
 	_, err := e.Store.Commit(ctx, txn)
 	switch {
-	case err == nil, errors.Is(err, rowstore.ErrConflict):
+	case err == nil:
 		return peers.Stored, nil
+	case errors.Is(err, rowstore.ErrConflict):
+		return peers.StoredBefore, nil
 	case errors.Is(err, rowstore.ErrUnavailable):
 		return peers.NotStored, err
 	}
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -36,6 +36,8 @@
 	watchPath   = "/peer/v1/watch"
 	submitPath  = "/peer/v1/submit"
 	cancelPath  = "/peer/v1/cancel"
+	offerPath   = "/peer/v1/offer"
+	takePath    = "/peer/v1/take"
 )
 
 type lookupRequest struct {
@@ -65,6 +67,22 @@
 	ValidityMS int64                `json:"validity_ms"`
 }
 
+// takeRequest tells the owner of a stored change: a job, or the cancellation of one.
+type takeRequest struct {
+	Job    *workload.Spec `json:"job,omitempty"`
+	Cancel string         `json:"cancel,omitempty"`
+}
+
+type takeAnswer struct{}
+
+type offerRequest struct {
+	Boot string `json:"boot"`
+}
+
+type offerAnswer struct {
+	Claimed bool `json:"claimed"`
+}
+
 type watchRequest struct {
 	Boot string `json:"boot"`
 }
@@ -125,6 +143,23 @@
 	return a.Boot, a.Owner, err
 }
 
+// TakeJob tells the owner of a job that is stored, so that it need not wait for the feed.
+func (c *Client) TakeJob(ctx context.Context, addr string, spec *workload.Spec) error {
+	return c.call(ctx, addr, takePath, takeRequest{Job: spec}, &takeAnswer{})
+}
+
+// TakeCancel tells the owner of a cancellation that is stored.
+func (c *Client) TakeCancel(ctx context.Context, addr, id string) error {
+	return c.call(ctx, addr, takePath, takeRequest{Cancel: id}, &takeAnswer{})
+}
+
+// Offer asks a peer to take the ownership over from the process boot. It reports whether the peer did.
+func (c *Client) Offer(ctx context.Context, addr, boot string) (bool, error) {
+	var a offerAnswer
+	err := c.call(ctx, addr, offerPath, offerRequest{boot}, &a)
+	return a.Claimed, err
+}
+
 func (c *Client) call(ctx context.Context, addr, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -28,6 +28,7 @@
 	coordinator *coordinator.Coordinator
 	adviser     Adviser
 	submitter   Submitter
+	successor   Successor
 	boot        string
 	log         *zap.Logger
 }
@@ -39,20 +40,27 @@
 	StoreCancel(ctx context.Context, id string) (StoreOutcome, error)
 }
 
+// Successor takes the ownership over from an owner that the store doesn't serve.
+type Successor interface {
+	// TakeOver reports whether this daemon has claimed the ownership from the process boot.
+	TakeOver(ctx context.Context, boot string) bool
+}
+
 // StoreOutcome is what became of a write for a caller.
 type StoreOutcome string
 
 // Outcomes of writes.
 const (
 	Stored       StoreOutcome = "stored"
+	StoredBefore StoreOutcome = "stored_before" // the row was there already
 	NotStored    StoreOutcome = "not_stored"    // certainly, and it never will be
 	StoreUnknown StoreOutcome = "store_unknown" // it may be stored, or be stored later
 	NoSuchJob    StoreOutcome = "no_such_job"
 )
 
 // NewServer returns a server of the process boot.
-func NewServer(c *coordinator.Coordinator, a Adviser, s Submitter, boot string, log *zap.Logger) *Server {
-	return &Server{c, a, s, boot, log}
+func NewServer(c *coordinator.Coordinator, a Adviser, s Submitter, next Successor, boot string, log *zap.Logger) *Server {
+	return &Server{c, a, s, next, boot, log}
 }
 
 // Register adds the routes.
@@ -63,6 +71,8 @@
 	e.POST(watchPath, s.watch)
 	e.POST(submitPath, s.submit)
 	e.POST(cancelPath, s.cancel)
+	e.POST(offerPath, s.offer)
+	e.POST(takePath, s.take)
 }
 
 // refuse answers an error.
@@ -132,6 +142,28 @@
 	c.JSON(http.StatusOK, watchAnswer{s.boot, s.coordinator.Epoch() > 0})
 }
 
+func (s *Server) take(c *gin.Context) {
+	in, ok := read[takeRequest](c)
+	if !ok {
+		return
+	}
+	if in.Job != nil {
+		s.coordinator.TakeJob(in.Job)
+	}
+	if in.Cancel != "" {
+		s.coordinator.TakeCancel(in.Cancel)
+	}
+	c.JSON(http.StatusOK, takeAnswer{})
+}
+
+func (s *Server) offer(c *gin.Context) {
+	in, ok := read[offerRequest](c)
+	if !ok {
+		return
+	}
+	c.JSON(http.StatusOK, offerAnswer{s.successor.TakeOver(c.Request.Context(), in.Boot)})
+}
+
 type storeAnswer struct {
 	Outcome StoreOutcome `json:"outcome"`
 }
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -192,18 +192,22 @@
 	return true
 }
 
-// Cancel ends a job by its caller's wish. It reports false if the job is not known.
+// Cancel ends a job by its caller's wish. It reports whether that changed anything.
 func (s *Scheduler) Cancel(now time.Time, id string) bool {
 	j, ok := s.jobs[id]
-	if !ok {
+	if !ok || j.state.Final() {
 		return false
 	}
-	if !j.state.Final() {
-		s.finish(j, workload.Cancelled, now)
-	}
+	s.finish(j, workload.Cancelled, now)
 	return true
 }
 
+// Known reports whether the job was added.
+func (s *Scheduler) Known(id string) bool {
+	_, ok := s.jobs[id]
+	return ok
+}
+
 // finish gives a job its final state and stops what still runs of it.
 func (s *Scheduler) finish(j *job, state workload.State, now time.Time) {
 	j.state, j.ended = state, now
--- a/internal/cluster/tenure/candidate.go
+++ b/internal/cluster/tenure/candidate.go
@@ -39,6 +39,8 @@
 	// GoneAt is when the owner's process was found to be gone: its address refuses connections or belongs to another
 	// process. Zero if it wasn't.
 	GoneAt time.Time
+	// Offered tells that the owner has asked this daemon to take over.
+	Offered bool
 	// Unreachable tells that the owner doesn't answer its peers.
 	Unreachable bool
 }
@@ -63,6 +65,9 @@
 		}
 		return now.Sub(v.ChangedAt) > wait
 	}
+	if v.Offered {
+		return true
+	}
 	if v.Owner.Boot == self.Boot {
 		return true // this process no longer acts as the owner
 	}
@@ -125,7 +130,7 @@
 		if o.Epoch != w.v.Owner.Epoch || o.Released != w.v.Owner.Released {
 			w.log.Info("owner changed", zap.String("owner", o.Host), zap.String("addr", o.Addr), zap.Int64("epoch", o.Epoch),
 				zap.Bool("released", o.Released), zap.String("successor", o.Successor), zap.Int64("version", r.Version))
-			w.v.GoneAt, w.v.Unreachable = time.Time{}, false
+			w.v.GoneAt, w.v.Unreachable, w.v.Offered = time.Time{}, false, false
 		}
 		w.ver, w.v.Present, w.v.Owner, w.v.ChangedAt = r.Version, true, o, time.Now()
 	}
@@ -164,6 +169,15 @@
 	w.v.Unreachable = !ok
 }
 
+// Offer notes whether the owner asks this daemon to take over.
+func (w *Watch) Offer(boot string, offered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.v.Owner.Boot == boot {
+		w.v.Offered = offered
+	}
+}
+
 // View returns what is known of the owner.
 func (w *Watch) View() View {
 	w.mu.Lock()
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -40,6 +40,11 @@
 	// outages of the store, and a successor waits for it before it gives up on workers that it can't reach.
 	Validity = 8 * time.Second
 
+	// refusedLimit and unansweredLimit are when an owner offers the ownership to others. Commits come at least every
+	// BeatInterval, and one of a store that answers 70 times slower than usual takes 400 ms.
+	refusedLimit    = 150 * time.Millisecond
+	unansweredLimit = 1400 * time.Millisecond
+
 	resendDelay = 20 * time.Millisecond
 )
 
@@ -80,8 +85,9 @@
 	lastBeat time.Time
 	released bool
 
-	confirmed atomic.Int64 // since() before the last confirmed commit was sent
-	lost      atomic.Bool
+	refusedSince atomic.Int64 // since() of the first of the commits that were refused in a row; 0 if the last was not
+	confirmed    atomic.Int64 // since() before the last confirmed commit was sent
+	lost         atomic.Bool
 }
 
 // Claim takes the ownership over from the owner of an epoch, 0 for the first one. It fails with ErrLost if another daemon
@@ -123,6 +129,16 @@
 // ConfirmedAge is the time since the last confirmed commit was sent.
 func (t *Tenure) ConfirmedAge() time.Duration { return t.since() - time.Duration(t.confirmed.Load()) }
 
+// Troubled reports whether the store has refused this owner for a while, or has not answered it for longer than a slow
+// store takes. Other hosts may be served, so the ownership is better offered to them.
+func (t *Tenure) Troubled() bool {
+	refused := t.refusedSince.Load()
+	return refused != 0 && t.since()-time.Duration(refused) > refusedLimit || t.ConfirmedAge() > unansweredLimit
+}
+
+// GiveUp ends the ownership after another daemon has said that it claimed it.
+func (t *Tenure) GiveUp() { t.lost.Store(true) }
+
 // Lost reports whether the ownership is known to be over.
 func (t *Tenure) Lost() bool { return t.lost.Load() }
 
@@ -174,6 +190,7 @@
 			txn.Conditions[0].Version = t.version
 			continue
 		case errors.Is(err, rowstore.ErrUnavailable) && !unknown:
+			t.refusedSince.CompareAndSwap(0, int64(asked))
 			return err
 		case errors.Is(err, rowstore.ErrUnknownOutcome):
 			unknown = true
@@ -217,6 +234,7 @@
 
 func (t *Tenure) commitDone(version int64, asked time.Duration, beat bool) {
 	t.version = version
+	t.refusedSince.Store(0)
 	t.confirmed.Store(int64(asked))
 	if beat {
 		t.lastBeat = time.Now()
--- a/internal/cluster/tenure/tenure_test.go
+++ b/internal/cluster/tenure/tenure_test.go
@@ -150,6 +150,41 @@
 	})
 }
 
+// Guards against an owner that keeps the ownership to itself while the store refuses it, and against one that gives it
+// away because the store is only slow.
+func TestTroubledOwner(t *testing.T) {
+	Convey("Given an owner", t, func() {
+		ctx := context.Background()
+		clock := &stepClock{now: time.Hour}
+		store := rowstore.NewMemory()
+		a, err := Claim(ctx, store, identity("a"), 0, clock.since)
+		So(err, ShouldBeNil)
+		Convey("It is troubled soon after the store began to refuse it, until a commit succeeds", func() {
+			refuse := true
+			store.Fail = func() error {
+				if refuse {
+					return rowstore.ErrUnavailable
+				}
+				return nil
+			}
+			So(a.Commit(ctx, nil, nil), ShouldNotBeNil)
+			So(a.Troubled(), ShouldBeFalse)
+			clock.now += 2 * refusedLimit
+			So(a.Commit(ctx, nil, nil), ShouldNotBeNil)
+			So(a.Troubled(), ShouldBeTrue)
+			refuse = false
+			So(a.Commit(ctx, nil, nil), ShouldBeNil)
+			So(a.Troubled(), ShouldBeFalse)
+		})
+		Convey("It is not troubled by commits that take a second, and is after longer silence", func() {
+			clock.now += BeatInterval + 800*time.Millisecond
+			So(a.Troubled(), ShouldBeFalse)
+			clock.now += 200 * time.Millisecond
+			So(a.Troubled(), ShouldBeTrue)
+		})
+	})
+}
+
 // Guards against needless changes of the owner and against an ownership that nobody takes.
 func TestShouldClaim(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
@@ -174,6 +209,8 @@
 		{"a beat that is late, and the owner does not answer", view(func(v *View) { v.ChangedAt = ago(2 * time.Second); v.Unreachable = true }), true},
 		{"the owner's process is gone", view(func(v *View) { v.ChangedAt = ago(400 * time.Millisecond); v.GoneAt = ago(300 * time.Millisecond) }), true},
 		{"only the path to the owner is refused", view(func(v *View) { v.GoneAt = ago(time.Second) }), false},
+		{"offered by the owner", view(func(v *View) { v.Offered = true }), true},
+		{"offered while the store does not answer here", view(func(v *View) { v.Offered = true; v.FedAt = ago(2 * time.Second) }), false},
 		{"released to this host", view(func(v *View) { v.Owner.Released = true; v.Owner.Successor = "self" }), true},
 		{"released to another host", view(func(v *View) {
 			v.Owner.Released = true
--- a/internal/systemtest/network_test.go
+++ b/internal/memnet/memnet.go
@@ -1,4 +1,6 @@
-package systemtest
+// Package memnet connects parties of a test in memory: cuts, silent connections, lost responses and ends of processes, also
+// under virtual time.
+package memnet
 
 import (
 	"context"
@@ -14,58 +16,58 @@
 	"github.com/greengagewing/greengagewing/internal/network"
 )
 
-// latency is the time that a message takes from one party to another.
-const latency = time.Millisecond
+// Latency is the time that a message takes from one party to another.
+const Latency = time.Millisecond
 
-// memNet connects parties in memory. A connection that was silenced once stays silent, as one does whose path was lost.
-type memNet struct {
+// Net connects parties in memory. A connection that was silenced once stays silent, as one does whose path was lost.
+type Net struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
-	conns     map[*conn]struct{} // the dialers' ends
-	dialing   atomic.Int32
+	conns     map[*Conn]struct{} // the dialers' ends
+	Dialing   atomic.Int32
 	cuts      map[string]func(a, b string) bool
 	changed   chan struct{} // closed at the next change of cuts
-	// sent is called for every message from a dialer. It must not block.
-	sent func(from, to string, message []byte)
+	// Sent is called for every message from a dialer. It must not block.
+	Sent func(from, to string, message []byte)
 	// loses decides whether the response to a message of a dialer is lost; then its connection carries nothing back any
 	// more.
 	loses func(to string, message []byte) bool
-	// carried is called for every message in either direction, with the dialer's end of its connection. It must not block.
-	carried func(c *conn, message []byte)
+	// Carried is called for every message in either direction, with the dialer's end of its connection. It must not block.
+	Carried func(c *Conn, message []byte)
 }
 
-func newMemNet() *memNet {
-	return &memNet{
-		listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, cuts: map[string]func(a, b string) bool{},
-		changed: make(chan struct{}), sent: func(string, string, []byte) {},
-		loses: func(string, []byte) bool { return false }, carried: func(*conn, []byte) {},
+func New() *Net {
+	return &Net{
+		listeners: map[string]*listener{}, conns: map[*Conn]struct{}{}, cuts: map[string]func(a, b string) bool{},
+		changed: make(chan struct{}), Sent: func(string, string, []byte) {},
+		loses: func(string, []byte) bool { return false }, Carried: func(*Conn, []byte) {},
 	}
 }
 
-// party is one process. Its name stands for all of its addresses.
-type party struct {
-	net  *memNet
+// Party is one process. Its name stands for all of its addresses.
+type Party struct {
+	net  *Net
 	name string // empty: each address is a party of its own
 	dead chan struct{}
 }
 
-func (n *memNet) join(name string) *party {
-	return &party{net: n, name: name, dead: make(chan struct{})}
+func (n *Net) Join(name string) *Party {
+	return &Party{net: n, name: name, dead: make(chan struct{})}
 }
 
-func (p *party) network() network.Network {
-	return network.Network{Dial: p.dial, Listen: p.listen}
+func (p *Party) Network() network.Network {
+	return network.Network{Dial: p.Dial, Listen: p.Listen}
 }
 
-// cut severs all pairs of parties that match, until heal is called with the same label. Open connections become silent.
-func (n *memNet) cut(label string, match func(a, b string) bool) {
+// Cut severs all pairs of parties that match, until heal is called with the same label. Open connections become silent.
+func (n *Net) Cut(label string, match func(a, b string) bool) {
 	n.mu.Lock()
 	n.cuts[label] = match
 	n.mu.Unlock()
-	n.silence(match)
+	n.Silence(match)
 }
 
-func (n *memNet) heal(label string) {
+func (n *Net) Heal(label string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.cuts, label)
@@ -73,20 +75,20 @@
 	n.changed = make(chan struct{})
 }
 
-// silence makes the open connections of all matching pairs carry nothing any more. New ones work.
-func (n *memNet) silence(match func(a, b string) bool) {
+// Silence makes the open connections of all matching pairs carry nothing any more. New ones work.
+func (n *Net) Silence(match func(a, b string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
-		if matches(match, c.from, c.to) {
+		if matches(match, c.From, c.To) {
 			c.in.silence()
 			c.out.silence()
 		}
 	}
 }
 
-// loseResponses replaces the decision about lost responses.
-func (n *memNet) loseResponses(loses func(to string, message []byte) bool) {
+// LoseResponses replaces the decision about lost responses.
+func (n *Net) LoseResponses(loses func(to string, message []byte) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loses = loses
@@ -94,9 +96,9 @@
 
 func matches(match func(a, b string) bool, a, b string) bool { return match(a, b) || match(b, a) }
 
-// kill ends a party as a crash of its process does: listeners and connections are closed at once and nothing is sent
+// Kill ends a party as a crash of its process does: listeners and connections are closed at once and nothing is sent
 // any more.
-func (p *party) kill() {
+func (p *Party) Kill() {
 	n := p.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -121,8 +123,8 @@
 	}
 }
 
-// killAll ends all connections and listeners.
-func (n *memNet) killAll() {
+// KillAll ends all connections and listeners.
+func (n *Net) KillAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
@@ -134,14 +136,14 @@
 	}
 }
 
-func (p *party) listen(_, addr string) (net.Listener, error) {
+func (p *Party) Listen(_, addr string) (net.Listener, error) {
 	n := p.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if p.isDead() || n.listeners[addr] != nil {
+	if p.Dead() || n.listeners[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}
 	}
-	l := &listener{owner: p, addr: memAddr(addr), accepted: make(chan *conn, 1024), closed: make(chan struct{})}
+	l := &listener{owner: p, addr: memAddr(addr), accepted: make(chan *Conn, 1024), closed: make(chan struct{})}
 	l.name = p.name
 	if l.name == "" {
 		l.name = addr
@@ -150,7 +152,7 @@
 	return l, nil
 }
 
-func (p *party) isDead() bool {
+func (p *Party) Dead() bool {
 	select {
 	case <-p.dead:
 		return true
@@ -159,9 +161,9 @@
 	}
 }
 
-func (p *party) dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	p.net.dialing.Add(1)
-	defer p.net.dialing.Add(-1)
+func (p *Party) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	p.net.Dialing.Add(1)
+	defer p.net.Dialing.Add(-1)
 	failed := func(err error) (net.Conn, error) { return nil, &net.OpError{Op: "dial", Addr: memAddr(addr), Err: err} }
 	for {
 		c, changed, err := p.connect(addr)
@@ -169,7 +171,7 @@
 			return failed(err)
 		}
 		if c != nil {
-			time.Sleep(2 * latency)
+			time.Sleep(2 * Latency)
 			return c, nil
 		}
 		select {
@@ -183,11 +185,11 @@
 }
 
 // connect returns a connection, or a channel that is closed when a hanging dial may be tried again.
-func (p *party) connect(addr string) (*conn, <-chan struct{}, error) {
+func (p *Party) connect(addr string) (*Conn, <-chan struct{}, error) {
 	n := p.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if p.isDead() {
+	if p.Dead() {
 		return nil, nil, net.ErrClosed
 	}
 	l := n.listeners[addr]
@@ -204,8 +206,8 @@
 		return nil, nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	}
 	there, back := newPipe(), newPipe()
-	c := &conn{owner: p, from: p.name, to: to, in: back, out: there}
-	c.peer = &conn{owner: l.owner, from: to, to: p.name, in: there, out: back, peer: c}
+	c := &Conn{owner: p, From: p.name, To: to, in: back, out: there}
+	c.peer = &Conn{owner: l.owner, From: to, To: p.name, in: there, out: back, peer: c}
 	n.conns[c] = struct{}{}
 	select {
 	case l.accepted <- c.peer:
@@ -221,10 +223,10 @@
 func (a memAddr) String() string { return string(a) }
 
 type listener struct {
-	owner    *party
+	owner    *Party
 	name     string
 	addr     memAddr
-	accepted chan *conn
+	accepted chan *Conn
 	closed   chan struct{}
 	once     sync.Once
 }
@@ -261,26 +263,26 @@
 
 func (l *listener) Addr() net.Addr { return l.addr }
 
-// conn is one end of a connection.
-type conn struct {
-	owner    *party
-	from, to string
+// Conn is one end of a connection.
+type Conn struct {
+	owner    *Party
+	From, To string
 	in, out  *pipe
-	peer     *conn
+	peer     *Conn
 }
 
-func (c *conn) Read(b []byte) (int, error) { return c.in.read(b) }
+func (c *Conn) Read(b []byte) (int, error) { return c.in.read(b) }
 
-func (c *conn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	n := c.owner.net
 	n.mu.Lock()
 	_, dialer := n.conns[c]
-	loses, carried := n.loses, n.carried
+	loses, carried := n.loses, n.Carried
 	n.mu.Unlock()
 	if dialer {
 		carried(c, b)
-		n.sent(c.from, c.to, b)
-		if loses(c.to, b) {
+		n.Sent(c.From, c.To, b)
+		if loses(c.To, b) {
 			c.in.silence()
 		}
 	} else {
@@ -290,7 +292,7 @@
 }
 
 // Close ends both directions: the peer reads what was sent before and then the end.
-func (c *conn) Close() error {
+func (c *Conn) Close() error {
 	c.in.closeReader()
 	c.out.closeWriter()
 	n := c.owner.net
@@ -302,14 +304,14 @@
 	return nil
 }
 
-func (c *conn) LocalAddr() net.Addr  { return memAddr(c.from) }
-func (c *conn) RemoteAddr() net.Addr { return memAddr(c.to) }
+func (c *Conn) LocalAddr() net.Addr  { return memAddr(c.From) }
+func (c *Conn) RemoteAddr() net.Addr { return memAddr(c.To) }
 
-func (c *conn) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
-func (c *conn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
-func (c *conn) SetWriteDeadline(_ time.Time) error { return nil } // writes never block
+func (c *Conn) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
+func (c *Conn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
+func (c *Conn) SetWriteDeadline(_ time.Time) error { return nil } // writes never block
 
-// pipe carries bytes in one direction with the latency of the network. It is unbounded, so a write never blocks.
+// pipe carries bytes in one direction with the Latency of the network. It is unbounded, so a write never blocks.
 type pipe struct {
 	mu       sync.Mutex
 	chunks   []chunk
@@ -365,7 +367,7 @@
 		case p.err != nil:
 			err = syscall.ECONNRESET
 		default:
-			p.chunks = append(p.chunks, chunk{append([]byte(nil), b...), time.Now().Add(latency)})
+			p.chunks = append(p.chunks, chunk{append([]byte(nil), b...), time.Now().Add(Latency)})
 			n = len(b)
 		}
 	})
--- a/internal/systemtest/check_test.go
+++ b/internal/systemtest/check_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/ownership"
 )
@@ -217,7 +218,7 @@
 			w.partitions[h.Addr] = request.PartitionOfMinion(service, h.ID)
 		}
 	}
-	s.net.sent = w.sent
+	s.net.Sent = w.sent
 	w.sampler.Go(func() {
 		t := time.NewTicker(ownerSampling)
 		defer t.Stop()
--- a/internal/systemtest/cut_test.go
+++ b/internal/systemtest/cut_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
 )
@@ -43,12 +44,12 @@
 				}
 				time.Sleep(4 * time.Second)
 				before := s.owners.ownerChanges()
-				s.net.cut("victim", match(s, victim.name))
+				s.net.Cut("victim", match(s, victim.name))
 				time.Sleep(cutFor)
 				if s.owners.ownerChanges() == before {
 					t.Error("no partition of the cut daemon was taken over")
 				}
-				s.net.heal("victim")
+				s.net.Heal("victim")
 				s.allServed("after", takeoverBound, s.daemons...)
 				s.awaitJob("festival", "batch", time.Minute, job.Done, job.Failed, job.Unknown)
 				l.end()
@@ -85,7 +86,7 @@
 				time.Sleep(5 * time.Second)
 				changes := s.owners.ownerChanges()
 				for range 3 {
-					s.net.silence(match)
+					s.net.Silence(match)
 					time.Sleep(4 * time.Second)
 				}
 				s.allServed("after", 5*time.Second, s.daemons...)
@@ -110,7 +111,7 @@
 		victim := s.ownerOf("pool/" + service + "/0")
 		mine := s.customersOf(victim)
 		changes := s.owners.ownerChanges()
-		s.net.cut("victim", func(a, b string) bool { return a == victim.name && b == s.platform.TableAddr() })
+		s.net.Cut("victim", func(a, b string) bool { return a == victim.name && b == s.platform.TableAddr() })
 		began := time.Now()
 		for n := 0; time.Since(began) < cutFor; n++ {
 			p := s.daemons[n%len(s.daemons)]
@@ -122,7 +123,7 @@
 			}
 			time.Sleep(300 * time.Millisecond)
 		}
-		s.net.heal("victim")
+		s.net.Heal("victim")
 		s.allServed("after", 5*time.Second, s.daemons...)
 		time.Sleep(5 * time.Second)
 		if now := s.owners.ownerChanges(); now != changes {
@@ -143,7 +144,7 @@
 			s.customersOf(p)
 		}
 		scenario(s, func() {
-			s.net.cut("regions", func(a, b string) bool {
+			s.net.Cut("regions", func(a, b string) bool {
 				return regionOf[a] != "" && regionOf[b] != "" && regionOf[a] != regionOf[b]
 			})
 		})
@@ -175,10 +176,10 @@
 			s.duringRegionCut(n, near)
 			time.Sleep(5 * time.Second)
 		}
-		if n := s.net.dialing.Load(); n > maxDialing {
+		if n := s.net.Dialing.Load(); n > maxDialing {
 			t.Errorf("%d dials are open", n)
 		}
-		s.net.heal("regions")
+		s.net.Heal("regions")
 		s.allServed("after", 5*time.Second, s.daemons...)
 		if st := s.awaitJob("radio", "service", time.Second, job.Running); st.Counts[job.Running] != 2 {
 			t.Errorf("service has %v", st.Counts)
@@ -198,7 +199,7 @@
 	t.Parallel()
 	runRegions(t, 22, func(s *system, cut func()) {
 		var once sync.Once
-		s.net.loseResponses(func(to string, message []byte) bool {
+		s.net.LoseResponses(func(to string, message []byte) bool {
 			if to == s.platform.TableAddr() && bytes.HasPrefix(message, []byte("POST")) && bytes.Contains(message, []byte(`"list/allowances/log`)) {
 				once.Do(cut)
 			}
@@ -208,7 +209,7 @@
 			t.Error("the edit was not accepted")
 		}
 		time.Sleep(time.Minute)
-		s.net.heal("regions")
+		s.net.Heal("regions")
 		s.allServed("after", 5*time.Second, s.daemons...)
 		if !s.editInForce(s.daemons[1]) {
 			t.Error("no edit is accepted after the cut")
--- a/internal/systemtest/lists_test.go
+++ b/internal/systemtest/lists_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/plan"
 )
 
@@ -61,7 +62,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		last := map[*party]int64{}
+		last := map[*memnet.Party]int64{}
 		for {
 			for _, p := range s.daemons {
 				of := p.party.Load()
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job"
+	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/standin"
 )
 
@@ -38,10 +39,10 @@
 				time.Sleep(c.runs)
 				s.fault(`{"target":%q,"paused":true}`, clocked)
 				time.Sleep(c.pause)
-				s.net.cut("clocked", func(a, b string) bool { return strings.HasPrefix(a, "daemon-") && slices.Contains(clockedAddrs, b) })
+				s.net.Cut("clocked", func(a, b string) bool { return strings.HasPrefix(a, "daemon-") && slices.Contains(clockedAddrs, b) })
 				s.fault(`{"target":%q,"paused":false}`, clocked)
 				time.Sleep(20 * time.Second)
-				s.net.heal("clocked")
+				s.net.Heal("clocked")
 				s.awaitJob("festival", "whole", jobBound, job.Done)
 				met := -spec.Tasks
 				for _, w := range s.platform.Audit.Report().Workers {
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/greengagewing/greengagewing/internal/daemon"
+	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/settings"
 	"github.com/greengagewing/greengagewing/internal/standin"
 )
@@ -61,7 +62,7 @@
 type system struct {
 	t        *testing.T
 	seed     uint64
-	net      *memNet
+	net      *memnet.Net
 	platform *standin.Platform
 	daemons  []*process
 	log      zapcore.WriteSyncer
@@ -78,7 +79,7 @@
 	entry  string // callers' address
 	peer   string // peers' address, also the daemon's id
 	region string
-	party  atomic.Pointer[party] // of the running process
+	party  atomic.Pointer[memnet.Party] // of the running process
 	// closed is true while the balancer sends no callers here.
 	closed atomic.Bool
 	app    *fx.App
@@ -124,14 +125,14 @@
 }
 
 func newSystem(t *testing.T, seed uint64, regions []string, logs *syncBuffer) *system {
-	s := &system{t: t, seed: seed, net: newMemNet(), log: zapcore.AddSync(logs), began: time.Now(), history: &history{}}
+	s := &system{t: t, seed: seed, net: memnet.New(), log: zapcore.AddSync(logs), began: time.Now(), history: &history{}}
 	cell := standin.Textos()
 	cell.Minions, cell.Workers, cell.WorkersPerRack = 6, 6, 2
 	cell.Capacity = standin.Resources{CPUMilli: 4000, MemoryMB: 8192, Accelerators: 2}
 	var err error
 	s.platform, err = standin.Start(standin.Config{
 		Cells: []standin.Cell{cell}, TablePort: tablePort, ControlPort: controlPort, MinionBasePort: minionBasePort,
-		WorkerBasePort: workerBasePort, Lag: standin.DefaultLag, Listen: s.net.join("").listen,
+		WorkerBasePort: workerBasePort, Lag: standin.DefaultLag, Listen: s.net.Join("").Listen,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -144,7 +145,7 @@
 		}
 		s.daemons = append(s.daemons, p)
 		s.platform.Membership.Put(standin.Host{ID: p.name, Addr: p.peer, Kind: standin.KindDaemon})
-		p.httpC = &http.Client{Transport: &http.Transport{DialContext: s.net.join("caller").dial, DisableKeepAlives: true}}
+		p.httpC = &http.Client{Transport: &http.Transport{DialContext: s.net.Join("caller").Dial, DisableKeepAlives: true}}
 	}
 	return s
 }
@@ -186,9 +187,9 @@
 	if err != nil {
 		p.s.t.Fatal(err)
 	}
-	self := p.s.net.join(p.name)
+	self := p.s.net.Join(p.name)
 	p.party.Store(self)
-	p.app = daemon.New(cfg, self.network(),
+	p.app = daemon.New(cfg, self.Network(),
 		fx.Decorate(func() (tally.Scope, http.Handler) { return tally.NoopScope, http.NotFoundHandler() }),
 		fx.Decorate(func() *zap.Logger {
 			enc := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
@@ -208,7 +209,7 @@
 
 // crash ends the process at once. Its goroutines end as well, but nothing of what they do leaves the process.
 func (p *process) crash() {
-	p.party.Load().kill()
+	p.party.Load().Kill()
 	app := p.app
 	p.ended.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
@@ -222,21 +223,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.app.StopTimeout())
 	defer cancel()
 	err := p.app.Stop(ctx)
-	p.party.Load().kill()
+	p.party.Load().Kill()
 	return err
 }
 
 // end stops everything, so that no goroutine of the bubble stays.
 func (s *system) end() {
 	for _, p := range s.daemons {
-		if !p.party.Load().isDead() {
+		if !p.party.Load().Dead() {
 			p.crash()
 		}
 		p.ended.Wait()
 	}
 	s.owners.stop()
 	s.platform.Close()
-	s.net.killAll()
+	s.net.KillAll()
 }
 
 // fault sets faults of the platform.
--- a/internal/systemtest/traffic_test.go
+++ b/internal/systemtest/traffic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"github.com/greengagewing/greengagewing/internal/memnet"
 	"maps"
 	"slices"
 	"strings"
@@ -29,14 +30,14 @@
 // meter counts the bytes of the daemons' control traffic by kind of call, TCP and IP not counted.
 type meter struct {
 	mu    sync.Mutex
-	last  map[*conn]string // kind of the last call on a connection
+	last  map[*memnet.Conn]string // kind of the last call on a connection
 	bytes map[string]int
 	calls map[string]int
 }
 
 // count adds a message to the kind of the call that it belongs to.
-func (m *meter) count(c *conn, message []byte) {
-	if !strings.HasPrefix(c.from, "daemon-") {
+func (m *meter) count(c *memnet.Conn, message []byte) {
+	if !strings.HasPrefix(c.From, "daemon-") {
 		return
 	}
 	m.mu.Lock()
@@ -69,9 +70,9 @@
 	t.Parallel()
 	const daemons = 8
 	run(t, 17, daemons, func(s *system) {
-		m := &meter{last: map[*conn]string{}, bytes: map[string]int{}, calls: map[string]int{}}
+		m := &meter{last: map[*memnet.Conn]string{}, bytes: map[string]int{}, calls: map[string]int{}}
 		s.net.mu.Lock()
-		s.net.carried = m.count
+		s.net.Carried = m.count
 		s.net.mu.Unlock()
 		time.Sleep(trafficWindow)
 		m.mu.Lock()
--- a/internal/systemtest/worker_test.go
+++ b/internal/systemtest/worker_test.go
@@ -17,20 +17,20 @@
 	for name, faults := range map[string]func(s *system){
 		"lost start responses": func(s *system) {
 			var n atomic.Int64
-			s.net.loseResponses(func(_ string, message []byte) bool {
+			s.net.LoseResponses(func(_ string, message []byte) bool {
 				return bytes.HasPrefix(message, []byte("POST /v1/tasks ")) && n.Add(1)%3 == 0
 			})
 			time.Sleep(20 * time.Second)
-			s.net.loseResponses(func(string, []byte) bool { return false })
+			s.net.LoseResponses(func(string, []byte) bool { return false })
 		},
 		"unreachable worker": func(s *system) {
 			for _, id := range []string{"00", "01"} {
 				addr := platformAddrs + "72" + id
-				s.net.cut(addr, func(a, b string) bool { return strings.HasPrefix(a, "daemon-") && b == addr })
+				s.net.Cut(addr, func(a, b string) bool { return strings.HasPrefix(a, "daemon-") && b == addr })
 			}
 			time.Sleep(20 * time.Second)
 			for _, id := range []string{"00", "01"} {
-				s.net.heal(platformAddrs + "72" + id)
+				s.net.Heal(platformAddrs + "72" + id)
 			}
 		},
 		"owner crash": func(s *system) {
@@ -47,12 +47,12 @@
 		},
 		"unreachable worker and owner crash": func(s *system) {
 			addr := platformAddrs + "7202"
-			s.net.cut(addr, func(a, b string) bool { return strings.HasPrefix(a, "daemon-") && b == addr })
+			s.net.Cut(addr, func(a, b string) bool { return strings.HasPrefix(a, "daemon-") && b == addr })
 			time.Sleep(3 * time.Second)
 			p := s.ownerOf("pool/" + service + "/0")
 			p.crash()
 			time.Sleep(17 * time.Second)
-			s.net.heal(addr)
+			s.net.Heal(addr)
 			p.start()
 		},
 		"worker restart": func(s *system) {
