--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -32,15 +32,15 @@
 	// loses decides whether the response to a message of a dialer is lost; then its connection carries nothing back any
 	// more.
 	loses func(to string, message []byte) bool
-	// Carried is called for every message in either direction, with the dialer's end of its connection. It must not block.
-	Carried func(c *Conn, message []byte)
+	// carried is called for every message in either direction, with the dialer's end of its connection. It must not block.
+	carried func(c *Conn, message []byte)
 }
 
 func New() *Net {
 	return &Net{
 		listeners: map[string]*listener{}, conns: map[*Conn]struct{}{}, cuts: map[string]func(a, b string) bool{},
 		changed: make(chan struct{}), Sent: func(string, string, []byte) {},
-		loses: func(string, []byte) bool { return false }, Carried: func(*Conn, []byte) {},
+		loses: func(string, []byte) bool { return false }, carried: func(*Conn, []byte) {},
 	}
 }
 
@@ -87,6 +87,13 @@
 	}
 }
 
+// Watch lets carried be called for every message in either direction from now on. It must not block.
+func (n *Net) Watch(carried func(c *Conn, message []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carried = carried
+}
+
 // LoseResponses replaces the decision about lost responses.
 func (n *Net) LoseResponses(loses func(to string, message []byte) bool) {
 	n.mu.Lock()
@@ -277,7 +284,7 @@
 	n := c.owner.net
 	n.mu.Lock()
 	_, dialer := n.conns[c]
-	loses, carried := n.loses, n.Carried
+	loses, carried := n.loses, n.carried
 	n.mu.Unlock()
 	if dialer {
 		carried(c, b)
--- a/internal/systemtest/traffic_test.go
+++ b/internal/systemtest/traffic_test.go
@@ -71,9 +71,7 @@
 	const daemons = 8
 	run(t, 17, daemons, func(s *system) {
 		m := &meter{last: map[*memnet.Conn]string{}, bytes: map[string]int{}, calls: map[string]int{}}
-		s.net.mu.Lock()
-		s.net.Carried = m.count
-		s.net.mu.Unlock()
+		s.net.Watch(m.count)
 		time.Sleep(trafficWindow)
 		m.mu.Lock()
 		defer m.mu.Unlock()
