--- a/internal/systemtest/check_test.go
+++ b/internal/systemtest/check_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/request"
 	"github.com/greengagewing/greengagewing/ownership"
 )
--- a/internal/systemtest/cut_test.go
+++ b/internal/systemtest/cut_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job"
-	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/plan"
 	"github.com/greengagewing/greengagewing/internal/request"
 )
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/job"
-	"github.com/greengagewing/greengagewing/internal/memnet"
 	"github.com/greengagewing/greengagewing/internal/standin"
 )
 
