Store jobs at a second place while a part of the store takes no writes

Change: a job's row may be at two places; the ways to store (own access or a peer's, either place) are tried in turn, those that failed lately last, with doubling delays. The feeds of jobs and hosts are called less often.

--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -42,6 +42,8 @@
 	takeOverTimeout = 500 * time.Millisecond
 	offerTimeout    = 700 * time.Millisecond
 	offerRetry      = 100 * time.Millisecond
+	// hostsWait is long, because the list of hosts changes rarely.
+	hostsWait = 4 * time.Second
 	// releaseTimeout bounds the hand-over of the ownership when the daemon stops.
 	releaseTimeout = 1500 * time.Millisecond
 )
@@ -107,8 +109,8 @@
 	}
 	n.stopServe = stop
 	n.wg.Go(func() { n.parts.Platform.FollowQueues(n.ctx, n.parts.Holder) })
-	n.follow(tenure.OwnerTable, tenure.Part, n.parts.Watch, n.parts.Watch.Fed)
-	n.follow(records.Hosts, "", n.parts.Roster, nil)
+	n.follow(tenure.OwnerTable, tenure.Part, n.parts.Watch, n.parts.Watch.Fed, 0)
+	n.follow(records.Hosts, "", n.parts.Roster, nil, hostsWait)
 	n.wg.Go(func() { n.watchOwner(n.ctx) })
 	n.lead.Go(func() { n.elect(n.leading) })
 	host := peers.Host{Identity: n.parts.Self, Domain: n.parts.Config.Domain, Started: time.Now()}
@@ -118,8 +120,8 @@
 	return nil
 }
 
-func (n *Node) follow(table, part string, h rowstore.Handler, alive func(time.Time)) {
-	f := &rowstore.Follower{Store: n.parts.Store, Table: table, Parts: []string{part}, Handler: h, Log: n.parts.Log, Alive: alive}
+func (n *Node) follow(table, part string, h rowstore.Handler, alive func(time.Time), wait time.Duration) {
+	f := &rowstore.Follower{Store: n.parts.Store, Table: table, Parts: []string{part}, Handler: h, Log: n.parts.Log, Alive: alive, Wait: wait}
 	n.wg.Go(func() { f.Run(n.ctx) })
 }
 
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -178,8 +178,7 @@
 	progress := make([]rowstore.Key, len(ids))
 	for i, id := range ids {
 		progress[i] = records.ProgressKey(id)
-		txn := rowstore.Txn{Removes: []rowstore.Key{records.JobKey(id), records.CancelKey(id)}}
-		if _, err := t.deps.Store.Commit(ctx, txn); err != nil {
+		if err := t.forgetJob(ctx, id); err != nil {
 			t.log.Warn("rows of ended jobs stay", zap.Int("jobs", len(ids)-i), asynclog.Error(err))
 			return
 		}
@@ -188,3 +187,13 @@
 		t.log.Warn("progress of ended jobs stays", zap.Int("jobs", len(ids)), asynclog.Error(err))
 	}
 }
+
+func (t *term) forgetJob(ctx context.Context, id string) error {
+	for place := range records.Places {
+		txn := rowstore.Txn{Removes: []rowstore.Key{records.JobKey(id, place), records.CancelKey(id, place)}}
+		if _, err := t.deps.Store.Commit(ctx, txn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -22,6 +22,8 @@
 	planInterval = 100 * time.Millisecond
 	// planDelay gathers events that come together, so that one plan serves them.
 	planDelay = 3 * time.Millisecond
+	// jobsPace gathers jobs of the feed: entry hosts tell of them at once, so the feed only makes up for lost calls.
+	jobsPace = 150 * time.Millisecond
 	// leaseDrift covers a worker's clock that is 2 % slow, and the reading of clocks.
 	leaseDrift  = 1.03
 	leaseMargin = 300 * time.Millisecond
@@ -243,7 +245,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer t.wg.Wait()
 	defer cancel()
-	jobs := &rowstore.Follower{Store: t.deps.Store, Table: records.Jobs, Parts: records.JobParts(), Handler: t, Log: t.log, From: t.jobsFrom}
+	jobs := &rowstore.Follower{Store: t.deps.Store, Table: records.Jobs, Parts: records.JobParts(), Handler: t, Log: t.log,
+		From: t.jobsFrom, Pace: jobsPace}
 	t.wg.Go(func() { jobs.Run(ctx) })
 	t.wg.Go(func() { t.deps.Discovery.Follow(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +17,6 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
-	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 var (
@@ -40,11 +37,6 @@
 	readTimeout = 900 * time.Millisecond
 	// ownerTimeout is the limit of one question to the owner.
 	ownerTimeout = 400 * time.Millisecond
-	retryDelay   = 30 * time.Millisecond
-	// waysToStore are this host's own access to the store and a peer's.
-	waysToStore = 2
-	// troubleTime is how long peers are asked first after this host's access to the store failed.
-	troubleTime = time.Second
 	// maxTelling bounds the calls that tell the owner of changes.
 	maxTelling = 32
 	// pendingAge is how long a count of waiting jobs may be given again.
@@ -66,10 +58,11 @@
 type Entry struct {
 	Deps
 
-	mu            sync.Mutex
-	counts        map[string]pendingCount
-	telling       chan struct{} // holds a value for each call of tellOwner in progress
-	troubledUntil time.Time     // peers are asked first to store
+	telling chan struct{} // holds a value for each call of tellOwner in progress
+	trouble trouble
+
+	mu     sync.Mutex
+	counts map[string]pendingCount
 }
 
 type pendingCount struct {
@@ -79,14 +72,18 @@
 
 // New returns an entry.
 func New(d Deps) *Entry {
-	return &Entry{Deps: d, counts: map[string]pendingCount{}, telling: make(chan struct{}, maxTelling)}
+	return &Entry{Deps: d, counts: map[string]pendingCount{}, telling: make(chan struct{}, maxTelling), trouble: newTrouble()}
 }
 
 // Submit accepts a job. A job with the id of an accepted one is that one. Errors: ErrNotAccepted, ErrUnknown.
 func (e *Entry) Submit(ctx context.Context, spec *workload.Spec) error {
-	outcome, err := e.store(ctx,
-		func() (peers.StoreOutcome, error) { return e.StoreJob(ctx, spec) },
-		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Submit(ctx, addr, spec) })
+	outcome, err := e.store(ctx, change{
+		id:  spec.ID,
+		own: func(place int) (peers.StoreOutcome, error) { return e.StoreJob(ctx, spec, place) },
+		by: func(addr string, place int) (peers.StoreOutcome, error) {
+			return e.Peers.Submit(ctx, addr, spec, place)
+		},
+	})
 	if outcome == peers.Stored {
 		e.Coordinator.TakeJob(spec)
 		e.tellOwner(func(ctx context.Context, addr string) error { return e.Peers.TakeJob(ctx, addr, spec) })
@@ -96,9 +93,13 @@
 
 // Cancel ends a job. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
 func (e *Entry) Cancel(ctx context.Context, id string) error {
-	outcome, err := e.store(ctx,
-		func() (peers.StoreOutcome, error) { return e.StoreCancel(ctx, id) },
-		func(addr string) (peers.StoreOutcome, error) { return e.Peers.Cancel(ctx, addr, id) })
+	outcome, err := e.store(ctx, change{
+		id:  id,
+		own: func(place int) (peers.StoreOutcome, error) { return e.StoreCancel(ctx, id, place) },
+		by: func(addr string, place int) (peers.StoreOutcome, error) {
+			return e.Peers.Cancel(ctx, addr, id, place)
+		},
+	})
 	if outcome == peers.Stored {
 		e.Coordinator.TakeCancel(id)
 		e.tellOwner(func(ctx context.Context, addr string) error { return e.Peers.TakeCancel(ctx, addr, id) })
@@ -144,115 +145,6 @@
 	return errors.Wrap(ErrUnknown, text)
 }
 
-// store writes by this host's access to the store or by a peer's: at times the store refuses some hosts and serves others.
-// Once an attempt may have taken effect, it goes on until one certainly has, or until ctx ends; before, it gives up after
-// both ways were refused.
-func (e *Entry) store(ctx context.Context, own func() (peers.StoreOutcome, error), by func(addr string) (peers.StoreOutcome, error)) (peers.StoreOutcome, error) {
-	unknown, refused := false, 0
-	peersFirst := e.troubled()
-	for {
-		var outcome peers.StoreOutcome
-		var err error
-		if peersFirst {
-			outcome, err = e.byPeer(by)
-		} else {
-			outcome, err = own()
-			e.noteOwn(outcome)
-		}
-		peersFirst = !peersFirst
-		switch outcome {
-		case peers.Stored, peers.StoredBefore, peers.NoSuchJob:
-			return outcome, err
-		case peers.NotStored:
-			refused++
-		default:
-			unknown = true
-		}
-		if !unknown && refused >= waysToStore {
-			return peers.NotStored, err
-		}
-		if !wait.For(ctx, retryDelay) {
-			if unknown {
-				return peers.StoreUnknown, err
-			}
-			return peers.NotStored, err
-		}
-	}
-}
-
-// byPeer lets one of the peers write, chosen at random.
-func (e *Entry) byPeer(by func(addr string) (peers.StoreOutcome, error)) (peers.StoreOutcome, error) {
-	hosts := e.Roster.Hosts()
-	hosts = slices.DeleteFunc(hosts, func(h peers.Host) bool { return h.Host == e.Self.Host })
-	if len(hosts) == 0 {
-		return peers.NotStored, errNoPeer
-	}
-	return by(hosts[rand.IntN(len(hosts))].Addr)
-}
-
-// noteOwn remembers whether this host's access to the store works.
-func (e *Entry) noteOwn(o peers.StoreOutcome) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if o == peers.Stored || o == peers.StoredBefore || o == peers.NoSuchJob {
-		e.troubledUntil = time.Time{}
-	} else {
-		e.troubledUntil = time.Now().Add(troubleTime)
-	}
-}
-
-func (e *Entry) troubled() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return time.Now().Before(e.troubledUntil)
-}
-
-// StoreJob writes the row of a job by this host's access to the store.
-func (e *Entry) StoreJob(ctx context.Context, spec *workload.Spec) (peers.StoreOutcome, error) {
-	value, err := workload.EncodeSpec(spec)
-	if err != nil {
-		return peers.NotStored, errors.Wrap(err, "encode job")
-	}
-	key := records.JobKey(spec.ID)
-	return e.write(ctx, rowstore.Txn{
-		Conditions: []rowstore.Condition{{Key: key}},
-		Puts:       []rowstore.Put{{Key: key, Value: value}},
-	})
-}
-
-// StoreCancel writes the row of a job's cancellation if the job is known.
-func (e *Entry) StoreCancel(ctx context.Context, id string) (peers.StoreOutcome, error) {
-	key := records.JobKey(id)
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	page, err := e.Store.Read(callCtx, rowstore.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
-	cancel()
-	if err != nil {
-		return peers.NotStored, err
-	}
-	if len(page.Rows) == 0 {
-		return peers.NoSuchJob, nil
-	}
-	cancelKey := records.CancelKey(id)
-	return e.write(ctx, rowstore.Txn{
-		Conditions: []rowstore.Condition{{Key: cancelKey}},
-		Puts:       []rowstore.Put{{Key: cancelKey, Value: []byte("{}")}},
-	})
-}
-
-// write commits a row that must be absent. A conflict means that it is there already, by an earlier attempt.
-func (e *Entry) write(ctx context.Context, txn rowstore.Txn) (peers.StoreOutcome, error) {
-	_, err := e.Store.Commit(ctx, txn)
-	switch {
-	case err == nil:
-		return peers.Stored, nil
-	case errors.Is(err, rowstore.ErrConflict):
-		return peers.StoredBefore, nil
-	case errors.Is(err, rowstore.ErrUnavailable):
-		return peers.NotStored, err
-	}
-	return peers.StoreUnknown, err
-}
-
 // Lookup returns a job's state: from the owner, and from the store if the owner can't tell. Errors: ErrNoSuchJob,
 // ErrUnavailable.
 func (e *Entry) Lookup(ctx context.Context, id string) (workload.State, error) {
@@ -291,16 +183,31 @@
 		}
 		return p.State, nil
 	}
-	job, err := e.readRow(callCtx, records.JobKey(id))
+	accepted, err := e.accepted(callCtx, id)
 	if err != nil {
 		return "", errors.Wrap(ErrUnavailable, err.Error())
 	}
-	if job == nil {
+	if !accepted {
 		return "", ErrNoSuchJob
 	}
 	return workload.Queued, nil
 }
 
+// accepted reports whether the row of a job is at one of its places.
+func (e *Entry) accepted(ctx context.Context, id string) (bool, error) {
+	var failed error
+	for place := range records.Places {
+		row, err := e.readRow(ctx, records.JobKey(id, place))
+		if row != nil {
+			return true, nil
+		}
+		if err != nil {
+			failed = err
+		}
+	}
+	return false, failed
+}
+
 func (e *Entry) readRow(ctx context.Context, k rowstore.Key) (*rowstore.Row, error) {
 	page, err := e.Store.Read(ctx, rowstore.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00", Limit: 1})
 	if err != nil || len(page.Rows) == 0 {
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -36,8 +36,8 @@
 // Submitter stores jobs and cancellations for a peer that does not reach the store.
 type Submitter interface {
 	// StoreJob returns how the job was received; see the entry package.
-	StoreJob(ctx context.Context, spec *workload.Spec) (StoreOutcome, error)
-	StoreCancel(ctx context.Context, id string) (StoreOutcome, error)
+	StoreJob(ctx context.Context, spec *workload.Spec, place int) (StoreOutcome, error)
+	StoreCancel(ctx context.Context, id string, place int) (StoreOutcome, error)
 }
 
 // Successor takes the ownership over from an owner that the store doesn't serve.
@@ -168,17 +168,23 @@
 	Outcome StoreOutcome `json:"outcome"`
 }
 
+type submitRequest struct {
+	Job   *workload.Spec `json:"job" binding:"required"`
+	Place int            `json:"place"`
+}
+
 type cancelRequest struct {
-	Job string `json:"job"`
+	Job   string `json:"job"`
+	Place int    `json:"place"`
 }
 
 func (s *Server) submit(c *gin.Context) {
-	spec, ok := read[workload.Spec](c)
+	in, ok := read[submitRequest](c)
 	if !ok {
 		return
 	}
-	outcome, err := s.submitter.StoreJob(c.Request.Context(), &spec)
-	s.log.Info("job stored for a peer", zap.String("job", spec.ID), zap.String("outcome", string(outcome)), asynclog.Error(err))
+	outcome, err := s.submitter.StoreJob(c.Request.Context(), in.Job, in.Place)
+	s.log.Info("job stored for a peer", zap.String("job", in.Job.ID), zap.String("outcome", string(outcome)), asynclog.Error(err))
 	c.JSON(http.StatusOK, storeAnswer{outcome})
 }
 
@@ -187,19 +193,19 @@
 	if !ok {
 		return
 	}
-	outcome, err := s.submitter.StoreCancel(c.Request.Context(), in.Job)
+	outcome, err := s.submitter.StoreCancel(c.Request.Context(), in.Job, in.Place)
 	s.log.Info("cancellation stored for a peer", zap.String("job", in.Job), zap.String("outcome", string(outcome)), asynclog.Error(err))
 	c.JSON(http.StatusOK, storeAnswer{outcome})
 }
 
 // Submit asks a peer to store a job.
-func (c *Client) Submit(ctx context.Context, addr string, spec *workload.Spec) (StoreOutcome, error) {
-	return c.storeFor(ctx, addr, submitPath, spec)
+func (c *Client) Submit(ctx context.Context, addr string, spec *workload.Spec, place int) (StoreOutcome, error) {
+	return c.storeFor(ctx, addr, submitPath, submitRequest{spec, place})
 }
 
 // Cancel asks a peer to store a cancellation.
-func (c *Client) Cancel(ctx context.Context, addr, id string) (StoreOutcome, error) {
-	return c.storeFor(ctx, addr, cancelPath, cancelRequest{id})
+func (c *Client) Cancel(ctx context.Context, addr, id string, place int) (StoreOutcome, error) {
+	return c.storeFor(ctx, addr, cancelPath, cancelRequest{id, place})
 }
 
 func (c *Client) storeFor(ctx context.Context, addr, path string, in any) (StoreOutcome, error) {
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -40,16 +40,21 @@
 	return parts
 }
 
-// JobKey is the row of an accepted job.
-func JobKey(id string) rowstore.Key {
+// Places is the number of parts in which the rows of a job may be: while one part does not take writes, the other does. A
+// job that has rows at both is one job.
+const Places = 2
+
+// JobKey is the row of an accepted job at one of its places; place 0 is the usual one.
+func JobKey(id string, place int) rowstore.Key {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	return rowstore.Key{Table: Jobs, Part: "j" + strconv.Itoa(int(h.Sum32()%jobParts)), Name: id}
+	part := (int(h.Sum32()%jobParts) + place*jobParts/Places) % jobParts
+	return rowstore.Key{Table: Jobs, Part: "j" + strconv.Itoa(part), Name: id}
 }
 
-// CancelKey is the row of a job's cancellation.
-func CancelKey(id string) rowstore.Key {
-	k := JobKey(id)
+// CancelKey is the row of a job's cancellation at one of its places.
+func CancelKey(id string, place int) rowstore.Key {
+	k := JobKey(id, place)
 	k.Name += cancelSuffix
 	return k
 }
--- a/internal/cluster/rowstore/follower.go
+++ b/internal/cluster/rowstore/follower.go
@@ -37,6 +37,8 @@
 	Log     *zap.Logger
 	// From, if positive, is the version to continue from; otherwise the table is read first.
 	From int64
+	// Wait, if positive, replaces feedWait for tables whose changes are not urgent.
+	Wait time.Duration
 	// Pace is the least time between two calls of the feed; it gathers changes of busy tables.
 	Pace time.Duration
 	// Alive, if set, is called after each successful answer of the feed with the time at which it was asked for.
@@ -82,7 +84,7 @@
 	if version < 0 {
 		return f.snapshot(ctx)
 	}
-	c, err := f.Store.Feed(ctx, f.Table, version, feedWait)
+	c, err := f.Store.Feed(ctx, f.Table, version, f.wait())
 	if err != nil {
 		return 0, err
 	}
@@ -95,6 +97,13 @@
 	return max(version, c.Version), nil
 }
 
+func (f *Follower) wait() time.Duration {
+	if f.Wait > 0 {
+		return f.Wait
+	}
+	return feedWait
+}
+
 func (f *Follower) snapshot(ctx context.Context) (int64, error) {
 	var all []Row
 	first := int64(-1)
