--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -47,9 +47,12 @@
 	// Serve starts the listeners for callers and for the balancer's probe. The function that it returns stops accepting,
 	// waits for calls in progress and closes the listeners.
 	Serve(e *entry.Entry, h *queues.Holder, r *admin.Readiness) (func(context.Context) error, error)
+	// Close closes idle connections.
+	Close()
 }
 
-// Module holds the parts of the daemon. Config, Platform, network.Network and *zap.Logger are supplied by the caller.
+// Module holds the parts of the daemon. Config, Platform, network.Network, clock.Func and *zap.Logger are supplied by the
+// caller.
 var Module = fx.Options(
 	fx.Provide(newStore, newIdentity, newMetrics, newRoster, newWatch, queues.NewHolder, newCoordinator, newEntry, newNode,
 		peers.NewClient, newAdvisers, admin.NewReadiness, admin.NewStates),
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -55,6 +55,7 @@
 	Platform    Platform
 	Store       *rowstore.Adaptive
 	Network     network.Network
+	Clock       clock.Func
 	Self        tenure.Identity
 	Holder      *queues.Holder
 	Watch       *tenure.Watch
@@ -163,7 +164,7 @@
 			zap.Bool("released", v.Owner.Released), zap.Bool("unreachable", v.Unreachable), zap.Bool("gone", !v.GoneAt.IsZero()),
 			zap.Duration("row_age", time.Since(v.ChangedAt)), zap.Duration("feed_age", time.Since(v.FedAt)))
 		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-		held, err := tenure.Claim(claimCtx, n.parts.Store, n.parts.Self, v.Owner.Epoch, clock.SinceBoot)
+		held, err := tenure.Claim(claimCtx, n.parts.Store, n.parts.Self, v.Owner.Epoch, n.parts.Clock)
 		cancel()
 		if err != nil {
 			n.parts.Log.Warn("claim failed", asynclog.Error(err))
@@ -301,6 +302,8 @@
 	_ = n.peerSrv.Close() // peers ask another host once a call breaks
 	n.cancel()
 	n.wg.Wait()
+	n.parts.Peers.Close()
+	n.parts.Platform.Close()
 	n.parts.Log.Info("daemon stopped", zap.Duration("took", time.Since(began)), asynclog.Error(err))
 	return err
 }
--- a/internal/cluster/clock/clock.go
+++ b/internal/cluster/clock/clock.go
@@ -8,6 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// Func returns the time since a fixed moment, suspensions included.
+type Func func() time.Duration
+
 // SinceBoot returns the time since the machine's start, suspensions included.
 func SinceBoot() time.Duration {
 	var ts unix.Timespec
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -115,6 +115,9 @@
 	}}}
 }
 
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Lookup asks the owner for a job's state.
 func (c *Client) Lookup(ctx context.Context, addr, id string) (workload.State, bool, error) {
 	var a lookupAnswer
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -45,6 +45,9 @@
 	refusedLimit    = 150 * time.Millisecond
 	unansweredLimit = 1400 * time.Millisecond
 
+	// resetLimit tells a commit that was cut off, as by a store that resets connections, from one that was not answered.
+	resetLimit = 80 * time.Millisecond
+
 	resendDelay = 20 * time.Millisecond
 )
 
@@ -194,6 +197,9 @@
 			return err
 		case errors.Is(err, rowstore.ErrUnknownOutcome):
 			unknown = true
+			if t.since()-asked < resetLimit {
+				t.refusedSince.CompareAndSwap(0, int64(asked))
+			}
 		}
 		if !wait.For(ctx, resendDelay) {
 			// The next commit has the same condition, so at most one of the two takes effect.
--- a/internal/cluster/tenure/tenure_test.go
+++ b/internal/cluster/tenure/tenure_test.go
@@ -176,6 +176,14 @@
 			So(a.Commit(ctx, nil, nil), ShouldBeNil)
 			So(a.Troubled(), ShouldBeFalse)
 		})
+		Convey("Nor does it keep it while its commits are cut off, although each may have taken effect", func() {
+			store.Fail = func() error { return rowstore.ErrUnknownOutcome }
+			ctx, cancel := context.WithCancel(ctx)
+			cancel()
+			So(a.Commit(ctx, nil, nil), ShouldNotBeNil)
+			clock.now += 2 * refusedLimit
+			So(a.Troubled(), ShouldBeTrue)
+		})
 		Convey("It is not troubled by commits that take a second, and is after longer silence", func() {
 			clock.now += BeatInterval + 800*time.Millisecond
 			So(a.Troubled(), ShouldBeFalse)
