Keep live jobs in the owner's part, so that a successor reads little and no inbox

Change: the owner copies a job into its own part in the commit that a job waits for anyway; a job that is only in the inbox was started by nobody, so a successor begins with the live jobs and reads the inbox beside. Ended jobs keep only their state. Jobs are forgotten after their rows are gone, not before.

--- /dev/null
+++ b/internal/cluster/coordinator/load.go
@@ -0,0 +1,156 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+// load reads what earlier owners stored in the owner's part: the jobs of which they may have started tasks, the jobs that
+// have ended, and the workers that they used. Jobs that are only in the inbox were started by nobody; they follow.
+func (t *term) load(ctx context.Context) error {
+	began := time.Now()
+	t.followQueues()
+	progress, err := t.loadProgress(ctx, records.Progress)
+	if err != nil {
+		return err
+	}
+	ended, err := t.loadProgress(ctx, records.Ended)
+	if err != nil {
+		return err
+	}
+	for id, p := range ended {
+		t.sched.AddEnded(id, p)
+	}
+	jobs, err := t.loadLive(ctx, progress)
+	if err != nil {
+		return err
+	}
+	if err := t.loadUsed(ctx); err != nil {
+		return err
+	}
+	t.log.Info("term begins", zap.Int("jobs", jobs), zap.Int("ended", len(ended)),
+		zap.Int("unresolved_workers", len(t.sched.Unresolved())), zap.Duration("load", time.Since(began)))
+	return nil
+}
+
+func (t *term) loadProgress(ctx context.Context, table string) (map[string]*workload.Progress, error) {
+	rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, table, tenure.Part)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]*workload.Progress, len(rows))
+	for _, r := range rows {
+		p, err := workload.DecodeProgress(r.Value)
+		if err != nil {
+			// Without its progress a job might run tasks again that are done.
+			return nil, errors.Wrapf(err, "progress of job %s", r.Name)
+		}
+		out[r.Name] = p
+	}
+	return out, nil
+}
+
+// loadLive reads the jobs that have not ended. The feed of the inbox continues from the version of this read, which is
+// older than every read of the inbox.
+func (t *term) loadLive(ctx context.Context, progress map[string]*workload.Progress) (int, error) {
+	rows, version, err := rowstore.ReadAll(ctx, t.deps.Store, records.Live, tenure.Part)
+	if err != nil {
+		return 0, err
+	}
+	t.jobsFrom = version
+	now := time.Now()
+	for _, r := range rows {
+		spec, err := workload.DecodeSpec(r.Value)
+		if err != nil {
+			return 0, errors.Wrapf(err, "job %s", r.Name)
+		}
+		t.sched.AddJob(now, spec, progress[r.Name], true)
+	}
+	return len(rows), nil
+}
+
+func (t *term) loadUsed(ctx context.Context) error {
+	rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, records.Workers, tenure.Part)
+	if err != nil {
+		return err
+	}
+	// The predecessor may have sent orders until its validity ended, and what they started runs until its lease lapses.
+	lapsed := time.Now().Add(tenure.Validity + t.leaseBound())
+	for _, r := range rows {
+		var u records.UsedWorkers
+		if err := records.Decode(r, &u); err != nil {
+			return err
+		}
+		for _, id := range u.IDs {
+			t.sched.Inherit(id, lapsed)
+			t.used[id] = true
+		}
+	}
+	return nil
+}
+
+// loadInbox reads the parts of the inbox beside the term. A part that can't be read is tried again; the others don't wait
+// for it.
+func (t *term) loadInbox(ctx context.Context) {
+	for _, part := range records.JobParts() {
+		t.wg.Go(func() { t.loadPart(ctx, part) })
+	}
+}
+
+func (t *term) loadPart(ctx context.Context, part string) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, records.Jobs, part)
+		if err == nil {
+			t.Apply(rows)
+			return
+		}
+		if failures == 0 {
+			t.log.Warn("part of the inbox can't be read, trying again", zap.String("part", part), asynclog.Error(err))
+		}
+		wait.For(ctx, wait.Backoff(retryFirst, retryLimit, failures))
+	}
+}
+
+// Snapshot implements rowstore.Handler for the inbox.
+func (t *term) Snapshot(rows []rowstore.Row) { t.Apply(rows) }
+
+// Apply implements rowstore.Handler for the inbox.
+func (t *term) Apply(rows []rowstore.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.applyJobs(rows)
+	t.wake()
+	wait.Signal(t.save) // new jobs wait for a commit
+}
+
+// applyJobs takes rows of the inbox: acceptances first, so that a cancellation finds its job.
+func (t *term) applyJobs(rows []rowstore.Row) {
+	now := time.Now()
+	for _, r := range rows {
+		_, cancelled := records.CancelledJob(r.Key)
+		if cancelled || r.Deleted || t.sched.Known(r.Name) {
+			continue
+		}
+		spec, err := workload.DecodeSpec(r.Value)
+		if err != nil {
+			t.log.Error("job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+			continue
+		}
+		t.addJob(now, spec, "feed")
+	}
+	for _, r := range rows {
+		if id, cancelled := records.CancelledJob(r.Key); cancelled && !r.Deleted {
+			t.cancelJob(now, id, "feed")
+		}
+	}
+}
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -14,6 +14,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -22,8 +23,8 @@
 	saveInterval = 15 * time.Millisecond
 	// commitTimeout is the limit of one commit with its repetitions; afterwards the same records are tried again.
 	commitTimeout = 5 * time.Second
-	// maxRecords and maxRecordBytes keep a commit within the store's limits; the head and the owner row come along.
-	maxRecords     = rowstore.MaxTxnEntries - 10
+	// maxEntries and maxRecordBytes keep a commit within the store's limits; the head and the owner row come along.
+	maxEntries     = rowstore.MaxTxnEntries - 10
 	maxRecordBytes = rowstore.MaxTxnBytes / 4
 	// forgetInterval is how often rows of jobs whose retention has passed are removed, forgetBatch how many at once.
 	forgetInterval = 5 * time.Second
@@ -88,20 +89,23 @@
 
 // store writes records in as many commits as they need and retries until ctx ends. It returns false if it ends without.
 func (t *term) store(ctx context.Context, recs []scheduler.Record, used map[string]bool) bool {
-	puts, ok := t.encode(recs, used)
+	changes, ok := t.encode(recs, used)
 	if !ok {
 		return false
 	}
-	for first := true; first || len(puts) > 0; first = false {
-		n, size := 0, 0
-		for n < len(puts) && n < maxRecords && size < maxRecordBytes {
-			size += len(puts[n].Value)
-			n++
+	for first := true; first || len(changes) > 0; first = false {
+		var puts []rowstore.Put
+		var removes []rowstore.Key
+		size := 0
+		for len(changes) > 0 && len(puts)+len(removes)+changes[0].entries() <= maxEntries && size < maxRecordBytes {
+			puts = append(puts, changes[0].puts...)
+			removes = append(removes, changes[0].removes...)
+			size += changes[0].bytes()
+			changes = changes[1:]
 		}
-		if !t.commit(ctx, puts[:n]) {
+		if !t.commit(ctx, puts, removes) {
 			return false
 		}
-		puts = puts[n:]
 	}
 	if used != nil {
 		t.mu.Lock()
@@ -112,32 +116,74 @@
 	return true
 }
 
-func (t *term) encode(recs []scheduler.Record, used map[string]bool) ([]rowstore.Put, bool) {
-	puts := make([]rowstore.Put, 0, len(recs)+1)
+// change holds the rows of one record, which are written together.
+type change struct {
+	puts    []rowstore.Put
+	removes []rowstore.Key
+}
+
+func (c change) entries() int { return len(c.puts) + len(c.removes) }
+
+func (c change) bytes() int {
+	n := 0
+	for _, p := range c.puts {
+		n += len(p.Value)
+	}
+	return n
+}
+
+func (t *term) encode(recs []scheduler.Record, used map[string]bool) ([]change, bool) {
+	changes := make([]change, 0, len(recs)+1)
 	if used != nil {
 		value, err := records.Encode(records.UsedWorkers{IDs: slices.Sorted(maps.Keys(used))})
 		if err != nil {
 			t.log.Error("list of workers can't be encoded", asynclog.Error(err))
 			return nil, false
 		}
-		puts = append(puts, rowstore.Put{Key: records.WorkersKey, Value: value})
+		changes = append(changes, change{puts: []rowstore.Put{{Key: records.WorkersKey, Value: value}}})
 	}
 	for _, r := range recs {
-		value, err := records.Encode(r.Progress)
+		c, err := rowsOf(r)
 		if err != nil {
-			t.log.Error("progress can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
+			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
 			return nil, false
 		}
-		puts = append(puts, rowstore.Put{Key: records.ProgressKey(r.JobID), Value: value})
+		changes = append(changes, c)
 	}
-	return puts, true
+	return changes, true
+}
+
+// rowsOf returns the rows of a record. An ended job leaves the tables of live jobs.
+func rowsOf(r scheduler.Record) (change, error) {
+	var c change
+	if r.Spec != nil {
+		value, err := workload.EncodeSpec(r.Spec)
+		if err != nil {
+			return c, err
+		}
+		c.puts = append(c.puts, rowstore.Put{Key: records.LiveKey(r.JobID), Value: value})
+	}
+	if r.Progress == nil {
+		return c, nil
+	}
+	value, err := workload.EncodeProgress(r.Progress)
+	if err != nil {
+		return c, err
+	}
+	if !r.Progress.State.Final() {
+		c.puts = append(c.puts, rowstore.Put{Key: records.ProgressKey(r.JobID), Value: value})
+		return c, nil
+	}
+	c.puts = append(c.puts, rowstore.Put{Key: records.EndedKey(r.JobID), Value: value})
+	c.removes = []rowstore.Key{records.LiveKey(r.JobID), records.ProgressKey(r.JobID)}
+	return c, nil
 }
 
 // commit repeats a commit until it is durable, the ownership is lost or ctx ends.
-func (t *term) commit(ctx context.Context, puts []rowstore.Put) bool {
+func (t *term) commit(ctx context.Context, puts []rowstore.Put, removes []rowstore.Key) bool {
 	for failures := 0; ; failures++ {
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-		err := t.tenure.Commit(callCtx, puts, nil)
+		err := t.tenure.Commit(callCtx, puts, removes)
 		cancel()
 		if err == nil {
 			if failures > 0 {
@@ -164,25 +210,30 @@
 	}
 }
 
-// forget removes the rows of jobs whose retention has passed. A row that stays is removed by a later owner.
+// forget removes the rows of jobs whose retention has passed: those of the inbox first, so that no row is left that would
+// be taken for a new job.
 func (t *term) forget(ctx context.Context) {
 	t.mu.Lock()
-	ids := t.sched.Forget(time.Now(), forgetBatch)
+	ids := t.sched.Expired(time.Now(), forgetBatch)
 	t.mu.Unlock()
 	if len(ids) == 0 {
 		return
 	}
-	progress := make([]rowstore.Key, len(ids))
+	ended := make([]rowstore.Key, len(ids))
 	for i, id := range ids {
-		progress[i] = records.ProgressKey(id)
+		ended[i] = records.EndedKey(id)
 		if err := t.forgetJob(ctx, id); err != nil {
 			t.log.Warn("rows of ended jobs stay", zap.Int("jobs", len(ids)-i), asynclog.Error(err))
 			return
 		}
 	}
-	if err := t.tenure.Commit(ctx, nil, progress); err != nil {
-		t.log.Warn("progress of ended jobs stays", zap.Int("jobs", len(ids)), asynclog.Error(err))
+	if err := t.tenure.Commit(ctx, nil, ended); err != nil {
+		t.log.Warn("states of ended jobs stay", zap.Int("jobs", len(ids)), asynclog.Error(err))
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.Forget(ids)
 }
 
 func (t *term) forgetJob(ctx context.Context, id string) error {
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -5,10 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -67,27 +65,6 @@
 
 func (t *term) wake() { wait.Signal(t.planSoon) }
 
-// load reads the jobs, their progress and the workers that earlier owners used.
-func (t *term) load(ctx context.Context) error {
-	began := time.Now()
-	t.followQueues()
-	progress, err := t.loadProgress(ctx)
-	if err != nil {
-		return err
-	}
-	rows, err := t.loadJobs(ctx)
-	if err != nil {
-		return err
-	}
-	t.applyJobs(rows, progress, t.tenure.Epoch() > 1)
-	if err := t.loadUsed(ctx); err != nil {
-		return err
-	}
-	t.log.Info("term begins", zap.Int("rows", len(rows)), zap.Int("progress", len(progress)),
-		zap.Int("unresolved_workers", len(t.sched.Unresolved())), zap.Duration("load", time.Since(began)))
-	return nil
-}
-
 // followQueues puts the newest configuration in force.
 func (t *term) followQueues() {
 	cfg := t.deps.Queues.Current()
@@ -98,108 +75,11 @@
 	t.sched.SetQueues(cfg)
 }
 
-func (t *term) loadProgress(ctx context.Context) (map[string]*workload.Progress, error) {
-	rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, records.Progress, tenure.Part)
-	if err != nil {
-		return nil, err
-	}
-	out := make(map[string]*workload.Progress, len(rows))
-	for _, r := range rows {
-		p, err := workload.DecodeProgress(r.Value)
-		if err != nil {
-			// Without its progress a job might run tasks again that are done.
-			return nil, errors.Wrapf(err, "progress of job %s", r.Name)
-		}
-		out[r.Name] = p
-	}
-	return out, nil
-}
-
-// loadJobs reads all parts at once; the feed continues from the oldest of the reads.
-func (t *term) loadJobs(ctx context.Context) ([]rowstore.Row, error) {
-	parts := records.JobParts()
-	rows := make([][]rowstore.Row, len(parts))
-	versions := make([]int64, len(parts))
-	errs := make([]error, len(parts))
-	var wg sync.WaitGroup
-	for i, part := range parts {
-		wg.Go(func() {
-			rows[i], versions[i], errs[i] = rowstore.ReadAll(ctx, t.deps.Store, records.Jobs, part)
-		})
-	}
-	wg.Wait()
-	var all []rowstore.Row
-	for i := range parts {
-		if errs[i] != nil {
-			return nil, errs[i]
-		}
-		if i == 0 || versions[i] < t.jobsFrom {
-			t.jobsFrom = versions[i]
-		}
-		all = append(all, rows[i]...)
-	}
-	return all, nil
-}
-
-func (t *term) loadUsed(ctx context.Context) error {
-	rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, records.Workers, tenure.Part)
-	if err != nil {
-		return err
-	}
-	// The predecessor may have sent orders until its validity ended, and what they started runs until its lease lapses.
-	lapsed := time.Now().Add(tenure.Validity + t.leaseBound())
-	for _, r := range rows {
-		var u records.UsedWorkers
-		if err := records.Decode(r, &u); err != nil {
-			return err
-		}
-		for _, id := range u.IDs {
-			t.sched.Inherit(id, lapsed)
-			t.used[id] = true
-		}
-	}
-	return nil
-}
-
 // leaseBound is the longest time for which something may run on a worker after the last renewal was computed.
 func (t *term) leaseBound() time.Duration {
 	return time.Duration(float64(t.cfg.Lease)*leaseDrift) + leaseMargin
 }
 
-// applyJobs takes rows of the table of jobs: acceptances first, so that a cancellation finds its job.
-func (t *term) applyJobs(rows []rowstore.Row, progress map[string]*workload.Progress, inherited bool) {
-	now := time.Now()
-	for _, r := range rows {
-		if _, cancelled := records.CancelledJob(r.Key); cancelled || r.Deleted {
-			continue
-		}
-		if p := progress[r.Name]; p != nil && p.State.Final() {
-			t.sched.AddEnded(r.Name, p)
-			continue
-		}
-		if t.sched.Known(r.Name) {
-			continue // an entry host has told of it before the feed
-		}
-		spec, err := workload.DecodeSpec(r.Value)
-		if err != nil {
-			t.log.Error("job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
-			continue
-		}
-		if inherited {
-			t.sched.AddJob(now, spec, progress[spec.ID], true)
-		} else {
-			t.addJob(now, spec, "feed")
-		}
-	}
-	for _, r := range rows {
-		id, cancelled := records.CancelledJob(r.Key)
-		if !cancelled || r.Deleted {
-			continue
-		}
-		t.cancelJob(now, id, "feed")
-	}
-}
-
 func (t *term) addJob(now time.Time, spec *workload.Spec, from string) {
 	if t.sched.AddJob(now, spec, nil, false) {
 		t.log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue.Name), zap.String("from", from),
@@ -229,18 +109,6 @@
 	t.wake()
 }
 
-// Snapshot implements rowstore.Handler for the table of jobs.
-func (t *term) Snapshot(rows []rowstore.Row) { t.Apply(rows) }
-
-// Apply implements rowstore.Handler for the table of jobs.
-func (t *term) Apply(rows []rowstore.Row) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.applyJobs(rows, nil, false)
-	t.wake()
-	wait.Signal(t.save) // new jobs wait for a commit
-}
-
 // run follows the inputs and plans until ctx ends or the ownership is lost.
 func (t *term) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -249,6 +117,7 @@
 	jobs := &rowstore.Follower{Store: t.deps.Store, Table: records.Jobs, Parts: records.JobParts(), Handler: t, Log: t.log,
 		From: t.jobsFrom, Pace: jobsPace}
 	t.wg.Go(func() { jobs.Run(ctx) })
+	t.loadInbox(ctx)
 	t.wg.Go(func() { t.deps.Discovery.Follow(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
 	next := time.Now()
--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -172,12 +172,15 @@
 func (e *Entry) readState(ctx context.Context, id string) (workload.State, error) {
 	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
-	progress, err := e.readRow(callCtx, records.ProgressKey(id))
-	if err != nil {
-		return "", errors.Wrap(ErrUnavailable, err.Error())
-	}
-	if progress != nil {
-		p, err := workload.DecodeProgress(progress.Value)
+	for _, key := range []rowstore.Key{records.EndedKey(id), records.ProgressKey(id)} {
+		row, err := e.readRow(callCtx, key)
+		if err != nil {
+			return "", errors.Wrap(ErrUnavailable, err.Error())
+		}
+		if row == nil {
+			continue
+		}
+		p, err := workload.DecodeProgress(row.Value)
 		if err != nil {
 			return "", errors.Wrap(ErrUnavailable, err.Error())
 		}
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -15,10 +15,16 @@
 
 // Tables of the daemons.
 const (
-	// Jobs holds accepted jobs and their cancellations, in parts by the hash of the job's id. Any daemon writes there.
+	// Jobs is the inbox: it holds accepted jobs and their cancellations, in parts by the hash of the job's id. Any daemon
+	// writes there.
 	Jobs = "jobs"
-	// Progress holds what has become of the jobs. Only the owner writes there, in its part.
+	// Live holds the jobs that an owner knows and that have not ended, in the owner's part. A task starts only after its
+	// job is there, so a job that is only in the table Jobs has never been started.
+	Live = "live"
+	// Progress holds what has become of the live jobs, in the owner's part.
 	Progress = "progress"
+	// Ended holds the final states of jobs, in the owner's part.
+	Ended = "ended"
 	// Workers holds the workers on which an owner may have started tasks, in the owner's part.
 	Workers = "workers"
 	// Hosts holds the daemons' peer addresses.
@@ -62,6 +68,16 @@
 // CancelledJob returns the job that a row cancels, or false if the row is no cancellation.
 func CancelledJob(k rowstore.Key) (string, bool) { return strings.CutSuffix(k.Name, cancelSuffix) }
 
+// LiveKey is the row of a live job.
+func LiveKey(id string) rowstore.Key {
+	return rowstore.Key{Table: Live, Part: tenure.Part, Name: id}
+}
+
+// EndedKey is the row of an ended job's state.
+func EndedKey(id string) rowstore.Key {
+	return rowstore.Key{Table: Ended, Part: tenure.Part, Name: id}
+}
+
 // ProgressKey is the row of a job's progress.
 func ProgressKey(id string) rowstore.Key {
 	return rowstore.Key{Table: Progress, Part: tenure.Part, Name: id}
--- a/internal/cluster/rowstore/memory.go
+++ b/internal/cluster/rowstore/memory.go
@@ -16,8 +16,9 @@
 	oldest  int64 // feeds after an older version have lost their history
 	changed chan struct{}
 
-	// Fail, if set, is asked before each call; an error refuses it without effect.
-	Fail func() error
+	// Fail, if set, is asked before each call with the part that it names, or nothing for a feed; an error refuses the call
+	// without effect.
+	Fail func(part string) error
 	// Lose, if set, is asked after each commit; true loses the answer of a commit that took effect.
 	Lose func() bool
 }
@@ -31,7 +32,7 @@
 func (m *Memory) Commit(_ context.Context, txn Txn) (int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := m.refused(); err != nil {
+	if err := m.refused(txn.part()); err != nil {
 		return 0, err
 	}
 	if conflict := m.check(txn); conflict != nil {
@@ -52,11 +53,22 @@
 	return m.version, nil
 }
 
-func (m *Memory) refused() error {
+func (m *Memory) refused(part string) error {
 	if m.Fail == nil {
 		return nil
 	}
-	return m.Fail()
+	return m.Fail(part)
+}
+
+// part is the part that a transaction's rows share.
+func (t Txn) part() string {
+	switch {
+	case len(t.Puts) > 0:
+		return t.Puts[0].Part
+	case len(t.Removes) > 0:
+		return t.Removes[0].Part
+	}
+	return ""
 }
 
 func (m *Memory) check(txn Txn) error {
@@ -88,7 +100,7 @@
 func (m *Memory) Read(_ context.Context, r Range) (Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := m.refused(); err != nil {
+	if err := m.refused(r.Part); err != nil {
 		return Page{}, err
 	}
 	p := Page{Version: m.version}
@@ -125,7 +137,7 @@
 func (m *Memory) changes(table string, after int64) (Changes, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := m.refused(); err != nil {
+	if err := m.refused(""); err != nil {
 		return Changes{}, nil, err
 	}
 	if after < m.oldest {
--- a/internal/cluster/rowstore/rowstore_test.go
+++ b/internal/cluster/rowstore/rowstore_test.go
@@ -108,7 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := NewMemory()
 		var refuse atomic.Bool
-		store.Fail = func() error {
+		store.Fail = func(string) error {
 			if refuse.Load() {
 				return ErrUnavailable
 			}
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -15,6 +15,7 @@
 	ended       time.Time
 	started     bool  // a task has started
 	inherited   bool  // an earlier owner may have started tasks
+	stored      bool  // the job itself is durable in the owner's part
 	learned     int64 // generation of records in which a new job was learned of
 	occurrences []*occurrence
 
@@ -118,6 +119,21 @@
 	return r
 }
 
+// record returns what has to be written of the job.
+func (j *job) record() Record {
+	r := Record{JobID: j.spec.ID, Progress: j.progress()}
+	if j.state.Final() {
+		return r
+	}
+	if !j.stored {
+		r.Spec = j.spec
+	}
+	if len(r.Progress.Tasks) == 0 && !j.started {
+		r.Progress = nil
+	}
+	return r
+}
+
 // progress returns what has to be durable of the job.
 func (j *job) progress() *workload.Progress {
 	p := &workload.Progress{State: j.state, Ended: j.ended}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -111,9 +111,10 @@
 	if _, known := s.jobs[spec.ID]; known {
 		return false
 	}
-	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, shown: workload.Queued, inherited: inherited}
+	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, shown: workload.Queued, inherited: inherited, stored: inherited}
 	if !inherited {
 		j.learned, s.learned = s.generation, s.generation
+		s.dirty[j] = struct{}{}
 	}
 	if q, ok := s.queues.ByName(spec.Queue.Name); ok {
 		j.queue = q
@@ -291,8 +292,8 @@
 	return counts
 }
 
-// Forget drops ended jobs whose retention has passed and returns their ids, at most limit.
-func (s *Scheduler) Forget(now time.Time, limit int) []string {
+// Expired returns ended jobs whose retention has passed, at most limit.
+func (s *Scheduler) Expired(now time.Time, limit int) []string {
 	var ids []string
 	for id, j := range s.jobs {
 		if len(ids) == limit {
@@ -300,16 +301,24 @@
 		}
 		if j.shown.Final() && now.Sub(j.ended) > s.cfg.Retention {
 			ids = append(ids, id)
-			delete(s.jobs, id)
 		}
 	}
 	return ids
 }
 
-// Record is the durable progress of one job.
+// Forget drops jobs whose rows are gone. A job that is dropped earlier would be taken for a new one when its row is read
+// again.
+func (s *Scheduler) Forget(ids []string) {
+	for _, id := range ids {
+		delete(s.jobs, id)
+	}
+}
+
+// Record is what has to be durable of one job.
 type Record struct {
 	JobID    string
-	Progress *workload.Progress
+	Spec     *workload.Spec     // nil if it is durable already or not needed any more
+	Progress *workload.Progress // nil if there is none yet
 }
 
 // TakeRecords returns the progress of all jobs that changed since the last call, the generation that Persisted names once
@@ -319,7 +328,7 @@
 	needed := len(s.dirty) > 0 || s.learned > s.confirmed || s.acksWait()
 	records := make([]Record, 0, len(s.dirty))
 	for j := range s.dirty {
-		records = append(records, Record{j.spec.ID, j.progress()})
+		records = append(records, j.record())
 		j.writing = j.state
 		j.writingGeneration = s.generation
 	}
@@ -345,7 +354,7 @@
 	s.confirmed = max(s.confirmed, generation)
 	for _, r := range records {
 		if j := s.jobs[r.JobID]; j != nil && j.writingGeneration <= generation {
-			j.shown = j.writing
+			j.shown, j.stored = j.writing, true
 		}
 	}
 	for _, w := range s.sorted {
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -84,7 +84,8 @@
 		Convey("A commit that begins later does, and is asked for", func() {
 			generation, records, needed := f.TakeRecords()
 			So(needed, ShouldBeTrue)
-			So(records, ShouldBeEmpty)
+			So(records, ShouldHaveLength, 1)
+			So(records[0].Spec.ID, ShouldEqual, "j")
 			f.Persisted(generation, records)
 			So(f.Plan(t0).Starts, ShouldHaveLength, 1)
 		})
--- a/internal/cluster/tenure/tenure_test.go
+++ b/internal/cluster/tenure/tenure_test.go
@@ -161,7 +161,7 @@
 		So(err, ShouldBeNil)
 		Convey("It is troubled soon after the store began to refuse it, until a commit succeeds", func() {
 			refuse := true
-			store.Fail = func() error {
+			store.Fail = func(string) error {
 				if refuse {
 					return rowstore.ErrUnavailable
 				}
@@ -177,7 +177,7 @@
 			So(a.Troubled(), ShouldBeFalse)
 		})
 		Convey("Nor does it keep it while its commits are cut off, although each may have taken effect", func() {
-			store.Fail = func() error { return rowstore.ErrUnknownOutcome }
+			store.Fail = func(string) error { return rowstore.ErrUnknownOutcome }
 			ctx, cancel := context.WithCancel(ctx)
 			cancel()
 			So(a.Commit(ctx, nil, nil), ShouldNotBeNil)
