Count calls with their latency; explain a job and why its tasks wait

Counters and latency histograms of submissions, cancellations, lookups, commits, plans, starts, runs, renewals and advice on the metrics page of every daemon. greengagectl explain asks the owner for a job's tasks and the reason of each wait.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -148,6 +148,8 @@
 				{"jobs", "List the jobs of a customer", "status jobs textos bakery", &statusJobs{app: a}, nil},
 			}},
 		{"cancel", "Cancel a job", "cancel textos bakery batch-4", &cancelJob{app: a}, nil},
+		{"explain", "Show a job on the platform: its tasks, and why each step waits; the owner among the --admin daemons answers",
+			"--admin 10.0.0.1:7720 --admin 10.0.0.2:7720 explain 5c0e7a21d94b36f8", &explainJob{app: a}, nil},
 		{"state", "Dump the state of every daemon given with --admin",
 			"--admin 10.0.0.1:7801 --admin 10.0.0.2:7801 state --path session", &showState{app: a}, nil},
 		{"drain", "Start the graceful shutdown of the one daemon given with --admin", "--admin 10.0.0.1:7801 drain",
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,65 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+type explainJob struct {
+	app        *app
+	Positional struct {
+		Job string `positional-arg-name:"JOB" required:"yes" description:"id of the job"`
+	} `positional-args:"yes"`
+}
+
+// explained is the part of the owner's answer that the table shows.
+type explained struct {
+	Queue  string
+	State  string
+	Stored string `json:"stored_state"`
+	Steps  []struct {
+		Step  string
+		Waits string `json:"waits_for"`
+		Tasks []struct {
+			Index   int
+			State   string
+			Worker  string
+			Run     int64
+			Percent int
+			Failed  []int64 `json:"failed_runs"`
+		}
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *explainJob) Execute([]string) error {
+	r, err := c.app.callAdmin(http.MethodGet, "/admin/v1/jobs/"+url.PathEscape(c.Positional.Job), nil)
+	if err := refusal(r, err); err != nil {
+		return err
+	}
+	if c.app.Output == "json" {
+		printJSON(c.app.out, json.RawMessage(r.body))
+		return nil
+	}
+	var job explained
+	if err := json.Unmarshal(r.body, &job); err != nil {
+		return fail(ExitFailed, "invalid_response", "the response can't be read: %s", err)
+	}
+	fmt.Fprintf(c.app.out, "job %s of queue %s is %s, stored as %s\n", c.Positional.Job, job.Queue, job.State, job.Stored)
+	var rows [][]string
+	for _, s := range job.Steps {
+		for _, t := range s.Tasks {
+			waits := ""
+			if t.State == "waiting" {
+				waits = s.Waits
+			}
+			rows = append(rows, []string{s.Step, strconv.Itoa(t.Index), t.State, t.Worker, strconv.FormatInt(t.Run, 10),
+				strconv.Itoa(t.Percent), strconv.Itoa(len(t.Failed)), waits})
+		}
+	}
+	printRows(c.app.out, []string{"STEP", "TASK", "STATE", "WORKER", "RUN", "PERCENT", "FAILURES", "WAITS FOR"}, rows)
+	return nil
+}
--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -18,6 +18,7 @@
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/entry"
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
@@ -79,7 +80,9 @@
 }
 
 // newStore is the one client of the store: its commits share what they learn of its latency.
-func newStore(p Platform) *rowstore.Adaptive { return rowstore.NewAdaptive(p) }
+func newStore(p Platform, scope tally.Scope) *rowstore.Adaptive {
+	return rowstore.NewAdaptive(p, meter.NewCalls(scope, "store_commit"))
+}
 
 func newIdentity(c Config) tenure.Identity {
 	boot := make([]byte, 8)
@@ -99,6 +102,6 @@
 }
 
 func newEntry(store *rowstore.Adaptive, c *coordinator.Coordinator, w *tenure.Watch, r *peers.Roster, pc *peers.Client, self tenure.Identity,
-	log *zap.Logger) *entry.Entry {
-	return entry.New(entry.Deps{Store: store, Coordinator: c, Watch: w, Roster: r, Peers: pc, Self: self, Log: log})
+	log *zap.Logger, scope tally.Scope) *entry.Entry {
+	return entry.New(entry.Deps{Store: store, Coordinator: c, Watch: w, Roster: r, Peers: pc, Self: self, Log: log, Metrics: scope})
 }
--- a/internal/cluster/coordinator/advise.go
+++ b/internal/cluster/coordinator/advise.go
@@ -89,6 +89,7 @@
 	result := scheduler.AdviceResult{Step: r.Step, Asked: r.Workers, Approved: a.Approved, Validity: a.Validity, Failed: err != nil}
 	d.t.log.Info("advice", zap.String("job", r.Step.Job), zap.Stringer("step", r.Step), zap.String("host", host),
 		zap.Int("asked", len(r.Workers)), zap.Int("approved", len(a.Approved)), zap.Duration("took", time.Since(began)), asynclog.Error(err))
+	d.t.meters.advice.Done(answeredOrNot(err), began)
 	d.t.mu.Lock()
 	defer d.t.mu.Unlock()
 	delete(d.busy, host)
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -86,6 +86,18 @@
 	return t.sched.Pending()[queue], nil
 }
 
+// Explain returns the state of a job and why its tasks wait.
+func (c *Coordinator) Explain(id string) (scheduler.JobDump, bool, error) {
+	t := c.current()
+	if t == nil {
+		return scheduler.JobDump{}, false, ErrNotOwner
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d, ok := t.sched.Explain(id, time.Now())
+	return d, ok, nil
+}
+
 // TakeJob tells the owner of a job that is stored. Without a term it does nothing: the next owner reads the job.
 func (c *Coordinator) TakeJob(spec *workload.Spec) {
 	if t := c.current(); t != nil {
--- a/internal/cluster/coordinator/orders.go
+++ b/internal/cluster/coordinator/orders.go
@@ -47,6 +47,7 @@
 	result := scheduler.StartResult{Task: o.start.Task, Run: o.start.Run, Worker: o.start.Worker.ID, Outcome: scheduler.RejectedOther}
 	uncertain := false
 	attempts := 0
+	began := time.Now()
 	for _, limit := range startTimeouts {
 		now := time.Now()
 		deadline, leaseUntil := o.runner.deadline(now)
@@ -70,6 +71,7 @@
 	if uncertain && result.Outcome != scheduler.StartAccepted && result.Outcome != scheduler.RejectedOld {
 		result.Outcome = scheduler.StartUnknown
 	}
+	t.meters.starts.Done(result.Outcome.String(), began)
 	t.log.Info("start", zap.String("job", o.start.Task.Job), zap.Stringer("task", o.start.Task), zap.Int64("run", o.start.Run),
 		zap.String("worker", o.start.Worker.ID), zap.Duration("waited", o.start.Waited), zap.Int("attempts", attempts),
 		zap.Stringer("outcome", result.Outcome))
--- a/internal/cluster/coordinator/runner.go
+++ b/internal/cluster/coordinator/runner.go
@@ -174,6 +174,7 @@
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
 	defer r.t.wake()
+	r.t.meters.renewals.Done(answeredOrNot(err), asked)
 	if err != nil {
 		r.failed()
 		r.t.sched.CallFailed(time.Now(), info.ID, leaseUntil)
@@ -191,9 +192,17 @@
 		last = max(last, e.Number)
 	}
 	for _, ch := range changes {
+		r.t.meters.ends.Done(ch.Outcome, ch.Ordered)
 		r.t.log.Info("run ended", zap.String("job", ch.Job), zap.Stringer("task", ch.Task), zap.Int64("run", ch.Run),
 			zap.String("worker", ch.Worker), zap.String("outcome", ch.Outcome))
 	}
 	wait.Signal(r.t.save)
 	return last, nil
 }
+
+func answeredOrNot(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "answered"
+}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -43,6 +45,7 @@
 	used    map[string]bool // workers that are stored as used
 
 	config   int64 // version of the configuration that the scheduler has
+	meters   meters
 	planSoon chan struct{}
 	save     chan struct{}
 	jobsFrom int64 // version from which the feed of jobs continues
@@ -56,6 +59,7 @@
 		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), GangTimeout: c.cfg.GangTimeout, Retention: c.cfg.Retention}),
 		runners:  map[string]*runner{},
 		used:     map[string]bool{},
+		meters:   newMeters(c.deps.Metrics),
 		planSoon: make(chan struct{}, 1),
 		save:     make(chan struct{}, 1),
 	}
@@ -63,6 +67,18 @@
 	return t
 }
 
+// meters count the owner's calls and decisions.
+type meters struct {
+	plans, starts, ends, renewals, advice *meter.Calls
+}
+
+func newMeters(scope tally.Scope) meters {
+	return meters{
+		plans: meter.NewCalls(scope, "plan"), starts: meter.NewCalls(scope, "start"), ends: meter.NewCalls(scope, "run"),
+		renewals: meter.NewCalls(scope, "renewal"), advice: meter.NewCalls(scope, "advice"),
+	}
+}
+
 func (t *term) wake() { wait.Signal(t.planSoon) }
 
 // followQueues puts the newest configuration in force.
@@ -151,6 +167,7 @@
 		t.sched.LimitUnresolved(now.Add(t.leaseBound()))
 	}
 	p := t.sched.Plan(now)
+	t.meters.plans.Done("planned", now)
 	for _, a := range p.Advice {
 		t.advice.add(a)
 	}
--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
@@ -52,12 +54,16 @@
 	Peers       *peers.Client
 	Self        tenure.Identity
 	Log         *zap.Logger
+	Metrics     tally.Scope
 }
 
 // Entry serves callers on one host.
 type Entry struct {
 	Deps
 
+	submits *meter.Calls
+	cancels *meter.Calls
+	lookups *meter.Calls
 	telling chan struct{} // holds a value for each call of tellOwner in progress
 	trouble trouble
 
@@ -72,11 +78,15 @@
 
 // New returns an entry.
 func New(d Deps) *Entry {
-	return &Entry{Deps: d, counts: map[string]pendingCount{}, telling: make(chan struct{}, maxTelling), trouble: newTrouble()}
+	return &Entry{
+		Deps: d, counts: map[string]pendingCount{}, telling: make(chan struct{}, maxTelling), trouble: newTrouble(),
+		submits: meter.NewCalls(d.Metrics, "submit"), cancels: meter.NewCalls(d.Metrics, "cancel"), lookups: meter.NewCalls(d.Metrics, "lookup"),
+	}
 }
 
 // Submit accepts a job. A job with the id of an accepted one is that one. Errors: ErrNotAccepted, ErrUnknown.
 func (e *Entry) Submit(ctx context.Context, spec *workload.Spec) error {
+	began := time.Now()
 	outcome, err := e.store(ctx, change{
 		id:  spec.ID,
 		own: func(place int) (peers.StoreOutcome, error) { return e.StoreJob(ctx, spec, place) },
@@ -88,11 +98,13 @@
 		e.Coordinator.TakeJob(spec)
 		e.tellOwner(func(ctx context.Context, addr string) error { return e.Peers.TakeJob(ctx, addr, spec) })
 	}
+	e.submits.Done(string(outcome), began)
 	return outcomeError(outcome, err)
 }
 
 // Cancel ends a job. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
 func (e *Entry) Cancel(ctx context.Context, id string) error {
+	began := time.Now()
 	outcome, err := e.store(ctx, change{
 		id:  id,
 		own: func(place int) (peers.StoreOutcome, error) { return e.StoreCancel(ctx, id, place) },
@@ -104,6 +116,7 @@
 		e.Coordinator.TakeCancel(id)
 		e.tellOwner(func(ctx context.Context, addr string) error { return e.Peers.TakeCancel(ctx, addr, id) })
 	}
+	e.cancels.Done(string(outcome), began)
 	return outcomeError(outcome, err)
 }
 
@@ -148,11 +161,19 @@
 // Lookup returns a job's state: from the owner, and from the store if the owner can't tell. Errors: ErrNoSuchJob,
 // ErrUnavailable.
 func (e *Entry) Lookup(ctx context.Context, id string) (workload.State, error) {
+	began := time.Now()
 	state, known, err := e.askOwner(ctx, id)
 	if err == nil && known {
+		e.lookups.Done("owner", began)
 		return state, nil
 	}
-	return e.readState(ctx, id)
+	state, err = e.readState(ctx, id)
+	outcome := "store"
+	if err != nil {
+		outcome = "failed"
+	}
+	e.lookups.Done(outcome, began)
+	return state, err
 }
 
 func (e *Entry) askOwner(ctx context.Context, id string) (workload.State, bool, error) {
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -73,6 +73,7 @@
 	e.POST(cancelPath, s.cancel)
 	e.POST(offerPath, s.offer)
 	e.POST(takePath, s.take)
+	e.GET("/admin/v1/jobs/:id", s.explain)
 }
 
 // refuse answers an error.
@@ -156,6 +157,19 @@
 	c.JSON(http.StatusOK, takeAnswer{})
 }
 
+// explain tells operators why a job waits. Only the owner knows.
+func (s *Server) explain(c *gin.Context) {
+	d, ok, err := s.coordinator.Explain(c.Param("id"))
+	switch {
+	case err != nil:
+		c.JSON(http.StatusServiceUnavailable, gin.H{"code": "not_owner", "message": err.Error()})
+	case !ok:
+		c.JSON(http.StatusNotFound, gin.H{"code": "not_found", "message": "the owner knows no such job"})
+	default:
+		c.JSON(http.StatusOK, d)
+	}
+}
+
 func (s *Server) offer(c *gin.Context) {
 	in, ok := read[offerRequest](c)
 	if !ok {
--- a/internal/cluster/rowstore/adaptive.go
+++ b/internal/cluster/rowstore/adaptive.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 )
 
 const (
@@ -23,13 +25,14 @@
 // store is given time. It bounds commits only; the other calls have their own limits.
 type Adaptive struct {
 	Store
+	calls *meter.Calls
 
 	mu    sync.Mutex
 	usual time.Duration
 }
 
-// NewAdaptive wraps a store.
-func NewAdaptive(s Store) *Adaptive { return &Adaptive{Store: s} }
+// NewAdaptive wraps a store. Its commits are counted by calls, which may be nil.
+func NewAdaptive(s Store, calls *meter.Calls) *Adaptive { return &Adaptive{Store: s, calls: calls} }
 
 // Commit implements Store.
 func (a *Adaptive) Commit(ctx context.Context, txn Txn) (int64, error) {
@@ -38,6 +41,7 @@
 	defer cancel()
 	began := time.Now()
 	version, err := a.Store.Commit(callCtx, txn)
+	a.calls.Done(outcomeOf(err), began)
 	switch {
 	case err == nil || errors.Is(err, ErrConflict):
 		a.observe(time.Since(began))
@@ -65,3 +69,15 @@
 	defer a.mu.Unlock()
 	a.usual = max(a.usual, min(2*limit, adaptiveCeiling)/adaptiveFactor)
 }
+
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "applied"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrUnavailable):
+		return "refused"
+	}
+	return "unknown"
+}
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -74,3 +74,76 @@
 	}
 	return "no room"
 }
+
+// JobDump is the state of one job.
+type JobDump struct {
+	ID       string         `json:"id"`
+	Queue    string         `json:"queue"`
+	State    workload.State `json:"state"`
+	Stored   workload.State `json:"stored_state"`
+	Accepted time.Time      `json:"accepted"`
+	Steps    []StepDump     `json:"steps"`
+}
+
+// StepDump is the state of a step of one occurrence.
+type StepDump struct {
+	Step   string     `json:"step"`
+	Left   int        `json:"tasks_left"`
+	Reason string     `json:"waits_for,omitempty"`
+	Tasks  []TaskDump `json:"tasks"`
+}
+
+// TaskDump is the state of a task.
+type TaskDump struct {
+	Index      int     `json:"index"`
+	State      string  `json:"state"`
+	Worker     string  `json:"worker,omitempty"`
+	Run        int64   `json:"run,omitempty"`
+	Percent    int     `json:"percent,omitempty"`
+	FailedRuns []int64 `json:"failed_runs,omitempty"`
+}
+
+// Explain returns the state of a job, and why its tasks wait.
+func (s *Scheduler) Explain(id string, now time.Time) (JobDump, bool) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return JobDump{}, false
+	}
+	d := JobDump{ID: id, Queue: j.spec.Queue.Name, State: j.state, Stored: j.shown, Accepted: j.spec.Accepted}
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, u := range o.units {
+			d.Steps = append(d.Steps, s.explainUnit(u, now))
+		}
+	}
+	return d, true
+}
+
+func (s *Scheduler) explainUnit(u *unit, now time.Time) StepDump {
+	d := StepDump{Step: u.id().String(), Left: u.left}
+	switch _, open := s.open[u]; {
+	case u.left == 0, u.job.state.Final():
+	case !open:
+		d.Reason = "an earlier step has not ended"
+	case len(u.pending(now)) > 0:
+		d.Reason = s.reason(u, now)
+	}
+	for _, t := range u.tasks {
+		d.Tasks = append(d.Tasks, t.dump())
+	}
+	return d
+}
+
+func (t *task) dump() TaskDump {
+	d := TaskDump{Index: t.index, Run: t.run, FailedRuns: t.failedRuns, State: "waiting"}
+	switch p := t.placement; {
+	case t.done:
+		d.State = "done"
+	case p != nil:
+		d.Worker, d.Percent = p.worker.info.ID, p.percent
+		d.State = [...]string{"starting", "running", "stopping"}[p.state]
+	}
+	return d
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -55,6 +55,7 @@
 	Run     int64
 	Worker  string
 	Outcome string
+	Ordered time.Time // when the run was ordered; now if this owner did not order it
 }
 
 // Report applies a worker's report.
@@ -174,10 +175,11 @@
 
 // end applies the end of one run.
 func (s *Scheduler) end(w *worker, e EndedRun, now time.Time) Change {
-	c := Change{Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Outcome: string(e.How)}
+	c := Change{Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Outcome: string(e.How), Ordered: now}
 	p := w.find(e.Task, e.Run)
 	if p != nil {
 		w.remove(p)
+		c.Ordered = p.ordered
 	}
 	t := s.task(e.Task)
 	if t == nil {
