Make room for tasks that last, keep fillers from serving tasks; test logs and the ways to store

Change: tasks that last come first and stop the tasks with least unsaved work; fillers and serving tasks never share a worker.

--- /dev/null
+++ b/internal/asynclog/asynclog_test.go
@@ -0,0 +1,63 @@
+package asynclog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap/zapcore"
+)
+
+// gate is a writer that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.buf.Write(p)
+}
+
+// Guards against a daemon that stops because nobody reads its log, and against lines that vanish without a trace.
+func TestWriterNeverBlocks(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	w := NewWriter(g)
+	log := New(w, zapcore.InfoLevel)
+	const lines = 3 * bufferedLines
+	for range lines {
+		log.Info("line")
+	}
+	close(g.open)
+	w.Close()
+	out := g.buf.String()
+	written := strings.Count(out, `"msg":"line"`)
+	if written < bufferedLines || written >= lines {
+		t.Errorf("%d of %d lines were written through a buffer of %d", written, lines, bufferedLines)
+	}
+	if !strings.Contains(out, "log lines dropped") {
+		t.Error("nothing tells that lines were dropped")
+	}
+}
+
+// Guards against stacks in the log, which multiply its volume, and against fields of errors that are none.
+func TestErrorField(t *testing.T) {
+	var buf bytes.Buffer
+	w := NewWriter(&buf)
+	log := New(w, zapcore.InfoLevel)
+	log.Info("with", Error(errors.Wrap(errors.New("inner"), "outer")))
+	log.Info("without", Error(nil))
+	w.Close()
+	out := buf.String()
+	if !strings.Contains(out, `"error":"outer: inner"`) || strings.Contains(out, ".go:") {
+		t.Errorf("the error is logged as %s", out)
+	}
+	if strings.Count(out, `"error"`) != 1 {
+		t.Errorf("an error is logged where there is none: %s", out)
+	}
+}
--- /dev/null
+++ b/internal/cluster/entry/store_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/peers"
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+)
+
+const testJob = "5c0e7a21d94b36f8"
+
+// testEntry knows no peers, so ways by peers are refused.
+func testEntry() *Entry {
+	return &Entry{Deps: Deps{Roster: peers.NewRoster(zap.NewNop()), Log: zap.NewNop()}, trouble: newTrouble()}
+}
+
+// script answers own attempts in turn and counts them.
+type script struct {
+	outcomes []peers.StoreOutcome
+	places   []int
+}
+
+func (s *script) own(place int) (peers.StoreOutcome, error) {
+	s.places = append(s.places, place)
+	o := s.outcomes[min(len(s.places), len(s.outcomes))-1]
+	return o, nil
+}
+
+func (s *script) change() change {
+	return change{id: testJob, own: s.own, by: func(string, int) (peers.StoreOutcome, error) { return peers.NotStored, nil }}
+}
+
+// Guards against answers that say "not accepted" although an attempt may have taken effect, and against submissions that
+// wait for their deadline although nothing can be stored.
+func TestStoreOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcomes []peers.StoreOutcome
+		want     peers.StoreOutcome
+		within   time.Duration
+	}{
+		"stored at once":                        {[]peers.StoreOutcome{peers.Stored}, peers.Stored, 0},
+		"refused everywhere":                    {[]peers.StoreOutcome{peers.NotStored}, peers.NotStored, 500 * time.Millisecond},
+		"refused at one place":                  {[]peers.StoreOutcome{peers.NotStored, peers.Stored}, peers.Stored, 100 * time.Millisecond},
+		"unknown, then refused to the end":      {[]peers.StoreOutcome{peers.StoreUnknown, peers.NotStored}, peers.StoreUnknown, 3 * time.Second},
+		"unknown, then found stored":            {[]peers.StoreOutcome{peers.StoreUnknown, peers.NotStored, peers.StoredBefore}, peers.StoredBefore, time.Second},
+		"a job that is not known is not stored": {[]peers.StoreOutcome{peers.NoSuchJob}, peers.NoSuchJob, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				began := time.Now()
+				got, _ := testEntry().store(ctx, (&script{outcomes: c.outcomes}).change())
+				if got != c.want {
+					t.Errorf("outcome %s, want %s", got, c.want)
+				}
+				if took := time.Since(began); took > c.within {
+					t.Errorf("it took %s, at most %s is allowed", took, c.within)
+				}
+			})
+		})
+	}
+}
+
+// Guards against submissions that try a part first of which it is known that it takes no writes.
+func TestTroubledPartsComeLast(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	tr := newTrouble()
+	usual := tr.order(testJob, now)
+	if usual[0] != (way{byPeer: false, place: 0}) || len(usual) != 2*records.Places {
+		t.Fatalf("the usual order is %v", usual)
+	}
+	tr.note(records.JobKey(testJob, 0).Part, false, now)
+	if first := tr.order(testJob, now)[0]; first != (way{byPeer: false, place: 1}) {
+		t.Errorf("with the first part in trouble the first way is %v", first)
+	}
+	for _, part := range records.JobParts() {
+		tr.note(part, false, now)
+	}
+	if first := tr.order(testJob, now)[0]; !first.byPeer {
+		t.Errorf("with all parts in trouble the first way is %v", first)
+	}
+	if first := tr.order(testJob, now.Add(2*troubleTime))[0]; first != usual[0] {
+		t.Errorf("after the trouble the first way is %v", first)
+	}
+}
--- /dev/null
+++ b/internal/cluster/scheduler/lasting_test.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// Guards against tasks that last and find no place in a full pool, and against more stops than they need.
+func TestLastingTasksMakeRoom(t *testing.T) {
+	Convey("Given a full pool", t, func() {
+		f := newFixture(1, 2)
+		f.AddJob(t0, f.job("batch", t0, simpleStep(10)), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 10)
+		lasting := simpleStep(1)
+		lasting.LongRunning = true
+		f.AddJob(t0, f.job("lasting", t0, lasting), nil, false)
+		Convey("One task is stopped for a task that lasts, once", func() {
+			stops := f.plan(at(time.Second)).Stops
+			So(stops, ShouldHaveLength, 1)
+			So(f.plan(at(1100*time.Millisecond)).Stops, ShouldBeEmpty)
+			Convey("And it takes the place when the end is listed, before the task that was stopped", func() {
+				for _, s := range f.starts {
+					if s.Task == stops[0].Task {
+						f.end(s, EndStopped, at(2*time.Second))
+					}
+				}
+				starts := f.plan(at(2 * time.Second)).Starts
+				So(starts, ShouldHaveLength, 1)
+				So(starts[0].Task.Job, ShouldEqual, "lasting")
+			})
+		})
+	})
+}
+
+// Guards against a job that lasts and is told as ended because a task of it ended.
+func TestLastingTasksAreRestarted(t *testing.T) {
+	Convey("Given a job that lasts", t, func() {
+		f := newFixture(1, 1)
+		step := simpleStep(1)
+		step.LongRunning = true
+		f.AddJob(t0, f.job("j", t0, step), nil, false)
+		for i, how := range []End{EndDone, EndFailed, EndFailed, EndFailed, EndLapsed, EndFailed} {
+			now := at(time.Duration(i) * 5 * time.Second)
+			starts := f.plan(now).Starts
+			So(starts, ShouldHaveLength, 1)
+			f.end(starts[0], how, now.Add(time.Second))
+		}
+		f.persist()
+		state, _ := f.Lookup("j")
+		So(state, ShouldEqual, workload.Running)
+	})
+}
+
+// Guards against tasks that fill a worker up beside tasks that serve users within a target.
+func TestFillersKeepAwayFromServingTasks(t *testing.T) {
+	Convey("Given a worker with a serving task and one without", t, func() {
+		f := newFixture(1, 1)
+		serving := simpleStep(1)
+		serving.LongRunning, serving.LatencyTarget = true, 40*time.Millisecond
+		f.AddJob(t0, f.job("serving", t0, serving), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 1)
+		filler := simpleStep(2)
+		filler.Filler = true
+		f.AddJob(t0, f.job("filler", t0, filler), nil, false)
+		So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+		f.addWorker("w9")
+		starts := f.plan(at(2 * time.Second)).Starts
+		So(starts, ShouldHaveLength, 2)
+		So(starts[0].Worker.ID, ShouldEqual, "w9")
+		Convey("Nor do serving tasks come to the fillers", func() {
+			more := serving
+			f.AddJob(at(3*time.Second), f.job("serving2", at(3*time.Second), more), nil, false)
+			for _, s := range f.plan(at(3 * time.Second)).Starts {
+				So(s.Worker.ID, ShouldEqual, "w0")
+			}
+		})
+	})
+}
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -44,6 +44,9 @@
 	latestStart time.Time
 }
 
+// lasting units come first: their tasks serve users of their own and have to be restarted however full the pool is.
+func (c candidate) lasting() bool { return c.unit.step.LongRunning }
+
 func (s *Scheduler) candidates(now time.Time) []candidate {
 	var out []candidate
 	for u := range s.open {
@@ -69,6 +72,9 @@
 
 // before orders units: urgent queues, then units that can be in time, then the earliest latest start.
 func (c candidate) before(o candidate) bool {
+	if c.lasting() != o.lasting() {
+		return c.lasting()
+	}
 	if c.late != o.late {
 		return o.late
 	}
@@ -148,6 +154,9 @@
 	for _, t := range c.waiting {
 		w := best(t, eligible)
 		if w == nil {
+			if c.lasting() {
+				s.preempt(t, eligible, now)
+			}
 			continue
 		}
 		run := s.nextRun(t.run, c.unit.job.inherited)
@@ -254,7 +263,26 @@
 	if u.step.Requirement != "" && !slices.Contains(w.info.Labels, u.step.Requirement) {
 		return false
 	}
-	return w.info.Capacity.Fits(u.resources())
+	return w.info.Capacity.Fits(u.resources()) && !w.disturbs(u)
+}
+
+// disturbs reports whether the worker runs tasks that the unit's must not be beside: tasks that fill up a worker slow down
+// tasks that serve users within a latency target, by amounts that nobody can tell before.
+func (w *worker) disturbs(u *unit) bool {
+	serves := u.step.LatencyTarget > 0
+	if !u.step.Filler && !serves {
+		return false
+	}
+	for _, p := range w.placements {
+		if p.task == nil {
+			continue
+		}
+		other := p.task.unit.step
+		if u.step.Filler && other.LatencyTarget > 0 || serves && other.Filler {
+			return true
+		}
+	}
+	return false
 }
 
 // usable returns the workers that may run tasks of the unit now: eligible, with a valid ticket and not held for others.
