Large hosts own the workers; shorter plans and fewer renewals with many workers

Change: only workers with tickets are looked at; a plan is followed by nine times its duration without one; renewals wait up to 1.5 s with 300 workers; hosts with less than 0.75 of the largest host's processors claim later and give the ownership up once a larger one answers.

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -28,8 +28,9 @@
 // Config is what a daemon has to know of its host and its platform.
 type Config struct {
 	Host        string
-	Domain      string // failure domain
-	PeerAddr    string // listener for peers and operators
+	Domain      string  // failure domain
+	PeerAddr    string  // listener for peers and operators
+	Processors  float64 // cores that the host has
 	Lease       time.Duration
 	GangTimeout time.Duration
 	Retention   time.Duration
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -42,6 +42,8 @@
 	takeOverTimeout = 500 * time.Millisecond
 	offerTimeout    = 700 * time.Millisecond
 	offerRetry      = 100 * time.Millisecond
+	// yieldInterval is how often a small owner looks for larger hosts.
+	yieldInterval = time.Second
 	// hostsWait is long, because the list of hosts changes rarely.
 	hostsWait = 4 * time.Second
 	// releaseTimeout bounds the hand-over of the ownership when the daemon stops.
@@ -114,13 +116,25 @@
 	n.follow(records.Hosts, "", n.parts.Roster, nil, hostsWait)
 	n.wg.Go(func() { n.watchOwner(n.ctx) })
 	n.lead.Go(func() { n.elect(n.leading) })
-	host := peers.Host{Identity: n.parts.Self, Domain: n.parts.Config.Domain, Started: time.Now()}
+	host := n.host()
+	host.Started = time.Now()
 	n.lead.Go(func() { peers.Register(n.leading, n.parts.Store, host, n.parts.Log) })
 	n.parts.Log.Info("daemon started", zap.String("host", n.parts.Self.Host), zap.String("peer_addr", n.parts.Self.Addr), zap.String("boot", n.parts.Self.Boot),
 		zap.Duration("lease", n.parts.Config.Lease))
 	return nil
 }
 
+// host describes this daemon.
+func (n *Node) host() peers.Host {
+	return peers.Host{Identity: n.parts.Self, Domain: n.parts.Config.Domain, Processors: n.parts.Config.Processors}
+}
+
+// capable reports whether this host is large enough to own the workers.
+func (n *Node) capable() bool {
+	capable := n.parts.Roster.Capable()
+	return len(capable) == 0 || slices.ContainsFunc(capable, func(h peers.Host) bool { return h.Host == n.parts.Self.Host })
+}
+
 func (n *Node) follow(table, part string, h rowstore.Handler, alive func(time.Time), wait time.Duration) {
 	f := &rowstore.Follower{Store: n.parts.Store, Table: table, Parts: []string{part}, Handler: h, Log: n.parts.Log, Alive: alive, Wait: wait}
 	n.wg.Go(func() { f.Run(n.ctx) })
@@ -157,6 +171,7 @@
 func (n *Node) elect(ctx context.Context) {
 	for wait.For(ctx, electInterval) {
 		v := n.parts.Watch.View()
+		v.Small = !n.capable()
 		if n.parts.Holder.Current() == nil || !tenure.ShouldClaim(v, n.parts.Self, time.Now()) {
 			continue
 		}
@@ -181,9 +196,10 @@
 		o := before.Owner
 		return o.Released || n.parts.Roster.Replaced(o.Host, o.Boot, before.Since)
 	}
-	offering, stop := context.WithCancel(ctx)
-	n.lead.Go(func() { n.offer(offering, held) })
-	err := n.parts.Coordinator.Run(ctx, held, gone)
+	termCtx, stop := context.WithCancel(ctx)
+	n.lead.Go(func() { n.yield(termCtx, stop) })
+	n.lead.Go(func() { n.offer(termCtx, held) })
+	err := n.parts.Coordinator.Run(termCtx, held, gone)
 	stop()
 	if err != nil {
 		n.parts.Log.Warn("term ended", zap.Int64("epoch", held.Epoch()), asynclog.Error(err))
@@ -203,6 +219,29 @@
 	n.parts.Log.Info("ownership released", zap.Int64("epoch", held.Epoch()), zap.String("successor", successor))
 }
 
+// yield ends the term of a small host once a larger one answers.
+func (n *Node) yield(ctx context.Context, stop context.CancelFunc) {
+	for wait.For(ctx, yieldInterval) {
+		if n.capable() {
+			continue
+		}
+		h, ok := n.randomPeer()
+		if !ok || !n.answers(ctx, h) {
+			continue
+		}
+		n.parts.Log.Info("a larger host answers, giving the ownership up", zap.String("to", h.Host),
+			zap.Float64("processors", n.parts.Config.Processors))
+		stop()
+	}
+}
+
+func (n *Node) answers(ctx context.Context, h peers.Host) bool {
+	callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	boot, _, err := n.parts.Peers.Watch(callCtx, h.Addr, h.Boot)
+	return err == nil && boot == h.Boot
+}
+
 // offer asks peers to take over while the store does not serve this owner: it may serve them.
 func (n *Node) offer(ctx context.Context, held *tenure.Tenure) {
 	for wait.For(ctx, electInterval) && !held.Lost() {
@@ -227,7 +266,7 @@
 }
 
 func (n *Node) randomPeer() (peers.Host, bool) {
-	hosts := slices.DeleteFunc(n.parts.Roster.Hosts(), func(h peers.Host) bool { return h.Host == n.parts.Self.Host })
+	hosts := slices.DeleteFunc(n.parts.Roster.Capable(), func(h peers.Host) bool { return h.Host == n.parts.Self.Host })
 	if len(hosts) == 0 {
 		return peers.Host{}, false
 	}
@@ -257,7 +296,7 @@
 // successor is the host that started last: in a rolling restart it is the last one that will be restarted again.
 func (n *Node) successor() string {
 	var best peers.Host
-	for _, h := range n.parts.Roster.Hosts() {
+	for _, h := range n.parts.Roster.Capable() {
 		if h.Host != n.parts.Self.Host && (best.Host == "" || h.Started.After(best.Started)) {
 			best = h
 		}
@@ -298,8 +337,10 @@
 	n.parts.Readiness.Drain()
 	n.stopLead()
 	n.lead.Wait()
+	draining := n.host()
+	draining.Draining = true
 	registerCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	peers.Register(registerCtx, n.parts.Store, peers.Host{Identity: n.parts.Self, Domain: n.parts.Config.Domain, Draining: true}, n.parts.Log)
+	peers.Register(registerCtx, n.parts.Store, draining, n.parts.Log)
 	cancel()
 	wait.For(ctx, n.parts.Config.DrainNotice-time.Since(began))
 	err := n.stopServe(ctx)
--- a/internal/cluster/coordinator/runner.go
+++ b/internal/cluster/coordinator/runner.go
@@ -14,9 +14,12 @@
 
 const (
 	// renewWait is how long a worker holds its answer back until a run ends. It bounds the age of the progress that is
-	// known and, with renewTimeout, the time until a silent worker is noticed.
-	renewWait    = 600 * time.Millisecond
-	renewTimeout = 250 * time.Millisecond
+	// known and, with renewTimeout, the time until a silent worker is noticed. With many workers it grows by
+	// renewWaitEach for each, up to renewWaitLimit: a renewal costs the owner 0.1 ms of processor time.
+	renewWait      = 600 * time.Millisecond
+	renewWaitEach  = 5 * time.Millisecond
+	renewWaitLimit = 1500 * time.Millisecond
+	renewTimeout   = 250 * time.Millisecond
 	// renewPause gathers ends that come together into one answer.
 	renewPause = 15 * time.Millisecond
 	// ackWait is how long the next renewal waits for the ends of the last one to become durable. A renewal that does not
@@ -68,6 +71,7 @@
 			delete(t.runners, id)
 		}
 	}
+	t.workers.Store(int64(len(t.runners)))
 }
 
 func (r *runner) update(info scheduler.WorkerInfo) {
@@ -142,19 +146,25 @@
 // end: a renewal that can't acknowledge them would be answered at once.
 func (r *runner) pause(ctx context.Context, ends int64) time.Duration {
 	if ends == 0 {
-		return renewWait
+		return r.longPoll()
 	}
 	wait.For(ctx, renewPause)
 	limit := time.Now().Add(ackWait)
 	for ctx.Err() == nil && time.Now().Before(limit) {
 		if r.lastEnd() >= ends {
-			return renewWait
+			return r.longPoll()
 		}
 		wait.ForOrSignal(ctx, time.Until(limit), r.acked)
 	}
 	return 0
 }
 
+// longPoll returns how long a renewal waits for an end.
+func (r *runner) longPoll() time.Duration {
+	workers := time.Duration(r.t.workers.Load())
+	return min(max(renewWait, workers*renewWaitEach), renewWaitLimit)
+}
+
 func (r *runner) lastEnd() int64 {
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,6 +23,9 @@
 	planInterval = 100 * time.Millisecond
 	// planDelay gathers events that come together, so that one plan serves them.
 	planDelay = 3 * time.Millisecond
+	// planShare is how many times its own duration a plan is followed by a pause, so that plans take at most a tenth of
+	// the processor.
+	planShare = 9
 	// jobsPace gathers jobs of the feed: entry hosts tell of them at once, so the feed only makes up for lost calls.
 	jobsPace = 150 * time.Millisecond
 	// leaseDrift covers a worker's clock that is 2 % slow, and the reading of clocks.
@@ -46,6 +50,7 @@
 
 	config   int64 // version of the configuration that the scheduler has
 	meters   meters
+	workers  atomic.Int64 // number of runners
 	planSoon chan struct{}
 	save     chan struct{}
 	jobsFrom int64 // version from which the feed of jobs continues
@@ -142,12 +147,14 @@
 			t.log.Warn("term ends: another daemon owns the workers")
 			return tenure.ErrLost
 		}
+		began := time.Now()
 		t.plan(ctx)
-		next = time.Now().Add(planInterval)
+		took := time.Since(began)
+		next = began.Add(planInterval)
 		if !wait.ForOrSignal(ctx, time.Until(next), t.planSoon) {
 			break
 		}
-		wait.For(ctx, planDelay)
+		wait.For(ctx, min(max(planDelay, planShare*took), planInterval))
 	}
 	t.log.Info("term ends: stopping")
 	return nil
--- a/internal/cluster/peers/roster.go
+++ b/internal/cluster/peers/roster.go
@@ -20,9 +20,11 @@
 // Host is a daemon as its row describes it.
 type Host struct {
 	tenure.Identity
-	Domain   string    `json:"domain"` // failure domain
-	Started  time.Time `json:"started"`
-	Draining bool      `json:"draining,omitempty"`
+	Domain  string    `json:"domain"` // failure domain
+	Started time.Time `json:"started"`
+	// Processors is the share of a processor's time that the host has, in cores.
+	Processors float64 `json:"processors"`
+	Draining   bool    `json:"draining,omitempty"`
 }
 
 // Roster knows the daemons from their rows. It implements rowstore.Handler.
@@ -81,6 +83,19 @@
 	return e.Host, ok
 }
 
+// ownerShare is the part of the largest host's processors that a host needs to own the workers while others live.
+const ownerShare = 0.75
+
+// Capable returns the daemons that are large enough to own the workers: those with about as many processors as the largest.
+func (r *Roster) Capable() []Host {
+	hosts := r.Hosts()
+	largest := 0.0
+	for _, h := range hosts {
+		largest = max(largest, h.Processors)
+	}
+	return slices.DeleteFunc(hosts, func(h Host) bool { return h.Processors < ownerShare*largest })
+}
+
 // Replaced reports whether another process than boot has registered on the host after a version of the store.
 func (r *Roster) Replaced(host, boot string, since int64) bool {
 	r.mu.Lock()
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
@@ -131,7 +132,7 @@
 
 func (s *Scheduler) planUnit(c candidate, now time.Time, held map[*worker]bool, plan *Plan) {
 	u := c.unit
-	if now.Before(u.notUntil) {
+	if now.Before(u.notUntil) || u.asking && len(u.tickets) == 0 && now.Sub(u.askedAt) < adviceTimeout {
 		return
 	}
 	placed := 0
@@ -286,17 +287,26 @@
 }
 
 // usable returns the workers that may run tasks of the unit now: eligible, with a valid ticket and not held for others.
+// Where tickets are needed only their workers are looked at, which is what keeps a plan short with hundreds of workers.
 func (s *Scheduler) usable(u *unit, now time.Time, held map[*worker]bool) []*worker {
 	var out []*worker
-	for _, w := range s.sorted {
-		if held[w] || !s.eligible(u, w, now) {
-			continue
+	if u.job.queue.Advice == nil {
+		for _, w := range s.sorted {
+			if !held[w] && s.eligible(u, w, now) {
+				out = append(out, w)
+			}
 		}
-		if u.job.queue.Advice != nil && !u.tickets[w.info.ID].expires.After(now) {
+		return out
+	}
+	for id, t := range u.tickets {
+		if !t.expires.After(now) {
 			continue
 		}
-		out = append(out, w)
+		if w := s.workers[id]; w != nil && !held[w] && s.eligible(u, w, now) {
+			out = append(out, w)
+		}
 	}
+	slices.SortFunc(out, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 	return out
 }
 
--- a/internal/cluster/tenure/candidate.go
+++ b/internal/cluster/tenure/candidate.go
@@ -25,6 +25,8 @@
 	// lastBeat is how long after the end of a process its last beat may still arrive. A later one shows that the process
 	// lives and only the path to it is refused.
 	lastBeat = 150 * time.Millisecond
+	// smallDelay lets larger hosts claim first: the owner's work may take more than a small host has.
+	smallDelay = 600 * time.Millisecond
 	// successorTimeout is how long others leave a released ownership to the named successor.
 	successorTimeout = 400 * time.Millisecond
 )
@@ -42,6 +44,8 @@
 	GoneAt time.Time
 	// Offered tells that the owner has asked this daemon to take over.
 	Offered bool
+	// Small tells that other hosts have more processors. They claim first.
+	Small bool
 	// Unreachable tells that the owner doesn't answer its peers.
 	Unreachable bool
 }
@@ -53,6 +57,9 @@
 		return false
 	}
 	turn := time.Duration(rank(self.Host, v.Owner.Epoch) * float64(spread))
+	if v.Small {
+		turn += smallDelay
+	}
 	if !v.Present {
 		return now.Sub(v.ChangedAt) > turn
 	}
@@ -72,7 +79,7 @@
 	if v.Owner.Boot == self.Boot {
 		return true // this process no longer acts as the owner
 	}
-	if v.Owner.Host == self.Host && v.Owner.Addr == self.Addr {
+	if v.Owner.Host == self.Host && v.Owner.Addr == self.Addr && !v.Small {
 		return now.Sub(v.ChangedAt) > turn // an earlier process of this host
 	}
 	if !v.GoneAt.IsZero() && v.ChangedAt.Before(v.GoneAt.Add(lastBeat)) {
--- a/internal/cluster/tenure/tenure_test.go
+++ b/internal/cluster/tenure/tenure_test.go
@@ -226,6 +226,12 @@
 			v.ChangedAt = ago(300 * time.Millisecond)
 		}), false},
 		{"released to a host that does not claim", view(func(v *View) { v.Owner.Released = true; v.Owner.Successor = "x"; v.ChangedAt = ago(time.Second) }), true},
+		{"the owner's process is gone, and larger hosts come first", view(func(v *View) {
+			v.ChangedAt = ago(400 * time.Millisecond)
+			v.GoneAt = ago(300 * time.Millisecond)
+			v.Small = true
+		}), false},
+		{"no larger host has claimed", view(func(v *View) { v.ChangedAt = ago(2 * time.Second); v.GoneAt = ago(time.Second); v.Small = true }), true},
 		{"an earlier process of this host", view(func(v *View) { v.Owner.Identity = self; v.Owner.Boot = "other"; v.ChangedAt = ago(time.Second) }), true},
 	} {
 		Convey(c.name, t, func() { So(ShouldClaim(c.view, self, now), ShouldEqual, c.want) })
