Ask for advice in the plan's order, one question for each step; tell a slow store from a silent one

Owners offered the ownership while the store was 81 times slower, because the age of a commit was counted from its sending. Ruled out: the scheduler (workers had room) and the policy service (8.6 of 34 hosts' time). Change: a newer question replaces one that waits; questions have the order of the plan; late steps ask only while there is room. An owner is in trouble when no commit was answered for 1.4 s.

--- a/internal/cluster/coordinator/advise.go
+++ b/internal/cluster/coordinator/advise.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -28,17 +30,17 @@
 // methods are called with the term's mu held.
 type adviceDesk struct {
 	t       *term
-	waiting []scheduler.AdviceRequest
-	busy    map[string]time.Duration // by host: cost of its question
-	avoid   map[string]time.Time     // hosts that failed, until when they are not asked
-	failed  map[string]int           // by host: failures since the last answer
+	waiting map[workload.StepID]scheduler.AdviceRequest // a newer question of a step replaces one that waits
+	busy    map[string]time.Duration                    // by host: cost of its question
+	avoid   map[string]time.Time                        // hosts that failed, until when they are not asked
+	failed  map[string]int                              // by host: failures since the last answer
 }
 
 func newAdviceDesk(t *term) *adviceDesk {
-	return &adviceDesk{t: t, busy: map[string]time.Duration{}, avoid: map[string]time.Time{}, failed: map[string]int{}}
+	return &adviceDesk{t: t, waiting: map[workload.StepID]scheduler.AdviceRequest{}, busy: map[string]time.Duration{}, avoid: map[string]time.Time{}, failed: map[string]int{}}
 }
 
-func (d *adviceDesk) add(r scheduler.AdviceRequest) { d.waiting = append(d.waiting, r) }
+func (d *adviceDesk) add(r scheduler.AdviceRequest) { d.waiting[r.Step] = r }
 
 // dispatch sends questions while hosts are free.
 func (d *adviceDesk) dispatch(ctx context.Context) {
@@ -46,19 +48,21 @@
 		return
 	}
 	hosts := d.t.deps.Advisers.Hosts()
-	sort.SliceStable(d.waiting, func(i, j int) bool { return d.waiting[i].Urgency.Before(d.waiting[j].Urgency) })
+	order := slices.Collect(maps.Values(d.waiting))
+	slices.SortFunc(order, scheduler.AdviceRequest.Compare)
 	longLimit := max((len(hosts)+1)/2, 1)
-	var kept []scheduler.AdviceRequest
-	for _, r := range d.waiting {
+	for _, r := range order {
 		host := d.freeHost(hosts)
-		if host == "" || r.Cost >= longCall && d.longCalls() >= longLimit {
-			kept = append(kept, r)
+		if host == "" {
+			return
+		}
+		if r.Cost >= longCall && d.longCalls() >= longLimit {
 			continue
 		}
 		d.busy[host] = r.Cost
+		delete(d.waiting, r.Step)
 		d.t.wg.Go(func() { d.ask(ctx, host, r) })
 	}
-	d.waiting = kept
 }
 
 func (d *adviceDesk) freeHost(hosts []string) string {
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -14,7 +14,19 @@
 	Queue   string
 	Workers []string
 	Cost    time.Duration // how long the service takes
-	Urgency time.Time     // latest start of the step that meets its objective
+	order   candidate
+}
+
+// Compare orders questions as plans order the steps: one that a step asks late in vain must not hold up one that can still
+// be in time.
+func (r AdviceRequest) Compare(o AdviceRequest) int {
+	switch {
+	case r.order.before(o.order):
+		return -1
+	case o.order.before(r.order):
+		return 1
+	}
+	return 0
 }
 
 // Approval is one worker that may run a step.
@@ -104,15 +116,16 @@
 }
 
 // adviceFor builds the question for a unit whose tasks found no place, or returns false if asking can't help now.
-func (s *Scheduler) adviceFor(u *unit, waiting int, now time.Time, urgency time.Time) (AdviceRequest, bool) {
+func (s *Scheduler) adviceFor(c candidate, waiting int, now time.Time) (AdviceRequest, bool) {
+	u := c.unit
 	advice := u.job.queue.Advice
-	workers := s.askable(u, waiting, now)
+	workers := s.askable(c, waiting, now)
 	if len(workers) == 0 {
 		return AdviceRequest{}, false
 	}
 	u.asking, u.askedAt = true, now
 	return AdviceRequest{
-		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workers, Cost: adviceCost(advice, len(workers)), Urgency: urgency,
+		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workers, Cost: adviceCost(advice, len(workers)), order: c,
 	}, true
 }
 
@@ -121,18 +134,26 @@
 }
 
 type askCandidate struct {
-	id      string
-	fit     float64 // tasks that are expected to find room there
-	known   bool    // approved before: a new ticket is certain
-	pressed bool    // no room now
+	id  string
+	fit float64 // tasks that are expected to be approved and find room there
+}
+
+// needs is how many places a unit's tasks need to make a question worthwhile.
+func (u *unit) needs(waiting int) float64 {
+	if u.step.Gang {
+		return float64(waiting)
+	}
+	return 1
 }
 
 // askable chooses the workers to ask for: those whose approval is known and those with most room, until the expected
 // number of places exceeds the number of waiting tasks.
-func (s *Scheduler) askable(u *unit, waiting int, now time.Time) []string {
+func (s *Scheduler) askable(c candidate, waiting int, now time.Time) []string {
+	u := c.unit
 	res := u.resources()
 	share := s.approvalShare(u.job.spec.Queue.Name)
 	var all []askCandidate
+	room := 0.0
 	for _, w := range s.sorted {
 		if _, denied := u.denied[w.info.ID]; denied || !s.eligible(u, w, now) {
 			continue
@@ -142,14 +163,18 @@
 			continue
 		}
 		fit := fits(w.free(), res)
-		c := askCandidate{id: w.info.ID, fit: float64(fit), known: known, pressed: fit == 0}
+		a := askCandidate{id: w.info.ID, fit: float64(fit)}
 		if u.step.MaxPerWorker > 0 {
-			c.fit = min(c.fit, float64(u.step.MaxPerWorker))
+			a.fit = min(a.fit, float64(u.step.MaxPerWorker))
 		}
+		room += a.fit
 		if !known {
-			c.fit *= share
+			a.fit *= share
 		}
-		all = append(all, c)
+		all = append(all, a)
+	}
+	if c.late && room < u.needs(waiting) {
+		return nil
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].fit > all[j].fit })
 	var ids []string
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -143,7 +143,7 @@
 	}
 	left := len(c.waiting) - placed
 	if left > 0 && u.needsAdvice(now) {
-		if r, ok := s.adviceFor(u, left, now, c.latestStart); ok {
+		if r, ok := s.adviceFor(c, left, now); ok {
 			plan.Advice = append(plan.Advice, r)
 		}
 	}
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -41,7 +41,7 @@
 	Validity = 8 * time.Second
 
 	// refusedLimit and unansweredLimit are when an owner offers the ownership to others. Commits come at least every
-	// BeatInterval, and one of a store that answers 70 times slower than usual takes 400 ms.
+	// BeatInterval, and one of a store that answers 80 times slower than usual takes 750 ms.
 	refusedLimit    = 150 * time.Millisecond
 	unansweredLimit = 1400 * time.Millisecond
 
@@ -89,6 +89,7 @@
 	released bool
 
 	refusedSince atomic.Int64 // since() of the first of the commits that were refused in a row; 0 if the last was not
+	answered     atomic.Int64 // since() when the last commit was confirmed
 	confirmed    atomic.Int64 // since() before the last confirmed commit was sent
 	lost         atomic.Bool
 }
@@ -136,7 +137,8 @@
 // store takes. Other hosts may be served, so the ownership is better offered to them.
 func (t *Tenure) Troubled() bool {
 	refused := t.refusedSince.Load()
-	return refused != 0 && t.since()-time.Duration(refused) > refusedLimit || t.ConfirmedAge() > unansweredLimit
+	return refused != 0 && t.since()-time.Duration(refused) > refusedLimit ||
+		t.since()-time.Duration(t.answered.Load()) > unansweredLimit
 }
 
 // GiveUp ends the ownership after another daemon has said that it claimed it.
@@ -241,6 +243,7 @@
 func (t *Tenure) commitDone(version int64, asked time.Duration, beat bool) {
 	t.version = version
 	t.refusedSince.Store(0)
+	t.answered.Store(int64(t.since()))
 	t.confirmed.Store(int64(asked))
 	if beat {
 		t.lastBeat = time.Now()
