--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -6,12 +6,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -23,6 +20,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
+	"github.com/greengagewing/greengagewing/internal/metrics"
 )
 
 // Config is what a daemon has to know of its host and its platform.
@@ -56,30 +54,11 @@
 // Module holds the parts of the daemon. Config, Platform, network.Network, clock.Func and *zap.Logger are supplied by the
 // caller.
 var Module = fx.Options(
-	fx.Provide(newStore, newIdentity, newMetrics, newRoster, newWatch, queues.NewHolder, newCoordinator, newEntry, newNode,
+	fx.Provide(newStore, newIdentity, metrics.New, newRoster, newWatch, queues.NewHolder, newCoordinator, newEntry, newNode,
 		peers.NewClient, newAdvisers, admin.NewReadiness, admin.NewStates),
 	fx.Invoke(func(lc fx.Lifecycle, n *Node) { lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop}) }),
 )
 
-// metricsInterval is how often counters are passed to the page that a scraper reads.
-const metricsInterval = time.Second
-
-type metrics struct {
-	fx.Out
-	Scope tally.Scope
-	Page  http.Handler
-}
-
-func newMetrics(lc fx.Lifecycle) metrics {
-	r := promreporter.NewReporter(promreporter.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "greengage", CachedReporter: r, Separator: promreporter.DefaultSeparator,
-		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	lc.Append(fx.StopHook(func(context.Context) error { return io.Closer(closer).Close() }))
-	return metrics{Scope: scope, Page: r.HTTPHandler()}
-}
-
 // newStore is the one client of the store: its commits share what they learn of its latency.
 func newStore(p Platform, scope tally.Scope) *rowstore.Adaptive {
 	return rowstore.NewAdaptive(p, meter.NewCalls(scope, "store_commit"))
--- a/internal/cluster/coordinator/orders.go
+++ b/internal/cluster/coordinator/orders.go
@@ -11,8 +11,8 @@
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
-// startTimeouts are the time limits of a start's attempts. All attempts carry the same run, which a worker starts once.
-// Together they stay well under the time that members of a gang wait for each other.
+// startTimeouts are the time limits of a start's attempts. All attempts carry the same run, which a worker starts once. No
+// attempt begins after half of the time that members of a gang wait for each other.
 var startTimeouts = [...]time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond}
 
 const (
@@ -51,7 +51,7 @@
 	for _, limit := range startTimeouts {
 		now := time.Now()
 		deadline, leaseUntil := o.runner.deadline(now)
-		if deadline == 0 || !t.tenure.Valid() || ctx.Err() != nil {
+		if deadline == 0 || !t.tenure.Valid() || ctx.Err() != nil || now.Sub(began) > t.cfg.GangTimeout/2 {
 			break
 		}
 		if leaseUntil.After(result.LeaseUntil) {
--- a/internal/cluster/coordinator/runner.go
+++ b/internal/cluster/coordinator/runner.go
@@ -48,7 +48,6 @@
 type workerClock struct {
 	ms   int64
 	read time.Time // when the answer arrived; zero before the first one
-	born int64
 }
 
 // followWorkers starts and ends runners so that each worker of the scheduler has one.
@@ -98,7 +97,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failing = false
-	r.clock = workerClock{ms: a.ClockMS, read: time.Now(), born: a.Born}
+	r.clock = workerClock{ms: a.ClockMS, read: time.Now()}
 }
 
 func (r *runner) failed() {
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -61,7 +61,7 @@
 	t := &term{
 		c: c, cfg: c.cfg, deps: c.deps, tenure: held, gone: gone,
 		log:      c.deps.Log.With(zap.Int64("epoch", held.Epoch())),
-		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), GangTimeout: c.cfg.GangTimeout, Retention: c.cfg.Retention}),
+		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), Retention: c.cfg.Retention}),
 		runners:  map[string]*runner{},
 		used:     map[string]bool{},
 		meters:   newMeters(c.deps.Metrics),
@@ -141,7 +141,6 @@
 	t.loadInbox(ctx)
 	t.wg.Go(func() { t.deps.Discovery.Follow(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
-	next := time.Now()
 	for ctx.Err() == nil {
 		if t.tenure.Lost() {
 			t.log.Warn("term ends: another daemon owns the workers")
@@ -150,8 +149,7 @@
 		began := time.Now()
 		t.plan(ctx)
 		took := time.Since(began)
-		next = began.Add(planInterval)
-		if !wait.ForOrSignal(ctx, time.Until(next), t.planSoon) {
+		if !wait.ForOrSignal(ctx, time.Until(began.Add(planInterval)), t.planSoon) {
 			break
 		}
 		wait.For(ctx, min(max(planDelay, planShare*took), planInterval))
--- a/internal/cluster/queues/queues.go
+++ b/internal/cluster/queues/queues.go
@@ -80,18 +80,14 @@
 // Holder holds the newest configuration that this process has seen.
 type Holder struct {
 	current atomic.Pointer[Config]
-	changed chan struct{}
 }
 
 // NewHolder returns a holder without a configuration.
-func NewHolder() *Holder { return &Holder{changed: make(chan struct{}, 1)} }
+func NewHolder() *Holder { return &Holder{} }
 
 // Current returns the configuration in force, or nil before the first one.
 func (h *Holder) Current() *Config { return h.current.Load() }
 
-// Changed receives a value after configurations were replaced.
-func (h *Holder) Changed() <-chan struct{} { return h.changed }
-
 // Offer puts c in force unless a configuration with the same or a higher version is. It reports whether it did.
 func (h *Holder) Offer(c *Config) bool {
 	for {
@@ -100,10 +96,6 @@
 			return false
 		}
 		if h.current.CompareAndSwap(old, c) {
-			select {
-			case h.changed <- struct{}{}:
-			default:
-			}
 			return true
 		}
 	}
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -27,7 +27,7 @@
 
 func newFixture(epoch int64, workers int) *fixture {
 	f := &fixture{
-		Scheduler: New(Config{Epoch: epoch, GangTimeout: 3 * time.Second, Retention: time.Minute}),
+		Scheduler: New(Config{Epoch: epoch, Retention: time.Minute}),
 		queue: queues.Queue{Name: "q", Service: testService, MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second,
 			Priority: 1},
 		ends: map[string]int64{}, ended: map[string][]EndedRun{}, active: map[string][]ActiveRun{},
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -18,8 +18,6 @@
 	// Epoch is the number of this ownership. Runs of jobs that an earlier owner may have started are numbered from
 	// Epoch * runsPerEpoch, so that they are higher than any of its runs.
 	Epoch int64
-	// GangTimeout is how long members of a gang wait for each other on their workers.
-	GangTimeout time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 }
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -55,7 +55,7 @@
 }
 
 const (
-	// crowdedDelay keeps a task from a worker that has just rejected one for want of room or health.
+	// rejectDelay keeps tasks from a worker that has just rejected one for want of room or health.
 	rejectDelay = 300 * time.Millisecond
 	// oldRunStep is how far a run number is raised past one that the worker calls old.
 	oldRunStep = 16
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -20,6 +18,7 @@
 	"github.com/greengagewing/greengagewing/internal/job"
 	"github.com/greengagewing/greengagewing/internal/job/worker"
 	"github.com/greengagewing/greengagewing/internal/membership"
+	"github.com/greengagewing/greengagewing/internal/metrics"
 	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/peer"
 	"github.com/greengagewing/greengagewing/internal/request"
@@ -31,15 +30,13 @@
 )
 
 const (
-	// metricsInterval is how often counters are passed to the page that a scraper reads.
-	metricsInterval       = time.Second
 	membershipDialTimeout = 500 * time.Millisecond
 )
 
 // Module holds all parts of the daemon.
 var Module = fx.Options(
 	fx.Provide(
-		newLogger, newMetrics, newBackground, admin.NewReadiness, admin.NewStates,
+		newLogger, metrics.New, newBackground, admin.NewReadiness, admin.NewStates,
 		newTable, newMembership, newPeerClient,
 		newSessionConfig, newKeeper, newObserver, newGuarantor, newManager,
 		newCommitter, newRoster, newMembers, newLists, newAnnouncer, newBeat, newHeartbeater, peer.NewLender, newGauges,
@@ -59,23 +56,6 @@
 	return cfg.Build()
 }
 
-// metrics are the root scope and the page that a scraper reads.
-type metrics struct {
-	fx.Out
-	Scope tally.Scope
-	Page  http.Handler
-}
-
-func newMetrics(lc fx.Lifecycle) metrics {
-	r := promreporter.NewReporter(promreporter.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "greengage", CachedReporter: r, Separator: promreporter.DefaultSeparator,
-		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	lc.Append(fx.StopHook(func(context.Context) error { return io.Closer(closer).Close() }))
-	return metrics{Scope: scope, Page: r.HTTPHandler()}
-}
-
 // background runs duties until the daemon has drained.
 type background struct {
 	ctx    context.Context
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,34 @@
+// Package metrics makes the root scope of a daemon's metrics and the page that a scraper reads.
+package metrics
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/fx"
+)
+
+// interval is how often counters are passed to the page that a scraper reads.
+const interval = time.Second
+
+// Metrics are the root scope and the page that a scraper reads.
+type Metrics struct {
+	fx.Out
+	Scope tally.Scope
+	Page  http.Handler
+}
+
+// New returns metrics that end with the daemon.
+func New(lc fx.Lifecycle) Metrics {
+	r := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "greengage", CachedReporter: r, Separator: promreporter.DefaultSeparator,
+		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, interval)
+	lc.Append(fx.StopHook(func(context.Context) error { return io.Closer(closer).Close() }))
+	return Metrics{Scope: scope, Page: r.HTTPHandler()}
+}
