Cancel a job whose cancellation is read before the job

Ruled out: the cancellation's acknowledgement (its row was stored 8 s before the start). Change: cancellations of unknown jobs are kept until the job comes, for as long as ended jobs are kept. TestCancellationBeforeItsJob failed before and passes.

--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -34,6 +34,9 @@
 	sorted  []*worker // by id
 	open    map[*unit]struct{}
 	timed   map[*job]struct{} // jobs with occurrences that are not due yet
+	// cancellations of jobs that are not known yet, with the time at which they came: rows of a job and of its cancellation
+	// may be read in any order
+	cancelled map[string]time.Time
 
 	// predecessors' workers that may still run tasks, with the time after which they certainly don't
 	unresolved map[string]time.Time
@@ -57,6 +60,7 @@
 		workers:    map[string]*worker{},
 		open:       map[*unit]struct{}{},
 		timed:      map[*job]struct{}{},
+		cancelled:  map[string]time.Time{},
 		unresolved: map[string]time.Time{},
 		dirty:      map[*job]struct{}{},
 		generation: 1,
@@ -124,6 +128,9 @@
 		s.restore(j, progress)
 	}
 	s.openDue(j, now)
+	if _, cancelled := s.cancelled[spec.ID]; cancelled {
+		s.finish(j, workload.Cancelled, now)
+	}
 	return true
 }
 
@@ -203,7 +210,11 @@
 // Cancel ends a job by its caller's wish. It reports whether that changed anything.
 func (s *Scheduler) Cancel(now time.Time, id string) bool {
 	j, ok := s.jobs[id]
-	if !ok || j.state.Final() {
+	if !ok {
+		s.cancelled[id] = now
+		return false
+	}
+	if j.state.Final() {
 		return false
 	}
 	s.finish(j, workload.Cancelled, now)
@@ -292,6 +303,7 @@
 
 // Expired returns ended jobs whose retention has passed, at most limit.
 func (s *Scheduler) Expired(now time.Time, limit int) []string {
+	s.forgetCancellations(now)
 	var ids []string
 	for id, j := range s.jobs {
 		if len(ids) == limit {
@@ -312,6 +324,15 @@
 	}
 }
 
+// forgetCancellations drops cancellations whose jobs were never read.
+func (s *Scheduler) forgetCancellations(now time.Time) {
+	for id, came := range s.cancelled {
+		if now.Sub(came) > s.cfg.Retention {
+			delete(s.cancelled, id)
+		}
+	}
+}
+
 // Record is what has to be durable of one job.
 type Record struct {
 	JobID    string
--- a/internal/cluster/scheduler/starts_test.go
+++ b/internal/cluster/scheduler/starts_test.go
@@ -107,3 +107,18 @@
 		})
 	})
 }
+
+// Guards against a cancelled job that runs because its cancellation was read before the job itself.
+func TestCancellationBeforeItsJob(t *testing.T) {
+	Convey("Given a cancellation of a job that is not known yet", t, func() {
+		f := newFixture(1, 1)
+		So(f.Cancel(t0, "j"), ShouldBeFalse)
+		Convey("The job is cancelled when it comes", func() {
+			f.AddJob(at(time.Second), f.job("j", t0, simpleStep(1)), nil, false)
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			f.persist()
+			state, _ := f.Lookup("j")
+			So(state, ShouldEqual, workload.Cancelled)
+		})
+	})
+}
