Log how full the pool is and what waits for it

The wait of a job could not be explained from the logs: they said what started, not how much room there was or what else waited. The owner logs one line a second with the room, its use, and the waiting steps of each queue.

--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -28,6 +28,8 @@
 	planShare = 9
 	// jobsPace gathers jobs of the feed: entry hosts tell of them at once, so the feed only makes up for lost calls.
 	jobsPace = 150 * time.Millisecond
+	// usageInterval is how often the owner logs how full the pool is.
+	usageInterval = time.Second
 	// leaseDrift covers a worker's clock that is 2 % slow, and the reading of clocks.
 	leaseDrift  = 1.03
 	leaseMargin = 300 * time.Millisecond
@@ -141,6 +143,7 @@
 	t.loadInbox(ctx)
 	t.wg.Go(func() { t.deps.Discovery.Follow(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
+	t.wg.Go(func() { t.logUsage(ctx) })
 	for ctx.Err() == nil {
 		if t.tenure.Lost() {
 			t.log.Warn("term ends: another daemon owns the workers")
@@ -158,6 +161,18 @@
 	return nil
 }
 
+// logUsage logs how full the pool is and what waits for it, so that the wait of a job can be explained afterwards.
+func (t *term) logUsage(ctx context.Context) {
+	for wait.For(ctx, usageInterval) {
+		t.mu.Lock()
+		u := t.sched.Usage(time.Now())
+		t.mu.Unlock()
+		t.log.Info("pool", zap.Int("workers", u.Workers), zap.Int64("cpu_milli", u.Capacity.CPUMilli),
+			zap.Int64("cpu_milli_used", u.Used.CPUMilli), zap.Int64("memory_mb", u.Capacity.MemoryMB),
+			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Any("waiting", u.Queues))
+	}
+}
+
 // plan lets the scheduler decide and sends its orders. Without a valid ownership nothing may be sent, so nothing is
 // decided.
 func (t *term) plan(ctx context.Context) {
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -256,9 +256,14 @@
 	failedPenalty = 1 << 31 // a run of the task has failed there
 )
 
+// available reports whether the worker may get tasks now.
+func (w *worker) available(now time.Time) bool {
+	return w.listed && w.fenced && !w.failing && !w.info.Draining && !w.health.aside(now)
+}
+
 // eligible reports whether the worker may run tasks of the unit at all.
 func (s *Scheduler) eligible(u *unit, w *worker, now time.Time) bool {
-	if !w.listed || !w.fenced || w.failing || w.info.Draining || w.info.Service != u.job.queue.Service || w.health.aside(now) {
+	if !w.available(now) || w.info.Service != u.job.queue.Service {
 		return false
 	}
 	if u.step.Requirement != "" && !slices.Contains(w.info.Labels, u.step.Requirement) {
