Plan what has changed at once; choose the workers of a question when a host is free

Change: PlanSoon plans only the steps for which something has changed; the policy service is asked while the commit is on its way; an answer brings up the next question. The scheduler keeps the steps that need an answer in order and chooses the workers of a question when it is sent.

--- a/internal/cluster/coordinator/advise.go
+++ b/internal/cluster/coordinator/advise.go
@@ -2,22 +2,16 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
-	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 const (
-	// longCall is the duration from which a question counts as long. Long ones use at most half of the hosts, so that
-	// questions of short tasks find a free one.
-	longCall = 200 * time.Millisecond
 	// adviceSlack is added to the expected time of a call for its time limit.
 	adviceSlack = 200 * time.Millisecond
 	// hostBackoff keeps questions from a host that failed to answer one. It doubles with each failure up to its limit: each
@@ -26,41 +20,33 @@
 	hostBackoffLimit = 16 * time.Second
 )
 
-// adviceDesk hands questions to the policy service to the hosts, one at a time for each, the most urgent first. Its
-// methods are called with the term's mu held.
+// adviceDesk hands questions to the policy service to the hosts, one at a time for each. Its methods are called with the
+// term's mu held.
 type adviceDesk struct {
-	t       *term
-	waiting map[workload.StepID]scheduler.AdviceRequest // a newer question of a step replaces one that waits
-	busy    map[string]time.Duration                    // by host: cost of its question
-	avoid   map[string]time.Time                        // hosts that failed, until when they are not asked
-	failed  map[string]int                              // by host: failures since the last answer
+	t      *term
+	busy   map[string]time.Duration // by host: cost of its question
+	avoid  map[string]time.Time     // hosts that failed, until when they are not asked
+	failed map[string]int           // by host: failures since the last answer
 }
 
 func newAdviceDesk(t *term) *adviceDesk {
-	return &adviceDesk{t: t, waiting: map[workload.StepID]scheduler.AdviceRequest{}, busy: map[string]time.Duration{}, avoid: map[string]time.Time{}, failed: map[string]int{}}
+	return &adviceDesk{t: t, busy: map[string]time.Duration{}, avoid: map[string]time.Time{}, failed: map[string]int{}}
 }
 
-func (d *adviceDesk) add(r scheduler.AdviceRequest) { d.waiting[r.Step] = r }
-
-// dispatch sends questions while hosts are free.
+// dispatch sends the most urgent questions while hosts are free. Long ones use at most half of the hosts.
 func (d *adviceDesk) dispatch(ctx context.Context) {
-	if len(d.waiting) == 0 {
-		return
-	}
 	hosts := d.t.deps.Advisers.Hosts()
-	order := slices.Collect(maps.Values(d.waiting))
-	slices.SortFunc(order, scheduler.AdviceRequest.Compare)
 	longLimit := max((len(hosts)+1)/2, 1)
-	for _, r := range order {
+	for {
 		host := d.freeHost(hosts)
 		if host == "" {
 			return
 		}
-		if r.Cost >= longCall && d.longCalls() >= longLimit {
-			continue
+		r, ok := d.t.sched.NextQuestion(time.Now(), d.longCalls() < longLimit)
+		if !ok {
+			return
 		}
 		d.busy[host] = r.Cost
-		delete(d.waiting, r.Step)
 		d.t.wg.Go(func() { d.ask(ctx, host, r) })
 	}
 }
@@ -78,7 +64,7 @@
 func (d *adviceDesk) longCalls() int {
 	n := 0
 	for _, cost := range d.busy {
-		if cost >= longCall {
+		if cost >= scheduler.LongQuestion {
 			n++
 		}
 	}
@@ -91,7 +77,7 @@
 	a, err := d.t.deps.Advisers.Ask(callCtx, host, r.Step, r.Workers)
 	cancel()
 	result := scheduler.AdviceResult{Step: r.Step, Asked: r.Workers, Approved: a.Approved, Validity: a.Validity, Failed: err != nil}
-	d.t.log.Info("advice", zap.String("job", r.Step.Job), zap.Stringer("step", r.Step), zap.String("host", host),
+	d.t.log.Info("advice", zap.String("job", r.Step.Job), zap.Stringer("step", r.Step), zap.String("adviser", host),
 		zap.Int("asked", len(r.Workers)), zap.Int("approved", len(a.Approved)), zap.Duration("took", time.Since(began)), asynclog.Error(err))
 	d.t.meters.advice.Done(answeredOrNot(err), began)
 	d.t.mu.Lock()
@@ -104,5 +90,6 @@
 		delete(d.failed, host)
 	}
 	d.t.sched.AdviceDone(time.Now(), result)
+	d.dispatch(ctx)
 	d.t.wake()
 }
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -208,6 +208,7 @@
 	for _, r := range t.runners {
 		wait.Signal(r.acked)
 	}
+	t.wake()
 }
 
 // forget removes the rows of jobs whose retention has passed: those of the inbox first, so that no row is left that would
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -23,8 +23,8 @@
 	planInterval = 100 * time.Millisecond
 	// planDelay gathers events that come together, so that one plan serves them.
 	planDelay = 3 * time.Millisecond
-	// planShare is how many times its own duration a plan is followed by a pause, so that plans take at most a tenth of
-	// the processor.
+	// planShare is how many times its own duration a complete plan is followed by a pause, so that these plans take at most
+	// a tenth of the processor. Plans of what has changed go on meanwhile.
 	planShare = 9
 	// jobsPace gathers jobs of the feed: entry hosts tell of them at once, so the feed only makes up for lost calls.
 	jobsPace = 150 * time.Millisecond
@@ -144,18 +144,24 @@
 	t.wg.Go(func() { t.deps.Discovery.Follow(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
 	t.wg.Go(func() { t.logUsage(ctx) })
+	var next time.Time // of the next complete plan
 	for ctx.Err() == nil {
 		if t.tenure.Lost() {
 			t.log.Warn("term ends: another daemon owns the workers")
 			return tenure.ErrLost
 		}
-		began := time.Now()
-		t.plan(ctx)
-		took := time.Since(began)
-		if !wait.ForOrSignal(ctx, time.Until(began.Add(planInterval)), t.planSoon) {
+		pause := planInterval
+		if began := time.Now(); began.Before(next) {
+			t.planChanges(ctx)
+			pause = max(time.Until(next), planDelay)
+		} else {
+			t.plan(ctx)
+			next = time.Now().Add(min(max(planDelay, planShare*time.Since(began)), planInterval))
+		}
+		if !wait.ForOrSignal(ctx, pause, t.planSoon) {
 			break
 		}
-		wait.For(ctx, min(max(planDelay, planShare*took), planInterval))
+		wait.For(ctx, planDelay)
 	}
 	t.log.Info("term ends: stopping")
 	return nil
@@ -173,7 +179,7 @@
 	}
 }
 
-// plan lets the scheduler decide and sends its orders. Without a valid ownership nothing may be sent, so nothing is
+// plan lets the scheduler decide about everything that waits. Without a valid ownership nothing may be sent, so nothing is
 // decided.
 func (t *term) plan(ctx context.Context) {
 	if !t.tenure.Valid() {
@@ -186,11 +192,23 @@
 	if len(t.sched.Unresolved()) > 0 && t.gone() {
 		t.sched.LimitUnresolved(now.Add(t.leaseBound()))
 	}
-	p := t.sched.Plan(now)
-	t.meters.plans.Done("planned", now)
-	for _, a := range p.Advice {
-		t.advice.add(a)
+	t.order(ctx, t.sched.Plan(now))
+	t.meters.plans.Done("complete", now)
+}
+
+// planChanges lets the scheduler decide about what has changed since the last plan.
+func (t *term) planChanges(ctx context.Context) {
+	if !t.tenure.Valid() {
+		return
 	}
+	now := time.Now()
+	t.mu.Lock()
+	t.order(ctx, t.sched.PlanSoon(now))
+	t.meters.plans.Done("changes", now)
+}
+
+// order sends the orders of a plan. It is called with mu held and unlocks it.
+func (t *term) order(ctx context.Context, p scheduler.Plan) {
 	t.advice.dispatch(ctx)
 	starts := t.prepareStarts(p.Starts)
 	t.mu.Unlock()
--- a/internal/cluster/queues/queues.go
+++ b/internal/cluster/queues/queues.go
@@ -29,6 +29,11 @@
 	Validity  time.Duration // lifetime of a ticket
 }
 
+// Cost is how long the policy service takes to answer a call that names so many workers.
+func (a *Advice) Cost(workers int) time.Duration {
+	return a.Base + time.Duration(workers)*a.PerWorker
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name             string
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -14,19 +13,6 @@
 	Queue   string
 	Workers []string
 	Cost    time.Duration // how long the service takes
-	order   candidate
-}
-
-// Compare orders questions as plans order the steps: one that a step asks late in vain must not hold up one that can still
-// be in time.
-func (r AdviceRequest) Compare(o AdviceRequest) int {
-	switch {
-	case r.order.before(o.order):
-		return -1
-	case o.order.before(r.order):
-		return 1
-	}
-	return 0
 }
 
 // Approval is one worker that may run a step.
@@ -80,6 +66,7 @@
 	}
 	u := j.occurrences[r.Step.Occurrence].units[r.Step.Step]
 	u.asking = false
+	s.soon[u] = struct{}{}
 	if r.Failed {
 		u.notUntil = now.Add(adviceRetry)
 		return
@@ -115,9 +102,31 @@
 	return u.job.queue.Advice != nil && !now.Before(u.notUntil)
 }
 
+// NextQuestion returns the question of the most urgent unit whose tasks found no place, or false if none needs to be
+// asked. Long ones are passed over unless they are allowed. The workers are chosen only here: a list that is made when the
+// unit begins to wait names workers that others have filled when a host is free to ask.
+func (s *Scheduler) NextQuestion(now time.Time, long bool) (AdviceRequest, bool) {
+	for {
+		c, ok := s.questions.next(long)
+		if !ok {
+			return AdviceRequest{}, false
+		}
+		if r, ok := s.adviceFor(c, now); ok {
+			return r, true
+		}
+	}
+}
+
 // adviceFor builds the question for a unit whose tasks found no place, or returns false if asking can't help now.
-func (s *Scheduler) adviceFor(c candidate, waiting int, now time.Time) (AdviceRequest, bool) {
+func (s *Scheduler) adviceFor(c candidate, now time.Time) (AdviceRequest, bool) {
 	u := c.unit
+	if _, open := s.open[u]; !open || !u.needsAdvice(now) {
+		return AdviceRequest{}, false
+	}
+	waiting := len(u.pending(now))
+	if waiting == 0 {
+		return AdviceRequest{}, false
+	}
 	advice := u.job.queue.Advice
 	workers := s.askable(c, waiting, now)
 	if len(workers) == 0 {
@@ -125,14 +134,10 @@
 	}
 	u.asking, u.askedAt = true, now
 	return AdviceRequest{
-		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workers, Cost: adviceCost(advice, len(workers)), order: c,
+		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workers, Cost: advice.Cost(len(workers)),
 	}, true
 }
 
-func adviceCost(a *queues.Advice, workers int) time.Duration {
-	return a.Base + time.Duration(workers)*a.PerWorker
-}
-
 type askCandidate struct {
 	id  string
 	fit float64 // tasks that are expected to be approved and find room there
--- a/internal/cluster/scheduler/advice_test.go
+++ b/internal/cluster/scheduler/advice_test.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"slices"
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,9 +23,11 @@
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 		p := f.plan(t0)
 		So(p.Starts, ShouldBeEmpty)
-		So(p.Advice, ShouldHaveLength, 1)
-		So(f.plan(at(10*time.Millisecond)).Advice, ShouldBeEmpty)
-		answer := AdviceResult{Step: p.Advice[0].Step, Asked: p.Advice[0].Workers, Approved: []Approval{{"w1", "t"}}, Validity: 2 * time.Second}
+		asked := f.ask(t0)
+		So(asked, ShouldHaveLength, 1)
+		f.plan(at(10 * time.Millisecond))
+		So(f.ask(at(10*time.Millisecond)), ShouldBeEmpty)
+		answer := AdviceResult{Step: asked[0].Step, Asked: asked[0].Workers, Approved: []Approval{{"w1", "t"}}, Validity: 2 * time.Second}
 		Convey("It starts on an approved worker with the ticket", func() {
 			f.AdviceDone(at(20*time.Millisecond), answer)
 			starts := f.plan(at(30 * time.Millisecond)).Starts
@@ -40,13 +42,16 @@
 			f.report("w1", at(3*time.Second))
 			p := f.plan(at(3 * time.Second))
 			So(p.Starts, ShouldBeEmpty)
-			So(p.Advice, ShouldHaveLength, 1)
-			So(p.Advice[0].Workers, ShouldResemble, []string{"w1"})
+			asked := f.ask(at(3 * time.Second))
+			So(asked, ShouldHaveLength, 1)
+			So(asked[0].Workers, ShouldResemble, []string{"w1"})
 		})
 		Convey("A call that failed is made again", func() {
-			f.AdviceDone(at(20*time.Millisecond), AdviceResult{Step: p.Advice[0].Step, Failed: true})
-			So(f.plan(at(30*time.Millisecond)).Advice, ShouldBeEmpty)
-			So(f.plan(at(30*time.Millisecond+adviceRetry)).Advice, ShouldHaveLength, 1)
+			f.AdviceDone(at(20*time.Millisecond), AdviceResult{Step: asked[0].Step, Failed: true})
+			f.plan(at(30 * time.Millisecond))
+			So(f.ask(at(30*time.Millisecond)), ShouldBeEmpty)
+			f.plan(at(30*time.Millisecond + adviceRetry))
+			So(f.ask(at(30*time.Millisecond+adviceRetry)), ShouldHaveLength, 1)
 		})
 	})
 }
@@ -59,9 +64,9 @@
 		now := at(time.Minute)
 		f.AddJob(now, f.job("late", t0, simpleStep(1)), nil, false)
 		f.AddJob(now, f.job("fresh", now, simpleStep(1)), nil, false)
-		advice := f.plan(now).Advice
+		f.plan(now)
+		advice := f.ask(now)
 		So(advice, ShouldHaveLength, 2)
-		slices.SortFunc(advice, AdviceRequest.Compare)
 		So(advice[0].Step.Job, ShouldEqual, "fresh")
 	})
 	Convey("A late step does not ask while there is no room", t, func() {
@@ -72,6 +77,62 @@
 		f.queue = advisedFixture().queue
 		now := at(2 * time.Second)
 		f.AddJob(now, f.job("late", t0.Add(-time.Minute), simpleStep(1)), nil, false)
-		So(f.plan(now).Advice, ShouldBeEmpty)
+		f.plan(now)
+		So(f.ask(now), ShouldBeEmpty)
+	})
+}
+
+// Load: more waiting steps than hosts that can ask. Guards against questions that name workers which have been filled
+// since the step began to wait: the answers to them are of no use, and in an overload most questions wait for a host.
+func TestQuestionNamesWorkersWithRoomNow(t *testing.T) {
+	Convey("Given a step that waits for a host to ask for it", t, func() {
+		f := advisedFixture()
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		f.plan(t0)
+		Convey("When all workers but one are filled meanwhile, the question names the one with room first", func() {
+			f.queue.Advice = nil
+			f.AddJob(t0, f.job("full", t0, simpleStep(10)), nil, false)
+			So(f.PlanSoon(t0).Starts, ShouldBeEmpty)
+			f.confirm()
+			filled := map[string]bool{}
+			for _, s := range f.PlanSoon(t0).Starts {
+				filled[s.Worker.ID] = true
+			}
+			So(filled, ShouldHaveLength, 2)
+			asked := f.ask(t0)
+			So(asked, ShouldHaveLength, 1)
+			So(filled[asked[0].Workers[0]], ShouldBeFalse)
+		})
+		Convey("When its job is cancelled, nothing is asked", func() {
+			f.Cancel(t0, "j")
+			So(f.ask(t0), ShouldBeEmpty)
+		})
+	})
+}
+
+// Load: after an outage more than a thousand steps wait for the policy service. One question must stay cheap however many
+// wait, since each answer brings up the next one.
+func BenchmarkQuestionsInAnOverload(b *testing.B) {
+	f := newFixture(1, 350)
+	f.queue.Advice = &queues.Advice{Base: 10 * time.Millisecond, PerWorker: time.Millisecond, Validity: 2 * time.Second}
+	for i := range 1300 {
+		f.AddJob(t0, f.job(fmt.Sprint(i), t0, simpleStep(3)), nil, false)
+	}
+	f.plan(t0)
+	b.Run("plan", func(b *testing.B) {
+		for b.Loop() {
+			f.Plan(t0)
+		}
+	})
+	b.Run("question", func(b *testing.B) {
+		for b.Loop() {
+			if r, ok := f.NextQuestion(t0, true); ok {
+				f.AdviceDone(t0, AdviceResult{Step: r.Step, Failed: true})
+				continue
+			}
+			b.StopTimer()
+			f.Plan(t0.Add(time.Second))
+			b.StartTimer()
+		}
 	})
 }
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -69,6 +69,18 @@
 	return p
 }
 
+// ask returns all questions to the policy service that are due.
+func (f *fixture) ask(now time.Time) []AdviceRequest {
+	var out []AdviceRequest
+	for {
+		r, ok := f.NextQuestion(now, true)
+		if !ok {
+			return out
+		}
+		out = append(out, r)
+	}
+}
+
 // end ends a run on its worker and reports it.
 func (f *fixture) end(s Start, how End, now time.Time) {
 	id := s.Worker.ID
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -192,7 +192,7 @@
 func (s *Scheduler) openFollowers(u *unit) {
 	for _, f := range u.occurrence.units {
 		if f.left > 0 && !u.job.state.Final() && s.dependenciesDone(f) {
-			s.open[f] = struct{}{}
+			s.openUnit(f)
 		}
 	}
 }
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -13,7 +15,6 @@
 type Plan struct {
 	Starts []Start
 	Stops  []Stop
-	Advice []AdviceRequest
 }
 
 // Plan expires what time has ended, places the tasks that wait and returns the orders to send. Queues of the most urgent
@@ -27,10 +28,25 @@
 	for j := range s.timed {
 		s.openDue(j, now)
 	}
+	s.held = map[*worker]bool{}
+	clear(s.soon)
+	s.questions.clear()
+	return s.planUnits(maps.Keys(s.open), now)
+}
+
+// PlanSoon places only tasks of units for which something has changed since they were planned: new ones, those that have
+// got an answer of the policy service and those whose tasks have failed. Load: with hundreds of waiting units a complete
+// plan takes several milliseconds and can't follow each event, but a short task should not wait for the next one.
+func (s *Scheduler) PlanSoon(now time.Time) Plan {
+	units := slices.Collect(maps.Keys(s.soon))
+	clear(s.soon)
+	return s.planUnits(slices.Values(units), now)
+}
+
+func (s *Scheduler) planUnits(units iter.Seq[*unit], now time.Time) Plan {
 	var plan Plan
-	held := map[*worker]bool{}
-	for _, c := range s.candidates(now) {
-		s.planUnit(c, now, held, &plan)
+	for _, c := range s.candidates(units, now) {
+		s.planUnit(c, now, s.held, &plan)
 	}
 	plan.Stops, s.stops = s.stops, nil
 	return plan
@@ -43,29 +59,34 @@
 	priority    int
 	late        bool
 	latestStart time.Time
+	unconfirmed bool // only the policy service may be asked, nothing may start
 }
 
 // lasting units come first: their tasks serve users of their own and have to be restarted however full the pool is.
 func (c candidate) lasting() bool { return c.unit.step.LongRunning }
 
-func (s *Scheduler) candidates(now time.Time) []candidate {
+func (s *Scheduler) candidates(units iter.Seq[*unit], now time.Time) []candidate {
 	var out []candidate
-	for u := range s.open {
-		if s.blocked(u) {
+	for u := range units {
+		if _, open := s.open[u]; !open {
+			continue
+		}
+		blocked := s.blocked(u)
+		if blocked && u.job.inherited {
 			continue
 		}
 		waiting := u.pending(now)
 		if len(waiting) == 0 {
 			continue
 		}
-		if u.step.Gang && !u.idle() {
+		if u.step.Gang && !blocked && !u.idle() {
 			// Members of a gang are placed together, so the others wait in vain for one that is missing.
 			s.stopUnit(u, now, "the gang is not complete")
 			continue
 		}
 		latest := s.latestStart(u)
 		out = append(out, candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest),
-			latestStart: latest})
+			latestStart: latest, unconfirmed: blocked})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
 	return out
@@ -88,6 +109,16 @@
 	return c.unit.job.spec.ID < o.unit.job.spec.ID
 }
 
+func (c candidate) compare(o candidate) int {
+	switch {
+	case c.before(o):
+		return -1
+	case o.before(c):
+		return 1
+	}
+	return 0
+}
+
 // blocked reports whether tasks of the unit may run under the order of another owner: of an earlier one whose workers have
 // not reported, or of a later one, as long as no commit has shown that there was none when the job was learned of.
 func (s *Scheduler) blocked(u *unit) bool {
@@ -136,16 +167,15 @@
 		return
 	}
 	placed := 0
-	if u.step.Gang {
+	switch {
+	case c.unconfirmed:
+	case u.step.Gang:
 		placed = s.placeGang(c, now, held, plan)
-	} else {
+	default:
 		placed = s.placeTasks(c, now, held, plan)
 	}
-	left := len(c.waiting) - placed
-	if left > 0 && u.needsAdvice(now) {
-		if r, ok := s.adviceFor(c, left, now); ok {
-			plan.Advice = append(plan.Advice, r)
-		}
+	if len(c.waiting) > placed && u.needsAdvice(now) {
+		s.questions.add(c)
 	}
 }
 
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -238,6 +238,7 @@
 
 func (s *Scheduler) taskFailed(w *worker, t *task, e EndedRun, now time.Time) {
 	u := t.unit
+	s.soon[u] = struct{}{}
 	w.health.failed(now, u.job.spec.ID)
 	if u.step.LongRunning {
 		t.notUntil = now.Add(restartDelay)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -33,7 +33,11 @@
 	workers map[string]*worker
 	sorted  []*worker // by id
 	open    map[*unit]struct{}
-	timed   map[*job]struct{} // jobs with occurrences that are not due yet
+	soon    map[*unit]struct{} // open units for which something has changed since they were planned
+	held    map[*worker]bool   // workers that the last complete plan holds for gangs
+
+	questions questions         // units that need an answer of the policy service
+	timed     map[*job]struct{} // jobs with occurrences that are not due yet
 	// cancellations of jobs that are not known yet, with the time at which they came: rows of a job and of its cancellation
 	// may be read in any order
 	cancelled map[string]time.Time
@@ -45,6 +49,8 @@
 	generation int64 // of the records that are gathered now
 	confirmed  int64 // the last generation that was committed
 	learned    int64 // the generation in which the last new job was learned of
+	// new jobs that wait for the commit of the generation in which they were learned of, in the order of generations
+	unconfirmed []*job
 
 	stops     []Stop
 	durations map[string]*durationRatio // by queue
@@ -59,6 +65,7 @@
 		jobs:       map[string]*job{},
 		workers:    map[string]*worker{},
 		open:       map[*unit]struct{}{},
+		soon:       map[*unit]struct{}{},
 		timed:      map[*job]struct{}{},
 		cancelled:  map[string]time.Time{},
 		unresolved: map[string]time.Time{},
@@ -116,6 +123,7 @@
 	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, shown: workload.Queued, inherited: inherited, stored: inherited}
 	if !inherited {
 		j.learned, s.learned = s.generation, s.generation
+		s.unconfirmed = append(s.unconfirmed, j)
 		s.dirty[j] = struct{}{}
 	}
 	if q, ok := s.queues.ByName(spec.Queue.Name); ok {
@@ -192,12 +200,18 @@
 	j.occurrences[k] = o
 	for _, u := range o.units {
 		if s.dependenciesDone(u) {
-			s.open[u] = struct{}{}
+			s.openUnit(u)
 		}
 	}
 	return o
 }
 
+// openUnit lets the tasks of a unit be started.
+func (s *Scheduler) openUnit(u *unit) {
+	s.open[u] = struct{}{}
+	s.soon[u] = struct{}{}
+}
+
 func (s *Scheduler) dependenciesDone(u *unit) bool {
 	for _, a := range u.step.After {
 		if u.occurrence.units[a].left > 0 {
@@ -371,6 +385,7 @@
 // the ownership when it was applied, so a successor will find the jobs that were known then.
 func (s *Scheduler) Persisted(generation int64, records []Record) {
 	s.confirmed = max(s.confirmed, generation)
+	s.planConfirmed()
 	for _, r := range records {
 		if j := s.jobs[r.JobID]; j != nil && j.writingGeneration <= generation {
 			j.shown, j.stored = j.writing, true
@@ -381,6 +396,27 @@
 	}
 }
 
+// planConfirmed lets the jobs be planned that a commit has just confirmed.
+func (s *Scheduler) planConfirmed() {
+	n := 0
+	for n < len(s.unconfirmed) && s.unconfirmed[n].learned <= s.confirmed {
+		for _, o := range s.unconfirmed[n].occurrences {
+			s.planOccurrence(o)
+		}
+		n++
+	}
+	s.unconfirmed = s.unconfirmed[n:]
+}
+
+func (s *Scheduler) planOccurrence(o *occurrence) {
+	if o == nil {
+		return
+	}
+	for _, u := range o.units {
+		s.soon[u] = struct{}{}
+	}
+}
+
 // AckedEnd returns the number of the last end of a worker that may be forgotten there.
 func (s *Scheduler) AckedEnd(workerID string) int64 {
 	if w := s.workers[workerID]; w != nil {
--- /dev/null
+++ b/internal/cluster/scheduler/soon_test.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Load: a short job that arrives while a complete plan is some time off. Guards against a job that waits for complete plans
+// at each of its stages: the question to the policy service, the commit that confirms the ownership, and the start.
+func TestChangesArePlannedAtOnce(t *testing.T) {
+	Convey("Given a job that was learned of after the last complete plan", t, func() {
+		f := advisedFixture()
+		f.plan(t0)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		p := f.PlanSoon(t0)
+		asked := f.ask(t0)
+		Convey("The policy service is asked while the commit is on its way, and nothing starts", func() {
+			So(asked, ShouldHaveLength, 1)
+			So(p.Starts, ShouldBeEmpty)
+		})
+		answer := AdviceResult{Step: asked[0].Step, Asked: asked[0].Workers, Approved: []Approval{{"w1", "t"}}, Validity: 2 * time.Second}
+		Convey("It starts once both are there, whichever comes last", func() {
+			f.AdviceDone(t0, answer)
+			So(f.PlanSoon(t0).Starts, ShouldBeEmpty)
+			f.confirm()
+			So(f.PlanSoon(t0).Starts, ShouldHaveLength, 1)
+		})
+		Convey("It starts with the answer if the commit came before", func() {
+			f.confirm()
+			So(f.PlanSoon(t0).Starts, ShouldBeEmpty)
+			f.AdviceDone(t0, answer)
+			So(f.PlanSoon(t0).Starts, ShouldHaveLength, 1)
+		})
+	})
+	Convey("Given a step whose tasks have ended, the next step starts without a complete plan", t, func() {
+		f := newFixture(1, 2)
+		second := simpleStep(1)
+		second.After = []int{0}
+		f.AddJob(t0, f.job("j", t0, simpleStep(1), second), nil, false)
+		f.end(f.plan(t0).Starts[0], EndDone, at(time.Second))
+		So(f.PlanSoon(at(time.Second)).Starts, ShouldHaveLength, 1)
+	})
+	Convey("Workers that are held for a gang stay held between complete plans", t, func() {
+		f := newFixture(1, 2)
+		gang := simpleStep(10)
+		gang.Gang = true
+		f.AddJob(t0, f.job("small", t0, simpleStep(1)), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 1)
+		f.AddJob(t0, f.job("gang", t0, gang), nil, false)
+		So(f.plan(t0).Starts, ShouldBeEmpty)
+		for i := range 3 {
+			spec := f.job(fmt.Sprint("late-", i), t0, simpleStep(1))
+			spec.Queue.Priority = 2
+			f.AddJob(t0, spec, nil, false)
+		}
+		f.confirm()
+		So(f.PlanSoon(t0).Starts, ShouldBeEmpty)
+	})
+}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -112,6 +112,7 @@
 	}
 	t.placement = nil
 	u := t.unit
+	s.soon[u] = struct{}{}
 	switch outcome {
 	case RejectedTicket:
 		delete(u.tickets, w.info.ID)
