Place urgent queues first, also when they are late

Ruled out: the takeover, which had ended 6 s earlier; room. Change: the queue's urgency comes before lateness; within a queue of one urgency late steps still come last.

--- a/internal/cluster/scheduler/load_test.go
+++ b/internal/cluster/scheduler/load_test.go
@@ -309,3 +309,43 @@
 		})
 	})
 }
+
+// Load: short urgent jobs that are late after an outage, beside batch work that can still be in time and asks for twice the
+// pool. Guards against late urgent jobs that wait for the whole queue of less urgent ones.
+func TestLateUrgentJobsBesideBatchWork(t *testing.T) {
+	Convey("Given urgent jobs of an outage and a pool that is full of batch work", t, func() {
+		const outage = 5 * time.Second
+		d := newDay(10, func(s Start) time.Duration {
+			if s.Queue == "q0" {
+				return 200 * time.Millisecond
+			}
+			return 3*time.Second + time.Duration(s.Task.Index%5)*200*time.Millisecond
+		})
+		n := 0
+		arrive := func(now time.Duration) {
+			if n++; n%8 == 1 {
+				step := simpleStep(5)
+				step.Estimate = 3 * time.Second
+				s := d.spec(fmt.Sprintf("batch-%d", n), 2, step)
+				s.Queue.SlackFactor = 10
+				d.AddJob(at(now), s, nil, false)
+			}
+		}
+		d.run(outage, arrive)
+		for i := range 20 {
+			step := simpleStep(1)
+			step.Estimate = 200 * time.Millisecond
+			s := d.spec(fmt.Sprintf("urgent-%d", i), 0, step)
+			s.Accepted = t0
+			d.AddJob(at(d.now), s, nil, false)
+		}
+		d.run(outage+10*time.Second, arrive)
+		Convey("They wait for running tasks to end, not for the queue: half of the pool's 50 places are free within 2 s", func() {
+			for i := range 20 {
+				started, ok := d.started[fmt.Sprintf("urgent-%d", i)]
+				So(ok, ShouldBeTrue)
+				So(started-outage, ShouldBeLessThanOrEqualTo, 2*time.Second)
+			}
+		})
+	})
+}
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -92,17 +92,18 @@
 	return out
 }
 
-// before orders units: urgent queues, then units that can be in time, then the earliest latest start.
+// before orders units: urgent queues, then units that can be in time, then the earliest latest start. A late unit of an
+// urgent queue stays ahead of the less urgent queues, which would otherwise fill the pool for as long as their tasks take.
 func (c candidate) before(o candidate) bool {
 	if c.lasting() != o.lasting() {
 		return c.lasting()
 	}
-	if c.late != o.late {
-		return o.late
-	}
 	if c.priority != o.priority {
 		return c.priority < o.priority
 	}
+	if c.late != o.late {
+		return o.late
+	}
 	if !c.latestStart.Equal(o.latestStart) {
 		return c.latestStart.Before(o.latestStart)
 	}
