--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -120,6 +120,16 @@
 	}
 }
 
+// hasTicket reports whether a ticket of the unit is valid. Whether its tickets suffice shows when tasks can be placed.
+func (u *unit) hasTicket(now time.Time) bool {
+	for _, t := range u.tickets {
+		if t.expires.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // adviceFor builds the question for a unit whose tasks found no place, or returns false if asking can't help now.
 func (s *Scheduler) adviceFor(c candidate, now time.Time) (AdviceRequest, bool) {
 	u := c.unit
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -175,7 +175,7 @@
 	default:
 		placed = s.placeTasks(c, now, held, plan)
 	}
-	if len(c.waiting) > placed && u.needsAdvice(now) {
+	if len(c.waiting) > placed && u.needsAdvice(now) && !(c.unconfirmed && u.hasTicket(now)) {
 		s.questions.add(c)
 	}
 }
--- a/internal/cluster/scheduler/soon_test.go
+++ b/internal/cluster/scheduler/soon_test.go
@@ -13,6 +13,9 @@
 func TestChangesArePlannedAtOnce(t *testing.T) {
 	Convey("Given a job that was learned of after the last complete plan", t, func() {
 		f := advisedFixture()
+		for i := 3; i < 10; i++ {
+			f.addWorker(fmt.Sprint("w", i))
+		}
 		f.plan(t0)
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 		p := f.PlanSoon(t0)
@@ -21,13 +24,22 @@
 			So(asked, ShouldHaveLength, 1)
 			So(p.Starts, ShouldBeEmpty)
 		})
-		answer := AdviceResult{Step: asked[0].Step, Asked: asked[0].Workers, Approved: []Approval{{"w1", "t"}}, Validity: 2 * time.Second}
+		answer := AdviceResult{Step: asked[0].Step, Asked: asked[0].Workers, Approved: []Approval{{asked[0].Workers[0], "t"}}, Validity: 2 * time.Second}
 		Convey("It starts once both are there, whichever comes last", func() {
 			f.AdviceDone(t0, answer)
 			So(f.PlanSoon(t0).Starts, ShouldBeEmpty)
 			f.confirm()
 			So(f.PlanSoon(t0).Starts, ShouldHaveLength, 1)
 		})
+		Convey("While the commit does not end, nothing more is asked until the tickets lapse", func() {
+			f.AdviceDone(t0, answer)
+			f.PlanSoon(t0)
+			So(f.ask(t0), ShouldBeEmpty)
+			f.Plan(at(time.Second))
+			So(f.ask(at(time.Second)), ShouldBeEmpty)
+			f.Plan(at(3 * time.Second))
+			So(f.ask(at(3*time.Second)), ShouldHaveLength, 1)
+		})
 		Convey("It starts with the answer if the commit came before", func() {
 			f.confirm()
 			So(f.PlanSoon(t0).Starts, ShouldBeEmpty)
