Let a successor wait only for workers on which something may run

Cause: after a takeover all jobs that the earlier owner may have started wait until every worker that it had stored as used has reported or its lease has lapsed. The list held every worker that was called, also those that had left or had not answered for longer than a lease. Ruled out: the reports themselves; 350 workers report within 0.27 to 0.44 s (new line "nothing of earlier owners runs unseen any more"). Change: a worker without tasks that drains, has left or does not answer is left out; one with tasks stays until they have ended or lapsed. Nothing is started on a worker that the list being written lacks, even if it answers again meanwhile.

--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -70,18 +70,16 @@
 	b.generation, b.records, b.needed = t.sched.TakeRecords()
 	if current := t.currentUsed(); !maps.Equal(current, t.used) {
 		b.needed, b.used = true, current
+		// Nothing is started on a worker that the list being written lacks, even if it answers again meanwhile.
+		maps.DeleteFunc(t.used, func(id string, _ bool) bool { return !current[id] })
 	}
 	return b
 }
 
-// currentUsed returns the workers on which a task may be started or may run: those that are called, and those that have not
-// reported since an earlier owner used them. A worker leaves the list once everything there has lapsed.
+// currentUsed returns the workers that are to be stored as used.
 func (t *term) currentUsed() map[string]bool {
 	current := map[string]bool{}
-	for id := range t.runners {
-		current[id] = true
-	}
-	for _, id := range t.sched.Unresolved() {
+	for _, id := range t.sched.Used() {
 		current[id] = true
 	}
 	return current
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -50,13 +50,15 @@
 	advice  *adviceDesk
 	used    map[string]bool // workers that are stored as used
 
-	config   int64 // version of the configuration that the scheduler has
-	meters   meters
-	workers  atomic.Int64 // number of runners
-	planSoon chan struct{}
-	save     chan struct{}
-	jobsFrom int64 // version from which the feed of jobs continues
-	wg       sync.WaitGroup
+	began      time.Time
+	unresolved int   // workers of earlier owners that had not reported at the last plan
+	config     int64 // version of the configuration that the scheduler has
+	meters     meters
+	workers    atomic.Int64 // number of runners
+	planSoon   chan struct{}
+	save       chan struct{}
+	jobsFrom   int64 // version from which the feed of jobs continues
+	wg         sync.WaitGroup
 }
 
 func newTerm(c *Coordinator, held *tenure.Tenure, gone func() bool) *term {
@@ -67,6 +69,7 @@
 		runners:  map[string]*runner{},
 		used:     map[string]bool{},
 		meters:   newMeters(c.deps.Metrics),
+		began:    time.Now(),
 		planSoon: make(chan struct{}, 1),
 		save:     make(chan struct{}, 1),
 	}
@@ -189,13 +192,23 @@
 	t.mu.Lock()
 	t.followQueues()
 	t.followWorkers(ctx)
-	if len(t.sched.Unresolved()) > 0 && t.gone() {
-		t.sched.LimitUnresolved(now.Add(t.leaseBound()))
-	}
+	t.followUnresolved(now)
 	t.order(ctx, t.sched.Plan(now))
 	t.meters.plans.Done("complete", now)
 }
 
+// followUnresolved shortens the wait for workers of an earlier owner that is gone, and logs the end of the wait.
+func (t *term) followUnresolved(now time.Time) {
+	left := len(t.sched.Unresolved())
+	if left > 0 && t.gone() {
+		t.sched.LimitUnresolved(now.Add(t.leaseBound()))
+	}
+	if left == 0 && t.unresolved > 0 {
+		t.log.Info("nothing of earlier owners runs unseen any more", zap.Duration("took", now.Sub(t.began)))
+	}
+	t.unresolved = left
+}
+
 // planChanges lets the scheduler decide about what has changed since the last plan.
 func (t *term) planChanges(ctx context.Context) {
 	if !t.tenure.Valid() {
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -289,9 +289,12 @@
 
 // available reports whether the worker may get tasks now.
 func (w *worker) available(now time.Time) bool {
-	return w.listed && w.fenced && !w.failing && !w.info.Draining && !w.health.aside(now)
+	return w.startable() && w.fenced && !w.health.aside(now)
 }
 
+// startable reports whether tasks may be started on the worker, now or after its first report.
+func (w *worker) startable() bool { return w.listed && !w.failing && !w.info.Draining }
+
 // eligible reports whether the worker may run tasks of the unit at all.
 func (s *Scheduler) eligible(u *unit, w *worker, now time.Time) bool {
 	if !w.available(now) || w.info.Service != u.job.queue.Service {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -95,6 +95,18 @@
 // Unresolved returns the workers on which an earlier owner's tasks may still run unseen.
 func (s *Scheduler) Unresolved() []string { return slices.Collect(maps.Keys(s.unresolved)) }
 
+// Used returns the workers on which something may run, or may be started soon. A successor waits for their reports, so a
+// worker that is lost or leaves is left out as soon as nothing can run there any more.
+func (s *Scheduler) Used() []string {
+	used := s.Unresolved()
+	for _, w := range s.sorted {
+		if _, listed := s.unresolved[w.info.ID]; !listed && (len(w.placements) > 0 || w.startable()) {
+			used = append(used, w.info.ID)
+		}
+	}
+	return used
+}
+
 // LimitUnresolved tells that everything that earlier owners started has lapsed at a time.
 func (s *Scheduler) LimitUnresolved(lapsed time.Time) {
 	for id, before := range s.unresolved {
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -109,3 +109,49 @@
 		})
 	})
 }
+
+// Guards against a successor that waits for workers which were lost or had left before the takeover: all jobs that an
+// earlier owner may have started wait for the reports of the workers that it stored as used.
+func TestUsedWorkers(t *testing.T) {
+	Convey("Given three workers, one of them with a task", t, func() {
+		f := newFixture(1, 3)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		busy := f.plan(t0).Starts[0].Worker.ID
+		idle := "w1"
+		if busy == idle {
+			idle = "w2"
+		}
+		So(f.Used(), ShouldHaveLength, 3)
+		Convey("An idle one that does not answer is left out", func() {
+			f.CallFailed(t0, idle, at(time.Second))
+			So(f.Used(), ShouldNotContain, idle)
+		})
+		Convey("A busy one that does not answer stays until its lease has lapsed", func() {
+			f.CallFailed(t0, busy, at(5*time.Second))
+			f.Plan(at(4 * time.Second))
+			So(f.Used(), ShouldContain, busy)
+			f.Plan(at(6 * time.Second))
+			So(f.Used(), ShouldNotContain, busy)
+		})
+		Convey("A draining one stays as long as something runs there", func() {
+			for _, id := range []string{idle, busy} {
+				info := f.workers[id].info
+				info.Draining, info.DrainLeft = true, time.Minute
+				f.UpsertWorker(t0, info)
+			}
+			So(f.Used(), ShouldNotContain, idle)
+			So(f.Used(), ShouldContain, busy)
+		})
+		Convey("One that an earlier owner used stays until it has reported", func() {
+			f.Inherit("w9", at(10*time.Second))
+			So(f.Used(), ShouldContain, "w9")
+			f.addWorker("w9")
+			f.DelistWorker("w9")
+			So(f.Used(), ShouldNotContain, "w9")
+		})
+		Convey("One that has not reported yet may get tasks with its first report", func() {
+			f.UpsertWorker(t0, WorkerInfo{ID: "new", Service: testService, Born: 1})
+			So(f.Used(), ShouldContain, "new")
+		})
+	})
+}
