Let an offer of the ownership lapse with the owner's next commit

Cause: an owner that the store does not serve offers the ownership; the peer tries for half a second. The owner itself tried again only every 0.5 s. Change: the offer names the owner's last transaction, and a claim by it fails if there is a later one. The owner repeats a failed commit at least every 100 ms.

--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -179,7 +179,8 @@
 			zap.Bool("released", v.Owner.Released), zap.Bool("unreachable", v.Unreachable), zap.Bool("gone", !v.GoneAt.IsZero()),
 			zap.Duration("row_age", time.Since(v.ChangedAt)), zap.Duration("feed_age", time.Since(v.FedAt)))
 		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-		held, err := tenure.Claim(claimCtx, n.parts.Store, n.parts.Self, v.Owner.Epoch, n.parts.Clock)
+		held, err := tenure.Claim(claimCtx, n.parts.Store, n.parts.Self,
+			tenure.Predecessor{Epoch: v.Owner.Epoch, LastSeq: v.Offered}, n.parts.Clock)
 		cancel()
 		if err != nil {
 			n.parts.Log.Warn("claim failed", asynclog.Error(err))
@@ -253,7 +254,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
-		claimed, err := n.parts.Peers.Offer(callCtx, h.Addr, n.parts.Self.Boot)
+		claimed, err := n.parts.Peers.Offer(callCtx, h.Addr, n.parts.Self.Boot, held.LastSeq())
 		cancel()
 		n.parts.Log.Info("ownership offered", zap.String("to", h.Host), zap.Int64("epoch", held.Epoch()), zap.Bool("claimed", claimed),
 			zap.Duration("confirmed_age", held.ConfirmedAge()), asynclog.Error(err))
@@ -274,13 +275,13 @@
 }
 
 // TakeOver implements peers.Successor.
-func (n *Node) TakeOver(ctx context.Context, boot string) bool {
+func (n *Node) TakeOver(ctx context.Context, boot string, lastSeq int64) bool {
 	v := n.parts.Watch.View()
 	if v.Owner.Boot != boot || n.parts.Readiness.Draining() {
 		return false
 	}
-	n.parts.Watch.Offer(boot, true)
-	defer n.parts.Watch.Offer(boot, false)
+	n.parts.Watch.Offer(boot, lastSeq)
+	defer n.parts.Watch.Offer(boot, 0)
 	limit := time.Now().Add(takeOverTimeout)
 	for time.Now().Before(limit) && wait.For(ctx, electInterval) {
 		if n.parts.Coordinator.Epoch() > v.Owner.Epoch {
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -21,6 +21,9 @@
 const (
 	// saveInterval is the least time between two commits; it gathers changes of several jobs.
 	saveInterval = 15 * time.Millisecond
+	// commitRetryLimit is the longest delay before a commit is tried again. The owner has to notice the return of the store
+	// before the hosts that it has offered the ownership to.
+	commitRetryLimit = 100 * time.Millisecond
 	// commitTimeout is the limit of one commit with its repetitions; afterwards the same records are tried again.
 	commitTimeout = 5 * time.Second
 	// maxEntries and maxRecordBytes keep a commit within the store's limits; the head and the owner row come along.
@@ -195,7 +198,7 @@
 		if failures == 0 {
 			t.log.Warn("commit failed, retrying", zap.Int("records", len(puts)), asynclog.Error(err))
 		}
-		wait.For(ctx, wait.Backoff(retryFirst, retryLimit, failures))
+		wait.For(ctx, wait.Backoff(retryFirst, commitRetryLimit, failures))
 	}
 }
 
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -76,7 +76,8 @@
 type takeAnswer struct{}
 
 type offerRequest struct {
-	Boot string `json:"boot"`
+	Boot    string `json:"boot"`
+	LastSeq int64  `json:"last_seq"`
 }
 
 type offerAnswer struct {
@@ -156,10 +157,11 @@
 	return c.call(ctx, addr, takePath, takeRequest{Cancel: id}, &takeAnswer{})
 }
 
-// Offer asks a peer to take the ownership over from the process boot. It reports whether the peer did.
-func (c *Client) Offer(ctx context.Context, addr, boot string) (bool, error) {
+// Offer asks a peer to take the ownership over from the process boot, unless that commits more than lastSeq meanwhile. It
+// reports whether the peer did.
+func (c *Client) Offer(ctx context.Context, addr, boot string, lastSeq int64) (bool, error) {
 	var a offerAnswer
-	err := c.call(ctx, addr, offerPath, offerRequest{boot}, &a)
+	err := c.call(ctx, addr, offerPath, offerRequest{boot, lastSeq}, &a)
 	return a.Claimed, err
 }
 
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -42,8 +42,9 @@
 
 // Successor takes the ownership over from an owner that the store doesn't serve.
 type Successor interface {
-	// TakeOver reports whether this daemon has claimed the ownership from the process boot.
-	TakeOver(ctx context.Context, boot string) bool
+	// TakeOver reports whether this daemon has claimed the ownership from the process boot, which had built no transaction
+	// after lastSeq.
+	TakeOver(ctx context.Context, boot string, lastSeq int64) bool
 }
 
 // StoreOutcome is what became of a write for a caller.
@@ -175,7 +176,7 @@
 	if !ok {
 		return
 	}
-	c.JSON(http.StatusOK, offerAnswer{s.successor.TakeOver(c.Request.Context(), in.Boot)})
+	c.JSON(http.StatusOK, offerAnswer{s.successor.TakeOver(c.Request.Context(), in.Boot, in.LastSeq)})
 }
 
 type storeAnswer struct {
--- a/internal/cluster/tenure/candidate.go
+++ b/internal/cluster/tenure/candidate.go
@@ -42,8 +42,8 @@
 	// GoneAt is when the owner's process was found to be gone: its address refuses connections or belongs to another
 	// process. Zero if it wasn't.
 	GoneAt time.Time
-	// Offered tells that the owner has asked this daemon to take over.
-	Offered bool
+	// Offered is set while the owner asks this daemon to take over: the last transaction that the owner had built then.
+	Offered int64
 	// Small tells that other hosts have more processors. They claim first.
 	Small bool
 	// Unreachable tells that the owner doesn't answer its peers.
@@ -73,7 +73,7 @@
 		}
 		return now.Sub(v.ChangedAt) > wait
 	}
-	if v.Offered {
+	if v.Offered > 0 {
 		return true
 	}
 	if v.Owner.Boot == self.Boot {
@@ -138,7 +138,7 @@
 		if o.Epoch != w.v.Owner.Epoch || o.Released != w.v.Owner.Released {
 			w.log.Info("owner changed", zap.String("owner", o.Host), zap.String("addr", o.Addr), zap.Int64("epoch", o.Epoch),
 				zap.Bool("released", o.Released), zap.String("successor", o.Successor), zap.Int64("version", r.Version))
-			w.v.GoneAt, w.v.Unreachable, w.v.Offered, w.v.Since = time.Time{}, false, false, r.Version
+			w.v.GoneAt, w.v.Unreachable, w.v.Offered, w.v.Since = time.Time{}, false, 0, r.Version
 		}
 		w.ver, w.v.Present, w.v.Owner, w.v.ChangedAt = r.Version, true, o, time.Now()
 	}
@@ -177,12 +177,12 @@
 	w.v.Unreachable = !ok
 }
 
-// Offer notes whether the owner asks this daemon to take over.
-func (w *Watch) Offer(boot string, offered bool) {
+// Offer notes that the owner asks this daemon to take over, and its last transaction; 0 takes the offer back.
+func (w *Watch) Offer(boot string, lastSeq int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.v.Owner.Boot == boot {
-		w.v.Offered = offered
+		w.v.Offered = lastSeq
 	}
 }
 
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -83,20 +83,28 @@
 	since func() time.Duration // clock that goes on during suspensions
 
 	mu       sync.Mutex // held during a commit
-	seq      int64      // of the last transaction that was built; each has its own
 	version  int64      // of the head row
 	lastBeat time.Time
 	released bool
 
+	seq          atomic.Int64 // of the last transaction that was built; each has its own
 	refusedSince atomic.Int64 // since() of the first of the commits that were refused in a row; 0 if the last was not
 	answered     atomic.Int64 // since() when the last commit was confirmed
 	confirmed    atomic.Int64 // since() before the last confirmed commit was sent
 	lost         atomic.Bool
 }
 
-// Claim takes the ownership over from the owner of an epoch, 0 for the first one. It fails with ErrLost if another daemon
-// has claimed it or the owner commits meanwhile. The store has to limit the time of a commit.
-func Claim(ctx context.Context, store rowstore.Store, self Identity, from int64, since func() time.Duration) (*Tenure, error) {
+// Predecessor is the owner that a claim replaces.
+type Predecessor struct {
+	Epoch int64 // 0 for the first claim
+	// LastSeq, if positive, is the last transaction that the owner had built when it offered the ownership. An owner that has
+	// committed more since is served by the store again and keeps the ownership.
+	LastSeq int64
+}
+
+// Claim takes the ownership over. It fails with ErrLost if another daemon has claimed it, the owner commits meanwhile, or
+// it does not need the offer any more. The store has to limit the time of a commit.
+func Claim(ctx context.Context, store rowstore.Store, self Identity, from Predecessor, since func() time.Duration) (*Tenure, error) {
 	page, err := store.Read(ctx, rowstore.Range{Table: HeadTable, Part: Part})
 	if err != nil {
 		return nil, errors.Wrap(err, "read head")
@@ -112,16 +120,20 @@
 			return nil, errors.Wrap(err, "decode head")
 		}
 	}
-	if old.Epoch != from {
+	if old.Epoch != from.Epoch || from.LastSeq > 0 && old.Seq > from.LastSeq {
 		return nil, ErrLost
 	}
-	t := &Tenure{store: store, self: self, epoch: old.Epoch + 1, seq: old.Seq, version: version, since: since}
+	t := &Tenure{store: store, self: self, epoch: old.Epoch + 1, version: version, since: since}
+	t.seq.Store(old.Seq)
 	if err := t.Commit(ctx, nil, nil); err != nil {
 		return nil, err
 	}
 	return t, nil
 }
 
+// LastSeq is the number of the last transaction that was built.
+func (t *Tenure) LastSeq() int64 { return t.seq.Load() }
+
 // Epoch is the number of the ownership; it rises with each owner.
 func (t *Tenure) Epoch() int64 { return t.epoch }
 
@@ -211,8 +223,7 @@
 }
 
 func (t *Tenure) txn(puts []rowstore.Put, removes []rowstore.Key) (rowstore.Txn, bool, error) {
-	t.seq++
-	value, err := json.Marshal(head{Epoch: t.epoch, Seq: t.seq, Boot: t.self.Boot})
+	value, err := json.Marshal(head{Epoch: t.epoch, Seq: t.seq.Add(1), Boot: t.self.Boot})
 	if err != nil {
 		return rowstore.Txn{}, false, errors.Wrap(err, "encode head")
 	}
@@ -259,7 +270,7 @@
 		t.lost.Store(true)
 		return false, ErrLost
 	}
-	if current.Seq == t.seq {
+	if current.Seq == t.seq.Load() {
 		t.commitDone(row.Version, asked, beat)
 		return true, nil
 	}
--- a/internal/cluster/tenure/tenure_test.go
+++ b/internal/cluster/tenure/tenure_test.go
@@ -17,12 +17,12 @@
 		ctx := context.Background()
 		store := rowstore.NewMemory()
 		clock := &stepClock{}
-		a, err := Claim(ctx, store, identity("a"), 0, clock.since)
+		a, err := Claim(ctx, store, identity("a"), Predecessor{}, clock.since)
 		So(err, ShouldBeNil)
-		b, err := Claim(ctx, store, identity("b"), a.Epoch(), clock.since)
+		b, err := Claim(ctx, store, identity("b"), Predecessor{Epoch: a.Epoch()}, clock.since)
 		So(err, ShouldBeNil)
 		Convey("The second claim fails and the first owner stays", func() {
-			_, err := Claim(ctx, store, identity("c"), a.Epoch(), clock.since)
+			_, err := Claim(ctx, store, identity("c"), Predecessor{Epoch: a.Epoch()}, clock.since)
 			So(err, ShouldEqual, ErrLost)
 			So(b.Commit(ctx, nil, nil), ShouldBeNil)
 		})
@@ -56,10 +56,10 @@
 		ctx := context.Background()
 		store := rowstore.NewMemory()
 		clock := &stepClock{}
-		a, err := Claim(ctx, store, identity("a"), 0, clock.since)
+		a, err := Claim(ctx, store, identity("a"), Predecessor{}, clock.since)
 		So(err, ShouldBeNil)
 		So(a.Commit(ctx, put("x", "a"), nil), ShouldBeNil)
-		b, err := Claim(ctx, store, identity("b"), a.Epoch(), clock.since)
+		b, err := Claim(ctx, store, identity("b"), Predecessor{Epoch: a.Epoch()}, clock.since)
 		So(err, ShouldBeNil)
 		So(b.Epoch(), ShouldEqual, a.Epoch()+1)
 		Convey("The predecessor's next commit fails, changes nothing and ends its validity", func() {
@@ -79,7 +79,7 @@
 			store := rowstore.NewMemory()
 			n := 0
 			store.Lose = func() bool { n++; return n%2 == 0 }
-			a, err := Claim(ctx, store, identity("a"), 0, (&stepClock{}).since)
+			a, err := Claim(ctx, store, identity("a"), Predecessor{}, (&stepClock{}).since)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -118,7 +118,7 @@
 func TestLateCommitOfTheSameOwner(t *testing.T) {
 	Convey("Given a commit that was given up and takes effect just before the next one", t, func() {
 		store := &lateStore{Memory: rowstore.NewMemory()}
-		a, err := Claim(context.Background(), store, identity("a"), 0, (&stepClock{}).since)
+		a, err := Claim(context.Background(), store, identity("a"), Predecessor{}, (&stepClock{}).since)
 		So(err, ShouldBeNil)
 		store.hold = true
 		ctx, cancel := context.WithCancel(context.Background())
@@ -137,7 +137,7 @@
 		ctx := context.Background()
 		clock := &stepClock{now: time.Hour}
 		store := rowstore.NewMemory()
-		a, err := Claim(ctx, store, identity("a"), 0, clock.since)
+		a, err := Claim(ctx, store, identity("a"), Predecessor{}, clock.since)
 		So(err, ShouldBeNil)
 		clock.now += Validity - time.Millisecond
 		So(a.Valid(), ShouldBeTrue)
@@ -157,7 +157,7 @@
 		ctx := context.Background()
 		clock := &stepClock{now: time.Hour}
 		store := rowstore.NewMemory()
-		a, err := Claim(ctx, store, identity("a"), 0, clock.since)
+		a, err := Claim(ctx, store, identity("a"), Predecessor{}, clock.since)
 		So(err, ShouldBeNil)
 		Convey("It is troubled soon after the store began to refuse it, until a commit succeeds", func() {
 			refuse := true
@@ -217,8 +217,8 @@
 		{"a beat that is late, and the owner does not answer", view(func(v *View) { v.ChangedAt = ago(2 * time.Second); v.Unreachable = true }), true},
 		{"the owner's process is gone", view(func(v *View) { v.ChangedAt = ago(400 * time.Millisecond); v.GoneAt = ago(300 * time.Millisecond) }), true},
 		{"only the path to the owner is refused", view(func(v *View) { v.GoneAt = ago(time.Second) }), false},
-		{"offered by the owner", view(func(v *View) { v.Offered = true }), true},
-		{"offered while the store does not answer here", view(func(v *View) { v.Offered = true; v.FedAt = ago(2 * time.Second) }), false},
+		{"offered by the owner", view(func(v *View) { v.Offered = 7 }), true},
+		{"offered while the store does not answer here", view(func(v *View) { v.Offered = 7; v.FedAt = ago(2 * time.Second) }), false},
 		{"released to this host", view(func(v *View) { v.Owner.Released = true; v.Owner.Successor = "self" }), true},
 		{"released to another host", view(func(v *View) {
 			v.Owner.Released = true
@@ -237,3 +237,26 @@
 		Convey(c.name, t, func() { So(ShouldClaim(c.view, self, now), ShouldEqual, c.want) })
 	}
 }
+
+// Guards against an owner that is replaced although the store serves it again: its offer is answered just after an outage,
+// and all jobs wait for the takeover.
+func TestOfferThatIsNotNeededAnyMore(t *testing.T) {
+	Convey("Given an owner that offers the ownership during an outage", t, func() {
+		ctx := context.Background()
+		store := rowstore.NewMemory()
+		clock := &stepClock{}
+		a, err := Claim(ctx, store, identity("a"), Predecessor{}, clock.since)
+		So(err, ShouldBeNil)
+		offer := Predecessor{Epoch: a.Epoch(), LastSeq: a.LastSeq()}
+		Convey("A claim by that offer succeeds while the owner commits nothing", func() {
+			_, err := Claim(ctx, store, identity("b"), offer, clock.since)
+			So(err, ShouldBeNil)
+		})
+		Convey("It fails once the owner has committed again", func() {
+			So(a.Commit(ctx, put("x", "a"), nil), ShouldBeNil)
+			_, err := Claim(ctx, store, identity("b"), offer, clock.since)
+			So(err, ShouldEqual, ErrLost)
+			So(a.Commit(ctx, put("x", "b"), nil), ShouldBeNil)
+		})
+	})
+}
