Offer the ownership after half a second without an answer, to all large hosts

Cause: an owner that is cut off from the store waited 1.4 s, then asked one host at a time, each up to 0.7 s. Ruled out: a shorter limit alone; a store that is slow for everyone answers commits after up to 0.75 s, and a takeover would add to its load. Change: the owner offers to all large hosts at once, 0.5 s after the first commit without an answer was sent. A host takes the offer only if it reads the head row within 0.12 s, so that a slow store moves nothing. The limit no longer counts from the last confirmed commit: an idle owner has nothing to answer.

--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -41,7 +41,7 @@
 	// takeOverTimeout is how long a peer tries to claim an ownership that it was offered; offerTimeout includes the way.
 	takeOverTimeout = 500 * time.Millisecond
 	offerTimeout    = 700 * time.Millisecond
-	offerRetry      = 100 * time.Millisecond
+	offerRetry      = 250 * time.Millisecond
 	// yieldInterval is how often a small owner looks for larger hosts.
 	yieldInterval = time.Second
 	// hostsWait is long, because the list of hosts changes rarely.
@@ -249,16 +249,7 @@
 		if !held.Troubled() {
 			continue
 		}
-		h, ok := n.randomPeer()
-		if !ok {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
-		claimed, err := n.parts.Peers.Offer(callCtx, h.Addr, n.parts.Self.Boot, held.LastSeq())
-		cancel()
-		n.parts.Log.Info("ownership offered", zap.String("to", h.Host), zap.Int64("epoch", held.Epoch()), zap.Bool("claimed", claimed),
-			zap.Duration("confirmed_age", held.ConfirmedAge()), asynclog.Error(err))
-		if claimed {
+		if n.offerToAll(ctx, held) {
 			held.GiveUp()
 			return
 		}
@@ -266,8 +257,38 @@
 	}
 }
 
+// offerToAll offers the ownership to all hosts that may have it, since some of them may be cut off too, and reports whether
+// one has claimed it.
+func (n *Node) offerToAll(ctx context.Context, held *tenure.Tenure) bool {
+	hosts := n.otherCapable()
+	answers := make(chan bool, len(hosts))
+	for _, h := range hosts {
+		n.lead.Go(func() { answers <- n.offerTo(ctx, held, h) })
+	}
+	for range hosts {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) offerTo(ctx context.Context, held *tenure.Tenure, h peers.Host) bool {
+	callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	claimed, err := n.parts.Peers.Offer(callCtx, h.Addr, n.parts.Self.Boot, held.LastSeq())
+	n.parts.Log.Info("ownership offered", zap.String("to", h.Host), zap.Int64("epoch", held.Epoch()), zap.Bool("claimed", claimed),
+		zap.Duration("confirmed_age", held.ConfirmedAge()), asynclog.Error(err))
+	return claimed
+}
+
+// otherCapable returns the other hosts that are large enough to own the workers.
+func (n *Node) otherCapable() []peers.Host {
+	return slices.DeleteFunc(n.parts.Roster.Capable(), func(h peers.Host) bool { return h.Host == n.parts.Self.Host })
+}
+
 func (n *Node) randomPeer() (peers.Host, bool) {
-	hosts := slices.DeleteFunc(n.parts.Roster.Capable(), func(h peers.Host) bool { return h.Host == n.parts.Self.Host })
+	hosts := n.otherCapable()
 	if len(hosts) == 0 {
 		return peers.Host{}, false
 	}
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -40,10 +40,13 @@
 	// outages of the store, and a successor waits for it before it gives up on workers that it can't reach.
 	Validity = 8 * time.Second
 
-	// refusedLimit and unansweredLimit are when an owner offers the ownership to others. Commits come at least every
-	// BeatInterval, and one of a store that answers 80 times slower than usual takes 750 ms.
+	// refusedLimit and unansweredLimit are for how long an owner's commits are refused or not answered until it offers the
+	// ownership to others. Ordinary commits take 10 ms.
 	refusedLimit    = 150 * time.Millisecond
-	unansweredLimit = 1400 * time.Millisecond
+	unansweredLimit = 500 * time.Millisecond
+	// offeredReadLimit is the longest read with which a store counts as quick for the host that takes an offer. If it is slow
+	// for that host too, a takeover would not help. Ordinary reads take 6 ms.
+	offeredReadLimit = 120 * time.Millisecond
 
 	// resetLimit tells a commit that was cut off, as by a store that resets connections, from one that was not answered.
 	resetLimit = 80 * time.Millisecond
@@ -54,6 +57,9 @@
 // ErrLost means that another daemon owns the workers now, or that this one has released them.
 var ErrLost = errors.New("tenure: ownership lost")
 
+// ErrSlow means that the store is not quick enough for a takeover to help.
+var ErrSlow = errors.New("tenure: the store is slow for this daemon too")
+
 // Identity is one process of a daemon.
 type Identity struct {
 	Host string `json:"host"`
@@ -89,7 +95,7 @@
 
 	seq          atomic.Int64 // of the last transaction that was built; each has its own
 	refusedSince atomic.Int64 // since() of the first of the commits that were refused in a row; 0 if the last was not
-	answered     atomic.Int64 // since() when the last commit was confirmed
+	pendingSince atomic.Int64 // since() when the first of the commits without an answer was sent; 0 if there is none
 	confirmed    atomic.Int64 // since() before the last confirmed commit was sent
 	lost         atomic.Bool
 }
@@ -103,22 +109,16 @@
 }
 
 // Claim takes the ownership over. It fails with ErrLost if another daemon has claimed it, the owner commits meanwhile, or
-// it does not need the offer any more. The store has to limit the time of a commit.
+// it does not need the offer any more, and with ErrSlow if the ownership was offered and the store is not quick for this
+// daemon either. The store has to limit the time of a commit.
 func Claim(ctx context.Context, store rowstore.Store, self Identity, from Predecessor, since func() time.Duration) (*Tenure, error) {
-	page, err := store.Read(ctx, rowstore.Range{Table: HeadTable, Part: Part})
+	began := time.Now()
+	old, version, err := readHead(ctx, store)
 	if err != nil {
-		return nil, errors.Wrap(err, "read head")
+		return nil, err
 	}
-	var old head
-	version := int64(0)
-	for _, r := range page.Rows {
-		if r.Key != headKey {
-			continue
-		}
-		version = r.Version
-		if err := json.Unmarshal(r.Value, &old); err != nil {
-			return nil, errors.Wrap(err, "decode head")
-		}
+	if from.LastSeq > 0 && time.Since(began) > offeredReadLimit {
+		return nil, ErrSlow
 	}
 	if old.Epoch != from.Epoch || from.LastSeq > 0 && old.Seq > from.LastSeq {
 		return nil, ErrLost
@@ -131,6 +131,25 @@
 	return t, nil
 }
 
+// readHead returns the head row and its version, 0 if there is none.
+func readHead(ctx context.Context, store rowstore.Store) (head, int64, error) {
+	page, err := store.Read(ctx, rowstore.Range{Table: HeadTable, Part: Part})
+	if err != nil {
+		return head{}, 0, errors.Wrap(err, "read head")
+	}
+	for _, r := range page.Rows {
+		if r.Key != headKey {
+			continue
+		}
+		var h head
+		if err := json.Unmarshal(r.Value, &h); err != nil {
+			return head{}, 0, errors.Wrap(err, "decode head")
+		}
+		return h, r.Version, nil
+	}
+	return head{}, 0, nil
+}
+
 // LastSeq is the number of the last transaction that was built.
 func (t *Tenure) LastSeq() int64 { return t.seq.Load() }
 
@@ -145,12 +164,12 @@
 // ConfirmedAge is the time since the last confirmed commit was sent.
 func (t *Tenure) ConfirmedAge() time.Duration { return t.since() - time.Duration(t.confirmed.Load()) }
 
-// Troubled reports whether the store has refused this owner for a while, or has not answered it for longer than a slow
-// store takes. Other hosts may be served, so the ownership is better offered to them.
+// Troubled reports whether the store has refused this owner's commits or left them without an answer for a while. Other
+// hosts may be served, so the ownership is better offered to them; they find out whether the store is quick for them.
 func (t *Tenure) Troubled() bool {
-	refused := t.refusedSince.Load()
+	refused, pending := t.refusedSince.Load(), t.pendingSince.Load()
 	return refused != 0 && t.since()-time.Duration(refused) > refusedLimit ||
-		t.since()-time.Duration(t.answered.Load()) > unansweredLimit
+		pending != 0 && t.since()-time.Duration(pending) > unansweredLimit
 }
 
 // GiveUp ends the ownership after another daemon has said that it claimed it.
@@ -192,6 +211,7 @@
 	unknown := false
 	for {
 		asked := t.since()
+		t.pendingSince.CompareAndSwap(0, int64(asked))
 		version, err := t.store.Commit(ctx, txn)
 		var conflict *rowstore.ConflictError
 		switch {
@@ -208,6 +228,7 @@
 			continue
 		case errors.Is(err, rowstore.ErrUnavailable) && !unknown:
 			t.refusedSince.CompareAndSwap(0, int64(asked))
+			t.pendingSince.Store(0)
 			return err
 		case errors.Is(err, rowstore.ErrUnknownOutcome):
 			unknown = true
@@ -254,7 +275,7 @@
 func (t *Tenure) commitDone(version int64, asked time.Duration, beat bool) {
 	t.version = version
 	t.refusedSince.Store(0)
-	t.answered.Store(int64(t.since()))
+	t.pendingSince.Store(0)
 	t.confirmed.Store(int64(asked))
 	if beat {
 		t.lastBeat = time.Now()
