Spread the questions of gangs over the workers

All of them asked for the workers with most room, and found them filled by each other; others asked although the room that was left could not hold the gang. Change: a question notes the room that its tasks will take, spread over the workers that it names; later questions see what is left. A gang asks only if the expected places suffice for it.

--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -64,11 +64,15 @@
 // AdviceDone applies the answer of the policy service.
 func (s *Scheduler) AdviceDone(now time.Time, r AdviceResult) {
 	j := s.jobs[r.Step.Job]
-	if j == nil || j.state.Final() || j.occurrences[r.Step.Occurrence] == nil {
+	if j == nil || r.Step.Occurrence >= len(j.occurrences) || j.occurrences[r.Step.Occurrence] == nil {
 		return
 	}
 	u := j.occurrences[r.Step.Occurrence].units[r.Step.Step]
 	u.asking = false
+	u.forgetExpected()
+	if j.state.Final() {
+		return
+	}
 	s.soon[u] = struct{}{}
 	if r.Failed {
 		u.notUntil = now.Add(adviceRetry)
@@ -146,22 +150,15 @@
 		return AdviceRequest{}, false
 	}
 	u.asking, u.askedAt = true, now
+	u.expect(workers, waiting)
 	return AdviceRequest{
-		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workers, Cost: advice.Cost(len(workers)),
+		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workerIDs(workers), Cost: advice.Cost(len(workers)),
 	}, true
 }
 
 type askCandidate struct {
-	id  string
-	fit float64 // tasks that are expected to be approved and find room there
-}
-
-// needs is how many places a unit's tasks need to make a question worthwhile.
-func (u *unit) needs(waiting int) float64 {
-	if u.step.Gang {
-		return float64(waiting)
-	}
-	return 1
+	worker *worker
+	fit    float64 // tasks that are expected to be approved and find room there
 }
 
 // wanted is the expected number of places that a question should bring for tasks that wait.
@@ -173,10 +170,31 @@
 }
 
 // askable chooses the workers to ask for: those whose approval is known and those with most room, until the expected
-// number of places exceeds the number of waiting tasks.
-func (s *Scheduler) askable(c candidate, waiting int, now time.Time) []string {
+// number of places exceeds the number of waiting tasks by enough. There are none if asking would be in vain: for a gang that
+// will not find places for all of its members, and for a late unit that will find none at all.
+func (s *Scheduler) askable(c candidate, waiting int, now time.Time) []*worker {
 	u := c.unit
-	res := u.resources()
+	all, room := s.askCandidates(u, now)
+	if u.step.Gang && room < float64(waiting) || c.late && room < s.approvalShare(u.job.spec.Queue.Name) {
+		return nil
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].fit > all[j].fit })
+	var workers []*worker
+	expected := 0.0
+	for _, a := range all {
+		if len(workers) >= maxAskedWorkers || len(workers) >= minAsked && expected >= u.wanted(waiting) {
+			break
+		}
+		workers = append(workers, a.worker)
+		expected += a.fit
+	}
+	return workers
+}
+
+// askCandidates returns the workers that a question may name, and the tasks that are expected to be approved and find room
+// on them and on those with a valid ticket.
+func (s *Scheduler) askCandidates(u *unit, now time.Time) ([]askCandidate, float64) {
+	size := u.resources()
 	share := s.approvalShare(u.job.spec.Queue.Name)
 	var all []askCandidate
 	room := 0.0
@@ -184,33 +202,27 @@
 		if _, denied := u.denied[w.info.ID]; denied || !s.eligible(u, w, now) {
 			continue
 		}
-		t, known := u.tickets[w.info.ID]
-		if known && t.expires.After(now.Add(ticketMargin)) {
-			continue
-		}
-		fit := fits(w.free(), res)
-		a := askCandidate{id: w.info.ID, fit: float64(fit)}
+		fit := float64(fits(w.free().Sub(w.expected), size))
 		if u.step.MaxPerWorker > 0 {
-			a.fit = min(a.fit, float64(u.step.MaxPerWorker))
+			fit = min(fit, float64(u.step.MaxPerWorker))
 		}
-		room += a.fit
+		t, known := u.tickets[w.info.ID]
 		if !known {
-			a.fit *= share
+			fit *= share
 		}
-		all = append(all, a)
-	}
-	if c.late && room < u.needs(waiting) {
-		return nil
-	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].fit > all[j].fit })
-	var ids []string
-	expected := 0.0
-	for _, c := range all {
-		if len(ids) >= maxAskedWorkers || len(ids) >= minAsked && expected >= u.wanted(waiting) {
-			break
+		room += fit
+		if known && t.expires.After(now.Add(ticketMargin)) {
+			continue
 		}
-		ids = append(ids, c.id)
-		expected += c.fit
+		all = append(all, askCandidate{w, fit})
+	}
+	return all, room
+}
+
+func workerIDs(workers []*worker) []string {
+	ids := make([]string, len(workers))
+	for i, w := range workers {
+		ids[i] = w.info.ID
 	}
 	return ids
 }
--- a/internal/cluster/scheduler/advice_test.go
+++ b/internal/cluster/scheduler/advice_test.go
@@ -193,3 +193,51 @@
 	}
 	return a
 }
+
+// Load: many gangs at once, which need more than half of the room that is left, with answers that take a second. Guards
+// against gangs that all ask for the workers with most room and find them filled by each other.
+func TestManyGangsAskForDifferentWorkers(t *testing.T) {
+	Convey("Given sixteen gangs of ten and 200 places, two on each worker", t, func() {
+		const gangs, step = 16, 100 * time.Millisecond
+		random := rand.New(rand.NewPCG(3, 3))
+		f := newFixture(1, 100)
+		for _, w := range f.workers {
+			w.used.CPUMilli = 6000
+		}
+		f.queue.Advice = &queues.Advice{Base: 700 * time.Millisecond, PerWorker: 10 * time.Millisecond, Validity: 1500 * time.Millisecond}
+		f.queue.SlackFactor = 100
+		gang := simpleStep(10)
+		gang.Gang = true
+		for i := range gangs {
+			f.AddJob(t0, f.job(fmt.Sprint(i), t0, gang), nil, false)
+		}
+		approved := map[string]bool{} // by step and worker: what the policy service always answers
+		asked, started := 0, 0
+		inFlight := map[time.Duration][]AdviceRequest{}
+		for now := time.Duration(0); now < 10*time.Second; now += step {
+			for _, r := range inFlight[now] {
+				a := AdviceResult{Step: r.Step, Asked: r.Workers, Validity: 1500 * time.Millisecond}
+				for _, w := range r.Workers {
+					key := r.Step.Job + w
+					if _, decided := approved[key]; !decided {
+						approved[key] = random.Float64() < 0.3
+					}
+					if approved[key] {
+						a.Approved = append(a.Approved, Approval{w, "t"})
+					}
+				}
+				f.AdviceDone(at(now), a)
+			}
+			started += len(f.plan(at(now)).Starts)
+			for _, r := range f.ask(at(now)) {
+				asked++
+				due := now + r.Cost.Round(step)
+				inFlight[due] = append(inFlight[due], r)
+			}
+		}
+		Convey("All start, four in five of them after one question", func() {
+			So(started, ShouldEqual, gangs*10)
+			So(asked, ShouldBeLessThanOrEqualTo, gangs+gangs/5)
+		})
+	})
+}
--- /dev/null
+++ b/internal/cluster/scheduler/expected.go
@@ -0,0 +1,32 @@
+package scheduler
+
+import "github.com/greengagewing/greengagewing/internal/cluster/workload"
+
+// expectation is the room that the tasks of a unit will take when a question to the policy service is answered, spread over
+// the workers that the question names.
+type expectation struct {
+	workers []*worker
+	each    workload.Resources
+}
+
+// expect notes that tasks are about to take room on workers. Load: many large gangs that wait for answers of a second or
+// more. Without the note all of them would ask for the same workers, those with most room, and find them filled.
+func (u *unit) expect(workers []*worker, tasks int) {
+	u.forgetExpected()
+	size := u.resources()
+	share := func(n int64) int64 { return n * int64(tasks) / int64(len(workers)) }
+	u.expected = expectation{workers, workload.Resources{
+		CPUMilli: share(size.CPUMilli), MemoryMB: share(size.MemoryMB), Accelerators: share(size.Accelerators),
+	}}
+	for _, w := range workers {
+		w.expected = w.expected.Add(u.expected.each)
+	}
+}
+
+// forgetExpected takes the note back.
+func (u *unit) forgetExpected() {
+	for _, w := range u.expected.workers {
+		w.expected = w.expected.Sub(u.expected.each)
+	}
+	u.expected = expectation{}
+}
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -48,6 +48,7 @@
 	asking   bool
 	askedAt  time.Time
 	notUntil time.Time // no start before, after failures
+	expected expectation
 }
 
 type ticket struct {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -31,6 +31,7 @@
 	leaseUntil time.Time
 	leavesAt   time.Time // of a draining worker
 	used       workload.Resources
+	expected   workload.Resources // by units that wait for an answer of the policy service
 	placements map[runKey]*placement
 
 	processed int64 // number of the last end that was applied
