--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -119,7 +119,7 @@
 	host := n.host()
 	host.Started = time.Now()
 	n.lead.Go(func() { peers.Register(n.leading, n.parts.Store, host, n.parts.Log) })
-	n.parts.Log.Info("daemon started", zap.String("host", n.parts.Self.Host), zap.String("peer_addr", n.parts.Self.Addr), zap.String("boot", n.parts.Self.Boot),
+	n.parts.Log.Info("daemon started", zap.String("peer_addr", n.parts.Self.Addr), zap.String("boot", n.parts.Self.Boot),
 		zap.Duration("lease", n.parts.Config.Lease))
 	return nil
 }
--- a/internal/cluster/peers/roster.go
+++ b/internal/cluster/peers/roster.go
@@ -60,16 +60,16 @@
 			continue
 		}
 		if row.Deleted {
-			r.log.Info("host left", zap.String("host", row.Name), zap.Int64("version", row.Version))
+			r.log.Info("host left", zap.String("peer", row.Name), zap.Int64("version", row.Version))
 			delete(r.hosts, row.Name)
 			continue
 		}
 		var h Host
 		if err := records.Decode(row, &h); err != nil {
-			r.log.Error("row of a host can't be read", zap.String("host", row.Name), asynclog.Error(err))
+			r.log.Error("row of a host can't be read", zap.String("peer", row.Name), asynclog.Error(err))
 			continue
 		}
-		r.log.Info("host listed", zap.String("host", h.Host), zap.String("addr", h.Addr), zap.String("boot", h.Boot),
+		r.log.Info("host listed", zap.String("peer", h.Host), zap.String("addr", h.Addr), zap.String("boot", h.Boot),
 			zap.Bool("draining", h.Draining), zap.Int64("version", row.Version))
 		r.hosts[row.Name] = rosterEntry{h, row.Version}
 	}
