Log why a gang is stopped

All stops of a gang because of one member were logged as "made no progress", also when its worker left or its start was not answered.

--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -64,7 +64,7 @@
 			if p.stalled(now) {
 				stalled++
 				s.stop(p, now, "no progress")
-				s.stopGangOf(p, now)
+				s.stopGangOf(p, now, "a member of the gang made no progress")
 			}
 		}
 		if stalled > 0 {
@@ -73,9 +73,10 @@
 	}
 }
 
-func (s *Scheduler) stopGangOf(p *placement, now time.Time) {
+// stopGangOf stops the other members of a run's gang, which can't end without it.
+func (s *Scheduler) stopGangOf(p *placement, now time.Time, reason string) {
 	if p.task != nil && p.task.unit.step.Gang {
-		s.stopUnit(p.task.unit, now, "a member of the gang made no progress")
+		s.stopUnit(p.task.unit, now, reason)
 	}
 }
 
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -389,7 +389,7 @@
 		for _, p := range w.placements {
 			if p.state == running && p.task != nil && p.task.placement == p && now.Add(s.timeLeft(p, now)).After(w.leavesAt) {
 				s.stop(p, now, "the worker leaves")
-				s.stopGangOf(p, now)
+				s.stopGangOf(p, now, "the worker of a member of the gang leaves")
 			}
 		}
 	}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -83,7 +83,7 @@
 	case StartUnknown:
 		if p.state == starting {
 			s.stop(p, now, "the start was not answered")
-			s.stopGangOf(p, now)
+			s.stopGangOf(p, now, "the start of a member of the gang was not answered")
 		}
 	case RejectedOld:
 		s.rejectedAsOld(p, now)
@@ -99,7 +99,7 @@
 	if t := p.task; t != nil {
 		t.run += oldRunStep
 		t.unit.run += oldRunStep
-		s.stopGangOf(p, now)
+		s.stopGangOf(p, now, "a member of the gang was rejected as old")
 	}
 }
 
