Count expected tasks in fractions when choosing the workers of a question

Cause: with room for one or two tasks on a worker, the part of a task that other questions are expected to take there made the worker count as full, and gangs waited although the pool was 70 % used (8 to 11 questions in flight for 24 gangs). Change: the expected part is subtracted from the number of places instead of from the room before rounding.

--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -202,7 +202,7 @@
 		if _, denied := u.denied[w.info.ID]; denied || !s.eligible(u, w, now) {
 			continue
 		}
-		fit := float64(fits(w.free().Sub(w.expected), size))
+		fit := max(float64(fits(w.free(), size))-w.expectedTasks(size), 0)
 		if u.step.MaxPerWorker > 0 {
 			fit = min(fit, float64(u.step.MaxPerWorker))
 		}
--- a/internal/cluster/scheduler/expected.go
+++ b/internal/cluster/scheduler/expected.go
@@ -23,6 +23,19 @@
 	}
 }
 
+// expectedTasks is how many tasks of the size the expected ones count for.
+func (w *worker) expectedTasks(size workload.Resources) float64 {
+	tasks := 0.0
+	for _, d := range [...][2]int64{
+		{w.expected.CPUMilli, size.CPUMilli}, {w.expected.MemoryMB, size.MemoryMB}, {w.expected.Accelerators, size.Accelerators},
+	} {
+		if d[1] > 0 {
+			tasks = max(tasks, float64(d[0])/float64(d[1]))
+		}
+	}
+	return tasks
+}
+
 // forgetExpected takes the note back.
 func (u *unit) forgetExpected() {
 	for _, w := range u.expected.workers {
