--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build fmt-check lint test check bench capacity measure demo clean
+.PHONY: build fmt-check lint test soak check bench capacity measure demo clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,6 +20,11 @@
 test:
 	$(GO) test $(TEST_FLAGS) $(SKIP) ./...
 
+# The platform's daemon as processes under injected faults: two seeds, less than a minute.
+soak: build
+	$(GO) build -o bin/ ./platform/soak
+	bin/soak --seed 1 --seeds 2 --duration 6s
+
 check: build fmt-check lint
 	$(MAKE) test TEST_FLAGS="-race"
 
