One function reads a row; drop state that is only written

entry, the roster of peers and the claim each read one row with code of their own; rowstore.ReadRow serves all. The time of a placement's last change and the coordinator of a term were written and never read.

--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -37,7 +37,6 @@
 
 // term is one ownership. The scheduler is guarded by mu; the other fields are set before the goroutines start.
 type term struct {
-	c      *Coordinator
 	cfg    Config
 	deps   Deps
 	log    *zap.Logger
@@ -63,7 +62,7 @@
 
 func newTerm(c *Coordinator, held *tenure.Tenure, gone func() bool) *term {
 	t := &term{
-		c: c, cfg: c.cfg, deps: c.deps, tenure: held, gone: gone,
+		cfg: c.cfg, deps: c.deps, tenure: held, gone: gone,
 		log:      c.deps.Log.With(zap.Int64("epoch", held.Epoch())),
 		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), Retention: c.cfg.Retention}),
 		runners:  map[string]*runner{},
--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -194,11 +194,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
 	for _, key := range []rowstore.Key{records.EndedKey(id), records.ProgressKey(id)} {
-		row, err := e.readRow(callCtx, key)
+		row, ok, err := rowstore.ReadRow(callCtx, e.Store, key)
 		if err != nil {
 			return "", errors.Wrap(ErrUnavailable, err.Error())
 		}
-		if row == nil {
+		if !ok {
 			continue
 		}
 		p, err := workload.DecodeProgress(row.Value)
@@ -221,8 +221,8 @@
 func (e *Entry) accepted(ctx context.Context, id string) (bool, error) {
 	var failed error
 	for place := range records.Places {
-		row, err := e.readRow(ctx, records.JobKey(id, place))
-		if row != nil {
+		_, ok, err := rowstore.ReadRow(ctx, e.Store, records.JobKey(id, place))
+		if ok {
 			return true, nil
 		}
 		if err != nil {
@@ -232,14 +232,6 @@
 	return false, failed
 }
 
-func (e *Entry) readRow(ctx context.Context, k rowstore.Key) (*rowstore.Row, error) {
-	page, err := e.Store.Read(ctx, rowstore.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00", Limit: 1})
-	if err != nil || len(page.Rows) == 0 {
-		return nil, err
-	}
-	return &page.Rows[0], nil
-}
-
 // Pending returns the number of a queue's jobs of which no task has started, as the owner counts them.
 func (e *Entry) Pending(ctx context.Context, queue string) (int, error) {
 	if n, err := e.Coordinator.Pending(queue); err == nil {
--- a/internal/cluster/peers/roster.go
+++ b/internal/cluster/peers/roster.go
@@ -141,16 +141,12 @@
 
 func register(ctx context.Context, store rowstore.Store, host string, value []byte) error {
 	k := records.HostKey(host)
-	page, err := store.Read(ctx, rowstore.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00", Limit: 1})
+	row, _, err := rowstore.ReadRow(ctx, store, k)
 	if err != nil {
 		return err
 	}
-	condition := rowstore.Condition{Key: k}
-	if len(page.Rows) > 0 {
-		condition.Version = page.Rows[0].Version
-	}
 	_, err = store.Commit(ctx, rowstore.Txn{
-		Conditions: []rowstore.Condition{condition}, Puts: []rowstore.Put{{Key: k, Value: value}},
+		Conditions: []rowstore.Condition{{Key: k, Version: row.Version}}, Puts: []rowstore.Put{{Key: k, Value: value}},
 	})
 	return err
 }
--- a/internal/cluster/rowstore/rowstore.go
+++ b/internal/cluster/rowstore/rowstore.go
@@ -111,6 +111,18 @@
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
 }
 
+// ReadRow returns one row, or false if it doesn't exist.
+func ReadRow(ctx context.Context, s Store, k Key) (Row, bool, error) {
+	p, err := s.Read(ctx, Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00", Limit: 1})
+	if err != nil {
+		return Row{}, false, errors.Wrapf(err, "read row %s of table %s", k.Name, k.Table)
+	}
+	if len(p.Rows) == 0 {
+		return Row{}, false, nil
+	}
+	return p.Rows[0], true, nil
+}
+
 // ReadAll returns all rows of a part and the version of the first page, from which a feed may continue: changes made
 // while later pages are read are told again.
 func ReadAll(ctx context.Context, s Store, table, part string) ([]Row, int64, error) {
--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -63,8 +63,8 @@
 		for _, p := range w.placements {
 			if p.stalled(now) {
 				stalled++
-				s.stop(p, now, "no progress")
-				s.stopGangOf(p, now, "a member of the gang made no progress")
+				s.stop(p, "no progress")
+				s.stopGangOf(p, "a member of the gang made no progress")
 			}
 		}
 		if stalled > 0 {
@@ -74,9 +74,9 @@
 }
 
 // stopGangOf stops the other members of a run's gang, which can't end without it.
-func (s *Scheduler) stopGangOf(p *placement, now time.Time, reason string) {
+func (s *Scheduler) stopGangOf(p *placement, reason string) {
 	if p.task != nil && p.task.unit.step.Gang {
-		s.stopUnit(p.task.unit, now, reason)
+		s.stopUnit(p.task.unit, reason)
 	}
 }
 
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -82,7 +82,7 @@
 		}
 		if u.step.Gang && !blocked && !u.idle() {
 			// Members of a gang are placed together, so the others wait in vain for one that is missing.
-			s.stopUnit(u, now, "the gang is not complete")
+			s.stopUnit(u, "the gang is not complete")
 			continue
 		}
 		latest := s.latestStart(u)
@@ -389,8 +389,8 @@
 		}
 		for _, p := range w.placements {
 			if p.state == running && p.task != nil && p.task.placement == p && now.Add(s.timeLeft(p, now)).After(w.leavesAt) {
-				s.stop(p, now, "the worker leaves")
-				s.stopGangOf(p, now, "the worker of a member of the gang leaves")
+				s.stop(p, "the worker leaves")
+				s.stopGangOf(p, "the worker of a member of the gang leaves")
 			}
 		}
 	}
--- a/internal/cluster/scheduler/preempt.go
+++ b/internal/cluster/scheduler/preempt.go
@@ -26,7 +26,7 @@
 		}
 	}
 	for _, p := range chosen {
-		s.stop(p, now, "room for a task that lasts")
+		s.stop(p, "room for a task that lasts")
 	}
 }
 
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -96,7 +96,7 @@
 		return
 	}
 	t := s.task(a.Task)
-	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, ordered: now, confirmed: now, changed: now,
+	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, ordered: now, confirmed: now,
 		percent: a.Percent, percentAt: now, firstPercent: a.Percent, firstAt: now, checkpoint: a.Checkpoint}
 	if t != nil {
 		p.task, p.resources = t, t.unit.resources()
@@ -106,7 +106,7 @@
 	}
 	w.add(p)
 	if t == nil || !s.adopt(t, p) {
-		s.stop(p, now, "the run is not wanted")
+		s.stop(p, "the run is not wanted")
 	}
 }
 
@@ -207,7 +207,7 @@
 	case current || t.placement == nil:
 		s.keepCheckpoint(t, e.Checkpoint)
 		if t.unit.step.Gang {
-			s.stopUnit(t.unit, now, "a member of the gang ended")
+			s.stopUnit(t.unit, "a member of the gang ended")
 		}
 	}
 	return c
@@ -252,7 +252,7 @@
 	failed := &t.failedRuns
 	if u.step.Gang {
 		failed = &u.failedRuns
-		s.stopUnit(u, now, "a member of the gang failed")
+		s.stopUnit(u, "a member of the gang failed")
 	}
 	if !slices.Contains(*failed, e.Run) {
 		*failed = append(*failed, e.Run)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -268,26 +268,26 @@
 			if state == workload.Completed && u.step.Gang {
 				continue // the members of a gang end done together; their ends are about to be listed
 			}
-			s.stopUnit(u, now, "job "+string(state))
+			s.stopUnit(u, "job "+string(state))
 		}
 	}
 }
 
 // stopUnit orders that everything of a unit ends.
-func (s *Scheduler) stopUnit(u *unit, now time.Time, reason string) {
+func (s *Scheduler) stopUnit(u *unit, reason string) {
 	for _, t := range u.tasks {
 		if t.placement != nil {
-			s.stop(t.placement, now, reason)
+			s.stop(t.placement, reason)
 		}
 	}
 }
 
 // stop orders the end of one run, once.
-func (s *Scheduler) stop(p *placement, now time.Time, reason string) {
+func (s *Scheduler) stop(p *placement, reason string) {
 	if p.state == stopping {
 		return
 	}
-	p.state, p.stopAcked, p.changed = stopping, time.Time{}, now
+	p.state, p.stopAcked = stopping, time.Time{}
 	s.stops = append(s.stops, Stop{Task: p.id, Run: p.run, Worker: p.worker.info, Reason: reason})
 }
 
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -82,8 +82,8 @@
 		}
 	case StartUnknown:
 		if p.state == starting {
-			s.stop(p, now, "the start was not answered")
-			s.stopGangOf(p, now, "the start of a member of the gang was not answered")
+			s.stop(p, "the start was not answered")
+			s.stopGangOf(p, "the start of a member of the gang was not answered")
 		}
 	case RejectedOld:
 		s.rejectedAsOld(p, now)
@@ -99,7 +99,7 @@
 	if t := p.task; t != nil {
 		t.run += oldRunStep
 		t.unit.run += oldRunStep
-		s.stopGangOf(p, now, "a member of the gang was rejected as old")
+		s.stopGangOf(p, "a member of the gang was rejected as old")
 	}
 }
 
@@ -120,7 +120,7 @@
 		w.health.until = maxTime(w.health.until, now.Add(rejectDelay))
 	}
 	if u.step.Gang {
-		s.stopUnit(u, now, "a member of the gang was rejected")
+		s.stopUnit(u, "a member of the gang was rejected")
 	}
 }
 
@@ -144,7 +144,7 @@
 	u := t.unit
 	t.run = run
 	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), ordered: now,
-		changed: now, percentAt: now}
+		percentAt: now}
 	t.placement = p
 	w.add(p)
 	checkpoint := t.checkpoint
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -69,7 +69,6 @@
 	resources workload.Resources
 	ordered   time.Time
 	confirmed time.Time // the worker has answered the start or has listed the run
-	changed   time.Time
 	stopAcked time.Time
 
 	percent      int
@@ -171,7 +170,7 @@
 	t.placement = nil
 	s.keepCheckpoint(t, p.checkpoint)
 	if t.unit.step.Gang && !t.done {
-		s.stopUnit(t.unit, now, "a member of the gang was lost")
+		s.stopUnit(t.unit, "a member of the gang was lost")
 	}
 }
 
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -133,21 +133,15 @@
 
 // readHead returns the head row and its version, 0 if there is none.
 func readHead(ctx context.Context, store rowstore.Store) (head, int64, error) {
-	page, err := store.Read(ctx, rowstore.Range{Table: HeadTable, Part: Part})
-	if err != nil {
-		return head{}, 0, errors.Wrap(err, "read head")
+	row, ok, err := rowstore.ReadRow(ctx, store, headKey)
+	if err != nil || !ok {
+		return head{}, 0, err
 	}
-	for _, r := range page.Rows {
-		if r.Key != headKey {
-			continue
-		}
-		var h head
-		if err := json.Unmarshal(r.Value, &h); err != nil {
-			return head{}, 0, errors.Wrap(err, "decode head")
-		}
-		return h, r.Version, nil
+	var h head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return head{}, 0, errors.Wrap(err, "decode head")
 	}
-	return head{}, 0, nil
+	return h, row.Version, nil
 }
 
 // LastSeq is the number of the last transaction that was built.
