Revert "Let other gangs wait for the most urgent one that lacks room"

Tried: once the most urgent gang could not be placed, no other gang asked the policy service for up to 3 s, so that room gathers for a large one.

--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -121,42 +121,9 @@
 		if r, ok := s.adviceFor(c, now); ok {
 			return r, true
 		}
-		s.reserve(c.unit, now)
 	}
 }
 
-const (
-	// reservedShare is the largest part of the pool that a gang may need for others to wait for it.
-	reservedShare = 0.5
-	// reservePatience is how long other gangs wait for one.
-	reservePatience = 3 * time.Second
-)
-
-// reserve lets the other gangs wait until there is room for the most urgent one, whose members can't all be placed now.
-// Load: a steady stream of small gangs. Each takes the room that gets free, so a large one would never see enough.
-func (s *Scheduler) reserve(u *unit, now time.Time) {
-	if s.reserved != nil || !u.step.Gang || !u.needsAdvice(now) {
-		return
-	}
-	if u.reservedAt.IsZero() {
-		u.reservedAt = now
-	}
-	if now.Sub(u.reservedAt) < reservePatience && s.roomWhenEmpty(u, now)*reservedShare >= float64(len(u.pending(now))) {
-		s.reserved = u
-	}
-}
-
-// roomWhenEmpty is how many tasks of the unit are expected to be approved and find room if nothing else runs.
-func (s *Scheduler) roomWhenEmpty(u *unit, now time.Time) float64 {
-	places := 0
-	for _, w := range s.sorted {
-		if s.eligible(u, w, now) {
-			places += fits(w.info.Capacity, u.resources())
-		}
-	}
-	return float64(places) * s.approvalShare(u.job.spec.Queue.Name)
-}
-
 // hasTicket reports whether a ticket of the unit is valid. Whether its tickets suffice shows when tasks can be placed.
 func (u *unit) hasTicket(now time.Time) bool {
 	for _, t := range u.tickets {
@@ -170,7 +137,7 @@
 // adviceFor builds the question for a unit whose tasks found no place, or returns false if asking can't help now.
 func (s *Scheduler) adviceFor(c candidate, now time.Time) (AdviceRequest, bool) {
 	u := c.unit
-	if _, open := s.open[u]; !open || !u.needsAdvice(now) || u.step.Gang && s.reserved != nil {
+	if _, open := s.open[u]; !open || !u.needsAdvice(now) {
 		return AdviceRequest{}, false
 	}
 	waiting := len(u.pending(now))
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -43,13 +43,12 @@
 	checkpoint string
 	failedRuns []int64
 
-	tickets    map[string]ticket
-	denied     map[string]struct{}
-	asking     bool
-	askedAt    time.Time
-	notUntil   time.Time // no start before, after failures
-	expected   expectation
-	reservedAt time.Time // of a gang: when others first waited for it
+	tickets  map[string]ticket
+	denied   map[string]struct{}
+	asking   bool
+	askedAt  time.Time
+	notUntil time.Time // no start before, after failures
+	expected expectation
 }
 
 type ticket struct {
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -31,7 +31,6 @@
 	s.held = map[*worker]bool{}
 	clear(s.soon)
 	s.questions.clear()
-	s.reserved = nil
 	return s.planUnits(maps.Keys(s.open), now)
 }
 
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -37,7 +37,6 @@
 	held    map[*worker]bool   // workers that the last complete plan holds for gangs
 
 	questions questions         // units that need an answer of the policy service
-	reserved  *unit             // the gang for which others wait, until the next complete plan
 	timed     map[*job]struct{} // jobs with occurrences that are not due yet
 	// cancellations of jobs that are not known yet, with the time at which they came: rows of a job and of its cancellation
 	// may be read in any order
