--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -246,7 +246,7 @@
 // offer asks peers to take over while the store does not serve this owner: it may serve them.
 func (n *Node) offer(ctx context.Context, held *tenure.Tenure) {
 	for wait.For(ctx, electInterval) && !held.Lost() {
-		if !held.Troubled() {
+		if !held.Troubled() || held.Served(ctx) {
 			continue
 		}
 		if n.offerToAll(ctx, held) {
--- a/internal/cluster/tenure/tenure.go
+++ b/internal/cluster/tenure/tenure.go
@@ -166,6 +166,15 @@
 		pending != 0 && t.since()-time.Duration(pending) > unansweredLimit
 }
 
+// Served reports whether the store answers a read of this owner quickly. Then it is not cut off: commits without an answer
+// are lost on the way for every host, and a takeover would not help.
+func (t *Tenure) Served(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, offeredReadLimit)
+	defer cancel()
+	_, _, err := readHead(ctx, t.store)
+	return err == nil && ctx.Err() == nil
+}
+
 // GiveUp ends the ownership after another daemon has said that it claimed it.
 func (t *Tenure) GiveUp() { t.lost.Store(true) }
 
--- a/internal/cluster/tenure/tenure_test.go
+++ b/internal/cluster/tenure/tenure_test.go
@@ -297,3 +297,32 @@
 		})
 	})
 }
+
+// Guards against an ownership that goes round among the hosts while the store loses answers: commits of every owner stay
+// without an answer for a while then, and each takeover costs half a second.
+func TestOwnerIsServedWhileAnswersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner whose commit has no answer", t, func() {
+			ctx := context.Background()
+			clock := &stepClock{now: time.Hour}
+			store := rowstore.NewMemory()
+			a, err := Claim(ctx, store, identity("a"), Predecessor{}, clock.since)
+			So(err, ShouldBeNil)
+			store.Lose = func() bool { return true }
+			commitCtx, cancel := context.WithCancel(ctx)
+			cancel()
+			So(a.Commit(commitCtx, nil, nil), ShouldEqual, rowstore.ErrUnknownOutcome)
+			clock.now += 2 * unansweredLimit
+			So(a.Troubled(), ShouldBeTrue)
+			Convey("It is served as long as its reads are answered quickly", func() {
+				So(a.Served(ctx), ShouldBeTrue)
+			})
+			Convey("It is not served while it is refused, or answered slowly", func() {
+				store.Fail = func(string) error { return rowstore.ErrUnavailable }
+				So(a.Served(ctx), ShouldBeFalse)
+				store.Fail = func(string) error { time.Sleep(2 * offeredReadLimit); return nil }
+				So(a.Served(ctx), ShouldBeFalse)
+			})
+		})
+	})
+}
