Refuse jobs at once while the store answers nothing

Change: after two writes in a row without an answer the host reads four parts of the inbox; if none is answered, it refuses writes for callers until a probe is answered. Nothing has been sent for them then, so they are told 503 with Retry-After. Lost answers or single parts that are away refuse nothing: one answered read is enough.

--- a/internal/cluster/entry/entry.go
+++ b/internal/cluster/entry/entry.go
@@ -66,6 +66,7 @@
 	lookups *meter.Calls
 	telling chan struct{} // holds a value for each call of tellOwner in progress
 	trouble trouble
+	breaker breaker
 
 	mu     sync.Mutex
 	counts map[string]pendingCount
@@ -80,6 +81,7 @@
 func New(d Deps) *Entry {
 	return &Entry{
 		Deps: d, counts: map[string]pendingCount{}, telling: make(chan struct{}, maxTelling), trouble: newTrouble(),
+		breaker: breaker{store: d.Store, log: d.Log},
 		submits: meter.NewCalls(d.Metrics, "submit"), cancels: meter.NewCalls(d.Metrics, "cancel"), lookups: meter.NewCalls(d.Metrics, "lookup"),
 	}
 }
--- a/internal/cluster/entry/store.go
+++ b/internal/cluster/entry/store.go
@@ -168,6 +168,9 @@
 
 // StoreCancel writes the row of a job's cancellation at a place if the job is known.
 func (e *Entry) StoreCancel(ctx context.Context, id string, place int) (peers.StoreOutcome, error) {
+	if e.breaker.dark.Load() {
+		return peers.NotStored, errDark
+	}
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	accepted, err := e.accepted(readCtx, id)
@@ -180,8 +183,18 @@
 	return e.create(ctx, records.CancelKey(id, place), []byte("{}"))
 }
 
-// create commits a row that must be absent. A conflict means that it is there already, by an earlier attempt.
+// create commits a row that must be absent, unless the store is known to answer nothing.
 func (e *Entry) create(ctx context.Context, key rowstore.Key, value []byte) (peers.StoreOutcome, error) {
+	if e.breaker.dark.Load() {
+		return peers.NotStored, errDark
+	}
+	outcome, err := e.commit(ctx, key, value)
+	e.breaker.note(outcome)
+	return outcome, err
+}
+
+// commit commits a row that must be absent. A conflict means that it is there already, by an earlier attempt.
+func (e *Entry) commit(ctx context.Context, key rowstore.Key, value []byte) (peers.StoreOutcome, error) {
 	_, err := e.Store.Commit(ctx, rowstore.Txn{
 		Conditions: []rowstore.Condition{{Key: key}},
 		Puts:       []rowstore.Put{{Key: key, Value: value}},
--- a/internal/cluster/entry/store_test.go
+++ b/internal/cluster/entry/store_test.go
@@ -6,10 +6,16 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 const testJob = "5c0e7a21d94b36f8"
@@ -89,3 +95,55 @@
 		t.Errorf("after the trouble the first way is %v", first)
 	}
 }
+
+// Guards against callers that wait until their deadline, and are told nothing certain, although the store has answered
+// nothing for a while; and against refusals after its return.
+func TestSilentStoreIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstore.NewMemory()
+		e := New(Deps{Store: store, Roster: peers.NewRoster(zap.NewNop()), Log: zap.NewNop(), Metrics: tally.NoopScope,
+			Watch: tenure.NewWatch(zap.NewNop()), Coordinator: coordinator.New(coordinator.Config{}, coordinator.Deps{})})
+		submit := func(id string) (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			began := time.Now()
+			err := e.Submit(ctx, &workload.Spec{ID: id})
+			return time.Since(began), err
+		}
+		store.Fail = func(string) error { return rowstore.ErrUnknownOutcome }
+		if _, err := submit("0000000000000001"); !errors.Is(err, ErrUnknown) {
+			t.Errorf("a write without an answer: %v", err)
+		}
+		took, err := submit("0000000000000002")
+		if !errors.Is(err, ErrNotAccepted) || took > 500*time.Millisecond {
+			t.Errorf("while the store is known to be silent: %v after %s", err, took)
+		}
+		store.Fail = nil
+		time.Sleep(probePause + 2*probeTimeout)
+		if _, err := submit("0000000000000003"); err != nil {
+			t.Errorf("after the store's return: %v", err)
+		}
+	})
+}
+
+// Guards against refusals while only answers are lost or only some parts of the store are away.
+func TestOneAnswerKeepsTheStoreInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowstore.NewMemory()
+		parts := records.JobParts()
+		store.Fail = func(part string) error {
+			if part != parts[len(parts)/2] {
+				return rowstore.ErrUnknownOutcome
+			}
+			return nil
+		}
+		b := &breaker{store: store, log: zap.NewNop()}
+		for range 2 * lostLimit {
+			b.note(peers.StoreUnknown)
+		}
+		time.Sleep(time.Second)
+		if b.dark.Load() {
+			t.Error("writes are refused although a part answers")
+		}
+	})
+}
