--- /dev/null
+++ b/internal/cluster/scheduler/order.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"iter"
+	"slices"
+	"sort"
+	"time"
+)
+
+// candidate is a unit with tasks that wait, and its place in the order.
+type candidate struct {
+	unit        *unit
+	waiting     []*task
+	priority    int
+	late        bool
+	latestStart time.Time
+	unconfirmed bool // only the policy service may be asked, nothing may start
+}
+
+// lasting units come first: their tasks serve users of their own and have to be restarted however full the pool is.
+func (c candidate) lasting() bool { return c.unit.step.LongRunning }
+
+func (s *Scheduler) candidates(units iter.Seq[*unit], now time.Time) []candidate {
+	var out []candidate
+	for u := range units {
+		if _, open := s.open[u]; !open {
+			continue
+		}
+		blocked := s.blocked(u)
+		if blocked && u.job.inherited {
+			continue
+		}
+		waiting := u.pending(now)
+		if len(waiting) == 0 {
+			continue
+		}
+		if u.step.Gang && !blocked && !u.idle() {
+			// Members of a gang are placed together, so the others wait in vain for one that is missing.
+			s.stopUnit(u, "the gang is not complete")
+			continue
+		}
+		latest := s.latestStart(u)
+		out = append(out, candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest),
+			latestStart: latest, unconfirmed: blocked})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
+	return out
+}
+
+// before orders units: urgent queues, then units that can be in time, then the earliest latest start. A late unit of an
+// urgent queue stays ahead of the less urgent queues, which would otherwise fill the pool for as long as their tasks take.
+func (c candidate) before(o candidate) bool {
+	if c.lasting() != o.lasting() {
+		return c.lasting()
+	}
+	if c.priority != o.priority {
+		return c.priority < o.priority
+	}
+	if c.late != o.late {
+		return o.late
+	}
+	if !c.latestStart.Equal(o.latestStart) {
+		return c.latestStart.Before(o.latestStart)
+	}
+	return c.unit.job.spec.ID < o.unit.job.spec.ID
+}
+
+func (c candidate) compare(o candidate) int {
+	switch {
+	case c.before(o):
+		return -1
+	case o.before(c):
+		return 1
+	}
+	return 0
+}
+
+// blocked reports whether tasks of the unit may run under the order of another owner: of an earlier one whose workers have
+// not reported, or of a later one, as long as no commit has shown that there was none when the job was learned of.
+func (s *Scheduler) blocked(u *unit) bool {
+	if u.job.inherited {
+		return len(s.unresolved) > 0
+	}
+	return u.job.learned > s.confirmed
+}
+
+// latestStart is when a unit has to start for its job to meet its objective.
+func (s *Scheduler) latestStart(u *unit) time.Time {
+	j := u.job
+	total := time.Duration(0)
+	for _, v := range u.occurrence.units {
+		total = max(total, s.chain(u.occurrence, v.index))
+	}
+	due := j.spec.Due(u.occurrence.k)
+	objective := due.Add(j.queue.TargetLatency + time.Duration(j.queue.SlackFactor*float64(total)))
+	return objective.Add(-s.remaining(u))
+}
+
+// chain is the expected duration of the longest chain of steps that ends with the step.
+func (s *Scheduler) chain(o *occurrence, step int) time.Duration {
+	u := o.units[step]
+	longest := time.Duration(0)
+	for _, a := range u.step.After {
+		longest = max(longest, s.chain(o, a))
+	}
+	return longest + s.estimate(u)
+}
+
+// remaining is the expected duration of the longest chain of steps that begins with the unit.
+func (s *Scheduler) remaining(u *unit) time.Duration {
+	longest := time.Duration(0)
+	for _, f := range u.occurrence.units[u.index+1:] {
+		if slices.Contains(f.step.After, u.index) {
+			longest = max(longest, s.remaining(f))
+		}
+	}
+	return longest + s.estimate(u)
+}
