--- a/internal/cluster/entry/store_test.go
+++ b/internal/cluster/entry/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,7 +111,14 @@
 			err := e.Submit(ctx, &workload.Spec{ID: id})
 			return time.Since(began), err
 		}
-		store.Fail = func(string) error { return rowstore.ErrUnknownOutcome }
+		var silent atomic.Bool // read by the probes too
+		store.Fail = func(string) error {
+			if silent.Load() {
+				return rowstore.ErrUnknownOutcome
+			}
+			return nil
+		}
+		silent.Store(true)
 		if _, err := submit("0000000000000001"); !errors.Is(err, ErrUnknown) {
 			t.Errorf("a write without an answer: %v", err)
 		}
@@ -118,7 +126,7 @@
 		if !errors.Is(err, ErrNotAccepted) || took > 500*time.Millisecond {
 			t.Errorf("while the store is known to be silent: %v after %s", err, took)
 		}
-		store.Fail = nil
+		silent.Store(false)
 		time.Sleep(probePause + 2*probeTimeout)
 		if _, err := submit("0000000000000003"); err != nil {
 			t.Errorf("after the store's return: %v", err)
