--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/admin"
+	"github.com/greengagewing/greengagewing/internal/cluster/clock"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/entry"
 	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
@@ -29,8 +31,8 @@
 	Domain      string  // failure domain
 	PeerAddr    string  // listener for peers and operators
 	Processors  float64 // cores that the host has
-	Lease       time.Duration
-	GangTimeout time.Duration
+	Delegate    delegate.Config
+	OwnWorkers  int // an owner with more workers lets other hosts call them
 	Retention   time.Duration
 	DrainNotice time.Duration // new connections may still come for so long after a drain began
 	DrainLimit  time.Duration // the process ends at the latest so long after a drain began
@@ -39,7 +41,7 @@
 // Platform is the adapter's side of a daemon.
 type Platform interface {
 	rowstore.Store
-	coordinator.WorkerClient
+	delegate.WorkerClient
 	coordinator.Discovery
 	peers.Adviser
 	// FollowQueues offers each version of the operator's configuration to the holder until ctx ends.
@@ -74,10 +76,11 @@
 
 func newWatch(log *zap.Logger) *tenure.Watch { return tenure.NewWatch(log) }
 
-func newCoordinator(c Config, p Platform, store *rowstore.Adaptive, h *queues.Holder, a *advisers, log *zap.Logger, scope tally.Scope) *coordinator.Coordinator {
+func newCoordinator(c Config, p Platform, store *rowstore.Adaptive, h *queues.Holder, a *advisers, since clock.Func, log *zap.Logger,
+	scope tally.Scope) *coordinator.Coordinator {
 	return coordinator.New(
-		coordinator.Config{Lease: c.Lease, GangTimeout: c.GangTimeout, Retention: c.Retention},
-		coordinator.Deps{Store: store, Queues: h, Workers: p, Advisers: a, Discovery: p, Log: log, Metrics: scope},
+		coordinator.Config{Delegate: c.Delegate, Retention: c.Retention, OwnWorkers: c.OwnWorkers},
+		coordinator.Deps{Store: store, Queues: h, Workers: p, Advisers: a, Discovery: p, Clock: since, Log: log, Metrics: scope},
 	)
 }
 
--- /dev/null
+++ b/internal/cluster/app/attend.go
@@ -0,0 +1,24 @@
+package app
+
+import (
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+)
+
+// newAttender makes this host call workers on behalf of an owner that has too many of them.
+func (n *Node) newAttender() *delegate.Attender {
+	p := n.parts
+	return &delegate.Attender{
+		Config: p.Config.Delegate,
+		Deps:   delegate.Deps{Client: p.Platform, Clock: p.Clock, Log: p.Log},
+		Client: p.Peers, Host: p.Self.Host, Domain: p.Config.Domain, Boot: p.Self.Boot, Owner: n.attended,
+	}
+}
+
+// attended returns the owner that this host should attend: small hosts have too little time for it.
+func (n *Node) attended() (delegate.Owner, bool) {
+	owner := n.parts.Watch.View().Owner
+	if owner.Addr == "" || owner.Released || owner.Boot == n.parts.Self.Boot || n.parts.Readiness.Draining() || !n.capable() {
+		return delegate.Owner{}, false
+	}
+	return delegate.Owner{Addr: owner.Addr, Boot: owner.Boot, Epoch: owner.Epoch}, true
+}
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -19,6 +19,7 @@
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/clock"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/entry"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
@@ -80,6 +81,7 @@
 	stopLead  context.CancelFunc
 	wg        sync.WaitGroup
 	lead      sync.WaitGroup
+	attender  *delegate.Attender
 	peerSrv   *http.Server
 	stopServe func(context.Context) error
 }
@@ -88,6 +90,7 @@
 	n := &Node{parts: p}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.leading, n.stopLead = context.WithCancel(n.ctx)
+	n.attender = n.newAttender()
 	p.Readiness.Check("configuration", func() error {
 		if p.Holder.Current() == nil {
 			return errors.New("none was read yet")
@@ -97,6 +100,7 @@
 	p.States.Add("owner", func() any { return p.Watch.View() })
 	p.States.Add("hosts", func() any { return p.Roster.Hosts() })
 	p.States.Add("coordinator", p.Coordinator.Dump)
+	p.States.Add("delegate", func() any { return map[string]int{"workers": n.attender.Workers()} })
 	p.States.Add("queues", func() any { return p.Holder.Current() })
 	return n
 }
@@ -116,11 +120,12 @@
 	n.follow(records.Hosts, "", n.parts.Roster, nil, hostsWait)
 	n.wg.Go(func() { n.watchOwner(n.ctx) })
 	n.lead.Go(func() { n.elect(n.leading) })
+	n.lead.Go(func() { n.attender.Run(n.leading) })
 	host := n.host()
 	host.Started = time.Now()
 	n.lead.Go(func() { peers.Register(n.leading, n.parts.Store, host, n.parts.Log) })
 	n.parts.Log.Info("daemon started", zap.String("peer_addr", n.parts.Self.Addr), zap.String("boot", n.parts.Self.Boot),
-		zap.Duration("lease", n.parts.Config.Lease))
+		zap.Duration("lease", n.parts.Config.Delegate.Lease))
 	return nil
 }
 
--- a/internal/cluster/coordinator/advise.go
+++ b/internal/cluster/coordinator/advise.go
@@ -93,3 +93,10 @@
 	d.dispatch(ctx)
 	d.t.wake()
 }
+
+func answeredOrNot(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "answered"
+}
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -9,6 +9,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/clock"
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -18,18 +20,19 @@
 
 // Config are the figures of a coordinator.
 type Config struct {
-	Lease       time.Duration // how long tasks run on without contact to the owner
-	GangTimeout time.Duration
-	Retention   time.Duration // how long ended jobs are kept
+	Delegate   delegate.Config
+	Retention  time.Duration // how long ended jobs are kept
+	OwnWorkers int           // with more workers than that, other hosts call them on the owner's behalf
 }
 
 // Deps are what a coordinator works with.
 type Deps struct {
 	Store     rowstore.Store
 	Queues    *queues.Holder
-	Workers   WorkerClient
+	Workers   delegate.WorkerClient
 	Advisers  Advisers
 	Discovery Discovery
+	Clock     clock.Func // goes on during suspensions
 	Log       *zap.Logger
 	Metrics   tally.Scope
 }
@@ -117,7 +120,8 @@
 func (c *Coordinator) Run(ctx context.Context, held *tenure.Tenure, gone func() bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := newTerm(c, held, gone)
+	t := newTerm(ctx, c, held, gone)
+	defer t.fleet.local.agent.Close()
 	if err := t.load(ctx); err != nil {
 		return err
 	}
@@ -142,7 +146,7 @@
 	defer t.mu.Unlock()
 	return map[string]any{
 		"owner": true, "epoch": t.tenure.Epoch(), "valid": t.tenure.Valid(),
-		"confirmed_age_ms": t.tenure.ConfirmedAge().Milliseconds(), "scheduler": t.sched.Dump(time.Now()),
+		"delegates": t.fleet.dump(time.Now()), "confirmed_age_ms": t.tenure.ConfirmedAge().Milliseconds(), "scheduler": t.sched.Dump(time.Now()),
 	}
 }
 
@@ -157,6 +161,7 @@
 		listed[w.ID] = true
 		t.sched.UpsertWorker(time.Now(), w)
 	}
+	t.fleet.known = true
 	for _, w := range t.sched.Workers() {
 		if !listed[w.ID] {
 			t.sched.DelistWorker(w.ID)
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -85,12 +85,13 @@
 		return err
 	}
 	// The predecessor may have sent orders until its validity ended, and what they started runs until its lease lapses.
-	lapsed := time.Now().Add(tenure.Validity + t.leaseBound())
+	lapsed := time.Now().Add(tenure.Validity + t.cfg.Delegate.LeaseBound())
 	for _, r := range rows {
 		var u records.UsedWorkers
 		if err := records.Decode(r, &u); err != nil {
 			return err
 		}
+		t.inheritedDelegates, t.delegated, t.storedDelegated = u.Delegated, u.Delegated, u.Delegated
 		for _, id := range u.IDs {
 			t.sched.Inherit(id, lapsed)
 			t.used[id] = true
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -32,6 +32,9 @@
 	// forgetInterval is how often rows of jobs whose retention has passed are removed, forgetBatch how many at once.
 	forgetInterval = 5 * time.Second
 	forgetBatch    = 40
+
+	retryFirst = 50 * time.Millisecond
+	retryLimit = 500 * time.Millisecond
 )
 
 // persist makes the progress of jobs durable and keeps the ownership confirmed, until ctx ends or it is lost.
@@ -44,7 +47,7 @@
 			wait.ForOrSignal(ctx, due, t.save)
 			continue
 		}
-		if !t.store(ctx, batch.records, batch.used) {
+		if !t.store(ctx, batch) {
 			break
 		}
 		lastCommit = time.Now()
@@ -62,7 +65,8 @@
 type batch struct {
 	generation int64
 	records    []scheduler.Record
-	used       map[string]bool // the workers in use, if the stored list differs
+	used       map[string]bool // the workers in use, if the stored row differs
+	delegated  bool
 	needed     bool
 }
 
@@ -71,8 +75,8 @@
 	defer t.mu.Unlock()
 	var b batch
 	b.generation, b.records, b.needed = t.sched.TakeRecords()
-	if current := t.currentUsed(); !maps.Equal(current, t.used) {
-		b.needed, b.used = true, current
+	if current := t.currentUsed(); !maps.Equal(current, t.used) || t.delegated != t.storedDelegated {
+		b.needed, b.used, b.delegated = true, current, t.delegated
 		// Nothing is started on a worker that the list being written lacks, even if it answers again meanwhile.
 		maps.DeleteFunc(t.used, func(id string, _ bool) bool { return !current[id] })
 	}
@@ -89,8 +93,8 @@
 }
 
 // store writes records in as many commits as they need and retries until ctx ends. It returns false if it ends without.
-func (t *term) store(ctx context.Context, recs []scheduler.Record, used map[string]bool) bool {
-	changes, ok := t.encode(recs, used)
+func (t *term) store(ctx context.Context, b batch) bool {
+	changes, ok := t.encode(b)
 	if !ok {
 		return false
 	}
@@ -108,10 +112,10 @@
 			return false
 		}
 	}
-	if used != nil {
+	if b.used != nil {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.used = used
+		t.used, t.storedDelegated = b.used, b.delegated
 		t.wake()
 	}
 	return true
@@ -133,17 +137,17 @@
 	return n
 }
 
-func (t *term) encode(recs []scheduler.Record, used map[string]bool) ([]change, bool) {
-	changes := make([]change, 0, len(recs)+1)
-	if used != nil {
-		value, err := records.Encode(records.UsedWorkers{IDs: slices.Sorted(maps.Keys(used))})
+func (t *term) encode(b batch) ([]change, bool) {
+	changes := make([]change, 0, len(b.records)+1)
+	if b.used != nil {
+		value, err := records.Encode(records.UsedWorkers{IDs: slices.Sorted(maps.Keys(b.used)), Delegated: b.delegated})
 		if err != nil {
 			t.log.Error("list of workers can't be encoded", asynclog.Error(err))
 			return nil, false
 		}
 		changes = append(changes, change{puts: []rowstore.Put{{Key: records.WorkersKey, Value: value}}})
 	}
-	for _, r := range recs {
+	for _, r := range b.records {
 		c, err := rowsOf(r)
 		if err != nil {
 			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
@@ -206,9 +210,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sched.Persisted(generation, recs)
-	for _, r := range t.runners {
-		wait.Signal(r.acked)
-	}
+	t.fleet.acknowledge()
 	t.wake()
 }
 
--- /dev/null
+++ b/internal/cluster/coordinator/share.go
@@ -0,0 +1,30 @@
+package coordinator
+
+import "github.com/cespare/xxhash/v2"
+
+// candidate is a host that may be a worker's delegate.
+type candidate struct {
+	host   string
+	domain string
+}
+
+// pick returns the host that is to be a worker's delegate: one of the worker's failure domain if there is any, by rendezvous
+// hashing. Load: hosts come and go while hundreds of workers run tasks. A host that goes moves only its own workers, and a
+// successor of the owner arrives at the same shares, so that connections to workers stay in use. Calls within a failure
+// domain spare the links between them.
+func pick(worker, domain string, hosts []candidate) string {
+	near := false
+	for _, h := range hosts {
+		near = near || h.domain == domain
+	}
+	best, bestScore := "", uint64(0)
+	for _, h := range hosts {
+		if near && h.domain != domain {
+			continue
+		}
+		if score := xxhash.Sum64String(worker + "/" + h.host); best == "" || score > bestScore {
+			best, bestScore = h.host, score
+		}
+	}
+	return best
+}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
@@ -30,9 +30,6 @@
 	jobsPace = 150 * time.Millisecond
 	// usageInterval is how often the owner logs how full the pool is.
 	usageInterval = time.Second
-	// leaseDrift covers a worker's clock that is 2 % slow, and the reading of clocks.
-	leaseDrift  = 1.03
-	leaseMargin = 300 * time.Millisecond
 )
 
 // term is one ownership. The scheduler is guarded by mu; the other fields are set before the goroutines start.
@@ -43,29 +40,32 @@
 	tenure *tenure.Tenure
 	gone   func() bool // the earlier owner sends no more orders
 
-	mu      sync.Mutex
-	sched   *scheduler.Scheduler
-	runners map[string]*runner
-	advice  *adviceDesk
-	used    map[string]bool // workers that are stored as used
+	mu     sync.Mutex
+	sched  *scheduler.Scheduler
+	fleet  *fleet
+	advice *adviceDesk
+	used   map[string]bool // workers that are stored as used
+	// delegated tells that other hosts may act for this owner, or may still act for an earlier one; a successor has to wait
+	// for their permits. No worker is given to a host before that is stored.
+	delegated          bool
+	storedDelegated    bool
+	inheritedDelegates bool // hosts may still act for an earlier owner
 
 	began      time.Time
 	unresolved int   // workers of earlier owners that had not reported at the last plan
 	config     int64 // version of the configuration that the scheduler has
 	meters     meters
-	workers    atomic.Int64 // number of runners
 	planSoon   chan struct{}
 	save       chan struct{}
 	jobsFrom   int64 // version from which the feed of jobs continues
 	wg         sync.WaitGroup
 }
 
-func newTerm(c *Coordinator, held *tenure.Tenure, gone func() bool) *term {
+func newTerm(ctx context.Context, c *Coordinator, held *tenure.Tenure, gone func() bool) *term {
 	t := &term{
 		cfg: c.cfg, deps: c.deps, tenure: held, gone: gone,
 		log:      c.deps.Log.With(zap.Int64("epoch", held.Epoch())),
 		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), Retention: c.cfg.Retention}),
-		runners:  map[string]*runner{},
 		used:     map[string]bool{},
 		meters:   newMeters(c.deps.Metrics),
 		began:    time.Now(),
@@ -73,6 +73,7 @@
 		save:     make(chan struct{}, 1),
 	}
 	t.advice = newAdviceDesk(t)
+	t.fleet = newFleet(ctx, t)
 	return t
 }
 
@@ -100,11 +101,6 @@
 	t.sched.SetQueues(cfg)
 }
 
-// leaseBound is the longest time for which something may run on a worker after the last renewal was computed.
-func (t *term) leaseBound() time.Duration {
-	return time.Duration(float64(t.cfg.Lease)*leaseDrift) + leaseMargin
-}
-
 func (t *term) addJob(now time.Time, spec *workload.Spec, from string) {
 	if t.sched.AddJob(now, spec, nil, false) {
 		t.log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue.Name), zap.String("from", from),
@@ -189,8 +185,9 @@
 	}
 	now := time.Now()
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.followQueues()
-	t.followWorkers(ctx)
+	t.fleet.follow(now, t.sched.Workers())
 	t.followUnresolved(now)
 	t.order(ctx, t.sched.Plan(now))
 	t.meters.plans.Done("complete", now)
@@ -200,7 +197,7 @@
 func (t *term) followUnresolved(now time.Time) {
 	left := len(t.sched.Unresolved())
 	if left > 0 && t.gone() {
-		t.sched.LimitUnresolved(now.Add(t.leaseBound()))
+		t.sched.LimitUnresolved(now.Add(t.inheritedBound()))
 	}
 	if left == 0 && t.unresolved > 0 {
 		t.log.Info("nothing of earlier owners runs unseen any more", zap.Duration("took", now.Sub(t.began)))
@@ -208,6 +205,15 @@
 	t.unresolved = left
 }
 
+// inheritedBound is the longest time for which something that an earlier owner has ordered may run after its process is gone.
+func (t *term) inheritedBound() time.Duration {
+	bound := t.cfg.Delegate.LeaseBound()
+	if t.inheritedDelegates {
+		bound += delegate.PermitLimit
+	}
+	return bound
+}
+
 // planChanges lets the scheduler decide about what has changed since the last plan.
 func (t *term) planChanges(ctx context.Context) {
 	if !t.tenure.Valid() {
@@ -215,20 +221,28 @@
 	}
 	now := time.Now()
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.order(ctx, t.sched.PlanSoon(now))
 	t.meters.plans.Done("changes", now)
 }
 
-// order sends the orders of a plan. It is called with mu held and unlocks it.
+// order hands the orders of a plan to the delegates. It is called with mu held.
 func (t *term) order(ctx context.Context, p scheduler.Plan) {
 	t.advice.dispatch(ctx)
-	starts := t.prepareStarts(p.Starts)
-	t.mu.Unlock()
-	for _, o := range starts {
-		t.wg.Go(func() { t.start(ctx, o) })
+	for _, s := range p.Starts {
+		t.start(s)
 	}
 	for _, s := range p.Stops {
-		t.wg.Go(func() { t.stop(ctx, s) })
+		t.fleet.stop(s)
 	}
 	wait.Signal(t.save)
 }
+
+// start orders a run. The worker must be stored as used before anything runs there, so that a successor waits for its report.
+func (t *term) start(s scheduler.Start) {
+	if t.used[s.Worker.ID] && t.fleet.start(s) {
+		return
+	}
+	now := time.Now()
+	t.sched.StartDone(now, scheduler.StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: scheduler.RejectedOther, At: now})
+}
--- /dev/null
+++ b/internal/cluster/delegate/agent_test.go
@@ -0,0 +1,148 @@
+package delegate
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+)
+
+// agentFixture is an agent with one worker, and the events that it emits.
+type agentFixture struct {
+	*Agent
+	workers *fakeWorkers
+	clock   *testClock
+	mu      sync.Mutex
+	events  []Event
+}
+
+func newAgentFixture(ctx context.Context) *agentFixture {
+	f := &agentFixture{workers: &fakeWorkers{}, clock: newTestClock()}
+	f.Agent = NewAgent(ctx, testConfig, Deps{Client: f.workers, Clock: f.clock.since, Log: zap.NewNop()}, testEpoch,
+		func() bool { return true }, func(e Event) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.events = append(f.events, e)
+		})
+	f.Apply([]Order{assign("w1")})
+	time.Sleep(100 * time.Millisecond)
+	return f
+}
+
+func (f *agentFixture) started() []scheduler.StartOutcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []scheduler.StartOutcome
+	for _, e := range f.events {
+		if e.Started != nil {
+			out = append(out, e.Started.Outcome)
+		}
+	}
+	return out
+}
+
+func (f *agentFixture) silences() (counted, excused int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.events {
+		switch {
+		case e.Silence == nil:
+		case e.Silence.Excused:
+			excused++
+		default:
+			counted++
+		}
+	}
+	return counted, excused
+}
+
+// Guards against a worker that counts as silent because the process that asked it did not get to run.
+func TestOwnPauseIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an agent that waits for a worker's answer", t, func() {
+			f := newAgentFixture(t.Context())
+			defer f.Close()
+			f.workers.set(true)
+			time.Sleep(renewWait + renewWait/2)
+			Convey("which it misses while it runs, the worker counts as silent", func() {
+				time.Sleep(time.Second)
+				counted, _ := f.silences()
+				So(counted, ShouldBeGreaterThan, 0)
+			})
+			Convey("which it misses while it is suspended, the worker does not", func() {
+				f.clock.suspend(2 * time.Second)
+				time.Sleep(100 * time.Millisecond)
+				f.workers.set(false)
+				time.Sleep(time.Second)
+				counted, excused := f.silences()
+				So(counted, ShouldEqual, 0)
+				So(excused, ShouldBeGreaterThan, 0)
+			})
+		})
+	})
+}
+
+// Guards against a start that is told as rejected although another delegate, or an attempt without an answer, may have
+// started it.
+func TestUncertainStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an agent", t, func() {
+			f := newAgentFixture(t.Context())
+			defer f.Close()
+			Convey("a start without an answer is repeated with its run and told as unknown", func() {
+				f.workers.set(true)
+				f.Apply([]Order{startOn("w1", 0)})
+				time.Sleep(2 * time.Second)
+				So(f.started(), ShouldResemble, []scheduler.StartOutcome{scheduler.StartUnknown})
+				_, starts, _ := f.workers.counts()
+				So(starts, ShouldBeGreaterThan, 1)
+			})
+			Convey("a start for a worker that it does not have is told as rejected, or as unknown if it was sent before", func() {
+				f.Apply([]Order{startOn("w2", 0)})
+				again := startOn("w2", 1)
+				again.Start.Repeated = true
+				time.Sleep(10 * time.Millisecond)
+				f.Apply([]Order{again})
+				time.Sleep(10 * time.Millisecond)
+				So(f.started(), ShouldResemble, []scheduler.StartOutcome{scheduler.RejectedOther, scheduler.StartUnknown})
+			})
+			Convey("a start that is meant for an earlier life of the worker is not sent", func() {
+				o := startOn("w1", 0)
+				o.Start.Born = 0
+				f.Apply([]Order{o})
+				time.Sleep(10 * time.Millisecond)
+				_, starts, _ := f.workers.counts()
+				So(starts, ShouldEqual, 0)
+				So(f.started(), ShouldResemble, []scheduler.StartOutcome{scheduler.RejectedOther})
+			})
+			Convey("a start that comes with the worker waits for the worker's clock", func() {
+				f.Apply([]Order{assign("w3"), startOn("w3", 0)})
+				time.Sleep(100 * time.Millisecond)
+				So(f.started(), ShouldResemble, []scheduler.StartOutcome{scheduler.StartAccepted})
+			})
+		})
+	})
+}
+
+// Guards against a lease that is extended while nobody knows whether the worker lives: what runs there has to lapse.
+func TestSilentWorkerIsNotExtended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("After a call without an answer no deadline is sent", t, func() {
+			f := newAgentFixture(t.Context())
+			defer f.Close()
+			time.Sleep(time.Second)
+			f.workers.set(true)
+			time.Sleep(2 * time.Second)
+			before := f.workers.highest
+			So(before, ShouldBeGreaterThan, 0)
+			time.Sleep(4 * time.Second)
+			So(f.workers.highest, ShouldEqual, before)
+		})
+	})
+}
--- /dev/null
+++ b/internal/cluster/delegate/attend.go
@@ -0,0 +1,249 @@
+package delegate
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+// OwnerClient calls an owner. Both calls return ErrEnded if the process called is not the owner of the epoch, or no longer
+// knows the session.
+type OwnerClient interface {
+	// Orders waits for orders for up to OrdersWait.
+	Orders(ctx context.Context, addr string, r Request) (Batch, error)
+	Deliver(ctx context.Context, addr string, d Delivery) error
+}
+
+// Owner is an owner that a host may attend.
+type Owner struct {
+	Addr  string
+	Boot  string // its process
+	Epoch int64
+}
+
+const (
+	// OrdersWait is how long an owner holds its answer back until there are orders.
+	OrdersWait    = 250 * time.Millisecond
+	ordersTimeout = OrdersWait + 350*time.Millisecond
+	// ordersPace gathers orders that come together into one answer.
+	ordersPace     = 4 * time.Millisecond
+	deliverTimeout = 500 * time.Millisecond
+	// deliverPace gathers events that come together into one call.
+	deliverPace = 6 * time.Millisecond
+	// maxDelivery bounds the events of one call.
+	maxDelivery = 500
+
+	// unwantedPause is the time between two questions whether an owner wants this host.
+	unwantedPause = time.Second
+	attendCheck   = 20 * time.Millisecond
+	leaveTimeout  = 300 * time.Millisecond
+)
+
+// Attender makes this host a delegate of whichever owner wants it.
+type Attender struct {
+	Config Config
+	Deps   Deps
+	Client OwnerClient
+	Host   string
+	Domain string // failure domain
+	Boot   string // this process
+	// Owner returns the owner that this host should attend, or false if there is none.
+	Owner func() (Owner, bool)
+
+	sessions int
+	workers  atomic.Int64
+}
+
+// Workers returns the number of workers that this host has on behalf of an owner.
+func (at *Attender) Workers() int { return int(at.workers.Load()) }
+
+// Run attends one owner after the other until ctx ends; then it takes its leave.
+func (at *Attender) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		owner, ok := at.Owner()
+		if !ok {
+			wait.For(ctx, attendCheck)
+			continue
+		}
+		if !at.attend(ctx, owner) {
+			at.pause(ctx, owner)
+		}
+	}
+}
+
+// pause waits until the owner may be asked again, or is another one.
+func (at *Attender) pause(ctx context.Context, owner Owner) {
+	for limit := time.Now().Add(unwantedPause); time.Now().Before(limit) && wait.For(ctx, attendCheck); {
+		if now, ok := at.Owner(); !ok || now != owner {
+			return
+		}
+	}
+}
+
+// attend serves an owner until it does not want this host any more, can't be reached while the permit lasts, or is replaced.
+// It returns false if the owner did not want the host at all.
+func (at *Attender) attend(ctx context.Context, owner Owner) bool {
+	at.sessions++
+	s := &session{at: at, owner: owner, id: at.Boot + "-" + strconv.Itoa(at.sessions), ready: make(chan struct{}, 1)}
+	first, err := s.ask(ctx)
+	if err != nil || !first.Wanted {
+		return false
+	}
+	at.Deps.Log.Info("attending the owner", zap.String("addr", owner.Addr), zap.Int64("epoch", owner.Epoch), zap.String("session", s.id))
+	sessionCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.agent = NewAgent(sessionCtx, at.Config, at.Deps, owner.Epoch, s.valid, s.emit)
+	defer s.agent.Close()
+	defer at.workers.Store(0)
+	var delivering sync.WaitGroup
+	defer delivering.Wait()
+	defer cancel()
+	delivering.Go(func() { s.deliver(sessionCtx) })
+	reason := s.follow(ctx, first)
+	at.Deps.Log.Info("no longer attending the owner", zap.Int64("epoch", owner.Epoch), zap.String("session", s.id), zap.String("reason", reason))
+	if ctx.Err() != nil {
+		s.leave()
+	}
+	return true
+}
+
+// session is the work for one owner.
+type session struct {
+	at    *Attender
+	owner Owner
+	id    string
+	agent *Agent
+	after int64        // number of the last order that was carried out
+	until atomic.Int64 // end of the permit on this host's clock
+
+	ready    chan struct{} // signalled when there are events
+	mu       sync.Mutex
+	events   []Event
+	received int64 // number of the last event that the owner has
+}
+
+// valid reports whether this host may act for the owner now.
+func (s *session) valid() bool { return s.at.Deps.Clock() < time.Duration(s.until.Load()) }
+
+// ask requests orders and renews the permit, which counts from the sending of the request.
+func (s *session) ask(ctx context.Context) (Batch, error) {
+	callCtx, cancel := context.WithTimeout(ctx, ordersTimeout)
+	defer cancel()
+	asked := s.at.Deps.Clock()
+	b, err := s.at.Client.Orders(callCtx, s.owner.Addr, s.request(asked))
+	if err == nil && b.Wanted {
+		s.until.Store(int64(asked + min(b.Permit, PermitLimit)))
+	}
+	return b, err
+}
+
+func (s *session) request(now time.Duration) Request {
+	return Request{Host: s.at.Host, Domain: s.at.Domain, Session: s.id, Epoch: s.owner.Epoch, After: s.after, Now: now}
+}
+
+// follow carries orders out until the session ends, and returns why it does.
+func (s *session) follow(ctx context.Context, b Batch) string {
+	for failures := 0; ; {
+		if failures == 0 {
+			s.apply(b)
+			wait.For(ctx, ordersPace)
+		}
+		if ctx.Err() != nil {
+			return "the daemon stops"
+		}
+		next, err := s.ask(ctx)
+		switch {
+		case errors.Is(err, ErrEnded):
+			return "the owner has ended the session"
+		case err == nil && !next.Wanted:
+			return "the owner has no work for this host"
+		case err == nil:
+			failures, b = 0, next
+			continue
+		case !s.valid():
+			return "the permit has run out"
+		}
+		if now, ok := s.at.Owner(); !ok || now != s.owner {
+			return "another daemon owns the workers"
+		}
+		if failures == 0 && ctx.Err() == nil {
+			s.at.Deps.Log.Warn("owner does not answer its delegate", zap.String("addr", s.owner.Addr), asynclog.Error(err))
+		}
+		wait.For(ctx, wait.Backoff(retryFirst/4, retryLimit/4, failures))
+		failures++
+	}
+}
+
+// apply carries the orders of a batch out that were not carried out before.
+func (s *session) apply(b Batch) {
+	first := b.Last - int64(len(b.Orders)) + 1
+	skip := max(s.after-first+1, 0)
+	if skip < int64(len(b.Orders)) {
+		s.agent.Apply(b.Orders[skip:])
+	}
+	s.after = max(s.after, b.Last)
+	s.agent.SetRenewWait(b.RenewWait)
+	s.at.workers.Store(int64(s.agent.Workers()))
+}
+
+func (s *session) emit(e Event) {
+	s.mu.Lock()
+	s.events = append(s.events, e)
+	s.mu.Unlock()
+	wait.Signal(s.ready)
+}
+
+// deliver passes events to the owner, each in its turn and again until the owner has them.
+func (s *session) deliver(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; {
+		d := s.delivery()
+		if len(d.Events) == 0 {
+			wait.ForOrSignal(ctx, OrdersWait, s.ready)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, deliverTimeout)
+		err := s.at.Client.Deliver(callCtx, s.owner.Addr, d)
+		cancel()
+		if err != nil {
+			wait.For(ctx, wait.Backoff(retryFirst/4, retryLimit/4, failures))
+			failures++
+			continue
+		}
+		failures = 0
+		s.delivered(len(d.Events))
+		wait.For(ctx, deliverPace)
+	}
+}
+
+func (s *session) delivery() Delivery {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(s.events), maxDelivery)
+	return Delivery{Host: s.at.Host, Session: s.id, Epoch: s.owner.Epoch, First: s.received + 1, Events: s.events[:n:n]}
+}
+
+func (s *session) delivered(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received += int64(n)
+	s.events = append([]Event(nil), s.events[n:]...)
+}
+
+// leave tells the owner that its workers need another delegate.
+func (s *session) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	r := s.request(s.at.Deps.Clock())
+	r.Leaving = true
+	if _, err := s.at.Client.Orders(ctx, s.owner.Addr, r); err != nil && !errors.Is(err, ErrEnded) {
+		s.at.Deps.Log.Warn("owner not told that its delegate leaves", asynclog.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/cluster/delegate/fakes_test.go
@@ -0,0 +1,229 @@
+package delegate
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+const testEpoch = 7
+
+// testClock is the virtual time with suspensions that a test adds.
+type testClock struct {
+	mu    sync.Mutex
+	began time.Time
+	extra time.Duration
+}
+
+func newTestClock() *testClock { return &testClock{began: time.Now()} }
+
+func (c *testClock) since() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Hour + time.Since(c.began) + c.extra
+}
+
+func (c *testClock) suspend(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.extra += d
+}
+
+// fakeWorkers answers all calls to workers, unless it is silent.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	silent  bool
+	renews  int
+	starts  []string
+	stops   []string
+	highest int64 // deadline
+	ended   []scheduler.EndedRun
+}
+
+func (w *fakeWorkers) set(silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = silent
+}
+
+func (w *fakeWorkers) counts() (renews, starts, stops int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.renews, len(w.starts), len(w.stops)
+}
+
+func (w *fakeWorkers) Renew(ctx context.Context, _ scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error) {
+	w.mu.Lock()
+	w.renews++
+	w.highest = max(w.highest, r.Deadline)
+	silent, ended := w.silent, w.ended
+	w.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return RenewalAnswer{}, errNoAnswer
+	}
+	if len(ended) == 0 {
+		select {
+		case <-time.After(max(r.Wait, time.Millisecond)):
+		case <-ctx.Done():
+			return RenewalAnswer{}, ctx.Err()
+		}
+	}
+	return RenewalAnswer{ClockMS: 1000, Born: 1, Ended: ended}, nil
+}
+
+func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error) {
+	w.mu.Lock()
+	w.starts = append(w.starts, fmt.Sprintf("%s/%d on %s", c.Task, c.Run, c.Worker.ID))
+	silent := w.silent
+	w.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return scheduler.StartUnknown, errNoAnswer
+	}
+	return scheduler.StartAccepted, nil
+}
+
+func (w *fakeWorkers) Stop(_ context.Context, c StopCall) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops = append(w.stops, fmt.Sprintf("%s/%d on %s", c.Task, c.Run, c.Worker.ID))
+	if w.silent {
+		return errNoAnswer
+	}
+	return nil
+}
+
+// fakeOwner hands out orders and keeps events, as an owner does.
+type fakeOwner struct {
+	mu        sync.Mutex
+	away      bool
+	ended     bool
+	losing    bool // calls take effect and their answers are lost
+	permit    time.Duration
+	orders    []Order
+	received  []Event
+	sessions  map[string]bool
+	leaving   bool
+	delivered int // calls
+}
+
+func newFakeOwner() *fakeOwner {
+	return &fakeOwner{permit: 2 * time.Second, sessions: map[string]bool{}}
+}
+
+func (o *fakeOwner) order(orders ...Order) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.orders = append(o.orders, orders...)
+}
+
+func (o *fakeOwner) change(f func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f()
+}
+
+func (o *fakeOwner) events() []Event {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]Event(nil), o.received...)
+}
+
+func (o *fakeOwner) Orders(ctx context.Context, _ string, r Request) (Batch, error) {
+	o.mu.Lock()
+	away := o.away
+	o.mu.Unlock()
+	if away {
+		<-ctx.Done()
+		return Batch{}, errNoAnswer
+	}
+	for limit := time.Now().Add(OrdersWait); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		o.mu.Lock()
+		more := len(o.orders) > int(r.After) || o.ended
+		o.mu.Unlock()
+		if more {
+			break
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended {
+		return Batch{}, ErrEnded
+	}
+	o.sessions[r.Session] = true
+	o.leaving = o.leaving || r.Leaving
+	if o.losing {
+		return Batch{}, errNoAnswer
+	}
+	return Batch{Wanted: true, Last: int64(len(o.orders)), Orders: append([]Order(nil), o.orders[r.After:]...), Permit: o.permit,
+		RenewWait: renewWait}, nil
+}
+
+func (o *fakeOwner) Deliver(ctx context.Context, _ string, d Delivery) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.away {
+		return errNoAnswer
+	}
+	o.delivered++
+	if skip := len(o.received) - int(d.First) + 1; skip >= 0 && skip <= len(d.Events) {
+		o.received = append(o.received, d.Events[skip:]...)
+	}
+	if o.losing {
+		return errNoAnswer
+	}
+	return nil
+}
+
+func testWorker(id string) scheduler.WorkerInfo {
+	return scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Born: 1}
+}
+
+func assign(id string) Order {
+	return Order{Assign: &Assignment{Worker: testWorker(id), Generation: 1}}
+}
+
+func startOn(id string, index int) Order {
+	return Order{Start: &StartOrder{Task: testTask(index), Run: 1, WorkerID: id, Born: 1, Generation: 1}}
+}
+
+func testTask(index int) workload.TaskID { return workload.TaskID{Job: "j", Index: index} }
+
+var testConfig = Config{Lease: 4 * time.Second, GangTimeout: 3 * time.Second}
+
+// attendance is an attender in virtual time.
+type attendance struct {
+	owner   *fakeOwner
+	workers *fakeWorkers
+	clock   *testClock
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func attend(ctx context.Context) *attendance {
+	a := &attendance{owner: newFakeOwner(), workers: &fakeWorkers{}, clock: newTestClock(), done: make(chan struct{})}
+	at := &Attender{Config: testConfig, Deps: Deps{Client: a.workers, Clock: a.clock.since, Log: zap.NewNop()}, Client: a.owner,
+		Host: "h1", Boot: "b1", Owner: func() (Owner, bool) { return Owner{Addr: "o", Boot: "ob", Epoch: testEpoch}, true }}
+	runCtx, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	go func() {
+		defer close(a.done)
+		at.Run(runCtx)
+	}()
+	return a
+}
+
+func (a *attendance) end() {
+	a.cancel()
+	<-a.done
+}
--- /dev/null
+++ b/internal/cluster/delegate/orders.go
@@ -0,0 +1,107 @@
+package delegate
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+// startTimeouts are the time limits of a start's attempts. All attempts carry the same run, which a worker starts once. No
+// attempt begins after half of the time that members of a gang wait for each other.
+var startTimeouts = [...]time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond}
+
+const (
+	// readyTimeout is how long a start waits for the first answer of its worker.
+	readyTimeout = 400 * time.Millisecond
+
+	stopTimeout    = 250 * time.Millisecond
+	stopRetryFirst = 50 * time.Millisecond
+	stopRetryLimit = 400 * time.Millisecond
+)
+
+// start sends one start until it has an answer or its attempts are used up. An attempt during which this process was paused
+// is repeated: its missing answer says nothing of the worker.
+func (a *Agent) start(o StartOrder) {
+	began := a.deps.Clock()
+	result := StartResult{Task: o.Task, Run: o.Run, Outcome: scheduler.RejectedOther}
+	uncertain := o.Repeated
+	attempts, tried := 0, 0
+	r := a.runner(o.WorkerID)
+	if r != nil {
+		// A worker that has just changed hands has not told its clock yet.
+		wait.ForOrSignal(a.ctx, readyTimeout, r.ready)
+	}
+	for r != nil && tried < len(startTimeouts) {
+		now := a.deps.Clock()
+		deadline, leaseUntil := r.deadline(now)
+		info, _, _ := r.current()
+		if deadline == 0 || info.Born != o.Born || !a.valid() || a.ctx.Err() != nil || now-began > a.cfg.GangTimeout/2 {
+			break
+		}
+		result.LeaseUntil = max(result.LeaseUntil, leaseUntil)
+		attempts++
+		limit := startTimeouts[tried]
+		outcome, err := a.sendStart(StartCall{StartOrder: o, Worker: info, Epoch: a.epoch, Deadline: deadline}, limit)
+		if outcome != scheduler.StartUnknown {
+			result.Outcome = outcome
+			break
+		}
+		uncertain = true
+		if !a.pauses.after(now, a.deps.Clock(), limit) {
+			tried++
+		}
+		a.log.Warn("start not answered", zap.Stringer("task", o.Task), zap.Int64("run", o.Run), zap.String("worker", o.WorkerID),
+			zap.Int("attempt", attempts), asynclog.Error(err))
+	}
+	// An attempt without an answer may still be carried out, unless the run is known there.
+	if uncertain && result.Outcome != scheduler.StartAccepted && result.Outcome != scheduler.RejectedOld {
+		result.Outcome = scheduler.StartUnknown
+	}
+	result.At = a.deps.Clock()
+	result.Took = result.At - began
+	a.log.Info("start", zap.String("job", o.Task.Job), zap.Stringer("task", o.Task), zap.Int64("run", o.Run),
+		zap.String("worker", o.WorkerID), zap.Duration("waited", o.Waited), zap.Int("attempts", attempts),
+		zap.Stringer("outcome", result.Outcome))
+	a.emit(Event{WorkerID: o.WorkerID, Generation: o.Generation, Started: &result})
+}
+
+func (a *Agent) sendStart(c StartCall, limit time.Duration) (scheduler.StartOutcome, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, limit)
+	defer cancel()
+	return a.deps.Client.Start(ctx, c)
+}
+
+// stop sends a stop until the worker has answered, has begun another life or was given back.
+func (a *Agent) stop(o StopOrder) {
+	r := a.runner(o.WorkerID)
+	if r == nil {
+		return
+	}
+	for failures := 0; a.ctx.Err() == nil; failures++ {
+		info, _, _ := r.current()
+		if info.Born != o.Born || a.runner(o.WorkerID) != r {
+			return
+		}
+		if a.valid() && a.sendStop(StopCall{StopOrder: o, Worker: info, Epoch: a.epoch}) == nil {
+			break
+		}
+		wait.For(a.ctx, wait.Backoff(stopRetryFirst, stopRetryLimit, failures))
+	}
+	if a.ctx.Err() != nil {
+		return
+	}
+	a.log.Info("stop", zap.String("job", o.Task.Job), zap.Stringer("task", o.Task), zap.Int64("run", o.Run),
+		zap.String("worker", o.WorkerID), zap.String("reason", o.Reason))
+	a.emit(Event{WorkerID: o.WorkerID, Generation: o.Generation, Stopped: &StopResult{Task: o.Task, Run: o.Run, At: a.deps.Clock()}})
+}
+
+func (a *Agent) sendStop(c StopCall) error {
+	ctx, cancel := context.WithTimeout(a.ctx, stopTimeout)
+	defer cancel()
+	return a.deps.Client.Stop(ctx, c)
+}
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -38,6 +38,8 @@
 	cancelPath  = "/peer/v1/cancel"
 	offerPath   = "/peer/v1/offer"
 	takePath    = "/peer/v1/take"
+	ordersPath  = "/peer/v1/orders"
+	deliverPath = "/peer/v1/deliver"
 )
 
 type lookupRequest struct {
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
@@ -74,12 +75,14 @@
 	e.POST(cancelPath, s.cancel)
 	e.POST(offerPath, s.offer)
 	e.POST(takePath, s.take)
+	e.POST(ordersPath, s.orders)
+	e.POST(deliverPath, s.deliver)
 	e.GET("/admin/v1/jobs/:id", s.explain)
 }
 
 // refuse answers an error.
 func refuse(c *gin.Context, err error) {
-	if errors.Is(err, coordinator.ErrNotOwner) {
+	if errors.Is(err, coordinator.ErrNotOwner) || errors.Is(err, delegate.ErrEnded) {
 		c.Status(http.StatusMisdirectedRequest)
 		return
 	}
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -92,6 +92,8 @@
 // UsedWorkers are the ids of the workers on which an owner may have started tasks.
 type UsedWorkers struct {
 	IDs []string `json:"ids"`
+	// Delegated tells that other hosts may act for the owner, for as long as their permits last.
+	Delegated bool `json:"delegated,omitempty"`
 }
 
 // Encode returns the stored form of v.
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -60,7 +60,7 @@
 	p := f.Plan(now)
 	for _, s := range p.Starts {
 		f.active[s.Worker.ID] = append(f.active[s.Worker.ID], ActiveRun{Task: s.Task, Run: s.Run})
-		f.StartDone(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartAccepted, LeaseUntil: now.Add(5 * time.Second)})
+		f.StartDone(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartAccepted, At: now, LeaseUntil: now.Add(5 * time.Second)})
 	}
 	f.starts = append(f.starts, p.Starts...)
 	for _, s := range p.Stops {
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -42,7 +42,7 @@
 type Report struct {
 	Worker     string
 	Born       int64
-	Asked      time.Time // when the call was sent
+	Asked      time.Time // when the call was sent; comparable with the times of the starts and stops of the same worker
 	LeaseUntil time.Time // when everything there has lapsed without another renewal
 	Active     []ActiveRun
 	Ended      []EndedRun
@@ -82,7 +82,7 @@
 	listed := map[runKey]bool{}
 	for _, a := range r.Active {
 		listed[runKey{a.Task, a.Run}] = true
-		s.active(w, a, now)
+		s.active(w, a, r.Asked, now)
 	}
 	s.vanish(w, listed, r.Asked, now)
 	s.resolve(w.info.ID)
@@ -90,13 +90,13 @@
 }
 
 // active applies one row of the runs that are on a worker.
-func (s *Scheduler) active(w *worker, a ActiveRun, now time.Time) {
+func (s *Scheduler) active(w *worker, a ActiveRun, asked, now time.Time) {
 	if p := w.find(a.Task, a.Run); p != nil {
-		s.observe(p, a, now)
+		s.observe(p, a, asked, now)
 		return
 	}
 	t := s.task(a.Task)
-	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, ordered: now, confirmed: now,
+	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, ordered: now, confirmed: asked,
 		percent: a.Percent, percentAt: now, firstPercent: a.Percent, firstAt: now, checkpoint: a.Checkpoint}
 	if t != nil {
 		p.task, p.resources = t, t.unit.resources()
@@ -138,9 +138,9 @@
 	return u.tasks[id.Index]
 }
 
-func (s *Scheduler) observe(p *placement, a ActiveRun, now time.Time) {
+func (s *Scheduler) observe(p *placement, a ActiveRun, asked, now time.Time) {
 	if p.state == starting {
-		p.state, p.confirmed = running, now
+		p.state, p.confirmed = running, asked
 	}
 	if a.Percent != p.percent || p.firstAt.IsZero() {
 		p.percent, p.percentAt = a.Percent, now
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -289,14 +289,15 @@
 	s.stops = append(s.stops, Stop{Task: p.id, Run: p.run, Worker: p.worker.info, Reason: reason})
 }
 
-// StopDone tells that the worker has accepted a stop. The run's place is free once a later report shows that it is gone.
-func (s *Scheduler) StopDone(now time.Time, workerID string, id workload.TaskID, run int64) {
+// StopDone tells that the worker has accepted a stop at a time. The run's place is free once a report that was asked for
+// later shows that it is gone.
+func (s *Scheduler) StopDone(at time.Time, workerID string, id workload.TaskID, run int64) {
 	w := s.workers[workerID]
 	if w == nil {
 		return
 	}
 	if p := w.find(id, run); p != nil && p.state == stopping {
-		p.stopAcked = now
+		p.stopAcked = at
 	}
 }
 
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -51,6 +51,7 @@
 	Run        int64
 	Worker     string
 	Outcome    StartOutcome
+	At         time.Time // when the answer came
 	LeaseUntil time.Time
 }
 
@@ -75,7 +76,7 @@
 	switch r.Outcome {
 	case StartAccepted:
 		if p.state == starting {
-			p.state, p.confirmed = running, now
+			p.state, p.confirmed = running, r.At
 		}
 		if p.task != nil {
 			p.task.unit.job.started = true
@@ -86,7 +87,7 @@
 			s.stopGangOf(p, "the start of a member of the gang was not answered")
 		}
 	case RejectedOld:
-		s.rejectedAsOld(p, now)
+		s.rejectedAsOld(p, r.At)
 	default:
 		s.rejected(w, p, r.Outcome, now)
 	}
@@ -94,8 +95,8 @@
 
 // rejectedAsOld waits for the next report: the worker has seen the end of this run or of a higher one, and may be about to
 // list it.
-func (s *Scheduler) rejectedAsOld(p *placement, now time.Time) {
-	p.state, p.stopAcked = stopping, now
+func (s *Scheduler) rejectedAsOld(p *placement, at time.Time) {
+	p.state, p.stopAcked = stopping, at
 	if t := p.task; t != nil {
 		t.run += oldRunStep
 		t.unit.run += oldRunStep
--- a/internal/cluster/scheduler/starts_test.go
+++ b/internal/cluster/scheduler/starts_test.go
@@ -19,7 +19,7 @@
 		p := f.Plan(t0)
 		So(p.Starts, ShouldHaveLength, 1)
 		s := p.Starts[0]
-		f.StartDone(at(400*time.Millisecond), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: RejectedOld})
+		f.StartDone(at(400*time.Millisecond), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: RejectedOld, At: at(400 * time.Millisecond)})
 		So(f.plan(at(410*time.Millisecond)).Starts, ShouldBeEmpty)
 		Convey("When its end is listed, the job is completed", func() {
 			f.end(s, EndDone, at(500*time.Millisecond))
@@ -44,7 +44,7 @@
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 		f.confirm()
 		s := f.Plan(t0).Starts[0]
-		f.StartDone(at(time.Second), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartUnknown})
+		f.StartDone(at(time.Second), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartUnknown, At: at(time.Second)})
 		p := f.Plan(at(time.Second))
 		Convey("The run is stopped, and its task stays where it is until a report shows that it is gone", func() {
 			So(p.Starts, ShouldBeEmpty)
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -196,6 +196,13 @@
 	w.extendLease(leaseUntil)
 }
 
+// ExtendLease tells that a call that may have been carried out lets everything on the worker run on until a time.
+func (s *Scheduler) ExtendLease(workerID string, until time.Time) {
+	if w := s.workers[workerID]; w != nil {
+		w.extendLease(until)
+	}
+}
+
 func (w *worker) extendLease(until time.Time) {
 	if until.After(w.leaseUntil) {
 		w.leaseUntil = until
@@ -222,6 +229,19 @@
 	})
 }
 
+// WorkerCount returns the number of workers that should be called.
+func (s *Scheduler) WorkerCount() int { return len(s.sorted) }
+
+// Starting reports whether a start of the run was ordered on the worker, has no outcome yet and is still wanted.
+func (s *Scheduler) Starting(workerID string, id workload.TaskID, run int64) bool {
+	w := s.workers[workerID]
+	if w == nil {
+		return false
+	}
+	p := w.find(id, run)
+	return p != nil && p.state == starting
+}
+
 // Workers returns the workers that should be called.
 func (s *Scheduler) Workers() []WorkerInfo {
 	out := make([]WorkerInfo, len(s.sorted))
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -90,6 +90,16 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (t *TaskID) UnmarshalText(text []byte) error {
+	id, err := ParseTaskID(string(text))
+	*t = id
+	return err
+}
+
 // StepID names a step of an occurrence.
 type StepID struct {
 	Job        string
