--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -36,9 +36,12 @@
 	claimTimeout  = 1500 * time.Millisecond
 	// claimBackoff follows a claim that failed, so that a store in trouble isn't pressed.
 	claimBackoff = 300 * time.Millisecond
-	// watchTimeout is how long the owner may take to answer a watch; it holds its answers back for half a second.
-	watchTimeout = 900 * time.Millisecond
-	watchRetry   = 100 * time.Millisecond
+	// watchHold is how long the owner holds the answer to a watch back, and smallWatchHold the same for hosts that claim last:
+	// with hundreds of them the watches would take much of the owner's time. watchSlack is added for the time limit.
+	watchHold      = 500 * time.Millisecond
+	smallWatchHold = 2500 * time.Millisecond
+	watchSlack     = 400 * time.Millisecond
+	watchRetry     = 100 * time.Millisecond
 	// takeOverTimeout is how long a peer tries to claim an ownership that it was offered; offerTimeout includes the way.
 	takeOverTimeout = 500 * time.Millisecond
 	offerTimeout    = 700 * time.Millisecond
@@ -242,9 +245,9 @@
 }
 
 func (n *Node) answers(ctx context.Context, h peers.Host) bool {
-	callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, watchHold+watchSlack)
 	defer cancel()
-	boot, _, err := n.parts.Peers.Watch(callCtx, h.Addr, h.Boot)
+	boot, _, err := n.parts.Peers.Watch(callCtx, h.Addr, h.Boot, watchHold)
 	return err == nil && boot == h.Boot
 }
 
@@ -339,8 +342,9 @@
 			wait.For(ctx, watchRetry)
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
-		boot, isOwner, err := n.parts.Peers.Watch(callCtx, owner.Addr, owner.Boot)
+		hold := n.watchHold()
+		callCtx, cancel := context.WithTimeout(ctx, hold+watchSlack)
+		boot, isOwner, err := n.parts.Peers.Watch(callCtx, owner.Addr, owner.Boot, hold)
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -357,6 +361,13 @@
 	}
 }
 
+func (n *Node) watchHold() time.Duration {
+	if n.capable() {
+		return watchHold
+	}
+	return smallWatchHold
+}
+
 // Stop drains the daemon: the balancer is told, the ownership is handed over, calls in progress end.
 func (n *Node) Stop(ctx context.Context) error {
 	began := time.Now()
--- a/internal/cluster/coordinator/attend.go
+++ b/internal/cluster/coordinator/attend.go
@@ -37,7 +37,7 @@
 		return delegate.Batch{}, delegate.ErrEnded
 	}
 	h, b, err := t.nextBatch(r, arrived)
-	for err == nil && h != nil && len(b.Orders) == 0 && time.Now().Before(limit) {
+	for err == nil && h != nil && len(b.Orders) == 0 && len(r.Events) == 0 && time.Now().Before(limit) {
 		if !wait.ForOrSignal(ctx, time.Until(limit), h.ready) {
 			break
 		}
@@ -82,7 +82,10 @@
 		return nil, delegate.Batch{}, nil
 	}
 	h.seen = now
-	b := delegate.Batch{Wanted: true, RenewWait: delegate.RenewWait(t.sched.WorkerCount()),
+	if len(r.Events) > 0 && !t.receive(h, r.First, r.Events) {
+		return nil, delegate.Batch{}, delegate.ErrEnded
+	}
+	b := delegate.Batch{Wanted: true, RenewWait: delegate.RenewWait(t.sched.WorkerCount()), Pace: delegate.Pace(len(t.fleet.remote)),
 		Permit: min(max(tenure.Validity-t.tenure.ConfirmedAge(), 0), delegate.PermitLimit)}
 	if t.tenure.Lost() {
 		return nil, delegate.Batch{}, delegate.ErrEnded
@@ -95,17 +98,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.fleet.remote[d.Host]
-	if h == nil || h.session != d.Session || d.First > h.received+1 {
+	if h == nil || h.session != d.Session || !t.receive(h, d.First, d.Events) {
 		return delegate.ErrEnded
 	}
 	h.seen = time.Now()
-	events := d.Events
-	if skip := h.received + 1 - d.First; skip > 0 {
+	return nil
+}
+
+// receive applies the events that were not received before, and reports false if some are missing. It is called with mu
+// held.
+func (t *term) receive(h *holder, first int64, events []delegate.Event) bool {
+	if first > h.received+1 {
+		return false
+	}
+	if skip := h.received + 1 - first; skip > 0 {
 		events = events[min(skip, int64(len(events))):]
 	}
 	h.received += int64(len(events))
 	t.take(h, events)
-	return nil
+	return true
 }
 
 // takeOwn applies an event of the owner's own calls to workers.
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -86,9 +86,16 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sched.Pending()[queue], nil
+	if now := time.Now(); t.pending == nil || now.Sub(t.pendingAt) > pendingAge {
+		t.pending, t.pendingAt = t.sched.Pending(), now
+	}
+	return t.pending[queue], nil
 }
 
+// pendingAge is how long a count of the waiting jobs is used again: hundreds of hosts ask for it, and counting looks at all
+// jobs.
+const pendingAge = 200 * time.Millisecond
+
 // Explain returns the state of a job and why its tasks wait.
 func (c *Coordinator) Explain(id string) (scheduler.JobDump, bool, error) {
 	t := c.current()
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -45,6 +45,9 @@
 	fleet  *fleet
 	advice *adviceDesk
 	used   map[string]bool // workers that are stored as used
+	// pending is the number of waiting jobs by queue when it was last counted.
+	pending   map[string]int
+	pendingAt time.Time
 	// delegated tells that other hosts may act for this owner, or may still act for an earlier one; a successor has to wait
 	// for their permits. No worker is given to a host before that is stored.
 	delegated          bool
--- a/internal/cluster/delegate/attend.go
+++ b/internal/cluster/delegate/attend.go
@@ -31,13 +31,13 @@
 
 const (
 	// OrdersWait is how long an owner holds its answer back until there are orders.
-	OrdersWait    = 250 * time.Millisecond
-	ordersTimeout = OrdersWait + 350*time.Millisecond
-	// ordersPace gathers orders that come together into one answer.
-	ordersPace     = 4 * time.Millisecond
+	OrdersWait     = 250 * time.Millisecond
+	ordersTimeout  = OrdersWait + 350*time.Millisecond
 	deliverTimeout = 500 * time.Millisecond
-	// deliverPace gathers events that come together into one call.
-	deliverPace = 6 * time.Millisecond
+	// paceEach is the part of the pace that each delegate of an owner adds, and paceFloor the least pace: an owner answers
+	// about a thousand calls of its delegates a second, however many there are.
+	paceEach  = time.Millisecond
+	paceFloor = 4 * time.Millisecond
 	// maxDelivery bounds the events of one call.
 	maxDelivery = 500
 
@@ -47,6 +47,11 @@
 	leaveTimeout  = 300 * time.Millisecond
 )
 
+// Pace returns the least time between two calls of a delegate if an owner has so many of them.
+func Pace(delegates int) time.Duration {
+	return max(time.Duration(delegates)*paceEach, paceFloor)
+}
+
 // Attender makes this host a delegate of whichever owner wants it.
 type Attender struct {
 	Config Config
@@ -124,10 +129,13 @@
 	after int64        // number of the last order that was carried out
 	until atomic.Int64 // end of the permit on this host's clock
 
+	pace     atomic.Int64
 	ready    chan struct{} // signalled when there are events
 	mu       sync.Mutex
 	events   []Event
 	received int64 // number of the last event that the owner has
+	carrying bool  // a call that carries events is on its way
+	waiting  bool  // a call waits for orders
 }
 
 // valid reports whether this host may act for the owner now.
@@ -138,13 +146,25 @@
 	callCtx, cancel := context.WithTimeout(ctx, ordersTimeout)
 	defer cancel()
 	asked := s.at.Deps.Clock()
-	b, err := s.at.Client.Orders(callCtx, s.owner.Addr, s.request(asked))
+	r := s.request(asked)
+	r.First, r.Events = s.take()
+	s.setWaiting(len(r.Events) == 0)
+	b, err := s.at.Client.Orders(callCtx, s.owner.Addr, r)
+	s.setWaiting(false)
+	s.carried(len(r.Events), err)
 	if err == nil && b.Wanted {
 		s.until.Store(int64(asked + min(b.Permit, PermitLimit)))
+		s.pace.Store(int64(b.Pace))
 	}
 	return b, err
 }
 
+func (s *session) setWaiting(waiting bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = waiting
+}
+
 func (s *session) request(now time.Duration) Request {
 	return Request{Host: s.at.Host, Domain: s.at.Domain, Session: s.id, Epoch: s.owner.Epoch, After: s.after, Now: now}
 }
@@ -154,7 +174,7 @@
 	for failures := 0; ; {
 		if failures == 0 {
 			s.apply(b)
-			wait.For(ctx, ordersPace)
+			wait.For(ctx, time.Duration(s.pace.Load()))
 		}
 		if ctx.Err() != nil {
 			return "the daemon stops"
@@ -201,40 +221,71 @@
 	wait.Signal(s.ready)
 }
 
-// deliver passes events to the owner, each in its turn and again until the owner has them.
+// deliver passes events to the owner while a call waits for orders; otherwise the next call for orders carries them. Each
+// event is passed in its turn and again until the owner has it.
 func (s *session) deliver(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
-		d := s.delivery()
-		if len(d.Events) == 0 {
-			wait.ForOrSignal(ctx, OrdersWait, s.ready)
+		wait.ForOrSignal(ctx, OrdersWait, s.ready)
+		wait.For(ctx, time.Duration(s.pace.Load())/2)
+		first, events := s.takeWhileWaiting()
+		if len(events) == 0 {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, deliverTimeout)
-		err := s.at.Client.Deliver(callCtx, s.owner.Addr, d)
+		err := s.at.Client.Deliver(callCtx, s.owner.Addr, Delivery{Host: s.at.Host, Session: s.id, Epoch: s.owner.Epoch, First: first, Events: events})
 		cancel()
+		s.carried(len(events), err)
 		if err != nil {
 			wait.For(ctx, wait.Backoff(retryFirst/4, retryLimit/4, failures))
 			failures++
 			continue
 		}
 		failures = 0
-		s.delivered(len(d.Events))
-		wait.For(ctx, deliverPace)
 	}
 }
 
-func (s *session) delivery() Delivery {
+// take returns the events that the next call carries and the number of the first one. There are none while another call
+// carries some, so that the owner gets them in order.
+func (s *session) take() (int64, []Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(len(s.events), maxDelivery)
-	return Delivery{Host: s.at.Host, Session: s.id, Epoch: s.owner.Epoch, First: s.received + 1, Events: s.events[:n:n]}
+	return s.takeLocked()
 }
 
-func (s *session) delivered(n int) {
+func (s *session) takeWhileWaiting() (int64, []Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.received += int64(n)
-	s.events = append([]Event(nil), s.events[n:]...)
+	if !s.waiting {
+		return 0, nil
+	}
+	return s.takeLocked()
+}
+
+func (s *session) takeLocked() (int64, []Event) {
+	if s.carrying || len(s.events) == 0 {
+		return 0, nil
+	}
+	s.carrying = true
+	n := min(len(s.events), maxDelivery)
+	return s.received + 1, s.events[:n:n]
+}
+
+// carried tells that a call that carried n events has ended.
+func (s *session) carried(n int, err error) {
+	if n == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.carrying = false
+	if err == nil {
+		s.received += int64(n)
+		s.events = append([]Event(nil), s.events[n:]...)
+	}
+	more := len(s.events) > 0
+	s.mu.Unlock()
+	if more {
+		wait.Signal(s.ready)
+	}
 }
 
 // leave tells the owner that its workers need another delegate.
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -63,6 +63,8 @@
 	Permit time.Duration `json:"permit"`
 	// RenewWait is how long workers hold their answers back until a run ends.
 	RenewWait time.Duration `json:"renew_wait"`
+	// Pace is the least time between two calls of a delegate: it gathers orders and events, and bounds the owner's work.
+	Pace time.Duration `json:"pace"`
 }
 
 // Request asks for the orders after a number. It acknowledges those up to it.
@@ -74,9 +76,12 @@
 	After   int64         `json:"after"`
 	Now     time.Duration `json:"now"` // the delegate's clock, suspensions included
 	Leaving bool          `json:"leaving,omitempty"`
+	// First and Events are as in a Delivery. An owner that gets events answers at once.
+	First  int64   `json:"first,omitempty"`
+	Events []Event `json:"events,omitempty"`
 }
 
-// Delivery passes events to the owner.
+// Delivery passes events to the owner while another call waits for orders.
 type Delivery struct {
 	Host    string  `json:"host"`
 	Session string  `json:"session"`
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -87,7 +87,8 @@
 }
 
 type watchRequest struct {
-	Boot string `json:"boot"`
+	Boot string        `json:"boot"`
+	Wait time.Duration `json:"wait"` // how long the answer is held back
 }
 
 type watchAnswer struct {
@@ -142,10 +143,11 @@
 	return coordinator.Advice{Approved: a.Approved, Validity: time.Duration(a.ValidityMS) * time.Millisecond}, err
 }
 
-// Watch returns the peer's process and whether it is the owner. The answer comes after a while, or when the process ends.
-func (c *Client) Watch(ctx context.Context, addr, boot string) (string, bool, error) {
+// Watch returns the peer's process and whether it is the owner. An owner holds its answer back for hold; the connection
+// breaks when its process ends.
+func (c *Client) Watch(ctx context.Context, addr, boot string, hold time.Duration) (string, bool, error) {
 	var a watchAnswer
-	err := c.call(ctx, addr, watchPath, watchRequest{boot}, &a)
+	err := c.call(ctx, addr, watchPath, watchRequest{boot, hold}, &a)
 	return a.Boot, a.Owner, err
 }
 
--- a/internal/cluster/peers/roster.go
+++ b/internal/cluster/peers/roster.go
@@ -55,6 +55,15 @@
 func (r *Roster) Apply(rows []rowstore.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	listed, version := r.apply(rows)
+	if len(listed) > 0 {
+		// One line for all: at a start of the whole system each host learns of all others.
+		r.log.Info("hosts listed", zap.Strings("peers", listed), zap.Int64("version", version), zap.Int("hosts", len(r.hosts)))
+	}
+}
+
+// apply takes rows and returns a text for each host that has changed, and the newest version.
+func (r *Roster) apply(rows []rowstore.Row) (listed []string, version int64) {
 	for _, row := range rows {
 		if row.Version < r.hosts[row.Name].version {
 			continue
@@ -69,10 +78,14 @@
 			r.log.Error("row of a host can't be read", zap.String("peer", row.Name), asynclog.Error(err))
 			continue
 		}
-		r.log.Info("host listed", zap.String("peer", h.Host), zap.String("addr", h.Addr), zap.String("boot", h.Boot),
-			zap.Bool("draining", h.Draining), zap.Int64("version", row.Version))
+		text := h.Host + " " + h.Addr + " " + h.Boot
+		if h.Draining {
+			text += " draining"
+		}
+		listed, version = append(listed, text), max(version, row.Version)
 		r.hosts[row.Name] = rosterEntry{h, row.Version}
 	}
+	return listed, version
 }
 
 // Find returns the daemon of a host.
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -21,8 +21,8 @@
 	Advise(ctx context.Context, step workload.StepID, workers []string) (coordinator.Advice, error)
 }
 
-// watchTime is how long an answer to a watch is held back.
-const watchTime = 500 * time.Millisecond
+// maxWatchTime bounds how long an answer to a watch is held back.
+const maxWatchTime = 5 * time.Second
 
 // Server answers other daemons.
 type Server struct {
@@ -142,7 +142,7 @@
 		return
 	}
 	if in.Boot == s.boot && s.coordinator.Epoch() > 0 {
-		wait.For(c.Request.Context(), watchTime)
+		wait.For(c.Request.Context(), min(in.Wait, maxWatchTime))
 	}
 	c.JSON(http.StatusOK, watchAnswer{s.boot, s.coordinator.Epoch() > 0})
 }
--- a/internal/cluster/queues/queues.go
+++ b/internal/cluster/queues/queues.go
@@ -4,6 +4,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -55,16 +56,24 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
+
+	index  sync.Once
+	byName map[string]int
 }
 
 // ByName returns the queue with the name.
 func (c *Config) ByName(name string) (Queue, bool) {
-	for _, q := range c.Queues {
-		if q.Name == name {
-			return q, true
+	c.index.Do(func() {
+		c.byName = make(map[string]int, len(c.Queues))
+		for i, q := range c.Queues {
+			c.byName[q.Name] = i
 		}
+	})
+	i, ok := c.byName[name]
+	if !ok {
+		return Queue{}, false
 	}
-	return Queue{}, false
+	return c.Queues[i], true
 }
 
 // Select returns the queue of a request: of the queues of the host, the one with the longest prefix of the path.
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
@@ -159,6 +159,32 @@
 type askCandidate struct {
 	worker *worker
 	fit    float64 // tasks that are expected to be approved and find room there
+	order  int     // among candidates of the same fit
+}
+
+// askHeap gives the best candidates first. A question names a few of hundreds of workers, so they are not sorted. It
+// implements heap.Interface.
+type askHeap []askCandidate
+
+func (h askHeap) Len() int { return len(h) }
+
+func (h askHeap) Less(i, j int) bool {
+	if h[i].fit != h[j].fit {
+		return h[i].fit > h[j].fit
+	}
+	return h[i].order < h[j].order
+}
+
+func (h askHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *askHeap) Push(x any) { *h = append(*h, x.(askCandidate)) }
+
+// Pop implements heap.Interface.
+func (h *askHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
 // wanted is the expected number of places that a question should bring for tasks that wait.
@@ -178,13 +204,11 @@
 	if u.step.Gang && room < float64(waiting) || c.late && room < s.approvalShare(u.job.spec.Queue.Name) {
 		return nil
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].fit > all[j].fit })
 	var workers []*worker
 	expected := 0.0
-	for _, a := range all {
-		if len(workers) >= maxAskedWorkers || len(workers) >= minAsked && expected >= u.wanted(waiting) {
-			break
-		}
+	heap.Init(&all)
+	for len(all) > 0 && len(workers) < maxAskedWorkers && (len(workers) < minAsked || expected < u.wanted(waiting)) {
+		a := heap.Pop(&all).(askCandidate)
 		workers = append(workers, a.worker)
 		expected += a.fit
 	}
@@ -193,17 +217,17 @@
 
 // askCandidates returns the workers that a question may name, and the tasks that are expected to be approved and find room
 // on them and on those with a valid ticket.
-func (s *Scheduler) askCandidates(u *unit, now time.Time) ([]askCandidate, float64) {
+func (s *Scheduler) askCandidates(u *unit, now time.Time) (askHeap, float64) {
 	size := u.resources()
 	share := s.approvalShare(u.job.spec.Queue.Name)
 	answered := now.Add(u.job.queue.Advice.Cost(maxAskedWorkers / 2))
-	var all []askCandidate
+	all := s.asking[:0]
 	room := 0.0
 	for _, w := range s.sorted {
 		if _, denied := u.denied[w.info.ID]; denied || !s.eligible(u, w, now) {
 			continue
 		}
-		fit := max(float64(fits(s.freeAt(w, answered, now), size))-w.expectedTasks(size), 0)
+		fit := max(float64(fits(w.freeAt(answered), size))-w.expectedTasks(size), 0)
 		if u.step.MaxPerWorker > 0 {
 			fit = min(fit, float64(u.step.MaxPerWorker))
 		}
@@ -215,8 +239,9 @@
 		if known && t.expires.After(now.Add(ticketMargin)) {
 			continue
 		}
-		all = append(all, askCandidate{w, fit})
+		all = append(all, askCandidate{w, fit, len(all)})
 	}
+	s.asking = all
 	return all, room
 }
 
--- a/internal/cluster/scheduler/expected.go
+++ b/internal/cluster/scheduler/expected.go
@@ -43,10 +43,10 @@
 // freeAt is the room that a worker is expected to have at a later time: what is free now, and what runs that are being
 // stopped or, by their progress, are about to end leave. Load: questions that take as long as a third of a task; a gang that asked only for room
 // that is free already would leave it empty meanwhile.
-func (s *Scheduler) freeAt(w *worker, later, now time.Time) workload.Resources {
+func (w *worker) freeAt(later time.Time) workload.Resources {
 	free := w.free()
 	for _, p := range w.placements {
-		if p.state == stopping || p.progresses() && now.Add(s.timeLeft(p, now)).Before(later) {
+		if p.state == stopping || !p.expectedEnd.IsZero() && p.expectedEnd.Before(later) {
 			free = free.Add(p.resources)
 		}
 	}
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -187,9 +187,13 @@
 // measurablePercent is the least progress from which the time that a run still takes can be told.
 const measurablePercent = 5
 
-// progresses reports whether the run has shown enough progress to tell how long it still takes.
-func (p *placement) progresses() bool {
-	return p.state == running && p.task != nil && p.percent-p.firstPercent >= measurablePercent
+// endByProgress tells when the run will end by the progress that it has shown, or zero if that is too little.
+func (p *placement) endByProgress() time.Time {
+	if p.state != running || p.task == nil || p.task.unit.step.LongRunning || p.percent-p.firstPercent < measurablePercent {
+		return time.Time{}
+	}
+	perPercent := p.percentAt.Sub(p.firstAt) / time.Duration(p.percent-p.firstPercent)
+	return p.percentAt.Add(time.Duration(100-p.percent) * perPercent)
 }
 
 // timeLeft estimates how long a run still takes: by its progress, or by its estimate before there is any.
@@ -197,9 +201,8 @@
 	if p.task.unit.step.LongRunning {
 		return 1 << 50
 	}
-	if !p.progresses() {
+	if p.expectedEnd.IsZero() {
 		return max(s.estimate(p.task.unit)-now.Sub(p.ordered), 0)
 	}
-	perPercent := p.percentAt.Sub(p.firstAt) / time.Duration(p.percent-p.firstPercent)
-	return time.Duration(100-p.percent)*perPercent - now.Sub(p.percentAt)
+	return p.expectedEnd.Sub(now)
 }
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -81,6 +82,9 @@
 	for _, r := range records {
 		if j := s.jobs[r.JobID]; j != nil && j.writingGeneration <= generation {
 			j.shown, j.stored = j.writing, true
+			if j.shown.Final() {
+				j.forgetTasks()
+			}
 		}
 	}
 	for _, w := range s.sorted {
@@ -88,6 +92,12 @@
 	}
 }
 
+// forgetTasks drops what is only needed while the job has not ended: the state of ended jobs is told for minutes.
+func (j *job) forgetTasks() {
+	j.occurrences = nil
+	j.spec = &workload.Spec{ID: j.spec.ID, Queue: queues.Queue{Name: j.spec.Queue.Name}, Accepted: j.spec.Accepted}
+}
+
 // planConfirmed lets the jobs be planned that a commit has just confirmed.
 func (s *Scheduler) planConfirmed() {
 	n := 0
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -148,6 +148,7 @@
 	if p.firstAt.IsZero() {
 		p.firstAt, p.firstPercent = now, a.Percent
 	}
+	p.expectedEnd = p.endByProgress()
 	if a.Checkpoint != "" {
 		p.checkpoint = a.Checkpoint
 		if p.task != nil && p.task.placement == p {
@@ -159,8 +160,8 @@
 // vanish frees runs that are neither listed as active nor as ended in a report that was asked for after the worker had
 // confirmed them, or their stop.
 func (s *Scheduler) vanish(w *worker, listed map[runKey]bool, asked, now time.Time) {
-	for key, p := range w.placements {
-		if listed[key] {
+	for _, p := range slices.Clone(w.placements) {
+		if listed[runKey{p.id, p.run}] {
 			continue
 		}
 		confirmed := p.confirmed
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -36,6 +36,7 @@
 	held    map[*worker]bool   // workers that the last complete plan holds for gangs
 
 	questions questions         // units that need an answer of the policy service
+	asking    askHeap           // memory that each question uses again
 	timed     map[*job]struct{} // jobs with occurrences that are not due yet
 	// cancellations of jobs that are not known yet, with the time at which they came: rows of a job and of its cancellation
 	// may be read in any order
@@ -263,6 +264,7 @@
 		}
 		for _, u := range o.units {
 			delete(s.open, u)
+			u.forgetExpected()
 			if state == workload.Completed && u.step.Gang {
 				continue // the members of a gang end done together; their ends are about to be listed
 			}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -32,7 +32,7 @@
 	leavesAt   time.Time // of a draining worker
 	used       workload.Resources
 	expected   workload.Resources // by units that wait for an answer of the policy service
-	placements map[runKey]*placement
+	placements []*placement       // few, so that a search through all is quicker than a map
 
 	processed int64 // number of the last end that was applied
 	acked     int64 // number of the last end that is durable
@@ -71,6 +71,7 @@
 	confirmed time.Time // the worker has answered the start or has listed the run
 	stopAcked time.Time
 
+	expectedEnd  time.Time // by its progress; zero while that can't be told
 	percent      int
 	percentAt    time.Time // when the percent last changed
 	firstPercent int
@@ -80,19 +81,26 @@
 
 func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
 
-func (w *worker) find(id workload.TaskID, run int64) *placement { return w.placements[runKey{id, run}] }
+func (w *worker) find(id workload.TaskID, run int64) *placement {
+	for _, p := range w.placements {
+		if p.run == run && p.id.Index == id.Index && p.id == id {
+			return p
+		}
+	}
+	return nil
+}
 
 func (w *worker) add(p *placement) {
-	w.placements[runKey{p.id, p.run}] = p
+	w.placements = append(w.placements, p)
 	w.used = w.used.Add(p.resources)
 }
 
 func (w *worker) remove(p *placement) {
-	key := runKey{p.id, p.run}
-	if w.placements[key] != p {
+	i := slices.Index(w.placements, p)
+	if i < 0 {
 		return
 	}
-	delete(w.placements, key)
+	w.placements = slices.Delete(w.placements, i, i+1)
 	w.used = w.used.Sub(p.resources)
 }
 
@@ -120,7 +128,7 @@
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
 	w := s.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, placements: map[runKey]*placement{}}
+		w = &worker{info: info}
 		s.workers[info.ID] = w
 		s.sorted = append(s.sorted, w)
 		sort.Slice(s.sorted, func(i, j int) bool { return s.sorted[i].info.ID < s.sorted[j].info.ID })
@@ -149,10 +157,10 @@
 
 // endLife ends everything that ran on a worker: its process is gone or its lease has lapsed.
 func (s *Scheduler) endLife(w *worker, now time.Time) {
-	for _, p := range w.placements {
+	for _, p := range slices.Clone(w.placements) {
 		s.lose(p, now)
 	}
-	w.placements = map[runKey]*placement{}
+	w.placements = nil
 	w.used = workload.Resources{}
 	w.fenced = false
 	w.processed, w.acked, w.acks = 0, 0, nil
