Take only reports as evidence that a run hangs

Cause: a run whose percent had not changed for 2.5 s by the owner's clock was stopped and started elsewhere. A worker that was frozen or silent, a delegate that changed, or an owner that was paused for that long lost its running work to it, all of it at once in the last case. Ruled out: the lease, which is longer and ends by the worker's clock. Change: the time without progress adds up between reports that show the same percent; a gap between reports of more than 2.2 s adds nothing. TestSilenceIsNoStall failed before (the paused owner stopped the run).

--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -14,8 +14,11 @@
 	quarantineFirst = 2 * time.Second
 	quarantineLimit = 16 * time.Second
 
-	// A run whose percent stands still for this long is taken to hang.
+	// A run whose percent stands still for this long in its worker's reports is taken to hang.
 	stallTimeout = 2500 * time.Millisecond
+	// reportGap is the longest time between two reports of a worker that nothing delays. During a longer one the worker, its
+	// delegate or the owner was silent or paused, so it says nothing of the run.
+	reportGap = 2200 * time.Millisecond
 )
 
 // health is what the owner thinks of a worker from the ends of its tasks.
@@ -61,7 +64,7 @@
 		}
 		stalled := 0
 		for _, p := range w.placements {
-			if p.stalled(now) {
+			if p.stalled() {
 				stalled++
 				s.stop(p, "no progress")
 				s.stopGangOf(p, "a member of the gang made no progress")
@@ -83,30 +86,42 @@
 // readyPercent is the percent from which on a member of a gang may only wait for the others to end with it.
 const readyPercent = 99
 
-func (p *placement) stalled(now time.Time) bool {
+func (p *placement) stalled() bool {
 	if p.state != running || p.task == nil || p.task.done || p.task.unit.step.LongRunning || p.firstAt.IsZero() {
 		return false
 	}
-	moved := p.percentAt
+	still := p.still
 	if p.task.unit.step.Gang && p.percent >= readyPercent {
-		moved = p.task.unit.lastProgress()
+		still = p.task.unit.still()
 	}
 	// A gang's members wait for each other before they progress.
 	if p.task.unit.step.Gang && p.percent == 0 {
-		return now.Sub(moved) > 2*stallTimeout
+		return still > 2*stallTimeout
 	}
-	return now.Sub(moved) > stallTimeout
+	return still > stallTimeout
 }
 
-// lastProgress is when a task of the unit last made progress.
-func (u *unit) lastProgress() time.Time {
-	var last time.Time
+// still is for how long no task of the unit has made progress.
+func (u *unit) still() time.Duration {
+	shortest := time.Duration(1<<63 - 1)
 	for _, t := range u.tasks {
-		if t.placement != nil && t.placement.percentAt.After(last) {
-			last = t.placement.percentAt
+		if t.placement != nil {
+			shortest = min(shortest, t.placement.still)
 		}
 	}
-	return last
+	return shortest
+}
+
+// observeStill adds the time since the last report to the time without progress, if both show the same percent.
+func (p *placement) observeStill(percent int, asked time.Time) {
+	gap := asked.Sub(p.listed)
+	switch {
+	case percent != p.percent || p.firstAt.IsZero():
+		p.still = 0
+	case !p.listed.IsZero() && gap > 0 && gap <= reportGap:
+		p.still += gap
+	}
+	p.listed = asked
 }
 
 // durationRatio is the learned relation between the declared and the actual duration of a queue's tasks.
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -97,7 +97,7 @@
 	}
 	t := s.task(a.Task)
 	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, ordered: now, confirmed: asked,
-		percent: a.Percent, percentAt: now, firstPercent: a.Percent, firstAt: now, checkpoint: a.Checkpoint}
+		percent: a.Percent, percentAt: now, firstPercent: a.Percent, firstAt: now, listed: asked, checkpoint: a.Checkpoint}
 	if t != nil {
 		p.task, p.resources = t, t.unit.resources()
 	} else {
@@ -142,6 +142,7 @@
 	if p.state == starting {
 		p.state, p.confirmed = running, asked
 	}
+	p.observeStill(a.Percent, asked)
 	if a.Percent != p.percent || p.firstAt.IsZero() {
 		p.percent, p.percentAt = a.Percent, now
 	}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -76,6 +76,8 @@
 	percentAt    time.Time // when the percent last changed
 	firstPercent int
 	firstAt      time.Time
+	listed       time.Time     // when the last report that lists the run was asked for
+	still        time.Duration // for how long reports have shown the same percent
 	checkpoint   string
 }
 
