Check rows and messages of jobs before they are used

Cause: a row of the inbox with a step after one that does not exist, or without steps, ended the owner with a panic, and each of its successors after it; a live row that can't be read kept all hosts from owning. Change: rows are checked as callers' jobs are, and passed over with a log line; so are jobs that a peer tells of. A row of a newer format still keeps this version from owning, since it would stop that job's tasks. TestBrokenRows failed before with the panic.

--- /dev/null
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -0,0 +1,188 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+var testQueue = queues.Queue{Name: "q", Service: "s", MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second}
+
+// listing is a list of workers that does not change.
+type listing []scheduler.WorkerInfo
+
+func (l listing) Follow(ctx context.Context, sink WorkerSink) {
+	sink.Listed(l)
+	<-ctx.Done()
+}
+
+type noAdvisers struct{}
+
+func (noAdvisers) Hosts() []string { return nil }
+
+func (noAdvisers) Ask(context.Context, string, workload.StepID, []string) (Advice, error) {
+	return Advice{}, nil
+}
+
+// noWorkers counts the renewals of the owner's own process and refuses all calls.
+type noWorkers struct{ calls *atomic.Int64 }
+
+func (w noWorkers) Renew(context.Context, scheduler.WorkerInfo, delegate.Renewal) (delegate.RenewalAnswer, error) {
+	w.calls.Add(1)
+	return delegate.RenewalAnswer{}, delegate.ErrEnded
+}
+
+func (noWorkers) Start(context.Context, delegate.StartCall) (scheduler.StartOutcome, error) {
+	return scheduler.RejectedUnhealthy, nil
+}
+
+func (noWorkers) Stop(context.Context, delegate.StopCall) error { return delegate.ErrEnded }
+
+// ownership is a coordinator that owns workers which only delegates call.
+type ownership struct {
+	*Coordinator
+	store  *rowstore.Memory
+	clock  func() time.Duration
+	held   *tenure.Tenure
+	calls  atomic.Int64
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func own(t *testing.T, store *rowstore.Memory, epoch int64, workers int) *ownership {
+	t.Helper()
+	began := time.Now()
+	o := &ownership{store: store, clock: func() time.Duration { return time.Hour + time.Since(began) }}
+	var list listing
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		list = append(list, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Born: 1,
+			Capacity: workload.Resources{CPUMilli: 4000, MemoryMB: 4000}})
+	}
+	held, err := tenure.Claim(t.Context(), store, tenure.Identity{Host: "owner", Boot: fmt.Sprint(epoch)}, tenure.Predecessor{Epoch: epoch}, o.clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.held = held
+	holder := queues.NewHolder()
+	holder.Offer(&queues.Config{Version: 1, Queues: []queues.Queue{testQueue}})
+	o.Coordinator = New(
+		Config{Delegate: delegate.Config{Lease: 4 * time.Second, GangTimeout: 3 * time.Second}, Retention: time.Minute},
+		Deps{Store: store, Queues: holder, Workers: noWorkers{&o.calls}, Advisers: noAdvisers{}, Discovery: list, Clock: o.clock,
+			Log: zap.NewNop(), Metrics: tally.NoopScope})
+	ctx, cancel := context.WithCancel(t.Context())
+	o.cancel = cancel
+	o.wg.Go(func() { _ = o.Run(ctx, held, func() bool { return false }) })
+	for o.current() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return o
+}
+
+func (o *ownership) end() {
+	o.cancel()
+	o.wg.Wait()
+}
+
+// host is a delegate that a test works by hand.
+type host struct {
+	o       *ownership
+	t       *testing.T
+	name    string
+	session string
+	after   int64
+	sent    int64
+	workers map[string]int64 // generation by worker
+	starts  []delegate.StartOrder
+	stops   []delegate.StopOrder
+}
+
+func (o *ownership) host(t *testing.T, name string) *host {
+	return &host{o: o, t: t, name: name, session: name + "-1", workers: map[string]int64{}}
+}
+
+// ask fetches orders and notes them.
+func (h *host) ask(events ...delegate.Event) error {
+	b, err := h.o.Orders(h.t.Context(), delegate.Request{Host: h.name, Session: h.session, Epoch: h.o.held.Epoch(), After: h.after,
+		Now: h.o.clock(), First: h.sent + 1, Events: events})
+	if err != nil {
+		return err
+	}
+	h.sent += int64(len(events))
+	h.after = b.Last
+	for _, o := range b.Orders {
+		switch {
+		case o.Assign != nil:
+			h.workers[o.Assign.Worker.ID] = o.Assign.Generation
+		case o.Release != "":
+			delete(h.workers, o.Release)
+		case o.Start != nil:
+			h.starts = append(h.starts, *o.Start)
+		case o.Stop != nil:
+			h.stops = append(h.stops, *o.Stop)
+		}
+	}
+	return nil
+}
+
+// attend asks for orders for a while and reports for each worker that it runs what the host has started.
+func (h *host) attend(d time.Duration) {
+	for limit := time.Now().Add(d); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		var events []delegate.Event
+		for id := range h.workers {
+			events = append(events, h.report(id))
+		}
+		if err := h.ask(events...); err != nil {
+			h.t.Errorf("%s: %v", h.name, err)
+			return
+		}
+	}
+}
+
+func (h *host) report(worker string, active ...scheduler.ActiveRun) delegate.Event {
+	now := h.o.clock()
+	return delegate.Event{WorkerID: worker, Generation: h.workers[worker],
+		Report: &delegate.Report{Born: 1, Asked: now, LeaseUntil: now + 5*time.Second, Active: active}}
+}
+
+func (h *host) started(s delegate.StartOrder, outcome scheduler.StartOutcome) delegate.Event {
+	now := h.o.clock()
+	return delegate.Event{WorkerID: s.WorkerID, Generation: s.Generation,
+		Started: &delegate.StartResult{Task: s.Task, Run: s.Run, At: now, LeaseUntil: now + 5*time.Second, Outcome: outcome}}
+}
+
+func (o *ownership) submit(id string, count int) {
+	spec := &workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(), Steps: []workload.Step{
+		{Count: count, Resources: workload.Resources{CPUMilli: 1000, MemoryMB: 100}, Estimate: time.Second}}}
+	o.TakeJob(spec)
+}
+
+// usedRow reads what a successor learns of the workers in use.
+func (o *ownership) usedRow(t *testing.T) records.UsedWorkers {
+	t.Helper()
+	row, ok, err := rowstore.ReadRow(t.Context(), o.store, records.WorkersKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var u records.UsedWorkers
+	if ok {
+		if err := records.Decode(row, &u); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return u
+}
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -70,15 +70,32 @@
 	t.jobsFrom = version
 	now := time.Now()
 	for _, r := range rows {
-		spec, err := workload.DecodeSpec(r.Value)
+		spec, err := readJob(r)
+		if errors.Is(err, workload.ErrFormat) {
+			return 0, err // a newer version's jobs run: this one must not stop them
+		}
 		if err != nil {
-			return 0, errors.Wrapf(err, "job %s", r.Name)
+			// An owner that stops here leaves all other jobs without one, and so would each of its successors.
+			t.log.Error("live job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+			continue
 		}
 		t.sched.AddJob(now, spec, progress[r.Name], true)
 	}
 	return len(rows), nil
 }
 
+// readJob reads the row of a job, and refuses one that could not have been accepted.
+func readJob(r rowstore.Row) (*workload.Spec, error) {
+	spec, err := workload.DecodeSpec(r.Value)
+	if err != nil {
+		return nil, err
+	}
+	if spec.ID != r.Name {
+		return nil, errors.Wrapf(workload.ErrInvalid, "the row has the job %s", spec.ID)
+	}
+	return spec, spec.Validate()
+}
+
 func (t *term) loadUsed(ctx context.Context) error {
 	rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, records.Workers, tenure.Part)
 	if err != nil {
@@ -142,7 +159,7 @@
 		if cancelled || r.Deleted || t.sched.Known(r.Name) {
 			continue
 		}
-		spec, err := workload.DecodeSpec(r.Value)
+		spec, err := readJob(r)
 		if err != nil {
 			t.log.Error("job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
 			continue
--- /dev/null
+++ b/internal/cluster/coordinator/load_test.go
@@ -0,0 +1,64 @@
+package coordinator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// brokenRows can't have been written by a daemon of this version: no steps, a step after one that does not exist, no JSON,
+// a job of another name.
+var brokenRows = map[string]string{
+	"b1": `{"v":1,"id":"b1","queue":{"Name":"q"}}`,
+	"b2": `{"v":1,"id":"b2","queue":{"Name":"q"},"steps":[{"n":1,"res":{}},{"n":1,"res":{},"after":[7]}]}`,
+	"b3": `{"v":1,"id":`,
+	"b4": `{"v":1,"id":"other","queue":{"Name":"q"},"steps":[{"n":1,"res":{}}]}`,
+	"b5": `{"v":1,"id":"b5","queue":{"Name":"q"},"steps":[{"n":-1,"res":{}}]}`,
+}
+
+func put(t *testing.T, store rowstore.Store, k rowstore.Key, value []byte) {
+	t.Helper()
+	if _, err := store.Commit(t.Context(), rowstore.Txn{Puts: []rowstore.Put{{Key: k, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against an owner, and each of its successors, that ends because of one row that can't be used.
+func TestBrokenRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given broken rows among the live jobs and in the inbox, and a sound job in both", t, func() {
+			store := rowstore.NewMemory()
+			for id, value := range brokenRows {
+				put(t, store, records.LiveKey(id), []byte(value))
+				put(t, store, records.JobKey(id+"-inbox", 0), []byte(value))
+			}
+			for _, id := range []string{"good-1", "good-2"} {
+				value, err := workload.EncodeSpec(&workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(),
+					Steps: []workload.Step{{Count: 1, Resources: workload.Resources{CPUMilli: 1000}}}})
+				So(err, ShouldBeNil)
+				key := records.LiveKey(id)
+				if id == "good-2" {
+					key = records.JobKey(id, 0)
+				}
+				put(t, store, key, value)
+			}
+			o := own(t, store, 0, 1)
+			defer o.end()
+			a := o.host(t, "a")
+			a.attend(time.Second)
+			Convey("the sound jobs are started", func() {
+				jobs := map[string]bool{}
+				for _, s := range a.starts {
+					jobs[s.Task.Job] = true
+				}
+				So(jobs, ShouldResemble, map[string]bool{"good-1": true, "good-2": true})
+			})
+		})
+	})
+}
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -153,6 +153,10 @@
 		return
 	}
 	if in.Job != nil {
+		if err := in.Job.Validate(); err != nil {
+			c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
+			return
+		}
 		s.coordinator.TakeJob(in.Job)
 	}
 	if in.Cancel != "" {
