Call the workers of the last delegate that is lost

Cause: when the only delegate fell silent, its workers kept it as theirs: they were given away only at the next change of the delegates. TestOwnerWithoutDelegates found it. Now a worker whose delegate has ended is looked at in every complete plan. Tests of the shares, of silent delegates, and of what a successor learns.

--- a/internal/cluster/coordinator/fleet.go
+++ b/internal/cluster/coordinator/fleet.go
@@ -81,7 +81,7 @@
 			f.assigned[info.ID] = a
 		}
 		f.update(a, info)
-		if a.holder == nil || !f.shared {
+		if a.holder == nil || a.holder.ended || !f.shared {
 			if h := choose(info); h != nil && h != a.holder {
 				f.assign(now, a, h)
 			}
--- /dev/null
+++ b/internal/cluster/coordinator/fleet_test.go
@@ -0,0 +1,218 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+)
+
+// Guards against orders that are lost with a silent delegate, and against a second run of what may run already.
+func TestSilentDelegate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a delegate that has got a start and falls silent before it has told the outcome", t, func() {
+			o := own(t, rowstore.NewMemory(), 0, 1)
+			defer o.end()
+			a, b := o.host(t, "a"), o.host(t, "b")
+			a.attend(400 * time.Millisecond)
+			o.submit("j1", 1)
+			a.attend(200 * time.Millisecond)
+			So(len(a.starts), ShouldEqual, 1)
+			_ = b.ask()
+			b.attend(3 * time.Second)
+			Convey("the start goes to another delegate with the same run, as one that may have been sent", func() {
+				So(len(b.starts), ShouldEqual, 1)
+				So(b.starts[0].Run, ShouldEqual, a.starts[0].Run)
+				So(b.starts[0].Task, ShouldResemble, a.starts[0].Task)
+				So(b.starts[0].Repeated, ShouldBeTrue)
+				So(b.stops, ShouldBeEmpty)
+			})
+			Convey("what the silent one tells later is not heard", func() {
+				So(a.ask(a.started(a.starts[0], scheduler.RejectedOther)), ShouldEqual, delegate.ErrEnded)
+				b.attend(time.Second)
+				So(len(b.starts), ShouldEqual, 1)
+			})
+			Convey("a run that is listed goes on and nothing is started for it again", func() {
+				s := b.starts[0]
+				So(b.ask(b.started(s, scheduler.StartAccepted)), ShouldBeNil)
+				for range 20 {
+					So(b.ask(b.report("w0", scheduler.ActiveRun{Task: s.Task, Run: s.Run})), ShouldBeNil)
+					time.Sleep(50 * time.Millisecond)
+				}
+				So(len(b.starts), ShouldEqual, 1)
+				So(b.stops, ShouldBeEmpty)
+			})
+		})
+	})
+}
+
+// Guards against a start that is repeated after its run was given up: the task runs elsewhere by then.
+func TestGivenUpStartIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a start without an outcome on a worker that has begun another life since", t, func() {
+			o := own(t, rowstore.NewMemory(), 0, 1)
+			defer o.end()
+			a, b := o.host(t, "a"), o.host(t, "b")
+			a.attend(400 * time.Millisecond)
+			o.submit("j1", 1)
+			a.attend(200 * time.Millisecond)
+			So(len(a.starts), ShouldEqual, 1)
+			reborn := a.report("w0")
+			reborn.Report.Born = 2
+			So(a.ask(reborn), ShouldBeNil)
+			_ = b.ask()
+			for limit := time.Now().Add(2 * time.Second); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+				_ = b.ask()
+			}
+			for _, s := range b.starts {
+				So(s.Repeated, ShouldBeFalse)
+				So(s.Born, ShouldEqual, 2)
+			}
+		})
+	})
+}
+
+// Guards against delegates that are taken for lost because the owner itself did not get to run.
+func TestOwnersPauseIsNoEvidence(t *testing.T) {
+	Convey("Given a delegate that called just before the owner was paused", t, func() {
+		began := time.Now()
+		f := &fleet{remote: map[string]*holder{"a": {host: "a", seen: began, ready: make(chan struct{}, 1)}}, silent: map[string]time.Time{},
+			checked: began, shared: true}
+		f.dropSilent(began.Add(5 * time.Second))
+		Convey("it is still one when the owner looks first, and is lost if it stays silent", func() {
+			So(len(f.remote), ShouldEqual, 1)
+			f.dropSilent(began.Add(5*time.Second + 100*time.Millisecond))
+			So(len(f.remote), ShouldEqual, 1)
+			f.remote["a"].seen = began.Add(5*time.Second + 150*time.Millisecond)
+			f.dropSilent(began.Add(5*time.Second + 900*time.Millisecond))
+			So(len(f.remote), ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against workers that nobody calls because no host attends the owner.
+func TestOwnerWithoutDelegates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner that would let other hosts call its workers", t, func() {
+			o := own(t, rowstore.NewMemory(), 0, 3)
+			defer o.end()
+			Convey("it calls them itself once none has attended for a while", func() {
+				time.Sleep(aloneTime / 2)
+				So(o.calls.Load(), ShouldEqual, 0)
+				time.Sleep(aloneTime)
+				So(o.calls.Load(), ShouldBeGreaterThanOrEqualTo, 3)
+			})
+			Convey("and also after its only delegate was lost", func() {
+				a := o.host(t, "a")
+				a.attend(time.Second)
+				So(len(a.workers), ShouldEqual, 3)
+				So(o.calls.Load(), ShouldEqual, 0)
+				time.Sleep(silentDelegate + 2*aloneTime)
+				So(o.calls.Load(), ShouldBeGreaterThanOrEqualTo, 3)
+			})
+		})
+	})
+}
+
+// Guards against events that count twice or are passed over when answers between the processes get lost.
+func TestEventsCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a delegate with a start", t, func() {
+			o := own(t, rowstore.NewMemory(), 0, 1)
+			defer o.end()
+			a := o.host(t, "a")
+			a.attend(400 * time.Millisecond)
+			o.submit("j1", 1)
+			a.attend(200 * time.Millisecond)
+			So(len(a.starts), ShouldEqual, 1)
+			Convey("a rejection that is delivered again does not undo the next start", func() {
+				d := delegate.Delivery{Host: "a", Session: a.session, Epoch: o.held.Epoch(), First: a.sent + 1,
+					Events: []delegate.Event{a.started(a.starts[0], scheduler.RejectedOther)}}
+				So(o.Deliver(d), ShouldBeNil)
+				a.sent++
+				a.attend(200 * time.Millisecond)
+				So(len(a.starts), ShouldEqual, 2)
+				d.Events[0] = a.started(a.starts[1], scheduler.RejectedOther)
+				So(o.Deliver(d), ShouldBeNil)
+				a.attend(200 * time.Millisecond)
+				So(len(a.starts), ShouldEqual, 2)
+			})
+			Convey("a gap in the events ends the session", func() {
+				So(o.Deliver(delegate.Delivery{Host: "a", Session: a.session, Epoch: o.held.Epoch(), First: a.sent + 2,
+					Events: []delegate.Event{a.report("w0")}}), ShouldEqual, delegate.ErrEnded)
+			})
+			Convey("events for an earlier epoch are refused", func() {
+				So(o.Deliver(delegate.Delivery{Host: "a", Session: a.session, Epoch: o.held.Epoch() - 1, First: a.sent + 1}),
+					ShouldEqual, delegate.ErrEnded)
+			})
+		})
+	})
+}
+
+// Guards against a successor that does not know that other hosts may still act for its predecessor.
+func TestDelegatesAreStoredBeforeTheyAct(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner with delegates", t, func() {
+			store := rowstore.NewMemory()
+			o := own(t, store, 0, 3)
+			a := o.host(t, "a")
+			for len(a.workers) == 0 {
+				So(a.ask(), ShouldBeNil)
+				time.Sleep(5 * time.Millisecond)
+			}
+			So(o.usedRow(t).Delegated, ShouldBeTrue)
+			a.attend(300 * time.Millisecond)
+			So(len(o.usedRow(t).IDs), ShouldEqual, 3)
+			o.end()
+			Convey("its successor counts their permits beside the leases", func() {
+				next := own(t, store, o.held.Epoch(), 3)
+				defer next.end()
+				time.Sleep(100 * time.Millisecond)
+				term := next.current()
+				So(term, ShouldNotBeNil)
+				So(term.inheritedBound(), ShouldEqual, delegate.PermitLimit+term.cfg.Delegate.LeaseBound())
+			})
+		})
+	})
+}
+
+// Load: 1,100 workers, and 18 hosts that come, go and come back. Guards against workers that move more than necessary, and
+// against shares that differ much.
+func TestSharesOfDelegates(t *testing.T) {
+	Convey("Given 1,100 workers and three hosts in each of six failure domains", t, func() {
+		var hosts []candidate
+		for i := range 18 {
+			hosts = append(hosts, candidate{fmt.Sprintf("host-%d", i), fmt.Sprintf("z%d", i%6)})
+		}
+		shares, before := map[string]int{}, map[string]string{}
+		for i := range 1100 {
+			id := fmt.Sprintf("i-%08x", i*7919)
+			h := pick(id, fmt.Sprintf("z%d", i%6), hosts)
+			before[id] = h
+			shares[h]++
+		}
+		Convey("each host has its share, and of its own failure domain", func() {
+			for _, h := range hosts {
+				So(shares[h.host], ShouldBeBetween, 1100/18*6/10, 1100/18*15/10)
+			}
+		})
+		Convey("only the workers of a host that goes move", func() {
+			for i := range 1100 {
+				id := fmt.Sprintf("i-%08x", i*7919)
+				now := pick(id, fmt.Sprintf("z%d", i%6), hosts[1:])
+				if before[id] != hosts[0].host {
+					So(now, ShouldEqual, before[id])
+				}
+			}
+		})
+		Convey("workers of a failure domain without hosts are shared by the others", func() {
+			So(pick("w", "elsewhere", hosts), ShouldNotBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -73,4 +73,4 @@
 
 // PermitLimit is the longest time for which a host may act for an owner after it asked for orders. A successor that knows
 // that the owner's process is gone still has to wait for it, so it is short; it covers a change of the owner.
-const PermitLimit = 3 * time.Second
+const PermitLimit = 2 * time.Second
