Store new jobs first, and forget ended ones in their own goroutine

Cause: a batch of records takes one commit for each 90 rows, and jobs that came meanwhile waited for all of them and for the next batch. A job's end wrote a removal for a progress row that most short jobs never had. Besides, ended jobs were forgotten between commits, 40 in 5 s with 80 transactions one after the other: at 150 jobs a second rows and memory grow without a bound.

Change: each commit of a batch begins with the jobs that came since; a job may start, and a final state is told, with the commit that stores it. Ends are acknowledged after the whole batch, as before. Ended jobs are forgotten every 30 s, up to 20,000 at once, part by part.

--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -55,7 +55,7 @@
 // ownership is a coordinator that owns workers which only delegates call.
 type ownership struct {
 	*Coordinator
-	store  *rowstore.Memory
+	store  rowstore.Store
 	clock  func() time.Duration
 	held   *tenure.Tenure
 	calls  atomic.Int64
@@ -64,6 +64,11 @@
 }
 
 func own(t *testing.T, store *rowstore.Memory, epoch int64, workers int) *ownership {
+	t.Helper()
+	return ownWith(t, store, epoch, workers)
+}
+
+func ownWith(t *testing.T, store rowstore.Store, epoch int64, workers int) *ownership {
 	t.Helper()
 	began := time.Now()
 	o := &ownership{store: store, clock: func() time.Duration { return time.Hour + time.Since(began) }}
--- /dev/null
+++ b/internal/cluster/coordinator/forget.go
@@ -0,0 +1,77 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+const (
+	// forgetInterval is how often rows of jobs whose retention has passed are removed, and forgetBatch how many jobs at most.
+	// A long interval lets one transaction remove the rows of many jobs of a part. Load: 150 jobs a second end.
+	forgetInterval = 30 * time.Second
+	forgetBatch    = 20_000
+)
+
+// forgetEnded removes the rows of ended jobs until ctx ends.
+func (t *term) forgetEnded(ctx context.Context) {
+	for wait.For(ctx, forgetInterval) {
+		t.forget(ctx)
+	}
+}
+
+// forget removes the rows of jobs whose retention has passed: those of the inbox first, so that no row is left that would
+// be taken for a new job.
+func (t *term) forget(ctx context.Context) {
+	t.mu.Lock()
+	ids := t.sched.Expired(time.Now(), forgetBatch)
+	t.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	if err := t.forgetInbox(ctx, ids); err != nil {
+		t.log.Warn("rows of ended jobs stay", zap.Int("jobs", len(ids)), asynclog.Error(err))
+		return
+	}
+	for some := range slices.Chunk(ids, maxEntries) {
+		ended := make([]rowstore.Key, len(some))
+		for i, id := range some {
+			ended[i] = records.EndedKey(id)
+		}
+		if err := t.tenure.Commit(ctx, nil, ended); err != nil {
+			t.log.Warn("states of ended jobs stay", zap.Int("jobs", len(some)), asynclog.Error(err))
+			return
+		}
+		t.mu.Lock()
+		t.sched.Forget(some)
+		t.mu.Unlock()
+	}
+	t.log.Info("ended jobs forgotten", zap.Int("jobs", len(ids)))
+}
+
+// forgetInbox removes the jobs and their cancellations from the inbox, part by part.
+func (t *term) forgetInbox(ctx context.Context, ids []string) error {
+	byPart := map[string][]rowstore.Key{}
+	for _, id := range ids {
+		for place := range records.Places {
+			job, cancel := records.JobKey(id, place), records.CancelKey(id, place)
+			byPart[job.Part] = append(byPart[job.Part], job, cancel)
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(byPart)) {
+		for keys := range slices.Chunk(byPart[part], rowstore.MaxTxnEntries) {
+			if _, err := t.deps.Store.Commit(ctx, rowstore.Txn{Removes: keys}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -29,17 +29,13 @@
 	// maxEntries and maxRecordBytes keep a commit within the store's limits; the head and the owner row come along.
 	maxEntries     = rowstore.MaxTxnEntries - 10
 	maxRecordBytes = rowstore.MaxTxnBytes / 4
-	// forgetInterval is how often rows of jobs whose retention has passed are removed, forgetBatch how many at once.
-	forgetInterval = 5 * time.Second
-	forgetBatch    = 40
-
-	retryFirst = 50 * time.Millisecond
-	retryLimit = 500 * time.Millisecond
+	retryFirst     = 50 * time.Millisecond
+	retryLimit     = 500 * time.Millisecond
 )
 
 // persist makes the progress of jobs durable and keeps the ownership confirmed, until ctx ends or it is lost.
 func (t *term) persist(ctx context.Context) {
-	lastCommit, lastForget := time.Now(), time.Now()
+	lastCommit := time.Now()
 	for ctx.Err() == nil && !t.tenure.Lost() {
 		due := time.Until(lastCommit.Add(tenure.BeatInterval))
 		batch := t.takeRecords()
@@ -51,11 +47,7 @@
 			break
 		}
 		lastCommit = time.Now()
-		t.persisted(batch.generation, batch.records)
-		if time.Since(lastForget) > forgetInterval {
-			lastForget = time.Now()
-			t.forget(ctx)
-		}
+		t.persisted(batch.generation)
 		wait.For(ctx, saveInterval)
 	}
 	t.wake()
@@ -99,18 +91,22 @@
 		return false
 	}
 	for first := true; first || len(changes) > 0; first = false {
-		var puts []rowstore.Put
-		var removes []rowstore.Key
-		size := 0
-		for len(changes) > 0 && len(puts)+len(removes)+changes[0].entries() <= maxEntries && size < maxRecordBytes {
-			puts = append(puts, changes[0].puts...)
-			removes = append(removes, changes[0].removes...)
-			size += changes[0].bytes()
+		if !first {
+			fresh, ok := t.encodeRecords(t.takeNew())
+			if !ok {
+				return false
+			}
+			changes = append(fresh, changes...)
+		}
+		var next chunk
+		for len(changes) > 0 && next.fits(changes[0]) {
+			next.add(changes[0])
 			changes = changes[1:]
 		}
-		if !t.commit(ctx, puts, removes) {
+		if !t.commit(ctx, next.puts, next.removes) {
 			return false
 		}
+		t.stored(next.records)
 	}
 	if b.used != nil {
 		t.mu.Lock()
@@ -121,10 +117,48 @@
 	return true
 }
 
+// takeNew returns jobs that came while a batch is being stored, at most half a commit of them.
+func (t *term) takeNew() []scheduler.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.TakeNew(maxEntries / 2)
+}
+
+// stored lets the tasks of new jobs start, and final states be told, as soon as their commit is durable.
+func (t *term) stored(recs []scheduler.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.Stored(recs)
+	t.wake()
+}
+
+// chunk is what one commit writes.
+type chunk struct {
+	puts    []rowstore.Put
+	removes []rowstore.Key
+	records []scheduler.Record
+	bytes   int
+}
+
+// fits reports whether the change may be added.
+func (k *chunk) fits(c change) bool {
+	return len(k.puts)+len(k.removes)+c.entries() <= maxEntries && k.bytes < maxRecordBytes
+}
+
+func (k *chunk) add(c change) {
+	k.puts = append(k.puts, c.puts...)
+	k.removes = append(k.removes, c.removes...)
+	k.bytes += c.bytes()
+	if c.record != nil {
+		k.records = append(k.records, *c.record)
+	}
+}
+
 // change holds the rows of one record, which are written together.
 type change struct {
 	puts    []rowstore.Put
 	removes []rowstore.Key
+	record  *scheduler.Record // nil for the workers in use
 }
 
 func (c change) entries() int { return len(c.puts) + len(c.removes) }
@@ -147,12 +181,19 @@
 		}
 		changes = append(changes, change{puts: []rowstore.Put{{Key: records.WorkersKey, Value: value}}})
 	}
-	for _, r := range b.records {
+	of, ok := t.encodeRecords(b.records)
+	return append(changes, of...), ok
+}
+
+func (t *term) encodeRecords(recs []scheduler.Record) ([]change, bool) {
+	changes := make([]change, 0, len(recs))
+	for _, r := range recs {
 		c, err := rowsOf(r)
 		if err != nil {
 			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
 			return nil, false
 		}
+		c.record = &r
 		changes = append(changes, c)
 	}
 	return changes, true
@@ -180,7 +221,10 @@
 		return c, nil
 	}
 	c.puts = append(c.puts, rowstore.Put{Key: records.EndedKey(r.JobID), Value: value})
-	c.removes = []rowstore.Key{records.LiveKey(r.JobID), records.ProgressKey(r.JobID)}
+	c.removes = []rowstore.Key{records.LiveKey(r.JobID)}
+	if r.ProgressStored {
+		c.removes = append(c.removes, records.ProgressKey(r.JobID))
+	}
 	return c, nil
 }
 
@@ -206,46 +250,10 @@
 	}
 }
 
-func (t *term) persisted(generation int64, recs []scheduler.Record) {
+func (t *term) persisted(generation int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sched.Persisted(generation, recs)
+	t.sched.Persisted(generation)
 	t.fleet.acknowledge()
 	t.wake()
 }
-
-// forget removes the rows of jobs whose retention has passed: those of the inbox first, so that no row is left that would
-// be taken for a new job.
-func (t *term) forget(ctx context.Context) {
-	t.mu.Lock()
-	ids := t.sched.Expired(time.Now(), forgetBatch)
-	t.mu.Unlock()
-	if len(ids) == 0 {
-		return
-	}
-	ended := make([]rowstore.Key, len(ids))
-	for i, id := range ids {
-		ended[i] = records.EndedKey(id)
-		if err := t.forgetJob(ctx, id); err != nil {
-			t.log.Warn("rows of ended jobs stay", zap.Int("jobs", len(ids)-i), asynclog.Error(err))
-			return
-		}
-	}
-	if err := t.tenure.Commit(ctx, nil, ended); err != nil {
-		t.log.Warn("states of ended jobs stay", zap.Int("jobs", len(ids)), asynclog.Error(err))
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sched.Forget(ids)
-}
-
-func (t *term) forgetJob(ctx context.Context, id string) error {
-	for place := range records.Places {
-		txn := rowstore.Txn{Removes: []rowstore.Key{records.JobKey(id, place), records.CancelKey(id, place)}}
-		if _, err := t.deps.Store.Commit(ctx, txn); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -144,6 +144,7 @@
 	t.loadInbox(ctx)
 	t.wg.Go(func() { t.deps.Discovery.Follow(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
+	t.wg.Go(func() { t.forgetEnded(ctx) })
 	t.wg.Go(func() { t.logUsage(ctx) })
 	var next time.Time // of the next complete plan
 	for ctx.Err() == nil {
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -99,7 +99,8 @@
 // confirm lets a commit end that began after everything that is known now.
 func (f *fixture) confirm() {
 	generation, records, _ := f.TakeRecords()
-	f.Persisted(generation, records)
+	f.Stored(records)
+	f.Persisted(generation)
 }
 
 // persist makes everything durable and returns the records.
@@ -109,7 +110,8 @@
 	for _, r := range records {
 		out[r.JobID] = r.Progress
 	}
-	f.Persisted(generation, records)
+	f.Stored(records)
+	f.Persisted(generation)
 	return out
 }
 
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -13,14 +13,12 @@
 	state       workload.State
 	shown       workload.State // the state that is durable
 	ended       time.Time
-	started     bool  // a task has started
-	inherited   bool  // an earlier owner may have started tasks
-	stored      bool  // the job itself is durable in the owner's part
-	learned     int64 // generation of records in which a new job was learned of
+	started     bool // a task has started
+	inherited   bool // an earlier owner may have started tasks
+	stored      bool // the job itself is durable in the owner's part
 	occurrences []*occurrence
-
-	writing           workload.State // state in the record that is being written
-	writingGeneration int64
+	// progressStored tells that the owner's part may have a row of the job's progress.
+	progressStored bool
 }
 
 type occurrence struct {
@@ -122,7 +120,7 @@
 
 // record returns what has to be written of the job.
 func (j *job) record() Record {
-	r := Record{JobID: j.spec.ID, Progress: j.progress()}
+	r := Record{JobID: j.spec.ID, Progress: j.progress(), ProgressStored: j.progressStored, state: j.state}
 	if j.state.Final() {
 		return r
 	}
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -76,12 +76,12 @@
 }
 
 // blocked reports whether tasks of the unit may run under the order of another owner: of an earlier one whose workers have
-// not reported, or of a later one, as long as no commit has shown that there was none when the job was learned of.
+// not reported, or of a later one, as long as no commit of the job has shown that there is none.
 func (s *Scheduler) blocked(u *unit) bool {
 	if u.job.inherited {
 		return len(s.unresolved) > 0
 	}
-	return u.job.learned > s.confirmed
+	return !u.job.stored
 }
 
 // latestStart is when a unit has to start for its job to meet its objective.
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -45,25 +45,64 @@
 	JobID    string
 	Spec     *workload.Spec     // nil if it is durable already or not needed any more
 	Progress *workload.Progress // nil if there is none yet
+	// ProgressStored tells that an earlier record of the job has stored progress.
+	ProgressStored bool
+
+	state workload.State
 }
 
-// TakeRecords returns the progress of all jobs that changed since the last call, the generation that Persisted names once
-// they are durable, and whether a commit is needed: for them, for acknowledgements that wait, or to confirm the ownership
-// after new jobs were learned of.
+// urgency orders records: callers' new jobs wait to be started, and ended ones to be told. Progress is only for a successor.
+func (r Record) urgency() int {
+	switch {
+	case r.Spec != nil:
+		return 0
+	case r.state.Final():
+		return 1
+	}
+	return 2
+}
+
+// TakeRecords returns the progress of all jobs that changed since the last call, the most urgent records first, the
+// generation that Persisted names once they are durable, and whether a commit is needed: for them or for acknowledgements
+// that wait.
 func (s *Scheduler) TakeRecords() (int64, []Record, bool) {
-	needed := len(s.dirty) > 0 || s.learned > s.confirmed || s.acksWait()
+	needed := len(s.dirty) > 0 || s.acksWait()
 	records := make([]Record, 0, len(s.dirty))
 	for j := range s.dirty {
 		records = append(records, j.record())
-		j.writing = j.state
-		j.writingGeneration = s.generation
 	}
 	clear(s.dirty)
-	sort.Slice(records, func(a, b int) bool { return records[a].JobID < records[b].JobID })
+	s.arrived = nil
+	sortRecords(records)
 	s.generation++
 	return s.generation - 1, records, needed
 }
 
+// TakeNew returns records of jobs that came after the last TakeRecords, at most limit. Load: while the store is slow, the
+// progress of hundreds of jobs takes seconds to store; new jobs would wait for all of it before they start.
+func (s *Scheduler) TakeNew(limit int) []Record {
+	var records []Record
+	for len(s.arrived) > 0 && len(records) < limit {
+		j := s.arrived[0]
+		s.arrived = s.arrived[1:]
+		if _, dirty := s.dirty[j]; dirty && !j.stored {
+			delete(s.dirty, j)
+			records = append(records, j.record())
+		}
+	}
+	sortRecords(records)
+	return records
+}
+
+func sortRecords(records []Record) {
+	sort.Slice(records, func(a, b int) bool {
+		if ua, ub := records[a].urgency(), records[b].urgency(); ua != ub {
+			return ua < ub
+		}
+		return records[a].JobID < records[b].JobID
+	})
+}
+
 func (s *Scheduler) acksWait() bool {
 	for _, w := range s.sorted {
 		if len(w.acks) > 0 {
@@ -73,20 +112,31 @@
 	return false
 }
 
-// Persisted tells that the records of a generation and of all before it are durable, by a commit that began after
-// TakeRecords. Ends that they cover may be acknowledged to the workers. The commit also shows that nobody else had claimed
-// the ownership when it was applied, so a successor will find the jobs that were known then.
-func (s *Scheduler) Persisted(generation int64, records []Record) {
-	s.confirmed = max(s.confirmed, generation)
-	s.planConfirmed()
+// Stored tells that records are durable, by a commit of this owner. The commit also shows that nobody else had claimed the
+// ownership when it was applied, so a successor will find the jobs and their tasks may start.
+func (s *Scheduler) Stored(records []Record) {
 	for _, r := range records {
-		if j := s.jobs[r.JobID]; j != nil && j.writingGeneration <= generation {
-			j.shown, j.stored = j.writing, true
-			if j.shown.Final() {
-				j.forgetTasks()
+		j := s.jobs[r.JobID]
+		if j == nil {
+			continue
+		}
+		j.shown = r.state
+		j.progressStored = j.progressStored || r.Progress != nil
+		if !j.stored {
+			j.stored = true
+			for _, o := range j.occurrences {
+				s.planOccurrence(o)
 			}
 		}
+		if j.shown.Final() {
+			j.forgetTasks()
+		}
 	}
+}
+
+// Persisted tells that all records of a generation and of those before it are durable. Ends that they cover may be
+// acknowledged to the workers.
+func (s *Scheduler) Persisted(generation int64) {
 	for _, w := range s.sorted {
 		w.acknowledge(generation)
 	}
@@ -98,18 +148,6 @@
 	j.spec = &workload.Spec{ID: j.spec.ID, Queue: queues.Queue{Name: j.spec.Queue.Name}, Accepted: j.spec.Accepted}
 }
 
-// planConfirmed lets the jobs be planned that a commit has just confirmed.
-func (s *Scheduler) planConfirmed() {
-	n := 0
-	for n < len(s.unconfirmed) && s.unconfirmed[n].learned <= s.confirmed {
-		for _, o := range s.unconfirmed[n].occurrences {
-			s.planOccurrence(o)
-		}
-		n++
-	}
-	s.unconfirmed = s.unconfirmed[n:]
-}
-
 func (s *Scheduler) planOccurrence(o *occurrence) {
 	if o == nil {
 		return
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -46,11 +46,8 @@
 	unresolved map[string]time.Time
 
 	dirty      map[*job]struct{}
-	generation int64 // of the records that are gathered now
-	confirmed  int64 // the last generation that was committed
-	learned    int64 // the generation in which the last new job was learned of
-	// new jobs that wait for the commit of the generation in which they were learned of, in the order of generations
-	unconfirmed []*job
+	generation int64  // of the records that are gathered now
+	arrived    []*job // new jobs of which no record was taken, and a few of which one was
 
 	stops     []Stop
 	durations map[string]*durationRatio // by queue
@@ -134,8 +131,7 @@
 	}
 	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, shown: workload.Queued, inherited: inherited, stored: inherited}
 	if !inherited {
-		j.learned, s.learned = s.generation, s.generation
-		s.unconfirmed = append(s.unconfirmed, j)
+		s.arrived = append(s.arrived, j)
 		s.dirty[j] = struct{}{}
 	}
 	if q, ok := s.queues.ByName(spec.Queue.Name); ok {
@@ -145,6 +141,7 @@
 	j.occurrences = make([]*occurrence, spec.Occurrences())
 	s.timed[j] = struct{}{}
 	if progress != nil {
+		j.progressStored = true
 		s.restore(j, progress)
 	}
 	s.openDue(j, now)
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -78,7 +78,8 @@
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 		So(f.Plan(t0).Starts, ShouldBeEmpty)
 		Convey("That commit does not show that the owner still was one when it learned of the job", func() {
-			f.Persisted(generation, records)
+			f.Stored(records)
+			f.Persisted(generation)
 			So(f.Plan(t0).Starts, ShouldBeEmpty)
 		})
 		Convey("A commit that begins later does, and is asked for", func() {
@@ -86,7 +87,8 @@
 			So(needed, ShouldBeTrue)
 			So(records, ShouldHaveLength, 1)
 			So(records[0].Spec.ID, ShouldEqual, "j")
-			f.Persisted(generation, records)
+			f.Stored(records)
+			f.Persisted(generation)
 			So(f.Plan(t0).Starts, ShouldHaveLength, 1)
 		})
 	})
