Let live jobs that begin together share a row

Cause: a commit of the owner has 100 entries, and a job took three of them: its live row, its final state, the removal of its live row. TestBurstFitsOneCommit plays 300 jobs during a commit of 400 ms; it fails with one job a row.

--- a/internal/cluster/coordinator/forget.go
+++ b/internal/cluster/coordinator/forget.go
@@ -34,6 +34,7 @@
 	t.mu.Lock()
 	ids := t.sched.Expired(time.Now(), forgetBatch)
 	t.mu.Unlock()
+	ids = slices.DeleteFunc(ids, t.packs.shared)
 	if len(ids) == 0 {
 		return
 	}
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -70,6 +70,12 @@
 	t.jobsFrom = version
 	now := time.Now()
 	for _, r := range rows {
+		if records.IsPack(r.Key) {
+			if err := t.loadPack(now, r, progress); err != nil {
+				return 0, err
+			}
+			continue
+		}
 		spec, err := readJob(r)
 		if errors.Is(err, workload.ErrFormat) {
 			return 0, err // a newer version's jobs run: this one must not stop them
@@ -84,6 +90,27 @@
 	return len(rows), nil
 }
 
+// loadPack reads live jobs that share a row. Those of them that have ended are known already.
+func (t *term) loadPack(now time.Time, r rowstore.Row, progress map[string]*workload.Progress) error {
+	specs, err := workload.DecodePack(r.Value)
+	if errors.Is(err, workload.ErrFormat) {
+		return err
+	}
+	if err != nil {
+		t.log.Error("live jobs can't be read", zap.String("row", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+		return nil
+	}
+	t.packs.read(r.Key, specs, t.sched.Known)
+	for _, spec := range specs {
+		if err := spec.Validate(); err != nil {
+			t.log.Error("live job can't be used", zap.String("job", spec.ID), zap.String("row", r.Name), asynclog.Error(err))
+			continue
+		}
+		t.sched.AddJob(now, spec, progress[spec.ID], true)
+	}
+	return nil
+}
+
 // readJob reads the row of a job, and refuses one that could not have been accepted.
 func readJob(r rowstore.Row) (*workload.Spec, error) {
 	spec, err := workload.DecodeSpec(r.Value)
--- /dev/null
+++ b/internal/cluster/coordinator/packs_test.go
@@ -0,0 +1,125 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/tenure"
+)
+
+// packRows returns the rows that several live jobs share.
+func packRows(t *testing.T, store rowstore.Store) int {
+	t.Helper()
+	rows, _, err := rowstore.ReadAll(t.Context(), store, records.Live, tenure.Part)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, r := range rows {
+		if records.IsPack(r.Key) {
+			n++
+		}
+	}
+	return n
+}
+
+// finish ends a run on its worker.
+func (h *host) finish(s delegate.StartOrder) {
+	if err := h.ask(h.started(s, scheduler.StartAccepted)); err != nil {
+		h.t.Fatal(err)
+	}
+	r := h.report(s.WorkerID)
+	r.Report.Ended = []scheduler.EndedRun{{Number: 1, Task: s.Task, Run: s.Run, How: scheduler.EndDone}}
+	if err := h.ask(r); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// Guards against a job that runs again under a successor: it has ended, its state is no longer told, and the row that it
+// shares with a job that goes on is still there.
+func TestSharedRowKeepsEndedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given two jobs that share a row, of which one has ended long ago", t, func() {
+			store := rowstore.NewMemory()
+			o := own(t, store, 0, 2)
+			a := o.host(t, "a")
+			a.attend(400 * time.Millisecond)
+			o.submit("j-long", 1)
+			o.submit("j-short", 1)
+			a.attend(200 * time.Millisecond)
+			So(packRows(t, store), ShouldEqual, 1)
+			So(len(a.starts), ShouldEqual, 2)
+			var long delegate.StartOrder
+			for _, s := range a.starts {
+				if s.Task.Job == "j-short" {
+					a.finish(s)
+				} else {
+					long = s
+				}
+			}
+			So(a.ask(a.started(long, scheduler.StartAccepted)), ShouldBeNil)
+			for limit := time.Now().Add(3 * time.Minute); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
+				So(a.ask(a.report(long.WorkerID, scheduler.ActiveRun{Task: long.Task, Run: long.Run, Percent: int(time.Until(limit).Seconds())})), ShouldBeNil)
+			}
+			o.end()
+			Convey("a successor starts neither again, and goes on with the other", func() {
+				next := own(t, store, o.held.Epoch(), 2)
+				defer next.end()
+				b := next.host(t, "b")
+				for len(b.workers) < 2 {
+					So(b.ask(), ShouldBeNil)
+				}
+				for id := range b.workers {
+					r := b.report(id)
+					if id == long.WorkerID {
+						r = b.report(id, scheduler.ActiveRun{Task: long.Task, Run: long.Run})
+					}
+					So(b.ask(r), ShouldBeNil)
+				}
+				time.Sleep(200 * time.Millisecond)
+				So(b.ask(b.report(long.WorkerID, scheduler.ActiveRun{Task: long.Task, Run: long.Run})), ShouldBeNil)
+				So(b.starts, ShouldBeEmpty)
+				So(b.stops, ShouldBeEmpty)
+			})
+		})
+	})
+}
+
+// Load: 300 jobs that come within a moment while a commit takes 400 ms, the burst of a large fleet while the store is 80
+// times slower. Guards against jobs that wait for several commits because each takes an entry of its own.
+func TestBurstFitsOneCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner with a slow store and much room", t, func() {
+			store := &delayedStore{Memory: rowstore.NewMemory()}
+			o := ownWith(t, store, 0, 100)
+			defer o.end()
+			a := o.host(t, "a")
+			a.attend(400 * time.Millisecond)
+			store.latency = 400 * time.Millisecond
+			for i := range 300 {
+				o.submit(fmt.Sprintf("j%d", i), 1)
+			}
+			a.attend(1300 * time.Millisecond)
+			Convey("all have started after the commit on its way and their own", func() {
+				So(len(a.starts), ShouldEqual, 300)
+			})
+			Convey("and their rows are gone once all have ended", func() {
+				store.latency = 0
+				So(packRows(t, store.Memory), ShouldBeGreaterThan, 0)
+				for i := range 300 {
+					o.TakeCancel(fmt.Sprintf("j%d", i))
+				}
+				a.attend(time.Second)
+				So(packRows(t, store.Memory), ShouldEqual, 0)
+			})
+		})
+	})
+}
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -149,16 +149,14 @@
 	k.puts = append(k.puts, c.puts...)
 	k.removes = append(k.removes, c.removes...)
 	k.bytes += c.bytes()
-	if c.record != nil {
-		k.records = append(k.records, *c.record)
-	}
+	k.records = append(k.records, c.records...)
 }
 
 // change holds the rows of one record, which are written together.
 type change struct {
 	puts    []rowstore.Put
 	removes []rowstore.Key
-	record  *scheduler.Record // nil for the workers in use
+	records []scheduler.Record // none for the workers in use
 }
 
 func (c change) entries() int { return len(c.puts) + len(c.removes) }
@@ -187,21 +185,40 @@
 
 func (t *term) encodeRecords(recs []scheduler.Record) ([]change, bool) {
 	changes := make([]change, 0, len(recs))
+	var fresh []scheduler.Record
+	for _, r := range recs {
+		if packable(r) {
+			fresh = append(fresh, r)
+		}
+	}
+	for _, together := range group(fresh) {
+		c, err := t.packs.add(t.tenure.Epoch(), together)
+		if err != nil {
+			t.log.Error("jobs can't be encoded", zap.Int("jobs", len(together)), asynclog.Error(err))
+			return nil, false
+		}
+		changes = append(changes, c)
+	}
+	if empty := t.packs.takeEmpty(); len(empty) > 0 {
+		changes = append(changes, change{removes: empty})
+	}
 	for _, r := range recs {
-		c, err := rowsOf(r)
+		if packable(r) {
+			continue
+		}
+		c, err := t.rowsOf(r)
 		if err != nil {
 			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
 			return nil, false
 		}
-		c.record = &r
 		changes = append(changes, c)
 	}
 	return changes, true
 }
 
 // rowsOf returns the rows of a record. An ended job leaves the tables of live jobs.
-func rowsOf(r scheduler.Record) (change, error) {
-	var c change
+func (t *term) rowsOf(r scheduler.Record) (change, error) {
+	c := change{records: []scheduler.Record{r}}
 	if r.Spec != nil {
 		value, err := workload.EncodeSpec(r.Spec)
 		if err != nil {
@@ -221,7 +238,7 @@
 		return c, nil
 	}
 	c.puts = append(c.puts, rowstore.Put{Key: records.EndedKey(r.JobID), Value: value})
-	c.removes = []rowstore.Key{records.LiveKey(r.JobID)}
+	c.removes = t.packs.end(r.JobID)
 	if r.ProgressStored {
 		c.removes = append(c.removes, records.ProgressKey(r.JobID))
 	}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -48,6 +48,7 @@
 	// pending is the number of waiting jobs by queue when it was last counted.
 	pending   map[string]int
 	pendingAt time.Time
+	packs     *packs
 	// delegated tells that other hosts may act for this owner, or may still act for an earlier one; a successor has to wait
 	// for their permits. No worker is given to a host before that is stored.
 	delegated          bool
@@ -70,6 +71,7 @@
 		log:      c.deps.Log.With(zap.Int64("epoch", held.Epoch())),
 		sched:    scheduler.New(scheduler.Config{Epoch: held.Epoch(), Retention: c.cfg.Retention}),
 		used:     map[string]bool{},
+		packs:    newPacks(),
 		meters:   newMeters(c.deps.Metrics),
 		began:    time.Now(),
 		planSoon: make(chan struct{}, 1),
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -73,6 +73,16 @@
 	return rowstore.Key{Table: Live, Part: tenure.Part, Name: id}
 }
 
+const packPrefix = "pack/"
+
+// PackKey is a row of several live jobs that an owner has stored together.
+func PackKey(epoch, number int64) rowstore.Key {
+	return LiveKey(packPrefix + strconv.FormatInt(epoch, 10) + "/" + strconv.FormatInt(number, 10))
+}
+
+// IsPack reports whether a row of the table Live holds several jobs.
+func IsPack(k rowstore.Key) bool { return strings.HasPrefix(k.Name, packPrefix) }
+
 // EndedKey is the row of an ended job's state.
 func EndedKey(id string) rowstore.Key {
 	return rowstore.Key{Table: Ended, Part: tenure.Part, Name: id}
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -196,6 +196,29 @@
 	return s.Spec, nil
 }
 
+// storedPack are jobs that share a row.
+type storedPack struct {
+	Format int     `json:"v"`
+	Jobs   []*Spec `json:"jobs"`
+}
+
+// EncodePack returns the stored form of several jobs.
+func EncodePack(jobs []*Spec) ([]byte, error) {
+	return json.Marshal(storedPack{SpecFormat, jobs})
+}
+
+// DecodePack reads what EncodePack made.
+func DecodePack(data []byte) ([]*Spec, error) {
+	var p storedPack
+	if err := json.Unmarshal(data, &p); err != nil {
+		return nil, errors.Wrap(err, "decode jobs")
+	}
+	if p.Format > SpecFormat {
+		return nil, errors.Wrapf(ErrFormat, "jobs, format %d", p.Format)
+	}
+	return p.Jobs, nil
+}
+
 // EncodeProgress returns the stored form of a job's progress.
 func EncodeProgress(p *Progress) ([]byte, error) {
 	p.Format = ProgressFormat
