--- a/cmd/greengaged/main.go
+++ b/cmd/greengaged/main.go
@@ -10,8 +10,8 @@
 )
 
 func main() {
-	if len(os.Args) == 2 && os.Args[1] == "platform" {
-		os.Exit(platform.Main())
+	if len(os.Args) > 1 && os.Args[1] == "platform" {
+		os.Exit(platform.Main(os.Args[2:]))
 	}
 	os.Exit(daemon.Main(os.Args[1:]))
 }
