Start a worker's new life at the answer that shows it

Cause: a delegate that learned of a worker's restart from its answer went on acknowledging ends by the numbers of the life before, and sent starts that were meant for it, until the owner's order about the new life came, up to 0.1 s later. Change: the answer resets both at once. TestRebornWorkerKeepsItsEnds failed before in both its checks.

--- a/internal/cluster/delegate/agent_test.go
+++ b/internal/cluster/delegate/agent_test.go
@@ -130,6 +130,32 @@
 	})
 }
 
+// Guards against ends that a worker forgets before anyone has seen them: after its restart they are numbered anew, and the
+// number of the last end of the earlier life acknowledged them.
+func TestRebornWorkerKeepsItsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a worker whose ends up to 57 are durable, which restarts under its id", t, func() {
+			f := newAgentFixture(t.Context())
+			defer f.Close()
+			f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", LastEnd: 57}}})
+			time.Sleep(2 * time.Second)
+			So(f.workers.acked(), ShouldEqual, 57)
+			f.workers.restart()
+			time.Sleep(2 * time.Second)
+			Convey("its ends are not acknowledged before the owner has told of its new life", func() {
+				So(f.workers.acked(), ShouldEqual, 0)
+				So(f.started(), ShouldBeEmpty)
+			})
+			Convey("a start that was meant for the earlier life is not sent", func() {
+				f.Apply([]Order{startOn("w1", 0)})
+				time.Sleep(10 * time.Millisecond)
+				_, starts, _ := f.workers.counts()
+				So(starts, ShouldEqual, 0)
+			})
+		})
+	})
+}
+
 // Guards against a lease that is extended while nobody knows whether the worker lives: what runs there has to lapse.
 func TestSilentWorkerIsNotExtended(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -46,6 +46,8 @@
 	starts  []string
 	stops   []string
 	highest int64 // deadline
+	last    int64 // number of the last end that a renewal acknowledged
+	born    int64 // 0: 1
 	ended   []scheduler.EndedRun
 }
 
@@ -55,6 +57,18 @@
 	w.silent = silent
 }
 
+func (w *fakeWorkers) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born = 2
+}
+
+func (w *fakeWorkers) acked() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last
+}
+
 func (w *fakeWorkers) counts() (renews, starts, stops int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -65,7 +79,8 @@
 	w.mu.Lock()
 	w.renews++
 	w.highest = max(w.highest, r.Deadline)
-	silent, ended := w.silent, w.ended
+	w.last = r.LastEnd
+	silent, ended, born := w.silent, w.ended, max(w.born, 1)
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -78,7 +93,7 @@
 			return RenewalAnswer{}, ctx.Err()
 		}
 	}
-	return RenewalAnswer{ClockMS: 1000, Born: 1, Ended: ended}, nil
+	return RenewalAnswer{ClockMS: 1000, Born: born, Ended: ended}, nil
 }
 
 func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error) {
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -92,6 +92,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failing = false
+	if a.Born > r.info.Born {
+		// The ends of a new life are numbered anew, and nothing that was ordered before is meant for it.
+		r.info.Born, r.lastEnd = a.Born, 0
+	}
 	r.clock = workerClock{known: true, ms: a.ClockMS, read: r.a.deps.Clock()}
 	r.once.Do(func() { close(r.ready) })
 }
