Hand workers over to delegates that attend late

Cause: an owner that called its workers itself looked for their delegate once when one joined; at that moment the flag that a successor needs was not stored yet, and the workers stayed. Only the next change of the delegates moved them. Found in reading; TestOwnerWithoutDelegates has a case that failed. Now the sharing is repeated until no worker waits.

--- a/internal/cluster/coordinator/fleet.go
+++ b/internal/cluster/coordinator/fleet.go
@@ -73,6 +73,7 @@
 	f.dropSilent(now)
 	listed := make(map[string]bool, len(workers))
 	choose := f.chooser(now, len(workers))
+	settled := true // no worker waits for its delegate
 	for _, info := range workers {
 		listed[info.ID] = true
 		a := f.assigned[info.ID]
@@ -82,12 +83,14 @@
 		}
 		f.update(a, info)
 		if a.holder == nil || a.holder.ended || !f.shared {
-			if h := choose(info); h != nil && h != a.holder {
+			h := choose(info)
+			settled = settled && h != nil
+			if h != nil && h != a.holder {
 				f.assign(now, a, h)
 			}
 		}
 	}
-	f.shared = true
+	f.shared = settled
 	for id, a := range f.assigned {
 		if !listed[id] {
 			a.release()
--- a/internal/cluster/coordinator/fleet_test.go
+++ b/internal/cluster/coordinator/fleet_test.go
@@ -108,6 +108,12 @@
 				time.Sleep(aloneTime)
 				So(o.calls.Load(), ShouldBeGreaterThanOrEqualTo, 3)
 			})
+			Convey("and gives them to the first that attends later", func() {
+				time.Sleep(2 * aloneTime)
+				a := o.host(t, "a")
+				a.attend(time.Second)
+				So(len(a.workers), ShouldEqual, 3)
+			})
 			Convey("and also after its only delegate was lost", func() {
 				a := o.host(t, "a")
 				a.attend(time.Second)
