Attend a new owner as soon as it can answer

Cause: a host that asked a new owner before it had read its jobs waited a second to ask again, and one whose call hung at a silent owner learned of the next one up to 0.6 s late; meanwhile the new owner called all workers itself. Both lengthened each takeover of a large fleet. TestNewOwnerIsAskedAgainSoon and TestNewOwnerIsAttendedAtOnce failed before.

--- a/internal/cluster/delegate/attend.go
+++ b/internal/cluster/delegate/attend.go
@@ -41,10 +41,12 @@
 	// maxDelivery bounds the events of one call.
 	maxDelivery = 500
 
-	// unwantedPause is the time between two questions whether an owner wants this host.
-	unwantedPause = time.Second
-	attendCheck   = 20 * time.Millisecond
-	leaveTimeout  = 300 * time.Millisecond
+	// unwantedPause is the time between two questions whether an owner wants this host, and unansweredPause the same while it
+	// does not answer them.
+	unwantedPause   = time.Second
+	unansweredPause = 60 * time.Millisecond
+	attendCheck     = 20 * time.Millisecond
+	leaveTimeout    = 300 * time.Millisecond
 )
 
 // Pace returns the least time between two calls of a delegate if an owner has so many of them.
@@ -78,29 +80,31 @@
 			wait.For(ctx, attendCheck)
 			continue
 		}
-		if !at.attend(ctx, owner) {
-			at.pause(ctx, owner)
+		wanted, err := at.attend(ctx, owner)
+		switch {
+		case err != nil: // an owner that has just claimed reads its jobs first
+			at.pause(ctx, owner, unansweredPause)
+		case !wanted:
+			at.pause(ctx, owner, unwantedPause)
 		}
 	}
 }
 
 // pause waits until the owner may be asked again, or is another one.
-func (at *Attender) pause(ctx context.Context, owner Owner) {
-	for limit := time.Now().Add(unwantedPause); time.Now().Before(limit) && wait.For(ctx, attendCheck); {
-		if now, ok := at.Owner(); !ok || now != owner {
-			return
-		}
-	}
+func (at *Attender) pause(ctx context.Context, owner Owner, d time.Duration) {
+	pauseCtx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	at.awaitOther(pauseCtx, owner)
 }
 
 // attend serves an owner until it does not want this host any more, can't be reached while the permit lasts, or is replaced.
-// It returns false if the owner did not want the host at all.
-func (at *Attender) attend(ctx context.Context, owner Owner) bool {
+// It returns false if the owner did not want the host at all, and an error if it did not answer.
+func (at *Attender) attend(ctx context.Context, owner Owner) (bool, error) {
 	at.sessions++
 	s := &session{at: at, owner: owner, id: at.Boot + "-" + strconv.Itoa(at.sessions), ready: make(chan struct{}, 1)}
 	first, err := s.ask(ctx)
 	if err != nil || !first.Wanted {
-		return false
+		return false, err
 	}
 	at.Deps.Log.Info("attending the owner", zap.String("addr", owner.Addr), zap.Int64("epoch", owner.Epoch), zap.String("session", s.id))
 	sessionCtx, cancel := context.WithCancel(ctx)
@@ -108,16 +112,29 @@
 	s.agent = NewAgent(sessionCtx, at.Config, at.Deps, owner.Epoch, s.valid, s.emit)
 	defer s.agent.Close()
 	defer at.workers.Store(0)
-	var delivering sync.WaitGroup
-	defer delivering.Wait()
+	var duties sync.WaitGroup
+	defer duties.Wait()
 	defer cancel()
-	delivering.Go(func() { s.deliver(sessionCtx) })
-	reason := s.follow(ctx, first)
+	duties.Go(func() { s.deliver(sessionCtx) })
+	duties.Go(func() {
+		at.awaitOther(sessionCtx, owner)
+		cancel() // a call to a silent owner must not delay the next one
+	})
+	reason := s.follow(sessionCtx, first)
 	at.Deps.Log.Info("no longer attending the owner", zap.Int64("epoch", owner.Epoch), zap.String("session", s.id), zap.String("reason", reason))
 	if ctx.Err() != nil {
 		s.leave()
 	}
-	return true
+	return true, nil
+}
+
+// awaitOther waits until the owner is another one, or none.
+func (at *Attender) awaitOther(ctx context.Context, owner Owner) {
+	for wait.For(ctx, attendCheck) {
+		if now, ok := at.Owner(); !ok || now != owner {
+			return
+		}
+	}
 }
 
 // session is the work for one owner.
@@ -177,7 +194,7 @@
 			wait.For(ctx, time.Duration(s.pace.Load()))
 		}
 		if ctx.Err() != nil {
-			return "the daemon stops"
+			return "the daemon stops, or another one owns the workers"
 		}
 		next, err := s.ask(ctx)
 		switch {
@@ -191,9 +208,6 @@
 		case !s.valid():
 			return "the permit has run out"
 		}
-		if now, ok := s.at.Owner(); !ok || now != s.owner {
-			return "another daemon owns the workers"
-		}
 		if failures == 0 && ctx.Err() == nil {
 			s.at.Deps.Log.Warn("owner does not answer its delegate", zap.String("addr", s.owner.Addr), asynclog.Error(err))
 		}
--- a/internal/cluster/delegate/attend_test.go
+++ b/internal/cluster/delegate/attend_test.go
@@ -97,6 +97,44 @@
 	})
 }
 
+// Guards against a takeover that takes a second longer because the hosts ask a new owner before it has read its jobs.
+func TestNewOwnerIsAskedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner that can't answer its delegates for 0.4 s yet", t, func() {
+			a := attendFrom(t.Context(), func(o *fakeOwner) { o.ended = true })
+			defer a.end()
+			a.owner.order(assign("w1"))
+			time.Sleep(400 * time.Millisecond)
+			a.owner.change(func() { a.owner.ended = false })
+			time.Sleep(150 * time.Millisecond)
+			Convey("its workers are called 0.15 s later", func() {
+				renews, _, _ := a.workers.counts()
+				So(renews, ShouldBeGreaterThan, 0)
+			})
+		})
+	})
+}
+
+// Guards against a takeover that waits for calls to the owner before it, which is silent.
+func TestNewOwnerIsAttendedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a delegate whose owner has fallen silent", t, func() {
+			a := attend(t.Context())
+			defer a.end()
+			a.owner.order(assign("w1"))
+			time.Sleep(time.Second)
+			a.owner.change(func() { a.owner.away = true })
+			time.Sleep(300 * time.Millisecond)
+			Convey("it attends the next one as soon as it learns of it", func() {
+				a.epoch.Store(testEpoch + 1)
+				a.owner.change(func() { a.owner.away = false })
+				time.Sleep(100 * time.Millisecond)
+				So(len(a.owner.sessions), ShouldEqual, 2)
+			})
+		})
+	})
+}
+
 // Guards against a delegate that goes on for an owner which has been replaced.
 func TestSessionEndsWithTheOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -169,10 +170,13 @@
 		if more {
 			break
 		}
+		if ctx.Err() != nil {
+			return Batch{}, errNoAnswer
+		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ended {
+	if o.ended || int(r.After) > len(o.orders) {
 		return Batch{}, ErrEnded
 	}
 	o.sessions[r.Session] = true
@@ -226,14 +230,20 @@
 	owner   *fakeOwner
 	workers *fakeWorkers
 	clock   *testClock
+	epoch   atomic.Int64 // of the owner that the host knows
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
-func attend(ctx context.Context) *attendance {
+func attend(ctx context.Context) *attendance { return attendFrom(ctx, func(*fakeOwner) {}) }
+
+// attendFrom lets prepare set the owner up first.
+func attendFrom(ctx context.Context, prepare func(*fakeOwner)) *attendance {
 	a := &attendance{owner: newFakeOwner(), workers: &fakeWorkers{}, clock: newTestClock(), done: make(chan struct{})}
+	a.epoch.Store(testEpoch)
+	prepare(a.owner)
 	at := &Attender{Config: testConfig, Deps: Deps{Client: a.workers, Clock: a.clock.since, Log: zap.NewNop()}, Client: a.owner,
-		Host: "h1", Boot: "b1", Owner: func() (Owner, bool) { return Owner{Addr: "o", Boot: "ob", Epoch: testEpoch}, true }}
+		Host: "h1", Boot: "b1", Owner: func() (Owner, bool) { return Owner{Addr: "o", Boot: "ob", Epoch: a.epoch.Load()}, true }}
 	runCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
 	go func() {
