--- a/internal/cluster/coordinator/attend.go
+++ b/internal/cluster/coordinator/attend.go
@@ -150,13 +150,13 @@
 		t.sched.CallFailed(now, e.WorkerID, h.lease(e.Silence.LeaseUntil))
 	case e.Started != nil:
 		r := e.Started
-		delete(a.starts, runKey{r.Task.String(), r.Run})
+		delete(a.starts, runKey{r.Task, r.Run})
 		t.meters.starts.Done(r.Outcome.String(), now.Add(-r.Took))
 		t.sched.StartDone(now, scheduler.StartResult{Task: r.Task, Run: r.Run, Worker: e.WorkerID, Outcome: r.Outcome,
 			At: h.time(r.At), LeaseUntil: h.lease(r.LeaseUntil)})
 	case e.Stopped != nil:
 		r := e.Stopped
-		delete(a.stops, runKey{r.Task.String(), r.Run})
+		delete(a.stops, runKey{r.Task, r.Run})
 		t.sched.StopDone(h.time(r.At), e.WorkerID, r.Task, r.Run)
 	}
 }
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -158,6 +159,14 @@
 	}
 }
 
+// takeStart lets the owner order one start, of a new job.
+func (h *host) takeStart() {
+	h.attend(400 * time.Millisecond)
+	h.o.submit("j1", 1)
+	h.attend(200 * time.Millisecond)
+	So(len(h.starts), ShouldEqual, 1)
+}
+
 func (h *host) report(worker string, active ...scheduler.ActiveRun) delegate.Event {
 	now := h.o.clock()
 	return delegate.Event{WorkerID: worker, Generation: h.workers[worker],
--- a/internal/cluster/coordinator/fleet.go
+++ b/internal/cluster/coordinator/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // runKey names a run on a worker.
 type runKey struct {
-	task string
+	task workload.TaskID
 	run  int64
 }
 
@@ -234,7 +235,7 @@
 	}
 	o := delegate.StartOrder{Task: s.Task, Run: s.Run, WorkerID: s.Worker.ID, Born: s.Worker.Born, Generation: a.generation, Payload: s.Payload,
 		Checkpoint: s.Checkpoint, Ticket: s.Ticket, Waited: s.Waited}
-	a.starts[runKey{s.Task.String(), s.Run}] = o
+	a.starts[runKey{s.Task, s.Run}] = o
 	a.holder.send(delegate.Order{Start: &o})
 	return true
 }
@@ -245,7 +246,7 @@
 		return // what ran in that life has ended with it
 	}
 	o := delegate.StopOrder{Task: s.Task, Run: s.Run, WorkerID: s.Worker.ID, Born: s.Worker.Born, Generation: a.generation, Reason: s.Reason}
-	a.stops[runKey{s.Task.String(), s.Run}] = o
+	a.stops[runKey{s.Task, s.Run}] = o
 	if a.holder != nil {
 		a.holder.send(delegate.Order{Stop: &o})
 	}
--- a/internal/cluster/coordinator/fleet_test.go
+++ b/internal/cluster/coordinator/fleet_test.go
@@ -20,10 +20,7 @@
 			o := own(t, rowstore.NewMemory(), 0, 1)
 			defer o.end()
 			a, b := o.host(t, "a"), o.host(t, "b")
-			a.attend(400 * time.Millisecond)
-			o.submit("j1", 1)
-			a.attend(200 * time.Millisecond)
-			So(len(a.starts), ShouldEqual, 1)
+			a.takeStart()
 			_ = b.ask()
 			b.attend(3 * time.Second)
 			Convey("the start goes to another delegate with the same run, as one that may have been sent", func() {
@@ -59,10 +56,7 @@
 			o := own(t, rowstore.NewMemory(), 0, 1)
 			defer o.end()
 			a, b := o.host(t, "a"), o.host(t, "b")
-			a.attend(400 * time.Millisecond)
-			o.submit("j1", 1)
-			a.attend(200 * time.Millisecond)
-			So(len(a.starts), ShouldEqual, 1)
+			a.takeStart()
 			reborn := a.report("w0")
 			reborn.Report.Born = 2
 			So(a.ask(reborn), ShouldBeNil)
@@ -133,10 +127,7 @@
 			o := own(t, rowstore.NewMemory(), 0, 1)
 			defer o.end()
 			a := o.host(t, "a")
-			a.attend(400 * time.Millisecond)
-			o.submit("j1", 1)
-			a.attend(200 * time.Millisecond)
-			So(len(a.starts), ShouldEqual, 1)
+			a.takeStart()
 			Convey("a rejection that is delivered again does not undo the next start", func() {
 				d := delegate.Delivery{Host: "a", Session: a.session, Epoch: o.held.Epoch(), First: a.sent + 1,
 					Events: []delegate.Event{a.started(a.starts[0], scheduler.RejectedOther)}}
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -184,13 +184,21 @@
 }
 
 func (t *term) encodeRecords(recs []scheduler.Record) ([]change, bool) {
-	changes := make([]change, 0, len(recs))
 	var fresh []scheduler.Record
+	var single []change
 	for _, r := range recs {
 		if packable(r) {
 			fresh = append(fresh, r)
+			continue
+		}
+		c, err := t.rowsOf(r)
+		if err != nil {
+			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
+			return nil, false
 		}
+		single = append(single, c)
 	}
+	changes := make([]change, 0, len(recs))
 	for _, together := range group(fresh) {
 		c, err := t.packs.add(t.tenure.Epoch(), together)
 		if err != nil {
@@ -202,18 +210,7 @@
 	for some := range slices.Chunk(t.packs.takeEmpty(), maxEntries) {
 		changes = append(changes, change{removes: some})
 	}
-	for _, r := range recs {
-		if packable(r) {
-			continue
-		}
-		c, err := t.rowsOf(r)
-		if err != nil {
-			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
-			return nil, false
-		}
-		changes = append(changes, c)
-	}
-	return changes, true
+	return append(changes, single...), true
 }
 
 // rowsOf returns the rows of a record. An ended job leaves the tables of live jobs.
--- a/internal/cluster/delegate/attend.go
+++ b/internal/cluster/delegate/attend.go
@@ -34,6 +34,9 @@
 	OrdersWait     = 250 * time.Millisecond
 	ordersTimeout  = OrdersWait + 350*time.Millisecond
 	deliverTimeout = 500 * time.Millisecond
+	// ownerRetryFirst and ownerRetryLimit are shorter than those of workers: the permit goes on running out meanwhile.
+	ownerRetryFirst = 12500 * time.Microsecond
+	ownerRetryLimit = 125 * time.Millisecond
 	// paceEach is the part of the pace that each delegate of an owner adds, and paceFloor the least pace: an owner answers
 	// about a thousand calls of its delegates a second, however many there are.
 	paceEach  = time.Millisecond
@@ -164,7 +167,7 @@
 	defer cancel()
 	asked := s.at.Deps.Clock()
 	r := s.request(asked)
-	r.First, r.Events = s.take()
+	r.First, r.Events = s.take(false)
 	s.setWaiting(len(r.Events) == 0)
 	b, err := s.at.Client.Orders(callCtx, s.owner.Addr, r)
 	s.setWaiting(false)
@@ -211,7 +214,7 @@
 		if failures == 0 && ctx.Err() == nil {
 			s.at.Deps.Log.Warn("owner does not answer its delegate", zap.String("addr", s.owner.Addr), asynclog.Error(err))
 		}
-		wait.For(ctx, wait.Backoff(retryFirst/4, retryLimit/4, failures))
+		wait.For(ctx, wait.Backoff(ownerRetryFirst, ownerRetryLimit, failures))
 		failures++
 	}
 }
@@ -241,7 +244,7 @@
 	for failures := 0; ctx.Err() == nil; {
 		wait.ForOrSignal(ctx, OrdersWait, s.ready)
 		wait.For(ctx, time.Duration(s.pace.Load())/2)
-		first, events := s.takeWhileWaiting()
+		first, events := s.take(true)
 		if len(events) == 0 {
 			continue
 		}
@@ -250,7 +253,7 @@
 		cancel()
 		s.carried(len(events), err)
 		if err != nil {
-			wait.For(ctx, wait.Backoff(retryFirst/4, retryLimit/4, failures))
+			wait.For(ctx, wait.Backoff(ownerRetryFirst, ownerRetryLimit, failures))
 			failures++
 			continue
 		}
@@ -259,24 +262,11 @@
 }
 
 // take returns the events that the next call carries and the number of the first one. There are none while another call
-// carries some, so that the owner gets them in order.
-func (s *session) take() (int64, []Event) {
+// carries some, so that the owner gets them in order, and for a call beside the one for orders while that does not wait.
+func (s *session) take(beside bool) (int64, []Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.takeLocked()
-}
-
-func (s *session) takeWhileWaiting() (int64, []Event) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.waiting {
-		return 0, nil
-	}
-	return s.takeLocked()
-}
-
-func (s *session) takeLocked() (int64, []Event) {
-	if s.carrying || len(s.events) == 0 {
+	if s.carrying || len(s.events) == 0 || beside && !s.waiting {
 		return 0, nil
 	}
 	s.carrying = true
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -256,7 +256,7 @@
 // fits returns how many tasks of the size fit into free.
 func fits(free, size workload.Resources) int {
 	n := 1 << 20
-	for _, d := range [...][2]int64{{free.CPUMilli, size.CPUMilli}, {free.MemoryMB, size.MemoryMB}, {free.Accelerators, size.Accelerators}} {
+	for _, d := range free.Pairs(size) {
 		if d[1] > 0 {
 			n = min(n, int(max(d[0], 0)/d[1]))
 		}
--- a/internal/cluster/scheduler/expected.go
+++ b/internal/cluster/scheduler/expected.go
@@ -30,9 +30,7 @@
 // expectedTasks is how many tasks of the size the expected ones count for.
 func (w *worker) expectedTasks(size workload.Resources) float64 {
 	tasks := 0.0
-	for _, d := range [...][2]int64{
-		{w.expected.CPUMilli, size.CPUMilli}, {w.expected.MemoryMB, size.MemoryMB}, {w.expected.Accelerators, size.Accelerators},
-	} {
+	for _, d := range w.expected.Pairs(size) {
 		if d[1] > 0 {
 			tasks = max(tasks, float64(d[0])/float64(d[1]))
 		}
@@ -41,8 +39,8 @@
 }
 
 // freeAt is the room that a worker is expected to have at a later time: what is free now, and what runs that are being
-// stopped or, by their progress, are about to end leave. Load: questions that take as long as a third of a task; a gang that asked only for room
-// that is free already would leave it empty meanwhile.
+// stopped or, by their progress, are about to end leave. Load: questions that take as long as a third of a task; a gang that
+// asked only for room that is free already would leave it empty meanwhile.
 func (w *worker) freeAt(later time.Time) workload.Resources {
 	free := w.free()
 	for _, p := range w.placements {
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -35,6 +35,11 @@
 	return o.CPUMilli <= r.CPUMilli && o.MemoryMB <= r.MemoryMB && o.Accelerators <= r.Accelerators
 }
 
+// Pairs returns the amounts of r with those of o, resource by resource.
+func (r Resources) Pairs(o Resources) [3][2]int64 {
+	return [...][2]int64{{r.CPUMilli, o.CPUMilli}, {r.MemoryMB, o.MemoryMB}, {r.Accelerators, o.Accelerators}}
+}
+
 // Step is a group of equal tasks of a job.
 type Step struct {
 	Count          int           `json:"n"`
