Name the incarnation in acknowledgements of ended runs

Cause: an acknowledgement that is on its way to a delegate when the worker restarts carries a number of the earlier process. The delegate passed it on to the new process, which forgot ends that the owner had not stored. If the owner was then lost, its successor started tasks again that were done.

Change: an acknowledgement names the incarnation and is ignored for another one; a description of an earlier incarnation no longer replaces a newer one; the loop's log line reads the worker's ID without the lock's state.

TestLateOrdersForEarlierIncarnation fails before (the restarted worker was told to forget its ends up to 57) and passes now.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -141,7 +141,7 @@
 	}
 	as.generation++
 	a.executor, a.generation = ex, as.generation
-	a.lastAckedEnd = as.t.sched.LastDurableEnd(a.info.ID)
+	a.lastAckedEnd = as.t.sched.LastDurableEnd(a.info.ID, a.info.Incarnation)
 	ex.send(delegate.Order{Assign: a.assignOrder()})
 	for k, s := range a.stops {
 		delete(a.starts, k) // a run that is being stopped need not be started
@@ -264,9 +264,9 @@
 // sendAcks tells the executors which ended runs they may acknowledge to the workers, since their records are durable.
 func (as *assigner) sendAcks() {
 	for id, a := range as.assignments {
-		if end := as.t.sched.LastDurableEnd(id); end > a.lastAckedEnd && a.executor != nil {
+		if end := as.t.sched.LastDurableEnd(id, a.info.Incarnation); end > a.lastAckedEnd && a.executor != nil {
 			a.lastAckedEnd = end
-			a.executor.send(delegate.Order{Ack: &delegate.Ack{WorkerID: id, LastAckedEnd: end}})
+			a.executor.send(delegate.Order{Ack: &delegate.Ack{WorkerID: id, Incarnation: a.info.Incarnation, LastAckedEnd: end}})
 		}
 	}
 }
--- a/internal/cluster/delegate/agent.go
+++ b/internal/cluster/delegate/agent.go
@@ -72,7 +72,7 @@
 			a.wg.Go(func() { a.stop(*o.Stop) })
 		case o.Ack != nil:
 			if r := a.renewer(o.Ack.WorkerID); r != nil {
-				r.acknowledge(o.Ack.LastAckedEnd)
+				r.acknowledge(*o.Ack)
 			}
 		}
 	}
@@ -86,7 +86,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
-	r := &leaseRenewer{a: a, cancel: cancel, acks: make(chan struct{}, 1), ready: make(chan struct{}), info: as.Worker, generation: as.Generation, durableEnd: as.LastAckedEnd}
+	r := &leaseRenewer{a: a, id: as.Worker.ID, cancel: cancel, acks: make(chan struct{}, 1), ready: make(chan struct{}), info: as.Worker, generation: as.Generation, durableEnd: as.LastAckedEnd}
 	a.renewers[as.Worker.ID] = r
 	a.wg.Go(func() { r.run(ctx) })
 }
--- a/internal/cluster/delegate/agent_test.go
+++ b/internal/cluster/delegate/agent_test.go
@@ -137,7 +137,7 @@
 		Convey("Given a worker with ended runs acknowledged up to number 57 that restarts under the same id", t, func() {
 			f := newAgentFixture(t.Context())
 			defer f.Close()
-			f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", LastAckedEnd: 57}}})
+			f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", Incarnation: 1, LastAckedEnd: 57}}})
 			time.Sleep(2 * time.Second)
 			So(f.workers.acked(), ShouldEqual, 57)
 			f.workers.restart()
@@ -156,6 +156,30 @@
 	})
 }
 
+// Guards against ends that a restarted worker forgets before they are stored: an acknowledgement, or an entry of the list of
+// workers, that was on its way when the worker restarted refers to the numbers of the earlier process.
+func TestLateOrdersForEarlierIncarnation(t *testing.T) {
+	for name, late := range map[string]Order{
+		"acknowledgement": {Ack: &Ack{WorkerID: "w1", Incarnation: 1, LastAckedEnd: 57}},
+		"assignment":      {Assign: &Assignment{Worker: scheduler.WorkerInfo{ID: "w1", Incarnation: 1}, Generation: 1, LastAckedEnd: 57}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newAgentFixture(t.Context())
+				defer f.Close()
+				time.Sleep(time.Second)
+				f.workers.restart()
+				time.Sleep(time.Second)
+				f.Apply([]Order{late})
+				time.Sleep(2 * time.Second)
+				if acked := f.workers.acked(); acked != 0 {
+					t.Errorf("the restarted worker was told to forget its ends up to %d", acked)
+				}
+			})
+		})
+	}
+}
+
 // Guards against extending the lease of a worker that does not answer: the tasks that run there have to expire.
 func TestLeaseOfSilentWorkerIsNotExtended(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -49,9 +49,11 @@
 	Reason      string          `json:"reason"`
 }
 
-// Ack means that the owner has stored a worker's ended runs up to the number LastAckedEnd.
+// Ack means that the owner has stored the ended runs of a worker's incarnation up to the number LastAckedEnd. Each incarnation
+// numbers its ends anew.
 type Ack struct {
 	WorkerID     string `json:"worker"`
+	Incarnation  int64  `json:"born"`
 	LastAckedEnd int64  `json:"last_end"`
 }
 
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -40,6 +40,7 @@
 // leaseRenewer renews the lease of one worker and receives its reports.
 type leaseRenewer struct {
 	a      *Agent
+	id     string // of the worker
 	cancel context.CancelFunc
 	acks   chan struct{} // signalled when more ended runs are acknowledged
 	ready  chan struct{} // closed on the first answer, when the worker's clock is known
@@ -63,20 +64,28 @@
 }
 
 // updateAssignment takes over a changed description of the worker. If the worker has restarted, its clock and the
-// acknowledgements of its earlier incarnation are dropped.
+// acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the known one, only
+// the generation is taken over.
 func (r *leaseRenewer) updateAssignment(as Assignment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if as.Worker.Incarnation != r.info.Incarnation {
+	if as.Worker.Incarnation < r.info.Incarnation {
+		r.generation = as.Generation
+		return
+	}
+	if as.Worker.Incarnation > r.info.Incarnation {
 		r.clock = workerClock{}
 		r.durableEnd = 0
 	}
 	r.info, r.generation, r.durableEnd = as.Worker, as.Generation, max(r.durableEnd, as.LastAckedEnd)
 }
 
-func (r *leaseRenewer) acknowledge(end int64) {
+// acknowledge notes which ends the worker may forget, unless they belong to another incarnation: each numbers its ends anew.
+func (r *leaseRenewer) acknowledge(a Ack) {
 	r.mu.Lock()
-	r.durableEnd = max(r.durableEnd, end)
+	if a.Incarnation == r.info.Incarnation {
+		r.durableEnd = max(r.durableEnd, a.LastAckedEnd)
+	}
 	r.mu.Unlock()
 	wait.Signal(r.acks)
 }
@@ -132,7 +141,7 @@
 		}
 		if err != nil {
 			if failures == 0 {
-				r.a.log.Warn("worker does not answer", zap.String("worker", r.info.ID), asynclog.Error(err))
+				r.a.log.Warn("worker does not answer", zap.String("worker", r.id), asynclog.Error(err))
 			}
 			wait.For(ctx, wait.Backoff(minRetryDelay, maxRetryDelay, failures))
 			failures++
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -161,9 +161,9 @@
 	}
 }
 
-// LastDurableEnd returns the number of the last end that the worker may forget, because it is durable.
-func (s *Scheduler) LastDurableEnd(workerID string) int64 {
-	if w := s.workers[workerID]; w != nil {
+// LastDurableEnd returns the number of the last end that this incarnation of the worker may forget, because it is durable.
+func (s *Scheduler) LastDurableEnd(workerID string, incarnation int64) int64 {
+	if w := s.workers[workerID]; w != nil && w.info.Incarnation == incarnation {
 		return w.lastDurableEnd
 	}
 	return 0
