Refuse at once during an outage, and hold callers that can't come back

Cause: while the store answers nobody, a refusal took 300 ms, since each route was tried with a backoff although the breaker was open. Probes followed one after the other, 0.8 s apart, so the breaker closed up to 0.7 s after the store had returned, and the last attempts of callers were refused in vain.

Change: with the breaker open one peer is asked, and none for 300 ms after one has failed; then the change is refused at once. A caller that has less than a second left, the least Retry-After, waits for the store instead: no write is sent for it before the store answers, so a refusal stays true. Probes overlap, one read every 150 ms. The breaker no longer says that the store answers when it has only given up probing.

--- a/internal/cluster/frontend/breaker.go
+++ b/internal/cluster/frontend/breaker.go
@@ -19,13 +19,14 @@
 	// maxUnanswered is the number of consecutive commits without an answer after which the store is probed. A store that loses
 	// three answers in ten often loses two in a row; that costs only the probe.
 	maxUnanswered = 2
-	// probePartitions is how many partitions of the inbox a probe reads, since sometimes only some partitions of the store
-	// are unavailable.
+	// probePartitions is how many partitions of the inbox the first probe reads, since sometimes only some partitions of the
+	// store are unavailable.
 	probePartitions = 4
 	// probeTimeout is the timeout of a probe's reads. A store that answers 60 times slower than usual takes half a second.
 	probeTimeout = 700 * time.Millisecond
-	// probeInterval is the delay between probes. It is short, so that jobs are accepted again soon after the store recovers.
-	probeInterval = 100 * time.Millisecond
+	// probeInterval is the time between the starts of two probes. It is shorter than probeTimeout, since a read that was sent
+	// during an outage may not be answered after it, and jobs should be accepted again soon after the store recovers.
+	probeInterval = 150 * time.Millisecond
 	// maxProbeDuration is how long the store is probed. After that the breaker closes, and the next commits without an answer
 	// start new probes.
 	maxProbeDuration = time.Minute
@@ -44,6 +45,7 @@
 	mu         sync.Mutex
 	unanswered int // consecutive commits without an answer
 	probing    bool
+	closed     chan struct{} // is closed when the breaker closes; nil while it is closed
 }
 
 // recordOutcome counts the outcome of a write and starts the probes after maxUnanswered consecutive writes without an answer.
@@ -61,36 +63,91 @@
 	}
 }
 
-// probe reads from the store until it answers. The first probe without an answer opens the breaker; an answer closes it.
+// probe opens the breaker if the store does not answer a first probe, and closes it when the store answers a later one.
 func (b *breaker) probe() {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), maxProbeDuration)
 	defer cancel()
-	for ctx.Err() == nil && !b.storeAnswers(ctx) {
-		if b.open.CompareAndSwap(false, true) {
-			b.log.Warn("the store does not answer, jobs are refused at once")
+	if !b.storeAnswers(ctx) {
+		b.trip()
+		b.log.Warn("the store does not answer, jobs are refused at once")
+		if b.awaitAnswer(ctx) {
+			b.log.Info("the store answers again, jobs are accepted", zap.Duration("took", time.Since(began)))
+		} else {
+			b.log.Warn("the store still does not answer, writes are tried again", zap.Duration("took", time.Since(began)))
 		}
-		wait.For(ctx, probeInterval)
-	}
-	if b.open.CompareAndSwap(true, false) {
-		b.log.Info("the store answers again, jobs are accepted", zap.Duration("took", time.Since(began)))
 	}
+	b.reset()
+}
+
+// trip opens the breaker.
+func (b *breaker) trip() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = make(chan struct{})
+	b.open.Store(true)
+}
+
+// reset closes the breaker and ends the probes.
+func (b *breaker) reset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.open.CompareAndSwap(true, false) {
+		close(b.closed)
+		b.closed = nil
+	}
 	b.probing, b.unanswered = false, 0
 }
 
-// storeAnswers reports whether the store answers a read of at least one of probePartitions partitions.
-func (b *breaker) storeAnswers(ctx context.Context) bool {
+// awaitClosed waits until the breaker is closed, but at most for limit. It returns false if ctx ends first.
+func (b *breaker) awaitClosed(ctx context.Context, limit time.Duration) bool {
+	b.mu.Lock()
+	closed := b.closed
+	b.mu.Unlock()
+	if closed == nil {
+		return true
+	}
+	return wait.ForOrSignal(ctx, limit, closed)
+}
+
+// awaitAnswer reads from the store every probeInterval, a different partition each time, and returns true as soon as it answers
+// one of the reads. It returns false when ctx ends.
+func (b *breaker) awaitAnswer(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan struct{}, 1)
+	partitions := records.InboxPartitions()
+	for n := 0; ; n++ {
+		partition := partitions[n*len(partitions)/probePartitions%len(partitions)]
+		go func() {
+			if b.partitionAnswers(ctx, partition) {
+				wait.Signal(answered)
+			}
+		}()
+		select {
+		case <-answered:
+			return true
+		case <-time.After(probeInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// partitionAnswers reports whether the store answers a read of the partition within probeTimeout.
+func (b *breaker) partitionAnswers(ctx context.Context, partition string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	_, err := b.store.Read(ctx, rowstore.Range{Table: records.Inbox, Partition: partition, Limit: 1})
+	return err == nil
+}
+
+// storeAnswers reports whether the store answers a read of at least one of probePartitions partitions.
+func (b *breaker) storeAnswers(ctx context.Context) bool {
 	partitions := records.InboxPartitions()
 	answered := make(chan bool, probePartitions)
 	for i := range probePartitions {
-		go func() {
-			_, err := b.store.Read(ctx, rowstore.Range{Table: records.Inbox, Partition: partitions[i*len(partitions)/probePartitions], Limit: 1})
-			answered <- err == nil
-		}()
+		go func() { answered <- b.partitionAnswers(ctx, partitions[i*len(partitions)/probePartitions]) }()
 	}
 	for range probePartitions {
 		if <-answered {
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -67,6 +68,8 @@
 	notifySlots chan struct{} // semaphore that holds a value for each notification in progress
 	routeHealth routeHealth
 	breaker     breaker
+	// peersFailedUntil is until when no peer is asked to store a change during an outage, in nanoseconds since 1970.
+	peersFailedUntil atomic.Int64
 
 	mu            sync.Mutex
 	pendingCounts map[string]pendingCount
--- /dev/null
+++ b/internal/cluster/frontend/outage_test.go
@@ -0,0 +1,129 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
+	"github.com/greengagewing/greengagewing/internal/cluster/election"
+	"github.com/greengagewing/greengagewing/internal/cluster/peers"
+	"github.com/greengagewing/greengagewing/internal/cluster/records"
+	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// silentStore is a store that leaves calls without an answer while it is silent.
+type silentStore struct {
+	*rowstore.Memory
+	silent atomic.Bool
+}
+
+func (s *silentStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return 0, rowstore.ErrUnknownOutcome
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+func (s *silentStore) Read(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return rowstore.Page{}, rowstore.ErrUnavailable
+	}
+	return s.Memory.Read(ctx, r)
+}
+
+func newOutageService(store rowstore.Store) *JobService {
+	return New(Deps{Store: rowstore.NewAdaptiveStore(store, nil), Roster: peers.NewRoster(zap.NewNop()), Log: zap.NewNop(),
+		Metrics: tally.NoopScope, Watch: election.NewWatch(zap.NewNop()), Coordinator: coordinator.New(coordinator.Config{}, coordinator.Deps{})})
+}
+
+// outageCaller submits a job as callers do: it comes back after a refusal while it has time and attempts left.
+type outageCaller struct {
+	id       string
+	deadline time.Time
+	outcome  error
+	slowest  time.Duration // longest time until a refusal while there was time to come back
+}
+
+func (c *outageCaller) run(f *JobService) {
+	const attempts = 5
+	for range attempts {
+		ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+		began := time.Now()
+		c.outcome = f.Submit(ctx, &workload.Spec{ID: c.id, Steps: []workload.Step{{Count: 1}}})
+		cancel()
+		left := time.Until(c.deadline)
+		if !errors.Is(c.outcome, ErrNotAccepted) || left <= 0 {
+			return
+		}
+		if left > MinRetryAfter {
+			c.slowest = max(c.slowest, time.Since(began))
+		}
+		time.Sleep(min(MinRetryAfter, left*2/5))
+	}
+}
+
+// Guards against callers that are not served although the store returns before their deadlines, and against refusals that come
+// late: while the store is known to be silent, a caller with time to come back is refused at once, and one without waits. The
+// load is 40 jobs a second with deadlines of 3 s and four retries, and a store that answers nobody for 4.2 s.
+func TestCallersDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage, patience, detection = 4200 * time.Millisecond, 3 * time.Second, 1200 * time.Millisecond
+		store := &silentStore{Memory: rowstore.NewMemory()}
+		f := newOutageService(store)
+		began := time.Now()
+		time.AfterFunc(time.Second, func() { store.silent.Store(true) })
+		recovery := began.Add(time.Second + outage)
+		time.AfterFunc(time.Second+outage, func() { store.silent.Store(false) })
+		var callers []*outageCaller
+		var wg sync.WaitGroup
+		for n := range 240 {
+			c := &outageCaller{id: fmt.Sprintf("%016x", n), deadline: time.Now().Add(patience)}
+			callers = append(callers, c)
+			wg.Go(func() { c.run(f) })
+			time.Sleep(25 * time.Millisecond)
+		}
+		wg.Wait()
+		saveable, served := 0, 0
+		for _, c := range callers {
+			arrived := c.deadline.Add(-patience)
+			if arrived.Sub(began) > time.Second+detection && c.slowest > 20*time.Millisecond {
+				t.Errorf("job %s was refused after %s, want at once", c.id, c.slowest)
+			}
+			if errors.Is(c.outcome, ErrNotAccepted) && store.hasJob(c.id) {
+				t.Errorf("job %s was refused, but it is stored", c.id)
+			}
+			if c.deadline.Sub(recovery) > 400*time.Millisecond {
+				saveable++
+				if c.outcome == nil {
+					served++
+				}
+			}
+		}
+		if served < saveable*95/100 {
+			t.Errorf("%d of %d callers were served whose deadlines were 400 ms or more after the outage", served, saveable)
+		}
+		time.Sleep(2 * probeTimeout) // let probes end
+	})
+}
+
+// hasJob reports whether the job is stored in one of its partitions.
+func (s *silentStore) hasJob(id string) bool {
+	for alternative := range records.AlternativePartitions {
+		if _, ok, _ := rowstore.ReadRow(context.Background(), s.Memory, records.JobKey(id, alternative)); ok {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cluster/frontend/store.go
+++ b/internal/cluster/frontend/store.go
@@ -111,6 +111,13 @@
 func (s *JobService) storeChange(ctx context.Context, c change) (peers.StoreOutcome, error) {
 	unknown := false
 	for failures := 0; ; {
+		if s.breaker.open.Load() {
+			outcome, resume, err := s.storeDuringOutage(ctx, c, unknown)
+			if !resume {
+				return outcome, err
+			}
+			unknown = outcome == peers.StoreUnknown
+		}
 		refused := 0
 		sortedRoutes := s.routeHealth.sortedRoutes(c.id, time.Now())
 		var err error
@@ -125,6 +132,9 @@
 			default:
 				unknown = true
 			}
+			if s.breaker.open.Load() {
+				break
+			}
 			if !wait.For(ctx, wait.Backoff(minRetryDelay, maxRetryDelay, failures)) {
 				return outcomeAtDeadline(unknown), err
 			}
