Nominate workers for gangs, with preemption and headroom for urgent tasks

A gang asks for approvals only if its places are expected to suffice; small tasks of a less urgent queue take each place as soon as it is free, and their demand counted against the gang's, so for up to 20 s it did not ask at all. One call for 100 workers takes 1.37 s and its tickets last 1.3 s, so a gang that needs more than 100 workers never had all its tickets at once. Ruled out: processor time of the owner (0.3 of 0.8 cores at most), hosts free for calls.

Change: - A gang's advice request is divided among several hosts. - Only other gangs' demand counts against a gang; what can be preempted counts for it. - A gang that does not fit is nominated for workers on which it fits once less urgent runs are stopped that resume from checkpoints and whose jobs stay in time; the resources are held until the stops are confirmed. - Small tasks leave headroom for queues whose target is shorter than a stop. - Reservations bind only units that come later in the planning order, also in plans of changes. A gang that has used half of its slack asks in any case and keeps its approved workers; what can be preempted may use them meanwhile.

--- a/internal/cluster/coordinator/advice.go
+++ b/internal/cluster/coordinator/advice.go
@@ -38,28 +38,29 @@
 	hosts := d.t.deps.PolicyClient.Hosts()
 	longLimit := max((len(hosts)+1)/2, 1)
 	for {
-		host := d.freeHost(hosts)
-		if host == "" {
+		free := d.freeHosts(hosts)
+		requests := d.t.sched.NextAdviceRequests(time.Now(), len(free), longLimit-d.countLongCalls())
+		if len(requests) == 0 {
 			return
 		}
-		r, ok := d.t.sched.NextAdviceRequest(time.Now(), d.countLongCalls() < longLimit)
-		if !ok {
-			return
+		for i, r := range requests {
+			host := free[i]
+			d.busy[host] = r.ExpectedDuration
+			d.t.wg.Go(func() { d.callHost(ctx, host, r) })
 		}
-		d.busy[host] = r.ExpectedDuration
-		d.t.wg.Go(func() { d.callHost(ctx, host, r) })
 	}
 }
 
-// freeHost returns a host without a current call or backoff, or "" if there is none.
-func (d *adviceDispatcher) freeHost(hosts []string) string {
+// freeHosts returns the hosts without a current call or backoff.
+func (d *adviceDispatcher) freeHosts(hosts []string) []string {
 	now := time.Now()
+	var free []string
 	for _, h := range hosts {
 		if _, busy := d.busy[h]; !busy && now.After(d.retryAt[h]) {
-			return h
+			free = append(free, h)
 		}
 	}
-	return ""
+	return free
 }
 
 // countLongCalls returns the number of current calls with a long request.
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -48,6 +48,9 @@
 	minAskedWorkers = 5
 	// defaultApprovalRate is the share of asked workers that is assumed to be approved until a queue has enough answers.
 	defaultApprovalRate = 0.4
+	// splitShareDivisor limits how far the workers of a request are split over several calls: the workers that each call names
+	// take at least 1/splitShareDivisor of the fixed time of a call.
+	splitShareDivisor = 3
 	// adviceRetryDelay is the delay before a failed call is retried.
 	adviceRetryDelay = 100 * time.Millisecond
 	// adviceTimeout is the time after which an unanswered request no longer blocks its step.
@@ -74,8 +77,10 @@
 		return
 	}
 	u := j.occurrences[r.Step.Occurrence].units[r.Step.Step]
-	u.adviceInFlight = false
-	u.clearExpectedDemand()
+	u.callsInFlight = max(u.callsInFlight-1, 0)
+	if u.callsInFlight == 0 {
+		u.clearExpectedDemand()
+	}
 	if j.state.Final() {
 		return
 	}
@@ -108,28 +113,38 @@
 	r.approved += float64(approved)
 }
 
+// awaitsAdvice reports whether an advice request of the unit is in flight.
+func (u *unit) awaitsAdvice(now time.Time) bool {
+	return u.callsInFlight > 0 && now.Sub(u.askedAt) < adviceTimeout
+}
+
 // needsAdvice reports whether a request for the unit may be sent now: its queue requires advice, no request is in flight
 // and the delay after a failed call has passed.
 func (u *unit) needsAdvice(now time.Time) bool {
-	if u.adviceInFlight && now.Sub(u.askedAt) < adviceTimeout {
-		return false
-	}
-	return u.job.queue.PolicyService != nil && !now.Before(u.notBefore)
+	return !u.awaitsAdvice(now) && u.job.queue.PolicyService != nil && !now.Before(u.notBefore)
 }
 
-// NextAdviceRequest returns the advice request of the most urgent unit whose tasks found no worker, or false if there is
-// none. Long requests are skipped unless long is true. The workers to name are chosen only now: if they were chosen when
-// the unit began to wait, other units could have filled them by the time a host is free to make the call.
-func (s *Scheduler) NextAdviceRequest(now time.Time, long bool) (AdviceRequest, bool) {
-	for {
-		c, ok := s.adviceQueue.next(long)
+// NextAdviceRequests returns the advice requests of the most urgent unit whose tasks found no worker, or none if there is no
+// such unit. They are to be sent at once, each through a host of its own. freeHosts is the number of hosts that are free, and
+// longLimit how many of them may send a long request. The workers to name are chosen only now: if they were chosen when the
+// unit began to wait, other units could have filled them by the time a host is free to make the call.
+func (s *Scheduler) NextAdviceRequests(now time.Time, freeHosts, longLimit int) []AdviceRequest {
+	for freeHosts > 0 {
+		long := min(freeHosts, longLimit)
+		c, ok := s.adviceQueue.next(long > 0)
 		if !ok {
-			return AdviceRequest{}, false
+			return nil
+		}
+		limit := 1
+		if c.asksLong() {
+			// The hosts are shared by the units that wait for them.
+			limit = max(long/(len(s.adviceQueue.long)+1), 1)
 		}
-		if r, ok := s.buildRequest(c, now); ok {
-			return r, true
+		if requests := s.buildRequests(c, limit, now); len(requests) > 0 {
+			return requests
 		}
 	}
+	return nil
 }
 
 // hasTicket reports whether the unit has a valid ticket. Whether its tickets are enough for its tasks turns out only when
@@ -143,27 +158,45 @@
 	return false
 }
 
-// buildRequest builds the advice request of a unit whose tasks found no worker, or returns false if a request is not needed
-// or can't help now.
-func (s *Scheduler) buildRequest(c candidate, now time.Time) (AdviceRequest, bool) {
+// buildRequests builds the advice requests, at most limit, of a unit whose tasks found no worker. It returns none if the unit
+// needs no advice or if advice can't help now.
+func (s *Scheduler) buildRequests(c candidate, limit int, now time.Time) []AdviceRequest {
 	u := c.unit
 	if _, open := s.open[u]; !open || !u.needsAdvice(now) {
-		return AdviceRequest{}, false
+		return nil
 	}
 	waiting := len(u.pending(now))
 	if waiting == 0 {
-		return AdviceRequest{}, false
+		return nil
 	}
-	advice := u.job.queue.PolicyService
-	workers := s.workersToAsk(c, waiting, now)
+	workers := s.workersToAsk(c, waiting, limit*maxAskedWorkers, now)
 	if len(workers) == 0 {
-		return AdviceRequest{}, false
+		return nil
 	}
-	u.adviceInFlight, u.askedAt = true, now
+	requests := u.splitRequest(workers, limit)
+	u.callsInFlight, u.askedAt = len(requests), now
 	u.setExpectedDemand(workers, waiting)
-	return AdviceRequest{
-		Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workerIDs(workers), ExpectedDuration: advice.ExpectedDuration(len(workers)),
-	}, true
+	return requests
+}
+
+// splitRequest distributes the workers to name over at most limit requests. A call takes longer the more workers it names, and
+// the tickets of a gang have to be valid at the same time. So a wide gang asks through several hosts at once; but a request
+// that takes little longer than the shortest one is not split further, since each call occupies a host.
+func (u *unit) splitRequest(workers []*worker, limit int) []AdviceRequest {
+	advice := u.job.queue.PolicyService
+	size := maxAskedWorkers
+	if advice.PerWorker > 0 {
+		size = min(size, max(int(advice.Base/(splitShareDivisor*advice.PerWorker)), minAskedWorkers))
+	}
+	calls := max(min((len(workers)+size-1)/size, limit), 1)
+	requests := make([]AdviceRequest, 0, calls)
+	for i := range calls {
+		part := workers[i*len(workers)/calls : (i+1)*len(workers)/calls]
+		requests = append(requests, AdviceRequest{
+			Step: u.id(), Queue: u.job.spec.Queue.Name, Workers: workerIDs(part), ExpectedDuration: advice.ExpectedDuration(len(part)),
+		})
+	}
+	return requests
 }
 
 // askCandidate is a worker that an advice request may name.
@@ -207,19 +240,21 @@
 }
 
 // workersToAsk chooses the workers to name in a request: first those on which the most tasks are expected to be approved
-// and to fit, until the expected number of places reaches targetTasks, but at least minAskedWorkers and at most
-// maxAskedWorkers. It returns none if a request would be useless: for a gang that is not expected to find places for all
+// and to fit, until the expected number of places reaches targetTasks, but at least minAskedWorkers and at most limit. It returns none if a request would be useless: for a gang that is not expected to find places for all
 // members, and for a late unit that is expected to find less than the yield of a single free place.
-func (s *Scheduler) workersToAsk(c candidate, waiting int, now time.Time) []*worker {
+func (s *Scheduler) workersToAsk(c candidate, waiting, limit int, now time.Time) []*worker {
 	u := c.unit
 	candidates, expectedTotal := s.askCandidates(u, now)
-	if u.step.Gang && expectedTotal < float64(waiting) || c.late && expectedTotal < s.approvalRate(u.job.spec.Queue.Name) {
+	if u.step.Gang && (len(u.nomination.workers) > 0 || len(candidates) < minAskedWorkers && u.hasTicket(now)) {
+		return nil
+	}
+	if u.step.Gang && expectedTotal < float64(waiting) && !(len(u.tickets) == 0 && c.overdue(now)) || c.late && expectedTotal < s.approvalRate(u.job.spec.Queue.Name) {
 		return nil
 	}
 	var workers []*worker
 	expected := 0.0
 	heap.Init(&candidates)
-	for len(candidates) > 0 && len(workers) < maxAskedWorkers && (len(workers) < minAskedWorkers || expected < u.targetTasks(waiting)) {
+	for len(candidates) > 0 && len(workers) < limit && (len(workers) < minAskedWorkers || expected < u.targetTasks(waiting)) {
 		a := heap.Pop(&candidates).(askCandidate)
 		workers = append(workers, a.worker)
 		expected += a.expectedTasks
@@ -240,7 +275,11 @@
 		if _, denied := u.denied[w.info.ID]; denied || !s.canRun(u, w, now) {
 			continue
 		}
-		expectedTasks := max(float64(countFitting(w.freeAt(answeredAt), size))-w.demandInTasks(size), 0)
+		free := w.freeAt(answeredAt)
+		if u.step.Gang {
+			free = w.obtainableAt(answeredAt, u, now)
+		}
+		expectedTasks := max(float64(countFitting(free, size))-inTasks(w.demandFor(u), size), 0)
 		if u.step.MaxPerWorker > 0 {
 			expectedTasks = min(expectedTasks, float64(u.step.MaxPerWorker))
 		}
--- a/internal/cluster/scheduler/advice_queue.go
+++ b/internal/cluster/scheduler/advice_queue.go
@@ -19,11 +19,16 @@
 	q.short, q.long = q.short[:0], q.long[:0]
 }
 
-// add inserts a unit at its position in the planning order. During a complete plan this is the end of the list. A unit
-// counts as long by the duration of the smallest request, since the workers to name are not chosen yet.
+// asksLong reports whether the advice requests of the unit are long. The duration of the smallest request decides, since the
+// workers to name are not chosen yet.
+func (c candidate) asksLong() bool {
+	return c.unit.job.queue.PolicyService.ExpectedDuration(minAskedWorkers) >= LongAdviceRequest
+}
+
+// add inserts a unit at its position in the planning order. During a complete plan this is the end of the list.
 func (q *adviceQueue) add(c candidate) {
 	list := &q.short
-	if c.unit.job.queue.PolicyService.ExpectedDuration(minAskedWorkers) >= LongAdviceRequest {
+	if c.asksLong() {
 		list = &q.long
 	}
 	i, _ := slices.BinarySearchFunc(*list, c, candidate.compare)
--- a/internal/cluster/scheduler/advice_test.go
+++ b/internal/cluster/scheduler/advice_test.go
@@ -128,8 +128,8 @@
 	})
 	b.Run("advice request", func(b *testing.B) {
 		for b.Loop() {
-			if r, ok := f.NextAdviceRequest(t0, true); ok {
-				f.HandleAdvice(t0, AdviceResult{Step: r.Step, Failed: true})
+			if r := f.NextAdviceRequests(t0, 1, 1); len(r) > 0 {
+				f.HandleAdvice(t0, AdviceResult{Step: r[0].Step, Failed: true})
 				continue
 			}
 			b.StopTimer()
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -67,9 +67,9 @@
 		return "delayed after a failed call"
 	case u.step.Gang && !u.idle():
 		return "the last run of the gang has not ended"
-	case u.adviceInFlight:
+	case u.callsInFlight > 0:
 		return "waits for the policy service"
-	case len(s.usableWorkers(u, now, nil)) == 0:
+	case len(s.approvedWorkers(u, now)) == 0:
 		return "no worker may run it now"
 	}
 	return "no room"
--- a/internal/cluster/scheduler/expected_demand.go
+++ b/internal/cluster/scheduler/expected_demand.go
@@ -11,6 +11,7 @@
 type demandEstimate struct {
 	workers   []*worker
 	perWorker workload.Resources
+	gang      bool
 }
 
 // setExpectedDemand spreads the expected demand of a unit's tasks over workers, where other advice requests take it into
@@ -22,16 +23,28 @@
 	share := func(n int64) int64 { return n * int64(tasks) / int64(len(workers)) }
 	u.expectedDemand = demandEstimate{workers, workload.Resources{
 		CPUMilli: share(size.CPUMilli), MemoryMB: share(size.MemoryMB), Accelerators: share(size.Accelerators),
-	}}
+	}, u.step.Gang}
 	for _, w := range workers {
 		w.expectedDemand = w.expectedDemand.Add(u.expectedDemand.perWorker)
+		if u.step.Gang {
+			w.expectedGangDemand = w.expectedGangDemand.Add(u.expectedDemand.perWorker)
+		}
+	}
+}
+
+// demandFor returns the part of the worker's expected demand that a unit has to share the worker with. For a gang this is only
+// the demand of other gangs: other tasks may be stopped in its favour, or are short.
+func (w *worker) demandFor(u *unit) workload.Resources {
+	if u.step.Gang {
+		return w.expectedGangDemand
 	}
+	return w.expectedDemand
 }
 
-// demandInTasks returns the worker's expected demand as a number of tasks of the given size.
-func (w *worker) demandInTasks(size workload.Resources) float64 {
+// inTasks returns a demand as a number of tasks of the given size.
+func inTasks(demand, size workload.Resources) float64 {
 	tasks := 0.0
-	for _, d := range w.expectedDemand.Pairs(size) {
+	for _, d := range demand.Pairs(size) {
 		if d[1] > 0 {
 			tasks = max(tasks, float64(d[0])/float64(d[1]))
 		}
@@ -45,17 +58,25 @@
 func (w *worker) freeAt(later time.Time) workload.Resources {
 	free := w.free()
 	for _, p := range w.placements {
-		if p.state == stopping || !p.expectedEnd.IsZero() && p.expectedEnd.Before(later) {
+		if p.state == stopping || p.endsBefore(later) {
 			free = free.Add(p.resources)
 		}
 	}
 	return free
 }
 
+// endsBefore reports whether the progress of the run shows that it will have ended at the given time.
+func (p *placement) endsBefore(later time.Time) bool {
+	return !p.expectedEnd.IsZero() && p.expectedEnd.Before(later)
+}
+
 // clearExpectedDemand removes the unit's expected demand from the workers.
 func (u *unit) clearExpectedDemand() {
 	for _, w := range u.expectedDemand.workers {
 		w.expectedDemand = w.expectedDemand.Sub(u.expectedDemand.perWorker)
+		if u.expectedDemand.gang {
+			w.expectedGangDemand = w.expectedGangDemand.Sub(u.expectedDemand.perWorker)
+		}
 	}
 	u.expectedDemand = demandEstimate{}
 }
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -52,14 +52,19 @@
 	return false
 }
 
-// usableWorkers returns the workers on which tasks of the unit may be placed now, sorted by ID: those that can run the unit,
-// are not reserved and, if its queue needs tickets, have a valid one. In that case only the workers with tickets are
-// examined, which keeps planning fast with hundreds of workers.
-func (s *Scheduler) usableWorkers(u *unit, now time.Time, reserved map[*worker]bool) []*worker {
+// usableWorkers returns the approved workers on which tasks of the unit may be placed now: those that are not reserved for a
+// unit that comes before it in the planning order.
+func (s *Scheduler) usableWorkers(c candidate, now time.Time) []*worker {
+	return slices.DeleteFunc(s.approvedWorkers(c.unit, now), func(w *worker) bool { return s.reservations.exclude(c, w) })
+}
+
+// approvedWorkers returns the workers that can run the unit now and, if its queue needs tickets, have a valid one, sorted by ID.
+// With tickets only their workers are examined, which keeps planning fast with hundreds of workers.
+func (s *Scheduler) approvedWorkers(u *unit, now time.Time) []*worker {
 	var out []*worker
 	if u.job.queue.PolicyService == nil {
 		for _, w := range s.sortedWorkers {
-			if !reserved[w] && s.canRun(u, w, now) {
+			if s.canRun(u, w, now) {
 				out = append(out, w)
 			}
 		}
@@ -69,7 +74,7 @@
 		if !t.expires.After(now) {
 			continue
 		}
-		if w := s.workers[id]; w != nil && !reserved[w] && s.canRun(u, w, now) {
+		if w := s.workers[id]; w != nil && s.canRun(u, w, now) {
 			out = append(out, w)
 		}
 	}
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -73,11 +73,11 @@
 func (f *fixture) nextAdviceRequests(now time.Time) []AdviceRequest {
 	var out []AdviceRequest
 	for {
-		r, ok := f.NextAdviceRequest(now, true)
-		if !ok {
+		r := f.NextAdviceRequests(now, 1, 1)
+		if len(r) == 0 {
 			return out
 		}
-		out = append(out, r)
+		out = append(out, r...)
 	}
 }
 
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -46,10 +46,12 @@
 
 	tickets        map[string]ticket   // by ID of the worker that the policy service approved
 	denied         map[string]struct{} // IDs of workers that the policy service did not approve
-	adviceInFlight bool                // an advice request has no answer yet
-	askedAt        time.Time
-	notBefore      time.Time // after a failed advice request: no start and no request before
+	callsInFlight  int                 // advice requests without an answer
+	askedAt        time.Time           // when they were sent
+	notBefore      time.Time           // after a failed advice request: no start and no request before
 	expectedDemand demandEstimate
+	latestStart    time.Time // as of the last plan that considered the unit; see Scheduler.latestStart
+	nomination     nomination
 }
 
 // ticket is the policy service's permission to run a unit on a worker.
--- a/internal/cluster/scheduler/load_test.go
+++ b/internal/cluster/scheduler/load_test.go
@@ -23,11 +23,17 @@
 }
 
 type simulatedRun struct {
-	start Start
-	ends  time.Duration
+	start  Start
+	began  time.Duration
+	ends   time.Duration
+	reason EndReason
 }
 
-const simulationStep = 20 * time.Millisecond
+const (
+	simulationStep = 20 * time.Millisecond
+	// simulatedStop is how long a run takes to stop.
+	simulatedStop = 200 * time.Millisecond
+)
 
 func newSimulation(workers int, duration func(s Start) time.Duration) *simulation {
 	return &simulation{fixture: newFixture(1, workers), duration: duration, started: map[string]time.Duration{}}
@@ -35,21 +41,24 @@
 
 func (d *simulation) step() {
 	d.now += simulationStep
+	d.updateProgress()
 	var left []simulatedRun
 	for _, r := range d.running {
 		if r.ends > d.now {
 			left = append(left, r)
 			continue
 		}
-		d.end(r.start, EndDone, at(d.now))
+		d.end(r.start, r.reason, at(d.now))
 	}
 	d.running = left
 	d.persist()
-	for _, s := range d.plan(at(d.now)).Starts {
+	p := d.plan(at(d.now))
+	d.stop(p.Stops)
+	for _, s := range p.Starts {
 		if _, ok := d.started[s.Task.Job]; !ok {
 			d.started[s.Task.Job] = d.now
 		}
-		d.running = append(d.running, simulatedRun{s, d.now + d.duration(s)})
+		d.running = append(d.running, simulatedRun{s, d.now, d.now + d.duration(s), EndDone})
 	}
 	// The workers forget ends that are durable.
 	for id := range d.ended {
@@ -57,6 +66,31 @@
 	}
 }
 
+// updateProgress sets the progress that the workers will report.
+func (d *simulation) updateProgress() {
+	percent := map[runKey]int{}
+	for _, r := range d.running {
+		percent[runKey{r.start.Task, r.start.Run}] = int(100 * min(d.now-r.began, r.ends-r.began) / (r.ends - r.began))
+	}
+	for _, active := range d.active {
+		for i, a := range active {
+			active[i].Percent = percent[runKey{a.Task, a.Run}]
+		}
+	}
+}
+
+// stop ends the runs of stop orders after simulatedStop.
+func (d *simulation) stop(stops []Stop) {
+	for _, stop := range stops {
+		for i := range d.running {
+			r := &d.running[i]
+			if r.start.Task == stop.Task && r.start.Run == stop.Run && r.ends > d.now+simulatedStop {
+				r.ends, r.reason = d.now+simulatedStop, EndStopped
+			}
+		}
+	}
+}
+
 func (d *simulation) run(until time.Duration, arrive func(now time.Duration)) {
 	for d.now < until {
 		arrive(d.now)
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -21,6 +21,12 @@
 // users and have to be restarted even if the pool is full.
 func (c candidate) longRunning() bool { return c.unit.step.LongRunning }
 
+// overdue reports whether the unit has used up more than half of the time that it may wait.
+func (c candidate) overdue(now time.Time) bool {
+	due := c.unit.job.spec.Due(c.unit.occurrence.number)
+	return now.Sub(due) > c.latestStart.Sub(now)
+}
+
 // candidates returns the units that have waiting tasks and may be planned, in planning order.
 func (s *Scheduler) candidates(units iter.Seq[*unit], now time.Time) []candidate {
 	var out []candidate
@@ -42,6 +48,7 @@
 			continue
 		}
 		latest := s.latestStart(u)
+		u.latestStart = latest
 		out = append(out, candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest),
 			latestStart: latest, adviceOnly: mayRunElsewhere})
 	}
@@ -93,14 +100,17 @@
 // occurrence ends, counted from its due time, within the queue's TargetLatency plus SlackFactor times the expected duration
 // of the occurrence's critical path.
 func (s *Scheduler) latestStart(u *unit) time.Time {
-	j := u.job
+	due := u.job.spec.Due(u.occurrence.number)
+	return due.Add(s.latencyObjective(u.job, u.occurrence) - s.criticalPathFrom(u))
+}
+
+// latencyObjective returns the time from the due time of an occurrence within which it should end.
+func (s *Scheduler) latencyObjective(j *job, o *occurrence) time.Duration {
 	total := time.Duration(0)
-	for _, v := range u.occurrence.units {
-		total = max(total, s.criticalPathTo(u.occurrence, v.index))
+	for _, u := range o.units {
+		total = max(total, s.criticalPathTo(o, u.index))
 	}
-	due := j.spec.Due(u.occurrence.number)
-	objective := due.Add(j.queue.TargetLatency + time.Duration(j.queue.SlackFactor*float64(total)))
-	return objective.Add(-s.criticalPathFrom(u))
+	return j.queue.TargetLatency + time.Duration(j.queue.SlackFactor*float64(total))
 }
 
 // criticalPathTo returns the expected duration of the longest chain of dependent steps that ends with the step.
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -29,8 +29,9 @@
 	for j := range s.futureOccurrences {
 		s.openDueOccurrences(j, now)
 	}
-	s.reservedWorkers = map[*worker]bool{}
+	s.reservations = reservations{}
 	clear(s.changedUnits)
+	s.expireNominations(now)
 	s.adviceQueue.clear()
 	return s.planUnits(maps.Keys(s.open), now)
 }
@@ -40,6 +41,14 @@
 // hundreds of waiting units a complete plan takes several milliseconds, too long to repeat it after every event, but a
 // short task should not have to wait for the next one.
 func (s *Scheduler) PlanChanged(now time.Time) Plan {
+	if s.nominationsChanged {
+		s.nominationsChanged = false
+		for u := range s.open {
+			if len(u.nomination.workers) > 0 {
+				s.changedUnits[u] = struct{}{}
+			}
+		}
+	}
 	units := slices.Collect(maps.Keys(s.changedUnits))
 	clear(s.changedUnits)
 	return s.planUnits(slices.Values(units), now)
@@ -47,37 +56,41 @@
 
 func (s *Scheduler) planUnits(units iter.Seq[*unit], now time.Time) Plan {
 	var plan Plan
+	s.updateHeadroom(now)
 	for _, c := range s.candidates(units, now) {
-		s.planUnit(c, now, s.reservedWorkers, &plan)
+		s.planUnit(c, now, &plan)
 	}
 	plan.Stops, s.stops = s.stops, nil
 	return plan
 }
 
 // planUnit places tasks of one unit, and queues an advice request if some find no worker.
-func (s *Scheduler) planUnit(c candidate, now time.Time, reserved map[*worker]bool, plan *Plan) {
+func (s *Scheduler) planUnit(c candidate, now time.Time, plan *Plan) {
 	u := c.unit
-	if now.Before(u.notBefore) || u.adviceInFlight && len(u.tickets) == 0 && now.Sub(u.askedAt) < adviceTimeout {
+	if now.Before(u.notBefore) || u.awaitsAdvice(now) && len(u.tickets) == 0 {
 		return
 	}
 	placed := 0
 	switch {
 	case c.adviceOnly:
 	case u.step.Gang:
-		placed = s.placeGang(c, now, reserved, plan)
+		placed = s.placeGang(c, now, plan)
 	default:
-		placed = s.placeTasks(c, now, reserved, plan)
+		placed = s.placeTasks(c, now, plan)
 	}
-	if len(c.waiting) > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) {
+	if len(c.waiting) > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || s.leavesHeadroom(u)) {
 		s.adviceQueue.add(c)
 	}
 }
 
 // placeTasks places the waiting tasks of a unit that is not a gang one by one, and returns how many found a worker.
-func (s *Scheduler) placeTasks(c candidate, now time.Time, reserved map[*worker]bool, plan *Plan) int {
+func (s *Scheduler) placeTasks(c candidate, now time.Time, plan *Plan) int {
 	placed := 0
-	workers := s.usableWorkers(c.unit, now, reserved)
+	workers := s.usableWorkers(c, now)
 	for _, t := range c.waiting {
+		if !s.leavesHeadroom(c.unit) {
+			break
+		}
 		w := bestFit(t, workers)
 		if w == nil {
 			if c.longRunning() {
@@ -92,19 +105,22 @@
 	return placed
 }
 
-// reservedShareDivisor limits reservations for gangs that do not fit: once more than 1/reservedShareDivisor of the workers
-// are reserved, no further gang gets a reservation. So gangs that can't be placed do not leave the whole pool idle.
-const reservedShareDivisor = 2
-
-// placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit and
-// is not late, the workers that it may use are reserved: units that come later in the order don't get them.
-func (s *Scheduler) placeGang(c candidate, now time.Time, reserved map[*worker]bool, plan *Plan) int {
+// placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit, less
+// urgent runs are stopped for it or, if that does not help and it is not late, the workers that it may use are reserved.
+func (s *Scheduler) placeGang(c candidate, now time.Time, plan *Plan) int {
 	u := c.unit
-	usableWorkers := s.usableWorkers(u, now, reserved)
-	chosen := s.assignGang(c.waiting, usableWorkers)
+	chosen, waits := s.takeNomination(c, now)
+	if waits {
+		return 0
+	}
+	workers := s.usableWorkers(c, now)
+	if chosen == nil {
+		chosen = s.assignGang(c.waiting, workers)
+	}
 	if chosen == nil {
-		if !c.late && len(usableWorkers) > 0 {
-			s.reserve(usableWorkers, reserved)
+		s.nominate(c, workers, now)
+		if len(u.nomination.workers) == 0 && !c.late {
+			s.reservations.add(c, s.workersToReserve(c, workers, now), len(s.sortedWorkers))
 		}
 		return 0
 	}
@@ -115,14 +131,20 @@
 	return len(c.waiting)
 }
 
-// reserve adds workers to the reserved ones unless the limit is exceeded already.
-func (s *Scheduler) reserve(workers []*worker, reserved map[*worker]bool) {
-	if len(reserved) > len(s.sortedWorkers)/reservedShareDivisor {
-		return
-	}
-	for _, w := range workers {
-		reserved[w] = true
+// workersToReserve returns the workers to reserve for a gang that does not fit. Usually these are the ones that it may use now. A
+// gang that has waited long also keeps the workers whose tickets have expired: approvals last, and tickets can be renewed once
+// there is room.
+func (s *Scheduler) workersToReserve(c candidate, usable []*worker, now time.Time) []*worker {
+	if c.unit.job.queue.PolicyService == nil || !c.overdue(now) {
+		return usable
+	}
+	var out []*worker
+	for id := range c.unit.tickets {
+		if w := s.workers[id]; w != nil && s.canRun(c.unit, w, now) && !s.reservations.exclude(c, w) {
+			out = append(out, w)
+		}
 	}
+	return out
 }
 
 // assignGang finds a worker for each task of a gang, or returns nil. If the gang runs slower across several racks, it first
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -100,7 +100,7 @@
 	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, orderedAt: now, confirmedAt: requestedAt,
 		percent: a.Percent, percentChangedAt: now, firstPercent: a.Percent, firstReportAt: now, lastListedAt: requestedAt, checkpoint: a.Checkpoint}
 	if t != nil {
-		p.task, p.resources = t, t.unit.resources()
+		p.task, p.resources, p.urgent = t, t.unit.resources(), s.urgent(t.unit)
 	} else {
 		// The resources of the run are unknown, so it reserves the whole worker.
 		p.resources = w.info.Capacity
@@ -185,6 +185,7 @@
 	if p != nil {
 		w.removePlacement(p)
 		c.OrderedAt = p.orderedAt
+		s.recordFreed(p, now)
 	}
 	t := s.task(e.Task)
 	if t == nil {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -35,14 +35,18 @@
 
 // Scheduler holds the state of one owner, from the start of its ownership to the end.
 type Scheduler struct {
-	cfg             Config
-	queues          *queues.Config
-	jobs            map[string]*job
-	workers         map[string]*worker
-	sortedWorkers   []*worker          // by ID
-	open            map[*unit]struct{} // units with unfinished tasks whose dependencies are done
-	changedUnits    map[*unit]struct{} // units whose state has changed since they were last planned; see PlanChanged
-	reservedWorkers map[*worker]bool   // workers reserved for gangs that did not fit, since the last complete plan began
+	cfg           Config
+	queues        *queues.Config
+	jobs          map[string]*job
+	workers       map[string]*worker
+	sortedWorkers []*worker          // by ID
+	open          map[*unit]struct{} // units with unfinished tasks whose dependencies are done
+	changedUnits  map[*unit]struct{} // units whose state has changed since they were last planned; see PlanChanged
+	headroom      headroom
+	reservations  reservations // workers reserved for gangs that did not fit, since the last complete plan began
+	stopLatency   stopLatency
+	// nominationsChanged is set when resources are freed on a worker that a gang is nominated for.
+	nominationsChanged bool
 
 	adviceQueue       adviceQueue       // units for which the policy service has to be asked
 	askBuffer         askHeap           // reused by every advice request to avoid allocations
@@ -78,6 +82,7 @@
 		unresolved:        map[string]time.Time{},
 		dirty:             map[*job]struct{}{},
 		generation:        1,
+		reservations:      reservations{},
 		durationRatios:    map[string]*durationRatio{},
 		approvalCounts:    map[string]*approvalCount{},
 	}
@@ -278,6 +283,7 @@
 		for _, u := range o.units {
 			delete(s.open, u)
 			u.clearExpectedDemand()
+			u.dropNomination()
 			if state == workload.Completed && u.step.Gang {
 				continue // the members of a gang complete together; the worker reports are about to list their ends
 			}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -128,6 +128,13 @@
 	}
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -148,10 +155,11 @@
 func (s *Scheduler) startRun(t *task, w *worker, run int64, now time.Time) Start {
 	u := t.unit
 	t.run = run
-	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), orderedAt: now,
+	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), urgent: s.urgent(u), orderedAt: now,
 		percentChangedAt: now}
 	t.placement = p
 	w.addPlacement(p)
+	s.headroom.free -= p.resources.CPUMilli
 	checkpoint := t.checkpoint
 	if u.step.Gang {
 		checkpoint = u.checkpoint
--- a/internal/cluster/scheduler/usage.go
+++ b/internal/cluster/scheduler/usage.go
@@ -46,7 +46,7 @@
 		if now.After(s.latestStart(open)) {
 			q.Late++
 		}
-		if open.adviceInFlight {
+		if open.callsInFlight > 0 {
 			q.AwaitingAdvice++
 		}
 		u.Queues[open.job.spec.Queue.Name] = q
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -32,8 +32,12 @@
 	leaseUntil     time.Time          // when all runs on it have stopped unless the lease is renewed
 	shutdownAt     time.Time          // when a draining worker shuts down
 	used           workload.Resources // by its placements
+	urgentCPU      int64              // millicores used by urgent tasks; see headroom
+	held           workload.Resources // for gangs that are nominated for the worker
 	expectedDemand workload.Resources // of units that wait for an answer of the policy service
-	placements     []*placement       // few, so a linear search is faster than a map
+	// expectedGangDemand is the part of expectedDemand that is due to gangs.
+	expectedGangDemand workload.Resources
+	placements         []*placement // few, so a linear search is faster than a map
 
 	lastAppliedEnd int64 // EndedRun.Number of the last end that was applied
 	lastDurableEnd int64 // EndedRun.Number of the last end that is durable
@@ -70,6 +74,7 @@
 	worker      *worker
 	state       placementState
 	resources   workload.Resources
+	urgent      bool // see headroom
 	orderedAt   time.Time
 	confirmedAt time.Time // when the worker accepted the start, or when the first report that lists the run was requested
 	stopAckedAt time.Time // when the worker accepted the stop
@@ -84,7 +89,8 @@
 	checkpoint       string
 }
 
-func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
+// free returns the resources that are neither used nor held. It may be negative while runs are being stopped.
+func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used).Sub(w.held) }
 
 func (w *worker) findPlacement(id workload.TaskID, run int64) *placement {
 	for _, p := range w.placements {
@@ -98,6 +104,9 @@
 func (w *worker) addPlacement(p *placement) {
 	w.placements = append(w.placements, p)
 	w.used = w.used.Add(p.resources)
+	if p.urgent {
+		w.urgentCPU += p.resources.CPUMilli
+	}
 }
 
 func (w *worker) removePlacement(p *placement) {
@@ -107,6 +116,9 @@
 	}
 	w.placements = slices.Delete(w.placements, i, i+1)
 	w.used = w.used.Sub(p.resources)
+	if p.urgent {
+		w.urgentCPU -= p.resources.CPUMilli
+	}
 }
 
 // countTasksOf returns the number of tasks of a unit that are placed on the worker.
@@ -171,6 +183,7 @@
 	}
 	w.placements = nil
 	w.used = workload.Resources{}
+	w.urgentCPU = 0
 	w.fenced = false
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	w.health = health{}
@@ -180,6 +193,7 @@
 // dropPlacement removes a run that certainly no longer executes and requeues its task.
 func (s *Scheduler) dropPlacement(p *placement, now time.Time) {
 	p.worker.removePlacement(p)
+	s.recordFreed(p, now)
 	t := p.task
 	if t == nil || t.placement != p {
 		return
