Keep quarantines whole, and let a restarted worker take tasks

Cause: (1) the delay of 0.3 s after a rejected start was stored as the end of a quarantine, and a quarantine does not begin while another one lasts, so a worker that fails everything was out for 0.3 s instead of 2 s. (2) A draining worker that restarted and reported before its new entry was read stayed draining for the whole term: after a restart, what was known of the earlier process was still in use.

Change: the delay has a field of its own; a report of a new incarnation ends the drain.

TestRejectionDelayDoesNotReplaceQuarantine and TestRestartedWorkerIsNotDraining fail before and pass now.

--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -28,7 +28,8 @@
 type health struct {
 	failedJobs       map[string]struct{} // IDs of jobs with failed runs since the last success
 	quarantinedUntil time.Time
-	quarantines      int // since the last success
+	rejectsUntil     time.Time // the worker has just rejected a start; see rejectionDelay
+	quarantines      int       // since the last success
 }
 
 // succeeded applies a successful run.
@@ -60,7 +61,9 @@
 	h.failedJobs = map[string]struct{}{"": {}, "-": {}}
 }
 
-func (h *health) quarantined(now time.Time) bool { return now.Before(h.quarantinedUntil) }
+func (h *health) quarantined(now time.Time) bool {
+	return now.Before(h.quarantinedUntil) || now.Before(h.rejectsUntil)
+}
 
 // stopStalled stops runs that make no progress, so that their tasks start elsewhere, and quarantines the workers of these
 // runs.
--- a/internal/cluster/scheduler/health_test.go
+++ b/internal/cluster/scheduler/health_test.go
@@ -40,3 +40,39 @@
 		})
 	})
 }
+
+// Guards against a worker that fails everything but is only kept out for the short delay of a rejected start: the delay must
+// not replace a quarantine.
+func TestRejectionDelayDoesNotReplaceQuarantine(t *testing.T) {
+	Convey("Given a worker that has just rejected a start because it is unhealthy", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("rejected", t0, simpleStep(1)), nil, false)
+		f.commit()
+		s := f.Plan(t0).Starts[0]
+		f.HandleStartResult(t0, StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: RejectedUnhealthy, AnsweredAt: t0})
+		Convey("When its runs fail for several jobs, it is quarantined for the whole time", func() {
+			for _, id := range []string{"a", "b", "c"} {
+				f.workers["w0"].health.failed(at(100*time.Millisecond), id)
+			}
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			So(f.plan(at(firstQuarantine+200*time.Millisecond)).Starts, ShouldNotBeEmpty)
+		})
+	})
+}
+
+// Guards against a restarted worker that gets no tasks any more, because its predecessor under the same ID was draining.
+func TestRestartedWorkerIsNotDraining(t *testing.T) {
+	Convey("Given a draining worker that restarts and reports before its new entry is read", t, func() {
+		f := newFixture(1, 1)
+		info := f.workers["w0"].info
+		info.Draining, info.DrainRemaining = true, time.Second
+		f.UpsertWorker(t0, info)
+		f.HandleReport(at(time.Second), Report{Worker: "w0", Incarnation: 2, SentAt: at(time.Second), LeaseUntil: at(6 * time.Second)})
+		info.Incarnation, info.Draining, info.DrainRemaining = 2, false, 0
+		f.UpsertWorker(at(2*time.Second), info)
+		Convey("It gets tasks", func() {
+			f.AddJob(at(2*time.Second), f.job("j", at(2*time.Second), simpleStep(1)), nil, false)
+			So(f.plan(at(2*time.Second)).Starts, ShouldNotBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -66,7 +66,7 @@
 	}
 	if r.Incarnation > w.info.Incarnation {
 		s.resetWorker(w, now)
-		w.info.Incarnation = r.Incarnation
+		w.info.Incarnation, w.info.Draining = r.Incarnation, false
 	}
 	w.unreachable, w.fenced = false, true
 	w.extendLease(r.LeaseUntil)
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -121,7 +121,7 @@
 	case RejectedTicket:
 		delete(u.tickets, w.info.ID)
 	case RejectedUnhealthy, RejectedCapacity:
-		w.health.quarantinedUntil = maxTime(w.health.quarantinedUntil, now.Add(rejectionDelay))
+		w.health.rejectsUntil = now.Add(rejectionDelay)
 	}
 	if u.step.Gang {
 		s.stopUnit(u, "start of another gang member was rejected")
@@ -135,13 +135,6 @@
 	return b
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // nextRunNumber returns the number of a task's next run. For an inherited job it exceeds the numbers that an earlier owner
 // may have used.
 func (s *Scheduler) nextRunNumber(last int64, inherited bool) int64 {
