--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -253,9 +253,18 @@
 	for _, s := range p.Stops {
 		t.assigner.sendStop(s)
 	}
+	t.logEndedJobs()
 	wait.Signal(t.saveRequested)
 }
 
+// logEndedJobs logs how long the jobs took that have ended, beside their objectives. The caller holds mu.
+func (t *term) logEndedJobs() {
+	for _, j := range t.sched.TakeEndedJobs() {
+		t.log.Info("job ended", zap.String("job", j.Job), zap.String("queue", j.Queue), zap.String("state", string(j.State)),
+			zap.Int("tasks", j.Tasks), zap.Duration("waited", j.Waited), zap.Duration("took", j.Took), zap.Duration("objective", j.Objective))
+	}
+}
+
 // sendStart passes the start of a run on to the worker's executor, or rejects it. Before anything runs on a worker, its use
 // must be stored, so that a successor waits for the worker's report.
 func (t *term) sendStart(s scheduler.Start) {
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -14,9 +14,10 @@
 	state        workload.State
 	durableState workload.State // the last state that was stored; callers see a final state only once it is stored
 	endedAt      time.Time
-	started      bool // a task has started
-	inherited    bool // an earlier owner may have started tasks
-	stored       bool // the job's specification is durable in the owner's partition of the store
+	started      bool      // a task has started
+	firstStart   time.Time // when this owner ordered the first start
+	inherited    bool      // an earlier owner may have started tasks
+	stored       bool      // the job's specification is durable in the owner's partition of the store
 	occurrences  []*occurrence
 	// progressStored means that the owner's partition of the store may have a row with the job's progress.
 	progressStored bool
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -63,6 +63,7 @@
 	generation int64             // of the records that the next TakeRecords returns
 	newJobs    []*job            // jobs added since the last TakeRecords that TakeNewJobRecords has not considered yet
 
+	endedJobs      []JobSummary              // since the last TakeEndedJobs
 	stops          []Stop                    // to be returned by the next plan
 	durationRatios map[string]*durationRatio // by queue name
 	approvalCounts map[string]*approvalCount // by queue name
@@ -275,6 +276,7 @@
 func (s *Scheduler) finishJob(j *job, state workload.State, now time.Time) {
 	j.state, j.endedAt = state, now
 	s.dirty[j] = struct{}{}
+	s.endedJobs = append(s.endedJobs, s.summarize(j))
 	delete(s.futureOccurrences, j)
 	for _, o := range j.occurrences {
 		if o == nil {
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -152,6 +152,9 @@
 		percentChangedAt: now}
 	t.placement = p
 	w.addPlacement(p)
+	if u.job.firstStart.IsZero() {
+		u.job.firstStart = now
+	}
 	s.headroom.free -= p.resources.CPUMilli
 	checkpoint := t.checkpoint
 	if u.step.Gang {
