--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -240,16 +240,16 @@
 }
 
 // workersToAsk chooses the workers to name in a request: first those on which the most tasks are expected to be approved
-// and to fit, until the expected number of places reaches targetTasks, but at least minAskedWorkers and at most limit. It returns none if a request would be useless: for a gang that is not expected to find places for all
-// members, and for a late unit that is expected to find less than the yield of a single free place.
+// and to fit, until the expected number of places reaches targetTasks, but at least minAskedWorkers and at most limit. It
+// returns none if a request would be useless.
 func (s *Scheduler) workersToAsk(c candidate, waiting, limit int, now time.Time) []*worker {
 	u := c.unit
 	candidates, expectedTotal := s.askCandidates(u, now)
-	if u.step.Gang && (len(u.nomination.workers) > 0 || len(candidates) < minAskedWorkers && u.hasTicket(now)) {
+	if u.step.Gang && !c.gangShouldAsk(waiting, len(candidates), expectedTotal, now) {
 		return nil
 	}
-	if u.step.Gang && expectedTotal < float64(waiting) && !(len(u.tickets) == 0 && c.overdue(now)) || c.late && expectedTotal < s.approvalRate(u.job.spec.Queue.Name) {
-		return nil
+	if c.late && expectedTotal < s.approvalRate(u.job.spec.Queue.Name) {
+		return nil // less than the yield of a single free place
 	}
 	var workers []*worker
 	expected := 0.0
@@ -262,6 +262,18 @@
 	return workers
 }
 
+// gangShouldAsk reports whether advice can help a gang with waiting members, for which there are this many workers to ask and so
+// many expected places on these and on those with tickets. A gang that waits for its nominated workers, or that has tickets for almost all workers,
+// needs no more. One whose members are not expected to fit asks only if it is overdue and knows no approvals yet: then workers
+// can be reserved for it.
+func (c candidate) gangShouldAsk(waiting, candidates int, expectedPlaces float64, now time.Time) bool {
+	u := c.unit
+	if len(u.nomination.workers) > 0 || candidates < minAskedWorkers && u.hasTicket(now) {
+		return false
+	}
+	return expectedPlaces >= float64(waiting) || len(u.tickets) == 0 && c.overdue(now)
+}
+
 // askCandidates returns the workers that a request may name. The second result is the expected number of tasks that are
 // approved and fit on these workers and on those for which the unit has a valid ticket. The answer is assumed to take as
 // long as that to a request for half of maxAskedWorkers.
--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -1,12 +1,10 @@
 package scheduler
 
-import (
-	"time"
-)
+import "time"
 
 const (
-	// headroomFactor is the share of each worker that is kept for urgent tasks, as a multiple of the share that they use. It
-	// exceeds one because demand fluctuates and differs between workers.
+	// headroomFactor is the share of the pool that is kept for urgent tasks, as a multiple of the share that they use. It
+	// exceeds one because demand fluctuates within seconds, and because free processors are spread over many workers.
 	headroomFactor = 2
 	// maxHeadroomShare limits the share that is kept for urgent tasks.
 	maxHeadroomShare = 0.35
@@ -21,7 +19,7 @@
 type headroom struct {
 	share     float64
 	updatedAt time.Time
-	free      int64 // millicores that other tasks may still take in the current plan
+	free      int64 // millicores that tasks of other queues may still take in the current plan
 }
 
 // update adapts the headroom to the processors that urgent tasks use and to those that are free, out of capacity, all in
--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -8,15 +8,19 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
-// maxNominatedShareDivisor limits the workers with nominated gangs to 1/maxNominatedShareDivisor of the pool, so that more urgent
-// tasks always find workers that nobody waits for.
-const maxNominatedShareDivisor = 2
+const (
+	// maxNominatedShareDivisor limits the workers with nominated gangs to 1/maxNominatedShareDivisor of the pool, so that more
+	// urgent tasks always find workers that nobody waits for.
+	maxNominatedShareDivisor = 2
+	// maxNomination is how long resources are held for a gang at most.
+	maxNomination = 2 * time.Second
+)
 
 // nomination is the choice of workers for a gang that can start there as soon as other runs have ended. Until then its resources
 // are held on the workers, so that no other task takes them.
 type nomination struct {
 	workers []*worker // by member
-	expires time.Time // a ticket of one of the workers expires, so the gang can't start there any more
+	expires time.Time // when the gang can't start there any more, since a ticket of one of the workers expires
 }
 
 // nominate chooses workers on which a gang fits once less urgent runs have been stopped, and stops these. It answers a pool that
@@ -25,8 +29,9 @@
 // are stopped. It does nothing if stopping runs does not help.
 func (s *Scheduler) nominate(c candidate, workers []*worker, now time.Time) {
 	u := c.unit
+	// Answers that are still to come may approve workers with free resources.
 	if u.awaitsAdvice(now) || s.nominatedWorkers() > len(s.sortedWorkers)/maxNominatedShareDivisor {
-		return // answers that are still to come may approve workers with free resources
+		return
 	}
 	ready := now.Add(s.stopLatency.estimate())
 	var rooms []*gangRoom
@@ -55,9 +60,6 @@
 	}
 }
 
-// maxNomination is how long resources are held for a gang at most.
-const maxNomination = 2 * time.Second
-
 // ticketExpiry returns when the unit can't start on the worker any more for want of a valid ticket.
 func (u *unit) ticketExpiry(w *worker, now time.Time) time.Time {
 	if u.job.queue.PolicyService == nil {
@@ -239,7 +241,8 @@
 	stopLatencyMargin = 2
 )
 
-// stopLatency estimates how long it takes from a stop order from the acknowledgement of a stop until the resources of the run are known to be free.
+// stopLatency estimates how long it takes from the acknowledgement of a stop order until the resources of the run are known to
+// be free.
 type stopLatency struct{ average time.Duration }
 
 func (l *stopLatency) observe(d time.Duration) {
