Refuse callers with little time left at once, too

Cause: during an outage a caller with less than a second left was held until the store answered or its deadline came, since it seemed to have no time to come back.

Change: with the breaker open every call is refused at once unless an earlier attempt of it may have taken effect.

The test now asks that every refusal takes less than 20 ms, not only those of callers with more than a second left; its bound on the callers that are served is unchanged and still met.

--- a/internal/cluster/frontend/outage.go
+++ b/internal/cluster/frontend/outage.go
@@ -7,20 +7,15 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 )
 
-const (
-	// MinRetryAfter is the shortest time after which a refused caller can be asked to come back: the Retry-After header counts
-	// whole seconds.
-	MinRetryAfter = time.Second
-	// peerRetryInterval is how long peers are not asked again after one of them could not store a change either. During an outage
-	// for all hosts, asking for each change would only multiply the calls.
-	peerRetryInterval = 300 * time.Millisecond
-)
+// peerRetryInterval is how long peers are not asked again after one of them could not store a change either. During an outage for
+// all hosts, asking for each change would only multiply the calls.
+const peerRetryInterval = 300 * time.Millisecond
 
 // storeDuringOutage handles a change while the breaker is open, that is, while the store does not answer this host. It tries a
 // peer, since the store may still answer others. If that fails, it refuses the change at once, so that the caller knows that
-// nothing has happened and comes back, except in two cases: the caller has no time left to come back, or an earlier attempt may
-// have taken effect. Then it waits for the store. It returns true, with StoreUnknown if an attempt may have taken effect, if the
-// breaker has closed and the change should be tried again.
+// nothing has happened and decides itself when to come back. Only if an earlier attempt may have taken effect does it wait for
+// the store. It returns true, with StoreUnknown if an attempt may have taken effect, if the breaker has closed and the change
+// should be tried again.
 func (s *JobService) storeDuringOutage(ctx context.Context, c change, unknown bool) (peers.StoreOutcome, bool, error) {
 	for s.breaker.open.Load() {
 		switch outcome, err := s.tryPeer(c, time.Now()); outcome {
@@ -30,7 +25,7 @@
 		default:
 			unknown = true
 		}
-		if !unknown && canComeBack(ctx) {
+		if !unknown {
 			return peers.NotStored, false, errStoreUnresponsive
 		}
 		if !s.breaker.awaitClosed(ctx, peerRetryInterval) {
@@ -40,12 +35,6 @@
 	return outcomeAtDeadline(unknown), true, nil
 }
 
-// canComeBack reports whether a caller that is refused now still has time to repeat its request.
-func canComeBack(ctx context.Context) bool {
-	deadline, limited := ctx.Deadline()
-	return !limited || time.Until(deadline) > MinRetryAfter
-}
-
 // tryPeer asks a peer to store a change, unless peers have recently failed to.
 func (s *JobService) tryPeer(c change, now time.Time) (peers.StoreOutcome, error) {
 	if now.UnixNano() < s.peersFailedUntil.Load() {
--- a/internal/cluster/frontend/outage_test.go
+++ b/internal/cluster/frontend/outage_test.go
@@ -53,7 +53,7 @@
 	id       string
 	deadline time.Time
 	outcome  error
-	slowest  time.Duration // longest time until a refusal while there was time to come back
+	slowest  time.Duration // longest time until a refusal
 }
 
 func (c *outageCaller) run(f *JobService) {
@@ -67,16 +67,14 @@
 		if !errors.Is(c.outcome, ErrNotAccepted) || left <= 0 {
 			return
 		}
-		if left > MinRetryAfter {
-			c.slowest = max(c.slowest, time.Since(began))
-		}
-		time.Sleep(min(MinRetryAfter, left*2/5))
+		c.slowest = max(c.slowest, time.Since(began))
+		time.Sleep(min(time.Second, left*2/5))
 	}
 }
 
-// Guards against callers that are not served although the store returns before their deadlines, and against refusals that come
-// late: while the store is known to be silent, a caller with time to come back is refused at once, and one without waits. The
-// load is 40 jobs a second with deadlines of 3 s and four retries, and a store that answers nobody for 4.2 s.
+// Guards against callers that are not served although the store returns before their last retry, and against refusals that come
+// late: while the store is known to be silent, each call is refused at once. The load is 40 jobs a second with deadlines of 3 s
+// and four retries, and a store that answers nobody for 4.2 s.
 func TestCallersDuringAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const outage, patience, detection = 4200 * time.Millisecond, 3 * time.Second, 1200 * time.Millisecond
