Refuse jobs whose number of tasks overflows

Cause: a job's tasks were counted as tasks times repetitions, which overflows for a huge number of repetitions; such a job was accepted and stored, and the owner, and each of its successors, then panicked on allocating its occurrences.

Change: repetitions and tasks are compared without multiplying them.

TestNumberOfTasksIsLimited fails before for 2^62 repetitions of 4 tasks and for the greatest integer times 2, and passes now.

--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -269,8 +269,8 @@
 		}
 		total += st.Count
 	}
-	if total*s.Occurrences() > maxTasks {
-		return errors.Wrapf(ErrInvalid, "%d tasks, at most %d are allowed", total*s.Occurrences(), maxTasks)
+	if s.Repetitions > maxTasks || total > maxTasks/s.Occurrences() {
+		return errors.Wrapf(ErrInvalid, "%d repetitions of %d tasks, at most %d tasks are allowed", s.Repetitions, total, maxTasks)
 	}
 	return nil
 }
