--- a/internal/cluster/scheduler/fleet_bench_test.go
+++ b/internal/cluster/scheduler/fleet_bench_test.go
@@ -66,17 +66,19 @@
 	advice        queues.PolicyService
 }
 
+// loadQueue returns the queue of a jobClass.
+func loadQueue(name string, priority int, slack float64, target time.Duration) queues.Queue {
+	return queues.Queue{Name: name, Service: testService, MaxAttempts: 3, SlackFactor: slack, TargetLatency: target, Priority: priority}
+}
+
 func fleetJobClasses() []jobClass {
-	queue := func(name string, priority int, slack float64, target time.Duration) queues.Queue {
-		return queues.Queue{Name: name, Service: testService, MaxAttempts: 3, SlackFactor: slack, TargetLatency: target, Priority: priority}
-	}
 	validity := 1500 * time.Millisecond
 	return []jobClass{
-		{queue("preview", 0, 1.5, 250*time.Millisecond), 140, 4, 7800, false, 680 * time.Millisecond, 0.7, false,
+		{loadQueue("preview", 0, 1.5, 250*time.Millisecond), 140, 4, 7800, false, 680 * time.Millisecond, 0.7, false,
 			queues.PolicyService{Base: 14 * time.Millisecond, PerWorker: 200 * time.Microsecond, Validity: validity}},
-		{queue("check", 2, 4, 3*time.Second), 11, 60, 5500, false, 2300 * time.Millisecond, 0.45, false,
+		{loadQueue("check", 2, 4, 3*time.Second), 11, 60, 5500, false, 2300 * time.Millisecond, 0.45, false,
 			queues.PolicyService{Base: 180 * time.Millisecond, PerWorker: 2600 * time.Microsecond, Validity: validity}},
-		{queue(gangQueue, 1, 2.2, time.Second), 6.5, 36, 9000, true, 5300 * time.Millisecond, 0.3, false,
+		{loadQueue(gangQueue, 1, 2.2, time.Second), 6.5, 36, 9000, true, 5300 * time.Millisecond, 0.3, false,
 			queues.PolicyService{Base: 640 * time.Millisecond, PerWorker: 9100 * time.Microsecond, Validity: validity}},
 	}
 }
--- a/internal/cluster/scheduler/nomination_test.go
+++ b/internal/cluster/scheduler/nomination_test.go
@@ -13,16 +13,13 @@
 // wideGangClasses is a load of nine tenths of 100 workers: half of it are gangs of 1 to 39 members, a third is less urgent
 // work that resumes from checkpoints, the rest short urgent jobs.
 func wideGangClasses() []jobClass {
-	queue := func(name string, priority int, slack float64, target time.Duration) queues.Queue {
-		return queues.Queue{Name: name, Service: testService, MaxAttempts: 3, SlackFactor: slack, TargetLatency: target, Priority: priority}
-	}
 	validity := 1500 * time.Millisecond
 	return []jobClass{
-		{queue("urgent", 0, 1.5, 250*time.Millisecond), 31, 3, 9900, false, 800 * time.Millisecond, 0.7, false,
+		{loadQueue("urgent", 0, 1.5, 250*time.Millisecond), 31, 3, 9900, false, 800 * time.Millisecond, 0.7, false,
 			queues.PolicyService{Base: 12 * time.Millisecond, PerWorker: 170 * time.Microsecond, Validity: validity}},
-		{queue("small", 2, 4, 3*time.Second), 5.3, 25, 6900, false, 2200 * time.Millisecond, 0.45, true,
+		{loadQueue("small", 2, 4, 3*time.Second), 5.3, 25, 6900, false, 2200 * time.Millisecond, 0.45, true,
 			queues.PolicyService{Base: 104 * time.Millisecond, PerWorker: 1430 * time.Microsecond, Validity: validity}},
-		{queue(gangQueue, 1, 2.2, time.Second), 1.6, 20, 18_000, true, 5000 * time.Millisecond, 0.25, false,
+		{loadQueue(gangQueue, 1, 2.2, time.Second), 1.6, 20, 18_000, true, 5000 * time.Millisecond, 0.25, false,
 			queues.PolicyService{Base: 559 * time.Millisecond, PerWorker: 8060 * time.Microsecond, Validity: validity}},
 	}
 }
