--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -231,7 +231,7 @@
 	as.remote[r.Host] = ex
 	as.assignmentsValid = false
 	as.t.delegated = true
-	as.t.log.Info("delegate attends", zap.String("delegate", r.Host), zap.String("session", r.Session), zap.Int("delegates", len(as.remote)))
+	as.t.log.Info("delegate joined", zap.String("delegate", r.Host), zap.String("session", r.Session), zap.Int("delegates", len(as.remote)))
 	return ex
 }
 
--- a/internal/cluster/delegate/session.go
+++ b/internal/cluster/delegate/session.go
@@ -114,7 +114,7 @@
 	if err != nil || !first.Wanted {
 		return false, err
 	}
-	manager.Deps.Log.Info("attending the owner", zap.String("addr", owner.Addr), zap.Int64("epoch", owner.Epoch), zap.String("session", s.id))
+	manager.Deps.Log.Info("delegate session opened", zap.String("addr", owner.Addr), zap.Int64("epoch", owner.Epoch), zap.String("session", s.id))
 	sessionCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.agent = NewAgent(sessionCtx, manager.Config, manager.Deps, owner.Epoch, s.permitValid, s.emit)
@@ -129,7 +129,7 @@
 		cancel() // a call to an unresponsive owner must not delay the session with the next one
 	})
 	reason := s.run(sessionCtx, first)
-	manager.Deps.Log.Info("no longer attending the owner", zap.Int64("epoch", owner.Epoch), zap.String("session", s.id), zap.String("reason", reason))
+	manager.Deps.Log.Info("delegate session ended", zap.Int64("epoch", owner.Epoch), zap.String("session", s.id), zap.String("reason", reason))
 	if ctx.Err() != nil {
 		s.leave()
 	}
