--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -103,6 +103,19 @@
 	return n.workers, false
 }
 
+// replanNominations lets PlanChanged consider the nominated gangs if resources have been freed on workers of theirs.
+func (s *Scheduler) replanNominations() {
+	if !s.nominationsChanged {
+		return
+	}
+	s.nominationsChanged = false
+	for u := range s.open {
+		if len(u.nomination.workers) > 0 {
+			s.changedUnits[u] = struct{}{}
+		}
+	}
+}
+
 // expireNominations drops the nominations that have expired, also of gangs that are not planned at the moment.
 func (s *Scheduler) expireNominations(now time.Time) {
 	s.nominationsChanged = false
@@ -127,7 +140,7 @@
 	size        workload.Resources
 	free        workload.Resources // once runs that are being stopped have ended
 	membersLeft int                // how many more members the worker may get
-	stoppable   []*placement       // runs that may be stopped, in the order in which they are
+	stoppable   []*placement       // runs that may be stopped, in this order
 	next        []*placement       // runs to stop for the next member
 	nextCost    int64              // millicores of next
 	hasNext     bool               // there is room for another member
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -37,18 +37,11 @@
 }
 
 // PlanChanged places only the tasks of units that have changed since they were last planned: new units, those whose job has
-// become durable, those for which the policy service has answered, and those with failed tasks or rejected starts. With
-// hundreds of waiting units a complete plan takes several milliseconds, too long to repeat it after every event, but a
-// short task should not have to wait for the next one.
+// become durable, those for which the policy service has answered, those with failed tasks or rejected starts, and gangs for
+// which room has been made. With hundreds of waiting units a complete plan takes several milliseconds, too long to repeat it
+// after every event, but a short task should not have to wait for the next one.
 func (s *Scheduler) PlanChanged(now time.Time) Plan {
-	if s.nominationsChanged {
-		s.nominationsChanged = false
-		for u := range s.open {
-			if len(u.nomination.workers) > 0 {
-				s.changedUnits[u] = struct{}{}
-			}
-		}
-	}
+	s.replanNominations()
 	units := slices.Collect(maps.Keys(s.changedUnits))
 	clear(s.changedUnits)
 	return s.planUnits(slices.Values(units), now)
