Preempt for gangs only once half of their slack is used

A gang had runs stopped at the first moment at which it did not fit, although it can usually wait some seconds, in which room comes without work that is repeated.

Change: a gang is nominated once it is overdue, that is, has used up half of the time that it may wait.

--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -98,8 +98,9 @@
 	return placed
 }
 
-// placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit, less
-// urgent runs are stopped for it or, if that does not help and it is not late, the workers that it may use are reserved.
+// placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit and is
+// overdue, less urgent runs are stopped for it. If it is not overdue or that does not help, and it is not late, the workers that
+// it may use are reserved.
 func (s *Scheduler) placeGang(c candidate, now time.Time, plan *Plan) int {
 	u := c.unit
 	chosen, waits := s.takeNomination(c, now)
@@ -111,7 +112,9 @@
 		chosen = s.assignGang(c.waiting, workers)
 	}
 	if chosen == nil {
-		s.nominate(c, workers, now)
+		if c.overdue(now) {
+			s.nominate(c, workers, now)
+		}
 		if len(u.nomination.workers) == 0 && !c.late {
 			s.reservations.add(c, s.workersToReserve(c, workers, now), len(s.sortedWorkers))
 		}
