Return the one possible outcome of a change that waited out an outage

Only a change with an unknown attempt waits for the store; all others have been refused before. So the outcome at its deadline is always unknown. No behaviour changes; the tests of the package pass.

--- a/internal/cluster/frontend/outage.go
+++ b/internal/cluster/frontend/outage.go
@@ -29,7 +29,7 @@
 			return peers.NotStored, false, errStoreUnresponsive
 		}
 		if !s.breaker.awaitClosed(ctx, peerRetryInterval) {
-			return outcomeAtDeadline(unknown), false, errStoreUnresponsive
+			return peers.StoreUnknown, false, errStoreUnresponsive
 		}
 	}
 	return outcomeAtDeadline(unknown), true, nil
