Collect the runs that may be stopped in one function

Preemption for long-running tasks and nomination of gangs both added up what is free after the stops under way and picked the runs that may be stopped. No behaviour changes; the tests of the package pass.

--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -147,18 +147,11 @@
 }
 
 func newGangRoom(u *unit, w *worker, now time.Time) *gangRoom {
-	r := &gangRoom{worker: w, size: u.resources(), free: w.free(), membersLeft: len(u.tasks)}
+	r := &gangRoom{worker: w, size: u.resources(), membersLeft: len(u.tasks)}
 	if limit := u.step.MaxPerWorker; limit > 0 {
 		r.membersLeft = limit - w.countTasksOf(u)
 	}
-	for _, p := range w.placements {
-		switch {
-		case p.state == stopping:
-			r.free = r.free.Add(p.resources)
-		case p.preemptibleFor(u, now):
-			r.stoppable = append(r.stoppable, p)
-		}
-	}
+	r.free, r.stoppable = w.freeAfterStops(func(p *placement) bool { return p.preemptibleFor(u, now) })
 	// The runs with the most work left come first: the others are about to free their resources anyway.
 	slices.SortFunc(r.stoppable, func(a, b *placement) int { return cmp.Compare(a.percent, b.percent) })
 	r.findNext()
--- a/internal/cluster/scheduler/preempt.go
+++ b/internal/cluster/scheduler/preempt.go
@@ -38,16 +38,7 @@
 	if u := t.unit; u.step.MaxPerWorker > 0 && w.countTasksOf(u) >= u.step.MaxPerWorker {
 		return nil, 0, false
 	}
-	free := w.free()
-	var stoppable []*placement
-	for _, p := range w.placements {
-		switch {
-		case p.state == stopping:
-			free = free.Add(p.resources)
-		case p.preemptible():
-			stoppable = append(stoppable, p)
-		}
-	}
+	free, stoppable := w.freeAfterStops((*placement).preemptible)
 	slices.SortFunc(stoppable, func(a, b *placement) int { return int(a.lostWork(now) - b.lostWork(now)) })
 	var victims []*placement
 	var lost time.Duration
@@ -62,6 +53,22 @@
 	return victims, lost, free.CanFit(size)
 }
 
+// freeAfterStops returns the resources that are free once the runs that are being stopped have ended, and the runs that may be
+// stopped to get more.
+func (w *worker) freeAfterStops(preemptible func(*placement) bool) (workload.Resources, []*placement) {
+	free := w.free()
+	var stoppable []*placement
+	for _, p := range w.placements {
+		switch {
+		case p.state == stopping:
+			free = free.Add(p.resources)
+		case preemptible(p):
+			stoppable = append(stoppable, p)
+		}
+	}
+	return free, stoppable
+}
+
 // preemptible reports whether the run may be stopped in favour of a long-running task.
 func (p *placement) preemptible() bool {
 	return p.state == running && p.task != nil && p.task.placement == p && !p.task.unit.step.LongRunning && !p.task.unit.step.Gang
