Let the look-up of approved workers include expired tickets

workersToReserve filtered a unit's tickets by itself, beside approvedWorkers. Now one function serves both, and the reservation of an overdue gang no longer depends on the order of a map.

--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -69,7 +69,7 @@
 		return "the last run of the gang has not ended"
 	case u.callsInFlight > 0:
 		return "waits for the policy service"
-	case len(s.approvedWorkers(u, now)) == 0:
+	case len(s.approvedWorkers(u, now, now)) == 0:
 		return "no worker may run it now"
 	}
 	return "no room"
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -55,12 +55,17 @@
 // usableWorkers returns the approved workers on which tasks of the unit may be placed now: those that are not reserved for a
 // unit that comes before it in the planning order.
 func (s *Scheduler) usableWorkers(c candidate, now time.Time) []*worker {
-	return slices.DeleteFunc(s.approvedWorkers(c.unit, now), func(w *worker) bool { return s.reservations.exclude(c, w) })
+	return s.withoutReserved(c, s.approvedWorkers(c.unit, now, now))
 }
 
-// approvedWorkers returns the workers that can run the unit now and, if its queue needs tickets, have a valid one, sorted by ID.
-// With tickets only their workers are examined, which keeps planning fast with hundreds of workers.
-func (s *Scheduler) approvedWorkers(u *unit, now time.Time) []*worker {
+// withoutReserved removes the workers that are reserved for a unit that comes before c in the planning order.
+func (s *Scheduler) withoutReserved(c candidate, workers []*worker) []*worker {
+	return slices.DeleteFunc(workers, func(w *worker) bool { return s.reservations.exclude(c, w) })
+}
+
+// approvedWorkers returns the workers that can run the unit now and, if its queue needs tickets, have one that expires after
+// validAfter, sorted by ID. With tickets only their workers are examined, which keeps planning fast with hundreds of workers.
+func (s *Scheduler) approvedWorkers(u *unit, now, validAfter time.Time) []*worker {
 	var out []*worker
 	if u.job.queue.PolicyService == nil {
 		for _, w := range s.sortedWorkers {
@@ -71,7 +76,7 @@
 		return out
 	}
 	for id, t := range u.tickets {
-		if !t.expires.After(now) {
+		if !t.expires.After(validAfter) {
 			continue
 		}
 		if w := s.workers[id]; w != nil && s.canRun(u, w, now) {
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -131,16 +131,10 @@
 // gang that has waited long also keeps the workers whose tickets have expired: approvals last, and tickets can be renewed once
 // there is room.
 func (s *Scheduler) workersToReserve(c candidate, usable []*worker, now time.Time) []*worker {
-	if c.unit.job.queue.PolicyService == nil || !c.overdue(now) {
+	if !c.overdue(now) {
 		return usable
 	}
-	var out []*worker
-	for id := range c.unit.tickets {
-		if w := s.workers[id]; w != nil && s.canRun(c.unit, w, now) && !s.reservations.exclude(c, w) {
-			out = append(out, w)
-		}
-	}
-	return out
+	return s.withoutReserved(c, s.approvedWorkers(c.unit, now, time.Time{}))
 }
 
 // assignGang finds a worker for each task of a gang, or returns nil. If the gang runs slower across several racks, it first
