--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -263,9 +263,9 @@
 }
 
 // gangShouldAsk reports whether advice can help a gang with waiting members, for which there are this many workers to ask and so
-// many expected places on these and on those with tickets. A gang that waits for its nominated workers, or that has tickets for almost all workers,
-// needs no more. One whose members are not expected to fit asks only if it is overdue and knows no approvals yet: then workers
-// can be reserved for it.
+// many expected places on these and on those with tickets. A gang that waits for its nominated workers, or that has tickets for
+// almost all workers, needs no more. One whose members are not expected to fit asks only if it is overdue and knows no approvals
+// yet: then workers can be reserved for it.
 func (c candidate) gangShouldAsk(waiting, candidates int, expectedPlaces float64, now time.Time) bool {
 	u := c.unit
 	if len(u.nomination.workers) > 0 || candidates < minAskedWorkers && u.hasTicket(now) {
