Log the workers that take runs with them

The logs showed neither that a worker was replaced nor which runs it took with it, so they could not tell a task that crashes its workers from overload or from the effect of an owner change. The owner now logs each lost worker with its cause and its youngest runs with their ages, and counts lost runs. No decision changes.

--- /dev/null
+++ b/internal/cluster/coordinator/losses.go
@@ -0,0 +1,49 @@
+package coordinator
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+)
+
+// maxLoggedRuns limits the runs in the log line of a lost worker. The youngest ones are listed first: a task that crashes its
+// worker usually does so right after its start.
+const maxLoggedRuns = 8
+
+// logWorkerLosses logs the workers that took runs with them, and counts these runs. The caller holds mu.
+func (t *term) logWorkerLosses() {
+	for _, l := range t.sched.TakeWorkerLosses() {
+		for _, r := range l.Runs {
+			t.meters.ends.Record("lost", l.NoticedAt.Add(-r.Age))
+		}
+		t.log.Warn("worker lost with its runs", zap.String("worker", l.Worker), zap.String("cause", string(l.Cause)),
+			zap.Duration("since", time.Since(l.NoticedAt)), zap.Int("runs", len(l.Runs)),
+			zap.Array("youngest", lostRuns(l.Runs[:min(len(l.Runs), maxLoggedRuns)])))
+	}
+}
+
+// lostRuns logs each run as task, run number and age.
+type lostRuns []scheduler.LostRun
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (rs lostRuns) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, r := range rs {
+		if err := enc.AppendObject(lostRun(r)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type lostRun scheduler.LostRun
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r lostRun) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("task", r.Task.String())
+	enc.AddInt64("run", r.Run)
+	enc.AddDuration("age", r.Age)
+	return nil
+}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -253,6 +253,7 @@
 	for _, s := range p.Stops {
 		t.assigner.sendStop(s)
 	}
+	t.logWorkerLosses()
 	t.logEndedJobs()
 	wait.Signal(t.saveRequested)
 }
--- /dev/null
+++ b/internal/cluster/scheduler/losses.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// LossCause is how the scheduler learned that the runs of a worker are gone.
+type LossCause string
+
+// Causes of the loss of a worker's runs.
+const (
+	LossRestarted    LossCause = "restarted"     // a newer incarnation is listed or answers under its ID
+	LossLeaseExpired LossCause = "lease expired" // it did not answer until the lease of its runs had expired
+)
+
+// WorkerLoss is a worker that took its runs with it, for logs and metrics.
+type WorkerLoss struct {
+	Worker    string
+	Cause     LossCause
+	NoticedAt time.Time // when the first call without an answer failed, or the present time if all were answered
+	Runs      []LostRun // the youngest first
+}
+
+// LostRun is a run that ended with its worker.
+type LostRun struct {
+	Task workload.TaskID
+	Run  int64
+	Age  time.Duration // from its start until the loss was noticed
+}
+
+// recordLoss records the loss of the runs that are placed on the worker.
+func (s *Scheduler) recordLoss(w *worker, cause LossCause, now time.Time) {
+	if len(w.placements) == 0 {
+		return
+	}
+	l := WorkerLoss{Worker: w.info.ID, Cause: cause, NoticedAt: w.silentSince}
+	if l.NoticedAt.IsZero() {
+		l.NoticedAt = now
+	}
+	for _, p := range w.placements {
+		l.Runs = append(l.Runs, LostRun{p.id, p.run, l.NoticedAt.Sub(p.startedAt())})
+	}
+	slices.SortFunc(l.Runs, func(a, b LostRun) int { return cmp.Compare(a.Age, b.Age) })
+	s.losses = append(s.losses, l)
+}
+
+// startedAt returns the latest time at which the run may have started: when its start was ordered, or when the worker is known
+// to have accepted it.
+func (p *placement) startedAt() time.Time {
+	if p.confirmedAt.After(p.orderedAt) {
+		return p.confirmedAt
+	}
+	return p.orderedAt
+}
+
+// TakeWorkerLosses returns the losses since the last call.
+func (s *Scheduler) TakeWorkerLosses() []WorkerLoss {
+	losses := s.losses
+	s.losses = nil
+	return losses
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -65,10 +65,11 @@
 		return nil
 	}
 	if r.Incarnation > w.info.Incarnation {
-		s.resetWorker(w, now)
+		s.resetWorker(w, LossRestarted, now)
 		w.info.Incarnation, w.info.Draining = r.Incarnation, false
 	}
 	w.unreachable, w.fenced = false, true
+	w.silentSince = time.Time{}
 	w.extendLease(r.LeaseUntil)
 	var applied []AppliedEnd
 	for _, e := range r.Ended {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -64,6 +64,7 @@
 	newJobs    []*job            // jobs added since the last TakeRecords that TakeNewJobRecords has not considered yet
 
 	endedJobs      []JobSummary              // since the last TakeEndedJobs
+	losses         []WorkerLoss              // since the last TakeWorkerLosses
 	stops          []Stop                    // to be returned by the next plan
 	durationRatios map[string]*durationRatio // by queue name
 	approvalCounts map[string]*approvalCount // by queue name
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -29,6 +29,7 @@
 	listed         bool               // the platform's list of workers has it
 	fenced         bool               // it has reported to this owner, so it rejects orders of earlier owners
 	unreachable    bool               // it did not answer the last call
+	silentSince    time.Time          // when the first call without an answer failed; zero while it answers
 	leaseUntil     time.Time          // when all runs on it have stopped unless the lease is renewed
 	shutdownAt     time.Time          // when a draining worker shuts down
 	used           workload.Resources // by its placements
@@ -156,7 +157,7 @@
 		return
 	}
 	if info.Incarnation > w.info.Incarnation {
-		s.resetWorker(w, now)
+		s.resetWorker(w, LossRestarted, now)
 	}
 	wasDraining := w.info.Draining && w.info.Incarnation == info.Incarnation
 	w.info = info
@@ -177,7 +178,8 @@
 
 // resetWorker drops all placements of a worker whose process is gone or whose lease has expired, and resets what was known
 // about the process.
-func (s *Scheduler) resetWorker(w *worker, now time.Time) {
+func (s *Scheduler) resetWorker(w *worker, cause LossCause, now time.Time) {
+	s.recordLoss(w, cause, now)
 	for _, p := range slices.Clone(w.placements) {
 		s.dropPlacement(p, now)
 	}
@@ -185,6 +187,7 @@
 	w.used = workload.Resources{}
 	w.urgentCPU = 0
 	w.fenced = false
+	w.silentSince = time.Time{}
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	w.health = health{}
 	s.markResolved(w.info.ID)
@@ -219,11 +222,14 @@
 
 // MarkUnreachable records that a worker did not answer a call. Without another renewal, the lease of every run on the worker
 // has expired at leaseUntil, including runs that earlier owners started.
-func (s *Scheduler) MarkUnreachable(_ time.Time, workerID string, leaseUntil time.Time) {
+func (s *Scheduler) MarkUnreachable(now time.Time, workerID string, leaseUntil time.Time) {
 	w := s.workers[workerID]
 	if w == nil {
 		return
 	}
+	if !w.unreachable {
+		w.silentSince = now
+	}
 	w.unreachable = true
 	w.extendLease(leaseUntil)
 }
@@ -247,7 +253,7 @@
 	for _, w := range s.sortedWorkers {
 		if w.unreachable && w.fenced && now.After(w.leaseUntil) {
 			lastEnd, lastDurableEnd, pendingAcks := w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks
-			s.resetWorker(w, now)
+			s.resetWorker(w, LossLeaseExpired, now)
 			// The process may still be alive: it continues the numbering of its ends.
 			w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = lastEnd, lastDurableEnd, pendingAcks
 		}
