Give up tasks that crash the workers that start them

Cause: nothing remembered a crash. A run that is lost with its worker was requeued as if it had never run. The new log lines of lost workers show it: each crash came 1 to 40 ms after the start of the same task, at the interval of the lease's expiry. Overload is ruled out (the workers had room), and so is the owner change (one owner did it, too).

Change: when a worker stops answering, the owner notes, and stores, which runs it had just started. Once it is known to have crashed (a newer incarnation, or another worker answers at its address), the crash counts as evidence against them, weighted by how well the start explains it. A suspected task starts again only where no other job's run has just started, on the worker with the least at stake. After two or three such crashes its job fails. A worker that was only silent, or several that crash at one moment, convict nobody. Runs of a replaced worker start again at once instead of when their lease expires.

--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -153,7 +153,11 @@
 		t.sched.ExtendLease(e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
 	case e.MissedRenewal != nil:
 		t.meters.renewals.Record("failed", now)
-		t.sched.MarkUnreachable(now, e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
+		failedAt := now
+		if at := e.MissedRenewal.FailedAt; at > 0 { // delegates of earlier releases do not send it
+			failedAt = ex.ownerTime(at)
+		}
+		t.sched.MarkUnreachable(failedAt, e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
 	case e.Started != nil:
 		r := e.Started
 		delete(a.starts, runKey{r.Task, r.Run})
--- a/internal/cluster/coordinator/losses.go
+++ b/internal/cluster/coordinator/losses.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// logGivenUp logs the tasks that were given up because workers crashed under them. The caller holds mu.
+func (t *term) logGivenUp() {
+	for _, g := range t.sched.TakeGivenUp() {
+		t.log.Warn("job fails: workers crash under its task", zap.String("job", g.Task.Job), zap.Stringer("task", g.Task),
+			zap.Int("crashes", g.Crashes), zap.Int("weight", g.Weight))
+	}
+}
+
 // lostRuns logs each run as task, run number and age.
 type lostRuns []scheduler.LostRun
 
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -254,6 +254,7 @@
 		t.assigner.sendStop(s)
 	}
 	t.logWorkerLosses()
+	t.logGivenUp()
 	t.logEndedJobs()
 	wait.Signal(t.saveRequested)
 }
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -118,6 +118,7 @@
 // MissedRenewal is a renewal that the worker did not answer.
 type MissedRenewal struct {
 	LeaseUntil time.Duration `json:"lease"` // as in a Report
+	FailedAt   time.Duration `json:"at"`
 	// Excused means that the delegate's own process was paused, so the missing answer is no evidence that the worker is
 	// down.
 	Excused bool `json:"excused,omitempty"`
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -187,11 +187,12 @@
 		return 0, err // released from this delegate; the next one finds out the worker's state
 	}
 	if err != nil {
-		excused := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, r.a.deps.Clock(), timeout)
+		failedAt := r.a.deps.Clock()
+		excused := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
 		if !excused {
 			r.recordFailure()
 		}
-		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, Excused: excused}})
+		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt, Excused: excused}})
 		return 0, err
 	}
 	if answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -55,7 +55,7 @@
 // usableWorkers returns the approved workers on which tasks of the unit may be placed now: those that are not reserved for a
 // unit that comes before it in the planning order.
 func (s *Scheduler) usableWorkers(c candidate, now time.Time) []*worker {
-	return s.withoutReserved(c, s.approvedWorkers(c.unit, now, now))
+	return withoutBlurring(c.unit, c.waiting, s.withoutReserved(c, s.approvedWorkers(c.unit, now, now)), now)
 }
 
 // withoutReserved removes the workers that are reserved for a unit that comes before c in the planning order.
@@ -90,16 +90,13 @@
 // bestFit returns the worker that has the least free CPU, penalties included, among those on which the task fits (best-fit
 // bin packing). It returns nil if there is none.
 func bestFit(t *task, workers []*worker) *worker {
-	u := t.unit
-	size := u.resources()
 	var best *worker
 	var bestLeft int64
 	for _, w := range workers {
-		free := w.free()
-		if !free.CanFit(size) || u.step.MaxPerWorker > 0 && w.countTasksOf(u) >= u.step.MaxPerWorker {
+		if !w.fits(t.unit) {
 			continue
 		}
-		left := free.CPUMilli + t.penalty(w)
+		left := w.free().CPUMilli + t.penalty(w)
 		if best == nil || left < bestLeft {
 			best, bestLeft = w, left
 		}
@@ -107,6 +104,11 @@
 	return best
 }
 
+// fits reports whether the worker has room for another task of the unit.
+func (w *worker) fits(u *unit) bool {
+	return w.free().CanFit(u.resources()) && (u.step.MaxPerWorker <= 0 || w.countTasksOf(u) < u.step.MaxPerWorker)
+}
+
 // penalty returns the sum of the worker's penalties for the task.
 func (t *task) penalty(w *worker) int64 {
 	penalty := int64(0)
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -40,10 +40,11 @@
 	tasks      []*task
 	tasksLeft  int // tasks that are not done
 
-	// Gangs only: the members share run number, checkpoint and failed runs.
+	// Gangs only: the members share run number, checkpoint, failed runs and the evidence of crashes.
 	run        int64
 	checkpoint string
 	failedRuns []int64
+	evidence   workload.CrashEvidence
 
 	tickets        map[string]ticket   // by ID of the worker that the policy service approved
 	denied         map[string]struct{} // IDs of workers that the policy service did not approve
@@ -71,7 +72,8 @@
 	run           int64 // highest run number used so far
 	placement     *placement
 	failedWorkers map[string]struct{} // IDs of workers on which a run failed
-	notBefore     time.Time           // no start before: restart delay of a long-running task
+	evidence      workload.CrashEvidence
+	notBefore     time.Time // no start before: restart delay of a long-running task
 }
 
 func newOccurrence(j *job, number int) *occurrence {
@@ -173,10 +175,13 @@
 		if u.step.Gang {
 			tp.FailedRuns, tp.Checkpoint, tp.Run = u.failedRuns, u.checkpoint, u.run
 		}
+		if e := *t.crashEvidence(); !e.Empty() && (!u.step.Gang || t.index == 0) {
+			tp.Crash = &e
+		}
 		if t.done {
-			tp.FailedRuns, tp.Checkpoint, tp.Run = nil, "", 0
+			tp.FailedRuns, tp.Checkpoint, tp.Run, tp.Crash = nil, "", 0, nil
 		}
-		if tp.Done || len(tp.FailedRuns) > 0 || tp.Checkpoint != "" {
+		if tp.Done || len(tp.FailedRuns) > 0 || tp.Checkpoint != "" || tp.Crash != nil {
 			out = append(out, tp)
 		}
 	}
--- a/internal/cluster/scheduler/losses.go
+++ b/internal/cluster/scheduler/losses.go
@@ -14,6 +14,7 @@
 // Causes of the loss of a worker's runs.
 const (
 	LossRestarted    LossCause = "restarted"     // a newer incarnation is listed or answers under its ID
+	LossReplaced     LossCause = "replaced"      // another worker answers at its address
 	LossLeaseExpired LossCause = "lease expired" // it did not answer until the lease of its runs had expired
 )
 
--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -91,7 +91,7 @@
 	usable := len(n.workers) == len(c.waiting) && now.Before(n.expires)
 	for _, w := range n.workers {
 		usable = usable && s.canRun(u, w, now)
-		ready = ready && w.free().CanFit(workload.Resources{}) // the resources of all members are held already
+		ready = ready && !w.blursCrash(u, false, now) && w.free().CanFit(workload.Resources{}) // the resources of all members are held already
 	}
 	if usable && !ready {
 		return nil, true
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -24,6 +24,7 @@
 func (s *Scheduler) Plan(now time.Time) Plan {
 	s.expireUnresolved(now)
 	s.expireWorkers(now)
+	s.expireSilences(now)
 	s.stopStalled(now)
 	s.stopOnDrainingWorkers(now)
 	for j := range s.futureOccurrences {
@@ -84,7 +85,11 @@
 		if !s.leavesHeadroom(c.unit) {
 			break
 		}
-		w := bestFit(t, workers)
+		choose := bestFit
+		if t.suspected() {
+			choose = leastAtStake
+		}
+		w := choose(t, workers)
 		if w == nil {
 			if c.longRunning() {
 				s.preempt(t, workers, now)
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -70,6 +70,8 @@
 	}
 	w.unreachable, w.fenced = false, true
 	w.silentSince = time.Time{}
+	s.endSilence(w, now)
+	s.confirmReplaced(w, r.SentAt, now)
 	w.extendLease(r.LeaseUntil)
 	var applied []AppliedEnd
 	for _, e := range r.Ended {
@@ -99,7 +101,8 @@
 	}
 	t := s.task(a.Task)
 	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, orderedAt: now, confirmedAt: requestedAt,
-		percent: a.Percent, percentChangedAt: now, firstPercent: a.Percent, firstReportAt: now, lastListedAt: requestedAt, checkpoint: a.Checkpoint}
+		percent: a.Percent, percentChangedAt: now, firstPercent: a.Percent, firstReportAt: now, lastListedAt: requestedAt, checkpoint: a.Checkpoint,
+		adopted: true}
 	if t != nil {
 		p.task, p.resources, p.urgent = t, t.unit.resources(), s.urgent(t.unit)
 	} else {
@@ -154,6 +157,9 @@
 		p.firstReportAt, p.firstPercent = now, a.Percent
 	}
 	p.expectedEnd = p.extrapolateEnd()
+	if p.task != nil && p.task.placement == p {
+		s.checkHarmless(p)
+	}
 	if a.Checkpoint != "" {
 		p.checkpoint = a.Checkpoint
 		if p.task != nil && p.task.placement == p {
@@ -202,6 +208,9 @@
 		return c
 	}
 	s.dirty[j] = struct{}{}
+	if e.Reason == EndDone || e.Reason == EndFailed {
+		s.clearEvidence(t)
+	}
 	switch {
 	case t.done:
 	case e.Reason == EndDone:
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -58,6 +58,8 @@
 	// unresolved maps the IDs of workers that may still run tasks of an earlier owner to the time at which the leases of
 	// these tasks have expired at the latest.
 	unresolved map[string]time.Time
+	silences   map[string]*silence // by ID of a worker that does not answer
+	crashes    []crash             // within silenceRetention
 
 	dirty      map[*job]struct{} // jobs that have changed since their last record was taken
 	generation int64             // of the records that the next TakeRecords returns
@@ -65,6 +67,7 @@
 
 	endedJobs      []JobSummary              // since the last TakeEndedJobs
 	losses         []WorkerLoss              // since the last TakeWorkerLosses
+	givenUp        []GivenUpTask             // since the last TakeGivenUp
 	stops          []Stop                    // to be returned by the next plan
 	durationRatios map[string]*durationRatio // by queue name
 	approvalCounts map[string]*approvalCount // by queue name
@@ -82,6 +85,7 @@
 		futureOccurrences: map[*job]struct{}{},
 		cancelled:         map[string]time.Time{},
 		unresolved:        map[string]time.Time{},
+		silences:          map[string]*silence{},
 		dirty:             map[*job]struct{}{},
 		generation:        1,
 		reservations:      reservations{},
@@ -161,7 +165,7 @@
 	s.futureOccurrences[j] = struct{}{}
 	if progress != nil {
 		j.progressStored = true
-		s.restore(j, progress)
+		s.restore(j, progress, now)
 	}
 	s.openDueOccurrences(j, now)
 	if _, cancelled := s.cancelled[spec.ID]; cancelled {
@@ -176,7 +180,7 @@
 }
 
 // restore applies progress that an earlier owner stored, and opens the occurrences that it mentions.
-func (s *Scheduler) restore(j *job, p *workload.Progress) {
+func (s *Scheduler) restore(j *job, p *workload.Progress, now time.Time) {
 	for _, tp := range p.Tasks {
 		if tp.Occurrence >= len(j.occurrences) || tp.Step >= len(j.spec.Steps) {
 			continue
@@ -196,6 +200,9 @@
 		if tp.Done {
 			s.markDone(t)
 		}
+		if tp.Crash != nil {
+			s.restoreEvidence(t, *tp.Crash, now)
+		}
 	}
 	j.state = p.State
 	j.durableState = p.State
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -110,6 +110,7 @@
 // that lacks resources or is unhealthy for rejectionDelay.
 func (s *Scheduler) handleRejected(w *worker, p *placement, outcome StartOutcome, now time.Time) {
 	w.removePlacement(p)
+	s.withdrawSuspicion(p)
 	t := p.task
 	if t == nil || t.placement != p {
 		return
@@ -148,8 +149,8 @@
 func (s *Scheduler) startRun(t *task, w *worker, run int64, now time.Time) Start {
 	u := t.unit
 	t.run = run
-	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), urgent: s.urgent(u), orderedAt: now,
-		percentChangedAt: now}
+	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), urgent: s.urgent(u),
+		suspected: t.suspected(), orderedAt: now, percentChangedAt: now}
 	t.placement = p
 	w.addPlacement(p)
 	if u.job.firstStart.IsZero() {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -34,6 +34,7 @@
 	shutdownAt     time.Time          // when a draining worker shuts down
 	used           workload.Resources // by its placements
 	urgentCPU      int64              // millicores used by urgent tasks; see headroom
+	suspectedRuns  int                // placements with suspected set
 	held           workload.Resources // for gangs that are nominated for the worker
 	expectedDemand workload.Resources // of units that wait for an answer of the policy service
 	// expectedGangDemand is the part of expectedDemand that is due to gangs.
@@ -76,6 +77,8 @@
 	state       placementState
 	resources   workload.Resources
 	urgent      bool // see headroom
+	suspected   bool // when it started, its task was suspected of having crashed a worker
+	adopted     bool // an earlier owner started it
 	orderedAt   time.Time
 	confirmedAt time.Time // when the worker accepted the start, or when the first report that lists the run was requested
 	stopAckedAt time.Time // when the worker accepted the stop
@@ -108,6 +111,9 @@
 	if p.urgent {
 		w.urgentCPU += p.resources.CPUMilli
 	}
+	if p.suspected {
+		w.suspectedRuns++
+	}
 }
 
 func (w *worker) removePlacement(p *placement) {
@@ -120,6 +126,9 @@
 	if p.urgent {
 		w.urgentCPU -= p.resources.CPUMilli
 	}
+	if p.suspected {
+		w.suspectedRuns--
+	}
 }
 
 // countTasksOf returns the number of tasks of a unit that are placed on the worker.
@@ -166,6 +175,9 @@
 	if info.Draining {
 		w.shutdownAt = now.Add(info.DrainRemaining)
 	}
+	if l := s.silences[info.ID]; l != nil && l.incarnation < info.Incarnation {
+		s.endSilence(w, now)
+	}
 }
 
 // DelistWorker records that the worker is no longer on the platform's list. It gets no new tasks; its runs continue as long
@@ -180,12 +192,18 @@
 // about the process.
 func (s *Scheduler) resetWorker(w *worker, cause LossCause, now time.Time) {
 	s.recordLoss(w, cause, now)
+	if cause == LossRestarted {
+		if s.silences[w.info.ID] == nil {
+			s.beginSilence(w, now)
+		}
+		s.confirmCrash(w.info.ID, now)
+	}
 	for _, p := range slices.Clone(w.placements) {
 		s.dropPlacement(p, now)
 	}
 	w.placements = nil
 	w.used = workload.Resources{}
-	w.urgentCPU = 0
+	w.urgentCPU, w.suspectedRuns = 0, 0
 	w.fenced = false
 	w.silentSince = time.Time{}
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
@@ -220,15 +238,16 @@
 	t.checkpoint = checkpoint
 }
 
-// MarkUnreachable records that a worker did not answer a call. Without another renewal, the lease of every run on the worker
+// MarkUnreachable records that a worker did not answer a call, which failed at the given time. Without another renewal, the lease of every run on the worker
 // has expired at leaseUntil, including runs that earlier owners started.
-func (s *Scheduler) MarkUnreachable(now time.Time, workerID string, leaseUntil time.Time) {
+func (s *Scheduler) MarkUnreachable(failedAt time.Time, workerID string, leaseUntil time.Time) {
 	w := s.workers[workerID]
 	if w == nil {
 		return
 	}
 	if !w.unreachable {
-		w.silentSince = now
+		w.silentSince = failedAt
+		s.beginSilence(w, failedAt)
 	}
 	w.unreachable = true
 	w.extendLease(leaseUntil)
--- /dev/null
+++ b/internal/cluster/workload/crashes.go
@@ -0,0 +1,68 @@
+package workload
+
+import (
+	"slices"
+	"time"
+)
+
+// CrashEvidence is what crashes of workers say about a task, or about a gang as a whole, since one of its runs last proved to be
+// harmless.
+type CrashEvidence struct {
+	Crashes    int              `json:"n,omitempty"`   // workers that crashed under it
+	Weight     int              `json:"w,omitempty"`   // sum of the weights of these crashes
+	LastRun    int64            `json:"r,omitempty"`   // the run of the last crash
+	LastWeight int              `json:"lw,omitempty"`  // the weight of the crashes of that run
+	MaxAge     time.Duration    `json:"age,omitempty"` // the longest time from the start of a run to the crash
+	Suspected  []SuspectedCrash `json:"s,omitempty"`   // workers that may have crashed under it
+}
+
+// SuspectedCrash is a worker that stopped answering while it had a run of the task. Only a newer incarnation, or another worker at its
+// address, shows that it has crashed.
+type SuspectedCrash struct {
+	Worker      string        `json:"id"`
+	Address     string        `json:"a,omitempty"`
+	Incarnation int64         `json:"b,omitempty"`
+	Run         int64         `json:"r"`
+	Weight      int           `json:"w"`
+	Age         time.Duration `json:"age,omitempty"` // from the start of the run until the worker stopped answering
+	Since       time.Time     `json:"t"`             // when it stopped answering, on the clock of the owner at that time
+}
+
+// Empty reports whether there is no evidence.
+func (e *CrashEvidence) Empty() bool { return e.Crashes == 0 && len(e.Suspected) == 0 }
+
+// Suspect adds a suspected crash. Of several on one worker, members of the same gang, the one with the largest weight is kept.
+func (e *CrashEvidence) Suspect(c SuspectedCrash) {
+	if earlier, found := e.TakeSuspected(c.Worker); found && earlier.Weight > c.Weight {
+		c = earlier
+	}
+	e.Suspected = append(e.Suspected, c)
+}
+
+// TakeSuspected removes the suspected crash of a worker and returns it.
+func (e *CrashEvidence) TakeSuspected(worker string) (SuspectedCrash, bool) {
+	i := slices.IndexFunc(e.Suspected, func(c SuspectedCrash) bool { return c.Worker == worker })
+	if i < 0 {
+		return SuspectedCrash{}, false
+	}
+	c := e.Suspected[i]
+	// The stored progress shares the slice, so it is not changed in place.
+	e.Suspected = slices.Concat(e.Suspected[:i], e.Suspected[i+1:])
+	return c, true
+}
+
+// Count counts a crash. The crashes under one run of a gang, on several workers, count once.
+func (e *CrashEvidence) Count(c SuspectedCrash) {
+	e.MaxAge = max(e.MaxAge, c.Age)
+	if e.Crashes > 0 && e.LastRun == c.Run {
+		e.Weight += max(c.Weight-e.LastWeight, 0)
+		e.LastWeight = max(c.Weight, e.LastWeight)
+		return
+	}
+	e.Crashes++
+	e.Weight += c.Weight
+	e.LastRun, e.LastWeight = c.Run, c.Weight
+}
+
+// Clear removes the counted crashes. Suspected ones remain until it is known whether the worker crashed.
+func (e *CrashEvidence) Clear() { *e = CrashEvidence{Suspected: e.Suspected} }
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -160,6 +160,8 @@
 	FailedRuns []int64 `json:"f,omitempty"` // numbers of its failed runs; a worker may report a failure again to a new owner, and it counts only once
 	Checkpoint string  `json:"c,omitempty"`
 	Run        int64   `json:"r,omitempty"` // highest run number that is known to have been used
+	// Crash is the evidence against the task, or against its gang, which stores it with the first member.
+	Crash *CrashEvidence `json:"x,omitempty"`
 }
 
 // Progress is the stored progress of an accepted job.
