Restart the runs of a worker whose process has ended at once

What callers saw: jobs on a crashed worker waited 3.3 s until its machine was back, or 5 s until its lease had expired, though nothing ran there any more.

Cause: an unanswered renewal said nothing of its reason, so a dead process was treated like a partition.

The delegate reports it with the incarnation that it called, and the owner requeues the runs at once. The end of an earlier incarnation is ignored.

--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -153,11 +153,7 @@
 		t.sched.ExtendLease(e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
 	case e.MissedRenewal != nil:
 		t.meters.renewals.Record("failed", now)
-		failedAt := now
-		if at := e.MissedRenewal.FailedAt; at > 0 { // delegates of earlier releases do not send it
-			failedAt = ex.ownerTime(at)
-		}
-		t.sched.MarkUnreachable(failedAt, e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
+		t.applyMissedRenewal(now, ex, e.WorkerID, e.MissedRenewal)
 	case e.Started != nil:
 		r := e.Started
 		delete(a.starts, runKey{r.Task, r.Run})
@@ -171,6 +167,18 @@
 	}
 }
 
+// applyMissedRenewal tells the scheduler that a worker does not answer, or that its process has ended.
+func (t *term) applyMissedRenewal(now time.Time, ex *executor, worker string, m *delegate.MissedRenewal) {
+	failedAt := now
+	if m.FailedAt > 0 { // delegates of earlier releases do not send it
+		failedAt = ex.ownerTime(m.FailedAt)
+	}
+	t.sched.MarkUnreachable(failedAt, worker, ex.leaseEnd(m.LeaseUntil))
+	if m.Ended {
+		t.sched.MarkEnded(now, worker, m.Incarnation)
+	}
+}
+
 // applyReport passes a worker's report on to the scheduler and logs the runs that it shows as ended.
 func (t *term) applyReport(now time.Time, ex *executor, worker string, r *delegate.Report) {
 	sentAt := ex.ownerTime(r.SentAt)
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -119,6 +119,9 @@
 type MissedRenewal struct {
 	LeaseUntil time.Duration `json:"lease"` // as in a Report
 	FailedAt   time.Duration `json:"at"`
+	// Ended means that the incarnation of the worker that was called has ended.
+	Ended       bool  `json:"ended,omitempty"`
+	Incarnation int64 `json:"born,omitempty"`
 	// Excused means that the delegate's own process was paused, so the missing answer is no evidence that the worker is
 	// down.
 	Excused bool `json:"excused,omitempty"`
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
@@ -192,7 +193,8 @@
 		if !excused {
 			r.recordFailure()
 		}
-		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt, Excused: excused}})
+		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt,
+			Ended: errors.Is(err, ErrWorkerEnded), Incarnation: info.Incarnation, Excused: excused}})
 		return 0, err
 	}
 	if answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -414,3 +414,27 @@
 		})
 	})
 }
+
+// Guards against runs that wait for the expiry of a lease although their worker's process is known to have ended, and against taking
+// that for the end of a later incarnation.
+func TestRunsOfEndedWorkerStartAgainAtOnce(t *testing.T) {
+	Convey("Given a run on a worker that stops answering", t, func() {
+		f := newFixture(1, 2)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		s := f.plan(t0).Starts[0]
+		now := at(time.Second)
+		f.MarkUnreachable(now, s.Worker.ID, now.Add(5*time.Second))
+		So(f.plan(now).Starts, ShouldBeEmpty)
+		Convey("It starts again once its process has ended", func() {
+			f.MarkEnded(now, s.Worker.ID, 1)
+			p := f.plan(now)
+			So(p.Starts, ShouldHaveLength, 1)
+			So(p.Starts[0].Worker.ID, ShouldNotEqual, s.Worker.ID)
+			So(p.Starts[0].Run, ShouldBeGreaterThan, s.Run)
+		})
+		Convey("The end of an earlier incarnation says nothing about it", func() {
+			f.MarkEnded(now, s.Worker.ID, 0)
+			So(f.plan(now).Starts, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -253,6 +253,17 @@
 	w.extendLease(leaseUntil)
 }
 
+// MarkEnded records that the process of an incarnation of a worker has ended, and its runs with it. It is called after
+// MarkUnreachable.
+func (s *Scheduler) MarkEnded(now time.Time, workerID string, incarnation int64) {
+	w := s.workers[workerID]
+	if w == nil || w.info.Incarnation != incarnation {
+		return
+	}
+	s.confirmCrash(workerID, now)
+	s.resetWorker(w, LossEnded, now)
+}
+
 // ExtendLease records that a call that the worker may have processed extended the lease of its runs until the given time.
 func (s *Scheduler) ExtendLease(workerID string, until time.Time) {
 	if w := s.workers[workerID]; w != nil {
