Tell tasks apart that crash workers at the same moment

Cause: crashes of several workers at one moment counted as an outside cause, though each had just accepted a run. With runs that start again at once the coincidence repeated itself.

Change: only crashes of workers that had accepted no run just before speak for an outside cause; the next run of a task under which two workers have crashed is delayed; and tasks of a queue that has crashed workers lately start where the least work is at stake, not on the fullest worker, so that a crash takes fewer runs and gangs with it.

TestSimultaneousCrashesAreAttributed failed before (five crashes).

--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 // A task can crash every worker that starts it. If it were only started again, it would crash one worker after the other, and each
@@ -24,15 +25,15 @@
 	promptCrashWindow = 100 * time.Millisecond
 	// sameStartWindow is how long before the last start another run may have started to be as likely a cause.
 	sameStartWindow = 60 * time.Millisecond
-	// sameCrashWindow is the time between two crashes that count as simultaneous. With more than maxUnrelatedCrashes others at the
-	// same moment, the cause is assumed to lie outside the workers.
-	sameCrashWindow     = 50 * time.Millisecond
-	maxUnrelatedCrashes = 1
+	// sameCrashWindow is the time between two crashes that count as simultaneous. With more than maxUnexplainedCrashes others at the
+	// same moment, of workers that had not just accepted a run, the cause is assumed to lie outside the workers.
+	sameCrashWindow       = 50 * time.Millisecond
+	maxUnexplainedCrashes = 1
 
 	// Weights of a crash as evidence against a run.
 	promptWeight = 4 // prompt, and all runs that the worker had just accepted belong to the job
 	startWeight  = 2 // the run was the last one that the worker had accepted, or one of the last
-	weakWeight   = 1 // the worker had accepted another run later, or none just before, or unrelated workers crashed as well
+	weakWeight   = 1 // the worker had accepted another run later, or none just before, or the cause lies outside
 
 	// A task is given up after a prompt crash if the weights of its crashes add up to givenUpWeight, after any crash if they add up
 	// to sureWeight, and after maxCrashes.
@@ -40,6 +41,15 @@
 	sureWeight    = 4 * startWeight
 	maxCrashes    = 5
 
+	minCrashBackoff = 500 * time.Millisecond
+	maxCrashBackoff = 4 * time.Second
+
+	// riskyQueueTime is how long after such a crash the new tasks of a queue are started where the least work is at stake.
+	riskyQueueTime = 10 * time.Second
+	// checkpointLoss is the most work that a run with checkpoints loses, and restartCost what any run loses beside its work.
+	checkpointLoss = time.Second
+	restartCost    = 200 * time.Millisecond
+
 	// maxProvingTime limits how long a run has to last to prove that its task is harmless.
 	maxProvingTime = 10 * time.Second
 	// silenceRetention is how long the scheduler remembers the runs of a silent worker after their lease has expired. A worker
@@ -53,14 +63,14 @@
 	address     string
 	incarnation int64
 	since       time.Time
-	jobs        []string // jobs of which it had just started runs
+	explained   bool // it had accepted a run within promptCrashWindow before
 	tasks       []*task
 }
 
 // crash is a silence that has turned out to be a crash, as far as it matters for later ones.
 type crash struct {
-	at   time.Time
-	jobs []string
+	since     time.Time
+	explained bool
 }
 
 // crashEvidence returns the evidence against the task, or against its gang, whose members run only together.
@@ -88,9 +98,7 @@
 	}
 	l := &silence{address: w.info.Address, incarnation: w.info.Incarnation, since: since}
 	started := w.justStarted(since)
-	for _, p := range started {
-		l.jobs = append(l.jobs, p.task.unit.job.spec.ID)
-	}
+	l.explained = slices.ContainsFunc(started, func(p *placement) bool { return since.Sub(p.startedAt()) < promptCrashWindow })
 	for _, p := range w.placements {
 		if p.task == nil || p.task.placement != p {
 			continue
@@ -161,9 +169,7 @@
 			l = &silence{address: c.Address, incarnation: c.Incarnation, since: minTime(c.Since, now)}
 			s.silences[c.Worker] = l
 		}
-		if c.Weight >= startWeight {
-			l.jobs = append(l.jobs, t.unit.job.spec.ID)
-		}
+		l.explained = l.explained || c.Weight == promptWeight
 		l.tasks = append(l.tasks, t)
 	}
 }
@@ -204,8 +210,8 @@
 		return
 	}
 	delete(s.silences, workerID)
-	s.crashes = append(s.crashes, crash{l.since, l.jobs})
-	coincidence := s.unrelatedCrashes(l) > maxUnrelatedCrashes
+	coincidence := s.unexplainedCrashes(l) > maxUnexplainedCrashes
+	s.crashes = append(s.crashes, crash{l.since, l.explained})
 	for _, t := range l.tasks {
 		c, found := t.crashEvidence().TakeSuspected(workerID)
 		j := t.unit.job
@@ -217,6 +223,10 @@
 		}
 		t.crashEvidence().Count(c)
 		s.dirty[j] = struct{}{}
+		if c.Weight >= startWeight {
+			s.riskyQueues[j.queue.Name] = now.Add(riskyQueueTime)
+		}
+		t.delayAfterCrash(now)
 		if e := t.crashEvidence(); isConclusive(e) {
 			s.givenUp = append(s.givenUp, GivenUpTask{Task: t.id(), Crashes: e.Crashes, Weight: e.Weight})
 			s.finishJob(j, workload.Failed, now)
@@ -224,6 +234,21 @@
 	}
 }
 
+// delayAfterCrash delays the next run of a task, or its gang, under which workers have crashed repeatedly. A task that crashes workers
+// faster than the evidence against it adds up would otherwise take many of them within a moment.
+func (t *task) delayAfterCrash(now time.Time) {
+	e := t.crashEvidence()
+	if e.Crashes < 2 || !t.suspected() {
+		return
+	}
+	until := now.Add(wait.Backoff(minCrashBackoff, maxCrashBackoff, e.Crashes-2))
+	if t.unit.step.Gang {
+		t.unit.notBefore = until
+		return
+	}
+	t.notBefore = until
+}
+
 // isConclusive reports whether a task with the evidence is given up.
 func isConclusive(e *workload.CrashEvidence) bool {
 	switch {
@@ -235,26 +260,20 @@
 	return e.LastWeight == promptWeight && e.Weight >= givenUpWeight
 }
 
-// unrelatedCrashes returns how many other workers, which had not just started runs of the same jobs, stopped answering at the moment
-// of a silence. Workers that are still silent count like those that are known to have crashed.
-func (s *Scheduler) unrelatedCrashes(l *silence) int {
-	unrelated := func(at time.Time, jobs []string) bool {
-		common := slices.ContainsFunc(jobs, func(id string) bool { return slices.Contains(l.jobs, id) })
-		return at.Sub(l.since).Abs() <= sameCrashWindow && !common
-	}
+// unexplainedCrashes returns how many other workers stopped answering at the moment of a silence without having accepted a run just
+// before. Workers that are still silent count like those that are known to have crashed.
+func (s *Scheduler) unexplainedCrashes(l *silence) int {
 	n := 0
-	for _, c := range s.crashes {
-		if unrelated(c.at, c.jobs) {
+	count := func(since time.Time, explained bool) {
+		if !explained && since.Sub(l.since).Abs() <= sameCrashWindow {
 			n++
 		}
 	}
-	for _, other := range s.silences {
-		if unrelated(other.since, other.jobs) {
-			n++
-		}
+	for _, c := range s.crashes {
+		count(c.since, c.explained)
 	}
-	if len(l.jobs) == 0 {
-		n-- // l itself
+	for _, other := range s.silences {
+		count(other.since, other.explained)
 	}
 	return n
 }
@@ -275,7 +294,7 @@
 
 // expireSilences forgets crashes, and drops the silences of workers that did not come back.
 func (s *Scheduler) expireSilences(now time.Time) {
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) > silenceRetention })
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.since) > silenceRetention })
 	for id, l := range s.silences {
 		if w := s.workers[id]; (w == nil || len(w.placements) == 0) && now.Sub(l.since) > silenceRetention {
 			s.dropSilence(id)
@@ -330,28 +349,53 @@
 	return slices.DeleteFunc(workers, func(w *worker) bool { return w.blursCrash(u, suspected, now) })
 }
 
-// leastAtStake returns the worker on which the fewest runs of other jobs would be lost if the task crashed it, or nil if the task fits
+// leastAtStake returns the worker on which the least work of other jobs would be lost if the task crashed it, or nil if the task fits
 // on none.
-func leastAtStake(t *task, workers []*worker) *worker {
+func leastAtStake(t *task, workers []*worker, now time.Time) *worker {
 	var best *worker
-	bestRuns := 0
+	var bestStake int64
 	for _, w := range workers {
 		if !w.fits(t.unit) {
 			continue
 		}
-		runs := 0
-		for _, p := range w.placements {
-			if p.task == nil || p.task.unit.job != t.unit.job {
-				runs++
-			}
-		}
-		if best == nil || runs < bestRuns {
-			best, bestRuns = w, runs
+		if stake := w.stake(t.unit.job, now); best == nil || stake < bestStake {
+			best, bestStake = w, stake
 		}
 	}
 	return best
 }
 
+// stake returns the work of jobs other than j that would be lost in a crash of the worker, in millicore-nanoseconds.
+func (w *worker) stake(j *job, now time.Time) int64 {
+	total := int64(0)
+	for _, p := range w.placements {
+		if p.task == nil || p.task.unit.job != j {
+			total += p.stake(now)
+		}
+	}
+	return total
+}
+
+// stake returns the work that would be lost with the run. With a member of a gang the work of all members is lost.
+func (p *placement) stake(now time.Time) int64 {
+	lost := now.Sub(p.orderedAt)
+	members := 1
+	if p.task != nil {
+		if p.task.unit.step.Checkpointing {
+			lost = min(lost, checkpointLoss)
+		}
+		if p.task.unit.step.Gang {
+			members = p.task.unit.tasksLeft
+		}
+	}
+	return int64(members) * max(p.resources.CPUMilli, 1) * int64(lost+restartCost)
+}
+
+// risky reports whether the task may crash its worker: it is suspected, or tasks of its queue have crashed workers lately.
+func (s *Scheduler) risky(t *task, now time.Time) bool {
+	return t.suspected() || now.Before(s.riskyQueues[t.unit.job.queue.Name])
+}
+
 // GivenUpTask is a task whose job has failed because workers crashed under it, for logs.
 type GivenUpTask struct {
 	Task    workload.TaskID
--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -18,6 +18,7 @@
 	crashStep     = 10 * time.Millisecond
 	crashDowntime = 3300 * time.Millisecond
 	crashPoll     = 600 * time.Millisecond // interval of reports
+	crashRetry    = 50 * time.Millisecond  // until the next call to a worker that does not answer
 )
 
 // crashSimulation plays workers that crash: some tasks crash each worker that starts them, 10 ms after the start. A crashed worker is
@@ -30,6 +31,8 @@
 	taskTime  time.Duration
 	at        map[string]string                // by address: the worker there; empty while it is down
 	back      map[string]time.Duration         // by address: when a crashed worker is back
+	refuses   bool                             // the address of a crashed worker refuses connections; otherwise calls hang
+	refused   map[string]time.Duration         // by crashed worker: when the owner notices that
 	lives     map[string]int                   // by address
 	running   map[string]map[runKey]crashedRun // by worker
 	due       map[string]bool                  // workers that are to crash in the next step
@@ -48,7 +51,7 @@
 
 func newCrashSimulation(workers int, deadly func(workload.TaskID) bool) *crashSimulation {
 	d := &crashSimulation{fixture: newFixture(1, 0), workers: workers, deadly: deadly, taskTime: time.Second, at: map[string]string{},
-		back: map[string]time.Duration{}, lives: map[string]int{}, running: map[string]map[runKey]crashedRun{}, due: map[string]bool{},
+		back: map[string]time.Duration{}, refused: map[string]time.Duration{}, lives: map[string]int{}, running: map[string]map[runKey]crashedRun{}, due: map[string]bool{},
 		specs: map[string]*workload.Spec{}, progress: map[string]*workload.Progress{}, crashes: map[workload.TaskID]int{},
 		excess: map[workload.TaskID]int{}, completed: map[string]time.Duration{}}
 	for i := range workers {
@@ -97,6 +100,19 @@
 	d.at[address], d.back[address] = "", d.now+crashDowntime
 	delete(d.running, id)
 	d.MarkUnreachable(at(d.now), id, at(d.now+5*time.Second))
+	if d.refuses {
+		d.refused[id] = d.now + crashRetry
+	}
+}
+
+// refuse lets the owner notice that the processes of crashed workers have ended.
+func (d *crashSimulation) refuse() {
+	for _, id := range slices.Sorted(maps.Keys(d.refused)) {
+		if w := d.Scheduler.workers[id]; d.now >= d.refused[id] && w != nil {
+			d.MarkEnded(at(d.now), id, w.info.Incarnation)
+			delete(d.refused, id)
+		}
+	}
 }
 
 func (d *crashSimulation) step() {
@@ -117,6 +133,7 @@
 			}
 		}
 	}
+	d.refuse()
 	d.store()
 	p := d.Plan(at(d.now))
 	d.stopRuns(p.Stops)
@@ -276,17 +293,20 @@
 
 // Guards against a task that crashes worker after worker, and takes the runs of other jobs with it.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
-	Convey("Given a task that crashes each worker that starts it, among harmless jobs", t, func() {
-		d := newCrashSimulation(12, isFirstOf("deadly"))
-		d.background(time.Second)
-		d.submit("deadly", simpleStep(4))
-		d.background(15 * time.Second)
-		d.run(25 * time.Second)
-		Convey("It is given up after two or three crashes, and all other jobs complete", func() {
-			d.expectGivenUp("deadly", 3)
-			d.expectHarmlessCompleted()
+	for _, refuses := range []bool{false, true} {
+		Convey(fmt.Sprintf("Given a task that crashes each worker that starts it, among harmless jobs (refused calls: %t)", refuses), t, func() {
+			d := newCrashSimulation(12, isFirstOf("deadly"))
+			d.refuses = refuses
+			d.background(time.Second)
+			d.submit("deadly", simpleStep(4))
+			d.background(15 * time.Second)
+			d.run(25 * time.Second)
+			Convey("It is given up after two or three crashes, and all other jobs complete", func() {
+				d.expectGivenUp("deadly", 3)
+				d.expectHarmlessCompleted()
+			})
 		})
-	})
+	}
 }
 
 // Guards against evidence that is lost with the owner: each successor would let the task crash workers anew.
@@ -294,6 +314,7 @@
 	for _, interval := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
 		Convey(fmt.Sprintf("Given a task that crashes workers while the owner changes every %s", interval), t, func() {
 			d := newCrashSimulation(12, isFirstOf("deadly"))
+			d.refuses = interval > time.Second
 			d.submit("deadly", simpleStep(4))
 			for d.now < 40*time.Second {
 				d.background(d.now + interval)
@@ -338,6 +359,7 @@
 		Convey(fmt.Sprintf("Given workers that crash at random and tasks that crash workers, seed %d", seed), t, func() {
 			random := rand.New(rand.NewPCG(seed, 24))
 			d := newCrashSimulation(24, func(id workload.TaskID) bool { return strings.HasPrefix(id.Job, "deadly") && id.Index == 0 })
+			d.refuses = seed%2 == 0
 			for n := 0; d.now < 20*time.Second; n++ {
 				d.submit(fmt.Sprintf("harmless%04d", n), simpleStep(1+random.IntN(3)))
 				if random.IntN(20) == 0 {
@@ -366,6 +388,26 @@
 	}
 }
 
+// Guards against tasks that are not told apart, and crash worker after worker, because several of them are started at the same moments.
+func TestSimultaneousCrashesAreAttributed(t *testing.T) {
+	Convey("Given five tasks that crash workers and are submitted together", t, func() {
+		d := newCrashSimulation(40, func(id workload.TaskID) bool { return strings.HasPrefix(id.Job, "deadly") })
+		d.refuses = true
+		d.background(time.Second)
+		for n := range 5 {
+			d.submit(fmt.Sprintf("deadly%d", n), simpleStep(1))
+		}
+		d.background(10 * time.Second)
+		d.run(15 * time.Second)
+		Convey("Each is given up after two or three crashes", func() {
+			for n := range 5 {
+				d.expectGivenUp(fmt.Sprintf("deadly%d", n), 3)
+			}
+			d.expectHarmlessCompleted()
+		})
+	})
+}
+
 // Guards against a worker that was only silent: its runs go on, and nothing is held against their tasks.
 func TestSilentWorkerIsNoCrash(t *testing.T) {
 	Convey("Given a worker that stops answering just after a start, three times", t, func() {
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -85,11 +85,7 @@
 		if !s.leavesHeadroom(c.unit) {
 			break
 		}
-		choose := bestFit
-		if t.suspected() {
-			choose = leastAtStake
-		}
-		w := choose(t, workers)
+		w := s.chooseWorker(t, workers, now)
 		if w == nil {
 			if c.longRunning() {
 				s.preempt(t, workers, now)
@@ -103,6 +99,14 @@
 	return placed
 }
 
+// chooseWorker returns the worker for a task, or nil if it fits on none.
+func (s *Scheduler) chooseWorker(t *task, workers []*worker, now time.Time) *worker {
+	if s.risky(t, now) {
+		return leastAtStake(t, workers, now)
+	}
+	return bestFit(t, workers)
+}
+
 // placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit and is
 // overdue, less urgent runs are stopped for it. If it is not overdue or that does not help, and it is not late, the workers that
 // it may use are reserved.
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 	unresolved map[string]time.Time
 	silences   map[string]*silence // by ID of a worker that does not answer
 	crashes    []crash             // within silenceRetention
+	// riskyQueues maps the names of queues with tasks that crashed workers to the time until which their tasks count as risky.
+	riskyQueues map[string]time.Time
 
 	dirty      map[*job]struct{} // jobs that have changed since their last record was taken
 	generation int64             // of the records that the next TakeRecords returns
@@ -86,6 +88,7 @@
 		cancelled:         map[string]time.Time{},
 		unresolved:        map[string]time.Time{},
 		silences:          map[string]*silence{},
+		riskyQueues:       map[string]time.Time{},
 		dirty:             map[*job]struct{}{},
 		generation:        1,
 		reservations:      reservations{},
