Start nothing from a list of workers that is too old

Fault: an owner whose reads of the list fail goes on starting runs for up to 8 s, on the capacities that it read last. A worker's capacity may have shrunk meanwhile (LIMIT), or it may be draining.

The age is taken on the clock that counts suspensions, so a host that was suspended does not act on what it read before.

TestCapacityShrinksWhileListIsUnavailable failed before (workers with room for one task got up to four).

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -34,6 +34,7 @@
 	Delegate      delegate.Config
 	OwnWorkers    int // an owner with more workers than this lets other hosts call them as delegates
 	Retention     time.Duration
+	MaxListAge    time.Duration // see coordinator.Config
 	DrainNotice   time.Duration // how long after the start of a drain new connections may still arrive
 	DrainLimit    time.Duration // how long after the start of a drain the process exits at the latest
 }
@@ -80,7 +81,7 @@
 func newCoordinator(c Config, p Platform, store *rowstore.AdaptiveStore, h *queues.ConfigHolder, a *policyClient, since clock.Func, log *zap.Logger,
 	scope tally.Scope) *coordinator.Coordinator {
 	return coordinator.New(
-		coordinator.Config{Delegate: c.Delegate, Retention: c.Retention, OwnWorkers: c.OwnWorkers},
+		coordinator.Config{Delegate: c.Delegate, Retention: c.Retention, OwnWorkers: c.OwnWorkers, MaxListAge: c.MaxListAge},
 		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, Log: log, Metrics: scope},
 	)
 }
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -23,6 +23,9 @@
 	Delegate   delegate.Config
 	Retention  time.Duration // how long the states of ended jobs are kept
 	OwnWorkers int           // maximum number of workers that the owner calls itself; if there are more, delegates call them
+	// MaxListAge is the age of the list of workers from which nothing is started: the capacity of a worker may have shrunk since, or
+	// it may be draining. 0 means no limit.
+	MaxListAge time.Duration
 }
 
 // Deps holds the dependencies of a coordinator.
@@ -188,6 +191,19 @@
 	t.requestPlan()
 }
 
+// Confirm implements WorkerSink. The request that was answered was sent after the previous answer, so the list is confirmed for that
+// time. The clock also counts suspensions of this host, during which the list became older as well.
+func (t *term) Confirm() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listConfirmedAt, t.lastListAnswer = t.lastListAnswer, t.deps.Clock()
+}
+
+// listTooOld reports whether the list of workers is too old to start anything. The caller holds mu.
+func (t *term) listTooOld() bool {
+	return t.cfg.MaxListAge > 0 && t.deps.Clock()-t.listConfirmedAt > t.cfg.MaxListAge
+}
+
 // Remove implements WorkerSink.
 func (t *term) Remove(id string) {
 	t.mu.Lock()
--- a/internal/cluster/coordinator/interfaces.go
+++ b/internal/cluster/coordinator/interfaces.go
@@ -35,6 +35,7 @@
 	ReplaceAll(workers []scheduler.WorkerInfo) // replaces the whole list
 	Upsert(w scheduler.WorkerInfo)             // adds or updates a worker
 	Remove(id string)                          // removes a worker
+	Confirm()                                  // the list is as up to date as the store was at some time after the last Confirm
 }
 
 // Discovery watches the platform's list of workers.
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -34,7 +34,7 @@
 	usageLogInterval = time.Second
 )
 
-// term is one term of this daemon as the owner. The mutex mu guards the fields from sched to inheritedDelegates, and also
+// term is one term of this daemon as the owner. The mutex mu guards the fields from sched to listWasTooOld, and also
 // unresolvedWorkers and queuesVersion. The other fields are set before the goroutines start.
 type term struct {
 	cfg             Config
@@ -58,6 +58,10 @@
 	storedDelegated    bool
 	inheritedDelegates bool // other hosts may still act for an earlier owner
 
+	listConfirmedAt time.Duration // when the list of workers was up to date, on the clock that counts suspensions
+	lastListAnswer  time.Duration // when the store last answered a call for the list or its changes
+	listWasTooOld   bool
+
 	startedAt         time.Time
 	unresolvedWorkers int   // number of workers of earlier owners that had not reported at the last plan
 	queuesVersion     int64 // version of the queue configuration that the scheduler uses
@@ -80,6 +84,7 @@
 		planRequested: make(chan struct{}, 1),
 		saveRequested: make(chan struct{}, 1),
 	}
+	t.listConfirmedAt, t.lastListAnswer = t.deps.Clock(), t.deps.Clock()
 	t.advice = newAdviceDispatcher(t)
 	t.assigner = newAssigner(ctx, t)
 	return t
@@ -202,12 +207,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyQueueConfig()
+	t.updateListAge()
 	t.assigner.assignWorkers(now, t.sched.Workers())
 	t.updateUnresolved(now)
 	t.sendOrders(ctx, t.sched.Plan(now))
 	t.meters.plans.Record("complete", now)
 }
 
+// updateListAge suspends starts while the list of workers is too old, and logs when that begins and ends. The caller holds mu.
+func (t *term) updateListAge() {
+	tooOld := t.listTooOld()
+	if tooOld != t.listWasTooOld {
+		t.log.Warn("list of workers is too old to start runs", zap.Bool("too_old", tooOld), zap.Duration("age", t.deps.Clock()-t.listConfirmedAt))
+	}
+	t.listWasTooOld = tooOld
+	t.sched.SuspendStarts(tooOld)
+}
+
 // updateUnresolved limits how long the scheduler waits for reports from workers of earlier owners once the previous owner has
 // ended, and logs when no such worker is left. The caller holds mu.
 func (t *term) updateUnresolved(now time.Time) {
@@ -239,6 +255,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.updateListAge()
 	t.sendOrders(ctx, t.sched.PlanChanged(now))
 	t.meters.plans.Record("changes", now)
 }
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -61,6 +61,8 @@
 // waitReason returns why the tasks of a unit wait, for operators.
 func (s *Scheduler) waitReason(u *unit, now time.Time) string {
 	switch {
+	case s.suspended:
+		return "the list of workers is too old"
 	case s.mayRunElsewhere(u):
 		return "the task may run under the order of another owner"
 	case now.Before(u.notBefore):
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -52,6 +52,7 @@
 	var plan Plan
 	s.updateHeadroom(now)
 	for _, c := range s.candidates(units, now) {
+		c.adviceOnly = c.adviceOnly || s.suspended
 		s.planUnit(c, now, &plan)
 	}
 	plan.Stops, s.stops = s.stops, nil
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -42,6 +42,7 @@
 	sortedWorkers []*worker          // by ID
 	open          map[*unit]struct{} // units with unfinished tasks whose dependencies are done
 	changedUnits  map[*unit]struct{} // units whose state has changed since they were last planned; see PlanChanged
+	suspended     bool               // see SuspendStarts
 	headroom      headroom
 	reservations  reservations // workers reserved for gangs that did not fit, since the last complete plan began
 	stopLatency   stopLatency
@@ -108,6 +109,9 @@
 	}
 }
 
+// SuspendStarts sets whether plans start no runs. They still stop runs, and the policy service is still asked.
+func (s *Scheduler) SuspendStarts(suspended bool) { s.suspended = suspended }
+
 // AddUnresolvedWorker registers a worker on which an earlier owner may have started tasks. Until the worker has reported or
 // expiresAt has passed, the scheduler starts no task that the earlier owner may have started.
 func (s *Scheduler) AddUnresolvedWorker(workerID string, expiresAt time.Time) {
