Start nothing on a restarted worker before its own entry is read

Change: after a restart that a report shows, the worker gets no runs until an entry of the new incarnation is read.

TestRestartedWorkerGetsRunsByItsOwnEntry failed before (five starts on room for two). TestShrinkingWorkerGetsNoMoreThanFits passes before and after; it guards the rest of the rule: runs that are being stopped count, and what runs on a shrunk worker stays.

--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -19,7 +19,9 @@
 }
 
 // acceptsStarts reports whether tasks may be placed on the worker, now or once it has reported to this owner.
-func (w *worker) acceptsStarts() bool { return w.listed && !w.unreachable && !w.info.Draining }
+func (w *worker) acceptsStarts() bool {
+	return w.listed && !w.undescribed && !w.unreachable && !w.info.Draining
+}
 
 // canRun reports whether the worker may run tasks of the unit: it accepts tasks and meets the unit's placement constraints
 // except MaxPerWorker. Whether it has enough free resources now is not considered either.
--- a/internal/cluster/scheduler/health_test.go
+++ b/internal/cluster/scheduler/health_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,59 @@
 		})
 	})
 }
+
+// Guards against runs that are started on a restarted worker by what its earlier incarnation said of itself: the new one may have less
+// capacity or other labels, and its answers arrive before its entry is read.
+func TestRestartedWorkerGetsRunsByItsOwnEntry(t *testing.T) {
+	Convey("Given a worker that restarts with less capacity and answers before its new entry is read", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("j", t0, simpleStep(5)), nil, false)
+		info := f.workers["w0"].info
+		f.HandleReport(t0, Report{Worker: "w0", Incarnation: 2, SentAt: t0, LeaseUntil: at(5 * time.Second)})
+		Convey("It gets no runs before, and only what fits after that", func() {
+			So(f.plan(t0).Starts, ShouldBeEmpty)
+			info.Incarnation, info.Capacity.CPUMilli = 2, 4_000
+			f.UpsertWorker(at(time.Second), info)
+			So(f.plan(at(time.Second)).Starts, ShouldHaveLength, 2)
+		})
+		Convey("The entry of its earlier incarnation, read again, does not count", func() {
+			f.UpsertWorker(at(time.Second), info)
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against starts beyond a capacity that shrinks under running tasks, or between the choice of workers for a gang and its start.
+func TestShrinkingWorkerGetsNoMoreThanFits(t *testing.T) {
+	Convey("Given a worker whose capacity shrinks below what it runs", t, func() {
+		f := newFixture(1, 2)
+		shrink := func(id string, cpu int64) {
+			info := f.workers[id].info
+			info.Capacity.CPUMilli = cpu
+			f.UpsertWorker(t0, info)
+		}
+		f.AddJob(t0, f.job("j", t0, simpleStep(10)), nil, false)
+		starts := f.plan(t0).Starts
+		So(starts, ShouldHaveLength, 10)
+		shrink("w0", 5_000)
+		f.AddJob(t0, f.job("k", t0, simpleStep(10)), nil, false)
+		Convey("It gets a run only once it has room for it, and those that are being stopped still count", func() {
+			onW0 := slices.DeleteFunc(slices.Clone(starts), func(s Start) bool { return s.Worker.ID != "w0" })
+			f.end(onW0[0], EndDone, at(time.Second))
+			f.end(onW0[1], EndDone, at(time.Second))
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			f.stopRun(f.workers["w0"].findPlacement(onW0[2].Task, onW0[2].Run), "test")
+			f.stopRun(f.workers["w0"].findPlacement(onW0[3].Task, onW0[3].Run), "test")
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			f.end(onW0[2], EndStopped, at(2*time.Second))
+			So(f.plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+			f.end(onW0[3], EndStopped, at(2*time.Second))
+			p := f.plan(at(2 * time.Second))
+			So(p.Starts, ShouldHaveLength, 1)
+			Convey("It gets more once it has grown again", func() {
+				shrink("w0", 10_000)
+				So(f.plan(at(3*time.Second)).Starts, ShouldHaveLength, 3) // one of five is left, one was started
+			})
+		})
+	})
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -66,7 +66,7 @@
 	}
 	if r.Incarnation > w.info.Incarnation {
 		s.resetWorker(w, LossRestarted, now)
-		w.info.Incarnation, w.info.Draining = r.Incarnation, false
+		w.info.Incarnation, w.info.Draining, w.undescribed = r.Incarnation, false, true
 	}
 	w.unreachable, w.fenced = false, true
 	w.silentSince = time.Time{}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -27,6 +27,7 @@
 type worker struct {
 	info           WorkerInfo
 	listed         bool               // the platform's list of workers has it
+	undescribed    bool               // it has restarted, and info still holds the capacity and labels of an earlier incarnation
 	fenced         bool               // it has reported to this owner, so it rejects orders of earlier owners
 	unreachable    bool               // it did not answer the last call
 	silentSince    time.Time          // when the first call without an answer failed; zero while it answers
@@ -171,7 +172,7 @@
 	wasDraining := w.info.Draining && w.info.Incarnation == info.Incarnation
 	w.info = info
 	w.info.Draining = info.Draining || wasDraining
-	w.listed = true
+	w.listed, w.undescribed = true, false
 	if info.Draining {
 		w.shutdownAt = now.Add(info.DrainRemaining)
 	}
