Keep a worker reserved for a run of unknown size while it grows

Fault: a run of an unknown job reserves the whole worker. A worker whose capacity grew while such a run was being stopped was given runs for the difference, though the run may need more than the worker's capacity was when it was first seen (LIMIT).

Change: the reservation follows the capacity. TestGrowingWorkerStaysReservedForUnknownRun failed before.

--- a/internal/cluster/scheduler/health_test.go
+++ b/internal/cluster/scheduler/health_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 // Guards against runs that are stopped as stalled although only reports were missing for a while, because their worker, its
@@ -99,6 +101,26 @@
 	})
 }
 
+// Guards against a worker that gets runs beside one of unknown size because its capacity grew.
+func TestGrowingWorkerStaysReservedForUnknownRun(t *testing.T) {
+	Convey("Given a worker with a run of an unknown job", t, func() {
+		f := newFixture(2, 0)
+		f.active["w0"] = []ActiveRun{{Task: workload.TaskID{Job: "unknown"}, Run: 3}}
+		f.addWorker("w0")
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		Convey("It gets no runs after its capacity has grown, until that run has ended", func() {
+			info := f.workers["w0"].info
+			info.Capacity.CPUMilli, info.Capacity.MemoryMB = 2*info.Capacity.CPUMilli, 2*info.Capacity.MemoryMB
+			f.UpsertWorker(t0, info)
+			So(f.plan(t0).Starts, ShouldBeEmpty)
+			f.active["w0"] = nil
+			f.report("w0", at(time.Second))
+			So(f.plan(at(time.Second)).Starts, ShouldHaveLength, 1)
+			So(f.workers["w0"].used.CPUMilli, ShouldEqual, 2000)
+		})
+	})
+}
+
 // Guards against starts beyond a capacity that shrinks under running tasks, or between the choice of workers for a gang and its start.
 func TestShrinkingWorkerGetsNoMoreThanFits(t *testing.T) {
 	Convey("Given a worker whose capacity shrinks below what it runs", t, func() {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -172,6 +172,7 @@
 	wasDraining := w.info.Draining && w.info.Incarnation == info.Incarnation
 	w.info = info
 	w.info.Draining = info.Draining || wasDraining
+	w.reserveForUnknownRuns()
 	w.listed, w.undescribed = true, false
 	if info.Draining {
 		w.shutdownAt = now.Add(info.DrainRemaining)
@@ -181,6 +182,16 @@
 	}
 }
 
+// reserveForUnknownRuns lets each run of unknown size reserve the whole worker, also after its capacity has changed.
+func (w *worker) reserveForUnknownRuns() {
+	for _, p := range w.placements {
+		if p.task == nil {
+			w.used = w.used.Sub(p.resources).Add(w.info.Capacity)
+			p.resources = w.info.Capacity
+		}
+	}
+}
+
 // DelistWorker records that the worker is no longer on the platform's list. It gets no new tasks; its runs continue as long
 // as it answers.
 func (s *Scheduler) DelistWorker(id string) {
