Record the final state of a job only once

Cause: the evidence of crashes, new with this incident's fix, also marked jobs as changed that had ended, when a worker with a run of theirs fell silent before the run's stop was known. The second record of the final state counted as the end of another job in the shared row, so the row was removed while that job was active, and its successor took the job for a new one.

Change: a job that has ended is not marked as changed. TestEndedJobIsNotRecordedAgain failed before.

--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -112,7 +112,7 @@
 			Age: max(since.Sub(p.startedAt()), 0), Since: since})
 		l.tasks = append(l.tasks, p.task)
 		if durable(e, weight) {
-			s.dirty[p.task.unit.job] = struct{}{}
+			s.markChanged(p.task.unit.job)
 		}
 	}
 	s.silences[w.info.ID] = l
@@ -190,7 +190,7 @@
 	for _, t := range s.silences[workerID].tasks {
 		e := t.crashEvidence()
 		if c, found := e.TakeSuspected(workerID); found && durable(e, c.Weight) && !t.unit.job.state.Final() {
-			s.dirty[t.unit.job] = struct{}{}
+			s.markChanged(t.unit.job)
 		}
 	}
 	delete(s.silences, workerID)
@@ -222,7 +222,7 @@
 			c.Weight = min(c.Weight, weakWeight)
 		}
 		t.crashEvidence().Count(c)
-		s.dirty[j] = struct{}{}
+		s.markChanged(j)
 		if c.Weight >= startWeight {
 			s.riskyQueues[j.queue.Name] = now.Add(riskyQueueTime)
 		}
@@ -307,7 +307,7 @@
 func (s *Scheduler) clearEvidence(t *task) {
 	if e := t.crashEvidence(); e.Crashes > 0 {
 		e.Clear()
-		s.dirty[t.unit.job] = struct{}{}
+		s.markChanged(t.unit.job)
 	}
 }
 
--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -41,6 +41,8 @@
 	crashes   map[workload.TaskID]int // workers that crashed under a deadly task
 	excess    map[workload.TaskID]int // starts of it after three crashes
 	completed map[string]time.Duration
+	// recordedAgain lists jobs with another record after the one of their final state.
+	recordedAgain []string
 }
 
 type crashedRun struct {
@@ -212,6 +214,9 @@
 func (d *crashSimulation) store() {
 	for id, p := range d.persist() {
 		if p != nil {
+			if earlier := d.progress[id]; earlier != nil && earlier.State.Final() {
+				d.recordedAgain = append(d.recordedAgain, id)
+			}
 			d.progress[id] = p
 		}
 		if state, _ := d.Lookup(id); state == workload.Completed {
@@ -268,6 +273,7 @@
 
 // expectHarmlessCompleted checks that no harmless job has failed or is still waiting.
 func (d *crashSimulation) expectHarmlessCompleted() {
+	So(d.recordedAgain, ShouldBeEmpty)
 	for id := range d.specs {
 		if state, _ := d.Lookup(id); !strings.HasPrefix(id, "deadly") {
 			So(fmt.Sprint(id, " ", state), ShouldEqual, fmt.Sprint(id, " ", workload.Completed))
@@ -480,3 +486,21 @@
 		})
 	})
 }
+
+// Guards against a second record of a job's final state: the row that the job shares with others would be removed while these still run,
+// and the next owner would run their tasks again.
+func TestEndedJobIsNotRecordedAgain(t *testing.T) {
+	Convey("Given a cancelled job whose run has just started", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		s := f.plan(t0).Starts[0]
+		f.Cancel(t0, "j")
+		So(f.persist(), ShouldContainKey, "j")
+		Convey("When its worker stops answering and answers again, there is nothing more to record", func() {
+			f.MarkUnreachable(at(10*time.Millisecond), s.Worker.ID, at(5*time.Second))
+			So(f.persist(), ShouldBeEmpty)
+			f.report(s.Worker.ID, at(time.Second))
+			So(f.persist(), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -64,6 +64,13 @@
 	return 2
 }
 
+// markChanged includes a job in the next records. The record of a final state is the last one of its job.
+func (s *Scheduler) markChanged(j *job) {
+	if !j.state.Final() {
+		s.dirty[j] = struct{}{}
+	}
+}
+
 // TakeRecords returns the records of all jobs that changed since the last call, the most urgent first, and their generation, to
 // be passed to MarkGenerationStored once they are durable. The last result reports whether a commit is needed, for the records
 // or for pending acknowledgements of ends.
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -207,7 +207,7 @@
 	if j.state.Final() {
 		return c
 	}
-	s.dirty[j] = struct{}{}
+	s.markChanged(j)
 	if e.Reason == EndDone || e.Reason == EndFailed {
 		s.clearEvidence(t)
 	}
