Keep a shared row while one of its jobs is active

It now keeps the set of active jobs; a repeated end changes nothing. TestRepeatedEndDoesNotRemoveBatch failed before.

--- a/internal/cluster/coordinator/batches.go
+++ b/internal/cluster/coordinator/batches.go
@@ -31,9 +31,9 @@
 
 // jobBatch is a row with several active jobs.
 type jobBatch struct {
-	key        rowstore.Key
-	jobs       []string
-	unfinished int // number of jobs that have not ended
+	key    rowstore.Key
+	jobs   []string
+	active map[string]struct{} // jobs that have not ended
 }
 
 func newJobBatchIndex() *jobBatchIndex { return &jobBatchIndex{byJob: map[string]*jobBatch{}} }
@@ -82,7 +82,10 @@
 		return recordRows{}, err
 	}
 	p.next++
-	b := &jobBatch{key: records.JobBatchKey(epoch, p.next), unfinished: len(specs)}
+	b := &jobBatch{key: records.JobBatchKey(epoch, p.next), active: map[string]struct{}{}}
+	for _, s := range specs {
+		b.active[s.ID] = struct{}{}
+	}
 	p.index(b, specs)
 	return recordRows{puts: []rowstore.Put{{Key: b.key, Value: value}}, records: recs}, nil
 }
@@ -99,21 +102,21 @@
 func (p *jobBatchIndex) addStored(key rowstore.Key, specs []*workload.Spec, ended func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := &jobBatch{key: key}
+	b := &jobBatch{key: key, active: map[string]struct{}{}}
 	for _, s := range specs {
 		if !ended(s.ID) {
-			b.unfinished++
+			b.active[s.ID] = struct{}{}
 		}
 	}
 	p.index(b, specs)
-	if b.unfinished == 0 {
+	if len(b.active) == 0 {
 		// The jobs stay in the index, so that their states are kept for this term: the index doesn't learn when the row is
 		// removed.
 		p.empty = append(p.empty, key)
 	}
 }
 
-// jobEnded counts the end of a job, and returns the row to remove with it: the job's own row, the batch if this was its last
+// jobEnded records the end of a job, which may be repeated, and returns the row to remove with it: the job's own row, the batch if this was its last
 // active job, or none.
 func (p *jobBatchIndex) jobEnded(id string) []rowstore.Key {
 	p.mu.Lock()
@@ -122,8 +125,8 @@
 	if b == nil {
 		return []rowstore.Key{records.ActiveJobKey(id)}
 	}
-	b.unfinished--
-	if b.unfinished > 0 {
+	delete(b.active, id)
+	if len(b.active) > 0 {
 		return nil
 	}
 	p.remove(b)
--- a/internal/cluster/coordinator/batches_test.go
+++ b/internal/cluster/coordinator/batches_test.go
@@ -150,3 +150,17 @@
 		})
 	})
 }
+
+// Guards against a shared row that is removed while one of its jobs is active, because the end of another is recorded twice.
+func TestRepeatedEndDoesNotRemoveBatch(t *testing.T) {
+	Convey("Given two jobs that share a row, one of which has ended", t, func() {
+		index := newJobBatchIndex()
+		rows, err := index.encodeNew(1, []scheduler.Record{{JobID: "a", Spec: &workload.Spec{ID: "a"}}, {JobID: "b", Spec: &workload.Spec{ID: "b"}}})
+		So(err, ShouldBeNil)
+		So(index.jobEnded("a"), ShouldBeEmpty)
+		Convey("The row is removed with the end of the other only", func() {
+			So(index.jobEnded("a"), ShouldBeEmpty)
+			So(index.jobEnded("b"), ShouldResemble, []rowstore.Key{rows.puts[0].Key})
+		})
+	})
+}
