Count only crashes of workers that had accepted the start

Fault: a worker that crashed while a start was on its way to it counted like one that had started the task.

Change: two of the crashes have to be of workers that had accepted the start, or listed the run. TestCrashWithoutAcceptedStartIsNotCounted failed before.

--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -35,8 +35,8 @@
 	startWeight  = 2 // the run was the last one that the worker had accepted, or one of the last
 	weakWeight   = 1 // the worker had accepted another run later, or none just before, or the cause lies outside
 
-	// A task is given up after a prompt crash if the weights of its crashes add up to givenUpWeight, after any crash if they add up
-	// to sureWeight, and after maxCrashes.
+	// Once two workers that had accepted the task have crashed, it is given up after a prompt crash if the weights of its crashes
+	// add up to givenUpWeight, and after any crash if they add up to sureWeight. It is always given up after maxCrashes.
 	givenUpWeight = promptWeight + startWeight
 	sureWeight    = 4 * startWeight
 	maxCrashes    = 5
@@ -109,7 +109,7 @@
 		}
 		e := p.task.crashEvidence()
 		e.Suspect(workload.SuspectedCrash{Worker: w.info.ID, Address: l.address, Incarnation: l.incarnation, Run: p.run, Weight: weight,
-			Age: max(since.Sub(p.startedAt()), 0), Since: since})
+			Accepted: !p.confirmedAt.IsZero(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
 		l.tasks = append(l.tasks, p.task)
 		if durable(e, weight) {
 			s.markChanged(p.task.unit.job)
@@ -252,9 +252,11 @@
 // isConclusive reports whether a task with the evidence is given up.
 func isConclusive(e *workload.CrashEvidence) bool {
 	switch {
-	case e.Crashes < 2:
-		return false
-	case e.Crashes >= maxCrashes || e.Weight >= sureWeight:
+	case e.Crashes >= maxCrashes:
+		return true
+	case e.Accepted < 2:
+		return false // a worker that did not receive the start crashed for another cause
+	case e.Weight >= sureWeight:
 		return true
 	}
 	return e.LastWeight == promptWeight && e.Weight >= givenUpWeight
--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -504,3 +504,28 @@
 		})
 	})
 }
+
+// Guards against a job that fails although its task has crashed one worker only: another one crashed while the start was on its way.
+func TestCrashWithoutAcceptedStartIsNotCounted(t *testing.T) {
+	Convey("Given a task with two prompt crashes, of which the first worker had not answered the start", t, func() {
+		f := newFixture(1, 4)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		for i := range 2 {
+			now := at(time.Duration(i) * time.Second)
+			f.commit()
+			s := f.Plan(now).Starts[0]
+			if i == 1 {
+				f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartAccepted, AnsweredAt: now})
+			}
+			f.MarkUnreachable(now.Add(10*time.Millisecond), s.Worker.ID, now.Add(5*time.Second))
+			f.MarkEnded(now.Add(60*time.Millisecond), s.Worker.ID, 1)
+		}
+		Convey("It is not given up yet, but after the next crash", func() {
+			So(f.TakeGivenUp(), ShouldBeEmpty)
+			s := f.plan(at(5 * time.Second)).Starts[0]
+			f.MarkUnreachable(at(5010*time.Millisecond), s.Worker.ID, at(10*time.Second))
+			f.MarkEnded(at(5060*time.Millisecond), s.Worker.ID, 1)
+			So(f.TakeGivenUp(), ShouldHaveLength, 1)
+		})
+	})
+}
--- a/internal/cluster/workload/crashes.go
+++ b/internal/cluster/workload/crashes.go
@@ -8,10 +8,12 @@
 // CrashEvidence is what crashes of workers say about a task, or about a gang as a whole, since one of its runs last proved to be
 // harmless.
 type CrashEvidence struct {
-	Crashes    int              `json:"n,omitempty"`   // workers that crashed under it
+	Crashes    int              `json:"n,omitempty"`   // workers that crashed while they had, or may have had, a run of it
+	Accepted   int              `json:"ok,omitempty"`  // those of them that had certainly started the run
 	Weight     int              `json:"w,omitempty"`   // sum of the weights of these crashes
 	LastRun    int64            `json:"r,omitempty"`   // the run of the last crash
 	LastWeight int              `json:"lw,omitempty"`  // the weight of the crashes of that run
+	LastStart  bool             `json:"ls,omitempty"`  // Accepted includes that run
 	MaxAge     time.Duration    `json:"age,omitempty"` // the longest time from the start of a run to the crash
 	Suspected  []SuspectedCrash `json:"s,omitempty"`   // workers that may have crashed under it
 }
@@ -24,6 +26,7 @@
 	Incarnation int64         `json:"b,omitempty"`
 	Run         int64         `json:"r"`
 	Weight      int           `json:"w"`
+	Accepted    bool          `json:"ok,omitempty"`  // the worker had accepted the start of the run
 	Age         time.Duration `json:"age,omitempty"` // from the start of the run until the worker stopped answering
 	Since       time.Time     `json:"t"`             // when it stopped answering, on the clock of the owner at that time
 }
@@ -31,10 +34,10 @@
 // Empty reports whether there is no evidence.
 func (e *CrashEvidence) Empty() bool { return e.Crashes == 0 && len(e.Suspected) == 0 }
 
-// Suspect adds a suspected crash. Of several on one worker, members of the same gang, the one with the largest weight is kept.
+// Suspect adds a suspected crash. Several on one worker, of members of the same gang, are one.
 func (e *CrashEvidence) Suspect(c SuspectedCrash) {
-	if earlier, found := e.TakeSuspected(c.Worker); found && earlier.Weight > c.Weight {
-		c = earlier
+	if earlier, found := e.TakeSuspected(c.Worker); found {
+		c.Weight, c.Accepted = max(c.Weight, earlier.Weight), c.Accepted || earlier.Accepted
 	}
 	e.Suspected = append(e.Suspected, c)
 }
@@ -54,14 +57,26 @@
 // Count counts a crash. The crashes under one run of a gang, on several workers, count once.
 func (e *CrashEvidence) Count(c SuspectedCrash) {
 	e.MaxAge = max(e.MaxAge, c.Age)
-	if e.Crashes > 0 && e.LastRun == c.Run {
-		e.Weight += max(c.Weight-e.LastWeight, 0)
-		e.LastWeight = max(c.Weight, e.LastWeight)
-		return
+	if e.Crashes == 0 || e.LastRun != c.Run {
+		e.Crashes++
+		e.LastRun, e.LastWeight, e.LastStart = c.Run, 0, false
+	}
+	e.Weight += max(c.Weight-e.LastWeight, 0)
+	e.LastWeight = max(c.Weight, e.LastWeight)
+	if c.Accepted && !e.LastStart {
+		e.Accepted++
+		e.LastStart = true
+	}
+}
+
+// AcceptStart notes that a worker that is suspected of having crashed had accepted the start of the run.
+func (e *CrashEvidence) AcceptStart(worker string, run int64) {
+	e.Suspected = slices.Clone(e.Suspected) // the stored progress shares the slice
+	for i := range e.Suspected {
+		if c := &e.Suspected[i]; c.Worker == worker && c.Run == run {
+			c.Accepted = true
+		}
 	}
-	e.Crashes++
-	e.Weight += c.Weight
-	e.LastRun, e.LastWeight = c.Run, c.Weight
 }
 
 // Clear removes the counted crashes. Suspected ones remain until it is known whether the worker crashed.
