Delay and give up no task for weak evidence alone, and split the file on crashes

A long task whose workers crash for other causes was delayed by up to 4 s after each crash, and given up after the fifth, although no crash followed its start. Both now need at least one crash just after a start. TestCrashesLongAfterStartsFailNoJob failed before.

--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -529,3 +529,23 @@
 		})
 	})
 }
+
+// Guards against a long task that fails because the workers on which it runs crash for other causes, long after its start.
+func TestCrashesLongAfterStartsFailNoJob(t *testing.T) {
+	Convey("Given a task whose workers crash a second after its start, six times", t, func() {
+		f := newFixture(1, 7)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		for i := range 6 {
+			now := at(time.Duration(2*i) * time.Second)
+			p := f.plan(now)
+			So(p.Starts, ShouldHaveLength, 1)
+			s := p.Starts[0]
+			f.MarkUnreachable(now.Add(time.Second), s.Worker.ID, now.Add(6*time.Second))
+			f.MarkEnded(now.Add(time.Second), s.Worker.ID, 1)
+		}
+		Convey("Its job goes on", func() {
+			So(f.plan(at(20*time.Second)).Starts, ShouldHaveLength, 1)
+			So(f.TakeGivenUp(), ShouldBeEmpty)
+		})
+	})
+}
--- /dev/null
+++ b/internal/cluster/scheduler/silences.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+const (
+	// sameCrashWindow is the time between two crashes that count as simultaneous. With more than maxUnexplainedCrashes others at the
+	// same moment, of workers that had not just accepted a run, the cause is assumed to lie outside the workers.
+	sameCrashWindow       = 50 * time.Millisecond
+	maxUnexplainedCrashes = 1
+	// silenceRetention is how long the scheduler remembers the runs of a silent worker after their lease has expired. A worker
+	// that crashed is usually back, as another incarnation, after a few seconds.
+	silenceRetention = 30 * time.Second
+)
+
+// silence is a worker that does not answer, with the tasks whose evidence has a SuspectedCrash on it. It ends when the same
+// incarnation answers, which withdraws the suspicion, or when the worker turns out to have crashed.
+type silence struct {
+	address     string
+	incarnation int64
+	since       time.Time
+	explained   bool // it had accepted a run within promptCrashWindow before
+	tasks       []*task
+}
+
+// crash is a silence that has turned out to be a crash, as far as it matters for later ones.
+type crash struct {
+	since     time.Time
+	explained bool
+}
+
+// beginSilence notes the tasks that a worker runs when it stops answering, in case it has crashed. The suspicion is stored, so that
+// it outlives a change of the owner before the worker is back.
+func (s *Scheduler) beginSilence(w *worker, since time.Time) {
+	_, unresolved := s.unresolved[w.info.ID]
+	if w.info.Draining || len(w.placements) == 0 && !unresolved {
+		return
+	}
+	l := &silence{address: w.info.Address, incarnation: w.info.Incarnation, since: since}
+	started := w.justStarted(since)
+	l.explained = slices.ContainsFunc(started, func(p *placement) bool { return since.Sub(p.startedAt()) < promptCrashWindow })
+	for _, p := range w.placements {
+		if p.task == nil || p.task.placement != p {
+			continue
+		}
+		weight := crashWeight(p, started, since)
+		if weight == 0 {
+			continue
+		}
+		e := p.task.crashEvidence()
+		e.Suspect(workload.SuspectedCrash{Worker: w.info.ID, Address: l.address, Incarnation: l.incarnation, Run: p.run, Weight: weight,
+			Accepted: !p.confirmedAt.IsZero(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
+		l.tasks = append(l.tasks, p.task)
+		if durable(e, weight) {
+			s.markChanged(p.task.unit.job)
+		}
+	}
+	s.silences[w.info.ID] = l
+}
+
+// endSilence ends the silence of a worker that answers. If another incarnation than the silent one answers, that one has crashed.
+func (s *Scheduler) endSilence(w *worker, now time.Time) {
+	switch l := s.silences[w.info.ID]; {
+	case l == nil:
+	case l.incarnation < w.info.Incarnation:
+		s.confirmCrash(w.info.ID, now)
+	default:
+		s.dropSilence(w.info.ID)
+	}
+}
+
+// dropSilence removes a silence and the suspicions that it has caused.
+func (s *Scheduler) dropSilence(workerID string) {
+	for _, t := range s.silences[workerID].tasks {
+		e := t.crashEvidence()
+		if c, found := e.TakeSuspected(workerID); found && durable(e, c.Weight) && !t.unit.job.state.Final() {
+			s.markChanged(t.unit.job)
+		}
+	}
+	delete(s.silences, workerID)
+}
+
+// withdrawSuspicion removes the suspicion on a run that its worker never received.
+func (s *Scheduler) withdrawSuspicion(p *placement) {
+	if p.task != nil && !p.task.unit.step.Gang {
+		p.task.evidence.TakeSuspected(p.worker.info.ID)
+	}
+}
+
+// confirmReplaced handles an answer of a worker that was requested at requestedAt: other workers that were listed at its address and
+// had stopped answering before are gone, and so are their runs. A worker that is back after a crash usually has a new ID.
+func (s *Scheduler) confirmReplaced(by *worker, requestedAt, now time.Time) {
+	for id, l := range s.silences {
+		if id == by.info.ID || l.address != by.info.Address || l.since.After(requestedAt) {
+			continue
+		}
+		s.confirmCrash(id, now)
+		if w := s.workers[id]; w != nil && w.unreachable {
+			s.resetWorker(w, LossReplaced, now)
+		}
+	}
+}
+
+// expireSilences forgets crashes, and drops the silences of workers that did not come back.
+func (s *Scheduler) expireSilences(now time.Time) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.since) > silenceRetention })
+	for id, l := range s.silences {
+		if w := s.workers[id]; (w == nil || len(w.placements) == 0) && now.Sub(l.since) > silenceRetention {
+			s.dropSilence(id)
+		}
+	}
+}
+
+// unexplainedCrashes returns how many other workers stopped answering at the moment of a silence without having accepted a run just
+// before. Workers that are still silent count like those that are known to have crashed.
+func (s *Scheduler) unexplainedCrashes(l *silence) int {
+	n := 0
+	count := func(since time.Time, explained bool) {
+		if !explained && since.Sub(l.since).Abs() <= sameCrashWindow {
+			n++
+		}
+	}
+	for _, c := range s.crashes {
+		count(c.since, c.explained)
+	}
+	for _, other := range s.silences {
+		count(other.since, other.explained)
+	}
+	return n
+}
