Ignore stored progress with negative indexes

Fault: a progress row with a negative occurrence, step or index ended the owner that loaded it, and each of its successors. Upper bounds were checked, lower ones were not. TestImpossibleProgressIsIgnored failed before (index out of range).

--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -134,11 +134,11 @@
 // task returns the task with the ID, or nil if it is unknown. It opens the task's occurrence if necessary.
 func (s *Scheduler) task(id workload.TaskID) *task {
 	j := s.jobs[id.Job]
-	if j == nil || id.Occurrence >= len(j.occurrences) || id.Step >= len(j.spec.Steps) {
+	if j == nil || !inRange(id.Occurrence, len(j.occurrences)) || !inRange(id.Step, len(j.spec.Steps)) {
 		return nil
 	}
 	u := s.openOccurrence(j, id.Occurrence).units[id.Step]
-	if id.Index >= len(u.tasks) {
+	if !inRange(id.Index, len(u.tasks)) {
 		return nil
 	}
 	return u.tasks[id.Index]
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -189,12 +189,12 @@
 // restore applies progress that an earlier owner stored, and opens the occurrences that it mentions.
 func (s *Scheduler) restore(j *job, p *workload.Progress, now time.Time) {
 	for _, tp := range p.Tasks {
-		if tp.Occurrence >= len(j.occurrences) || tp.Step >= len(j.spec.Steps) {
+		if !inRange(tp.Occurrence, len(j.occurrences)) || !inRange(tp.Step, len(j.spec.Steps)) {
 			continue
 		}
 		o := s.openOccurrence(j, tp.Occurrence)
 		u := o.units[tp.Step]
-		if tp.Index >= len(u.tasks) {
+		if !inRange(tp.Index, len(u.tasks)) {
 			continue
 		}
 		t := u.tasks[tp.Index]
@@ -216,6 +216,9 @@
 	j.started = j.started || p.State == workload.Running
 }
 
+// inRange reports whether i is an index of a slice of the length.
+func inRange(i, length int) bool { return i >= 0 && i < length }
+
 // openDueOccurrences opens the occurrences of a job that are due.
 func (s *Scheduler) openDueOccurrences(j *job, now time.Time) {
 	waiting := false
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -158,3 +159,18 @@
 		})
 	})
 }
+
+// Guards against a stored row with impossible indexes that ends each successor while it loads the jobs.
+func TestImpossibleProgressIsIgnored(t *testing.T) {
+	for _, tp := range []workload.TaskProgress{{Occurrence: -1}, {Step: -1}, {Index: -1}, {Occurrence: 1}, {Step: 1}, {Index: 1}} {
+		Convey(fmt.Sprintf("Given stored progress of a task that the job does not have: %+v", tp), t, func() {
+			f := newFixture(2, 1)
+			tp.Done = true
+			progress := &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{tp}}
+			So(func() { f.AddJob(t0, f.job("j", t0, simpleStep(1)), progress, true) }, ShouldNotPanic)
+			Convey("The job's task runs", func() {
+				So(f.plan(t0).Starts, ShouldHaveLength, 1)
+			})
+		})
+	}
+}
