--- a/internal/cluster/scheduler/probation.go
+++ b/internal/cluster/scheduler/probation.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// riskyQueueTime is how long after such a crash the new tasks of a queue are started where the least work is at stake.
+	// riskyQueueTime is how long after the crash of a worker that had just started a task of a queue the tasks of that queue are
+	// started where the least work is at stake.
 	riskyQueueTime = 10 * time.Second
 	// checkpointLoss is the most work that a run with checkpoints loses, and restartCost what any run loses beside its work.
 	checkpointLoss = time.Second
@@ -36,17 +37,18 @@
 	return t.suspected() || now.Before(s.riskyQueues[t.unit.job.queue.Name])
 }
 
-// leastAtStake returns the worker on which the least work of other jobs would be lost if the task crashed it, or nil if the task fits
-// on none.
+// leastAtStake returns the worker on which the least work of other jobs would be lost if the task crashed it, out of those with the
+// lowest penalty, or nil if the task fits on none.
 func leastAtStake(t *task, workers []*worker, now time.Time) *worker {
 	var best *worker
-	var bestStake int64
+	var bestPenalty, bestStake int64
 	for _, w := range workers {
 		if !w.fits(t.unit) {
 			continue
 		}
-		if stake := w.stake(t.unit.job, now); best == nil || stake < bestStake {
-			best, bestStake = w, stake
+		penalty, stake := t.penalty(w), w.stake(t.unit.job, now)
+		if best == nil || penalty < bestPenalty || penalty == bestPenalty && stake < bestStake {
+			best, bestPenalty, bestStake = w, penalty, stake
 		}
 	}
 	return best
