--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -77,7 +77,7 @@
 func (s *Scheduler) dropSilence(workerID string) {
 	for _, t := range s.silences[workerID].tasks {
 		e := t.crashEvidence()
-		if c, found := e.TakeSuspected(workerID); found && durable(e, c.Weight) && !t.unit.job.state.Final() {
+		if c, found := e.TakeSuspected(workerID); found && durable(e, c.Weight) {
 			s.markChanged(t.unit.job)
 		}
 	}
