--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -57,7 +57,7 @@
 // Module provides the components of the daemon and starts and stops its Node. The caller supplies Config, Platform,
 // network.Network, clock.Func and *zap.Logger.
 var Module = fx.Options(
-	fx.Provide(newStore, newIdentity, metrics.New, newRoster, newWatch, queues.NewConfigHolder, newCoordinator, newFrontend, newNode,
+	fx.Provide(newStore, newIdentity, metrics.New, meter.NewDuties, newRoster, newWatch, queues.NewConfigHolder, newCoordinator, newFrontend, newNode,
 		peers.NewClient, newPolicyClient, admin.NewReadiness, admin.NewStates),
 	fx.Invoke(func(lc fx.Lifecycle, n *Node) { lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop}) }),
 )
@@ -79,10 +79,11 @@
 func newWatch(log *zap.Logger) *election.Watch { return election.NewWatch(log) }
 
 func newCoordinator(c Config, p Platform, store *rowstore.AdaptiveStore, h *queues.ConfigHolder, a *policyClient, since clock.Func, log *zap.Logger,
-	scope tally.Scope) *coordinator.Coordinator {
+	scope tally.Scope, duties *meter.Duties) *coordinator.Coordinator {
 	return coordinator.New(
 		coordinator.Config{Delegate: c.Delegate, Retention: c.Retention, OwnWorkers: c.OwnWorkers, MaxListAge: c.MaxListAge},
-		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, Log: log, Metrics: scope},
+		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, Log: log, Metrics: scope,
+			Duties: duties},
 	)
 }
 
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -22,6 +22,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/frontend"
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
@@ -77,6 +78,7 @@
 	Readiness    *admin.Readiness
 	States       *admin.States
 	Metrics      http.Handler
+	Duties       *meter.Duties
 	Log          *zap.Logger
 }
 
@@ -157,7 +159,7 @@
 
 func (n *Node) servePeers() error {
 	e := gin.New()
-	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.JobService, n, n.parts.Self.BootID, n.parts.Log).Register(e)
+	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.JobService, n, n.parts.Self.BootID, n.parts.Log, n.parts.Duties).Register(e)
 	admin.NewHealth(e, n.parts.Readiness, n.parts.Metrics, Version)
 	e.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
 	e.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
--- a/internal/cluster/coordinator/advice.go
+++ b/internal/cluster/coordinator/advice.go
@@ -35,6 +35,7 @@
 
 // dispatch sends the most urgent advice requests while there are free hosts. Long requests use at most half of the hosts.
 func (d *adviceDispatcher) dispatch(ctx context.Context) {
+	defer d.t.deps.Duties.Begin(dutyAdvice)()
 	hosts := d.t.deps.PolicyClient.Hosts()
 	longLimit := max((len(hosts)+1)/2, 1)
 	for {
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/clock"
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -38,6 +39,7 @@
 	Clock        clock.Func // also counts while the host is suspended
 	Log          *zap.Logger
 	Metrics      tally.Scope
+	Duties       *meter.Duties // may be nil
 }
 
 // ErrNotOwner is returned by queries if this daemon is not the owner or has not loaded the jobs yet. Lookup and Pending
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -120,6 +120,7 @@
 		events = events[min(skip, int64(len(events))):]
 	}
 	ex.lastEvent += int64(len(events))
+	defer t.deps.Duties.Begin(dutyEvents)()
 	t.applyEvents(ex, events)
 	return true
 }
--- /dev/null
+++ b/internal/cluster/coordinator/ownerload.go
@@ -0,0 +1,111 @@
+package coordinator
+
+import (
+	"context"
+	"runtime/metrics"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+const (
+	// usageLogInterval is how often the owner logs its load and the usage of the pool.
+	usageLogInterval = time.Second
+	// lagProbeInterval is how often the owner measures how late its timers fire.
+	lagProbeInterval = 20 * time.Millisecond
+
+	gcTimeMetric = "/cpu/classes/gc/total:cpu-seconds"
+)
+
+// Duties of the owner, as its log names them.
+const (
+	dutyPlanAll     = "plan"
+	dutyPlanChanges = "plan_changes"
+	dutyAdvice      = "advice_selection"
+	dutyEvents      = "events"
+	dutyRecords     = "records"
+)
+
+// ownerLoad is how much of its host's processor the owner uses.
+type ownerLoad struct {
+	cores   float64       // processor time of the process per second
+	gcCores float64       // estimated part of it that garbage collection takes
+	maxLag  time.Duration // the longest time by which a timer fired late
+	duties  meter.DutySums
+}
+
+// loadProbe measures the owner's load since the last measurement.
+type loadProbe struct {
+	duties  *meter.Duties
+	at      time.Time
+	cpuTime time.Duration
+	gcTime  float64 // seconds
+	maxLag  time.Duration
+}
+
+func newLoadProbe(duties *meter.Duties) *loadProbe {
+	p := &loadProbe{duties: duties}
+	p.take()
+	return p
+}
+
+// watchTimers waits until the duration has passed and notes by how much timers fire late meanwhile. It returns false if ctx ends.
+func (p *loadProbe) watchTimers(ctx context.Context, d time.Duration) bool {
+	end := time.Now().Add(d)
+	for before := time.Now(); before.Before(end); before = time.Now() {
+		if !wait.For(ctx, lagProbeInterval) {
+			return false
+		}
+		p.maxLag = max(p.maxLag, time.Since(before)-lagProbeInterval)
+	}
+	return true
+}
+
+// take returns the load since the last call.
+func (p *loadProbe) take() ownerLoad {
+	now, cpuTime, gcTime := time.Now(), processorTime(), gcSeconds()
+	elapsed := max(now.Sub(p.at).Seconds(), lagProbeInterval.Seconds())
+	l := ownerLoad{cores: (cpuTime - p.cpuTime).Seconds() / elapsed, gcCores: (gcTime - p.gcTime) / elapsed, maxLag: p.maxLag, duties: p.duties.Take()}
+	p.at, p.cpuTime, p.gcTime, p.maxLag = now, cpuTime, gcTime, 0
+	return l
+}
+
+// processorTime returns the processor time that this process has used, or 0 if the system does not tell.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// gcSeconds returns the runtime's estimate of the processor time that garbage collection has used, in seconds.
+func gcSeconds() float64 {
+	sample := []metrics.Sample{{Name: gcTimeMetric}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindFloat64 {
+		return 0
+	}
+	return sample[0].Value.Float64()
+}
+
+// logUsage regularly logs the owner's load, the usage of the pool and the tasks that wait for it, so that the log explains why a
+// job had to wait.
+func (t *term) logUsage(ctx context.Context) {
+	probe := newLoadProbe(t.deps.Duties)
+	for probe.watchTimers(ctx, usageLogInterval) {
+		l := probe.take()
+		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores), zap.Duration("max_lag", l.maxLag),
+			zap.Object("duties", l.duties))
+		t.mu.Lock()
+		u := t.sched.Usage(time.Now())
+		t.mu.Unlock()
+		t.log.Info("pool", zap.Int("workers", u.Workers), zap.Int64("cpu_milli", u.Capacity.CPUMilli),
+			zap.Int64("cpu_milli_used", u.Used.CPUMilli), zap.Int64("memory_mb", u.Capacity.MemoryMB),
+			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Any("waiting", u.Queues))
+	}
+}
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -69,6 +69,7 @@
 func (t *term) takeRecords() recordBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.deps.Duties.Begin(dutyRecords)()
 	var b recordBatch
 	b.generation, b.records, b.needed = t.sched.TakeRecords()
 	if current := t.workersInUse(); !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated {
@@ -93,7 +94,9 @@
 // the owner's lease. writeBatch returns false if it has to stop before everything is written, because ctx has ended, the
 // ownership is lost or a record can't be encoded.
 func (t *term) writeBatch(ctx context.Context, b recordBatch) bool {
+	end := t.deps.Duties.Begin(dutyRecords)
 	changes, ok := t.encodeBatch(b)
+	end()
 	if !ok {
 		return false
 	}
@@ -283,6 +286,7 @@
 func (t *term) markPersisted(generation int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.deps.Duties.Begin(dutyRecords)()
 	t.sched.MarkGenerationStored(generation)
 	t.assigner.sendAcks()
 	t.requestPlan()
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -30,8 +30,6 @@
 	// jobFeedInterval is the minimum time between two reads of the change feed of jobs. Frontends also send new jobs to the
 	// owner directly, so the feed only has to make up for lost calls and can be read in larger batches.
 	jobFeedInterval = 150 * time.Millisecond
-	// usageLogInterval is how often the owner logs the usage of the pool.
-	usageLogInterval = time.Second
 )
 
 // term is one term of this daemon as the owner. The mutex mu guards the fields from sched to listWasTooOld, and also
@@ -184,19 +182,6 @@
 	return nil
 }
 
-// logUsage regularly logs the usage of the pool and the tasks that wait for it, so that the log explains why a job had to
-// wait.
-func (t *term) logUsage(ctx context.Context) {
-	for wait.For(ctx, usageLogInterval) {
-		t.mu.Lock()
-		u := t.sched.Usage(time.Now())
-		t.mu.Unlock()
-		t.log.Info("pool", zap.Int("workers", u.Workers), zap.Int64("cpu_milli", u.Capacity.CPUMilli),
-			zap.Int64("cpu_milli_used", u.Used.CPUMilli), zap.Int64("memory_mb", u.Capacity.MemoryMB),
-			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Any("waiting", u.Queues))
-	}
-}
-
 // planAll runs a complete plan: the scheduler considers all waiting tasks. It does nothing while the ownership is not valid,
 // since no order may be sent then.
 func (t *term) planAll(ctx context.Context) {
@@ -206,6 +191,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.deps.Duties.Begin(dutyPlanAll)()
 	t.applyQueueConfig()
 	t.updateListAge()
 	t.assigner.assignWorkers(now, t.sched.Workers())
@@ -255,6 +241,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.deps.Duties.Begin(dutyPlanChanges)()
 	t.updateListAge()
 	t.sendOrders(ctx, t.sched.PlanChanged(now))
 	t.meters.plans.Record("changes", now)
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -12,6 +12,7 @@
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
@@ -32,6 +33,7 @@
 	successor   Successor
 	bootID      string
 	log         *zap.Logger
+	duties      *meter.Duties
 }
 
 // Submitter stores jobs and cancellations for a peer that can't reach the store.
@@ -61,13 +63,14 @@
 	NoSuchJob    StoreOutcome = "no_such_job"
 )
 
-// NewServer returns the server of the process with this bootID.
-func NewServer(c *coordinator.Coordinator, a Adviser, s Submitter, next Successor, bootID string, log *zap.Logger) *Server {
-	return &Server{c, a, s, next, bootID, log}
+// NewServer returns the server of the process with this bootID. It counts the calls of each path in duties.
+func NewServer(c *coordinator.Coordinator, a Adviser, s Submitter, next Successor, bootID string, log *zap.Logger, duties *meter.Duties) *Server {
+	return &Server{c, a, s, next, bootID, log, duties}
 }
 
 // Register adds the server's routes to e.
 func (s *Server) Register(e *gin.Engine) {
+	e.Use(func(c *gin.Context) { s.duties.Count(c.FullPath()) })
 	e.POST(lookupPath, s.lookup)
 	e.POST(pendingPath, s.pending)
 	e.POST(advisePath, s.advise)
