--- a/internal/cluster/coordinator/advice.go
+++ b/internal/cluster/coordinator/advice.go
@@ -35,11 +35,14 @@
 
 // dispatch sends the most urgent advice requests while there are free hosts. Long requests use at most half of the hosts.
 func (d *adviceDispatcher) dispatch(ctx context.Context) {
+	if !d.t.sched.WantsAdvice() {
+		return
+	}
 	defer d.t.deps.Duties.Begin(dutyAdvice)()
 	hosts := d.t.deps.PolicyClient.Hosts()
 	longLimit := max((len(hosts)+1)/2, 1)
-	for {
-		free := d.freeHosts(hosts)
+	free := d.freeHosts(hosts)
+	for len(free) > 0 {
 		requests := d.t.sched.NextAdviceRequests(time.Now(), len(free), longLimit-d.countLongCalls())
 		if len(requests) == 0 {
 			return
@@ -49,6 +52,7 @@
 			d.busy[host] = r.ExpectedDuration
 			d.t.wg.Go(func() { d.callHost(ctx, host, r) })
 		}
+		free = free[len(requests):]
 	}
 }
 
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -21,6 +21,9 @@
 const (
 	// saveInterval is the minimum time between two rounds of commits, so that a round covers the changes of several jobs.
 	saveInterval = 15 * time.Millisecond
+	// inUseCheckInterval is the minimum time between two checks whether the stored list of workers in use is up to date, since each
+	// visits all workers.
+	inUseCheckInterval = 50 * time.Millisecond
 	// commitBackoffMax is the maximum backoff before a commit is retried. It is short because the owner has to notice that the
 	// store has recovered before the hosts to which it has offered the ownership do.
 	commitBackoffMax = 100 * time.Millisecond
@@ -72,6 +75,10 @@
 	defer t.deps.Duties.Begin(dutyRecords)()
 	var b recordBatch
 	b.generation, b.records, b.needed = t.sched.TakeRecords()
+	if time.Since(t.inUseCheckedAt) < inUseCheckInterval {
+		return b
+	}
+	t.inUseCheckedAt = time.Now()
 	if current := t.workersInUse(); !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated {
 		b.needed, b.inUse, b.delegated = true, current, t.delegated
 		// Nothing may be started any more on workers that the list to be written leaves out, even if they answer again
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -46,6 +46,8 @@
 	assigner *assigner
 	advice   *adviceDispatcher
 	inUse    map[string]bool // workers whose use by this owner is stored
+	// inUseCheckedAt is when takeRecords last checked whether the stored list of workers in use is up to date.
+	inUseCheckedAt time.Time
 	// pending is the number of waiting jobs by queue, counted at pendingAt.
 	pending       map[string]int
 	pendingAt     time.Time
--- a/internal/cluster/peers/roster.go
+++ b/internal/cluster/peers/roster.go
@@ -32,8 +32,9 @@
 type Roster struct {
 	log *zap.Logger
 
-	mu    sync.Mutex
-	hosts map[string]rosterEntry // by host
+	mu        sync.Mutex
+	hosts     map[string]rosterEntry // by host
+	available []Host                 // the result of Hosts; nil if it has to be rebuilt
 }
 
 type rosterEntry struct {
@@ -57,6 +58,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed, version := r.apply(rows)
+	r.available = nil
 	if len(listed) > 0 {
 		// One line lists all changed hosts, because each host learns of all others when the whole system starts.
 		r.log.Info("hosts listed", zap.Strings("peers", listed), zap.Int64("version", version), zap.Int("hosts", len(r.hosts)))
@@ -125,14 +127,15 @@
 func (r *Roster) Hosts() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Host
-	for _, e := range r.hosts {
-		if !e.Draining {
-			out = append(out, e.Host)
+	if r.available == nil {
+		for _, e := range r.hosts {
+			if !e.Draining {
+				r.available = append(r.available, e.Host)
+			}
 		}
+		slices.SortFunc(r.available, func(a, b Host) int { return strings.Compare(a.Host, b.Host) })
 	}
-	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Host, b.Host) })
-	return out
+	return slices.Clone(r.available)
 }
 
 // registerRetryDelay is the delay between attempts to write this host's row.
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -133,6 +133,9 @@
 	return !u.awaitsAdvice(now) && u.job.queue.PolicyService != nil && !now.Before(u.notBefore)
 }
 
+// WantsAdvice reports whether units may be waiting for an advice request; see NextAdviceRequests.
+func (s *Scheduler) WantsAdvice() bool { return !s.adviceQueue.empty() }
+
 // NextAdviceRequests returns the advice requests of the most urgent unit whose tasks found no worker, or none if there is no
 // such unit. They are to be sent at once, each through a host of its own. freeHosts is the number of hosts that are free, and
 // longLimit how many of them may send a long request. The workers to name are chosen only now: if they were chosen when the
--- a/internal/cluster/scheduler/advice_queue.go
+++ b/internal/cluster/scheduler/advice_queue.go
@@ -35,6 +35,8 @@
 	*list = slices.Insert(*list, i, c)
 }
 
+func (q *adviceQueue) empty() bool { return len(q.short) == 0 && len(q.long) == 0 }
+
 // next removes and returns the most urgent unit. Units with long requests are considered only if long is true.
 func (q *adviceQueue) next(long bool) (candidate, bool) {
 	list := &q.short
