--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -10,6 +10,8 @@
 	maxHeadroomShare = 0.35
 	// headroomDecay is the time constant with which the headroom shrinks after the demand has fallen.
 	headroomDecay = 5 * time.Second
+	// headroomUpdateInterval is the minimum time between two updates, which visit all workers. Starts between them are counted.
+	headroomUpdateInterval = 10 * time.Millisecond
 )
 
 // headroom is the share of the pool's processors that is kept for urgent tasks, those whose latency target is shorter than the
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -22,11 +22,10 @@
 // objective come first, by their latest start, then those that are late. Compared with first come, first served, this order
 // keeps short urgent tasks from waiting behind large jobs.
 func (s *Scheduler) Plan(now time.Time) Plan {
+	if now.Sub(s.workersCheckedAt) >= workerCheckInterval {
+		s.checkWorkers(now)
+	}
 	s.expireUnresolved(now)
-	s.expireWorkers(now)
-	s.expireSilences(now)
-	s.stopStalled(now)
-	s.stopOnDrainingWorkers(now)
 	for j := range s.futureOccurrences {
 		s.openDueOccurrences(j, now)
 	}
@@ -37,6 +36,19 @@
 	return s.planUnits(maps.Keys(s.open), now)
 }
 
+// workerCheckInterval is the minimum time between two checks of all workers. A plan is made more often while tasks wait.
+const workerCheckInterval = 50 * time.Millisecond
+
+// checkWorkers drops the runs whose leases have expired, and stops stalled runs and those that would not end before their worker
+// shuts down.
+func (s *Scheduler) checkWorkers(now time.Time) {
+	s.workersCheckedAt = now
+	s.expireWorkers(now)
+	s.expireSilences(now)
+	s.stopStalled(now)
+	s.stopOnDrainingWorkers(now)
+}
+
 // PlanChanged places only the tasks of units that have changed since they were last planned: new units, those whose job has
 // become durable, those for which the policy service has answered, those with failed tasks or rejected starts, and gangs for
 // which room has been made. With hundreds of waiting units a complete plan takes several milliseconds, too long to repeat it
@@ -50,7 +62,9 @@
 
 func (s *Scheduler) planUnits(units iter.Seq[*unit], now time.Time) Plan {
 	var plan Plan
-	s.updateHeadroom(now)
+	if now.Sub(s.headroom.updatedAt) >= headroomUpdateInterval {
+		s.updateHeadroom(now)
+	}
 	for _, c := range s.candidates(units, now) {
 		c.adviceOnly = c.adviceOnly || s.suspended
 		s.planUnit(c, now, &plan)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -43,9 +43,11 @@
 	open          map[*unit]struct{} // units with unfinished tasks whose dependencies are done
 	changedUnits  map[*unit]struct{} // units whose state has changed since they were last planned; see PlanChanged
 	suspended     bool               // see SuspendStarts
-	headroom      headroom
-	reservations  reservations // workers reserved for gangs that did not fit, since the last complete plan began
-	stopLatency   stopLatency
+	// workersCheckedAt is when checkWorkers last ran.
+	workersCheckedAt time.Time
+	headroom         headroom
+	reservations     reservations // workers reserved for gangs that did not fit, since the last complete plan began
+	stopLatency      stopLatency
 	// nominationsChanged is set when resources are freed on a worker that a gang is nominated for.
 	nominationsChanged bool
 
