--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -21,6 +21,8 @@
 	// delegateTimeout is the time without a call from a delegate after which its workers are assigned to others. The runs on
 	// these workers continue: the new delegate renews their leases and reads the reports.
 	delegateTimeout = 900 * time.Millisecond
+	// assignInterval is the maximum time until an assignment follows a change of the list of workers.
+	assignInterval = 50 * time.Millisecond
 	// rejoinDelay is how long a delegate that timed out must wait before it can become a delegate again.
 	rejoinDelay = time.Second
 )
@@ -51,6 +53,7 @@
 	generation       int64
 	assignmentsValid bool // every worker has an executor, chosen for the current set of delegates
 	workersListed    bool // the list of workers has been read
+	assignedAt       time.Time
 	startedAt        time.Time
 	noDelegatesSince time.Time
 	lastTimeoutCheck time.Time // when dropTimedOut last ran
@@ -69,10 +72,20 @@
 // wantsDelegates reports whether the owner has more workers than it calls itself.
 func (as *assigner) wantsDelegates() bool { return as.t.sched.WorkerCount() > as.t.cfg.OwnWorkers }
 
-// assignWorkers drops delegates that have timed out, assigns an executor to each worker that needs one, and removes the
-// assignments of workers that are not listed any more.
-func (as *assigner) assignWorkers(now time.Time, workers []scheduler.WorkerInfo) {
+// update drops delegates that have timed out. It assigns workers if some need an executor, and otherwise every assignInterval, when
+// the list of workers may have changed.
+func (as *assigner) update(now time.Time) {
 	as.dropTimedOut(now)
+	if as.assignmentsValid && now.Sub(as.assignedAt) < assignInterval {
+		return
+	}
+	as.assignedAt = now
+	as.assignWorkers(now, as.t.sched.Workers())
+}
+
+// assignWorkers assigns an executor to each worker that needs one, and removes the assignments of workers that are not listed any
+// more.
+func (as *assigner) assignWorkers(now time.Time, workers []scheduler.WorkerInfo) {
 	listed := make(map[string]bool, len(workers))
 	chooseExecutor := as.executorChooser(now, len(workers))
 	settled := true // no worker has to wait for an executor
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -196,7 +196,7 @@
 	defer t.deps.Duties.Begin(dutyPlanAll)()
 	t.applyQueueConfig()
 	t.updateListAge()
-	t.assigner.assignWorkers(now, t.sched.Workers())
+	t.assigner.update(now)
 	t.updateUnresolved(now)
 	t.sendOrders(ctx, t.sched.Plan(now))
 	t.meters.plans.Record("complete", now)
