Let delegates call the owner less often while its processors are nearly used up

Delegates made about a thousand calls a second whatever the owner's load. Under pressure, measured from the processor time that the process uses and from timers that fire late, each call now carries more events and orders instead.

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -55,7 +55,7 @@
 }
 
 // Module provides the components of the daemon and starts and stops its Node. The caller supplies Config, Platform,
-// network.Network, clock.Func and *zap.Logger.
+// network.Network, clock.Func, clock.ProcessorFunc and *zap.Logger.
 var Module = fx.Options(
 	fx.Provide(newStore, newIdentity, metrics.New, meter.NewDuties, newRoster, newWatch, queues.NewConfigHolder, newCoordinator, newFrontend, newNode,
 		peers.NewClient, newPolicyClient, admin.NewReadiness, admin.NewStates),
@@ -78,11 +78,11 @@
 
 func newWatch(log *zap.Logger) *election.Watch { return election.NewWatch(log) }
 
-func newCoordinator(c Config, p Platform, store *rowstore.AdaptiveStore, h *queues.ConfigHolder, a *policyClient, since clock.Func, log *zap.Logger,
+func newCoordinator(c Config, p Platform, store *rowstore.AdaptiveStore, h *queues.ConfigHolder, a *policyClient, since clock.Func, processorTime clock.ProcessorFunc, log *zap.Logger,
 	scope tally.Scope, duties *meter.Duties) *coordinator.Coordinator {
 	return coordinator.New(
-		coordinator.Config{Delegate: c.Delegate, Retention: c.Retention, OwnWorkers: c.OwnWorkers, MaxListAge: c.MaxListAge},
-		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, Log: log, Metrics: scope,
+		coordinator.Config{Delegate: c.Delegate, Processors: c.Processors, Retention: c.Retention, OwnWorkers: c.OwnWorkers, MaxListAge: c.MaxListAge},
+		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, ProcessorTime: processorTime, Log: log, Metrics: scope,
 			Duties: duties},
 	)
 }
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 type Config struct {
 	Delegate   delegate.Config
 	Retention  time.Duration // how long the states of ended jobs are kept
+	Processors float64       // processor time that the daemon may use, in cores; 0 if unknown
 	OwnWorkers int           // maximum number of workers that the owner calls itself; if there are more, delegates call them
 	// MaxListAge is the age of the list of workers from which nothing is started: the capacity of a worker may have shrunk since, or
 	// it may be draining. 0 means no limit.
@@ -37,9 +38,11 @@
 	PolicyClient PolicyClient
 	Discovery    Discovery
 	Clock        clock.Func // also counts while the host is suspended
-	Log          *zap.Logger
-	Metrics      tally.Scope
-	Duties       *meter.Duties // may be nil
+	// ProcessorTime returns the processor time that this process has used.
+	ProcessorTime clock.ProcessorFunc
+	Log           *zap.Logger
+	Metrics       tally.Scope
+	Duties        *meter.Duties // may be nil
 }
 
 // ErrNotOwner is returned by queries if this daemon is not the owner or has not loaded the jobs yet. Lookup and Pending
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -89,7 +89,7 @@
 	if len(r.Events) > 0 && !t.acceptEvents(ex, r.First, r.Events) {
 		return nil, delegate.OrderBatch{}, delegate.ErrSessionEnded
 	}
-	b := delegate.OrderBatch{Wanted: true, RenewPollTimeout: delegate.RenewPollTimeout(t.sched.WorkerCount()), MinCallInterval: delegate.MinCallInterval(len(t.assigner.remote)),
+	b := delegate.OrderBatch{Wanted: true, RenewPollTimeout: delegate.RenewPollTimeout(t.sched.WorkerCount()), MinCallInterval: t.pressure.callInterval(delegate.MinCallInterval(len(t.assigner.remote))),
 		Permit: min(max(election.LeaseDuration-t.ownership.SinceLastCommit(), 0), delegate.PermitLimit)}
 	if t.ownership.Lost() {
 		return nil, delegate.OrderBatch{}, delegate.ErrSessionEnded
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -92,7 +92,7 @@
 	queueConfig.Update(&queues.Config{Version: 1, Queues: []queues.Queue{testQueue}})
 	o.Coordinator = New(
 		Config{Delegate: delegate.Config{Lease: 4 * time.Second, GangTimeout: 3 * time.Second}, Retention: time.Minute},
-		Deps{Store: store, Queues: queueConfig, Workers: noWorkers{&o.renewals}, PolicyClient: noPolicyHosts{}, Discovery: list, Clock: o.clock,
+		Deps{Store: store, Queues: queueConfig, Workers: noWorkers{&o.renewals}, PolicyClient: noPolicyHosts{}, Discovery: list, Clock: o.clock, ProcessorTime: func() time.Duration { return 0 },
 			Log: zap.NewNop(), Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(t.Context())
 	o.cancel = cancel
--- a/internal/cluster/coordinator/ownerload.go
+++ b/internal/cluster/coordinator/ownerload.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"runtime/metrics"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,15 +39,15 @@
 
 // loadProbe measures the owner's load since the last measurement.
 type loadProbe struct {
-	duties  *meter.Duties
+	deps    *Deps
 	at      time.Time
 	cpuTime time.Duration
 	gcTime  float64 // seconds
 	maxLag  time.Duration
 }
 
-func newLoadProbe(duties *meter.Duties) *loadProbe {
-	p := &loadProbe{duties: duties}
+func newLoadProbe(deps *Deps) *loadProbe {
+	p := &loadProbe{deps: deps}
 	p.take()
 	return p
 }
@@ -67,22 +66,13 @@
 
 // take returns the load since the last call.
 func (p *loadProbe) take() ownerLoad {
-	now, cpuTime, gcTime := time.Now(), processorTime(), gcSeconds()
+	now, cpuTime, gcTime := time.Now(), p.deps.ProcessorTime(), gcSeconds()
 	elapsed := max(now.Sub(p.at).Seconds(), lagProbeInterval.Seconds())
-	l := ownerLoad{cores: (cpuTime - p.cpuTime).Seconds() / elapsed, gcCores: (gcTime - p.gcTime) / elapsed, maxLag: p.maxLag, duties: p.duties.Take()}
+	l := ownerLoad{cores: (cpuTime - p.cpuTime).Seconds() / elapsed, gcCores: (gcTime - p.gcTime) / elapsed, maxLag: p.maxLag, duties: p.deps.Duties.Take()}
 	p.at, p.cpuTime, p.gcTime, p.maxLag = now, cpuTime, gcTime, 0
 	return l
 }
 
-// processorTime returns the processor time that this process has used, or 0 if the system does not tell.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // gcSeconds returns the runtime's estimate of the processor time that garbage collection has used, in seconds.
 func gcSeconds() float64 {
 	sample := []metrics.Sample{{Name: gcTimeMetric}}
@@ -96,10 +86,10 @@
 // logUsage regularly logs the owner's load, the usage of the pool and the tasks that wait for it, so that the log explains why a
 // job had to wait.
 func (t *term) logUsage(ctx context.Context) {
-	probe := newLoadProbe(t.deps.Duties)
+	probe := newLoadProbe(&t.deps)
 	for probe.watchTimers(ctx, usageLogInterval) {
 		l := probe.take()
-		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores), zap.Duration("max_lag", l.maxLag),
+		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores), zap.Duration("max_lag", l.maxLag), zap.Float64("pressure", t.pressure.Level()),
 			zap.Object("duties", l.duties))
 		t.mu.Lock()
 		u := t.sched.Usage(time.Now())
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -23,6 +23,8 @@
 	planInterval = 100 * time.Millisecond
 	// planBatchDelay is the delay between an event and the plan that it triggers, so that one plan handles a burst of events.
 	planBatchDelay = 3 * time.Millisecond
+	// minPlanPause is the minimum pause after a complete plan. Meanwhile, tasks of units that have changed are placed all the same.
+	minPlanPause = 20 * time.Millisecond
 	// planPauseFactor is the pause after a complete plan as a multiple of the plan's duration. With 9, complete plans use
 	// at most a tenth of a processor, unless a plan takes so long that planInterval shortens the pause. Plans for the
 	// recent changes continue during the pause.
@@ -62,6 +64,7 @@
 	lastListAnswer  time.Duration // when the store last answered a call for the list or its changes
 	listWasTooOld   bool
 
+	pressure          pressure
 	startedAt         time.Time
 	unresolvedWorkers int   // number of workers of earlier owners that had not reported at the last plan
 	queuesVersion     int64 // version of the queue configuration that the scheduler uses
@@ -80,6 +83,7 @@
 		inUse:         map[string]bool{},
 		jobBatchIndex: newJobBatchIndex(),
 		meters:        newMeters(c.deps.Metrics),
+		pressure:      pressure{processors: c.cfg.Processors, used: c.deps.ProcessorTime},
 		startedAt:     time.Now(),
 		planRequested: make(chan struct{}, 1),
 		saveRequested: make(chan struct{}, 1),
@@ -160,6 +164,7 @@
 	t.wg.Go(func() { t.deps.Discovery.FollowWorkers(ctx, t) })
 	t.wg.Go(func() { t.persist(ctx) })
 	t.wg.Go(func() { t.runExpiry(ctx) })
+	t.wg.Go(func() { t.pressure.watch(ctx) })
 	t.wg.Go(func() { t.logUsage(ctx) })
 	var nextCompletePlan time.Time // time of the next complete plan
 	for ctx.Err() == nil {
@@ -173,7 +178,7 @@
 			delay = max(time.Until(nextCompletePlan), planBatchDelay)
 		} else {
 			t.planAll(ctx)
-			nextCompletePlan = time.Now().Add(min(max(planBatchDelay, planPauseFactor*time.Since(began)), planInterval))
+			nextCompletePlan = time.Now().Add(min(max(minPlanPause, planPauseFactor*time.Since(began)), planInterval))
 		}
 		if !wait.ForOrSignal(ctx, delay, t.planRequested) {
 			break
