Keep lookups and notifications away from an owner that is about to fall behind

The longer jobs took, the more often callers asked for their states: 300 a second at the usual load, 1,100 a second at the crest, each a call to the owner (log of its load), which kept it late. An owner under pressure now says so in its answers. For a second after that, hosts read states from the store and leave it to the owner's change feed to deliver new jobs.

--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -87,6 +87,12 @@
 	return state, known, nil
 }
 
+// Busy reports whether this daemon is the owner and about to fall behind, so that callers that have another way should use it.
+func (c *Coordinator) Busy() bool {
+	t := c.current()
+	return t != nil && t.pressure.shedding()
+}
+
 // Pending returns the number of jobs in a queue that have not started any task. The count may be pendingCacheTTL old.
 func (c *Coordinator) Pending(queue string) (int, error) {
 	t := c.current()
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -30,8 +30,10 @@
 	// recent changes continue during the pause.
 	planPauseFactor = 9
 	// jobFeedInterval is the minimum time between two reads of the change feed of jobs. Frontends also send new jobs to the
-	// owner directly, so the feed only has to make up for lost calls and can be read in larger batches.
-	jobFeedInterval = 150 * time.Millisecond
+	// owner directly, so the feed only has to make up for lost calls and can be read in larger batches. While the owner is busy
+	// they don't, and busyJobFeedInterval applies.
+	jobFeedInterval     = 150 * time.Millisecond
+	busyJobFeedInterval = 40 * time.Millisecond
 )
 
 // term is one term of this daemon as the owner. The mutex mu guards the fields from sched to listWasTooOld, and also
@@ -106,6 +108,14 @@
 	}
 }
 
+// jobFeedInterval returns the minimum time between two reads of the change feed of jobs.
+func (t *term) jobFeedInterval() time.Duration {
+	if t.pressure.shedding() {
+		return busyJobFeedInterval
+	}
+	return jobFeedInterval
+}
+
 // requestPlan triggers a plan.
 func (t *term) requestPlan() { wait.Signal(t.planRequested) }
 
@@ -158,7 +168,7 @@
 	defer t.wg.Wait()
 	defer cancel()
 	jobs := &rowstore.Follower{Store: t.deps.Store, Table: records.Inbox, Partitions: records.InboxPartitions(), Handler: t, Log: t.log,
-		From: t.jobFeedVersion, MinCallInterval: jobFeedInterval}
+		From: t.jobFeedVersion, MinCallInterval: t.jobFeedInterval}
 	t.wg.Go(func() { jobs.Run(ctx) })
 	t.loadInbox(ctx)
 	t.wg.Go(func() { t.deps.Discovery.FollowWorkers(ctx, t) })
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -68,6 +68,7 @@
 	notifySlots chan struct{} // semaphore that holds a value for each notification in progress
 	routeHealth routeHealth
 	breaker     breaker
+	ownerBusy   ownerBusy
 	// peersFailedUntil is until when no peer is asked to store a change during an outage, in nanoseconds since 1970.
 	peersFailedUntil atomic.Int64
 
@@ -103,7 +104,7 @@
 	})
 	if outcome == peers.Stored {
 		s.Coordinator.NotifyJobStored(spec)
-		s.notifyOwner(func(ctx context.Context, addr string) error { return s.Peers.NotifyJobStored(ctx, addr, spec) })
+		s.notifyOwner(func(ctx context.Context, addr string) (bool, error) { return s.Peers.NotifyJobStored(ctx, addr, spec) })
 	}
 	s.submits.Record(string(outcome), began)
 	return outcomeError(outcome, err)
@@ -121,7 +122,7 @@
 	})
 	if outcome == peers.Stored {
 		s.Coordinator.NotifyCancelStored(id)
-		s.notifyOwner(func(ctx context.Context, addr string) error { return s.Peers.NotifyCancelStored(ctx, addr, id) })
+		s.notifyOwner(func(ctx context.Context, addr string) (bool, error) { return s.Peers.NotifyCancelStored(ctx, addr, id) })
 	}
 	s.cancels.Record(string(outcome), began)
 	return outcomeError(outcome, err)
@@ -129,10 +130,10 @@
 
 // notifyOwner sends a stored change to the owner, so that the owner sees it before its change feed delivers it. Failed calls
 // are not retried, since the feed delivers the change anyway. At most maxNotifications calls are in progress; beyond that no
-// call is made.
-func (s *JobService) notifyOwner(notify func(ctx context.Context, addr string) error) {
+// call is made, nor while the owner is busy.
+func (s *JobService) notifyOwner(notify func(ctx context.Context, addr string) (busy bool, err error)) {
 	owner := s.Watch.View().Owner
-	if owner.Addr == "" || owner.BootID == s.Self.BootID {
+	if owner.Addr == "" || owner.BootID == s.Self.BootID || s.ownerBusy.at(owner.BootID, time.Now()) {
 		return
 	}
 	select {
@@ -144,7 +145,9 @@
 		defer func() { <-s.notifySlots }()
 		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 		defer cancel()
-		if err := notify(ctx, owner.Addr); err != nil {
+		busy, err := notify(ctx, owner.Addr)
+		s.ownerBusy.record(owner.BootID, busy, time.Now())
+		if err != nil {
 			s.Log.Debug("failed to notify the owner, its change feed will deliver the change", zap.String("owner", owner.Host), asynclog.Error(err))
 		}
 	}()
@@ -167,10 +170,17 @@
 	return errors.Wrap(ErrUnknown, text)
 }
 
-// Lookup returns a job's state from the owner or, if the owner does not answer or does not know the job, from the store.
+// Lookup returns a job's state from the owner or, if the owner is busy, does not answer or does not know the job, from the store.
 // Errors: ErrNoSuchJob, ErrUnavailable.
 func (s *JobService) Lookup(ctx context.Context, id string) (workload.State, error) {
 	began := time.Now()
+	ownerBusy := s.ownerBusy.at(s.Watch.View().Owner.BootID, began)
+	if ownerBusy {
+		if state, err := s.readState(ctx, id); err == nil {
+			s.lookups.Record("store", began)
+			return state, nil
+		}
+	}
 	state, known, err := s.askOwner(ctx, id)
 	if err == nil && known {
 		s.lookups.Record("owner", began)
@@ -196,7 +206,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	return s.Peers.Lookup(callCtx, owner.Addr, id)
+	a, err := s.Peers.Lookup(callCtx, owner.Addr, id)
+	s.ownerBusy.record(owner.BootID, a.OwnerBusy, time.Now())
+	return a.State, a.Known, err
 }
 
 // readState reads a job's state from the store. An accepted job without a stored state is queued.
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -46,9 +46,12 @@
 	Job string `json:"job"`
 }
 
-type lookupAnswer struct {
-	Known bool           `json:"known"`
+// LookupAnswer is the owner's answer to a query for the state of a job.
+type LookupAnswer struct {
+	Known bool           `json:"known"` // false if the owner does not know the job
 	State workload.State `json:"state,omitempty"`
+	// OwnerBusy means that the owner is about to fall behind. Queries that the store can answer should go there for a while.
+	OwnerBusy bool `json:"busy,omitempty"`
 }
 
 type pendingRequest struct {
@@ -75,7 +78,9 @@
 	Cancel string         `json:"cancel,omitempty"`
 }
 
-type takeAnswer struct{}
+type takeAnswer struct {
+	OwnerBusy bool `json:"busy,omitempty"` // as in a LookupAnswer
+}
 
 // offerRequest offers the ownership of the process with this BootID to a peer; see Client.OfferOwnership.
 type offerRequest struct {
@@ -124,11 +129,11 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Lookup asks the owner for a job's state. The second result is false if the owner does not know the job.
-func (c *Client) Lookup(ctx context.Context, addr, id string) (workload.State, bool, error) {
-	var a lookupAnswer
+// Lookup asks the owner for a job's state.
+func (c *Client) Lookup(ctx context.Context, addr, id string) (LookupAnswer, error) {
+	var a LookupAnswer
 	err := c.call(ctx, addr, lookupPath, lookupRequest{id}, &a)
-	return a.State, a.Known, err
+	return a, err
 }
 
 // Pending asks the owner for the number of a queue's jobs that have not started any task yet.
@@ -154,14 +159,21 @@
 	return a.BootID, a.Owner, err
 }
 
-// NotifyJobStored notifies the owner of a stored job, so that the owner sees it before its change feed delivers it.
-func (c *Client) NotifyJobStored(ctx context.Context, addr string, spec *workload.Spec) error {
-	return c.call(ctx, addr, takePath, takeRequest{Job: spec}, &takeAnswer{})
+// NotifyJobStored notifies the owner of a stored job, so that the owner sees it before its change feed delivers it. It reports whether
+// the owner is busy, as in a LookupAnswer.
+func (c *Client) NotifyJobStored(ctx context.Context, addr string, spec *workload.Spec) (busy bool, err error) {
+	return c.take(ctx, addr, takeRequest{Job: spec})
+}
+
+// NotifyCancelStored notifies the owner of a stored cancellation. It reports whether the owner is busy.
+func (c *Client) NotifyCancelStored(ctx context.Context, addr, id string) (busy bool, err error) {
+	return c.take(ctx, addr, takeRequest{Cancel: id})
 }
 
-// NotifyCancelStored notifies the owner of a stored cancellation.
-func (c *Client) NotifyCancelStored(ctx context.Context, addr, id string) error {
-	return c.call(ctx, addr, takePath, takeRequest{Cancel: id}, &takeAnswer{})
+func (c *Client) take(ctx context.Context, addr string, r takeRequest) (busy bool, err error) {
+	var a takeAnswer
+	err = c.call(ctx, addr, takePath, r, &a)
+	return a.OwnerBusy, err
 }
 
 // OfferOwnership asks a peer to claim the ownership from the process with this bootID, unless that process commits a
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -113,7 +113,7 @@
 		writeError(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, lookupAnswer{known, state})
+	c.JSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy()})
 }
 
 func (s *Server) pending(c *gin.Context) {
@@ -168,7 +168,7 @@
 	if in.Cancel != "" {
 		s.coordinator.NotifyCancelStored(in.Cancel)
 	}
-	c.JSON(http.StatusOK, takeAnswer{})
+	c.JSON(http.StatusOK, takeAnswer{s.coordinator.Busy()})
 }
 
 // explain shows operators why a job is waiting. Only the owner can answer this.
--- a/internal/cluster/rowstore/follower.go
+++ b/internal/cluster/rowstore/follower.go
@@ -46,8 +46,8 @@
 	From int64
 	// PollTimeout, if positive, replaces feedPollTimeout. It is meant for tables whose changes are not urgent.
 	PollTimeout time.Duration
-	// MinCallInterval is the minimum time between two feed calls; it batches the changes of busy tables.
-	MinCallInterval time.Duration
+	// MinCallInterval, if set, returns the minimum time between two feed calls; it batches the changes of busy tables.
+	MinCallInterval func() time.Duration
 	// OnFeedAnswer, if set, is called after each successful feed call with the time at which the call was sent.
 	OnFeedAnswer func(sentAt time.Time)
 }
@@ -66,7 +66,9 @@
 				f.Log.Info("feed regained", zap.String("table", f.Table), zap.Int64("version", next), zap.Int("failures", failures))
 			}
 			failures, version = 0, next
-			wait.For(ctx, f.MinCallInterval)
+			if f.MinCallInterval != nil {
+				wait.For(ctx, f.MinCallInterval())
+			}
 			continue
 		}
 		if ctx.Err() != nil {
