Limit the starts of less urgent tasks while the owner is about to fall behind

Beyond what the owner's processors can handle, the events of urgent jobs waited behind those of all others, and every job was late: no deployment with more workers or more load than the owner can handle kept its short requests.

--- a/internal/cluster/coordinator/ownerload.go
+++ b/internal/cluster/coordinator/ownerload.go
@@ -89,11 +89,12 @@
 	probe := newLoadProbe(&t.deps)
 	for probe.watchTimers(ctx, usageLogInterval) {
 		l := probe.take()
-		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores), zap.Duration("max_lag", l.maxLag), zap.Float64("pressure", t.pressure.Level()),
-			zap.Object("duties", l.duties))
 		t.mu.Lock()
-		u := t.sched.Usage(time.Now())
+		u, startLimit := t.sched.Usage(time.Now()), t.sched.StartLimit()
 		t.mu.Unlock()
+		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores), zap.Duration("max_lag", l.maxLag), zap.Float64("pressure", t.pressure.Level()),
+			zap.Float64("start_limit", startLimit),
+			zap.Object("duties", l.duties))
 		t.log.Info("pool", zap.Int("workers", u.Workers), zap.Int64("cpu_milli", u.Capacity.CPUMilli),
 			zap.Int64("cpu_milli_used", u.Used.CPUMilli), zap.Int64("memory_mb", u.Capacity.MemoryMB),
 			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Any("waiting", u.Queues))
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -213,6 +213,7 @@
 	t.updateListAge()
 	t.assigner.update(now)
 	t.updateUnresolved(now)
+	t.sched.AdaptStarts(now, t.pressure.Level())
 	t.sendOrders(ctx, t.sched.Plan(now))
 	t.meters.plans.Record("complete", now)
 }
--- a/internal/cluster/queues/queues.go
+++ b/internal/cluster/queues/queues.go
@@ -57,18 +57,14 @@
 	Services []Service `json:"Services"`
 	Limits   Limits    `json:"Limits"`
 
-	index  sync.Once      // builds byName on first use
-	byName map[string]int // index in Queues by name
+	index         sync.Once      // builds the following fields on first use
+	byName        map[string]int // index in Queues by name
+	firstPriority int
 }
 
 // ByName returns the queue with the name.
 func (c *Config) ByName(name string) (Queue, bool) {
-	c.index.Do(func() {
-		c.byName = make(map[string]int, len(c.Queues))
-		for i, q := range c.Queues {
-			c.byName[q.Name] = i
-		}
-	})
+	c.index.Do(c.buildIndex)
 	i, ok := c.byName[name]
 	if !ok {
 		return Queue{}, false
@@ -76,6 +72,22 @@
 	return c.Queues[i], true
 }
 
+// FirstPriority returns the priority of the most urgent queues, or 0 if there are no queues.
+func (c *Config) FirstPriority() int {
+	c.index.Do(c.buildIndex)
+	return c.firstPriority
+}
+
+func (c *Config) buildIndex() {
+	c.byName = make(map[string]int, len(c.Queues))
+	for i, q := range c.Queues {
+		c.byName[q.Name] = i
+		if i == 0 || q.Priority < c.firstPriority {
+			c.firstPriority = q.Priority
+		}
+	}
+}
+
 // Select returns the queue that a request is for: among the queues of the host, the one with the longest prefix of the path.
 func (c *Config) Select(host, path string) (Queue, bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -46,6 +46,7 @@
 	// workersCheckedAt is when checkWorkers last ran.
 	workersCheckedAt time.Time
 	headroom         headroom
+	startLimiter     startLimiter
 	reservations     reservations // workers reserved for gangs that did not fit, since the last complete plan began
 	stopLatency      stopLatency
 	// nominationsChanged is set when resources are freed on a worker that a gang is nominated for.
--- /dev/null
+++ b/internal/cluster/scheduler/startlimit.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import "time"
+
+const (
+	// limitAdjustInterval is the minimum time between two changes of the limit.
+	limitAdjustInterval = 200 * time.Millisecond
+	// limitingPressure is the owner's pressure from which the limit falls, by limitDecrease each time, and relaxedPressure the one
+	// below which it rises, by limitIncrease.
+	limitingPressure = 1.0
+	relaxedPressure  = 0.85
+	limitDecrease    = 0.85
+	limitIncrease    = 1.15
+	// unboundTime is how long the limit must not have held a task back before it is lifted.
+	unboundTime = time.Second
+	// minStartRate is the lowest limit, in starts per second, so that no queue starves.
+	minStartRate = 50
+	// limitBurst is how much of the limit may be saved up while fewer tasks start.
+	limitBurst = 250 * time.Millisecond
+)
+
+// startLimiter limits the starts of tasks while the owner is about to fall behind. Each start brings calls, events and records that
+// the owner has to process. If it started all that fits, the events of urgent jobs would wait behind them, and every job would be
+// late. The limit applies to all queues but those of the first priority; long-running tasks are exempt. It follows the pressure by
+// additive-increase/multiplicative-decrease, with an increase in proportion, and is lifted once it no longer binds.
+type startLimiter struct {
+	rate       float64 // starts per second; 0 means no limit
+	tokens     float64 // starts that are allowed now; negative after a gang
+	refilledAt time.Time
+	adjustedAt time.Time
+	started    int       // starts since adjustedAt to which the limit applies
+	bindsAt    time.Time // when it last held a task back
+}
+
+// adjust adapts the limit to the owner's pressure.
+func (l *startLimiter) adjust(now time.Time, pressure float64) {
+	l.refill(now)
+	elapsed := now.Sub(l.adjustedAt)
+	if elapsed < limitAdjustInterval {
+		return
+	}
+	observed := float64(l.started) / min(elapsed, 2*limitAdjustInterval).Seconds()
+	l.started, l.adjustedAt = 0, now
+	binds := now.Sub(l.bindsAt) < unboundTime
+	switch {
+	case pressure >= limitingPressure && l.rate == 0:
+		l.rate = max(limitDecrease*observed, minStartRate)
+		l.tokens = 0
+	case pressure >= limitingPressure:
+		l.rate = max(limitDecrease*l.rate, minStartRate)
+	case pressure < relaxedPressure && binds:
+		l.rate *= limitIncrease
+	case pressure < relaxedPressure:
+		l.rate = 0
+	}
+}
+
+// refill adds the starts that the limit allows for the time since the last call.
+func (l *startLimiter) refill(now time.Time) {
+	l.tokens = min(l.tokens+l.rate*now.Sub(l.refilledAt).Seconds(), l.rate*limitBurst.Seconds())
+	l.refilledAt = now
+}
+
+// holdsBack reports whether no further task may start now.
+func (l *startLimiter) holdsBack(now time.Time) bool {
+	if l.rate == 0 || l.tokens > 0 {
+		return false
+	}
+	l.bindsAt = now
+	return true
+}
+
+// record counts a start.
+func (l *startLimiter) record() {
+	l.started++
+	l.tokens--
+}
+
+// AdaptStarts limits the starts of less urgent tasks according to the owner's pressure, from 0 to 1; see startLimiter.
+func (s *Scheduler) AdaptStarts(now time.Time, pressure float64) {
+	s.startLimiter.adjust(now, pressure)
+}
+
+// StartLimit returns the limit in starts per second, or 0 if there is none.
+func (s *Scheduler) StartLimit() float64 { return s.startLimiter.rate }
+
+// limitsStarts reports whether the limit applies to the unit.
+func (s *Scheduler) limitsStarts(u *unit) bool {
+	return !u.step.LongRunning && u.job.queue.Priority > s.queues.FirstPriority()
+}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -158,6 +158,9 @@
 		u.job.firstStart = now
 	}
 	s.headroom.free -= p.resources.CPUMilli
+	if s.limitsStarts(u) {
+		s.startLimiter.record()
+	}
 	checkpoint := t.checkpoint
 	if u.step.Gang {
 		checkpoint = u.checkpoint
