--- a/internal/cluster/coordinator/pressure.go
+++ b/internal/cluster/coordinator/pressure.go
@@ -13,14 +13,16 @@
 const (
 	// pressureInterval is how often the pressure is measured.
 	pressureInterval = 50 * time.Millisecond
-	// newestUseWeight is the weight of the newest measurement of the processor use in the exponential moving average.
-	newestUseWeight = 0.3
+	// newestWeight is the weight of the newest measurement in the exponential moving averages of the processor use and the lag.
+	newestWeight = 0.3
 	// lowUse and highUse are the shares of the host's processors at which the pressure is 0 and 1. Above highUse, waiting times grow
-	// steeply.
+	// steeply. The process can't use all of it: some goes into work that the system does not account to the process.
 	lowUse  = 0.6
-	highUse = 0.9
-	// maxTimerLag is by how much a timer may fire late before the pressure is 1, whatever the processor use.
-	maxTimerLag = 60 * time.Millisecond
+	highUse = 0.85
+	// lowLag and highLag are the average delays of a timer at which the pressure is 0 and 1, whatever the processor use. A timer that
+	// fires late has waited for the processor like every other event.
+	lowLag  = 5 * time.Millisecond
+	highLag = 25 * time.Millisecond
 	// sheddingPressure is the pressure from which callers that have another way are turned away.
 	sheddingPressure = 0.7
 	// maxCallIntervalFactor is how many times longer than usual the interval between two calls of a delegate is under full pressure.
@@ -51,13 +53,14 @@
 
 // watch measures the pressure until ctx ends.
 func (p *pressure) watch(ctx context.Context) {
-	average := 0.0
+	var use, lag float64 // averages; lag in seconds
 	at, used := time.Now(), p.used()
 	for wait.For(ctx, pressureInterval) {
 		now, usedNow := time.Now(), p.used()
 		elapsed := now.Sub(at)
-		average += newestUseWeight * (share(usedNow-used, elapsed, p.processors) - average)
-		p.setLevel(pressureLevel(average, elapsed-pressureInterval))
+		use += newestWeight * (share(usedNow-used, elapsed, p.processors) - use)
+		lag += newestWeight * ((elapsed - pressureInterval).Seconds() - lag)
+		p.setLevel(pressureLevel(use, lag))
 		at, used = now, usedNow
 	}
 }
@@ -70,10 +73,9 @@
 	return used.Seconds() / elapsed.Seconds() / processors
 }
 
-// pressureLevel returns the pressure for the share of the processors that is used and the time by which a timer fired late.
-func pressureLevel(use float64, lag time.Duration) float64 {
-	if lag > maxTimerLag {
-		return 1
-	}
-	return min(max((use-lowUse)/(highUse-lowUse), 0), 1)
+// pressureLevel returns the pressure for the share of the processors that is used and the seconds by which timers fire late.
+func pressureLevel(use, lag float64) float64 {
+	byUse := (use - lowUse) / (highUse - lowUse)
+	byLag := (lag - lowLag.Seconds()) / (highLag - lowLag).Seconds()
+	return min(max(byUse, byLag, 0), 1)
 }
