Use newly listed workers without waiting for the next interval

Since all workers are visited at intervals only, a new owner had to wait up to 100 ms after it had read the list of workers: 50 ms to assign them and 50 ms to store their use.

--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -186,6 +186,7 @@
 		t.sched.UpsertWorker(time.Now(), w)
 	}
 	t.assigner.workersListed = true
+	t.checkWorkersSoon()
 	for _, w := range t.sched.Workers() {
 		if !listed[w.ID] {
 			t.sched.DelistWorker(w.ID)
@@ -199,9 +200,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sched.UpsertWorker(time.Now(), w)
+	t.checkWorkersSoon()
 	t.requestPlan()
 }
 
+// checkWorkersSoon lets the next plan assign workers, and the next commit include the workers in use, without waiting for the usual
+// intervals: a worker that was just listed can be used only after that. The caller holds mu.
+func (t *term) checkWorkersSoon() {
+	t.assigner.assignedAt = time.Time{}
+	t.inUseCheckedAt = time.Time{}
+}
+
 // Confirm implements WorkerSink. The request that was answered was sent after the previous answer, so the list is confirmed for that
 // time. The clock also counts suspensions of this host, during which the list became older as well.
 func (t *term) Confirm() {
