Count smaller delays of the owner's timers as pressure

With twice the workers the average delay stayed at 15 ms while calls took 100 ms and more, since each needs the processor several times.

--- a/internal/cluster/coordinator/pressure.go
+++ b/internal/cluster/coordinator/pressure.go
@@ -12,17 +12,17 @@
 
 const (
 	// pressureInterval is how often the pressure is measured.
-	pressureInterval = 50 * time.Millisecond
+	pressureInterval = 20 * time.Millisecond
 	// newestWeight is the weight of the newest measurement in the exponential moving averages of the processor use and the lag.
-	newestWeight = 0.3
+	newestWeight = 0.1
 	// lowUse and highUse are the shares of the host's processors at which the pressure is 0 and 1. Above highUse, waiting times grow
 	// steeply. The process can't use all of it: some goes into work that the system does not account to the process.
 	lowUse  = 0.6
 	highUse = 0.85
 	// lowLag and highLag are the average delays of a timer at which the pressure is 0 and 1, whatever the processor use. A timer that
-	// fires late has waited for the processor like every other event.
-	lowLag  = 5 * time.Millisecond
-	highLag = 25 * time.Millisecond
+	// fires late has waited for the processor like every other event, and the owner's answer to a call takes several such waits.
+	lowLag  = 3 * time.Millisecond
+	highLag = 12 * time.Millisecond
 	// sheddingPressure is the pressure from which callers that have another way are turned away.
 	sheddingPressure = 0.7
 	// maxCallIntervalFactor is how many times longer than usual the interval between two calls of a delegate is under full pressure.
