--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -78,12 +78,13 @@
 
 func newWatch(log *zap.Logger) *election.Watch { return election.NewWatch(log) }
 
-func newCoordinator(c Config, p Platform, store *rowstore.AdaptiveStore, h *queues.ConfigHolder, a *policyClient, since clock.Func, processorTime clock.ProcessorFunc, log *zap.Logger,
-	scope tally.Scope, duties *meter.Duties) *coordinator.Coordinator {
+func newCoordinator(c Config, p Platform, store *rowstore.AdaptiveStore, h *queues.ConfigHolder, a *policyClient, since clock.Func,
+	processorTime clock.ProcessorFunc, log *zap.Logger, scope tally.Scope, duties *meter.Duties) *coordinator.Coordinator {
 	return coordinator.New(
-		coordinator.Config{Delegate: c.Delegate, Processors: c.Processors, Retention: c.Retention, OwnWorkers: c.OwnWorkers, MaxListAge: c.MaxListAge},
-		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, ProcessorTime: processorTime, Log: log, Metrics: scope,
-			Duties: duties},
+		coordinator.Config{Delegate: c.Delegate, Processors: c.Processors, Retention: c.Retention, OwnWorkers: c.OwnWorkers,
+			MaxListAge: c.MaxListAge},
+		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, ProcessorTime: processorTime,
+			Log: log, Metrics: scope, Duties: duties},
 	)
 }
 
--- a/internal/cluster/coordinator/ownerload.go
+++ b/internal/cluster/coordinator/ownerload.go
@@ -14,10 +14,7 @@
 const (
 	// usageLogInterval is how often the owner logs its load and the usage of the pool.
 	usageLogInterval = time.Second
-	// lagProbeInterval is how often the owner measures how late its timers fire.
-	lagProbeInterval = 20 * time.Millisecond
-
-	gcTimeMetric = "/cpu/classes/gc/total:cpu-seconds"
+	gcTimeMetric     = "/cpu/classes/gc/total:cpu-seconds"
 )
 
 // Duties of the owner, as its log names them.
@@ -31,9 +28,8 @@
 
 // ownerLoad is how much of its host's processor the owner uses.
 type ownerLoad struct {
-	cores   float64       // processor time of the process per second
-	gcCores float64       // estimated part of it that garbage collection takes
-	maxLag  time.Duration // the longest time by which a timer fired late
+	cores   float64 // processor time of the process per second
+	gcCores float64 // estimated part of it that garbage collection takes
 	duties  meter.DutySums
 }
 
@@ -43,7 +39,6 @@
 	at      time.Time
 	cpuTime time.Duration
 	gcTime  float64 // seconds
-	maxLag  time.Duration
 }
 
 func newLoadProbe(deps *Deps) *loadProbe {
@@ -52,24 +47,12 @@
 	return p
 }
 
-// watchTimers waits until the duration has passed and notes by how much timers fire late meanwhile. It returns false if ctx ends.
-func (p *loadProbe) watchTimers(ctx context.Context, d time.Duration) bool {
-	end := time.Now().Add(d)
-	for before := time.Now(); before.Before(end); before = time.Now() {
-		if !wait.For(ctx, lagProbeInterval) {
-			return false
-		}
-		p.maxLag = max(p.maxLag, time.Since(before)-lagProbeInterval)
-	}
-	return true
-}
-
 // take returns the load since the last call.
 func (p *loadProbe) take() ownerLoad {
 	now, cpuTime, gcTime := time.Now(), p.deps.ProcessorTime(), gcSeconds()
-	elapsed := max(now.Sub(p.at).Seconds(), lagProbeInterval.Seconds())
-	l := ownerLoad{cores: (cpuTime - p.cpuTime).Seconds() / elapsed, gcCores: (gcTime - p.gcTime) / elapsed, maxLag: p.maxLag, duties: p.deps.Duties.Take()}
-	p.at, p.cpuTime, p.gcTime, p.maxLag = now, cpuTime, gcTime, 0
+	elapsed := max(now.Sub(p.at), time.Millisecond).Seconds()
+	l := ownerLoad{cores: (cpuTime - p.cpuTime).Seconds() / elapsed, gcCores: (gcTime - p.gcTime) / elapsed, duties: p.deps.Duties.Take()}
+	p.at, p.cpuTime, p.gcTime = now, cpuTime, gcTime
 	return l
 }
 
@@ -87,14 +70,14 @@
 // job had to wait.
 func (t *term) logUsage(ctx context.Context) {
 	probe := newLoadProbe(&t.deps)
-	for probe.watchTimers(ctx, usageLogInterval) {
+	for wait.For(ctx, usageLogInterval) {
 		l := probe.take()
 		t.mu.Lock()
 		u, startLimit := t.sched.Usage(time.Now()), t.sched.StartLimit()
 		t.mu.Unlock()
-		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores), zap.Duration("max_lag", l.maxLag), zap.Float64("pressure", t.pressure.Level()),
-			zap.Float64("start_limit", startLimit),
-			zap.Object("duties", l.duties))
+		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores),
+			zap.Duration("max_lag", t.pressure.takeMaxLag()), zap.Float64("pressure", t.pressure.Level()),
+			zap.Float64("start_limit", startLimit), zap.Object("duties", l.duties))
 		t.log.Info("pool", zap.Int("workers", u.Workers), zap.Int64("cpu_milli", u.Capacity.CPUMilli),
 			zap.Int64("cpu_milli_used", u.Used.CPUMilli), zap.Int64("memory_mb", u.Capacity.MemoryMB),
 			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Any("waiting", u.Queues))
--- a/internal/cluster/coordinator/pressure.go
+++ b/internal/cluster/coordinator/pressure.go
@@ -35,7 +35,8 @@
 type pressure struct {
 	processors float64 // processor time that this host may use, in cores; 0 if unknown
 	used       clock.ProcessorFunc
-	level      atomic.Uint64
+	level      atomic.Uint64 // bits of a float64
+	maxLag     atomic.Int64  // longest time by which a timer fired late since the last takeMaxLag
 }
 
 // Level returns the pressure, from 0 to 1.
@@ -58,13 +59,18 @@
 	for wait.For(ctx, pressureInterval) {
 		now, usedNow := time.Now(), p.used()
 		elapsed := now.Sub(at)
+		late := elapsed - pressureInterval
+		p.maxLag.Store(max(p.maxLag.Load(), int64(late)))
 		use += newestWeight * (share(usedNow-used, elapsed, p.processors) - use)
-		lag += newestWeight * ((elapsed - pressureInterval).Seconds() - lag)
+		lag += newestWeight * (late.Seconds() - lag)
 		p.setLevel(pressureLevel(use, lag))
 		at, used = now, usedNow
 	}
 }
 
+// takeMaxLag returns the longest time by which a timer fired late since the last call.
+func (p *pressure) takeMaxLag() time.Duration { return time.Duration(p.maxLag.Swap(0)) }
+
 // share returns the share of the processors that was used.
 func share(used, elapsed time.Duration, processors float64) float64 {
 	if elapsed <= 0 || processors <= 0 {
--- a/internal/cluster/scheduler/startlimit.go
+++ b/internal/cluster/scheduler/startlimit.go
@@ -11,8 +11,8 @@
 	relaxedPressure  = 0.85
 	limitDecrease    = 0.85
 	limitIncrease    = 1.15
-	// unboundTime is how long the limit must not have held a task back before it is lifted.
-	unboundTime = time.Second
+	// idleLimitTime is how long the limit must not have held a task back before it is lifted.
+	idleLimitTime = time.Second
 	// minStartRate is the lowest limit, in starts per second, so that no queue starves.
 	minStartRate = 50
 	// limitBurst is how much of the limit may be saved up while fewer tasks start.
@@ -21,15 +21,15 @@
 
 // startLimiter limits the starts of tasks while the owner is about to fall behind. Each start brings calls, events and records that
 // the owner has to process. If it started all that fits, the events of urgent jobs would wait behind them, and every job would be
-// late. The limit applies to all queues but those of the first priority; long-running tasks are exempt. It follows the pressure by
-// additive-increase/multiplicative-decrease, with an increase in proportion, and is lifted once it no longer binds.
+// late. The limit applies to all queues but those of the first priority; long-running tasks are exempt. It falls and rises in
+// proportion while the pressure is high or low, and is lifted once it no longer holds tasks back.
 type startLimiter struct {
 	rate       float64 // starts per second; 0 means no limit
 	tokens     float64 // starts that are allowed now; negative after a gang
 	refilledAt time.Time
 	adjustedAt time.Time
 	started    int       // starts since adjustedAt to which the limit applies
-	bindsAt    time.Time // when it last held a task back
+	heldBackAt time.Time // when it last held a task back
 }
 
 // adjust adapts the limit to the owner's pressure.
@@ -41,14 +41,14 @@
 	}
 	observed := float64(l.started) / min(elapsed, 2*limitAdjustInterval).Seconds()
 	l.started, l.adjustedAt = 0, now
-	binds := now.Sub(l.bindsAt) < unboundTime
+	binding := now.Sub(l.heldBackAt) < idleLimitTime
 	switch {
 	case pressure >= limitingPressure && l.rate == 0:
 		l.rate = max(limitDecrease*observed, minStartRate)
 		l.tokens = 0
 	case pressure >= limitingPressure:
 		l.rate = max(limitDecrease*l.rate, minStartRate)
-	case pressure < relaxedPressure && binds:
+	case pressure < relaxedPressure && binding:
 		l.rate *= limitIncrease
 	case pressure < relaxedPressure:
 		l.rate = 0
@@ -66,7 +66,7 @@
 	if l.rate == 0 || l.tokens > 0 {
 		return false
 	}
-	l.bindsAt = now
+	l.heldBackAt = now
 	return true
 }
 
