--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -197,7 +197,7 @@
 // fruitlessExams counts the workers that were examined for units that found nobody to ask.
 type fruitlessExams struct {
 	count int64
-	since time.Time // begin of the window in which they are counted
+	since time.Time // start of the window in which they are counted
 }
 
 // mayExamine reports whether a request for the unit may examine workers now: neither the unit nor others have recently examined too
