Share the simulation step of the overload test, and name the check of the limit of starts

The simulation of an owner with little processor time repeated how the other simulations end runs and carry out plans; both now use the same two functions. The limit of starts was tested with the same two conditions in two places. A cost that nothing charged is gone. No behavior and no assertion changes.

--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -174,8 +174,7 @@
 // Errors: ErrNoSuchJob, ErrUnavailable.
 func (s *JobService) Lookup(ctx context.Context, id string) (workload.State, error) {
 	began := time.Now()
-	ownerBusy := s.ownerBusy.at(s.Watch.View().Owner.BootID, began)
-	if ownerBusy {
+	if s.ownerBusy.at(s.Watch.View().Owner.BootID, began) {
 		if state, err := s.readState(ctx, id); err == nil {
 			s.lookups.Record("store", began)
 			return state, nil
--- a/internal/cluster/scheduler/load_test.go
+++ b/internal/cluster/scheduler/load_test.go
@@ -41,16 +41,29 @@
 
 func (d *simulation) step() {
 	d.now += simulationStep
+	for _, r := range d.takeEndedRuns() {
+		d.end(r.start, r.reason, at(d.now))
+	}
+	d.planOnce()
+}
+
+// takeEndedRuns updates the progress of the runs, and removes and returns those that have ended.
+func (d *simulation) takeEndedRuns() []simulatedRun {
 	d.updateProgress()
-	var left []simulatedRun
+	var left, ended []simulatedRun
 	for _, r := range d.running {
 		if r.ends > d.now {
 			left = append(left, r)
 			continue
 		}
-		d.end(r.start, r.reason, at(d.now))
+		ended = append(ended, r)
 	}
 	d.running = left
+	return ended
+}
+
+// planOnce makes all records durable, makes a complete plan and carries it out.
+func (d *simulation) planOnce() Plan {
 	d.persist()
 	p := d.plan(at(d.now))
 	d.stop(p.Stops)
@@ -64,6 +77,7 @@
 	for id := range d.ended {
 		d.ended[id] = nil
 	}
+	return p
 }
 
 // updateProgress sets the progress that the workers will report.
--- a/internal/cluster/scheduler/overload_test.go
+++ b/internal/cluster/scheduler/overload_test.go
@@ -17,7 +17,6 @@
 	costOfStart    = 80 * time.Microsecond
 	costOfEnd      = 80 * time.Microsecond
 	costOfAdvice   = 250 * time.Microsecond
-	costOfJob      = 250 * time.Microsecond
 )
 
 // limitedOwner is a fleet simulation whose owner has only some processor time. Events that it has no time for wait in the order of
@@ -30,7 +29,7 @@
 	pressure float64 // as an exponential moving average of the use, see the coordinator's pressure
 }
 
-// ownerEvent is a job, the end of a run or an answer of the policy service that the owner has not processed yet.
+// ownerEvent is the end of a run or an answer of the policy service that the owner has not processed yet.
 type ownerEvent struct {
 	cost  time.Duration
 	apply func()
@@ -61,7 +60,7 @@
 			l.events = l.events[1:]
 		}
 		if l.left > 0 {
-			l.planOnce()
+			l.planAndAsk()
 		}
 		use := 1 - float64(max(l.left, 0))/float64(l.perStep)
 		l.pressure += 0.1 * (use - l.pressure)
@@ -71,16 +70,9 @@
 
 // collectEvents queues the ends of runs and the answers that are due.
 func (l *limitedOwner) collectEvents() {
-	l.updateProgress()
-	var running []simulatedRun
-	for _, r := range l.running {
-		if r.ends > l.now {
-			running = append(running, r)
-			continue
-		}
+	for _, r := range l.takeEndedRuns() {
 		l.events = append(l.events, ownerEvent{costOfEnd, func() { l.end(r.start, r.reason, at(l.now)) }})
 	}
-	l.running = running
 	var answers []pendingAnswer
 	for _, a := range l.answers {
 		if a.due > l.now {
@@ -92,21 +84,10 @@
 	l.answers = answers
 }
 
-// planOnce makes a complete plan and sends the orders and advice requests that result from it.
-func (l *limitedOwner) planOnce() {
-	l.persist()
+// planAndAsk makes a complete plan, sends the advice requests that result from it, and charges the processor time of both.
+func (l *limitedOwner) planAndAsk() {
 	examined := l.WorkersExamined()
-	p := l.plan(at(l.now))
-	l.stop(p.Stops)
-	for _, s := range p.Starts {
-		if _, ok := l.started[s.Task.Job]; !ok {
-			l.started[s.Task.Job] = l.now
-		}
-		l.running = append(l.running, simulatedRun{s, l.now, l.now + l.duration(s), EndDone})
-	}
-	for id := range l.ended {
-		l.ended[id] = nil
-	}
+	p := l.planOnce()
 	l.answerQuestions()
 	l.left -= costOfPlan + time.Duration(len(l.open))*costOfOpenUnit + time.Duration(len(p.Starts))*costOfStart +
 		time.Duration(l.WorkersExamined()-examined)*costOfExam
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -77,7 +77,7 @@
 // planUnit places tasks of one unit, and queues an advice request if some find no worker.
 func (s *Scheduler) planUnit(c candidate, now time.Time, plan *Plan) {
 	u := c.unit
-	if now.Before(u.notBefore) || u.awaitsAdvice(now) && len(u.tickets) == 0 || s.limitsStarts(u) && s.startLimiter.holdsBack(now) {
+	if now.Before(u.notBefore) || u.awaitsAdvice(now) && len(u.tickets) == 0 || s.startsHeldBack(u, now) {
 		return
 	}
 	placed := 0
@@ -98,7 +98,7 @@
 	placed := 0
 	workers := s.usableWorkers(c, now)
 	for _, t := range c.waiting {
-		if !s.leavesHeadroom(c.unit) || s.limitsStarts(c.unit) && s.startLimiter.holdsBack(now) {
+		if !s.leavesHeadroom(c.unit) || s.startsHeldBack(c.unit, now) {
 			break
 		}
 		w := s.chooseWorker(t, workers, now)
--- a/internal/cluster/scheduler/startlimit.go
+++ b/internal/cluster/scheduler/startlimit.go
@@ -84,6 +84,11 @@
 // StartLimit returns the limit in starts per second, or 0 if there is none.
 func (s *Scheduler) StartLimit() float64 { return s.startLimiter.rate }
 
+// startsHeldBack reports whether the limit keeps tasks of the unit from starting now.
+func (s *Scheduler) startsHeldBack(u *unit, now time.Time) bool {
+	return s.limitsStarts(u) && s.startLimiter.holdsBack(now)
+}
+
 // limitsStarts reports whether the limit applies to the unit.
 func (s *Scheduler) limitsStarts(u *unit) bool {
 	return !u.step.LongRunning && u.job.queue.Priority > s.queues.FirstPriority()
