Review, case 1: jobs with many dependent steps stop all daemons

Cause: criticalPathTo and criticalPathFrom visit each path through the steps of a job, not each step. For 16 layers of 4 steps that is 4^16 paths; the owner stays in a plan with the term's lock held, and so does each daemon that takes over from it. Change: claim and script; nothing is fixed. The stand-in's case of large batches now brings the jobs at once.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -148,13 +147,13 @@
 	return out
 }
 
-// largeBatch freezes the owner while clients hand in jobs of many steps.
+// largeBatch lets jobs of many steps come at once, beside the same jobs at a steady rate.
 func largeBatch(e env) int {
 	const (
 		steps    = 32
-		jobs     = 360
+		jobs     = 240
 		interval = 33 * time.Millisecond
-		freeze   = 3500 * time.Millisecond // as in the site file: node_freeze
+		burst    = 90
 	)
 	kind := func(string) taskKind {
 		return taskKind{duration: func(string) time.Duration { return 40 * time.Millisecond }}
@@ -172,17 +171,20 @@
 		}
 		all = append(all, s)
 	}
+	body := job(all...)
+	e.record.say("a job has %d bytes", len(body))
+	var extra []*client
+	var wg sync.WaitGroup
 	if e.trouble {
-		time.AfterFunc(4*time.Second, func() {
-			d := c.owner()
-			e.record.printf("daemon %s, which last wrote to the store under a condition, stands still", d.name)
-			d.signal(syscall.SIGSTOP)
-			time.Sleep(freeze)
-			d.signal(syscall.SIGCONT)
-			e.record.printf("daemon %s goes on", d.name)
+		wg.Go(func() {
+			time.Sleep(4 * time.Second)
+			e.record.printf("%d jobs come at once", burst)
+			extra = submitAll(c, "b1000000", burst, 0, body)
 		})
 	}
-	clients := submitAll(c, "b0000000", jobs, interval, job(all...))
+	clients := submitAll(c, "b0000000", jobs, interval, body)
+	wg.Wait()
+	clients = append(clients, extra...)
 	violations := lostJobs(c, clients)
 	c.close()
 	report(e, c, clients)
