--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -25,7 +25,8 @@
 
 // audit follows all runs of all workers and checks rule TWICE.
 type audit struct {
-	record *record
+	record  *record
+	onStart func(task, worker string) // if set, is called for each start
 
 	mu       sync.Mutex
 	running  map[string]int // by task
@@ -57,6 +58,9 @@
 func (a *audit) start(task, worker string, run int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.onStart != nil {
+		a.onStart(task, worker)
+	}
 	a.started++
 	a.running[task]++
 	a.starts[task] = append(a.starts[task], startEntry{time.Now(), worker, run})
