Give each daemon of the review's scripts different ports

Cause: the stand-in looked for each free port by itself, so that the ports for the readiness probe and for peers could be the same; the daemon then could not start ("address already in use"). Change: all ports of a daemon are held until the last is found, and each script uses addresses of its own. A deployment that does not start now says why. No check is changed.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -56,13 +56,19 @@
 	done    sync.WaitGroup
 }
 
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns n different free ports of an address. All are held until the last one is found. The process id is part of the
+// daemons' addresses, so that scripts that run at the same time do not take each other's ports.
+func freePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 func newCluster(dir, binary string, r *record, daemons, workers int, cpu int64, kind func(string) taskKind) (*cluster, error) {
@@ -151,14 +157,11 @@
 }
 
 func (c *cluster) addDaemon(i int) error {
-	ip := fmt.Sprintf("127.0.%d.%d", 1+i, 13)
-	var ports []int
-	for range 4 {
-		p, err := freePort(ip)
-		if err != nil {
-			return err
-		}
-		ports = append(ports, p)
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 10+pid/250%240, 1+pid%250, 13+i)
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return err
 	}
 	d := &daemon{c: c, name: fmt.Sprintf("frontend-gt-central-%c-1", 'a'+i), ip: ip, frontend: fmt.Sprintf("%s:%d", ip, ports[0]), peer: fmt.Sprintf("%s:%d", ip, ports[2])}
 	d.settings = filepath.Join(c.dir, d.name+".yaml")
@@ -292,9 +295,24 @@
 			return true
 		}
 	}
+	c.record.say("not ready: the owner is %v", c.owner() != nil)
+	for _, d := range c.daemons {
+		status, _ := c.call(d, http.MethodGet, "", nil)
+		c.record.say("daemon %s answers %d; %s", d.name, status, d.lastLine())
+	}
 	return false
 }
 
+// lastLine returns the last line of a daemon's log.
+func (d *daemon) lastLine() string {
+	data, err := os.ReadFile(filepath.Join(d.c.dir, d.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 // call sends a client's request to a daemon. It returns status 0 if there was no complete answer.
 func (c *cluster) call(d *daemon, method, id string, body []byte) (int, []byte) {
 	req, err := http.NewRequest(method, "http://"+d.frontend+pathPrefix+id, bytes.NewReader(body))
