Do not take a refused connection for the end of a worker's process

Cause: the adapter reported ECONNREFUSED as the end of the worker's process, and the scheduler then dropped its runs without waiting for their leases. A cut that rejects looks the same from outside.

After a refused or reset connection runs wait for one of these or for their lease, as after silence. That also keeps cut-off workers from counting as crash evidence against the tasks that they run.

Nothing shows the end of a process sooner that a cut can't show as well.

Ruled out: an early sign by an end of file on the open renewal, since a proxy between the two closes connections like that, too.

--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -21,7 +21,8 @@
 // ErrSessionEnded means that the owner has ended the session, or that the host called is not the owner.
 var ErrSessionEnded = errors.New("delegate: session ended")
 
-// ErrWorkerEnded means that the process of a worker has ended, and all its runs with it.
+// ErrWorkerEnded means that the process of a worker has ended, and all its runs with it. Refused or reset connections do not
+// show that: a partition may cause them while the worker keeps running.
 var ErrWorkerEnded = errors.New("delegate: the worker's process has ended")
 
 // Renewal extends the lease of all tasks on a worker and requests a report. It is a long poll: the worker answers as soon as
@@ -59,7 +60,7 @@
 // WorkerClient calls workers. Each call carries the owner's epoch as a fencing token; a worker ignores calls of
 // an earlier epoch.
 type WorkerClient interface {
-	// Renew renews the lease of a worker. The error wraps ErrWorkerEnded if the worker's host is up but the worker is not.
+	// Renew renews the lease of a worker. The error wraps ErrWorkerEnded if another worker answers at the worker's address.
 	Renew(ctx context.Context, w scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error)
 	// Start sends a start once, without retries. It returns StartUnknown whenever the run may have been started without
 	// a definite answer.
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -26,7 +26,7 @@
 	listeners map[string]*listener
 	conns     map[*Conn]struct{} // the dialer's end of each connection
 	Dialing   atomic.Int32       // number of calls of Dial in progress
-	cuts      map[string]func(a, b string) bool
+	cuts      map[string]cut
 	changed   chan struct{} // closed and replaced when a cut is healed
 	// Sent is called for every message that the dialer of a connection writes. It must not block.
 	Sent func(from, to string, message []byte)
@@ -41,7 +41,7 @@
 // New returns a network without parties and faults.
 func New() *Net {
 	return &Net{
-		listeners: map[string]*listener{}, conns: map[*Conn]struct{}{}, cuts: map[string]func(a, b string) bool{},
+		listeners: map[string]*listener{}, conns: map[*Conn]struct{}{}, cuts: map[string]cut{},
 		changed: make(chan struct{}), Sent: func(string, string, []byte) {},
 		loseResponse: func(string, []byte) bool { return false }, onMessage: func(*Conn, []byte) {},
 	}
@@ -64,15 +64,36 @@
 	return network.Network{Dial: p.Dial, Listen: p.Listen}
 }
 
+// cut is a partition between all pairs of parties for which match holds.
+type cut struct {
+	match  func(a, b string) bool
+	resets bool // open connections are reset and dials refused; otherwise both hang
+}
+
 // Cut partitions all matching pairs of parties until Heal is called with the same label: their open connections become
 // silent, and new dials hang.
 func (n *Net) Cut(label string, match func(a, b string) bool) {
 	n.mu.Lock()
-	n.cuts[label] = match
+	n.cuts[label] = cut{match: match}
 	n.mu.Unlock()
 	n.Silence(match)
 }
 
+// CutWithResets partitions all matching pairs of parties, as a firewall that rejects does: until Heal is called with the same
+// label, their open connections are reset and new dials are refused.
+func (n *Net) CutWithResets(label string, match func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[label] = cut{match: match, resets: true}
+	for c := range n.conns {
+		if matchesEitherWay(match, c.From, c.To) {
+			delete(n.conns, c)
+			c.in.reset()
+			c.out.reset()
+		}
+	}
+}
+
 // Heal removes the cut with this label and lets hanging dials try again. Connections that the cut silenced stay silent.
 func (n *Net) Heal(label string) {
 	n.mu.Lock()
@@ -221,12 +242,17 @@
 	if l != nil {
 		to = l.name
 	}
-	for _, match := range n.cuts {
-		if matchesEitherWay(match, p.name, to) {
+	refused := l == nil
+	for _, cut := range n.cuts {
+		switch {
+		case !matchesEitherWay(cut.match, p.name, to):
+		case cut.resets:
+			refused = true
+		default:
 			return nil, n.changed, nil
 		}
 	}
-	if l == nil {
+	if refused {
 		return nil, nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	}
 	toListener, toDialer := newPipe(), newPipe()
