Compute the critical paths of a job once, each dependency visited once

Each daemon in turn took the ownership over, loaded the job and stopped deciding.

Cause: the latest start of each waiting step was computed in each plan by following every path through the steps, 4^16 here, with the owner's lock held. Nothing else of the owner ran meanwhile, renewals of leases and of the ownership included.

Fix: what the scheduler needs of the dependencies depends on the job alone. It is computed when the job is added, in time linear in its steps and dependencies: the longest chain from each step (scaled by the queue's ratio when it is used, as before), the longest chain of all, and the dependents of each step. The same cause in a milder form was on a related path: the end of each step visited all steps with all their dependencies; now each step counts those that it waits for.

--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -154,13 +154,18 @@
 	r.actual += d
 }
 
-// expectedDuration returns the expected duration of a step's tasks: the declared one (Step.Estimate), scaled by the ratio
-// of actual to declared durations in the queue. The ratio is limited to the range from 0.25 to 4.
+// expectedDuration returns the expected duration of a step's tasks.
 func (s *Scheduler) expectedDuration(u *unit) time.Duration {
-	r := s.durationRatios[u.job.spec.Queue.Name]
+	return s.scaleEstimate(u.job, u.step.Estimate)
+}
+
+// scaleEstimate scales a declared duration (Step.Estimate), or a sum of them, by the ratio of actual to declared durations in the
+// job's queue. The ratio is limited to the range from 0.25 to 4.
+func (s *Scheduler) scaleEstimate(j *job, declared time.Duration) time.Duration {
+	r := s.durationRatios[j.spec.Queue.Name]
 	if r == nil || r.declared == 0 {
-		return u.step.Estimate
+		return declared
 	}
 	ratio := min(max(float64(r.actual)/float64(r.declared), 0.25), 4)
-	return time.Duration(float64(u.step.Estimate) * ratio)
+	return time.Duration(float64(declared) * ratio)
 }
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -19,6 +19,7 @@
 	inherited    bool      // an earlier owner may have started tasks
 	stored       bool      // the job's specification is durable in the owner's partition of the store
 	occurrences  []*occurrence
+	dependencies dependencies // between its steps
 	// progressStored means that the owner's partition of the store may have a row with the job's progress.
 	progressStored bool
 }
@@ -39,6 +40,7 @@
 	step       *workload.Step
 	tasks      []*task
 	tasksLeft  int // tasks that are not done
+	unmet      int // entries of step.DependsOn whose steps are not done
 
 	// Gangs only: the members share run number, checkpoint, failed runs and the evidence of crashes.
 	run        int64
@@ -80,7 +82,7 @@
 func newOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{number: number, units: make([]*unit, len(j.spec.Steps))}
 	for i := range j.spec.Steps {
-		u := &unit{job: j, occurrence: o, index: i, step: &j.spec.Steps[i]}
+		u := &unit{job: j, occurrence: o, index: i, step: &j.spec.Steps[i], unmet: len(j.spec.Steps[i].DependsOn)}
 		u.tasks = make([]*task, u.step.Count)
 		for n := range u.tasks {
 			u.tasks[n] = &task{unit: u, index: n}
@@ -206,14 +208,6 @@
 	return true
 }
 
-func (s *Scheduler) openDependents(u *unit) {
-	for _, dependent := range u.occurrence.units {
-		if dependent.tasksLeft > 0 && !u.job.state.Final() && s.dependenciesDone(dependent) {
-			s.openUnit(dependent)
-		}
-	}
-}
-
 // complete reports whether all tasks of all occurrences are done.
 func (j *job) complete() bool {
 	for _, o := range j.occurrences {
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"slices"
 	"sort"
 	"time"
 )
@@ -101,35 +100,11 @@
 // of the occurrence's critical path.
 func (s *Scheduler) latestStart(u *unit) time.Time {
 	due := u.job.spec.Due(u.occurrence.number)
-	return due.Add(s.latencyObjective(u.job, u.occurrence) - s.criticalPathFrom(u))
+	return due.Add(s.latencyObjective(u.job) - s.scaleEstimate(u.job, u.job.dependencies.pathFrom[u.index]))
 }
 
-// latencyObjective returns the time from the due time of an occurrence within which it should end.
-func (s *Scheduler) latencyObjective(j *job, o *occurrence) time.Duration {
-	total := time.Duration(0)
-	for _, u := range o.units {
-		total = max(total, s.criticalPathTo(o, u.index))
-	}
+// latencyObjective returns the time from the due time of an occurrence of the job within which it should end.
+func (s *Scheduler) latencyObjective(j *job) time.Duration {
+	total := s.scaleEstimate(j, j.dependencies.criticalPath)
 	return j.queue.TargetLatency + time.Duration(j.queue.SlackFactor*float64(total))
 }
-
-// criticalPathTo returns the expected duration of the longest chain of dependent steps that ends with the step.
-func (s *Scheduler) criticalPathTo(o *occurrence, step int) time.Duration {
-	u := o.units[step]
-	longest := time.Duration(0)
-	for _, dependency := range u.step.DependsOn {
-		longest = max(longest, s.criticalPathTo(o, dependency))
-	}
-	return longest + s.expectedDuration(u)
-}
-
-// criticalPathFrom returns the expected duration of the longest chain of dependent steps that begins with the unit.
-func (s *Scheduler) criticalPathFrom(u *unit) time.Duration {
-	longest := time.Duration(0)
-	for _, dependent := range u.occurrence.units[u.index+1:] {
-		if slices.Contains(dependent.step.DependsOn, u.index) {
-			longest = max(longest, s.criticalPathFrom(dependent))
-		}
-	}
-	return longest + s.expectedDuration(u)
-}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -169,7 +169,8 @@
 	if _, known := s.jobs[spec.ID]; known {
 		return false
 	}
-	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, durableState: workload.Queued, inherited: inherited, stored: inherited}
+	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, durableState: workload.Queued, inherited: inherited, stored: inherited,
+		dependencies: newDependencies(spec.Steps)}
 	if !inherited {
 		s.newJobs = append(s.newJobs, j)
 		s.dirty[j] = struct{}{}
@@ -256,7 +257,7 @@
 	o := newOccurrence(j, number)
 	j.occurrences[number] = o
 	for _, u := range o.units {
-		if s.dependenciesDone(u) {
+		if u.unmet == 0 {
 			s.openUnit(u)
 		}
 	}
@@ -269,16 +270,6 @@
 	s.changedUnits[u] = struct{}{}
 }
 
-// dependenciesDone reports whether all steps are done that the unit's step has to come after.
-func (s *Scheduler) dependenciesDone(u *unit) bool {
-	for _, dependency := range u.step.DependsOn {
-		if u.occurrence.units[dependency].tasksLeft > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Cancel cancels a job at its caller's request. It reports whether the state of a job has changed. If the job is unknown,
 // the cancellation is remembered and applied when the job is added.
 func (s *Scheduler) Cancel(now time.Time, id string) bool {
--- a/internal/cluster/scheduler/summary.go
+++ b/internal/cluster/scheduler/summary.go
@@ -27,7 +27,7 @@
 		sum.Waited = max(j.firstStart.Sub(due), 0)
 	}
 	if last < len(j.occurrences) && j.occurrences[last] != nil {
-		sum.Objective = s.latencyObjective(j, j.occurrences[last])
+		sum.Objective = s.latencyObjective(j)
 	}
 	for _, step := range j.spec.Steps {
 		sum.Tasks += step.Count
