--- /dev/null
+++ b/internal/cluster/scheduler/shapes_bench_test.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// jobShapes are jobs at the limits of what callers may submit: a body of 256 KiB and workload.maxTasks tasks.
+func jobShapes() map[string][]workload.Step {
+	chain, parallel := make([]workload.Step, 20_000), make([]workload.Step, 20_000)
+	for i := range chain {
+		chain[i], parallel[i] = simpleStep(1), simpleStep(1)
+		if i > 0 {
+			chain[i].DependsOn = []int{i - 1}
+		}
+	}
+	return map[string][]workload.Step{
+		"one step of 100,000 tasks": {simpleStep(100_000)},
+		"20,000 parallel steps":     parallel,
+		"20,000 steps in a chain":   chain,
+		"layers of 30 steps":        layeredSteps(100, 30),
+	}
+}
+
+// BenchmarkLargeJob measures, for the largest jobs, one complete plan, the plan after the end of a run, and the records of it.
+func BenchmarkLargeJob(b *testing.B) {
+	for name, steps := range jobShapes() {
+		var f *fixture
+		b.Run(name+": add", func(b *testing.B) {
+			for b.Loop() {
+				f = newFixture(1, 48)
+				f.AddJob(t0, f.job("large", t0, steps...), nil, false)
+			}
+		})
+		starts := f.plan(t0).Starts
+		now := t0
+		b.Run(name+": complete plan", func(b *testing.B) {
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				f.Plan(now)
+			}
+		})
+		b.Run(name+": end, records, plan", func(b *testing.B) {
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				if len(starts) == 0 {
+					b.Fatal("nothing runs")
+				}
+				f.end(starts[0], EndDone, now)
+				starts = starts[1:]
+				generation, records, _ := f.TakeRecords()
+				for _, r := range records {
+					if r.Progress != nil {
+						if _, err := workload.EncodeProgress(r.Progress); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				f.MarkStored(records)
+				f.MarkGenerationStored(generation)
+				starts = append(starts, f.PlanChanged(now).Starts...)
+			}
+		})
+	}
+}
