Limit rows of new jobs by their encoded size

The owner repeated one commit for ever, and so did each successor.

Cause: jobs that arrive together share a row. How many fit was estimated as 600 bytes and the payload for each job, whatever its steps are, so a row could have more bytes than the store takes. The store in memory took rows and transactions of any size, so no test could show it.

Fix: jobs are grouped by the size of their encoding, which the row then holds as it is.

--- a/internal/cluster/coordinator/batches.go
+++ b/internal/cluster/coordinator/batches.go
@@ -10,11 +10,9 @@
 )
 
 const (
-	// maxJobsPerBatch and maxBytesPerBatch limit the number and the total size of the jobs in one row.
+	// maxJobsPerBatch and maxBytesPerBatch limit the number of the jobs in one row and its size.
 	maxJobsPerBatch  = 24
 	maxBytesPerBatch = 24 << 10
-	// jobBytes is the approximate size of a job without its payload.
-	jobBytes = 600
 )
 
 // jobBatchIndex records which active jobs share a row, a batch. A commit has at most 100 entries. While the store is 80 times
@@ -52,42 +50,42 @@
 	return true
 }
 
-// groupIntoBatches divides the records of new jobs into groups that share a row.
-func groupIntoBatches(recs []scheduler.Record) [][]scheduler.Record {
-	var out [][]scheduler.Record
+// encodedJob is the record of a new job with its specification as a row of several jobs holds it.
+type encodedJob struct {
+	record scheduler.Record
+	value  []byte
+}
+
+// groupIntoBatches divides new jobs into groups that share a row of at most maxBytes. A job that is longer is a group of its own.
+func groupIntoBatches(jobs []encodedJob, maxBytes int) [][]encodedJob {
+	var out [][]encodedJob
 	bytes := 0
-	for _, r := range recs {
-		size := jobBytes + len(r.Spec.Payload)
+	for _, j := range jobs {
+		size := len(j.value) + 1
 		last := len(out) - 1
-		if last < 0 || len(out[last]) >= maxJobsPerBatch || bytes+size > maxBytesPerBatch {
+		if last < 0 || len(out[last]) >= maxJobsPerBatch || bytes+size > maxBytes {
 			out = append(out, nil)
-			last, bytes = last+1, 0
+			last, bytes = last+1, workload.BatchOverhead
 		}
-		out[last] = append(out[last], r)
+		out[last] = append(out[last], j)
 		bytes += size
 	}
 	return out
 }
 
-// encodeNew adds a batch with new jobs to the index and returns its row.
-func (p *jobBatchIndex) encodeNew(epoch int64, recs []scheduler.Record) (recordRows, error) {
+// addNew adds a batch with new jobs to the index and returns its row.
+func (p *jobBatchIndex) addNew(epoch int64, jobs []encodedJob) recordRows {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	specs := make([]*workload.Spec, len(recs))
-	for i, r := range recs {
-		specs[i] = r.Spec
-	}
-	value, err := workload.EncodeJobBatch(specs)
-	if err != nil {
-		return recordRows{}, err
-	}
+	specs, values, recs := make([]*workload.Spec, len(jobs)), make([][]byte, len(jobs)), make([]scheduler.Record, len(jobs))
 	p.next++
 	b := &jobBatch{key: records.JobBatchKey(epoch, p.next), active: map[string]struct{}{}}
-	for _, s := range specs {
-		b.active[s.ID] = struct{}{}
+	for i, j := range jobs {
+		specs[i], values[i], recs[i] = j.record.Spec, j.value, j.record
+		b.active[j.record.JobID] = struct{}{}
 	}
 	p.index(b, specs)
-	return recordRows{puts: []rowstore.Put{{Key: b.key, Value: value}}, records: recs}, nil
+	return recordRows{puts: []rowstore.Put{{Key: b.key, Value: workload.JoinJobBatch(values)}}, records: recs}
 }
 
 // index adds the jobs of a batch to the index. The caller holds mu.
--- a/internal/cluster/coordinator/batches_test.go
+++ b/internal/cluster/coordinator/batches_test.go
@@ -132,10 +132,10 @@
 			store := rowstore.NewMemory()
 			for i := range 200 {
 				id := fmt.Sprintf("j%d", i)
-				value, err := workload.EncodeJobBatch([]*workload.Spec{{ID: id, Queue: testQueue, Steps: []workload.Step{{Count: 1}}}})
+				job, err := workload.EncodeBatchJob(&workload.Spec{ID: id, Queue: testQueue, Steps: []workload.Step{{Count: 1}}})
 				So(err, ShouldBeNil)
-				putRow(t, store, records.JobBatchKey(1, int64(i)), value)
-				value, err = workload.EncodeProgress(&workload.Progress{State: workload.Completed, Ended: time.Now()})
+				putRow(t, store, records.JobBatchKey(1, int64(i)), workload.JoinJobBatch([][]byte{job}))
+				value, err := workload.EncodeProgress(&workload.Progress{State: workload.Completed, Ended: time.Now()})
 				So(err, ShouldBeNil)
 				putRow(t, store, records.EndedKey(id), value)
 			}
@@ -155,8 +155,10 @@
 func TestRepeatedEndDoesNotRemoveBatch(t *testing.T) {
 	Convey("Given two jobs that share a row, one of which has ended", t, func() {
 		index := newJobBatchIndex()
-		rows, err := index.encodeNew(1, []scheduler.Record{{JobID: "a", Spec: &workload.Spec{ID: "a"}}, {JobID: "b", Spec: &workload.Spec{ID: "b"}}})
-		So(err, ShouldBeNil)
+		job := func(id string) encodedJob {
+			return encodedJob{scheduler.Record{JobID: id, Spec: &workload.Spec{ID: id}}, []byte("{}")}
+		}
+		rows := index.addNew(1, []encodedJob{job("a"), job("b")})
 		So(index.jobEnded("a"), ShouldBeEmpty)
 		Convey("The row is removed with the end of the other only", func() {
 			So(index.jobEnded("a"), ShouldBeEmpty)
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -193,10 +193,15 @@
 }
 
 // submit sends a job with a number of tasks to the owner, as a frontend does.
-func (o *testOwner) submit(id string, count int) {
-	spec := &workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(), Steps: []workload.Step{
-		{Count: count, Resources: workload.Resources{CPUMilli: 1000, MemoryMB: 100}, Estimate: time.Second}}}
-	o.NotifyJobStored(spec)
+func (o *testOwner) submit(id string, count int) { o.submitSteps(id, testStep(count)) }
+
+func testStep(count int) workload.Step {
+	return workload.Step{Count: count, Resources: workload.Resources{CPUMilli: 1000, MemoryMB: 100}, Estimate: time.Second}
+}
+
+// submitSteps sends a job to the owner, as a frontend does.
+func (o *testOwner) submitSteps(id string, steps ...workload.Step) {
+	o.NotifyJobStored(&workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(), Steps: steps})
 }
 
 // readWorkersInUse reads the stored list of the workers in use, from which a successor learns of them.
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -208,11 +208,16 @@
 
 // encodeRecords returns the rows of records. It puts new jobs into batches, and also returns the removal of finished batches.
 func (t *term) encodeRecords(recs []scheduler.Record) ([]recordRows, bool) {
-	var newJobs []scheduler.Record
+	var newJobs []encodedJob
 	var others []recordRows
 	for _, r := range recs {
 		if batchable(r) {
-			newJobs = append(newJobs, r)
+			value, err := workload.EncodeBatchJob(r.Spec)
+			if err != nil {
+				t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
+				return nil, false
+			}
+			newJobs = append(newJobs, encodedJob{r, value})
 			continue
 		}
 		c, err := t.encodeRecord(r)
@@ -223,13 +228,8 @@
 		others = append(others, c)
 	}
 	changes := make([]recordRows, 0, len(recs))
-	for _, batchRecords := range groupIntoBatches(newJobs) {
-		c, err := t.jobBatchIndex.encodeNew(t.ownership.Epoch(), batchRecords)
-		if err != nil {
-			t.log.Error("jobs can't be encoded", zap.Int("jobs", len(batchRecords)), asynclog.Error(err))
-			return nil, false
-		}
-		changes = append(changes, c)
+	for _, jobs := range groupIntoBatches(newJobs, maxBytesPerBatch) {
+		changes = append(changes, t.jobBatchIndex.addNew(t.ownership.Epoch(), jobs))
 	}
 	for keys := range slices.Chunk(t.jobBatchIndex.takeEmpty(), maxCommitEntries) {
 		changes = append(changes, recordRows{removes: keys})
--- a/internal/cluster/election/ownership.go
+++ b/internal/cluster/election/ownership.go
@@ -193,7 +193,7 @@
 func (o *Ownership) Lost() bool { return o.lost.Load() }
 
 // Commit writes and removes rows of Partition and returns once the changes are durable. It resends a commit with an unknown
-// outcome until ctx ends. Errors: ErrLost, rowstore.ErrUnavailable, rowstore.ErrUnknownOutcome.
+// outcome until ctx ends. Errors: ErrLost, rowstore.ErrUnavailable, rowstore.ErrRejected, rowstore.ErrUnknownOutcome.
 func (o *Ownership) Commit(ctx context.Context, puts []rowstore.Put, removes []rowstore.Key) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -246,6 +246,11 @@
 			o.refusedSince.CompareAndSwap(0, int64(sentAt))
 			o.pendingSince.Store(0)
 			return err
+		case errors.Is(err, rowstore.ErrRejected):
+			// The store answers, and an earlier attempt without an answer had no effect either.
+			o.refusedSince.Store(0)
+			o.pendingSince.Store(0)
+			return err
 		case errors.Is(err, rowstore.ErrUnknownOutcome):
 			outcomeUnknown = true
 			if o.elapsed()-sentAt < resetThreshold {
--- a/internal/cluster/rowstore/adaptive.go
+++ b/internal/cluster/rowstore/adaptive.go
@@ -81,6 +81,8 @@
 		return "conflict"
 	case errors.Is(err, ErrUnavailable):
 		return "refused"
+	case errors.Is(err, ErrRejected):
+		return "rejected"
 	}
 	return "unknown"
 }
--- a/internal/cluster/rowstore/memory.go
+++ b/internal/cluster/rowstore/memory.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Memory is an in-memory Store for tests and for stand-ins of the platform. InjectError and LoseResponse inject faults.
@@ -36,6 +39,9 @@
 	if err := m.injectedError(txn.partition()); err != nil {
 		return 0, err
 	}
+	if err := checkLimits(txn); err != nil {
+		return 0, err
+	}
 	if conflict := m.checkConditions(txn); conflict != nil {
 		return 0, conflict
 	}
@@ -54,6 +60,21 @@
 	return m.version, nil
 }
 
+// checkLimits returns ErrRejected for a transaction that the platform's store would reject.
+func checkLimits(txn Txn) error {
+	entries, size := len(txn.Conditions)+len(txn.Puts)+len(txn.Removes), 0
+	for _, p := range txn.Puts {
+		size += base64.StdEncoding.EncodedLen(len(p.Value))
+		if base64.StdEncoding.EncodedLen(len(p.Value)) > DefaultMaxRowBytes {
+			return errors.Wrapf(ErrRejected, "row %s/%s has %d bytes", p.Table, p.Name, len(p.Value))
+		}
+	}
+	if entries > MaxTxnEntries || size > MaxTxnBytes {
+		return errors.Wrapf(ErrRejected, "%d entries with %d bytes", entries, size)
+	}
+	return nil
+}
+
 func (m *Memory) injectedError(partition string) error {
 	if m.InjectError == nil {
 		return nil
--- a/internal/cluster/rowstore/rowstore.go
+++ b/internal/cluster/rowstore/rowstore.go
@@ -12,6 +12,9 @@
 var (
 	// ErrUnavailable means that the call failed and certainly had no effect.
 	ErrUnavailable = errors.New("rowstore: store unavailable")
+	// ErrRejected means that the store does not take this transaction for what it holds, so it had no effect and would have none if
+	// it were sent again.
+	ErrRejected = errors.New("rowstore: transaction rejected")
 	// ErrUnknownOutcome means that the call may have taken effect, or may take effect later if its conditions still hold.
 	ErrUnknownOutcome = errors.New("rowstore: outcome unknown")
 	// ErrHistoryLost means that the store no longer has all changes that a feed call asks for; the table must be read again.
@@ -57,9 +60,21 @@
 // Limits of a transaction.
 const (
 	MaxTxnEntries = 100
-	MaxTxnBytes   = 1 << 20
+	MaxTxnBytes   = 1 << 20 // of the encoded transaction, in which values are base64
 )
 
+// DefaultMaxRowBytes is the usual limit of the store for the value of a row.
+const DefaultMaxRowBytes = 64 << 10
+
+// MaxValueBytes returns how long a value may be if the store limits rows to maxRowBytes; 0 stands for DefaultMaxRowBytes. The store
+// may count the value or its base64 encoding, which is a third longer.
+func MaxValueBytes(maxRowBytes int) int {
+	if maxRowBytes <= 0 {
+		maxRowBytes = DefaultMaxRowBytes
+	}
+	return maxRowBytes / 4 * 3
+}
+
 // ConflictError is returned for a transaction with a condition that does not hold. It contains the current rows of all its
 // conditions; rows that are absent are left out.
 type ConflictError struct {
@@ -103,7 +118,7 @@
 // Store is a client of the platform's store, which is linearizable.
 type Store interface {
 	// Commit applies txn atomically and returns the version of the rows written. Errors: *ConflictError, ErrUnavailable,
-	// ErrUnknownOutcome.
+	// ErrRejected, ErrUnknownOutcome.
 	Commit(ctx context.Context, txn Txn) (int64, error)
 	// Read returns one page of a range.
 	Read(ctx context.Context, r Range) (Page, error)
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -2,6 +2,7 @@
 package workload
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -186,9 +187,21 @@
 	*Spec
 }
 
+// encode encodes a value for a row. Other than json.Marshal it does not escape characters that only matter in HTML pages, which would
+// take up to six times as much room as in the caller's request.
+func encode(v any) ([]byte, error) {
+	var out bytes.Buffer
+	e := json.NewEncoder(&out)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
+}
+
 // EncodeSpec encodes a job for its row.
 func EncodeSpec(s *Spec) ([]byte, error) {
-	return json.Marshal(storedSpec{SpecFormat, s})
+	return encode(storedSpec{SpecFormat, s})
 }
 
 // DecodeSpec decodes the output of EncodeSpec.
@@ -209,12 +222,20 @@
 	Jobs   []*Spec `json:"jobs"`
 }
 
-// EncodeJobBatch encodes several jobs for one row.
-func EncodeJobBatch(jobs []*Spec) ([]byte, error) {
-	return json.Marshal(storedJobBatch{SpecFormat, jobs})
+// EncodeBatchJob encodes a job for a row that it shares with others; see JoinJobBatch.
+func EncodeBatchJob(s *Spec) ([]byte, error) { return encode(s) }
+
+// BatchOverhead is the room that JoinJobBatch needs beside the jobs and a byte for each of them.
+const BatchOverhead = 32
+
+// JoinJobBatch returns the value of a row with several jobs, from the outputs of EncodeBatchJob.
+func JoinJobBatch(jobs [][]byte) []byte {
+	out := fmt.Appendf(nil, `{"v":%d,"jobs":[`, SpecFormat)
+	out = append(out, bytes.Join(jobs, []byte(","))...)
+	return append(out, "]}"...)
 }
 
-// DecodeJobBatch decodes the output of EncodeJobBatch.
+// DecodeJobBatch decodes the output of JoinJobBatch.
 func DecodeJobBatch(data []byte) ([]*Spec, error) {
 	var p storedJobBatch
 	if err := json.Unmarshal(data, &p); err != nil {
@@ -229,7 +250,7 @@
 // EncodeProgress sets the format version of p and encodes p for its row.
 func EncodeProgress(p *Progress) ([]byte, error) {
 	p.Format = ProgressFormat
-	return json.Marshal(p)
+	return encode(p)
 }
 
 // DecodeProgress decodes the output of EncodeProgress.
