Isolate and fail a job whose rows the store rejects

Cause: a rejected commit was repeated for ever, unchanged, like one that meets a store that is away.

Fix: when the store rejects a commit, its records are written one by one. The one that is still rejected belongs to a job that can't be stored, so no successor could continue it without running its tasks again. That job fails: its final state, a small row, is stored in its place.

Evidence: TestRejectedJobDoesNotStopOthers: no job starts before; after, the jobs that share the row start, the rejected one is told as failed, and the owner remains the owner.

--- a/internal/cluster/coordinator/batches.go
+++ b/internal/cluster/coordinator/batches.go
@@ -131,10 +131,22 @@
 	return []rowstore.Key{b.key}
 }
 
+// separate takes a job out of its batch, whose row was not stored: the job gets a row of its own.
+func (p *jobBatchIndex) separate(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.byJob[id]; b != nil {
+		delete(b.active, id)
+		delete(p.byJob, id)
+	}
+}
+
 // remove removes the jobs of a batch from the index. The caller holds mu.
 func (p *jobBatchIndex) remove(b *jobBatch) {
 	for _, id := range b.jobs {
-		delete(p.byJob, id)
+		if p.byJob[id] == b {
+			delete(p.byJob, id)
+		}
 	}
 }
 
--- a/internal/cluster/coordinator/commit.go
+++ b/internal/cluster/coordinator/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -10,6 +11,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -59,22 +61,89 @@
 	c.removes = append(c.removes, o.removes...)
 }
 
-// write writes the rows of one commit until they are durable. It returns false if ctx has ended or the ownership is lost.
+// write writes the rows of one commit until they are durable. It returns false if ctx has ended or the ownership is lost. If the store
+// rejects the commit, the rows are written one record after the other, so that only the one that is at fault is not stored: a job
+// must never keep the others from being stored.
 func (t *term) write(ctx context.Context, next commitRows) bool {
 	var c recordRows
 	for _, change := range next.changes {
 		c.append(change)
 	}
-	if t.commit(ctx, c) != nil {
+	switch err := t.commit(ctx, c); {
+	case err == nil:
+		for _, change := range next.changes {
+			t.markStored(change)
+		}
+		return true
+	case !errors.Is(err, rowstore.ErrRejected):
 		return false
 	}
 	for _, change := range next.changes {
-		t.markStored(change)
+		if !t.writeAlone(ctx, change) {
+			return false
+		}
+	}
+	return true
+}
+
+// writeAlone writes the rows of one change after the store has rejected a commit with them.
+func (t *term) writeAlone(ctx context.Context, c recordRows) bool {
+	err := t.commit(ctx, c)
+	if err == nil {
+		t.markStored(c)
+		return true
+	}
+	if !errors.Is(err, rowstore.ErrRejected) {
+		return false
+	}
+	t.log.Error("store rejects rows", zap.Int("puts", len(c.puts)), zap.Int("removes", len(c.removes)), zap.Int("bytes", c.bytes()),
+		zap.Int("jobs", len(c.records)), asynclog.Error(err))
+	for _, r := range c.records {
+		if !t.writeOrFail(ctx, r, len(c.records) == 1) {
+			return false
+		}
+	}
+	return true
+}
+
+// writeOrFail writes the record of a job by itself, unless that was rejected already. A job that the store does not take fails: it
+// could not be handed over to a successor, which would run its tasks again.
+func (t *term) writeOrFail(ctx context.Context, r scheduler.Record, rejected bool) bool {
+	if !rejected && r.Spec != nil {
+		c, err := t.encodeRecord(r)
+		if err == nil {
+			t.jobBatchIndex.separate(r.JobID)
+			err = t.commit(ctx, c)
+		}
+		if err == nil {
+			t.markStored(c)
+			return true
+		}
+		if !errors.Is(err, rowstore.ErrRejected) {
+			return false
+		}
+	}
+	t.log.Error("job can't be stored, it fails", zap.String("job", r.JobID))
+	t.mu.Lock()
+	final := t.sched.FailUnstorable(time.Now(), r.JobID)
+	t.mu.Unlock()
+	c, err := t.encodeRecord(final)
+	if err == nil {
+		err = t.commit(ctx, c)
+	}
+	if errors.Is(err, rowstore.ErrRejected) {
+		t.log.Error("state of a failed job can't be stored", zap.String("job", r.JobID), asynclog.Error(err))
+		return true
+	}
+	if err != nil {
+		return false
 	}
+	t.markStored(c)
 	return true
 }
 
-// commit retries a commit until it is durable, the ownership is lost or ctx ends. Errors: election.ErrLost, the error of ctx.
+// commit retries a commit until it is durable, the store rejects it, the ownership is lost or ctx ends. Errors: election.ErrLost,
+// rowstore.ErrRejected, the error of ctx.
 func (t *term) commit(ctx context.Context, c recordRows) error {
 	for failures := 0; ; failures++ {
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -86,7 +155,7 @@
 			}
 			return nil
 		}
-		if errors.Is(err, election.ErrLost) {
+		if errors.Is(err, election.ErrLost) || errors.Is(err, rowstore.ErrRejected) {
 			return err
 		}
 		if ctx.Err() != nil {
--- a/internal/cluster/coordinator/rowsize_test.go
+++ b/internal/cluster/coordinator/rowsize_test.go
@@ -1,12 +1,14 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
@@ -49,6 +51,53 @@
 	})
 }
 
+// rejectingStore rejects each transaction with a row whose value contains a text.
+type rejectingStore struct {
+	*rowstore.Memory
+	text string
+}
+
+func (s *rejectingStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	for _, p := range txn.Puts {
+		if strings.Contains(string(p.Value), s.text) {
+			return 0, errors.Wrap(rowstore.ErrRejected, s.text)
+		}
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+// Guards against one job that stops all others, because the owner and each of its successors repeat a commit for ever that the store
+// rejects for what it holds.
+func TestRejectedJobDoesNotStopOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given jobs that arrive together with one that the store rejects", t, func() {
+			store := &rejectingStore{rowstore.NewMemory(), "poison"}
+			o := runOwnerOn(t, store, 0, 8)
+			defer o.end()
+			a := o.testDelegate(t, "a")
+			a.serve(400 * time.Millisecond)
+			rejected := testStep(1)
+			rejected.Image = "poison"
+			o.submit("j1", 1)
+			o.submitSteps("j2", rejected)
+			o.submit("j3", 1)
+			a.serve(300 * time.Millisecond)
+			Convey("the others start, the rejected one fails, and the owner stays the owner", func() {
+				So(len(a.starts), ShouldEqual, 2)
+				So(hasStart(a.starts, "j2"), ShouldBeFalse)
+				state, known, err := o.Lookup("j2")
+				So(err, ShouldBeNil)
+				So(known, ShouldBeTrue)
+				So(state, ShouldEqual, workload.Failed)
+				o.submit("j4", 1)
+				a.serve(300 * time.Millisecond)
+				So(hasStart(a.starts, "j4"), ShouldBeTrue)
+				So(o.ownership.Lost(), ShouldBeFalse)
+			})
+		})
+	})
+}
+
 // Guards against jobs that never start because they are longer than a row, and against a successor that loses them.
 func TestJobLongerThanARow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -87,6 +87,20 @@
 	return s.generation - 1, records, needed
 }
 
+// FailUnstorable ends a job as failed because the store rejects what has to be stored of it, and returns the record of its final
+// state.
+func (s *Scheduler) FailUnstorable(now time.Time, id string) Record {
+	j := s.jobs[id]
+	if j == nil {
+		return Record{JobID: id, Progress: &workload.Progress{State: workload.Failed, Ended: now}, state: workload.Failed}
+	}
+	if !j.state.Final() {
+		s.finishJob(j, workload.Failed, now)
+	}
+	delete(s.dirty, j)
+	return j.record()
+}
+
 // TakeNewJobRecords returns records of at most limit jobs that were added after the last TakeRecords. While the store is slow,
 // the progress of hundreds of jobs takes seconds to write; without TakeNewJobRecords, new jobs could not start before all of it
 // is written.
