Store the progress of a job in chunks of 256 tasks

Cause: the progress of a job was one value, which was encoded and stored anew at the end of each of its runs. Its length and its cost grew with the number of tasks; from about 50,000 tasks no transaction holds it.

Fix: the progress is divided into chunks of 256 consecutive tasks, each with a row of its own, and only chunks that have changed are stored. A job of up to 256 tasks has one chunk, in the row that it had before. A record of several chunks may take several commits; a successor that finds chunks of different ages takes the members of a gang as done if one is. The chunks of an ended job are removed after its final state is stored, by a successor if need be. Checkpoints over 1 KiB are not stored. A final state that is stored is no longer replaced by an older record.

--- a/internal/cluster/coordinator/batches.go
+++ b/internal/cluster/coordinator/batches.go
@@ -23,7 +23,7 @@
 	mu    sync.Mutex
 	next  int64                // number of the last batch that this owner has written
 	byJob map[string]*jobBatch // batches by the ids of their jobs
-	// empty lists the rows whose jobs had all ended before this owner's term; they have to be removed.
+	// empty lists the rows of jobs that had all ended before this owner's term; they have to be removed.
 	empty []rowstore.Key
 }
 
@@ -150,6 +150,13 @@
 	}
 }
 
+// addEmpty adds a row that has to be removed.
+func (p *jobBatchIndex) addEmpty(k rowstore.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.empty = append(p.empty, k)
+}
+
 // takeEmpty returns the empty rows to remove, each of them once.
 func (p *jobBatchIndex) takeEmpty() []rowstore.Key {
 	p.mu.Lock()
--- a/internal/cluster/coordinator/commit.go
+++ b/internal/cluster/coordinator/commit.go
@@ -98,6 +98,9 @@
 	}
 	t.log.Error("store rejects rows", zap.Int("puts", len(c.puts)), zap.Int("removes", len(c.removes)), zap.Int("bytes", c.bytes()),
 		zap.Int("jobs", len(c.records)), asynclog.Error(err))
+	if c.partOf != "" {
+		return t.writeOrFail(ctx, scheduler.Record{JobID: c.partOf}, true)
+	}
 	for _, r := range c.records {
 		if !t.writeOrFail(ctx, r, len(c.records) == 1) {
 			return false
@@ -109,37 +112,38 @@
 // writeOrFail writes the record of a job by itself, unless that was rejected already. A job that the store does not take fails: it
 // could not be handed over to a successor, which would run its tasks again.
 func (t *term) writeOrFail(ctx context.Context, r scheduler.Record, rejected bool) bool {
-	if !rejected && r.Spec != nil {
-		c, err := t.encodeRecord(r)
-		if err == nil {
-			t.jobBatchIndex.separate(r.JobID)
-			err = t.commit(ctx, c)
-		}
-		if err == nil {
-			t.markStored(c)
-			return true
-		}
+	if !rejected {
+		t.jobBatchIndex.separate(r.JobID)
+		err := t.commitRecord(ctx, r)
 		if !errors.Is(err, rowstore.ErrRejected) {
-			return false
+			return err == nil
 		}
 	}
 	t.log.Error("job can't be stored, it fails", zap.String("job", r.JobID))
 	t.mu.Lock()
 	final := t.sched.FailUnstorable(time.Now(), r.JobID)
 	t.mu.Unlock()
-	c, err := t.encodeRecord(final)
-	if err == nil {
-		err = t.commit(ctx, c)
-	}
+	err := t.commitRecord(ctx, final)
 	if errors.Is(err, rowstore.ErrRejected) {
 		t.log.Error("state of a failed job can't be stored", zap.String("job", r.JobID), asynclog.Error(err))
 		return true
 	}
+	return err == nil
+}
+
+// commitRecord writes one record. Errors: those of commit, or that of the encoding.
+func (t *term) commitRecord(ctx context.Context, r scheduler.Record) error {
+	groups, err := t.encodeRecord(r)
 	if err != nil {
-		return false
+		return err
 	}
-	t.markStored(c)
-	return true
+	for _, c := range groups {
+		if err := t.commit(ctx, c); err != nil {
+			return err
+		}
+		t.markStored(c)
+	}
+	return nil
 }
 
 // commit retries a commit until it is durable, the store rejects it, the ownership is lost or ctx ends. Errors: election.ErrLost,
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -32,6 +32,7 @@
 	for id, p := range ended {
 		t.sched.AddEndedJob(id, p)
 	}
+	t.dropEndedProgress(progress, ended)
 	jobs, err := t.loadLiveJobs(ctx, progress)
 	if err != nil {
 		return err
@@ -44,7 +45,7 @@
 	return nil
 }
 
-// loadProgress reads the progress of jobs from a table, by job id.
+// loadProgress reads the progress of jobs from a table, by job id, and puts the chunks of each job together.
 func (t *term) loadProgress(ctx context.Context, table string) (map[string]*workload.Progress, error) {
 	rows, _, err := rowstore.ReadAll(ctx, t.deps.Store, table, election.Partition)
 	if err != nil {
@@ -58,11 +59,32 @@
 			// Without its progress, the job might run completed tasks again.
 			return nil, errors.Wrapf(err, "progress of job %s", r.Name)
 		}
-		out[r.Name] = p
+		id, chunk := records.ParseProgressKey(r.Key)
+		if chunk > 0 {
+			p.StoredChunks = []int{chunk}
+		}
+		if other := out[id]; other != nil {
+			p.State = other.State // that of the first chunk
+			p.Tasks, p.StoredChunks = append(other.Tasks, p.Tasks...), append(other.StoredChunks, p.StoredChunks...)
+		}
+		out[id] = p
 	}
 	return out, nil
 }
 
+// dropEndedProgress has the progress of ended jobs removed, of which a predecessor may not have removed all chunks.
+func (t *term) dropEndedProgress(progress, ended map[string]*workload.Progress) {
+	for id, p := range progress {
+		if ended[id] == nil {
+			continue
+		}
+		t.jobBatchIndex.addEmpty(records.ProgressKey(id))
+		for _, n := range p.StoredChunks {
+			t.jobBatchIndex.addEmpty(records.ProgressChunkKey(id, n))
+		}
+	}
+}
+
 // loadLiveJobs reads the active jobs, those that have not ended, and returns the number of rows, each with one or more
 // jobs. The change feed of the inbox starts after the version of this read, which is older than every later read of the
 // inbox, so that no change is missed.
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -162,6 +162,8 @@
 	// records are those that are durable with these rows. There are none for the list of workers in use, the removal of rows that are
 	// no longer needed, and all but the last rows of a record that takes several commits.
 	records []scheduler.Record
+	// partOf is the job whose record continues in the rows that follow; "" if these are its last ones.
+	partOf string
 	// inUse is the list of workers in use that the rows hold, or nil.
 	inUse     map[string]bool
 	delegated bool
@@ -215,7 +217,7 @@
 			t.log.Error("job can't be encoded", zap.String("job", r.JobID), asynclog.Error(err))
 			return nil, false
 		}
-		others = append(others, c)
+		others = append(others, c...)
 	}
 	changes := make([]recordRows, 0, len(recs))
 	for _, jobs := range groupIntoBatches(newJobs, min(maxBytesPerBatch, t.rows.maxBytes)) {
@@ -231,36 +233,68 @@
 	return append(changes, others...), true
 }
 
-// encodeRecord returns the rows of one record. For an ended job that includes the removal of its progress, and of its row in
-// the table of active jobs, which is a batch's row only when the last job of the batch ends.
-func (t *term) encodeRecord(r scheduler.Record) (recordRows, error) {
-	c := recordRows{records: []scheduler.Record{r}}
+// encodeRecord returns the rows of one record, in one or more groups that separate commits may write in this order. The last group
+// that has to be durable for the record to count as stored names the record.
+func (t *term) encodeRecord(r scheduler.Record) ([]recordRows, error) {
+	if r.Progress != nil && r.Progress.State.Final() {
+		return t.encodeEnded(r)
+	}
+	var groups []recordRows
+	add := func(k rowstore.Key, value []byte, err error) error {
+		if err == nil {
+			groups = append(groups, t.rows.put(k, value))
+		}
+		return err
+	}
 	if r.Spec != nil {
 		value, err := workload.EncodeSpec(r.Spec)
-		if err != nil {
-			return c, err
+		if err := add(records.ActiveJobKey(r.JobID), value, err); err != nil {
+			return nil, err
 		}
-		c.append(t.rows.put(records.ActiveJobKey(r.JobID), value))
 	}
-	if r.Progress == nil {
-		return c, nil
+	for _, chunk := range r.Chunks {
+		value, err := workload.EncodeProgressChunk(chunk.Progress)
+		if err := add(records.ProgressChunkKey(r.JobID, chunk.Number), value, err); err != nil {
+			return nil, err
+		}
+	}
+	if r.Progress != nil {
+		value, err := workload.EncodeProgress(r.Progress)
+		if err := add(records.ProgressKey(r.JobID), value, err); err != nil {
+			return nil, err
+		}
 	}
+	for i := range groups {
+		if i == len(groups)-1 {
+			groups[i].records = []scheduler.Record{r}
+		} else {
+			groups[i].partOf = r.JobID
+		}
+	}
+	return groups, nil
+}
+
+// encodeEnded returns the rows of the record of an ended job: the final state and the removal of its row in the table of active jobs,
+// which is a batch's row only when the last job of the batch ends. Its progress is removed with or after these, since a successor
+// that found the job without it would run its tasks again.
+func (t *term) encodeEnded(r scheduler.Record) ([]recordRows, error) {
 	value, err := workload.EncodeProgress(r.Progress)
 	if err != nil {
-		return c, err
-	}
-	if !r.Progress.State.Final() {
-		c.append(t.rows.put(records.ProgressKey(r.JobID), value))
-		return c, nil
+		return nil, err
 	}
-	c.append(t.rows.put(records.EndedKey(r.JobID), value))
+	c := t.rows.put(records.EndedKey(r.JobID), value)
+	c.records = []scheduler.Record{r}
 	for _, k := range t.jobBatchIndex.jobEnded(r.JobID) {
 		c.append(t.rows.remove(k))
 	}
 	if r.ProgressStored {
 		c.append(t.rows.remove(records.ProgressKey(r.JobID)))
 	}
-	return c, nil
+	groups := []recordRows{c}
+	for _, n := range r.StoredChunks {
+		groups = append(groups, t.rows.remove(records.ProgressChunkKey(r.JobID, n)))
+	}
+	return groups, nil
 }
 
 // markPersisted tells the scheduler that a whole batch is durable, and has the executors acknowledge the ends that it covers.
--- a/internal/cluster/coordinator/rowsize_test.go
+++ b/internal/cluster/coordinator/rowsize_test.go
@@ -11,9 +11,11 @@
 	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -162,3 +164,83 @@
 		})
 	})
 }
+
+// runTasks lets each started run end as done, for the duration d, and returns how many have ended.
+func (td *testDelegate) runTasks(d time.Duration) int {
+	ends := map[string][]scheduler.EndedRun{}
+	done := 0
+	for limit := time.Now().Add(d); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		var events []delegate.Event
+		for _, s := range td.starts[done:] {
+			events = append(events, td.startedEvent(s, scheduler.StartAccepted))
+			ends[s.WorkerID] = append(ends[s.WorkerID], scheduler.EndedRun{Number: int64(len(ends[s.WorkerID]) + 1), Task: s.Task, Run: s.Run, Reason: scheduler.EndDone})
+		}
+		done = len(td.starts)
+		for id := range td.workers {
+			r := td.reportEvent(id)
+			r.Report.Ended = ends[id]
+			events = append(events, r)
+		}
+		if err := td.exchange(events...); err != nil {
+			td.t.Errorf("%s: %v", td.name, err)
+			break
+		}
+	}
+	return done
+}
+
+func countRows(t *testing.T, store rowstore.Store, table string) int {
+	t.Helper()
+	rows, _, err := rowstore.ReadAll(t.Context(), store, table, election.Partition)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(rows)
+}
+
+// Guards against a job with so many tasks that its progress does not fit into a row: the store rejected the commits of the owner and
+// of each successor until the end of the job.
+func TestProgressOfManyTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a job of 6,000 tasks, half of which have ended", t, func() {
+			const tasks, workers = 6000, 100
+			store := rowstore.NewMemory()
+			o := runOwner(t, store, 0, workers)
+			a := o.testDelegate(t, "a")
+			a.serve(400 * time.Millisecond)
+			o.submit("many", tasks)
+			done := 0
+			for done < tasks/2 {
+				done = a.runTasks(100 * time.Millisecond)
+			}
+			a.serve(200 * time.Millisecond)
+			o.end()
+			So(countRows(t, store, records.Progress), ShouldBeGreaterThan, 5)
+			Convey("a successor runs the other half, tells the job as completed and leaves no progress", func() {
+				next := runOwner(t, store, o.ownership.Epoch(), workers)
+				defer next.end()
+				b := next.testDelegate(t, "b")
+				b.serve(time.Second)
+				rest := b.runTasks(40 * time.Second)
+				So(done+rest, ShouldBeBetweenOrEqual, tasks, tasks+workers*4)
+				state, _, err := next.Lookup("many")
+				So(err, ShouldBeNil)
+				So(state, ShouldEqual, workload.Completed)
+				So(countRows(t, store, records.Progress), ShouldEqual, 0)
+				So(countRows(t, store, records.ActiveJobs), ShouldEqual, 0)
+			})
+			Convey("chunks that the owner could not remove before it ended are removed by a successor", func() {
+				value, err := workload.EncodeProgress(&workload.Progress{State: workload.Completed, Ended: time.Now()})
+				So(err, ShouldBeNil)
+				putRow(t, store, records.EndedKey("many"), value)
+				next := runOwner(t, store, o.ownership.Epoch(), workers)
+				defer next.end()
+				b := next.testDelegate(t, "b")
+				b.serve(time.Second)
+				next.submit("other", 1)
+				b.serve(time.Second)
+				So(countRows(t, store, records.Progress), ShouldEqual, 0)
+			})
+		})
+	})
+}
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -98,6 +98,23 @@
 	return rowstore.Key{Table: Progress, Partition: election.Partition, Name: id}
 }
 
+const chunkInfix = "/tasks/"
+
+// ProgressChunkKey returns the key of a further chunk of a job's progress; chunks are numbered from 1.
+func ProgressChunkKey(id string, chunk int) rowstore.Key {
+	return ProgressKey(id + chunkInfix + strconv.Itoa(chunk))
+}
+
+// ParseProgressKey returns the job and the chunk of a row with progress; chunk 0 has the key ProgressKey.
+func ParseProgressKey(k rowstore.Key) (id string, chunk int) {
+	id, suffix, found := strings.Cut(k.Name, chunkInfix)
+	chunk, err := strconv.Atoi(suffix)
+	if !found || err != nil {
+		return k.Name, 0
+	}
+	return id, chunk
+}
+
 // WorkersInUseKey is the key of the row of WorkersInUse.
 var WorkersInUseKey = rowstore.Key{Table: Workers, Partition: election.Partition, Name: "used"}
 
--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -140,7 +140,7 @@
 			c.Weight = min(c.Weight, weakWeight)
 		}
 		t.crashEvidence().Count(c)
-		s.markChanged(j)
+		s.markTaskChanged(t)
 		if c.Weight >= startWeight {
 			s.riskyQueues[j.queue.Name] = now.Add(riskyQueueTime)
 		}
@@ -185,7 +185,7 @@
 func (s *Scheduler) clearEvidence(t *task) {
 	if e := t.crashEvidence(); e.Crashes > 0 {
 		e.Clear()
-		s.markChanged(t.unit.job)
+		s.markTaskChanged(t)
 	}
 }
 
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -22,6 +22,7 @@
 	dependencies dependencies // between its steps
 	// progressStored means that the owner's partition of the store may have a row with the job's progress.
 	progressStored bool
+	chunks         chunks
 }
 
 // occurrence is one repetition of a job; a job that does not repeat has one.
@@ -39,6 +40,7 @@
 	index      int
 	step       *workload.Step
 	tasks      []*task
+	firstTask  int // number of tasks[0] among the tasks of the occurrence
 	tasksLeft  int // tasks that are not done
 	unmet      int // entries of step.DependsOn whose steps are not done
 
@@ -88,6 +90,7 @@
 			u.tasks[n] = &task{unit: u, index: n}
 		}
 		u.tasksLeft = len(u.tasks)
+		u.firstTask = o.tasksLeft
 		o.tasksLeft += u.tasksLeft
 		o.units[i] = u
 	}
@@ -133,64 +136,6 @@
 	return r
 }
 
-// record returns the job's data that has to be written to the store. An ended job needs no specification, and a job without
-// progress no progress row.
-func (j *job) record() Record {
-	r := Record{JobID: j.spec.ID, Progress: j.progress(), ProgressStored: j.progressStored, state: j.state}
-	if j.state.Final() {
-		return r
-	}
-	if !j.stored {
-		r.Spec = j.spec
-	}
-	if len(r.Progress.Tasks) == 0 && !j.started {
-		r.Progress = nil
-	}
-	return r
-}
-
-// progress returns the progress of the job in its durable form.
-func (j *job) progress() *workload.Progress {
-	p := &workload.Progress{State: j.state, Ended: j.endedAt}
-	if j.state.Final() {
-		return p
-	}
-	if j.started {
-		p.State = workload.Running
-	}
-	for _, o := range j.occurrences {
-		if o == nil {
-			continue
-		}
-		for _, u := range o.units {
-			p.Tasks = u.appendProgress(p.Tasks)
-		}
-	}
-	return p
-}
-
-func (u *unit) appendProgress(out []workload.TaskProgress) []workload.TaskProgress {
-	for _, t := range u.tasks {
-		tp := workload.TaskProgress{
-			Occurrence: u.occurrence.number, Step: u.index, Index: t.index,
-			Done: t.done, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, Run: t.run,
-		}
-		if u.step.Gang {
-			tp.FailedRuns, tp.Checkpoint, tp.Run = u.failedRuns, u.checkpoint, u.run
-		}
-		if e := *t.crashEvidence(); !e.Empty() && (!u.step.Gang || t.index == 0) {
-			tp.Crash = &e
-		}
-		if t.done {
-			tp.FailedRuns, tp.Checkpoint, tp.Run, tp.Crash = nil, "", 0, nil
-		}
-		if tp.Done || len(tp.FailedRuns) > 0 || tp.Checkpoint != "" || tp.Crash != nil {
-			out = append(out, tp)
-		}
-	}
-	return out
-}
-
 // markDone marks a task as done and opens the steps whose dependencies are done with it. It reports whether the task was
 // not done before.
 func (s *Scheduler) markDone(t *task) bool {
--- /dev/null
+++ b/internal/cluster/scheduler/progress.go
@@ -0,0 +1,205 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// tasksPerChunk is the number of tasks whose progress shares a row, and maxStoredCheckpoint the length in bytes up to which a
+// checkpoint is stored. Together they keep a row within the store's limits. A longer checkpoint is known to the worker only.
+const (
+	tasksPerChunk       = 256
+	maxStoredCheckpoint = 1024
+)
+
+// chunks describes the progress of a job as it is stored. It is divided into chunks of consecutive tasks, so that neither the length
+// of a row nor the cost of storing the end of a run grows with the tasks of the job. Most jobs have a single chunk.
+type chunks struct {
+	count int
+	// tasksPerOccurrence is the number of tasks of each occurrence.
+	tasksPerOccurrence int
+	changed            map[int]struct{} // since the last record was taken; chunk 0 of a job with a single chunk is always included
+	stored             map[int]struct{} // chunks after the first that may have been stored
+}
+
+// ProgressChunk is the progress of some of the tasks of a job.
+type ProgressChunk struct {
+	Number   int // from 1; Record.Progress is chunk 0
+	Progress *workload.Progress
+}
+
+// number returns the position of a task among all tasks of its job.
+func (t *task) number() int {
+	return t.unit.occurrence.number*t.unit.job.chunks.tasksPerOccurrence + t.unit.firstTask + t.index
+}
+
+// markTaskChanged includes the progress of a task, or of its whole gang, in the next records.
+func (s *Scheduler) markTaskChanged(t *task) {
+	j := t.unit.job
+	if j.state.Final() {
+		return // the record of the final state is the last one
+	}
+	s.dirty[j] = struct{}{}
+	first, last := t, t
+	if t.unit.step.Gang {
+		first, last = t.unit.tasks[0], t.unit.tasks[len(t.unit.tasks)-1]
+	}
+	for n := first.number() / tasksPerChunk; n <= last.number()/tasksPerChunk; n++ {
+		if j.chunks.changed == nil {
+			j.chunks.changed = map[int]struct{}{}
+		}
+		j.chunks.changed[n] = struct{}{}
+	}
+}
+
+// record returns the job's data that has to be written to the store. An ended job needs no specification, and a job without
+// progress no progress row.
+func (j *job) record() Record {
+	r := Record{JobID: j.spec.ID, ProgressStored: j.progressStored, state: j.state}
+	if j.state.Final() {
+		r.Progress = &workload.Progress{State: j.state, Ended: j.endedAt}
+		r.StoredChunks = slices.Sorted(maps.Keys(j.chunks.stored))
+		return r
+	}
+	if !j.stored {
+		r.Spec = j.spec
+	}
+	for _, n := range slices.Sorted(maps.Keys(j.chunks.changed)) {
+		if n > 0 {
+			r.Chunks = append(r.Chunks, ProgressChunk{n, j.chunkProgress(n)})
+			j.chunks.markStored(n)
+		}
+	}
+	if _, changed := j.chunks.changed[0]; changed || j.chunks.count <= 1 || !j.progressStored {
+		r.Progress = j.chunkProgress(0)
+		if len(r.Progress.Tasks) == 0 && len(r.Chunks) == 0 && !j.started {
+			r.Progress = nil
+		}
+	}
+	clear(j.chunks.changed)
+	return r
+}
+
+func (c *chunks) markStored(n int) {
+	if c.stored == nil {
+		c.stored = map[int]struct{}{}
+	}
+	c.stored[n] = struct{}{}
+}
+
+// chunkProgress returns one chunk of the job's progress in its durable form.
+func (j *job) chunkProgress(n int) *workload.Progress {
+	p := &workload.Progress{State: j.state}
+	if j.started {
+		p.State = workload.Running
+	}
+	for number := n * tasksPerChunk; number < (n+1)*tasksPerChunk; {
+		tasks, next := j.tasksFrom(number)
+		if next == 0 {
+			break
+		}
+		next = min(next, (n+1)*tasksPerChunk)
+		for _, t := range tasks[:min(len(tasks), next-number)] {
+			if tp := t.progress(); tp.Worthwhile() {
+				p.Tasks = append(p.Tasks, tp)
+			}
+		}
+		number = next
+	}
+	return p
+}
+
+// tasksFrom returns the tasks of a unit from the one with the number on, and the number of the first task after that unit. There are
+// no tasks if the occurrence is not open, and the number is 0 after the last task.
+func (j *job) tasksFrom(number int) ([]*task, int) {
+	perOccurrence := j.chunks.tasksPerOccurrence
+	if number >= perOccurrence*len(j.occurrences) {
+		return nil, 0
+	}
+	o, first := j.occurrences[number/perOccurrence], number/perOccurrence*perOccurrence
+	if o == nil {
+		return nil, first + perOccurrence
+	}
+	i := sort.Search(len(o.units), func(i int) bool { return o.units[i].firstTask > number-first }) - 1
+	u := o.units[i]
+	return u.tasks[number-first-u.firstTask:], first + u.firstTask + len(u.tasks)
+}
+
+// newChunks returns the division of a job's progress; nothing has changed and nothing is stored.
+func newChunks(spec *workload.Spec) chunks {
+	var c chunks
+	for _, step := range spec.Steps {
+		c.tasksPerOccurrence += step.Count
+	}
+	c.count = (c.tasksPerOccurrence*spec.Occurrences() + tasksPerChunk - 1) / tasksPerChunk
+	return c
+}
+
+// progress returns the progress of a task, or of its gang as far as the members share it, in its durable form.
+func (t *task) progress() workload.TaskProgress {
+	u := t.unit
+	p := workload.TaskProgress{Occurrence: u.occurrence.number, Step: u.index, Index: t.index, Done: t.done}
+	if t.done {
+		return p
+	}
+	p.FailedRuns, p.Checkpoint, p.Run = t.failedRuns, t.checkpoint, t.run
+	if u.step.Gang {
+		p.FailedRuns, p.Checkpoint, p.Run = u.failedRuns, u.checkpoint, u.run
+	}
+	if len(p.Checkpoint) > maxStoredCheckpoint {
+		p.Checkpoint = ""
+	}
+	if e := *t.crashEvidence(); !e.Empty() && (!u.step.Gang || t.index == 0) {
+		p.Crash = &e
+	}
+	return p
+}
+
+// restore applies progress that an earlier owner stored, and opens the occurrences that it mentions.
+func (s *Scheduler) restore(j *job, p *workload.Progress, now time.Time) {
+	for _, tp := range p.Tasks {
+		if t := s.restoreTask(j, tp); t != nil && tp.Crash != nil {
+			s.restoreEvidence(t, *tp.Crash, now)
+		}
+	}
+	for _, n := range p.StoredChunks {
+		j.chunks.markStored(n)
+	}
+	j.state = p.State
+	j.durableState = p.State
+	j.started = j.started || p.State == workload.Running
+}
+
+// restoreTask applies the progress of one task and returns the task, or nil if there is none. Chunks may be of different ages: an owner
+// may have ended after it had stored some of them. So the members of a gang take over what any of them knows.
+func (s *Scheduler) restoreTask(j *job, tp workload.TaskProgress) *task {
+	if !inRange(tp.Occurrence, len(j.occurrences)) || !inRange(tp.Step, len(j.spec.Steps)) {
+		return nil
+	}
+	u := s.openOccurrence(j, tp.Occurrence).units[tp.Step]
+	if !inRange(tp.Index, len(u.tasks)) {
+		return nil
+	}
+	t := u.tasks[tp.Index]
+	t.failedRuns, t.checkpoint, t.run = tp.FailedRuns, tp.Checkpoint, tp.Run
+	members := []*task{t}
+	if u.step.Gang {
+		members = u.tasks
+		if len(tp.FailedRuns) > len(u.failedRuns) {
+			u.failedRuns = tp.FailedRuns
+		}
+		if tp.Run >= u.run {
+			u.run, u.checkpoint = tp.Run, tp.Checkpoint
+		}
+	}
+	if tp.Done {
+		for _, member := range members {
+			s.markDone(member)
+		}
+	}
+	return t
+}
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -45,9 +45,12 @@
 type Record struct {
 	JobID    string
 	Spec     *workload.Spec     // nil if it is durable already or no longer needed
-	Progress *workload.Progress // nil if there is none yet
+	Progress *workload.Progress // chunk 0 of it, or the final state; nil if there is nothing to write
+	Chunks   []ProgressChunk    // further chunks that have changed
 	// ProgressStored means that progress of the job was stored before.
 	ProgressStored bool
+	// StoredChunks are the numbers of the further chunks that may be stored, and have to be removed with the end of the job.
+	StoredChunks []int
 
 	state workload.State
 }
@@ -64,13 +67,6 @@
 	return 2
 }
 
-// markChanged includes a job in the next records. The record of a final state is the last one of its job.
-func (s *Scheduler) markChanged(j *job) {
-	if !j.state.Final() {
-		s.dirty[j] = struct{}{}
-	}
-}
-
 // TakeRecords returns the records of all jobs that changed since the last call, the most urgent first, and their generation, to
 // be passed to MarkGenerationStored once they are durable. The last result reports whether a commit is needed, for the records
 // or for pending acknowledgements of ends.
@@ -132,7 +128,7 @@
 func (s *Scheduler) MarkStored(records []Record) {
 	for _, r := range records {
 		j := s.jobs[r.JobID]
-		if j == nil {
+		if j == nil || j.durableState.Final() {
 			continue
 		}
 		j.durableState = r.state
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -208,7 +208,7 @@
 	if j.state.Final() {
 		return c
 	}
-	s.markChanged(j)
+	s.markTaskChanged(t)
 	if e.Reason == EndDone || e.Reason == EndFailed {
 		s.clearEvidence(t)
 	}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -180,6 +180,7 @@
 	}
 	s.jobs[spec.ID] = j
 	j.occurrences = make([]*occurrence, spec.Occurrences())
+	j.chunks = newChunks(spec)
 	s.futureOccurrences[j] = struct{}{}
 	if progress != nil {
 		j.progressStored = true
@@ -197,36 +198,6 @@
 	s.jobs[id] = &job{spec: &workload.Spec{ID: id}, state: p.State, durableState: p.State, endedAt: p.Ended}
 }
 
-// restore applies progress that an earlier owner stored, and opens the occurrences that it mentions.
-func (s *Scheduler) restore(j *job, p *workload.Progress, now time.Time) {
-	for _, tp := range p.Tasks {
-		if !inRange(tp.Occurrence, len(j.occurrences)) || !inRange(tp.Step, len(j.spec.Steps)) {
-			continue
-		}
-		o := s.openOccurrence(j, tp.Occurrence)
-		u := o.units[tp.Step]
-		if !inRange(tp.Index, len(u.tasks)) {
-			continue
-		}
-		t := u.tasks[tp.Index]
-		t.failedRuns, t.checkpoint, t.run = tp.FailedRuns, tp.Checkpoint, tp.Run
-		if u.step.Gang {
-			u.failedRuns = tp.FailedRuns
-			u.checkpoint = tp.Checkpoint
-			u.run = max(u.run, tp.Run)
-		}
-		if tp.Done {
-			s.markDone(t)
-		}
-		if tp.Crash != nil {
-			s.restoreEvidence(t, *tp.Crash, now)
-		}
-	}
-	j.state = p.State
-	j.durableState = p.State
-	j.started = j.started || p.State == workload.Running
-}
-
 // inRange reports whether i is an index of a slice of the length.
 func inRange(i, length int) bool { return i >= 0 && i < length }
 
--- a/internal/cluster/scheduler/shapes_bench_test.go
+++ b/internal/cluster/scheduler/shapes_bench_test.go
@@ -46,14 +46,22 @@
 			for b.Loop() {
 				now = now.Add(time.Millisecond)
 				if len(starts) == 0 {
-					b.Fatal("nothing runs")
+					b.StopTimer()
+					if starts = f.plan(now).Starts; len(starts) == 0 { // the job has ended
+						f.AddJob(now, f.job(now.String(), now, steps...), nil, false)
+						starts = f.plan(now).Starts
+					}
+					b.StartTimer()
 				}
 				f.end(starts[0], EndDone, now)
 				starts = starts[1:]
 				generation, records, _ := f.TakeRecords()
 				for _, r := range records {
-					if r.Progress != nil {
-						if _, err := workload.EncodeProgress(r.Progress); err != nil {
+					for _, c := range append(r.Chunks, ProgressChunk{0, r.Progress}) {
+						if c.Progress == nil {
+							continue
+						}
+						if _, err := workload.EncodeProgress(c.Progress); err != nil {
 							b.Fatal(err)
 						}
 					}
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -56,7 +56,7 @@
 			Accepted: !p.confirmedAt.IsZero(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
 		l.tasks = append(l.tasks, p.task)
 		if durable(e, weight) {
-			s.markChanged(p.task.unit.job)
+			s.markTaskChanged(p.task)
 		}
 	}
 	s.silences[w.info.ID] = l
@@ -78,7 +78,7 @@
 	for _, t := range s.silences[workerID].tasks {
 		e := t.crashEvidence()
 		if c, found := e.TakeSuspected(workerID); found && durable(e, c.Weight) {
-			s.markChanged(t.unit.job)
+			s.markTaskChanged(t)
 		}
 	}
 	delete(s.silences, workerID)
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -165,18 +165,27 @@
 	Crash *CrashEvidence `json:"x,omitempty"`
 }
 
-// Progress is the stored progress of an accepted job.
+// Worthwhile reports whether there is anything to store.
+func (p TaskProgress) Worthwhile() bool {
+	return p.Done || len(p.FailedRuns) > 0 || p.Checkpoint != "" || p.Crash != nil
+}
+
+// Progress is the stored progress of an accepted job, or a chunk of it.
 type Progress struct {
 	Format int            `json:"v"`
 	State  State          `json:"state"`
 	Ended  time.Time      `json:"ended,omitzero"`
 	Tasks  []TaskProgress `json:"tasks,omitempty"` // only tasks with progress to store
+	// StoredChunks are the numbers of the chunks after the first that were read.
+	StoredChunks []int `json:"-"`
 }
 
 // Versions of the row formats. A row with a newer format is not read, so that an older program can't damage it.
 const (
 	SpecFormat     = 1
 	ProgressFormat = 1
+	// ProgressChunkFormat is the format of progress that is divided into chunks, of which earlier releases know nothing.
+	ProgressChunkFormat = 2
 )
 
 // ErrFormat is returned for a row with a newer format than this program knows.
@@ -253,13 +262,19 @@
 	return encode(p)
 }
 
-// DecodeProgress decodes the output of EncodeProgress.
+// EncodeProgressChunk is EncodeProgress for a chunk after the first.
+func EncodeProgressChunk(p *Progress) ([]byte, error) {
+	p.Format = ProgressChunkFormat
+	return encode(p)
+}
+
+// DecodeProgress decodes the output of EncodeProgress and EncodeProgressChunk.
 func DecodeProgress(data []byte) (*Progress, error) {
 	var p Progress
 	if err := json.Unmarshal(data, &p); err != nil {
 		return nil, errors.Wrap(err, "decode progress")
 	}
-	if p.Format > ProgressFormat {
+	if p.Format > ProgressChunkFormat {
 		return nil, errors.Wrapf(ErrFormat, "progress, format %d", p.Format)
 	}
 	return &p, nil
