Limit how many steps of one job wait for workers at a time

What callers would see: one job of 20,000 independent steps, which fits into a request, makes each plan take 0.11 s of a whole core here, about 0.3 s on a host with 0.4 of it.

Cause: each plan looks at every open step, whatever the number that can be placed.

Fix: at most 2,000 steps of a job wait at a time. The next one opens when all tasks of one of them are placed or done.

--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -127,6 +127,8 @@
 	d := StepDump{Step: u.id().String(), TasksLeft: u.tasksLeft}
 	switch _, open := s.open[u]; {
 	case u.tasksLeft == 0, u.job.state.Final():
+	case !open && u.unmet == 0:
+		d.Reason = "many steps of the job wait already"
 	case !open:
 		d.Reason = "an earlier step has not ended"
 	case len(u.pending(now)) > 0:
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -20,6 +20,7 @@
 	stored       bool      // the job's specification is durable in the owner's partition of the store
 	occurrences  []*occurrence
 	dependencies dependencies // between its steps
+	openUnits    openUnits
 	// progressStored means that the owner's partition of the store may have a row with the job's progress.
 	progressStored bool
 	chunks         chunks
@@ -35,14 +36,15 @@
 // unit is one step of one occurrence. It is queued, and submitted to the policy service, as a whole; if the step is a gang,
 // its tasks are also placed together.
 type unit struct {
-	job        *job
-	occurrence *occurrence
-	index      int
-	step       *workload.Step
-	tasks      []*task
-	firstTask  int // number of tasks[0] among the tasks of the occurrence
-	tasksLeft  int // tasks that are not done
-	unmet      int // entries of step.DependsOn whose steps are not done
+	job              *job
+	occurrence       *occurrence
+	index            int
+	step             *workload.Step
+	tasks            []*task
+	firstTask        int  // number of tasks[0] among the tasks of the occurrence
+	tasksLeft        int  // tasks that are not done
+	unmet            int  // entries of step.DependsOn whose steps are not done
+	countedAsWaiting bool // see openUnits
 
 	// Gangs only: the members share run number, checkpoint, failed runs and the evidence of crashes.
 	run        int64
@@ -147,7 +149,7 @@
 	u.tasksLeft--
 	u.occurrence.tasksLeft--
 	if u.tasksLeft == 0 {
-		delete(s.open, u)
+		s.closeUnit(u)
 		s.openDependents(u)
 	}
 	return true
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -88,6 +88,9 @@
 	default:
 		placed = s.placeTasks(c, now, plan)
 	}
+	if placed == len(c.waiting) {
+		s.unitPlaced(u)
+	}
 	if len(c.waiting) > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || s.leavesHeadroom(u)) {
 		s.adviceQueue.add(c)
 	}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -235,12 +235,6 @@
 	return o
 }
 
-// openUnit makes the tasks of a unit eligible to start.
-func (s *Scheduler) openUnit(u *unit) {
-	s.open[u] = struct{}{}
-	s.changedUnits[u] = struct{}{}
-}
-
 // Cancel cancels a job at its caller's request. It reports whether the state of a job has changed. If the job is unknown,
 // the cancellation is remembered and applied when the job is added.
 func (s *Scheduler) Cancel(now time.Time, id string) bool {
@@ -268,6 +262,7 @@
 	s.dirty[j] = struct{}{}
 	s.endedJobs = append(s.endedJobs, s.summarize(j))
 	delete(s.futureOccurrences, j)
+	j.openUnits = openUnits{}
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
