Do not take a full list of ended runs for a complete one

Cause: a worker lists at most 500 of its ended runs in one answer. While the store is down none is acknowledged, so later ends are in neither of its lists. The scheduler took such runs as gone and started their tasks again. A successor also took the report as the last word on what its predecessor had started there.

Fix: an answer with a full list is marked as incomplete. Runs that it does not list are kept until a complete report, and a successor goes on waiting for the worker, for as long as incomplete reports extend its lease.

--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -40,6 +40,7 @@
 	Incarnation int64 // incarnation of the worker
 	Active      []scheduler.ActiveRun
 	Ended       []scheduler.EndedRun
+	MoreEnded   bool // further runs may have ended, which the worker lists once those in Ended are acknowledged
 }
 
 // StartCall is a start order with what the delegate adds before it sends the order to the worker.
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -113,6 +113,7 @@
 	LeaseUntil  time.Duration         `json:"lease"` // when all tasks there have expired unless the lease is renewed again; 0 if it was not extended
 	Active      []scheduler.ActiveRun `json:"active,omitempty"`
 	Ended       []scheduler.EndedRun  `json:"ended,omitempty"`
+	MoreEnded   bool                  `json:"more_ended,omitempty"` // as in a RenewalAnswer
 }
 
 // MissedRenewal is a renewal that the worker did not answer.
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -46,6 +46,8 @@
 	LeaseUntil  time.Time // when all runs on the worker have expired without another renewal
 	Active      []ActiveRun
 	Ended       []EndedRun
+	// MoreEnded means that Ended may leave out runs that have ended. A run that the report does not list may be one of them.
+	MoreEnded bool
 }
 
 // AppliedEnd is the end of a run as applied from a report, for logs and metrics.
@@ -88,6 +90,10 @@
 		listed[runKey{a.Task, a.Run}] = true
 		s.applyActiveRun(w, a, r.SentAt, now)
 	}
+	if r.MoreEnded {
+		s.extendUnresolved(w.info.ID, r.LeaseUntil)
+		return applied
+	}
 	s.dropUnlistedRuns(w, listed, r.SentAt, now)
 	s.markResolved(w.info.ID)
 	return applied
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -154,6 +154,14 @@
 
 func (s *Scheduler) markResolved(workerID string) { delete(s.unresolved, workerID) }
 
+// extendUnresolved keeps a worker unresolved whose report was incomplete: runs of an earlier owner may have ended there that it has
+// not listed yet.
+func (s *Scheduler) extendUnresolved(workerID string, until time.Time) {
+	if expiresAt, unresolved := s.unresolved[workerID]; unresolved && until.After(expiresAt) {
+		s.unresolved[workerID] = until
+	}
+}
+
 // expireUnresolved removes the unresolved workers on which the runs of earlier owners have expired.
 func (s *Scheduler) expireUnresolved(now time.Time) {
 	for id, expiresAt := range s.unresolved {
