Limit the runs on a worker that are active or not acknowledged to 500

Tasks that need no resources were not bounded at all: a job of 1,500 of them was placed on one worker in one plan, 100,000 on the few workers of a small site.

Now at most 500 runs of a worker are active, or ended and not acknowledged. So under one owner a worker's list of ends is never longer than one answer, and a job of many tiny tasks is spread in time. Tasks from 0.064 cores on 32 cores are not affected, but for outages.

--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -106,9 +106,16 @@
 	return best
 }
 
+// maxRunsPerWorker is the highest number of runs on a worker that are active or whose ends are not acknowledged. It bounds what one
+// report lists, what the owner holds for tasks that need few resources or none, and how many runs end unseen while the store is away.
+const maxRunsPerWorker = 500
+
+// runsLeft returns how many more runs may be placed on the worker.
+func (w *worker) runsLeft() int { return maxRunsPerWorker - len(w.placements) - len(w.pendingAcks) }
+
 // fits reports whether the worker has room for another task of the unit.
 func (w *worker) fits(u *unit) bool {
-	return w.free().CanFit(u.resources()) && (u.step.MaxPerWorker <= 0 || w.countTasksOf(u) < u.step.MaxPerWorker)
+	return w.runsLeft() > 0 && w.free().CanFit(u.resources()) && (u.step.MaxPerWorker <= 0 || w.countTasksOf(u) < u.step.MaxPerWorker)
 }
 
 // penalty returns the sum of the worker's penalties for the task.
--- a/internal/cluster/scheduler/moreended_test.go
+++ b/internal/cluster/scheduler/moreended_test.go
@@ -62,3 +62,27 @@
 		So(f.jobs["j"].state, ShouldEqual, workload.Completed)
 	})
 }
+
+// Guards against thousands of runs on one worker, of tasks that need hardly any resources or while no end can be acknowledged: neither
+// the worker's lists nor the owner's memory has room for them.
+func TestRunsOnAWorkerAreLimited(t *testing.T) {
+	Convey("Given a job of many tasks that need no resources, and one worker", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.job("j", t0, workload.Step{Count: 3 * maxRunsPerWorker, Estimate: time.Second}), nil, false)
+		starts := f.plan(t0).Starts
+		So(starts, ShouldHaveLength, maxRunsPerWorker)
+		Convey("no other starts while ends are not acknowledged, and as many as have been acknowledged after that", func() {
+			for _, s := range starts[:100] {
+				f.end(s, EndDone, at(time.Second))
+			}
+			So(f.Plan(at(time.Second)).Starts, ShouldBeEmpty)
+			f.commit()
+			So(f.Plan(at(time.Second)).Starts, ShouldHaveLength, 100)
+		})
+		Convey("a gang gets no more either", func() {
+			f.AddJob(t0, f.job("gang", t0, workload.Step{Count: 2, Gang: true, Estimate: time.Second}), nil, false)
+			f.commit()
+			So(f.Plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -201,7 +201,7 @@
 		var bestLeft int64
 		for _, w := range workers {
 			free := w.free().Sub(assignedResources[w])
-			if !free.CanFit(needed) || limit > 0 && w.countTasksOf(t.unit)+assignedTasks[w] >= limit {
+			if w.runsLeft() <= assignedTasks[w] || !free.CanFit(needed) || limit > 0 && w.countTasksOf(t.unit)+assignedTasks[w] >= limit {
 				continue
 			}
 			left := free.CPUMilli + t.penalty(w)
