--- a/internal/cluster/coordinator/commit.go
+++ b/internal/cluster/coordinator/commit.go
@@ -9,58 +9,11 @@
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
-	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
-// rowIndex divides values into rows that the store takes, and remembers which stored values have several rows, so that all of them
-// can be removed. It is used by the goroutine that writes to the store, after the rows of earlier owners are loaded.
-type rowIndex struct {
-	maxBytes int                  // of a row's value
-	parts    map[rowstore.Key]int // values with more than one row
-}
-
-func newRowIndex(maxBytes int) *rowIndex {
-	return &rowIndex{maxBytes: maxBytes, parts: map[rowstore.Key]int{}}
-}
-
-// note records how many rows a stored value has.
-func (x *rowIndex) note(k rowstore.Key, parts int) {
-	if parts > 1 {
-		x.parts[k] = parts
-	} else {
-		delete(x.parts, k)
-	}
-}
-
-// put returns the rows that replace a value, and the removal of rows that it no longer needs.
-func (x *rowIndex) put(k rowstore.Key, value []byte) recordRows {
-	c := recordRows{puts: records.Split(k, value, x.maxBytes)}
-	for i := len(c.puts); i < x.parts[k]; i++ {
-		c.removes = append(c.removes, records.PartKey(k, i))
-	}
-	x.note(k, len(c.puts))
-	return c
-}
-
-// remove returns the removal of all rows of a value.
-func (x *rowIndex) remove(k rowstore.Key) recordRows {
-	c := recordRows{removes: []rowstore.Key{k}}
-	for i := 1; i < x.parts[k]; i++ {
-		c.removes = append(c.removes, records.PartKey(k, i))
-	}
-	delete(x.parts, k)
-	return c
-}
-
-// append adds the rows of o.
-func (c *recordRows) append(o recordRows) {
-	c.puts = append(c.puts, o.puts...)
-	c.removes = append(c.removes, o.removes...)
-}
-
 // write writes the rows of one commit until they are durable. It returns false if ctx has ended or the ownership is lost. If the store
 // rejects the commit, the rows are written one record after the other, so that only the one that is at fault is not stored: a job
 // must never keep the others from being stored.
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -28,10 +28,6 @@
 	commitBackoffMax = 100 * time.Millisecond
 	// commitTimeout limits one commit including its resends. After it, a new commit writes the same records.
 	commitTimeout = 5 * time.Second
-	// maxCommitEntries and maxCommitBytes keep a commit within the store's limits, with room for the head row and the owner
-	// row, which the commit also writes. Only rows that belong together may have more bytes: at most records.MaxJobBytes.
-	maxCommitEntries = rowstore.MaxTxnEntries - 10
-	maxCommitBytes   = rowstore.MaxTxnBytes / 4
 	// backoffMin is the first backoff of a commit or a read of the inbox, and backoffMax the maximum one of a read.
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 500 * time.Millisecond
@@ -136,51 +132,6 @@
 	return t.sched.TakeNewJobRecords(maxCommitEntries / 2)
 }
 
-// commitRows collects the rows that one commit writes.
-type commitRows struct {
-	changes []recordRows
-	entries int
-	bytes   int
-}
-
-// fits reports whether the rows of c may be added to the commit. An empty commit takes any rows.
-func (cr *commitRows) fits(c recordRows) bool {
-	return len(cr.changes) == 0 || cr.entries+c.entries() <= maxCommitEntries && cr.bytes+c.bytes() <= maxCommitBytes
-}
-
-// add adds the rows of c to the commit.
-func (cr *commitRows) add(c recordRows) {
-	cr.changes = append(cr.changes, c)
-	cr.entries += c.entries()
-	cr.bytes += c.bytes()
-}
-
-// recordRows holds the rows of one record, or of the records in one batch, which one commit has to write together.
-type recordRows struct {
-	puts    []rowstore.Put
-	removes []rowstore.Key
-	// records are those that are durable with these rows. There are none for the list of workers in use, the removal of rows that are
-	// no longer needed, and all but the last rows of a record that takes several commits.
-	records []scheduler.Record
-	// partOf is the job whose record continues in the rows that follow; "" if these are its last ones.
-	partOf string
-	// inUse is the list of workers in use that the rows hold, or nil.
-	inUse     map[string]bool
-	delegated bool
-}
-
-// entries returns how many entries of a commit the rows take.
-func (c recordRows) entries() int { return len(c.puts) + len(c.removes) }
-
-// bytes returns the total size of the written values.
-func (c recordRows) bytes() int {
-	n := 0
-	for _, p := range c.puts {
-		n += len(p.Value)
-	}
-	return n
-}
-
 // encodeBatch returns the rows of a batch. It logs an encoding error and returns false.
 func (t *term) encodeBatch(b recordBatch) ([]recordRows, bool) {
 	changes := make([]recordRows, 0, len(b.records)+1)
