Bound the workers that one task may crash, whatever the evidence

Cause: a task was given up only if a crash had followed its start within 0.4 s. A later crash was weak evidence, or none if another run had started since, and so by intent convicted nobody.

Fix: crashes of workers that had accepted a task are also counted apart from the evidence. As long as there is weak evidence only, its next run goes to an address at which no worker has crashed under it: one host whose workers crash convicts no task. A run that ends by itself or outlasts the crashed ones ends the count.

--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -32,11 +32,13 @@
 	weakWeight   = 1 // the worker had accepted another run later, or none just before, or the cause lies outside
 
 	// Once two workers that had accepted the task have crashed, it is given up after a prompt crash if the weights of its crashes
-	// add up to givenUpWeight, and after any crash if they add up to sureWeight. After maxCrashes it is given up unless all of them
-	// are weak evidence.
-	givenUpWeight = promptWeight + startWeight
-	sureWeight    = 4 * startWeight
-	maxCrashes    = 5
+	// add up to givenUpWeight, and after any crash if they add up to sureWeight. After maxCrashes it is given up if at least one is more
+	// than weak evidence, or if they happened at minCrashAddresses: a task that crashes its workers long after its start leaves no other
+	// trace. A harmless one seldom meets so many crashes before it ends or outlasts them.
+	givenUpWeight     = promptWeight + startWeight
+	sureWeight        = 4 * startWeight
+	maxCrashes        = 5
+	minCrashAddresses = 3
 
 	// Delay of the next run after the second crash, and the limit to which it doubles.
 	minCrashBackoff = 500 * time.Millisecond
@@ -146,7 +148,7 @@
 		}
 		t.delayAfterCrash(now)
 		if e := t.crashEvidence(); isConclusive(e) {
-			s.givenUp = append(s.givenUp, GivenUpTask{Task: t.id(), Crashes: e.Crashes, Weight: e.Weight})
+			s.givenUp = append(s.givenUp, GivenUpTask{Task: t.id(), Crashes: max(e.Crashes, e.Total), Weight: e.Weight})
 			s.finishJob(j, workload.Failed, now)
 		}
 	}
@@ -170,7 +172,7 @@
 // isConclusive reports whether a task with the evidence is given up.
 func isConclusive(e *workload.CrashEvidence) bool {
 	switch {
-	case e.Crashes >= maxCrashes && pointsToStart(e):
+	case e.Crashes >= maxCrashes && pointsToStart(e), e.Total >= maxCrashes && len(e.Addresses) >= minCrashAddresses:
 		return true
 	case e.Accepted < 2:
 		return false // a worker that did not receive the start crashed for another cause
@@ -183,7 +185,7 @@
 // clearEvidence removes the evidence against a task, or its gang, of which a run has lasted longer than those that crashed or has
 // ended by itself.
 func (s *Scheduler) clearEvidence(t *task) {
-	if e := t.crashEvidence(); e.Crashes > 0 {
+	if e := t.crashEvidence(); e.Counted() {
 		e.Clear()
 		s.markTaskChanged(t)
 	}
@@ -193,7 +195,7 @@
 // that crashed.
 func (s *Scheduler) checkHarmless(p *placement) {
 	e := p.task.crashEvidence()
-	if e.Crashes == 0 {
+	if !e.Counted() {
 		return
 	}
 	provingTime := startCrashWindow + min(e.MaxAge, maxProvingTime)
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -11,6 +11,7 @@
 const (
 	otherRackPenalty = 1 << 30 // the worker is not in the rack of the task's data
 	failedRunPenalty = 1 << 31 // a run of the task has failed on the worker
+	crashPenalty     = 1 << 32 // a worker at its address has crashed long after it had started the task: either may be the cause
 )
 
 // acceptsTasks reports whether tasks may be placed on the worker now.
@@ -127,5 +128,8 @@
 	if _, failed := t.failedWorkers[w.info.ID]; failed {
 		penalty += failedRunPenalty
 	}
+	if e := t.crashEvidence(); !pointsToStart(e) && slices.Contains(e.Addresses, w.info.Address) {
+		penalty += crashPenalty
+	}
 	return penalty
 }
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -48,9 +48,6 @@
 			continue
 		}
 		weight := crashWeight(p, started, since)
-		if weight == 0 {
-			continue
-		}
 		e := p.task.crashEvidence()
 		e.Suspect(workload.SuspectedCrash{Worker: w.info.ID, Address: l.address, Incarnation: l.incarnation, Run: p.run, Weight: weight,
 			Accepted: !p.confirmedAt.IsZero(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
--- a/internal/cluster/workload/crashes.go
+++ b/internal/cluster/workload/crashes.go
@@ -8,16 +8,24 @@
 // CrashEvidence is what crashes of workers say about a task, or about a gang as a whole, since one of its runs last proved to be
 // harmless.
 type CrashEvidence struct {
-	Crashes    int              `json:"n,omitempty"`   // workers that crashed while they had, or may have had, a run of it
-	Accepted   int              `json:"ok,omitempty"`  // those of them that had certainly started the run
-	Weight     int              `json:"w,omitempty"`   // sum of the weights of these crashes
-	LastRun    int64            `json:"r,omitempty"`   // the run of the last crash
-	LastWeight int              `json:"lw,omitempty"`  // the weight of the crashes of that run
-	LastStart  bool             `json:"ls,omitempty"`  // Accepted includes that run
-	MaxAge     time.Duration    `json:"age,omitempty"` // the longest time from the start of a run to the crash
-	Suspected  []SuspectedCrash `json:"s,omitempty"`   // workers that may have crashed under it
+	Crashes    int           `json:"n,omitempty"`   // workers that crashed while they had, or may have had, a run of it
+	Accepted   int           `json:"ok,omitempty"`  // those of them that had certainly started the run
+	Weight     int           `json:"w,omitempty"`   // sum of the weights of these crashes
+	LastRun    int64         `json:"r,omitempty"`   // the run of the last crash
+	LastWeight int           `json:"lw,omitempty"`  // the weight of the crashes of that run
+	LastStart  bool          `json:"ls,omitempty"`  // Accepted includes that run
+	MaxAge     time.Duration `json:"age,omitempty"` // the longest time from the start of a run to the crash
+	// Total counts the runs of it whose workers had accepted them and crashed, whether or not that points to the task, and TotalRun is the
+	// last of them. Addresses are those of the workers, at most maxCrashAddresses of them: crashes at one address may be due to the host.
+	Total     int              `json:"all,omitempty"`
+	TotalRun  int64            `json:"ar,omitempty"`
+	Addresses []string         `json:"ad,omitempty"`
+	Suspected []SuspectedCrash `json:"s,omitempty"` // workers that may have crashed under it
 }
 
+// maxCrashAddresses is how many addresses are enough to tell a task that crashes workers from a host whose workers crash.
+const maxCrashAddresses = 4
+
 // SuspectedCrash is a worker that stopped answering while it had a run of the task. Only a newer incarnation, or another worker at its
 // address, shows that it has crashed.
 type SuspectedCrash struct {
@@ -32,7 +40,10 @@
 }
 
 // Empty reports whether there is no evidence.
-func (e *CrashEvidence) Empty() bool { return e.Crashes == 0 && len(e.Suspected) == 0 }
+func (e *CrashEvidence) Empty() bool { return !e.Counted() && len(e.Suspected) == 0 }
+
+// Counted reports whether any crash was counted.
+func (e *CrashEvidence) Counted() bool { return e.Crashes > 0 || e.Total > 0 }
 
 // Suspect adds a suspected crash. Several on one worker, of members of the same gang, are one.
 func (e *CrashEvidence) Suspect(c SuspectedCrash) {
@@ -57,6 +68,16 @@
 // Count counts a crash. The crashes under one run of a gang, on several workers, count once.
 func (e *CrashEvidence) Count(c SuspectedCrash) {
 	e.MaxAge = max(e.MaxAge, c.Age)
+	if len(e.Addresses) < maxCrashAddresses && !slices.Contains(e.Addresses, c.Address) {
+		e.Addresses = slices.Concat(e.Addresses, []string{c.Address}) // the stored progress shares the slice
+	}
+	if c.Accepted && e.TotalRun != c.Run {
+		e.Total++
+		e.TotalRun = c.Run
+	}
+	if c.Weight == 0 {
+		return
+	}
 	if e.Crashes == 0 || e.LastRun != c.Run {
 		e.Crashes++
 		e.LastRun, e.LastWeight, e.LastStart = c.Run, 0, false
