Simplify how a rejected commit is isolated, and keep obsolete rows in one place

No behavior changes, except that rows which the store has rejected as a commit of their own are not sent a second time before they are isolated.

The path of a rejection passed a flag and an empty record to tell which of its steps were due; now each step is a function. The rows of earlier owners that have to be removed were kept in the index of job batches, also those of progress, which are no batches; they are in the index of rows now. The keys of a value's parts were built in three loops.

--- a/internal/cluster/coordinator/batches.go
+++ b/internal/cluster/coordinator/batches.go
@@ -23,8 +23,6 @@
 	mu    sync.Mutex
 	next  int64                // number of the last batch that this owner has written
 	byJob map[string]*jobBatch // batches by the ids of their jobs
-	// empty lists the rows of jobs that had all ended before this owner's term; they have to be removed.
-	empty []rowstore.Key
 }
 
 // jobBatch is a row with several active jobs.
@@ -96,8 +94,10 @@
 	}
 }
 
-// addStored adds a batch that an earlier owner has written. The function ended reports whether a job of it has ended.
-func (p *jobBatchIndex) addStored(key rowstore.Key, specs []*workload.Spec, ended func(id string) bool) {
+// addStored adds a batch that an earlier owner has written, and reports whether any of its jobs is active. The function ended reports
+// whether a job of it has ended. Without active jobs the row has to be removed, but its jobs stay in the index, so that their states
+// are kept for this term: the index doesn't learn when the row is removed.
+func (p *jobBatchIndex) addStored(key rowstore.Key, specs []*workload.Spec, ended func(id string) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := &jobBatch{key: key, active: map[string]struct{}{}}
@@ -107,11 +107,7 @@
 		}
 	}
 	p.index(b, specs)
-	if len(b.active) == 0 {
-		// The jobs stay in the index, so that their states are kept for this term: the index doesn't learn when the row is
-		// removed.
-		p.empty = append(p.empty, key)
-	}
+	return len(b.active) > 0
 }
 
 // jobEnded records the end of a job, which may be repeated, and returns the row to remove with it: the job's own row, the batch if this was its last
@@ -150,22 +146,6 @@
 	}
 }
 
-// addEmpty adds a row that has to be removed.
-func (p *jobBatchIndex) addEmpty(k rowstore.Key) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.empty = append(p.empty, k)
-}
-
-// takeEmpty returns the empty rows to remove, each of them once.
-func (p *jobBatchIndex) takeEmpty() []rowstore.Key {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	empty := p.empty
-	p.empty = nil
-	return empty
-}
-
 // contains reports whether a job is in a batch whose row is still stored, so that the job's state must be kept.
 func (p *jobBatchIndex) contains(id string) bool {
 	p.mu.Lock()
--- a/internal/cluster/coordinator/commit.go
+++ b/internal/cluster/coordinator/commit.go
@@ -15,70 +15,64 @@
 )
 
 // write writes the rows of one commit until they are durable. It returns false if ctx has ended or the ownership is lost. If the store
-// rejects the commit, the rows are written one record after the other, so that only the one that is at fault is not stored: a job
-// must never keep the others from being stored.
+// rejects the commit, the changes are written one by one, so that only the one that is at fault is not stored: a job must never keep
+// the others from being stored.
 func (t *term) write(ctx context.Context, next commitRows) bool {
-	var c recordRows
-	for _, change := range next.changes {
-		c.append(change)
-	}
-	switch err := t.commit(ctx, c); {
-	case err == nil:
-		for _, change := range next.changes {
-			t.markStored(change)
+	err := t.commit(ctx, next.rows())
+	if err == nil {
+		for _, c := range next.changes {
+			t.markStored(c)
 		}
 		return true
-	case !errors.Is(err, rowstore.ErrRejected):
+	}
+	if !errors.Is(err, rowstore.ErrRejected) {
 		return false
 	}
-	for _, change := range next.changes {
-		if !t.writeAlone(ctx, change) {
+	if len(next.changes) == 1 {
+		return t.isolate(ctx, next.changes[0], err)
+	}
+	for _, c := range next.changes {
+		if !t.write(ctx, commitRows{changes: []recordRows{c}}) {
 			return false
 		}
 	}
 	return true
 }
 
-// writeAlone writes the rows of one change after the store has rejected a commit with them.
-func (t *term) writeAlone(ctx context.Context, c recordRows) bool {
-	err := t.commit(ctx, c)
-	if err == nil {
-		t.markStored(c)
-		return true
-	}
-	if !errors.Is(err, rowstore.ErrRejected) {
-		return false
-	}
+// isolate handles a change that the store rejects. If it holds several jobs, each gets rows of its own; a job that is still rejected
+// fails.
+func (t *term) isolate(ctx context.Context, c recordRows, cause error) bool {
 	t.log.Error("store rejects rows", zap.Int("puts", len(c.puts)), zap.Int("removes", len(c.removes)), zap.Int("bytes", c.bytes()),
-		zap.Int("jobs", len(c.records)), asynclog.Error(err))
-	if c.partOf != "" {
-		return t.writeOrFail(ctx, scheduler.Record{JobID: c.partOf}, true)
+		zap.Int("jobs", len(c.records)), asynclog.Error(cause))
+	switch {
+	case c.partOf != "":
+		return t.failUnstorable(ctx, c.partOf)
+	case len(c.records) == 1:
+		return t.failUnstorable(ctx, c.records[0].JobID)
 	}
 	for _, r := range c.records {
-		if !t.writeOrFail(ctx, r, len(c.records) == 1) {
+		t.jobBatchIndex.separate(r.JobID)
+		err := t.commitRecord(ctx, r)
+		if errors.Is(err, rowstore.ErrRejected) && t.failUnstorable(ctx, r.JobID) {
+			continue
+		}
+		if err != nil {
 			return false
 		}
 	}
 	return true
 }
 
-// writeOrFail writes the record of a job by itself, unless that was rejected already. A job that the store does not take fails: it
-// could not be handed over to a successor, which would run its tasks again.
-func (t *term) writeOrFail(ctx context.Context, r scheduler.Record, rejected bool) bool {
-	if !rejected {
-		t.jobBatchIndex.separate(r.JobID)
-		err := t.commitRecord(ctx, r)
-		if !errors.Is(err, rowstore.ErrRejected) {
-			return err == nil
-		}
-	}
-	t.log.Error("job can't be stored, it fails", zap.String("job", r.JobID))
+// failUnstorable ends a job that the store does not take as failed: it could not be handed over to a successor, which would run its
+// tasks again.
+func (t *term) failUnstorable(ctx context.Context, id string) bool {
+	t.log.Error("job can't be stored, it fails", zap.String("job", id))
 	t.mu.Lock()
-	final := t.sched.FailUnstorable(time.Now(), r.JobID)
+	final := t.sched.FailUnstorable(time.Now(), id)
 	t.mu.Unlock()
 	err := t.commitRecord(ctx, final)
 	if errors.Is(err, rowstore.ErrRejected) {
-		t.log.Error("state of a failed job can't be stored", zap.String("job", r.JobID), asynclog.Error(err))
+		t.log.Error("state of a failed job can't be stored", zap.String("job", id), asynclog.Error(err))
 		return true
 	}
 	return err == nil
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -185,7 +185,8 @@
 	sentAt := ex.ownerTime(r.SentAt)
 	t.meters.renewals.Record("answered", sentAt)
 	applied := t.sched.HandleReport(now, scheduler.Report{
-		Worker: worker, Incarnation: r.Incarnation, SentAt: sentAt, LeaseUntil: ex.leaseEnd(r.LeaseUntil), Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded,
+		Worker: worker, Incarnation: r.Incarnation, SentAt: sentAt, LeaseUntil: ex.leaseEnd(r.LeaseUntil),
+		Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded,
 	})
 	for _, end := range applied {
 		t.meters.ends.Record(end.Outcome, end.OrderedAt)
--- a/internal/cluster/coordinator/expiry.go
+++ b/internal/cluster/coordinator/expiry.go
@@ -70,11 +70,7 @@
 	for _, id := range ids {
 		for alternative := range records.AlternativePartitions {
 			job, cancel := records.JobKey(id, alternative), records.CancelKey(id, alternative)
-			keys := append(byPartition[job.Partition], job, cancel)
-			for part := 1; part < parts[id]; part++ {
-				keys = append(keys, records.PartKey(job, part))
-			}
-			byPartition[job.Partition] = keys
+			byPartition[job.Partition] = append(append(byPartition[job.Partition], records.PartKeys(job, 0, max(parts[id], 1))...), cancel)
 		}
 	}
 	for _, partition := range slices.Sorted(maps.Keys(byPartition)) {
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -78,9 +78,9 @@
 		if ended[id] == nil {
 			continue
 		}
-		t.jobBatchIndex.addEmpty(records.ProgressKey(id))
+		t.rows.obsolete = append(t.rows.obsolete, records.ProgressKey(id))
 		for _, n := range p.StoredChunks {
-			t.jobBatchIndex.addEmpty(records.ProgressChunkKey(id, n))
+			t.rows.obsolete = append(t.rows.obsolete, records.ProgressChunkKey(id, n))
 		}
 	}
 }
@@ -127,7 +127,9 @@
 		t.log.Error("active jobs can't be read", zap.String("row", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
 		return nil
 	}
-	t.jobBatchIndex.addStored(r.Key, specs, t.sched.HasJob)
+	if !t.jobBatchIndex.addStored(r.Key, specs, t.sched.HasJob) {
+		t.rows.obsolete = append(t.rows.obsolete, r.Key)
+	}
 	for _, spec := range specs {
 		if err := spec.Validate(); err != nil {
 			t.log.Error("active job can't be used", zap.String("job", spec.ID), zap.String("row", r.Name), asynclog.Error(err))
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -178,10 +178,7 @@
 		}
 		changes = append(changes, c)
 	}
-	for _, k := range t.jobBatchIndex.takeEmpty() {
-		changes = append(changes, t.rows.remove(k))
-	}
-	return append(changes, others...), true
+	return slices.Concat(changes, t.rows.removeObsolete(), others), true
 }
 
 // encodeRecord returns the rows of one record, in one or more groups that separate commits may write in this order. The last group
--- a/internal/cluster/coordinator/rows.go
+++ b/internal/cluster/coordinator/rows.go
@@ -32,6 +32,15 @@
 	cr.bytes += c.bytes()
 }
 
+// rows returns the rows of all changes.
+func (cr *commitRows) rows() recordRows {
+	var all recordRows
+	for _, c := range cr.changes {
+		all.append(c)
+	}
+	return all
+}
+
 // recordRows holds the rows of one record, or of the records in one batch, which one commit has to write together.
 type recordRows struct {
 	puts    []rowstore.Put
@@ -69,6 +78,7 @@
 type rowIndex struct {
 	maxBytes int                  // of a row's value
 	parts    map[rowstore.Key]int // values with more than one row
+	obsolete []rowstore.Key       // stored values of jobs that had all ended before this owner's term; they have to be removed
 }
 
 func newRowIndex(maxBytes int) *rowIndex {
@@ -87,19 +97,24 @@
 // put returns the rows that replace a value, and the removal of rows that it no longer needs.
 func (x *rowIndex) put(k rowstore.Key, value []byte) recordRows {
 	c := recordRows{puts: records.Split(k, value, x.maxBytes)}
-	for i := len(c.puts); i < x.parts[k]; i++ {
-		c.removes = append(c.removes, records.PartKey(k, i))
-	}
+	c.removes = records.PartKeys(k, len(c.puts), x.parts[k])
 	x.note(k, len(c.puts))
 	return c
 }
 
 // remove returns the removal of all rows of a value.
 func (x *rowIndex) remove(k rowstore.Key) recordRows {
-	c := recordRows{removes: []rowstore.Key{k}}
-	for i := 1; i < x.parts[k]; i++ {
-		c.removes = append(c.removes, records.PartKey(k, i))
-	}
+	c := recordRows{removes: records.PartKeys(k, 0, max(x.parts[k], 1))}
 	delete(x.parts, k)
 	return c
 }
+
+// removeObsolete returns the removal of each obsolete value, once.
+func (x *rowIndex) removeObsolete() []recordRows {
+	var out []recordRows
+	for _, k := range x.obsolete {
+		out = append(out, x.remove(k))
+	}
+	x.obsolete = nil
+	return out
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -202,7 +202,8 @@
 	}
 	r.recordAnswer(answer)
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, Report: &Report{
-		Incarnation: max(answer.Incarnation, info.Incarnation), SentAt: sentAt, LeaseUntil: leaseUntil, Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded,
+		Incarnation: max(answer.Incarnation, info.Incarnation), SentAt: sentAt, LeaseUntil: leaseUntil,
+		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded,
 	}})
 	last := int64(0)
 	for _, e := range answer.Ended {
--- a/internal/cluster/records/parts.go
+++ b/internal/cluster/records/parts.go
@@ -36,6 +36,15 @@
 	return k
 }
 
+// PartKeys returns the keys of the parts from first up to, but not including, end.
+func PartKeys(k rowstore.Key, first, end int) []rowstore.Key {
+	var keys []rowstore.Key
+	for part := first; part < end; part++ {
+		keys = append(keys, PartKey(k, part))
+	}
+	return keys
+}
+
 // parsePartKey returns the key of the value to which a row belongs, and the number of its part.
 func parsePartKey(k rowstore.Key) (rowstore.Key, int) {
 	name, suffix, found := strings.Cut(k.Name, partSuffix)
