--- a/internal/cluster/coordinator/batches_test.go
+++ b/internal/cluster/coordinator/batches_test.go
@@ -9,7 +9,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
-	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -19,12 +18,8 @@
 // countBatchRows returns the number of rows that hold several active jobs.
 func countBatchRows(t *testing.T, store rowstore.Store) int {
 	t.Helper()
-	rows, _, err := rowstore.ReadAll(t.Context(), store, records.ActiveJobs, election.Partition)
-	if err != nil {
-		t.Fatal(err)
-	}
 	n := 0
-	for _, r := range rows {
+	for _, r := range ownerRows(t, store, records.ActiveJobs) {
 		if records.IsJobBatch(r.Key) {
 			n++
 		}
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -204,6 +204,16 @@
 	o.NotifyJobStored(&workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(), Steps: steps})
 }
 
+// ownerRows returns the rows of a table in the owner's partition.
+func ownerRows(t *testing.T, store rowstore.Store, table string) []rowstore.Row {
+	t.Helper()
+	rows, _, err := rowstore.ReadAll(t.Context(), store, table, election.Partition)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
 // readWorkersInUse reads the stored list of the workers in use, from which a successor learns of them.
 func (o *testOwner) readWorkersInUse(t *testing.T) records.WorkersInUse {
 	t.Helper()
--- a/internal/cluster/coordinator/persist_test.go
+++ b/internal/cluster/coordinator/persist_test.go
@@ -11,7 +11,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
-	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -101,9 +100,7 @@
 				o.NotifyCancelStored(id)
 			}
 			time.Sleep(2*time.Minute + expiryInterval)
-			rows, _, err := rowstore.ReadAll(t.Context(), store, records.Ended, election.Partition)
-			So(err, ShouldBeNil)
-			So(rows, ShouldBeEmpty)
+			So(ownerRows(t, store, records.Ended), ShouldBeEmpty)
 			left := 0
 			for _, partition := range records.InboxPartitions() {
 				rows, _, err := rowstore.ReadAll(t.Context(), store, records.Inbox, partition)
--- a/internal/cluster/coordinator/rowsize_test.go
+++ b/internal/cluster/coordinator/rowsize_test.go
@@ -12,7 +12,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
-	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
@@ -128,9 +127,7 @@
 				Convey("and leaves no row of it once it is cancelled", func() {
 					next.NotifyCancelStored("large")
 					b.serve(time.Second)
-					rows, _, err := rowstore.ReadAll(t.Context(), store, records.ActiveJobs, election.Partition)
-					So(err, ShouldBeNil)
-					So(rows, ShouldBeEmpty)
+					So(ownerRows(t, store, records.ActiveJobs), ShouldBeEmpty)
 				})
 			})
 		})
@@ -189,15 +186,6 @@
 	return done
 }
 
-func countRows(t *testing.T, store rowstore.Store, table string) int {
-	t.Helper()
-	rows, _, err := rowstore.ReadAll(t.Context(), store, table, election.Partition)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(rows)
-}
-
 // Guards against a job with so many tasks that its progress does not fit into a row: the store rejected the commits of the owner and
 // of each successor until the end of the job.
 func TestProgressOfManyTasks(t *testing.T) {
@@ -215,7 +203,7 @@
 			}
 			a.serve(200 * time.Millisecond)
 			o.end()
-			So(countRows(t, store, records.Progress), ShouldBeGreaterThan, 5)
+			So(len(ownerRows(t, store, records.Progress)), ShouldBeGreaterThan, 5)
 			Convey("a successor runs the other half, tells the job as completed and leaves no progress", func() {
 				next := runOwner(t, store, o.ownership.Epoch(), workers)
 				defer next.end()
@@ -226,8 +214,8 @@
 				state, _, err := next.Lookup("many")
 				So(err, ShouldBeNil)
 				So(state, ShouldEqual, workload.Completed)
-				So(countRows(t, store, records.Progress), ShouldEqual, 0)
-				So(countRows(t, store, records.ActiveJobs), ShouldEqual, 0)
+				So(ownerRows(t, store, records.Progress), ShouldBeEmpty)
+				So(ownerRows(t, store, records.ActiveJobs), ShouldBeEmpty)
 			})
 			Convey("chunks that the owner could not remove before it ended are removed by a successor", func() {
 				value, err := workload.EncodeProgress(&workload.Progress{State: workload.Completed, Ended: time.Now()})
@@ -239,7 +227,7 @@
 				b.serve(time.Second)
 				next.submit("other", 1)
 				b.serve(time.Second)
-				So(countRows(t, store, records.Progress), ShouldEqual, 0)
+				So(ownerRows(t, store, records.Progress), ShouldBeEmpty)
 			})
 		})
 	})
--- a/internal/cluster/scheduler/dependencies_test.go
+++ b/internal/cluster/scheduler/dependencies_test.go
@@ -27,6 +27,15 @@
 	return steps
 }
 
+// independentSteps returns steps of one task that wait for no other.
+func independentSteps(n int) []workload.Step {
+	steps := make([]workload.Step, n)
+	for i := range steps {
+		steps[i] = simpleStep(1)
+	}
+	return steps
+}
+
 // Guards against an owner that stops deciding, and successors that stop as well, because it follows each of the 4^64 paths through
 // the steps of a job. Before the fix it does not end.
 func TestJobWithExponentiallyManyPathsIsPlanned(t *testing.T) {
--- a/internal/cluster/scheduler/open_test.go
+++ b/internal/cluster/scheduler/open_test.go
@@ -14,12 +14,8 @@
 func TestJobWithManyIndependentSteps(t *testing.T) {
 	Convey("Given a job with three times as many independent steps as may wait", t, func() {
 		const count = 3 * maxWaitingUnits
-		steps := make([]workload.Step, count)
-		for i := range steps {
-			steps[i] = simpleStep(1)
-		}
 		f := newFixture(1, 20)
-		f.AddJob(t0, f.job("wide", t0, steps...), nil, false)
+		f.AddJob(t0, f.job("wide", t0, independentSteps(count)...), nil, false)
 		So(len(f.Scheduler.open), ShouldEqual, maxWaitingUnits)
 		Convey("all steps run, and no plan looks at many more than may wait", func() {
 			now := t0
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -178,7 +178,7 @@
 		return false
 	}
 	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, durableState: workload.Queued, inherited: inherited, stored: inherited,
-		dependencies: newDependencies(spec.Steps)}
+		dependencies: newDependencies(spec.Steps), chunks: newChunks(spec)}
 	if !inherited {
 		s.newJobs = append(s.newJobs, j)
 		s.dirty[j] = struct{}{}
@@ -188,7 +188,6 @@
 	}
 	s.jobs[spec.ID] = j
 	j.occurrences = make([]*occurrence, spec.Occurrences())
-	j.chunks = newChunks(spec)
 	s.futureOccurrences[j] = struct{}{}
 	if progress != nil {
 		j.progressStored = true
--- a/internal/cluster/scheduler/shapes_bench_test.go
+++ b/internal/cluster/scheduler/shapes_bench_test.go
@@ -9,17 +9,10 @@
 
 // jobShapes are jobs at the limits of what callers may submit: a body of 256 KiB and workload.maxTasks tasks.
 func jobShapes() map[string][]workload.Step {
-	chain, parallel := make([]workload.Step, 20_000), make([]workload.Step, 20_000)
-	for i := range chain {
-		chain[i], parallel[i] = simpleStep(1), simpleStep(1)
-		if i > 0 {
-			chain[i].DependsOn = []int{i - 1}
-		}
-	}
 	return map[string][]workload.Step{
 		"one step of 100,000 tasks": {simpleStep(100_000)},
-		"20,000 parallel steps":     parallel,
-		"20,000 steps in a chain":   chain,
+		"20,000 parallel steps":     independentSteps(20_000),
+		"20,000 steps in a chain":   layeredSteps(20_000, 1),
 		"layers of 30 steps":        layeredSteps(100, 30),
 	}
 }
--- a/internal/cluster/scheduler/summary.go
+++ b/internal/cluster/scheduler/summary.go
@@ -21,7 +21,7 @@
 func (s *Scheduler) summarize(j *job) JobSummary {
 	last := max(len(j.occurrences)-1, 0)
 	due := j.spec.Due(last)
-	sum := JobSummary{Job: j.spec.ID, Queue: j.spec.Queue.Name, State: j.state, Took: j.endedAt.Sub(due)}
+	sum := JobSummary{Job: j.spec.ID, Queue: j.spec.Queue.Name, State: j.state, Took: j.endedAt.Sub(due), Tasks: j.chunks.tasksPerOccurrence}
 	sum.Waited = sum.Took
 	if !j.firstStart.IsZero() {
 		sum.Waited = max(j.firstStart.Sub(due), 0)
@@ -29,9 +29,6 @@
 	if last < len(j.occurrences) && j.occurrences[last] != nil {
 		sum.Objective = s.latencyObjective(j)
 	}
-	for _, step := range j.spec.Steps {
-		sum.Tasks += step.Count
-	}
 	return sum
 }
 
--- a/internal/cluster/workload/crashes.go
+++ b/internal/cluster/workload/crashes.go
@@ -65,7 +65,8 @@
 	return c, true
 }
 
-// Count counts a crash. The crashes under one run of a gang, on several workers, count once.
+// Count counts a crash. The crashes under one run of a gang, on several workers, count once. A crash of weight 0 does not point to the
+// task, so it is no evidence, but it is included in Total.
 func (e *CrashEvidence) Count(c SuspectedCrash) {
 	e.MaxAge = max(e.MaxAge, c.Age)
 	if len(e.Addresses) < maxCrashAddresses && !slices.Contains(e.Addresses, c.Address) {
