Stop only the members of a gang run that has failed

Callers saw gangs finish late: a whole run was stopped, and its work lost, although all its members worked.

Cause: the end of a member as failed stopped the run that is placed, also if the end belonged to an earlier run that had been given up. Its failure still has to count, once.

Now the end of a member stops the members of its own run only.

--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -238,7 +238,7 @@
 	case current || t.placement == nil:
 		s.saveCheckpoint(t, e.Checkpoint)
 		if t.unit.step.Gang {
-			s.stopUnit(t.unit, "another gang member ended")
+			s.stopGangRun(t.unit, e.Run, "another gang member ended")
 		}
 	}
 	return c
@@ -291,7 +291,7 @@
 	failed := &t.failedRuns
 	if u.step.Gang {
 		failed = &u.failedRuns
-		s.stopUnit(u, "a member of the gang failed")
+		s.stopGangRun(u, e.Run, "a member of the gang failed")
 	}
 	if !slices.Contains(*failed, e.Run) {
 		*failed = append(*failed, e.Run)
@@ -301,6 +301,15 @@
 	}
 }
 
+// stopGangRun stops the members of one run of a gang. Members of another run are not affected by the end of one that was given up.
+func (s *Scheduler) stopGangRun(u *unit, run int64, reason string) {
+	for _, t := range u.tasks {
+		if t.placement != nil && t.placement.run == run {
+			s.stopRun(t.placement, reason)
+		}
+	}
+}
+
 // restartDelay is the delay before a failed long-running task is restarted, so that one that fails at once does not restart
 // in a tight loop.
 const restartDelay = 200 * time.Millisecond
--- a/internal/cluster/scheduler/superseded_end_test.go
+++ b/internal/cluster/scheduler/superseded_end_test.go
@@ -257,3 +257,38 @@
 		})
 	})
 }
+
+// Guards against a gang whose run is stopped, and its work lost, because an earlier run of it that was given up has ended as failed.
+func TestFailedGangRunThatWasGivenUpStopsNothing(t *testing.T) {
+	Convey("Given a gang whose first run was given up, and whose second run is active", t, func() {
+		f := newFixture(1, 4)
+		f.queue.MaxAttempts = 2
+		gang := simpleStep(2)
+		gang.Gang, gang.MaxPerWorker = true, 1
+		f.AddJob(t0, f.job("j", t0, gang), nil, false)
+		first := f.plan(t0).Starts
+		f.cutOff(first, at(time.Second))
+		second := f.plan(at(7 * time.Second)).Starts
+		So(second, ShouldHaveLength, 2)
+		Convey("When the first run is reported as failed, the second one goes on", func() {
+			f.end(first[0], EndFailed, at(8*time.Second))
+			f.end(first[1], EndGangBroken, at(8*time.Second))
+			So(f.plan(at(8*time.Second)).Stops, ShouldBeEmpty)
+			Convey("And the failure counts once: the job fails with the failure of the second run", func() {
+				f.commit()
+				state, _ := f.Lookup("j")
+				So(state, ShouldEqual, workload.Running)
+				f.end(second[0], EndFailed, at(9*time.Second))
+				f.commit()
+				state, _ = f.Lookup("j")
+				So(state, ShouldEqual, workload.Failed)
+			})
+		})
+		Convey("When a member of the second run fails, the other one is stopped", func() {
+			f.end(second[0], EndFailed, at(8*time.Second))
+			stops := f.plan(at(8 * time.Second)).Stops
+			So(stops, ShouldHaveLength, 1)
+			So(stops[0].Task, ShouldResemble, second[1].Task)
+		})
+	})
+}
