Leave adopted runs out of the measured durations of a queue

Callers saw wrong estimates after a takeover: the expected durations of a queue fell, to a quarter at worst.

Cause: the successor measured the duration of a run that it had adopted from the report in which it first saw the run.

Now only runs that this owner has ordered are counted.

Evidence: TestDurationOfAdoptedRunIsNotRecorded failed before (takeover_test.go:189, "Expected map[q:0x45d0aad26590] to be empty (but it wasn't)!").

--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -229,7 +229,7 @@
 	switch {
 	case t.done:
 	case e.Reason == EndDone:
-		if current && !t.unit.step.LongRunning {
+		if current && !p.adopted && !t.unit.step.LongRunning { // it is not known when an adopted run began
 			s.recordDuration(t, now.Sub(p.orderedAt))
 		}
 		s.handleTaskDone(w, t, e.Run, now)
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -174,3 +174,18 @@
 		})
 	}
 }
+
+// Guards against estimates that fall after a takeover: the time for which a run has been known to the successor is not its duration.
+func TestDurationOfAdoptedRunIsNotRecorded(t *testing.T) {
+	Convey("Given a successor that has adopted a run, when the run ends as done, its duration is not recorded", t, func() {
+		g := newFixture(2, 0)
+		g.AddJob(t0, g.job("old", t0, simpleStep(1)), nil, true)
+		g.active["w0"] = []ActiveRun{{Task: workload.TaskID{Job: "old"}, Run: 7}}
+		g.addWorker("w0")
+		g.end(Start{Task: workload.TaskID{Job: "old"}, Run: 7, Worker: g.workers["w0"].info}, EndDone, at(10*time.Millisecond))
+		g.commit()
+		state, _ := g.Lookup("old")
+		So(state, ShouldEqual, workload.Completed)
+		So(g.durationRatios, ShouldBeEmpty)
+	})
+}
