Wait for owners before the previous one when it ends

Callers saw tasks run twice after two owners were lost within one outage. The first owner is cut off from the store and renews the leases of a worker for up to 8 s. The second one claims, can't reach that worker, and drains or is killed and started again. The third one saw that its direct predecessor had ended and gave the runs on that worker up after a lease, although the end of the second owner tells nothing about the first.

The list of workers in use now tells the epoch of its writer, and the workers to which an owner before the writer may still send orders. A successor applies the short wait only to workers that the direct predecessor alone may have used; for all others it waits until claim + 8 s + lease. A list of another owner or of an earlier release counts as inherited as a whole. The inherited set only shrinks, so a stale list is safe; it is written with other changes and once when it is empty, which costs one write a term. An owner that knows that its predecessor has ended leaves out the workers that only that one used, so a series of crashes does not add up to longer waits.

--- a/internal/cluster/coordinator/commit.go
+++ b/internal/cluster/coordinator/commit.go
@@ -125,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.inUse != nil {
-		t.inUse, t.storedDelegated = c.inUse, c.delegated
+		t.inUse, t.storedInherited, t.storedDelegated = c.inUse, c.inherited, c.delegated
 	}
 	t.sched.MarkStored(c.records)
 	t.requestPlan()
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -73,14 +73,18 @@
 
 // runOwnerOn is runOwner with any kind of store.
 func runOwnerOn(t *testing.T, store rowstore.Store, epoch int64, workers int) *testOwner {
+	t.Helper()
+	return runSuccessor(t, store, epoch, workers, false)
+}
+
+// runSuccessor is runOwnerOn for an owner that knows whether the process of its predecessor has ended.
+func runSuccessor(t *testing.T, store rowstore.Store, epoch int64, workers int, predecessorGone bool) *testOwner {
 	t.Helper()
 	began := time.Now()
 	o := &testOwner{store: store, clock: func() time.Duration { return time.Hour + time.Since(began) }}
 	var list fixedWorkers
 	for i := range workers {
-		id := fmt.Sprintf("w%d", i)
-		list = append(list, scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Incarnation: 1,
-			Capacity: workload.Resources{CPUMilli: 4000, MemoryMB: 4000}})
+		list = append(list, testWorker(fmt.Sprintf("w%d", i)))
 	}
 	ownership, err := election.Claim(t.Context(), store, election.Identity{Host: "owner", BootID: fmt.Sprint(epoch)},
 		election.Predecessor{Epoch: epoch}, o.clock)
@@ -96,13 +100,18 @@
 			Log: zap.NewNop(), Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(t.Context())
 	o.cancel = cancel
-	o.wg.Go(func() { _ = o.Run(ctx, ownership, func() bool { return false }) })
+	o.wg.Go(func() { _ = o.Run(ctx, ownership, func() bool { return predecessorGone }) })
 	for o.current() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	return o
 }
 
+func testWorker(id string) scheduler.WorkerInfo {
+	return scheduler.WorkerInfo{ID: id, Address: id, Service: "s", Incarnation: 1,
+		Capacity: workload.Resources{CPUMilli: 4000, MemoryMB: 4000}}
+}
+
 // end ends the term and waits until it has stopped.
 func (o *testOwner) end() {
 	o.cancel()
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -168,10 +168,14 @@
 			return err
 		}
 		t.inheritedDelegates, t.delegated, t.storedDelegated = u.Delegated, u.Delegated, u.Delegated
+		t.storedInherited = true
 		for _, id := range u.IDs {
 			t.sched.AddUnresolvedWorker(id, leasesExpireAt)
 			t.inUse[id] = true
 		}
+		for _, id := range u.InheritedBy(t.ownership.Epoch()) {
+			t.sched.InheritUnresolvedWorker(id, leasesExpireAt)
+		}
 	}
 	return nil
 }
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -59,6 +59,7 @@
 	generation int64 // of the records, as the scheduler numbers them
 	records    []scheduler.Record
 	inUse      map[string]bool // workers in use; nil if the stored row is up to date
+	inherited  []string        // those of inUse to which an earlier owner may still send orders
 	delegated  bool
 	needed     bool
 }
@@ -74,8 +75,11 @@
 		return b
 	}
 	t.inUseCheckedAt = time.Now()
-	if current := t.workersInUse(); !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated {
-		b.needed, b.inUse, b.delegated = true, current, t.delegated
+	// The set of inherited workers only shrinks. It is written with any other change, and by itself once it is empty, so that it
+	// costs one write a term.
+	current, inherited := t.workersInUse(), t.inheritedWorkers()
+	if !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated || t.storedInherited && len(inherited) == 0 {
+		b.needed, b.inUse, b.inherited, b.delegated = true, current, inherited, t.delegated
 		// Nothing may be started any more on workers that the list to be written leaves out, even if they answer again
 		// meanwhile.
 		maps.DeleteFunc(t.inUse, func(id string, _ bool) bool { return !current[id] })
@@ -136,13 +140,14 @@
 func (t *term) encodeBatch(b recordBatch) ([]recordRows, bool) {
 	changes := make([]recordRows, 0, len(b.records)+1)
 	if b.inUse != nil {
-		value, err := records.Encode(records.WorkersInUse{IDs: slices.Sorted(maps.Keys(b.inUse)), Delegated: b.delegated})
+		value, err := records.Encode(records.WorkersInUse{IDs: slices.Sorted(maps.Keys(b.inUse)), Delegated: b.delegated,
+			Epoch: t.ownership.Epoch(), Inherited: slices.Sorted(slices.Values(b.inherited))})
 		if err != nil {
 			t.log.Error("list of workers can't be encoded", asynclog.Error(err))
 			return nil, false
 		}
 		c := t.rows.put(records.WorkersInUseKey, value)
-		c.inUse, c.delegated = b.inUse, b.delegated
+		c.inUse, c.inherited, c.delegated = b.inUse, len(b.inherited) > 0, b.delegated
 		changes = append(changes, c)
 	}
 	encoded, ok := t.encodeRecords(b.records)
--- a/internal/cluster/coordinator/rows.go
+++ b/internal/cluster/coordinator/rows.go
@@ -50,8 +50,9 @@
 	records []scheduler.Record
 	// partOf is the job whose record continues in the rows that follow; "" if these are its last ones.
 	partOf string
-	// inUse is the list of workers in use that the rows hold, or nil.
+	// inUse is the list of workers in use that the rows hold, or nil. inherited means that the list names some as inherited.
 	inUse     map[string]bool
+	inherited bool
 	delegated bool
 }
 
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -64,6 +64,10 @@
 	delegated          bool
 	storedDelegated    bool
 	inheritedDelegates bool // other hosts may still act for an earlier owner
+	predecessorEnded   bool // predecessorGone has returned true
+	// storedInherited is set while the stored list of workers in use names some as inherited, or an earlier owner wrote it, so
+	// that a successor has to take all of them as inherited.
+	storedInherited bool
 
 	listConfirmedAt time.Duration // when the list of workers was up to date, on the clock that counts suspensions
 	lastListAnswer  time.Duration // when the store last answered a call for the list or its changes
@@ -231,11 +235,12 @@
 	t.sched.SuspendStarts(tooOld)
 }
 
-// updateUnresolved limits how long the scheduler waits for reports from workers of earlier owners once the previous owner has
-// ended, and logs when no such worker is left. The caller holds mu.
+// updateUnresolved limits how long the scheduler waits for reports from the previous owner's workers once that owner has ended, and
+// logs when no worker of an earlier owner is left. The caller holds mu.
 func (t *term) updateUnresolved(now time.Time) {
 	remaining := len(t.sched.UnresolvedWorkers())
 	if remaining > 0 && t.predecessorGone() {
+		t.predecessorEnded = true
 		t.sched.LimitUnresolvedLease(now.Add(t.inheritedRunLimit()))
 	}
 	if remaining == 0 && t.unresolvedWorkers > 0 {
@@ -244,7 +249,16 @@
 	t.unresolvedWorkers = remaining
 }
 
-// inheritedRunLimit returns the maximum time for which a run that an earlier owner started may go on after that owner's
+// inheritedWorkers returns the workers to which an earlier owner may still send orders: those that have not reported, without
+// the workers that only the previous owner used once that one has ended. The caller holds mu.
+func (t *term) inheritedWorkers() []string {
+	if t.predecessorEnded {
+		return t.sched.InheritedWorkers()
+	}
+	return t.sched.UnresolvedWorkers()
+}
+
+// inheritedRunLimit returns the maximum time for which a run that the previous owner started may go on after that owner's
 // process has ended.
 func (t *term) inheritedRunLimit() time.Duration {
 	bound := t.cfg.Delegate.LeaseBound()
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -126,6 +126,19 @@
 	IDs []string `json:"ids"`
 	// Delegated means that other hosts may call workers on behalf of the owner, until their permits expire.
 	Delegated bool `json:"delegated,omitempty"`
+	// Epoch is the epoch of the owner that wrote the list. Earlier releases leave it out.
+	Epoch int64 `json:"epoch,omitempty"`
+	// Inherited are those of IDs to which an owner before the writer may still have sent orders when the list was written.
+	Inherited []string `json:"inherited,omitempty"`
+}
+
+// InheritedBy returns the workers to which an owner before the previous one may still send orders, as the owner of an epoch has
+// to assume: all workers, unless the previous owner wrote the list.
+func (u WorkersInUse) InheritedBy(epoch int64) []string {
+	if u.Epoch != epoch-1 || u.Epoch == 0 {
+		return u.IDs
+	}
+	return u.Inherited
 }
 
 // Encode encodes v as the value of a row.
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -62,11 +62,9 @@
 	// a job and of its cancellation may be read in any order.
 	cancelled map[string]time.Time
 
-	// unresolved maps the IDs of workers that may still run tasks of an earlier owner to the time at which the leases of
-	// these tasks have expired at the latest.
-	unresolved map[string]time.Time
-	silences   map[string]*silence // by ID of a worker that does not answer
-	crashes    []crash             // within silenceRetention
+	unresolved map[string]unresolvedWorker // by ID of a worker that may still run tasks of an earlier owner
+	silences   map[string]*silence         // by ID of a worker that does not answer
+	crashes    []crash                     // within silenceRetention
 	// riskyQueues maps the names of queues with tasks that crashed workers to the time until which their tasks count as risky.
 	riskyQueues map[string]time.Time
 
@@ -96,7 +94,7 @@
 		changedUnits:      map[*unit]struct{}{},
 		futureOccurrences: map[*job]struct{}{},
 		cancelled:         map[string]time.Time{},
-		unresolved:        map[string]time.Time{},
+		unresolved:        map[string]unresolvedWorker{},
 		silences:          map[string]*silence{},
 		riskyQueues:       map[string]time.Time{},
 		withPendingAcks:   map[*worker]struct{}{},
@@ -122,15 +120,39 @@
 // SuspendStarts sets whether plans start no runs. They still stop runs, and the policy service is still asked.
 func (s *Scheduler) SuspendStarts(suspended bool) { s.suspended = suspended }
 
-// AddUnresolvedWorker registers a worker on which an earlier owner may have started tasks. Until the worker has reported or
-// expiresAt has passed, the scheduler starts no task that the earlier owner may have started.
+// unresolvedWorker is a worker that has not reported to this owner and may still run tasks of an earlier one.
+type unresolvedWorker struct {
+	expiresAt time.Time // when the leases of these tasks have expired at the latest
+	// inherited means that an owner before the previous one may still extend these leases.
+	inherited bool
+}
+
+// AddUnresolvedWorker registers a worker on which the previous owner, but none before it, may have started tasks that still run.
+// Until the worker has reported or expiresAt has passed, the scheduler starts no task that an earlier owner may have started.
 func (s *Scheduler) AddUnresolvedWorker(workerID string, expiresAt time.Time) {
-	s.unresolved[workerID] = expiresAt
+	s.unresolved[workerID] = unresolvedWorker{expiresAt: expiresAt}
+}
+
+// InheritUnresolvedWorker is AddUnresolvedWorker for a worker to which an owner before the previous one may still send orders.
+// The end of the previous owner tells nothing about that one, so LimitUnresolvedLease does not apply to the worker.
+func (s *Scheduler) InheritUnresolvedWorker(workerID string, expiresAt time.Time) {
+	s.unresolved[workerID] = unresolvedWorker{expiresAt: expiresAt, inherited: true}
 }
 
 // UnresolvedWorkers returns the IDs of the workers that may run tasks of an earlier owner and have not reported yet.
 func (s *Scheduler) UnresolvedWorkers() []string { return slices.Collect(maps.Keys(s.unresolved)) }
 
+// InheritedWorkers returns the IDs of the unresolved workers to which an owner before the previous one may still send orders.
+func (s *Scheduler) InheritedWorkers() []string {
+	var ids []string
+	for id, u := range s.unresolved {
+		if u.inherited {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // WorkersInUse returns the IDs of the workers that may run a task now or get one soon. A successor waits for the reports of
 // these workers, so a worker that is lost or draining is left out as soon as nothing can run on it any more.
 func (s *Scheduler) WorkersInUse() []string {
@@ -143,11 +165,12 @@
 	return used
 }
 
-// LimitUnresolvedLease records that the leases of all runs that earlier owners started expire at expiresAt at the latest.
+// LimitUnresolvedLease records that the leases of all runs that the previous owner started expire at expiresAt at the latest.
 func (s *Scheduler) LimitUnresolvedLease(expiresAt time.Time) {
-	for id, before := range s.unresolved {
-		if expiresAt.Before(before) {
-			s.unresolved[id] = expiresAt
+	for id, u := range s.unresolved {
+		if !u.inherited && expiresAt.Before(u.expiresAt) {
+			u.expiresAt = expiresAt
+			s.unresolved[id] = u
 		}
 	}
 }
@@ -157,15 +180,16 @@
 // extendUnresolved keeps a worker unresolved whose report was incomplete: runs of an earlier owner may have ended there that it has
 // not listed yet.
 func (s *Scheduler) extendUnresolved(workerID string, until time.Time) {
-	if expiresAt, unresolved := s.unresolved[workerID]; unresolved && until.After(expiresAt) {
-		s.unresolved[workerID] = until
+	if u, unresolved := s.unresolved[workerID]; unresolved && until.After(u.expiresAt) {
+		u.expiresAt = until
+		s.unresolved[workerID] = u
 	}
 }
 
 // expireUnresolved removes the unresolved workers on which the runs of earlier owners have expired.
 func (s *Scheduler) expireUnresolved(now time.Time) {
-	for id, expiresAt := range s.unresolved {
-		if now.After(expiresAt) {
+	for id, u := range s.unresolved {
+		if now.After(u.expiresAt) {
 			delete(s.unresolved, id)
 		}
 	}
