Test that an earlier term of the same process is over

It can't: calls of delegates are checked against the epoch and the session, Run returns only after the agent's calls have ended, commits and offers of the earlier term fail, and MarkLost and LeaseValid belong to the ownership of one term.

--- a/internal/cluster/coordinator/owners_test.go
+++ b/internal/cluster/coordinator/owners_test.go
@@ -1,15 +1,19 @@
 package coordinator
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 )
 
 // successorOf returns a loaded term that replaces o, whose process has ended. The term is not run.
@@ -97,3 +101,55 @@
 	So(o.readWorkersInUse(t).IDs, ShouldResemble, ids)
 	o.end()
 }
+
+// Guards against a process that owns the workers again and still acts by its earlier term: delegates that present the earlier
+// epoch get no orders and deliver no events, and the earlier term's own agent sends no calls.
+func TestEarlierTermOfSameProcessIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a process that owns the workers with epochs 1 and 3, and another one with epoch 2", t, func() {
+			store := rowstore.NewMemory()
+			o := runOwner(t, store, 0, 1)
+			earlier := o.testDelegate(t, "a")
+			earlier.awaitOneStart()
+			between, err := election.Claim(t.Context(), store, election.Identity{Host: "other", BootID: "other"}, election.Predecessor{Epoch: 1}, o.clock)
+			So(err, ShouldBeNil)
+			So(between.Epoch(), ShouldEqual, 2)
+			o.wg.Wait() // the next commit of epoch 1 finds that it is lost
+			So(o.Epoch(), ShouldEqual, 0)
+			first := o.ownership
+			again, err := election.Claim(t.Context(), store, election.Identity{Host: "owner", BootID: "0"}, election.Predecessor{Epoch: 2}, o.clock)
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithCancel(t.Context())
+			o.cancel, o.ownership = cancel, again
+			o.wg.Go(func() { _ = o.Run(ctx, again, func() bool { return true }) })
+			defer o.end()
+			time.Sleep(time.Second)
+			So(o.Epoch(), ShouldEqual, 3)
+			Convey("The earlier term's ownership stays lost, and an offer of it starts no claim", func() {
+				So(first.LeaseValid(), ShouldBeFalse)
+				So(errors.Is(first.Commit(t.Context(), nil, nil), election.ErrLost), ShouldBeTrue)
+				_, err := election.Claim(t.Context(), store, election.Identity{Host: "other", BootID: "other"},
+					election.Predecessor{Epoch: 3, LastSeq: first.LastSeq()}, o.clock)
+				So(errors.Is(err, election.ErrLost), ShouldBeTrue)
+			})
+			Convey("A delegate of the earlier term gets no orders and its events are void", func() {
+				_, err := o.FetchOrders(t.Context(), delegate.OrdersRequest{Host: "a", Session: earlier.session, Epoch: 1, After: earlier.after, Now: o.clock()})
+				So(errors.Is(err, delegate.ErrSessionEnded), ShouldBeTrue)
+				err = o.DeliverEvents(delegate.EventBatch{Host: "a", Session: earlier.session, Epoch: 1, First: earlier.sent + 1,
+					Events: []delegate.Event{earlier.startedEvent(earlier.starts[0], scheduler.StartAccepted)}})
+				So(errors.Is(err, delegate.ErrSessionEnded), ShouldBeTrue)
+			})
+			Convey("A session of the earlier term does not continue under the new epoch", func() {
+				_, err := o.FetchOrders(t.Context(), delegate.OrdersRequest{Host: "a", Session: earlier.session, Epoch: 3, After: earlier.after, Now: o.clock()})
+				So(errors.Is(err, delegate.ErrSessionEnded), ShouldBeTrue)
+			})
+			Convey("The inherited task waits for the worker, and its next run has a higher number than all of earlier terms", func() {
+				later := o.testDelegate(t, "b")
+				later.serve(2 * time.Second)
+				So(later.starts, ShouldHaveLength, 1)
+				So(later.starts[0].Task, ShouldResemble, earlier.starts[0].Task)
+				So(later.starts[0].Run, ShouldBeGreaterThan, earlier.starts[0].Run)
+			})
+		})
+	})
+}
