Ignore rows of expired jobs that the feed delivers late

Callers saw a job run again after its end. While the change feed of the inbox is away, jobs still arrive through the frontends' calls, run, end, and their rows are removed after the retention. When the feed is back it delivers the row and its removal together, and the owner, which had forgotten the job, took the row as a new one and started it with run 1 again. That needs an outage of the feed alone that lasts longer than status_s.

The owner now keeps the ids of the jobs whose rows it removes until the feed has delivered the removal, which comes after all rows of the job, or until the table was read again.

--- a/internal/cluster/coordinator/expiry.go
+++ b/internal/cluster/coordinator/expiry.go
@@ -40,6 +40,11 @@
 	if len(ids) == 0 {
 		return
 	}
+	t.mu.Lock()
+	for _, id := range ids {
+		t.expired[id] = true
+	}
+	t.mu.Unlock()
 	if err := t.removeInboxRows(ctx, ids, parts); err != nil {
 		t.log.Warn("inbox rows of ended jobs can't be removed, trying again later", zap.Int("jobs", len(ids)), asynclog.Error(err))
 		return
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -207,8 +207,13 @@
 	}
 }
 
-// Snapshot implements rowstore.Handler for the inbox.
-func (t *term) Snapshot(rows []rowstore.Row) { t.Apply(rows) }
+// Snapshot implements rowstore.Handler for the inbox. The feed that follows repeats no row of a job that expired before.
+func (t *term) Snapshot(rows []rowstore.Row) {
+	t.Apply(rows)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.expired)
+}
 
 // Apply implements rowstore.Handler for the inbox.
 func (t *term) Apply(rows []rowstore.Row) {
@@ -226,13 +231,17 @@
 	for _, row := range rows {
 		r, whole := t.inbox.Add(row)
 		_, cancelled := records.CancelledJob(r.Key)
-		if !whole || cancelled || r.Deleted {
+		if !whole || cancelled {
+			continue
+		}
+		if r.Deleted {
+			delete(t.expired, r.Name)
 			continue
 		}
 		if r.Parts > 1 {
 			t.inboxParts[r.Name] = r.Parts
 		}
-		if t.sched.HasJob(r.Name) {
+		if t.sched.HasJob(r.Name) || t.expired[r.Name] {
 			continue
 		}
 		spec, err := decodeJob(r.Row)
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -59,6 +59,9 @@
 	rows          *rowIndex      // of the values in the owner's partition
 	inbox         records.Joiner // rows of jobs that have not arrived as a whole
 	inboxParts    map[string]int // by job: how many rows it has in the inbox, if that is more than one
+	// expired holds the jobs whose inbox rows this owner removes or has removed, until the change feed has delivered the removal.
+	// Up to then it may still deliver the rows themselves, which are not new jobs.
+	expired map[string]bool
 	// delegated is set if other hosts may act for this owner, or may still act for an earlier one. A successor has to wait
 	// until their permits have expired, so no worker is assigned to a host before the flag is stored.
 	delegated          bool
@@ -90,7 +93,7 @@
 		log:           c.deps.Log.With(zap.Int64("epoch", ownership.Epoch())),
 		sched:         scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention}),
 		inUse:         map[string]bool{},
-		jobBatchIndex: newJobBatchIndex(), rows: newRowIndex(c.cfg.maxValueBytes()), inboxParts: map[string]int{},
+		jobBatchIndex: newJobBatchIndex(), rows: newRowIndex(c.cfg.maxValueBytes()), inboxParts: map[string]int{}, expired: map[string]bool{},
 		meters:        newMeters(c.deps.Metrics),
 		pressure:      pressure{processors: c.cfg.Processors, used: c.deps.ProcessorTime},
 		startedAt:     time.Now(),
