--- a/internal/cluster/coordinator/owners_test.go
+++ b/internal/cluster/coordinator/owners_test.go
@@ -94,6 +94,25 @@
 	})
 }
 
+// Guards against runs that are given up while delegates of an owner in a series still renew their leases: owners without delegates
+// follow, write the list of workers, and the flag is lost.
+func TestDelegatesOfEarlierOwnersAreNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner with a delegate, and a second owner without one that writes the list of workers", t, func() {
+			store := rowstore.NewMemory()
+			runUntilListed(t, runOwner(t, store, 0, 1), "w0")
+			second := runOwner(t, store, 1, 0)
+			time.Sleep(20 * time.Second)
+			So(second.readWorkersInUse(t), ShouldResemble, records.WorkersInUse{Delegated: true, Epoch: 2})
+			second.end()
+			Convey("A third one allows for the permits of the first owner's delegates", func() {
+				next := successorOf(t, second, 2)
+				So(next.inheritedRunLimit(), ShouldEqual, next.cfg.Delegate.LeaseBound()+delegate.PermitLimit)
+			})
+		})
+	})
+}
+
 // runUntilListed runs an owner with a delegate until its list of workers in use names exactly these, and ends it.
 func runUntilListed(t *testing.T, o *testOwner, ids ...string) {
 	t.Helper()
