Count another worker's answer as the end of exactly the incarnation that was called there last

What callers see: a task runs twice. The runs of a worker that is only cut off are given up with cause "replaced" while its lease has seconds left, and start elsewhere.

Cause: confirmReplaced compared the address of a silence with that of any worker that answers. It did not ask whether the other worker had answered there before (an address behind a proxy, two entries with one address, an entry with the address of another worker), whether it had started later, or whether the silent worker was still called at that address and still the same incarnation. A silence that an earlier owner stored resolved a worker that is listed at another address.

Why it works: an address belongs to one process at a time, so only a process that answers there for the first time after the silence began, and started after the silent one, follows it. Its answer ends the incarnation that fell silent there, and only if the list has given that incarnation no other address. All else waits for the lease. A worker that is back after a crash has all these marks.

--- /dev/null
+++ b/internal/cluster/scheduler/evidence_test.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// list adds or updates the entry of a worker.
+func (f *fixture) list(now time.Time, id, address string, incarnation int64) {
+	f.UpsertWorker(now, WorkerInfo{ID: id, Service: testService, Address: address, Rack: "r1", Incarnation: incarnation,
+		Capacity: workload.Resources{CPUMilli: 10_000, MemoryMB: 10_000}})
+}
+
+// placedOn returns a fixture with one worker, w0 at address a, that answers and runs the only task of a job.
+func placedOn(incarnation int64) (*fixture, Start) {
+	f := newFixture(1, 0)
+	f.list(t0, "w0", "a", incarnation)
+	f.report("w0", t0)
+	f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+	return f, f.plan(t0).Starts[0]
+}
+
+// Guards against runs of a living worker that are given up early because of what answers at an address: it shows the end of an
+// incarnation only if that was called at the address last, and the other worker was not there before.
+func TestAnswersOfOtherWorkersThatShowNoEnd(t *testing.T) {
+	Convey("Given a worker with a run that stops answering", t, func() {
+		f, s := placedOn(10)
+		lease := at(6 * time.Second)
+		silent := func() { f.MarkUnreachable(at(time.Second), "w0", lease) }
+		expectKept := func(now time.Time) {
+			f.plan(now)
+			So(f.TakeWorkerLosses(), ShouldBeEmpty)
+			So(f.workers["w0"].findPlacement(s.Task, s.Run), ShouldNotBeNil)
+		}
+		Convey("A later process at its address shows the end", func() {
+			silent()
+			f.list(at(3*time.Second), "w1", "a", 20)
+			f.report("w1", at(3*time.Second))
+			losses := f.TakeWorkerLosses()
+			So(losses, ShouldHaveLength, 1)
+			So(losses[0].Cause, ShouldEqual, LossReplaced)
+		})
+		Convey("A process that started before it does not", func() {
+			silent()
+			f.list(at(3*time.Second), "w1", "a", 5)
+			f.report("w1", at(3*time.Second))
+			expectKept(at(3 * time.Second))
+		})
+		Convey("A worker that shares the address and answered beside it does not", func() {
+			f.list(t0, "w1", "a", 20)
+			f.report("w1", at(500*time.Millisecond))
+			f.report("w0", at(600*time.Millisecond))
+			silent()
+			f.report("w1", at(2*time.Second))
+			expectKept(at(2 * time.Second))
+		})
+		Convey("An answer at the address that it has left does not", func() {
+			silent()
+			f.list(at(2*time.Second), "w0", "b", 10)
+			f.list(at(3*time.Second), "w1", "a", 20)
+			f.report("w1", at(3*time.Second))
+			expectKept(at(3 * time.Second))
+		})
+		Convey("An answer at the address of another worker, which an odd entry gives it, does not", func() {
+			f.list(at(500*time.Millisecond), "w1", "b", 20)
+			f.list(at(600*time.Millisecond), "w0", "b", 10)
+			silent()
+			f.report("w1", at(2*time.Second))
+			expectKept(at(2 * time.Second))
+		})
+	})
+}
+
+// Guards against tasks that a successor starts although they run on, because the silence that an earlier owner stored names an address
+// at which the worker is not called any more.
+func TestStoredSilenceAtAnotherAddressResolvesNothing(t *testing.T) {
+	Convey("Given a successor with a stored silence, and the silent worker, which drains and is listed at another address", t, func() {
+		f := newFixture(2, 0)
+		f.AddUnresolvedWorker("w0", at(10*time.Second))
+		progress := &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{{Crash: &workload.CrashEvidence{
+			Suspected: []workload.SuspectedCrash{{Worker: "w0", Address: "a", Incarnation: 10, Run: 1, Weight: promptWeight, Since: t0}}}}}}
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), progress, true)
+		f.UpsertWorker(t0, WorkerInfo{ID: "w0", Service: testService, Address: "b", Incarnation: 10, Draining: true, DrainRemaining: time.Minute})
+		f.MarkUnreachable(t0, "w0", at(5*time.Second))
+		Convey("The answer of another worker at the stored address does not resolve it", func() {
+			f.list(at(time.Second), "w1", "a", 20)
+			f.report("w1", at(time.Second))
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			So(f.UnresolvedWorkers(), ShouldContain, "w0")
+		})
+	})
+}
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -88,20 +88,43 @@
 	}
 }
 
-// confirmReplaced handles an answer of a worker that was requested at requestedAt: other workers that were listed at its address and
-// had stopped answering before are gone, and so are their runs. A worker that is back after a crash usually has a new ID.
+// confirmReplaced handles an answer of a worker that was requested at requestedAt: workers that it has replaced at its address are gone,
+// and so are their runs. A worker that is back after a crash usually has a new ID.
 func (s *Scheduler) confirmReplaced(by *worker, requestedAt, now time.Time) {
+	by.noteAnswer(requestedAt)
 	for id, l := range s.silences {
-		if id == by.info.ID || l.address != by.info.Address || l.since.After(requestedAt) {
+		if id == by.info.ID || !by.replaced(l) {
 			continue
 		}
-		s.confirmCrash(id, now)
-		if w := s.workers[id]; w != nil && w.unreachable {
+		w := s.workers[id]
+		if w == nil || l.incarnation < w.info.Incarnation {
+			s.confirmCrash(id, now) // nothing that is known to run belongs to the silent incarnation
+			continue
+		}
+		if w.unreachable && w.calledOnlyAt(l.address) && l.incarnation == w.info.Incarnation {
+			s.confirmCrash(id, now)
 			s.resetWorker(w, LossReplaced, now)
 		}
 	}
 }
 
+// replaced reports whether the answers of w show that the silent incarnation has ended. An address belongs to one process at a time, so
+// a process that answers there for the first time after the silence began, and that started after the silent one, follows it. One that
+// answered there before shares the address, by a proxy or an odd entry, and shows nothing.
+func (w *worker) replaced(l *silence) bool {
+	return w.calledOnlyAt(l.address) && !w.firstAnswer.Before(l.since) && w.info.Incarnation > l.incarnation
+}
+
+// calledOnlyAt reports whether all calls to the present incarnation of the worker went to the address, as far as this owner knows.
+func (w *worker) calledOnlyAt(address string) bool { return w.info.Address == address && !w.moved }
+
+// noteAnswer notes when an answer of the worker's present incarnation was requested.
+func (w *worker) noteAnswer(requestedAt time.Time) {
+	if w.answeredAs != w.info.Incarnation || w.firstAnswer.IsZero() {
+		w.answeredAs, w.firstAnswer = w.info.Incarnation, requestedAt
+	}
+}
+
 // expireSilences forgets crashes, and drops the silences of workers that did not come back.
 func (s *Scheduler) expireSilences(now time.Time) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.since) > silenceRetention })
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -31,6 +31,9 @@
 	fenced         bool               // it has reported to this owner, so it rejects orders of earlier owners
 	unreachable    bool               // it did not answer the last call
 	silentSince    time.Time          // when the first call without an answer failed; zero while it answers
+	answeredAs     int64              // the incarnation that firstAnswer belongs to
+	firstAnswer    time.Time          // when the first answer of the incarnation to this owner was requested; zero before
+	moved          bool               // the list has given the incarnation another address than before
 	leaseUntil     time.Time          // when all runs on it have stopped unless the lease is renewed
 	shutdownAt     time.Time          // when a draining worker shuts down
 	used           workload.Resources // by its placements
@@ -170,7 +173,10 @@
 	if info.Incarnation > w.info.Incarnation {
 		s.resetWorker(w, LossRestarted, now)
 	}
-	wasDraining := w.info.Draining && w.info.Incarnation == info.Incarnation
+	sameIncarnation := w.info.Incarnation == info.Incarnation
+	// A process keeps its address. With two of them, nobody knows which one a call has reached.
+	w.moved = sameIncarnation && (w.moved || w.info.Address != info.Address)
+	wasDraining := w.info.Draining && sameIncarnation
 	w.info = info
 	w.info.Draining = info.Draining || wasDraining
 	w.reserveForUnknownRuns()
@@ -206,6 +212,7 @@
 func (s *Scheduler) resetWorker(w *worker, cause LossCause, now time.Time) {
 	s.recordLoss(w, w.placements, cause, now)
 	if cause == LossRestarted {
+		w.moved = false
 		if s.silences[w.info.ID] == nil {
 			s.beginSilence(w, now)
 		}
