Believe a misdirected call only at the one address at which the incarnation has answered

What callers see: tasks run twice. The runs of a living worker are given up with cause "process ended" while its lease has seconds left.

Cause: a status 421 ended the incarnation that was called, whichever address the call went to. An entry that gives a worker the address of another one (an odd entry, or one that was read while addresses changed) makes that other worker reject the calls with 421, and so does a proxy that spreads the calls to one address over two workers. A successor believed it of a worker that had never answered it, and started the tasks that the worker ran by order of the earlier owner.

Why it works: where an incarnation has answered this owner, at the only address that the list has given it, and no other worker answered there meanwhile, only a later process can reject the call. Otherwise the runs wait for their lease, or for an answer of the later process itself, which resolves the workers of an earlier owner as before. An incarnation whose end is known starts without answers, so that its past answers don't make the address look shared.

--- a/internal/cluster/scheduler/evidence_test.go
+++ b/internal/cluster/scheduler/evidence_test.go
@@ -94,3 +94,70 @@
 		})
 	})
 }
+
+// Guards against runs of a living worker that are given up early because another worker rejects a call to it: the call may have gone
+// to an address that is not the worker's, or that several workers share.
+func TestMisdirectedCallsThatShowNoEnd(t *testing.T) {
+	Convey("Given a worker with a run", t, func() {
+		f, s := placedOn(10)
+		misdirected := func(now time.Time) {
+			f.MarkUnreachable(now, "w0", at(6*time.Second))
+			f.MarkEnded(now, "w0", 10)
+		}
+		expectKept := func(now time.Time) {
+			f.plan(now)
+			So(f.TakeWorkerLosses(), ShouldBeEmpty)
+			So(f.workers["w0"].findPlacement(s.Task, s.Run), ShouldNotBeNil)
+		}
+		Convey("A call that another worker rejects at its only address shows the end", func() {
+			misdirected(at(time.Second))
+			So(f.TakeWorkerLosses()[0].Cause, ShouldEqual, LossEnded)
+		})
+		Convey("A call to the address that a later entry gives it does not", func() {
+			f.list(at(500*time.Millisecond), "w0", "b", 10)
+			misdirected(at(time.Second))
+			expectKept(at(time.Second))
+			Convey("nor after the entry has the first address again: the call may have gone to the other one", func() {
+				f.list(at(2*time.Second), "w0", "a", 10)
+				misdirected(at(2 * time.Second))
+				expectKept(at(2 * time.Second))
+			})
+		})
+		Convey("A call to an address that it shares with a worker that answers beside it does not", func() {
+			f.list(t0, "w1", "a", 20)
+			f.report("w1", at(100*time.Millisecond))
+			f.report("w0", at(200*time.Millisecond))
+			misdirected(at(time.Second))
+			expectKept(at(time.Second))
+		})
+		Convey("A call after its runs have expired and another worker has answered there shows the end of that one", func() {
+			f.MarkUnreachable(at(time.Second), "w0", at(6*time.Second))
+			f.list(at(3*time.Second), "w1", "a", 20)
+			f.report("w1", at(3*time.Second))
+			So(f.TakeWorkerLosses(), ShouldHaveLength, 1)
+			So(f.plan(at(3*time.Second)).Starts, ShouldHaveLength, 1)
+			f.MarkUnreachable(at(4*time.Second), "w1", at(9*time.Second))
+			f.MarkEnded(at(6*time.Second), "w1", 20)
+			So(f.TakeWorkerLosses()[0].Cause, ShouldEqual, LossEnded)
+		})
+	})
+	Convey("Given a successor, and a worker that has not answered it yet", t, func() {
+		f := newFixture(2, 0)
+		f.AddUnresolvedWorker("w0", at(10*time.Second))
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, true)
+		f.list(t0, "w0", "a", 10)
+		f.list(t0, "w1", "b", 10)
+		f.report("w1", t0)
+		f.MarkUnreachable(at(time.Second), "w0", at(6*time.Second))
+		Convey("A call to the listed address that another worker rejects does not resolve it", func() {
+			f.MarkEnded(at(time.Second), "w0", 10)
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			So(f.UnresolvedWorkers(), ShouldContain, "w0")
+		})
+		Convey("The answer of a later process at that address does", func() {
+			f.list(at(3*time.Second), "w2", "a", 20)
+			f.report("w2", at(3*time.Second))
+			So(f.plan(at(3*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -118,10 +118,25 @@
 // calledOnlyAt reports whether all calls to the present incarnation of the worker went to the address, as far as this owner knows.
 func (w *worker) calledOnlyAt(address string) bool { return w.info.Address == address && !w.moved }
 
-// noteAnswer notes when an answer of the worker's present incarnation was requested.
+// sharesAddress reports whether another worker has answered at the worker's address between two answers of the worker, or the reverse.
+func (s *Scheduler) sharesAddress(w *worker) bool {
+	return slices.ContainsFunc(s.sortedWorkers, func(o *worker) bool {
+		return o != w && o.info.Address == w.info.Address && o.answered() && o.lastAnswer.After(w.firstAnswer) && w.lastAnswer.After(o.firstAnswer)
+	})
+}
+
+// answered reports whether the worker's present incarnation has answered this owner.
+func (w *worker) answered() bool {
+	return !w.firstAnswer.IsZero() && w.answeredAs == w.info.Incarnation
+}
+
+// noteAnswer notes an answer of the worker's present incarnation that was requested at the given time.
 func (w *worker) noteAnswer(requestedAt time.Time) {
-	if w.answeredAs != w.info.Incarnation || w.firstAnswer.IsZero() {
-		w.answeredAs, w.firstAnswer = w.info.Incarnation, requestedAt
+	if !w.answered() {
+		w.answeredAs, w.firstAnswer, w.lastAnswer = w.info.Incarnation, requestedAt, requestedAt
+	}
+	if requestedAt.After(w.lastAnswer) {
+		w.lastAnswer = requestedAt
 	}
 }
 
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -31,8 +31,9 @@
 	fenced         bool               // it has reported to this owner, so it rejects orders of earlier owners
 	unreachable    bool               // it did not answer the last call
 	silentSince    time.Time          // when the first call without an answer failed; zero while it answers
-	answeredAs     int64              // the incarnation that firstAnswer belongs to
+	answeredAs     int64              // the incarnation that firstAnswer and lastAnswer belong to
 	firstAnswer    time.Time          // when the first answer of the incarnation to this owner was requested; zero before
+	lastAnswer     time.Time          // when the last one was requested
 	moved          bool               // the list has given the incarnation another address than before
 	leaseUntil     time.Time          // when all runs on it have stopped unless the lease is renewed
 	shutdownAt     time.Time          // when a draining worker shuts down
@@ -225,6 +226,9 @@
 	w.used = workload.Resources{}
 	w.urgentCPU, w.suspectedRuns = 0, 0
 	w.fenced = false
+	if cause != LossLeaseExpired { // that process may go on
+		w.firstAnswer = time.Time{}
+	}
 	w.silentSince = time.Time{}
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	delete(s.withPendingAcks, w)
@@ -274,11 +278,13 @@
 	w.extendLease(leaseUntil)
 }
 
-// MarkEnded records that the process of an incarnation of a worker has ended, and its runs with it. It is called after
-// MarkUnreachable.
+// MarkEnded records that another worker rejected a call to an incarnation of a worker, as it does after the process of the incarnation
+// has ended. The runs are given up only if the call went to the address at which the incarnation has answered this owner, and no other
+// worker answered there meanwhile: behind a proxy, or by an odd entry, the call may have missed a process that goes on. It is called
+// after MarkUnreachable.
 func (s *Scheduler) MarkEnded(now time.Time, workerID string, incarnation int64) {
 	w := s.workers[workerID]
-	if w == nil || w.info.Incarnation != incarnation {
+	if w == nil || w.info.Incarnation != incarnation || !w.answered() || w.moved || s.sharesAddress(w) {
 		return
 	}
 	s.confirmCrash(workerID, now)
