Wait for the report of a later incarnation before the tasks of an earlier owner start

What callers see: a task runs twice after a change of the owner.

Cause: when a worker turned out to be of a later incarnation than its first entry said, the successor took it as resolved at once: after another entry alone, without an answer, and after a report that leaves out ends. The first entry may be old, or have no field born, so that the later incarnation is the one on which the earlier owner started its runs.

Evidence: TestLaterIncarnationResolvesNothingBeforeItsReport failed before in all four cases with Expected [{Task:j.0.0.0 Run:4097 Worker:{ID:w1 Address:b ...}}] to be empty (but it wasn't)!

Why it works: the end of an incarnation says nothing about the next one. A worker is resolved by a complete report of its present incarnation, by a proof that this one has ended, or by the end of the lease.

--- a/internal/cluster/scheduler/evidence_test.go
+++ b/internal/cluster/scheduler/evidence_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -161,3 +162,37 @@
 		})
 	})
 }
+
+// Guards against a successor that starts tasks which run on, because a worker turns out to be of another incarnation than its first
+// entry said: only its own complete list shows what runs there.
+func TestLaterIncarnationResolvesNothingBeforeItsReport(t *testing.T) {
+	for _, first := range []int64{0, 5} {
+		Convey(fmt.Sprintf("Given a successor, and a worker that is listed as incarnation %d and has not answered", first), t, func() {
+			f := newFixture(2, 0)
+			f.AddUnresolvedWorker("w0", at(10*time.Second))
+			f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, true)
+			f.list(t0, "w0", "a", first)
+			f.list(t0, "w1", "b", 1)
+			f.report("w1", t0)
+			report := func(now time.Time, more bool) {
+				f.HandleReport(now, Report{Worker: "w0", Incarnation: 6, SentAt: now, LeaseUntil: now.Add(5 * time.Second), MoreEnded: more})
+			}
+			expectWaiting := func(now time.Time) {
+				So(f.plan(now).Starts, ShouldBeEmpty)
+				So(f.UnresolvedWorkers(), ShouldContain, "w0")
+			}
+			Convey("The entry of a later incarnation does not resolve it, its report does", func() {
+				f.list(at(time.Second), "w0", "a", 6)
+				expectWaiting(at(time.Second))
+				report(at(2*time.Second), false)
+				So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
+			})
+			Convey("A report of a later incarnation that leaves out ends does not resolve it, a complete one does", func() {
+				report(at(time.Second), true)
+				expectWaiting(at(time.Second))
+				report(at(2*time.Second), false)
+				So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
+			})
+		})
+	}
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -233,7 +233,9 @@
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	delete(s.withPendingAcks, w)
 	w.health = health{}
-	s.markResolved(w.info.ID)
+	if cause != LossRestarted { // an earlier owner may have started runs on the later incarnation, too, which its report lists
+		s.markResolved(w.info.ID)
+	}
 }
 
 // dropPlacement removes a run that certainly no longer executes and requeues its task.
