Do not retry a start on a worker that was released from the delegate

Callers saw: possibly two runs of a task. When the owner assigns a worker to another executor, it bounds the worker's lease by the time of the release (assignTo), without a permit if the owner's own process called it. A start in progress went on with its other attempts for up to a second, each with a later deadline, and its result is ignored as one of an earlier assignment. If the worker then stays silent, its runs are given up up to 0.5 s before the lease has expired there.

Cause: start kept the renewer that it found first and did not check that it is still the assigned one, as stop does.

Evidence, before the change: lease_test.go:22: 1 attempts before the release, 2 afterwards; want 1 and 0

The check follows the computing of the deadline, so a deadline that passes it was computed before the release, which the owner's bound covers. The next executor sends the start again, with the same run.

--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -24,8 +24,8 @@
 	stopMaxRetryDelay = 400 * time.Millisecond
 )
 
-// start sends one start until the worker answers or all attempts are used. An attempt that timed out while this process was
-// paused does not count, because it is no evidence that the worker is down.
+// start sends one start until the worker answers, is released from this delegate, or all attempts are used. An attempt that
+// timed out while this process was paused does not count, because it is no evidence that the worker is down.
 func (a *Agent) start(o StartOrder) {
 	began := a.deps.Clock()
 	result := StartResult{Task: o.Task, Run: o.Run, Outcome: scheduler.RejectedOther}
@@ -40,6 +40,9 @@
 		now := a.deps.Clock()
 		leaseDeadline, leaseUntil := r.leaseDeadline(now)
 		info, _, _ := r.state()
+		if a.renewer(o.WorkerID) != r {
+			break // checked after the deadline was computed: the owner's bound of the lease counts from the release
+		}
 		if leaseDeadline == 0 || info.Incarnation != o.Incarnation || !a.permitValid() || a.ctx.Err() != nil || now-began > a.cfg.GangTimeout/2 {
 			break
 		}
