Extend a lease after a silence only once the owner knows that the worker answers

Callers could see two runs of a task. A delegate reported that a worker did not answer, with the end of its lease. When the worker answered again before that end, the delegate extended the lease with the next call, and queued the report. An owner that applied the report too late (it was paused, its processor was busy, or the delivery had to be repeated) gave up the runs at the end that it knew of, and started their tasks elsewhere, while the worker went on with the extended lease and listed their ends as done later. Only the margin of 3 % and 300 ms stood against that; an outage that ends for many workers at once makes all their reports late together.

From a missed renewal on, no call carries a deadline until the owner has applied a report of the worker from after the silence: until then, the end that the owner was told of holds. The session notes that when the call that carried the event was answered; the owner's own agent notes it when the event has been applied. Meanwhile the renewals are not long polls, so the extension follows within a round trip. Starts wait up to readyTimeout for it. The fake worker's clock advances now, as the deadlines are absolute on it.

--- a/internal/cluster/delegate/agent.go
+++ b/internal/cluster/delegate/agent.go
@@ -38,9 +38,18 @@
 	pauseDetector pauseDetector
 }
 
-// NewAgent returns an agent without workers. The agent calls permitValid before each call to a worker and makes the call
-// only if permitValid returns true. It passes its events to emit, which must not call the agent.
-func NewAgent(ctx context.Context, cfg Config, deps Deps, epoch int64, permitValid func() bool, emit func(Event)) *Agent {
+// NewAgent returns an agent of the owner's own process, without workers. The agent calls permitValid before each call to a
+// worker and makes the call only if permitValid returns true. It passes its events to apply, which must not call the agent and
+// returns once the owner has applied the event.
+func NewAgent(ctx context.Context, cfg Config, deps Deps, epoch int64, permitValid func() bool, apply func(Event)) *Agent {
+	return newAgent(ctx, cfg, deps, epoch, permitValid, func(e Event) {
+		apply(e)
+		e.notifyApplied()
+	})
+}
+
+// newAgent does the same as NewAgent, but emit only has to see to it that Event.notifyApplied is called later.
+func newAgent(ctx context.Context, cfg Config, deps Deps, epoch int64, permitValid func() bool, emit func(Event)) *Agent {
 	a := &Agent{cfg: cfg, deps: deps, log: deps.Log.With(zap.Int64("epoch", epoch)), epoch: epoch, permitValid: permitValid, emit: emit,
 		renewers: map[string]*leaseRenewer{}}
 	a.ctx, a.cancel = context.WithCancel(ctx)
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -100,7 +100,7 @@
 			return RenewalAnswer{}, ctx.Err()
 		}
 	}
-	return RenewalAnswer{ClockMS: 1000, Incarnation: incarnation, Ended: ended}, nil
+	return RenewalAnswer{ClockMS: time.Now().UnixMilli(), Incarnation: incarnation, Ended: ended}, nil
 }
 
 func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error) {
--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -23,3 +23,36 @@
 		}
 	})
 }
+
+// Guards against a lease that outlives the owner's computation: the owner learns that a worker was silent, then is paused, and
+// does not learn that the worker answers again. It gives up the runs after the lease that the delegate has reported last.
+func TestLeaseAfterSilenceWaitsForOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startDelegate(t.Context())
+		defer a.stop()
+		a.owner.addOrders(assign("w1"))
+		time.Sleep(time.Second)
+		a.workers.setSilent(true)
+		for missed := false; !missed; time.Sleep(time.Millisecond) {
+			for _, e := range a.owner.events() {
+				missed = missed || e.MissedRenewal != nil
+			}
+		}
+		reported := a.workers.deadline()
+		a.owner.update(func() { a.owner.unreachable = true })
+		a.workers.setSilent(false)
+		answered, _, _ := a.workers.counts()
+		time.Sleep(1500 * time.Millisecond)
+		if renews, _, _ := a.workers.counts(); renews < answered+2 {
+			t.Errorf("%d renewals after the silence; the worker's state has to be read meanwhile", renews-answered)
+		}
+		if now := a.workers.deadline(); now != reported {
+			t.Errorf("the lease was extended by %d ms before the owner knew that the worker answers", now-reported)
+		}
+		a.owner.update(func() { a.owner.unreachable = false })
+		time.Sleep(time.Second)
+		if a.workers.deadline() == reported {
+			t.Error("the lease is not extended after the owner has learned that the worker answers")
+		}
+	})
+}
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -104,6 +104,16 @@
 	MissedRenewal *MissedRenewal `json:"silence,omitempty"`
 	Started       *StartResult   `json:"started,omitempty"`
 	Stopped       *StopResult    `json:"stopped,omitempty"`
+
+	// applied, if set, is called on the delegate once the owner has applied the event.
+	applied func()
+}
+
+// notifyApplied calls the function to call once the owner has applied the event.
+func (e Event) notifyApplied() {
+	if e.applied != nil {
+		e.applied()
+	}
 }
 
 // Report is a worker's answer to a renewal.
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -16,7 +16,8 @@
 var startTimeouts = [...]time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond}
 
 const (
-	// readyTimeout is how long a start waits for the first renewal answer of its worker, which makes the worker's clock known.
+	// readyTimeout is how long a start waits until calls may extend the lease of its worker: for the first renewal answer, which
+	// makes the worker's clock known, or after a silence for the owner's confirmation.
 	readyTimeout = 400 * time.Millisecond
 
 	stopTimeout       = 250 * time.Millisecond
@@ -34,7 +35,7 @@
 	r := a.renewer(o.WorkerID)
 	if r != nil {
 		// The clock of a worker that was assigned a moment ago is not known before its first answer.
-		wait.ForOrSignal(a.ctx, readyTimeout, r.ready)
+		wait.ForOrSignal(a.ctx, readyTimeout, r.readySignal())
 	}
 	for r != nil && countedAttempts < len(startTimeouts) {
 		now := a.deps.Clock()
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -44,8 +44,6 @@
 	id     string // of the worker
 	cancel context.CancelFunc
 	acks   chan struct{} // signalled when more ended runs are acknowledged
-	ready  chan struct{} // closed on the first answer, when the worker's clock is known
-	once   sync.Once     // guards the closing of ready
 
 	mu         sync.Mutex
 	info       scheduler.WorkerInfo
@@ -55,6 +53,13 @@
 	// unresponsive is set from a renewal without an answer until the next answer. While it is set, no call extends the
 	// lease, so that the tasks there expire even if the worker processes a call late.
 	unresponsive bool
+	// unconfirmed is set from the answer that ends a silence until the owner has applied a report from after the silence. While
+	// it is set, no call extends the lease either: until then the owner takes the tasks for expired at the end of the
+	// lease that it was told of with the missed renewal, and it may learn of the answer later than that.
+	unconfirmed bool
+	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
+	ready       chan struct{} // closed once a call may extend the lease: the clock is known and unconfirmed is not set
+	readyClosed bool
 }
 
 // workerClock estimates the present time on a worker's clock from its last answer.
@@ -92,33 +97,68 @@
 }
 
 // leaseDeadline returns the end of the lease for a call that is sent now, on the worker's clock in milliseconds, and the time
-// on the agent's clock at which all tasks there have certainly expired. Both are 0 if the worker's clock is not known or the
-// worker does not answer.
+// on the agent's clock at which all tasks there have certainly expired. Both are 0 if the worker's clock is not known, the
+// worker does not answer, or the owner has not applied a report since it last did not answer.
 func (r *leaseRenewer) leaseDeadline(now time.Duration) (int64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.clock.known || r.unresponsive {
+	if !r.clock.known || r.unresponsive || r.unconfirmed {
 		return 0, 0
 	}
 	return r.clock.ms + (now - r.clock.readAt + r.a.cfg.Lease).Milliseconds(), now + r.a.cfg.LeaseBound()
 }
 
-func (r *leaseRenewer) recordAnswer(a RenewalAnswer) {
+// recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
+// report.
+func (r *leaseRenewer) recordAnswer(a RenewalAnswer) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unresponsive = false
 	if a.Incarnation > r.info.Incarnation {
 		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
 		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
 	}
+	if r.unresponsive {
+		r.unresponsive, r.unconfirmed = false, true
+		if r.readyClosed {
+			r.ready, r.readyClosed = make(chan struct{}), false
+		}
+	}
 	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
-	r.once.Do(func() { close(r.ready) })
+	r.updateReady()
+	silences := r.silences
+	return func() { r.confirm(silences) }
+}
+
+// updateReady closes ready if calls may extend the lease. The caller holds mu.
+func (r *leaseRenewer) updateReady() {
+	if !r.readyClosed && !r.unconfirmed {
+		close(r.ready)
+		r.readyClosed = true
+	}
+}
+
+// confirm notes that the owner has applied a report that the worker sent after this number of silences.
+func (r *leaseRenewer) confirm(silences int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unconfirmed && silences == r.silences {
+		r.unconfirmed = false
+		r.updateReady()
+	}
 }
 
 func (r *leaseRenewer) recordFailure() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unresponsive = true
+	r.silences++
+}
+
+// readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
+func (r *leaseRenewer) readySignal() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready
 }
 
 func (r *leaseRenewer) state() (scheduler.WorkerInfo, int64, int64) {
@@ -154,9 +194,28 @@
 		}
 		failures = 0
 		pollTimeout = r.awaitAcks(ctx, ends)
+		if !r.awaitConfirmation(ctx) {
+			pollTimeout = 0 // the next renewal is not delayed, since it is the first that can extend the lease
+		}
 	}
 }
 
+// awaitConfirmation waits until calls may extend the lease of a worker that answers, or until the wait times out. It reports
+// whether they may.
+func (r *leaseRenewer) awaitConfirmation(ctx context.Context) bool {
+	if r.confirmed() {
+		return true
+	}
+	wait.ForOrSignal(ctx, ackTimeout, r.readySignal())
+	return r.confirmed()
+}
+
+func (r *leaseRenewer) confirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.unconfirmed
+}
+
 // awaitAcks waits until the owner has stored the ended runs of the last report, up to number ends, or until the wait times
 // out. It returns the long-poll timeout of the next renewal: 0 after a timeout, since the worker would answer a renewal that
 // does not acknowledge the ended runs at once anyway.
@@ -200,8 +259,8 @@
 	if answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
 		return 0, nil // a late answer of an earlier incarnation
 	}
-	r.recordAnswer(answer)
-	r.a.emit(Event{WorkerID: info.ID, Generation: generation, Report: &Report{
+	applied := r.recordAnswer(answer)
+	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: max(answer.Incarnation, info.Incarnation), SentAt: sentAt, LeaseUntil: leaseUntil,
 		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded,
 	}})
--- a/internal/cluster/delegate/session.go
+++ b/internal/cluster/delegate/session.go
@@ -117,7 +117,7 @@
 	manager.Deps.Log.Info("delegate session opened", zap.String("addr", owner.Addr), zap.Int64("epoch", owner.Epoch), zap.String("session", s.id))
 	sessionCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.agent = NewAgent(sessionCtx, manager.Config, manager.Deps, owner.Epoch, s.permitValid, s.emit)
+	s.agent = newAgent(sessionCtx, manager.Config, manager.Deps, owner.Epoch, s.permitValid, s.emit)
 	defer s.agent.Close()
 	defer manager.workers.Store(0)
 	var background sync.WaitGroup
@@ -180,7 +180,7 @@
 	s.setPolling(len(r.Events) == 0)
 	b, err := s.manager.Client.FetchOrders(callCtx, s.owner.Addr, r)
 	s.setPolling(false)
-	s.finishSend(len(r.Events), err)
+	s.finishSend(len(r.Events), err == nil && b.Wanted)
 	if err == nil && b.Wanted {
 		s.permitEnd.Store(int64(sentAt + min(b.Permit, PermitLimit)))
 		s.callInterval.Store(int64(b.MinCallInterval))
@@ -260,7 +260,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, deliverTimeout)
 		err := s.manager.Client.DeliverEvents(callCtx, s.owner.Addr, EventBatch{Host: s.manager.Host, Session: s.id, Epoch: s.owner.Epoch, First: first, Events: events})
 		cancel()
-		s.finishSend(len(events), err)
+		s.finishSend(len(events), err == nil)
 		if err != nil {
 			wait.For(ctx, wait.Backoff(ownerMinRetryDelay, ownerMaxRetryDelay, failures))
 			failures++
@@ -284,19 +284,24 @@
 	return s.lastAcked + 1, s.unacked[:n:n]
 }
 
-// finishSend records that a call that carried n events has ended; err is nil if the owner has acknowledged them.
-func (s *session) finishSend(n int, err error) {
+// finishSend records that a call that carried n events has ended, and whether the owner has applied them.
+func (s *session) finishSend(n int, applied bool) {
 	if n == 0 {
 		return
 	}
+	var done []Event
 	s.mu.Lock()
 	s.sending = false
-	if err == nil {
+	if applied {
 		s.lastAcked += int64(n)
+		done = s.unacked[:n]
 		s.unacked = append([]Event(nil), s.unacked[n:]...)
 	}
 	more := len(s.unacked) > 0
 	s.mu.Unlock()
+	for _, e := range done {
+		e.notifyApplied()
+	}
 	if more {
 		wait.Signal(s.eventsReady)
 	}
