Report the deadlines of starts with the renewal that was not answered

Callers could see two runs of a task. The owner computes the end of the lease of a silent worker from what its delegate has reported. The deadline of a start was reported only with the outcome of the start, after all attempts, although it may be later than that of the last renewal by a whole long poll. An owner that was paused between the two reports gave up the worker's runs that much too early.

The renewer keeps the latest end of the lease of all its deadlines, and a missed renewal reports it. No deadline is computed between that and the next answer, because both are done under the same lock.

--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -56,3 +56,29 @@
 		}
 	})
 }
+
+// Guards against an owner that gives up a run too soon because the deadline of a start is reported only with the start's
+// outcome, after the report that the worker does not answer.
+func TestMissedRenewalReportsLeaseOfStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		time.Sleep(2*renewPollTimeout - 200*time.Millisecond) // the third renewal is about to begin
+		f.workers.setSilent(true)
+		time.Sleep(700 * time.Millisecond)
+		startedAt := f.clock.since()
+		f.Apply([]Order{startOn("w1", 0)})
+		time.Sleep(400 * time.Millisecond)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, e := range f.events {
+			if m := e.MissedRenewal; m != nil {
+				if want := startedAt + testConfig.LeaseBound(); m.LeaseUntil < want {
+					t.Errorf("the reported end of the lease is %v too early", want-m.LeaseUntil)
+				}
+				return
+			}
+		}
+		t.Error("no missed renewal was reported")
+	})
+}
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -128,7 +128,7 @@
 
 // MissedRenewal is a renewal that the worker did not answer.
 type MissedRenewal struct {
-	LeaseUntil time.Duration `json:"lease"` // as in a Report
+	LeaseUntil time.Duration `json:"lease"` // as in a Report, for all calls so far, including starts whose outcome is not known yet
 	FailedAt   time.Duration `json:"at"`
 	// Ended means that the incarnation of the worker that was called has ended.
 	Ended       bool  `json:"ended,omitempty"`
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -57,6 +57,7 @@
 	// it is set, no call extends the lease either: until then the owner takes the tasks for expired at the end of the
 	// lease that it was told of with the missed renewal, and it may learn of the answer later than that.
 	unconfirmed bool
+	leaseUntil  time.Duration // when all tasks have certainly expired without another call, on the agent's clock
 	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
 	ready       chan struct{} // closed once a call may extend the lease: the clock is known and unconfirmed is not set
 	readyClosed bool
@@ -105,7 +106,9 @@
 	if !r.clock.known || r.unresponsive || r.unconfirmed {
 		return 0, 0
 	}
-	return r.clock.ms + (now - r.clock.readAt + r.a.cfg.Lease).Milliseconds(), now + r.a.cfg.LeaseBound()
+	leaseUntil := now + r.a.cfg.LeaseBound()
+	r.leaseUntil = max(r.leaseUntil, leaseUntil)
+	return r.clock.ms + (now - r.clock.readAt + r.a.cfg.Lease).Milliseconds(), leaseUntil
 }
 
 // recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
@@ -147,11 +150,16 @@
 	}
 }
 
-func (r *leaseRenewer) recordFailure() {
+// recordFailure notes a renewal without an answer. It returns when all tasks have expired unless a later call extends the
+// lease, which covers starts whose outcome is not known yet. If the failure is excused, later calls may extend the lease.
+func (r *leaseRenewer) recordFailure(excused bool) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unresponsive = true
-	r.silences++
+	if !excused {
+		r.unresponsive = true
+		r.silences++
+	}
+	return r.leaseUntil
 }
 
 // readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
@@ -249,9 +257,7 @@
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excused := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
-		if !excused {
-			r.recordFailure()
-		}
+		leaseUntil = r.recordFailure(excused)
 		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt,
 			Ended: errors.Is(err, ErrWorkerEnded), Incarnation: info.Incarnation, Excused: excused}})
 		return 0, err
