Do not extend a lease with an old reading of the worker's clock

Callers could see a run that outlives the owner's bound, and starts that are sent with a deadline that is too late. After a suspension, or while missed answers are excused, the next calls computed their deadline from the last reading of the worker's clock, however old. A clock that is 2 % slow puts the deadline too late by 2 % of that age: the margin of LeaseBound (3 % of the lease and 300 ms) covers 16 s at most, less what the reading of the clocks takes.

A reading older than 5 s, which is longer than the lease, is not used; the next renewal carries no deadline and is answered at once, which reads the clock. The other errors of the estimate are safe: a reading that is taken late after the answer makes the deadline earlier, and a call that is sent late carries the absolute deadline that leaseUntil was computed with.

--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -82,3 +82,26 @@
 		t.Error("no missed renewal was reported")
 	})
 }
+
+// Guards against a deadline that is too late by the drift of the worker's clock, after the process was suspended or kept
+// excusing missed answers: the margin of LeaseBound covers the drift of a few seconds only.
+func TestOldClockReadingDoesNotExtendLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		time.Sleep(time.Second)
+		f.workers.setSilent(true)
+		time.Sleep(renewPollTimeout)
+		before := f.workers.deadline()
+		f.clock.suspend(time.Minute)
+		time.Sleep(renewTimeout)
+		f.Apply([]Order{startOn("w1", 0)})
+		time.Sleep(time.Second)
+		if after := f.workers.deadline(); after != before {
+			t.Errorf("the lease was extended by %d ms with a reading of the clock from before the suspension", after-before)
+		}
+		if _, starts, _ := f.workers.counts(); starts != 0 {
+			t.Errorf("%d starts were sent with a reading of the clock from before the suspension", starts)
+		}
+	})
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -29,6 +29,11 @@
 	// worker answers a renewal at once, without long polling, if that does not acknowledge them.
 	ackTimeout = 250 * time.Millisecond
 
+	// maxClockAge is the age from which a reading of a worker's clock is not used for deadlines. A clock that is 2 % slow drifts
+	// by 0.1 s in that time, and leaseMargin allows for more. A reading gets older while this process is suspended or excuses
+	// missed answers.
+	maxClockAge = 5 * time.Second
+
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
 )
@@ -98,12 +103,12 @@
 }
 
 // leaseDeadline returns the end of the lease for a call that is sent now, on the worker's clock in milliseconds, and the time
-// on the agent's clock at which all tasks there have certainly expired. Both are 0 if the worker's clock is not known, the
-// worker does not answer, or the owner has not applied a report since it last did not answer.
+// on the agent's clock at which all tasks there have certainly expired. Both are 0 if the worker's clock has not been read
+// within maxClockAge, the worker does not answer, or the owner has not applied a report since it last did not answer.
 func (r *leaseRenewer) leaseDeadline(now time.Duration) (int64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.clock.known || r.unresponsive || r.unconfirmed {
+	if !r.clock.known || now-r.clock.readAt > maxClockAge || r.unresponsive || r.unconfirmed {
 		return 0, 0
 	}
 	leaseUntil := now + r.a.cfg.LeaseBound()
@@ -202,26 +207,18 @@
 		}
 		failures = 0
 		pollTimeout = r.awaitAcks(ctx, ends)
-		if !r.awaitConfirmation(ctx) {
-			pollTimeout = 0 // the next renewal is not delayed, since it is the first that can extend the lease
-		}
-	}
-}
-
-// awaitConfirmation waits until calls may extend the lease of a worker that answers, or until the wait times out. It reports
-// whether they may.
-func (r *leaseRenewer) awaitConfirmation(ctx context.Context) bool {
-	if r.confirmed() {
-		return true
+		r.awaitConfirmation(ctx)
 	}
-	wait.ForOrSignal(ctx, ackTimeout, r.readySignal())
-	return r.confirmed()
 }
 
-func (r *leaseRenewer) confirmed() bool {
+// awaitConfirmation waits until the owner has applied a report from after the last silence, or until the wait times out.
+func (r *leaseRenewer) awaitConfirmation(ctx context.Context) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.unconfirmed
+	unconfirmed, ready := r.unconfirmed, r.ready
+	r.mu.Unlock()
+	if unconfirmed {
+		wait.ForOrSignal(ctx, ackTimeout, ready)
+	}
 }
 
 // awaitAcks waits until the owner has stored the ended runs of the last report, up to number ends, or until the wait times
@@ -247,6 +244,9 @@
 	info, generation, lastAckedEnd := r.state()
 	sentAt := r.a.deps.Clock()
 	leaseDeadline, leaseUntil := r.leaseDeadline(sentAt)
+	if leaseDeadline == 0 {
+		pollTimeout = 0 // the next call that can extend the lease must not wait for a long poll
+	}
 	timeout := pollTimeout + renewTimeout
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
