Limit how often a pause of the process excuses a worker that does not answer

Callers saw: tasks of a lost worker that are not started elsewhere, and a lease that goes on being extended, while the calling process is short of processor time. A missing answer counts only if no pause of this process can explain it; a pause is a timer that fires 150 ms late. On a host whose pauses are closer together than its renewals, every missing answer was excused.

Evidence, before the change, with a pause every 100 ms for 10 s: lease_test.go:122: 0 missed renewals count and 14 are excused; want both

At most five renewals in a row are excused. Counting a healthy worker as silent is safe: its lease is not extended until it answers again and the owner knows that.

--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -105,3 +105,21 @@
 		}
 	})
 }
+
+// Guards against a silent worker that is never reported because this process is often short of processor time, so that each
+// missed answer is excused.
+func TestExcusesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		time.Sleep(time.Second)
+		f.workers.setSilent(true)
+		for range 100 {
+			f.clock.suspend(2 * maxTimerDelay)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if counted, excused := f.missedRenewals(); counted == 0 || excused == 0 {
+			t.Errorf("%d missed renewals count and %d are excused; want both", counted, excused)
+		}
+	})
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -34,6 +34,10 @@
 	// missed answers.
 	maxClockAge = 5 * time.Second
 
+	// maxExcusedMisses is the number of consecutive renewals whose missing answer is excused by a pause of this process. A process
+	// that is often short of processor time must still notice a silent worker.
+	maxExcusedMisses = 5
+
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
 )
@@ -63,6 +67,7 @@
 	// lease that it was told of with the missed renewal, and it may learn of the answer later than that.
 	unconfirmed bool
 	leaseUntil  time.Duration // when all tasks have certainly expired without another call, on the agent's clock
+	excused     int           // renewals since the last answer whose missing answer was excused
 	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
 	ready       chan struct{} // closed once a call may extend the lease: the clock is known and unconfirmed is not set
 	readyClosed bool
@@ -131,6 +136,7 @@
 			r.ready, r.readyClosed = make(chan struct{}), false
 		}
 	}
+	r.excused = 0
 	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
 	r.updateReady()
 	silences := r.silences
@@ -155,16 +161,20 @@
 	}
 }
 
-// recordFailure notes a renewal without an answer. It returns when all tasks have expired unless a later call extends the
-// lease, which covers starts whose outcome is not known yet. If the failure is excused, later calls may extend the lease.
-func (r *leaseRenewer) recordFailure(excused bool) time.Duration {
+// recordFailure notes a renewal without an answer, which a pause of this process may explain (excusable). It returns when all
+// tasks have expired unless a later call extends the lease, which covers starts whose outcome is not known yet, and whether the
+// failure is excused, so that later calls may extend the lease.
+func (r *leaseRenewer) recordFailure(excusable bool) (leaseUntil time.Duration, excused bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !excused {
+	excused = excusable && r.excused < maxExcusedMisses
+	if excused {
+		r.excused++
+	} else {
 		r.unresponsive = true
 		r.silences++
 	}
-	return r.leaseUntil
+	return r.leaseUntil, excused
 }
 
 // readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
@@ -256,8 +266,8 @@
 	}
 	if err != nil {
 		failedAt := r.a.deps.Clock()
-		excused := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
-		leaseUntil = r.recordFailure(excused)
+		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
+		leaseUntil, excused := r.recordFailure(excusable)
 		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt,
 			Ended: errors.Is(err, ErrWorkerEnded), Incarnation: info.Incarnation, Excused: excused}})
 		return 0, err
