Ignore answers of a worker's earlier process that arrive after its restart is known

Callers could see a lease that outlives the owner's bound. An answer was compared with the incarnation that was known when the renewal was sent. If the list of workers named a newer one meanwhile, a late answer of the earlier process set the clock, and deadlines for the new process, whose clock begins anew, were computed with it. Workers shorten such a lease to their maximum, which is longer than ours (6 s and 4.5 s).

Evidence, before the change: lease_test.go:136: the deadline is 604000 on the clock of the earlier process

The comparison is made when the answer is recorded, under the lock that guards the known incarnation.

--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -123,3 +123,16 @@
 		}
 	})
 }
+
+// Guards against the clock of a worker's earlier process: an answer of that process that is read after the restart became
+// known would put the deadlines of the new process, whose clock begins anew, far into the future.
+func TestAnswerOfEarlierIncarnationIsIgnored(t *testing.T) {
+	r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: newTestClock().since}}, ready: make(chan struct{}), info: testWorker("w1")}
+	restarted := testWorker("w1")
+	restarted.Incarnation = 2
+	r.updateAssignment(Assignment{Worker: restarted, Generation: 1})
+	r.recordAnswer(RenewalAnswer{ClockMS: 600_000, Incarnation: 1})
+	if deadline, _ := r.leaseDeadline(r.a.deps.Clock()); deadline != 0 {
+		t.Errorf("the deadline is %d on the clock of the earlier process", deadline)
+	}
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -122,10 +122,13 @@
 }
 
 // recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
-// report.
+// report, or nil for a late answer of an earlier incarnation than the known one, which it ignores.
 func (r *leaseRenewer) recordAnswer(a RenewalAnswer) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if a.Incarnation < r.info.Incarnation {
+		return nil
+	}
 	if a.Incarnation > r.info.Incarnation {
 		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
 		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
@@ -272,12 +275,15 @@
 			Ended: errors.Is(err, ErrWorkerEnded), Incarnation: info.Incarnation, Excused: excused}})
 		return 0, err
 	}
-	if answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
-		return 0, nil // a late answer of an earlier incarnation
+	if answer.Incarnation == 0 {
+		answer.Incarnation = info.Incarnation // the worker does not name it
 	}
 	applied := r.recordAnswer(answer)
+	if applied == nil {
+		return 0, nil
+	}
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
-		Incarnation: max(answer.Incarnation, info.Incarnation), SentAt: sentAt, LeaseUntil: leaseUntil,
+		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
 		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded,
 	}})
 	last := int64(0)
