Check the permit after the deadline of a renewal is computed

Callers could see a run that outlives the bound with which the owner or a successor gives it up: that bound counts from the end of the permit. The renewal loop checked the permit and then read the clock for the deadline, so a process that was paused in between sent a deadline that was computed after its permit had run out.

With the check after the computing, a deadline that is sent was computed while the permit was valid. It is absolute on the worker's clock, so a later delay, for a free connection or another pause, does not move it.

--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -1,9 +1,12 @@
 package delegate
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Guards against lease extensions by the retries of a start after the worker was released: the owner bounds the lease at the
@@ -136,3 +139,29 @@
 		t.Errorf("the deadline is %d on the clock of the earlier process", deadline)
 	}
 }
+
+// Guards against a lease that is extended after the permit has run out, because the process was paused between the check of the
+// permit and the computing of the deadline.
+func TestPauseAfterPermitCheckDoesNotExtendLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &agentFixture{workers: &fakeWorkers{}, clock: newTestClock()}
+		permitEnd := f.clock.since() + 2*time.Second
+		var pauseAfterCheck atomic.Bool
+		a := NewAgent(t.Context(), testConfig, Deps{Client: f.workers, Clock: f.clock.since, Log: zap.NewNop()}, testEpoch, func() bool {
+			valid := f.clock.since() < permitEnd
+			if pauseAfterCheck.Swap(false) {
+				f.clock.suspend(3 * time.Second)
+			}
+			return valid
+		}, func(Event) {})
+		defer a.Close()
+		a.Apply([]Order{assign("w1")})
+		time.Sleep(renewPollTimeout / 2)
+		before := f.workers.deadline()
+		pauseAfterCheck.Store(true)
+		time.Sleep(renewPollTimeout)
+		if after := f.workers.deadline(); after != before {
+			t.Errorf("the lease was extended by %d ms after the permit had run out", after-before)
+		}
+	})
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -42,6 +42,9 @@
 	maxRetryDelay = 500 * time.Millisecond
 )
 
+// errPermitExpired means that a renewal was not sent because this process may not call workers now.
+var errPermitExpired = errors.New("delegate: permit expired")
+
 // RenewPollTimeout returns the long-poll timeout of renewals for an owner with this number of workers.
 func RenewPollTimeout(workers int) time.Duration {
 	return min(max(renewPollTimeout, time.Duration(workers)*renewPollPerWorker), maxRenewPollTimeout)
@@ -206,6 +209,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errPermitExpired) {
+			continue
+		}
 		if err != nil {
 			if failures == 0 {
 				r.a.log.Warn("worker does not answer", zap.String("worker", r.id), asynclog.Error(err))
@@ -252,11 +258,15 @@
 	return 0
 }
 
-// renew sends one renewal and emits the report. It returns the highest number of the ended runs in the report.
+// renew sends one renewal and emits the report. It returns the highest number of the ended runs in the report. Errors:
+// errPermitExpired if nothing was sent.
 func (r *leaseRenewer) renew(ctx context.Context, pollTimeout time.Duration) (int64, error) {
 	info, generation, lastAckedEnd := r.state()
 	sentAt := r.a.deps.Clock()
 	leaseDeadline, leaseUntil := r.leaseDeadline(sentAt)
+	if !r.a.permitValid() {
+		return 0, errPermitExpired // checked after the deadline was computed: the process may have been paused since the last check
+	}
 	if leaseDeadline == 0 {
 		pollTimeout = 0 // the next call that can extend the lease must not wait for a long poll
 	}
