Bound the lease of a reassigned worker by the time of its release

Callers could see two runs of a task. When a worker gets another executor, the owner bounds the lease by the calls that the old one may still make. It counted from the time at which the plan began, which is read before the owner's lock: an owner that waited for the lock or was short of processor time had that bound too early by the delay, while the old executor went on with its renewals until the release.

Evidence, before the change, with a plan that began 3 s before: Expected '5s' to be greater than or equal to '6.42s' (but it wasn't)!

The clock is read after the release has been sent.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -101,7 +101,7 @@
 			ex := chooseExecutor(info)
 			settled = settled && ex != nil
 			if ex != nil && ex != a.executor {
-				as.assignTo(now, a, ex)
+				as.assignTo(a, ex)
 			}
 		}
 	}
@@ -147,10 +147,11 @@
 
 // assignTo assigns a worker to an executor and resends the orders whose outcome the previous executor has not reported. That
 // is safe: a worker starts a run at most once, and a stop may be repeated.
-func (as *assigner) assignTo(now time.Time, a *assignment, ex *executor) {
+func (as *assigner) assignTo(a *assignment, ex *executor) {
 	if old := a.executor; old != nil {
 		a.sendRelease()
-		as.t.sched.ExtendLease(a.info.ID, now.Add(old.maxPermit()+as.t.cfg.Delegate.LeaseBound()))
+		// The time of the plan may be long ago, and the old executor has extended the lease since.
+		as.t.sched.ExtendLease(a.info.ID, time.Now().Add(old.maxPermit()+as.t.cfg.Delegate.LeaseBound()))
 	}
 	as.generation++
 	a.executor, a.generation = ex, as.generation
