Correct the conversion of an executor's times during the session

Callers saw: tasks of a lost worker that start elsewhere later than they could, for the rest of a term or session. The owner converts the times of an executor with an offset that it computed once. A first request that was delayed shifts all times of that delegate into the future; a suspension of the owner's host does the same for its own calls, since time.Now does not count it and the clock for leases does. Leases then seem to end later by that much, each time.

Evidence, before the change: leasebound_test.go:63: after a request that took 10 ms, the times of the session are off by 2s; want 10 ms leasebound_test.go:76: after a suspension of the owner's host its own times are off by 5s

Each request, and each event of the own process, gives an estimate that is never too early; the lowest counts. So a lease never seems to end too early, and the order of two events of a session is never reversed to the unsafe side. The clock is read before the owner's time, also at the begin of the term: a pause between the two in the other order would have made all times of the term too early.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -63,7 +63,8 @@
 func newAssigner(ctx context.Context, t *term) *assigner {
 	as := &assigner{t: t, remote: map[string]*executor{}, rejoinAt: map[string]time.Time{}, assignments: map[string]*assignment{},
 		startedAt: time.Now(), noDelegatesSince: time.Now(), lastTimeoutCheck: time.Now()}
-	as.local = &executor{host: "", clockZero: time.Now().Add(-t.deps.Clock())}
+	clock := t.deps.Clock() // read before the owner's time, as for syncClock
+	as.local = &executor{host: "", clockZero: time.Now().Add(-clock)}
 	as.local.agent = delegate.NewAgent(ctx, t.cfg.Delegate, delegate.Deps{Client: t.deps.Workers, Clock: t.deps.Clock, Log: t.deps.Log},
 		t.ownership.Epoch(), t.ownership.LeaseValid, t.applyLocalEvent)
 	return as
@@ -233,6 +234,7 @@
 func (as *assigner) admit(now time.Time, r delegate.OrdersRequest, arrived time.Time) *executor {
 	if ex := as.remote[r.Host]; ex != nil {
 		if ex.session == r.Session {
+			ex.syncClock(arrived, r.Now)
 			return ex
 		}
 		as.dropDelegate(now, ex, "the host has started another session")
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -129,6 +129,8 @@
 func (t *term) applyLocalEvent(e delegate.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	clock := t.deps.Clock() // read before the owner's time: syncClock needs a time that is not too early
+	t.assigner.local.syncClock(time.Now(), clock)
 	t.applyEvents(t.assigner.local, []delegate.Event{e})
 }
 
--- a/internal/cluster/coordinator/executor.go
+++ b/internal/cluster/coordinator/executor.go
@@ -20,7 +20,7 @@
 	host      string
 	domain    string
 	session   string
-	clockZero time.Time // the owner's time when the executor's clock showed zero; all times of a session are converted with it
+	clockZero time.Time // the owner's time when the executor's clock showed zero; see syncClock
 	agent     *delegate.Agent
 
 	unacked     []delegate.Order // orders that the delegate has not acknowledged
@@ -39,6 +39,16 @@
 	return delegate.PermitLimit
 }
 
+// syncClock notes that the executor's clock showed d at the owner's time now, or earlier. The lowest estimate counts: a request
+// that was delayed makes it too late, and so does a suspension of the owner's host, which the owner's time does not count. So the
+// end of a lease is never converted to an earlier time than it has, and a later event never to a later time than an earlier one
+// of the same moment, by which a report could seem to be requested after a start that it does not know.
+func (ex *executor) syncClock(now time.Time, d time.Duration) {
+	if zero := now.Add(-d); zero.Before(ex.clockZero) {
+		ex.clockZero = zero
+	}
+}
+
 // ownerTime converts a time of the executor's clock to the owner's.
 func (ex *executor) ownerTime(d time.Duration) time.Time { return ex.clockZero.Add(d) }
 
--- a/internal/cluster/coordinator/leasebound_test.go
+++ b/internal/cluster/coordinator/leasebound_test.go
@@ -38,3 +38,42 @@
 		})
 	})
 }
+
+// Guards against leases that the owner takes for longer than they are for the rest of a session: its first request was delayed,
+// or the owner's host was suspended, which its clock for leases counts and time.Now does not.
+func TestTimesOfExecutorAreCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := runOwner(t, rowstore.NewMemory(), 0, 1)
+		defer o.end()
+		request := delegate.OrdersRequest{Host: "a", Session: "a-1", Epoch: o.ownership.Epoch()}
+		errorAfter := func(delay time.Duration) time.Duration {
+			request.Now = o.clock() - delay
+			if _, err := o.FetchOrders(t.Context(), request); err != nil {
+				t.Fatal(err)
+			}
+			tm := o.current()
+			tm.mu.Lock()
+			defer tm.mu.Unlock()
+			return time.Until(tm.assigner.remote["a"].ownerTime(o.clock()))
+		}
+		if e := errorAfter(2 * time.Second); e != 2*time.Second {
+			t.Errorf("after a request that took 2 s, the times of the session are off by %v; want 2 s", e)
+		}
+		if e := errorAfter(10 * time.Millisecond); e != 10*time.Millisecond {
+			t.Errorf("after a request that took 10 ms, the times of the session are off by %v; want 10 ms", e)
+		}
+		if e := errorAfter(time.Second); e != 10*time.Millisecond {
+			t.Errorf("after a later request that took 1 s, the times of the session are off by %v; want 10 ms", e)
+		}
+		tm := o.current()
+		tm.mu.Lock()
+		tm.assigner.local.clockZero = tm.assigner.local.clockZero.Add(5 * time.Second) // as after a suspension of 5 s
+		tm.mu.Unlock()
+		tm.applyLocalEvent(delegate.Event{WorkerID: "w0", MissedRenewal: &delegate.MissedRenewal{Excused: true}})
+		tm.mu.Lock()
+		defer tm.mu.Unlock()
+		if e := time.Until(tm.assigner.local.ownerTime(o.clock())); e != 0 {
+			t.Errorf("after a suspension of the owner's host its own times are off by %v", e)
+		}
+	})
+}
