Extend the lease of an assigned worker only once the owner has applied its report

Callers could see two runs of a task after a change of the owner or of the delegate. A new owner waits for the runs of its predecessor until the end of its claim, lease and permits, or until the worker has reported. A new delegate extended the lease of whatever ran on the worker with its second call, before the owner had applied the first report. An owner that applied it too late, as when an outage ends and everything arrives at once, took the runs for expired and started their tasks elsewhere. The same holds for a worker that was silent under its last delegate: the owner goes on to take it for silent, with a bound that counts from the release.

Evidence, before the change: lease_test.go:182: the lease was extended before the owner had applied a report of the worker

A new assignment begins as after a silence. The owner's own calls are not delayed, since their events are applied at once. The first extension by a delegate follows after a round trip to the owner; starts wait up to 0.6 s for it instead of 0.4 s for the first answer. While the owner has not applied the report, the worker is asked again after 0.5 s, so that an owner that is behind gets no more reports than usual.

--- a/internal/cluster/delegate/agent.go
+++ b/internal/cluster/delegate/agent.go
@@ -95,7 +95,8 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
-	r := &leaseRenewer{a: a, id: as.Worker.ID, cancel: cancel, acks: make(chan struct{}, 1), ready: make(chan struct{}), info: as.Worker, generation: as.Generation, durableEnd: as.LastAckedEnd}
+	r := &leaseRenewer{a: a, id: as.Worker.ID, cancel: cancel, acks: make(chan struct{}, 1), ready: make(chan struct{}),
+		info: as.Worker, generation: as.Generation, durableEnd: as.LastAckedEnd, unresponsive: true}
 	a.renewers[as.Worker.ID] = r
 	a.wg.Go(func() { r.run(ctx) })
 }
--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -165,3 +165,26 @@
 		}
 	})
 }
+
+// Guards against a lease that outlives what a new owner waits for: it has the runs of an earlier owner expire at a time that it
+// computes from its claim, or at a reassignment, and does not learn in time that the delegate has extended them.
+func TestFirstExtensionWaitsForOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startDelegate(t.Context())
+		defer a.stop()
+		a.owner.addOrders(assign("w1"))
+		for renews := 0; renews == 0; time.Sleep(100 * time.Microsecond) {
+			renews, _, _ = a.workers.counts()
+		}
+		a.owner.update(func() { a.owner.unreachable = true })
+		time.Sleep(1500 * time.Millisecond)
+		if d := a.workers.deadline(); d != 0 {
+			t.Error("the lease was extended before the owner had applied a report of the worker")
+		}
+		a.owner.update(func() { a.owner.unreachable = false })
+		time.Sleep(time.Second)
+		if a.workers.deadline() == 0 {
+			t.Error("the lease is not extended after the owner has applied a report")
+		}
+	})
+}
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -17,8 +17,8 @@
 
 const (
 	// readyTimeout is how long a start waits until calls may extend the lease of its worker: for the first renewal answer, which
-	// makes the worker's clock known, or after a silence for the owner's confirmation.
-	readyTimeout = 400 * time.Millisecond
+	// makes the worker's clock known, and for the owner to apply the report.
+	readyTimeout = 600 * time.Millisecond
 
 	stopTimeout       = 250 * time.Millisecond
 	stopMinRetryDelay = 50 * time.Millisecond
@@ -34,7 +34,7 @@
 	attempts, countedAttempts := 0, 0
 	r := a.renewer(o.WorkerID)
 	if r != nil {
-		// The clock of a worker that was assigned a moment ago is not known before its first answer.
+		// The lease of a worker that was assigned a moment ago can't be extended before its first report is applied.
 		wait.ForOrSignal(a.ctx, readyTimeout, r.readySignal())
 	}
 	for r != nil && countedAttempts < len(startTimeouts) {
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -29,6 +29,9 @@
 	// worker answers a renewal at once, without long polling, if that does not acknowledge them.
 	ackTimeout = 250 * time.Millisecond
 
+	// confirmTimeout is how long the next renewal is delayed until the owner has applied a report after a silence. An owner that is
+	// behind must not get more reports than usual.
+	confirmTimeout = 500 * time.Millisecond
 	// maxClockAge is the age from which a reading of a worker's clock is not used for deadlines. A clock that is 2 % slow drifts
 	// by 0.1 s in that time, and leaseMargin allows for more. A reading gets older while this process is suspended or excuses
 	// missed answers.
@@ -62,12 +65,13 @@
 	generation int64
 	durableEnd int64 // the owner has stored ended runs up to this number
 	clock      workerClock
-	// unresponsive is set from a renewal without an answer until the next answer. While it is set, no call extends the
-	// lease, so that the tasks there expire even if the worker processes a call late.
+	// unresponsive is set until the first answer, and from a renewal without an answer until the next answer. While it is set,
+	// no call extends the lease, so that the tasks there expire even if the worker processes a call late.
 	unresponsive bool
-	// unconfirmed is set from the answer that ends a silence until the owner has applied a report from after the silence. While
-	// it is set, no call extends the lease either: until then the owner takes the tasks for expired at the end of the
-	// lease that it was told of with the missed renewal, and it may learn of the answer later than that.
+	// unconfirmed is set from the first answer, or the one that ends a silence, until the owner has applied a report from after
+	// that. While it is set, no call extends the lease either: until then the owner takes the tasks for expired at the end of
+	// the lease that it was told of with the missed renewal, or that it has computed from the permits of an earlier executor
+	// or owner, and it may learn of the answer later than that.
 	unconfirmed bool
 	leaseUntil  time.Duration // when all tasks have certainly expired without another call, on the agent's clock
 	excused     int           // renewals since the last answer whose missing answer was excused
@@ -236,7 +240,7 @@
 	unconfirmed, ready := r.unconfirmed, r.ready
 	r.mu.Unlock()
 	if unconfirmed {
-		wait.ForOrSignal(ctx, ackTimeout, ready)
+		wait.ForOrSignal(ctx, confirmTimeout, ready)
 	}
 }
 
