Wait for the lease that a successor has extended after an incomplete report

Callers could see two runs of a task after a takeover. A successor starts inherited tasks once the lease bound known at the takeover has passed.

While a worker has reported to this owner without listing everything, its own bound counts as well. A worker that has not reported keeps the earlier bound: no call extends a lease before a report was applied.

--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -186,10 +186,13 @@
 	}
 }
 
-// expireUnresolved removes the unresolved workers on which the runs of earlier owners have expired.
+// expireUnresolved removes the unresolved workers on which the runs of earlier owners have expired. Where a worker has reported without
+// listing everything, calls of this owner may have extended their leases.
 func (s *Scheduler) expireUnresolved(now time.Time) {
 	for id, u := range s.unresolved {
-		if now.After(u.expiresAt) {
+		w := s.workers[id]
+		extended := w != nil && w.fenced && !now.After(w.leaseUntil)
+		if now.After(u.expiresAt) && !extended {
 			delete(s.unresolved, id)
 		}
 	}
