--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 test:
 	$(GO) test $(TEST_FLAGS) $(SKIP) ./...
 
-# Runs daemons with the platform adapter as separate processes under injected faults: two seeds, less than a minute.
+# Runs daemons with the platform adapter as separate processes under injected faults, with cuts of groups of workers and outages of the
+# store: two seeds, less than a minute.
 soak: build
 	$(GO) build -o bin/ ./platform/soak
 	bin/soak --seed 1 --seeds 2 --duration 6s
