Give runs up for a later incarnation only once that incarnation has answered

What callers see: a task runs twice. The runs of a living worker are given up with cause "restarted" while its lease has seconds left.

Cause: an entry of a worker with a later born ended the earlier incarnation at once. Entries may come from another writer, and the time in one is no answer of a process. An idle worker with such an entry was never used again, since its own answers counted as old.

Why it works: the entry tells where to call, and nothing is started until the answer. A later incarnation that answers ends the earlier one, an answer of the earlier one that was requested after the entry drops the entry, and without any answer the runs wait for their lease. A worker that has really restarted answers the next call, so that the wait is one call.

TestLostWorker took the entry alone as the end of a worker. It now expects that nothing starts after the entry, and that the run starts again at once after the answer of the new incarnation.

--- a/internal/cluster/scheduler/evidence_test.go
+++ b/internal/cluster/scheduler/evidence_test.go
@@ -196,3 +196,77 @@
 		})
 	}
 }
+
+// Guards against an idle worker that is never used again because an odd entry names a later incarnation of it.
+func TestEntryOfALaterIncarnationOfAnIdleWorker(t *testing.T) {
+	Convey("Given an idle worker that has answered, and an entry of a later incarnation of it", t, func() {
+		f := newFixture(1, 0)
+		f.list(t0, "w0", "a", 10)
+		f.report("w0", t0)
+		f.list(at(time.Second), "w0", "a", 20)
+		f.AddJob(at(time.Second), f.job("j", at(time.Second), simpleStep(1)), nil, false)
+		So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+		Convey("It is used again once it answers", func() {
+			f.HandleReport(at(2*time.Second), Report{Worker: "w0", Incarnation: 10, SentAt: at(2 * time.Second), LeaseUntil: at(7 * time.Second)})
+			So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+		Convey("The later incarnation is used once it answers after a silence", func() {
+			f.MarkUnreachable(at(2*time.Second), "w0", at(6*time.Second))
+			f.plan(at(2 * time.Second))
+			So(f.Workers()[0].Incarnation, ShouldEqual, 20)
+			f.HandleReport(at(3*time.Second), Report{Worker: "w0", Incarnation: 20, SentAt: at(3 * time.Second), LeaseUntil: at(8 * time.Second)})
+			So(f.plan(at(3*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
+
+// Guards against runs of a living worker that are given up early because an odd entry names a later incarnation of it: only an answer
+// of that incarnation shows that the earlier one has ended.
+func TestEntryOfALaterIncarnationShowsNoEnd(t *testing.T) {
+	Convey("Given a worker with a run, and an entry of a later incarnation of it", t, func() {
+		f, s := placedOn(10)
+		f.AddJob(t0, f.job("other", t0, simpleStep(1)), nil, false)
+		f.list(at(time.Second), "w0", "a", 20)
+		placed := func() bool { return f.workers["w0"].findPlacement(s.Task, s.Run) != nil }
+		So(f.TakeWorkerLosses(), ShouldBeEmpty)
+		So(placed(), ShouldBeTrue)
+		So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+		Convey("Its run goes on if the earlier incarnation answers, and the worker gets others", func() {
+			f.report("w0", at(2*time.Second))
+			So(f.TakeWorkerLosses(), ShouldBeEmpty)
+			So(placed(), ShouldBeTrue)
+			So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
+		})
+		Convey("An answer that was requested before the entry was read says nothing about it", func() {
+			f.HandleReport(at(2*time.Second), Report{Worker: "w0", Incarnation: 10, SentAt: at(900 * time.Millisecond),
+				LeaseUntil: at(5 * time.Second), Active: f.active["w0"]})
+			So(f.plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+		})
+		Convey("It starts again once the later incarnation answers, with what its entry says", func() {
+			f.HandleReport(at(2*time.Second), Report{Worker: "w0", Incarnation: 20, SentAt: at(2 * time.Second), LeaseUntil: at(7 * time.Second)})
+			So(f.TakeWorkerLosses()[0].Cause, ShouldEqual, LossRestarted)
+			So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 2)
+		})
+		Convey("An answer of a still later incarnation makes its own entry count, not this one", func() {
+			f.HandleReport(at(2*time.Second), Report{Worker: "w0", Incarnation: 30, SentAt: at(2 * time.Second), LeaseUntil: at(7 * time.Second)})
+			So(f.plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+			f.list(at(3*time.Second), "w0", "a", 30)
+			So(f.plan(at(3*time.Second)).Starts, ShouldHaveLength, 2)
+		})
+		Convey("It is given up after its lease if nobody answers, and the later incarnation is used once it answers", func() {
+			f.MarkUnreachable(at(2*time.Second), "w0", at(6*time.Second))
+			f.plan(at(5900 * time.Millisecond))
+			So(placed(), ShouldBeTrue)
+			f.plan(at(6100 * time.Millisecond))
+			So(f.TakeWorkerLosses()[0].Cause, ShouldEqual, LossLeaseExpired)
+			f.active["w0"] = nil
+			f.report("w0", at(7*time.Second))
+			So(f.workers["w0"].info.Incarnation, ShouldEqual, 20)
+			So(f.plan(at(7*time.Second)).Starts, ShouldHaveLength, 2)
+		})
+		Convey("The later incarnation is called at its own address", func() {
+			f.list(at(2*time.Second), "w0", "b", 20)
+			So(f.Workers()[0].Address, ShouldEqual, "b")
+		})
+	})
+}
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -21,7 +21,7 @@
 
 // acceptsStarts reports whether tasks may be placed on the worker, now or once it has reported to this owner.
 func (w *worker) acceptsStarts() bool {
-	return w.listed && !w.undescribed && !w.unreachable && !w.info.Draining
+	return w.listed && !w.undescribed && w.announced == nil && !w.unreachable && !w.info.Draining
 }
 
 // canRun reports whether the worker may run tasks of the unit: it accepts tasks and meets the unit's placement constraints
--- a/internal/cluster/scheduler/load_test.go
+++ b/internal/cluster/scheduler/load_test.go
@@ -350,10 +350,12 @@
 			So(again[0].Worker.ID, ShouldNotEqual, s.Worker.ID)
 			So(again[0].Run, ShouldBeGreaterThan, s.Run)
 		})
-		Convey("When a new incarnation of it appears, its tasks start again at once", func() {
+		Convey("When a new incarnation of it answers, its tasks start again at once; its entry alone is no proof", func() {
 			info := f.workers[s.Worker.ID].info
 			info.Incarnation++
 			f.UpsertWorker(at(2*time.Second), info)
+			So(f.plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+			f.HandleReport(at(2*time.Second), Report{Worker: info.ID, Incarnation: info.Incarnation, SentAt: at(2 * time.Second), LeaseUntil: at(7 * time.Second)})
 			So(f.plan(at(2*time.Second)).Starts, ShouldHaveLength, 1)
 		})
 	})
--- a/internal/cluster/scheduler/losses.go
+++ b/internal/cluster/scheduler/losses.go
@@ -13,7 +13,7 @@
 
 // Causes of the loss of a worker's runs.
 const (
-	LossRestarted    LossCause = "restarted"     // a newer incarnation is listed or answers under its ID
+	LossRestarted    LossCause = "restarted"     // a newer incarnation answers under its ID
 	LossReplaced     LossCause = "replaced"      // another worker answers at its address
 	LossEnded        LossCause = "process ended" // a call to it was answered by another worker
 	LossLeaseExpired LossCause = "lease expired" // it did not answer until the lease of its runs had expired
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -91,6 +91,7 @@
 // confirmReplaced handles an answer of a worker that was requested at requestedAt: workers that it has replaced at its address are gone,
 // and so are their runs. A worker that is back after a crash usually has a new ID.
 func (s *Scheduler) confirmReplaced(by *worker, requestedAt, now time.Time) {
+	s.handleAnnounced(by, requestedAt, now)
 	by.noteAnswer(requestedAt)
 	for id, l := range s.silences {
 		if id == by.info.ID || !by.replaced(l) {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -25,9 +25,12 @@
 
 // worker is a worker that is listed, reports to this owner or may still run something.
 type worker struct {
-	info           WorkerInfo
-	listed         bool               // the platform's list of workers has it
-	undescribed    bool               // it has restarted, and info still holds the capacity and labels of an earlier incarnation
+	info        WorkerInfo
+	listed      bool // the platform's list of workers has it
+	undescribed bool // it has restarted, and info still holds the capacity and labels of an earlier incarnation
+	// announced is the entry of a later incarnation that has not answered yet, while the present one may go on.
+	announced      *WorkerInfo
+	announcedAt    time.Time          // when that entry was read
 	fenced         bool               // it has reported to this owner, so it rejects orders of earlier owners
 	unreachable    bool               // it did not answer the last call
 	silentSince    time.Time          // when the first call without an answer failed; zero while it answers
@@ -158,8 +161,9 @@
 	return n > 0
 }
 
-// UpsertWorker adds a worker or updates its description. A newer incarnation under the same ID ends all runs of the
-// previous one; an older one is ignored. A draining worker remains so until a newer incarnation replaces it.
+// UpsertWorker adds a worker or updates its description. A newer incarnation under the same ID ends all runs of the previous one once
+// it answers: an entry alone may be from another writer. An older one is ignored. A draining worker remains so until a newer
+// incarnation replaces it.
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
 	w := s.workers[info.ID]
 	if w == nil {
@@ -171,7 +175,12 @@
 	if info.Incarnation < w.info.Incarnation {
 		return
 	}
+	w.announced = nil
 	if info.Incarnation > w.info.Incarnation {
+		if w.answered() {
+			w.announce(info, now)
+			return
+		}
 		s.resetWorker(w, LossRestarted, now)
 	}
 	sameIncarnation := w.info.Incarnation == info.Incarnation
@@ -190,6 +199,26 @@
 	}
 }
 
+// announce notes the entry of a later incarnation, which is called at its own address from now on.
+func (w *worker) announce(info WorkerInfo, now time.Time) {
+	w.moved = w.moved || w.info.Address != info.Address
+	w.info.Address = info.Address
+	w.announced, w.announcedAt, w.listed = &info, now, true
+}
+
+// handleAnnounced decides about the entry of a later incarnation after an answer that was requested at requestedAt: the entry is used if
+// that incarnation has answered, and dropped if the earlier one goes on.
+func (s *Scheduler) handleAnnounced(w *worker, requestedAt, now time.Time) {
+	switch e := w.announced; {
+	case e == nil:
+	case e.Incarnation <= w.info.Incarnation:
+		w.announced = nil
+		s.UpsertWorker(now, *e)
+	case requestedAt.After(w.announcedAt):
+		w.announced = nil
+	}
+}
+
 // reserveForUnknownRuns lets each run of unknown size reserve the whole worker, also after its capacity has changed.
 func (w *worker) reserveForUnknownRuns() {
 	for _, p := range w.placements {
@@ -204,7 +233,7 @@
 // as it answers.
 func (s *Scheduler) DelistWorker(id string) {
 	if w := s.workers[id]; w != nil {
-		w.listed = false
+		w.listed, w.announced = false, nil
 	}
 }
 
@@ -319,6 +348,10 @@
 				s.withPendingAcks[w] = struct{}{}
 			}
 		}
+		if w.announced != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
+			s.resetWorker(w, LossRestarted, now)
+			s.UpsertWorker(now, *w.announced)
+		}
 	}
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
 		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0
