Do not take an answer without content for a report without runs

Callers could see two runs of a task. A worker, or whatever answers at its address, that answered a renewal with status 200 and an empty object, or null, was taken for one on which nothing runs: all its runs were given up at once and started elsewhere ("not listed").

Evidence, before the change: lease_test.go:214: an answer without content was reported as one that lists no runs

Each answer of a worker contains its clock, so one without it counts as missing: the lease is not extended, and the runs are given up after it unless the worker answers.

--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -43,6 +43,7 @@
 type fakeWorkers struct {
 	mu          sync.Mutex
 	silent      bool
+	malformed   bool // answers have no content
 	renews      int
 	starts      []string
 	stops       []string
@@ -87,8 +88,12 @@
 	w.renews++
 	w.maxDeadline = max(w.maxDeadline, r.Deadline)
 	w.lastAcked = r.LastAckedEnd
-	silent, ended, incarnation := w.silent, w.ended, max(w.incarnation, 1)
+	silent, malformed, ended, incarnation := w.silent, w.malformed, w.ended, max(w.incarnation, 1)
 	w.mu.Unlock()
+	if malformed {
+		time.Sleep(time.Millisecond)
+		return RenewalAnswer{}, nil
+	}
 	if silent {
 		<-ctx.Done()
 		return RenewalAnswer{}, errNoAnswer
--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -1,6 +1,7 @@
 package delegate
 
 import (
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -188,3 +189,46 @@
 		}
 	})
 }
+
+// Guards against giving up all runs of a worker because of one answer without content, which would list no runs.
+func TestAnswerWithoutContentIsNoReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		time.Sleep(time.Second)
+		f.workers.mu.Lock()
+		f.workers.malformed = true
+		f.workers.mu.Unlock()
+		time.Sleep(2 * renewPollTimeout)
+		f.mu.Lock()
+		seen := len(f.events)
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if len(f.events) == seen {
+			t.Error("the answers are not reported as missing")
+		}
+		for _, e := range f.events[seen:] {
+			if e.Report != nil {
+				t.Fatal("an answer without content was reported as one that lists no runs")
+			}
+		}
+	})
+}
+
+// Guards against a delegate that crashes on an odd batch of orders.
+func TestOddOrderBatchesAreTolerated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		unset := []Order{{}, {Release: "unknown"}, {Ack: &Ack{WorkerID: "unknown"}}, {Stop: &StopOrder{WorkerID: "unknown"}}}
+		for _, last := range []int64{math.MinInt64, -1, 0, 1, math.MaxInt64} {
+			for _, lastOrder := range []int64{0, 5, math.MaxInt64} {
+				s := &session{manager: &SessionManager{}, agent: f.Agent, lastOrder: lastOrder}
+				s.apply(OrderBatch{Last: last, Orders: unset, RenewPollTimeout: -1})
+				s.apply(OrderBatch{Last: last})
+			}
+		}
+	})
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -48,6 +48,10 @@
 // errPermitExpired means that a renewal was not sent because this process may not call workers now.
 var errPermitExpired = errors.New("delegate: permit expired")
 
+// errNoClock means that an answer does not come from a worker, since each answer of a worker contains its clock. Such an answer
+// lists no runs either, so it must not count as a report.
+var errNoClock = errors.New("delegate: answer without the worker's clock")
+
 // RenewPollTimeout returns the long-poll timeout of renewals for an owner with this number of workers.
 func RenewPollTimeout(workers int) time.Duration {
 	return min(max(renewPollTimeout, time.Duration(workers)*renewPollPerWorker), maxRenewPollTimeout)
@@ -281,6 +285,9 @@
 	if ctx.Err() != nil && err != nil {
 		return 0, err // released from this delegate; the next one finds out the worker's state
 	}
+	if err == nil && answer.ClockMS == 0 {
+		err = errNoClock
+	}
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
