Keep starts in progress when a report shows the restart of their worker

Callers could see two runs of a task. A worker that restarts under its ID is called with the same header and address, so the new process may receive a start that was sent to the earlier one. The first report of the new process, requested before that, does not list the run; all placements were dropped, and the task started elsewhere at once, while the run went on until a later report and a stop.

A report says nothing about what was confirmed after it was requested, of whichever process. A run that was accepted since then stays placed until the next report; a start or stop without an answer becomes a stop of the new process, and its task waits for the report after it. The assigner passes a stop for a newer process on with that process's entry, instead of dropping it.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -267,9 +267,10 @@
 // sendStop sends a stop to the worker's executor. If the worker has none, the next one gets the stop.
 func (as *assigner) sendStop(s scheduler.Stop) {
 	a := as.assignments[s.Worker.ID]
-	if a == nil || a.info.Incarnation != s.Worker.Incarnation {
+	if a == nil || s.Worker.Incarnation < a.info.Incarnation {
 		return // the run has ended: the worker was restarted, or removed after its last run
 	}
+	as.updateWorker(a, s.Worker) // the executor ignores orders for another process of the worker than it knows
 	o := delegate.StopOrder{Task: s.Task, Run: s.Run, WorkerID: s.Worker.ID, Incarnation: s.Worker.Incarnation, Generation: a.generation, Reason: s.Reason}
 	a.stops[runKey{s.Task, s.Run}] = o
 	if a.executor != nil {
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -69,8 +69,7 @@
 		return nil
 	}
 	if r.Incarnation > w.info.Incarnation {
-		s.resetWorker(w, LossRestarted, now)
-		w.info.Incarnation, w.info.Draining, w.undescribed = r.Incarnation, false, true
+		s.restartWorker(w, r.Incarnation, r.SentAt, now)
 	}
 	w.unreachable, w.fenced = false, true
 	w.silentSince = time.Time{}
@@ -185,11 +184,7 @@
 		if listed[runKey{p.id, p.run}] {
 			continue
 		}
-		confirmedAt := p.confirmedAt
-		if p.state == stopping {
-			confirmedAt = p.stopAckedAt
-		}
-		if p.state != starting && !confirmedAt.IsZero() && requestedAt.After(confirmedAt) {
+		if !p.mayBeUnreported(requestedAt) {
 			if p.state == running {
 				lost = append(lost, p)
 			}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -327,6 +327,11 @@
 	if p.state == stopping {
 		return
 	}
+	s.orderStop(p, reason)
+}
+
+// orderStop orders the stop of one run, also if an order to an earlier process of the worker was given before.
+func (s *Scheduler) orderStop(p *placement, reason string) {
 	p.state, p.stopAckedAt = stopping, time.Time{}
 	s.stops = append(s.stops, Stop{Task: p.id, Run: p.run, Worker: p.worker.info, Reason: reason})
 }
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -240,7 +240,13 @@
 // resetWorker drops all placements of a worker whose process is gone or whose lease has expired, and resets what was known
 // about the process.
 func (s *Scheduler) resetWorker(w *worker, cause LossCause, now time.Time) {
-	s.recordLoss(w, w.placements, cause, now)
+	s.resetWorkerExcept(w, nil, cause, now)
+}
+
+// resetWorkerExcept is resetWorker, but keeps some of the placements.
+func (s *Scheduler) resetWorkerExcept(w *worker, kept []*placement, cause LossCause, now time.Time) {
+	lost := slices.DeleteFunc(slices.Clone(w.placements), func(p *placement) bool { return slices.Contains(kept, p) })
+	s.recordLoss(w, lost, cause, now)
 	if cause == LossRestarted {
 		w.moved = false
 		if s.silences[w.info.ID] == nil {
@@ -248,12 +254,13 @@
 		}
 		s.confirmCrash(w.info.ID, now)
 	}
-	for _, p := range slices.Clone(w.placements) {
+	for _, p := range lost {
 		s.dropPlacement(p, now)
 	}
-	w.placements = nil
-	w.used = workload.Resources{}
-	w.urgentCPU, w.suspectedRuns = 0, 0
+	w.placements, w.used, w.urgentCPU, w.suspectedRuns = nil, workload.Resources{}, 0, 0
+	for _, p := range kept {
+		w.addPlacement(p)
+	}
 	w.fenced = false
 	if cause != LossLeaseExpired { // that process may go on
 		w.firstAnswer = time.Time{}
@@ -267,6 +274,35 @@
 	}
 }
 
+// restartWorker applies the restart of a worker that a report of its new process shows. The calls name the worker and not the process,
+// so the new one may have received starts that were still in progress when the report was requested.
+func (s *Scheduler) restartWorker(w *worker, incarnation int64, requestedAt, now time.Time) {
+	var kept []*placement
+	for _, p := range w.placements {
+		if p.mayBeUnreported(requestedAt) {
+			kept = append(kept, p)
+		}
+	}
+	s.resetWorkerExcept(w, kept, LossRestarted, now)
+	w.info.Incarnation, w.info.Draining, w.undescribed = incarnation, false, true
+	for _, p := range kept {
+		if p.state != running {
+			s.orderStop(p, "the worker has restarted and may receive the start late")
+		}
+	}
+}
+
+// mayBeUnreported reports whether a worker may execute the run although a report that was requested at the given time does not list it.
+func (p *placement) mayBeUnreported(requestedAt time.Time) bool {
+	switch p.state {
+	case starting:
+		return true
+	case stopping:
+		return p.stopAckedAt.IsZero() || !requestedAt.After(p.stopAckedAt)
+	}
+	return p.confirmedAt.IsZero() || !requestedAt.After(p.confirmedAt)
+}
+
 // dropPlacement removes a run that certainly no longer executes and requeues its task.
 func (s *Scheduler) dropPlacement(p *placement, now time.Time) {
 	p.worker.removePlacement(p)
