Read the time of a plan after the wait for the term's lock

LimitUnresolvedLease and the assignments of a plan count from its time. It was read before the lock, so an owner that waited for the lock gave up unreachable workers of its predecessor earlier by that wait.

--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -215,9 +215,9 @@
 	if !t.ownership.LeaseValid() {
 		return
 	}
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now() // read after the wait for the lock, since the bounds of leases count from it
 	defer t.deps.Duties.Begin(dutyPlanAll)()
 	t.applyQueueConfig()
 	t.updateListAge()
@@ -276,9 +276,9 @@
 	if !t.ownership.LeaseValid() {
 		return
 	}
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	defer t.deps.Duties.Begin(dutyPlanChanges)()
 	t.updateListAge()
 	t.sendOrders(ctx, t.sched.PlanChanged(now))
