Report the longest lease of a worker that has restarted

Callers could see two runs of a task. The call that finds a worker restarted carries a deadline on the clock of the earlier process. Cut off within the next seconds, a run there outlived the owner's bound.

The first report of the new process now tells the longest lease that workers grant, from the settings.

--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -72,6 +72,7 @@
 // Config holds the settings of delegates. They must be the same on all hosts.
 type Config struct {
 	Lease       time.Duration // how long tasks keep running without a renewal
+	MaxLease    time.Duration // longest lease that workers grant, if that is longer
 	GangTimeout time.Duration // how long started members of a gang wait for the others
 }
 
@@ -83,8 +84,14 @@
 )
 
 // LeaseBound returns the longest time that a task may run on a worker after the deadline of its last renewal was computed.
-func (c Config) LeaseBound() time.Duration {
-	return time.Duration(float64(c.Lease)*leaseDriftFactor) + leaseMargin
+func (c Config) LeaseBound() time.Duration { return leaseBound(c.Lease) }
+
+// restartLeaseBound is LeaseBound for a worker that has restarted and may have received a deadline on the clock of its earlier process,
+// which it shortens to the longest lease that it grants.
+func (c Config) restartLeaseBound() time.Duration { return leaseBound(max(c.Lease, c.MaxLease)) }
+
+func leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*leaseDriftFactor) + leaseMargin
 }
 
 // PermitLimit is the longest validity of a permit, counted from the delegate's request. It is short because a new owner has
--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -232,3 +233,35 @@
 		}
 	})
 }
+
+// Guards against a run that outlives the owner's bound after its worker has restarted: a deadline on the clock of the earlier process,
+// which the new process shortens only to the longest lease that it grants, may have reached it.
+func TestReportOfRestartedWorkerTellsTheLongestLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testConfig
+		cfg.MaxLease = 10 * time.Second
+		workers, clock := &fakeWorkers{}, newTestClock()
+		var reports []Report
+		a := NewAgent(t.Context(), cfg, Deps{Client: workers, Clock: clock.since, Log: zap.NewNop()}, testEpoch, func() bool { return true },
+			func(e Event) {
+				if e.Report != nil {
+					reports = append(reports, *e.Report)
+				}
+			})
+		a.Apply([]Order{assign("w1")})
+		time.Sleep(2 * time.Second)
+		workers.restart()
+		time.Sleep(2 * time.Second)
+		a.Close()
+		i := slices.IndexFunc(reports, func(r Report) bool { return r.Incarnation == 2 })
+		if i < 1 {
+			t.Fatalf("no report of the new process among %d", len(reports))
+		}
+		if granted := reports[i].LeaseUntil - reports[i].SentAt; granted < cfg.MaxLease {
+			t.Errorf("the first report of the new process tells a lease of %s; it may last %s", granted, cfg.MaxLease)
+		}
+		if granted := reports[i-1].LeaseUntil - reports[i-1].SentAt; granted != cfg.LeaseBound() {
+			t.Errorf("the last report of the earlier process tells a lease of %s; want %s", granted, cfg.LeaseBound())
+		}
+	})
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -143,6 +143,9 @@
 	if a.Incarnation > r.info.Incarnation {
 		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
 		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
+		if r.leaseUntil > 0 { // calls with a deadline on the clock of the earlier process may have reached this one
+			r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.restartLeaseBound())
+		}
 	}
 	if r.unresponsive {
 		r.unresponsive, r.unconfirmed = false, true
@@ -191,6 +194,13 @@
 	return r.leaseUntil, excused
 }
 
+// lastLeaseEnd returns when all tasks have certainly expired without another call, or 0 if no call has extended the lease.
+func (r *leaseRenewer) lastLeaseEnd() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaseUntil
+}
+
 // readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
 func (r *leaseRenewer) readySignal() <-chan struct{} {
 	r.mu.Lock()
@@ -303,6 +313,9 @@
 	if applied == nil {
 		return 0, nil
 	}
+	if answer.Incarnation > info.Incarnation {
+		leaseUntil = r.lastLeaseEnd()
+	}
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
 		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded,
