Take an invalid start outcome of a delegate as unknown

One malformed message: an outcome out of range made StartOutcome.String panic while the owner applied a delegate's events. The call failed, and its later events were lost, since they counted as received. The scheduler took such an outcome for a rejection, although the worker may execute the start.

TestInvalidStartOutcomeCountsAsUnknown failed before with "index out of range [-1]". An invalid outcome now counts as StartUnknown: the run is stopped before its task starts elsewhere.

--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -42,6 +42,9 @@
 
 func (o StartOutcome) String() string {
 	names := [...]string{"accepted", "unknown", "old", "room", "ticket", "unhealthy", "rejected"}
+	if !inRange(int(o), len(names)) {
+		return "invalid"
+	}
 	return names[o]
 }
 
@@ -64,7 +67,8 @@
 	oldRunIncrement = 16
 )
 
-// HandleStartResult applies the outcome of a start order.
+// HandleStartResult applies the outcome of a start order. An invalid outcome, as of a delegate of another release, counts as
+// StartUnknown.
 func (s *Scheduler) HandleStartResult(now time.Time, r StartResult) {
 	w := s.workers[r.Worker]
 	if w == nil {
@@ -75,6 +79,9 @@
 	if p == nil {
 		return
 	}
+	if r.Outcome < StartAccepted || r.Outcome > RejectedOther {
+		r.Outcome = StartUnknown
+	}
 	switch r.Outcome {
 	case StartAccepted:
 		if p.state == starting {
--- a/internal/cluster/scheduler/starts_test.go
+++ b/internal/cluster/scheduler/starts_test.go
@@ -123,3 +123,21 @@
 		})
 	})
 }
+
+// Guards against a message of a delegate with an invalid outcome that ends the call, with the events after it, or that counts as a
+// rejection although the worker may execute the start.
+func TestInvalidStartOutcomeCountsAsUnknown(t *testing.T) {
+	Convey("Given a start order, and outcomes that don't exist", t, func() {
+		for _, outcome := range []StartOutcome{-1, RejectedOther + 1, 1 << 40} {
+			f := newFixture(1, 1)
+			f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+			f.commit()
+			s := f.Plan(t0).Starts[0]
+			So(outcome.String(), ShouldEqual, "invalid")
+			f.HandleStartResult(at(time.Second), StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: outcome, AnsweredAt: at(time.Second)})
+			p := f.Plan(at(time.Second))
+			So(p.Starts, ShouldBeEmpty)
+			So(p.Stops, ShouldHaveLength, 1)
+		}
+	})
+}
