Keep an earlier owner's lease in mind after a worker's first report

Callers could see two runs of a task after a change of the owner. The first report of a worker to a new owner ends the wait for the earlier owner's runs there, and extends no lease. If the worker was cut off before a call had extended one, the new owner took the adopted runs for expired at once, although the earlier owner had extended their lease by up to LeaseBound.

Evidence: TestLeaseOfEarlierOwnerHoldsAfterFirstReport failed before: "Expected [{Task:j1.0.0.0 Run:4097 WorkerID:w1 ...}] to be empty".

The report of an unresolved worker now counts as an extension until LeaseBound from the time at which it is applied: from its answer on the worker rejects earlier owners, so no deadline of theirs is later.

--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -186,6 +186,11 @@
 func (t *term) applyReport(now time.Time, ex *executor, worker string, r *delegate.Report) {
 	sentAt := ex.ownerTime(r.SentAt)
 	t.meters.renewals.Record("answered", sentAt)
+	if t.sched.IsUnresolved(worker) {
+		// An earlier owner may have extended the lease until now. A delegate extends it only after this report is applied, so a missed
+		// renewal before that tells of no lease.
+		t.sched.ExtendLease(worker, now.Add(t.cfg.Delegate.LeaseBound()))
+	}
 	applied := t.sched.HandleReport(now, scheduler.Report{
 		Worker: worker, Incarnation: r.Incarnation, SentAt: sentAt, LeaseUntil: ex.leaseEnd(r.LeaseUntil),
 		Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded,
--- a/internal/cluster/coordinator/leasebound_test.go
+++ b/internal/cluster/coordinator/leasebound_test.go
@@ -77,3 +77,40 @@
 		}
 	})
 }
+
+// Guards against two runs of a task after a change of the owner: a worker answers the new owner's delegate once, before a call has
+// extended its lease, and is cut off then. Its run goes on under the lease that the earlier owner has extended.
+func TestLeaseOfEarlierOwnerHoldsAfterFirstReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a run that an earlier owner has started on one of two workers", t, func() {
+			store := rowstore.NewMemory()
+			first := runOwner(t, store, 0, 2)
+			a := first.testDelegate(t, "a")
+			a.awaitOneStart()
+			run := a.starts[0]
+			So(a.exchange(a.startedEvent(run, scheduler.StartAccepted)), ShouldBeNil)
+			first.end()
+			second := runOwner(t, store, 1, 2)
+			defer second.end()
+			b := second.testDelegate(t, "b")
+			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+				So(b.exchange(), ShouldBeNil)
+			}
+			So(b.workers, ShouldHaveLength, 2)
+			Convey("When its worker is cut off from the new owner after its first answer, the task starts elsewhere once the lease has expired", func() {
+				report := b.reportEvent(run.WorkerID, scheduler.ActiveRun{Task: run.Task, Run: run.Run})
+				report.Report.LeaseUntil = 0
+				missed := delegate.Event{WorkerID: run.WorkerID, Generation: b.workers[run.WorkerID], MissedRenewal: &delegate.MissedRenewal{FailedAt: second.clock(), Incarnation: 1}}
+				So(b.exchange(report, missed), ShouldBeNil)
+				answeredAt := time.Now()
+				delete(b.workers, run.WorkerID) // serve reports the other worker only
+				bound := second.current().cfg.Delegate.LeaseBound()
+				b.serve(bound - 100*time.Millisecond)
+				So(b.starts, ShouldBeEmpty)
+				b.serve(time.Until(answeredAt.Add(bound + time.Second)))
+				So(b.starts, ShouldHaveLength, 1)
+				So(b.starts[0].WorkerID, ShouldNotEqual, run.WorkerID)
+			})
+		})
+	})
+}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -142,6 +142,12 @@
 // UnresolvedWorkers returns the IDs of the workers that may run tasks of an earlier owner and have not reported yet.
 func (s *Scheduler) UnresolvedWorkers() []string { return slices.Collect(maps.Keys(s.unresolved)) }
 
+// IsUnresolved reports whether a worker may run tasks of an earlier owner and has not reported yet.
+func (s *Scheduler) IsUnresolved(workerID string) bool {
+	_, unresolved := s.unresolved[workerID]
+	return unresolved
+}
+
 // InheritedWorkers returns the IDs of the unresolved workers to which an owner before the previous one may still send orders.
 func (s *Scheduler) InheritedWorkers() []string {
 	var ids []string
