Convert the ends of leases with recent readings of a delegate's clock

Callers could see two runs of a task in a session that has lasted for hours: the runs of a silent worker are given up before their lease has expired.

If the delegate's clock is slower than the owner's, the estimate from the beginning is too early by the drift since then, and so are the ends of leases.

Evidence: TestLeaseEndWithClockDrift failed before, with 50 millionths for ten hours: "the end of a lease is converted to a time that is 1.8s too early".

The ends of leases use the lowest estimate of the last one to two minutes. The order of events still uses the lowest of the session: an estimate that rises could reverse the order of two events.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -64,7 +64,7 @@
 	as := &assigner{t: t, remote: map[string]*executor{}, rejoinAt: map[string]time.Time{}, assignments: map[string]*assignment{},
 		startedAt: time.Now(), noDelegatesSince: time.Now(), lastTimeoutCheck: time.Now()}
 	clock := t.deps.Clock() // read before the owner's time, as for syncClock
-	as.local = &executor{host: "", clockZero: time.Now().Add(-clock)}
+	as.local = newExecutor(time.Now(), clock)
 	as.local.agent = delegate.NewAgent(ctx, t.cfg.Delegate, delegate.Deps{Client: t.deps.Workers, Clock: t.deps.Clock, Log: t.deps.Log},
 		t.ownership.Epoch(), t.ownership.LeaseValid, t.applyLocalEvent)
 	return as
@@ -242,8 +242,8 @@
 	if r.After > 0 || !as.wantsDelegates() || len(as.remote) >= maxDelegates || now.Before(as.rejoinAt[r.Host]) {
 		return nil
 	}
-	ex := &executor{host: r.Host, domain: r.FailureDomain, session: r.Session, clockZero: arrived.Add(-r.Now), lastCall: now,
-		ordersReady: make(chan struct{}, 1)}
+	ex := newExecutor(arrived, r.Now)
+	ex.host, ex.domain, ex.session, ex.lastCall, ex.ordersReady = r.Host, r.FailureDomain, r.Session, now, make(chan struct{}, 1)
 	as.remote[r.Host] = ex
 	as.assignmentsValid = false
 	as.t.delegated = true
--- a/internal/cluster/coordinator/executor.go
+++ b/internal/cluster/coordinator/executor.go
@@ -12,6 +12,9 @@
 	maxBatchBytes = 256 << 10
 	// orderBytes is the approximate size of an order without its payload and checkpoint.
 	orderBytes = 400
+	// clockWindow is the time for which an estimate of an executor's clock is used for leases, and up to twice that. Clocks that drift
+	// apart by 100 millionths differ by 12 ms then.
+	clockWindow = time.Minute
 )
 
 // executor carries out the owner's orders for some of the workers. It is either the owner's own process, which has an agent,
@@ -21,7 +24,10 @@
 	domain    string
 	session   string
 	clockZero time.Time // the owner's time when the executor's clock showed zero; see syncClock
-	agent     *delegate.Agent
+	// windowZero is the lowest estimate of clockZero within the present clockWindow, previousZero that of the one before; see leaseEnd.
+	windowZero, previousZero time.Time
+	windowBegan              time.Time
+	agent                    *delegate.Agent
 
 	unacked     []delegate.Order // orders that the delegate has not acknowledged
 	lastAcked   int64            // number of the last acknowledged order, the one before unacked[0]
@@ -31,6 +37,12 @@
 	ordersReady chan struct{} // signals that there are orders or that the session has ended
 }
 
+// newExecutor returns an executor whose clock showed d at the owner's time now.
+func newExecutor(now time.Time, d time.Duration) *executor {
+	zero := now.Add(-d)
+	return &executor{clockZero: zero, windowZero: zero, previousZero: zero, windowBegan: now}
+}
+
 // maxPermit returns the maximum time for which the executor may still call a worker after the owner has taken it away.
 func (ex *executor) maxPermit() time.Duration {
 	if ex.agent != nil {
@@ -44,20 +56,32 @@
 // end of a lease is never converted to an earlier time than it has, and a later event never to a later time than an earlier one
 // of the same moment, by which a report could seem to be requested after a start that it does not know.
 func (ex *executor) syncClock(now time.Time, d time.Duration) {
-	if zero := now.Add(-d); zero.Before(ex.clockZero) {
+	zero := now.Add(-d)
+	if zero.Before(ex.clockZero) {
 		ex.clockZero = zero
 	}
+	if now.Sub(ex.windowBegan) >= clockWindow {
+		ex.windowBegan, ex.previousZero, ex.windowZero = now, ex.windowZero, zero
+	}
+	if zero.Before(ex.windowZero) {
+		ex.windowZero = zero
+	}
 }
 
 // ownerTime converts a time of the executor's clock to the owner's.
 func (ex *executor) ownerTime(d time.Duration) time.Time { return ex.clockZero.Add(d) }
 
-// leaseEnd converts the expiry time of a lease from the executor's clock to the owner's; zero means that there is no lease.
+// leaseEnd converts the expiry time of a lease from the executor's clock to the owner's; zero means that there is no lease. It uses
+// recent estimates only: if the executor's clock is slower than the owner's, an estimate from hours ago is too early by more than the
+// margin of the lease.
 func (ex *executor) leaseEnd(d time.Duration) time.Time {
 	if d == 0 {
 		return time.Time{}
 	}
-	return ex.clockZero.Add(d)
+	if ex.previousZero.Before(ex.windowZero) {
+		return ex.previousZero.Add(d)
+	}
+	return ex.windowZero.Add(d)
 }
 
 // send passes an order to the agent, or queues it for the delegate. It drops orders for a session that has ended.
--- a/internal/cluster/coordinator/leasebound_test.go
+++ b/internal/cluster/coordinator/leasebound_test.go
@@ -114,3 +114,20 @@
 		})
 	})
 }
+
+// Guards against runs that are given up before their lease has expired, in a session that has lasted for hours with a delegate whose
+// clock is slower than the owner's.
+func TestLeaseEndWithClockDrift(t *testing.T) {
+	const drift = 50e-6 // a usual quartz
+	now := time.Now()
+	ex := newExecutor(now, time.Hour)
+	d := time.Hour
+	for range 10 * 3600 {
+		now = now.Add(time.Second)
+		d += time.Second - time.Duration(drift*float64(time.Second))
+		ex.syncClock(now.Add(time.Millisecond), d) // the request takes a millisecond
+	}
+	if early := now.Add(5 * time.Second).Sub(ex.leaseEnd(d + 5*time.Second)); early > 10*time.Millisecond || early < -time.Millisecond {
+		t.Errorf("the end of a lease is converted to a time that is %v too early", early)
+	}
+}
