--- /dev/null
+++ b/internal/cluster/delegate/leasestate.go
@@ -0,0 +1,149 @@
+package delegate
+
+import (
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/wait"
+)
+
+const (
+	// maxClockAge is the age from which a reading of a worker's clock is not used for deadlines. A clock that is 2 % slow drifts
+	// by 0.1 s in that time, and leaseMargin allows for more. A reading gets older while this process is suspended or excuses
+	// missed answers.
+	maxClockAge = 5 * time.Second
+
+	// maxExcusedMisses is the number of consecutive renewals whose missing answer is excused by a pause of this process. A process
+	// that is often short of processor time must still notice a silent worker.
+	maxExcusedMisses = 5
+)
+
+// workerClock estimates the present time on a worker's clock from its last answer.
+type workerClock struct {
+	known  bool
+	ms     int64
+	readAt time.Duration // when the answer arrived, on the agent's clock
+}
+
+// updateAssignment takes over a changed description of the worker. If the worker has restarted, its clock and the
+// acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the known one, only
+// the generation is taken over.
+func (r *leaseRenewer) updateAssignment(as Assignment) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if as.Worker.Incarnation < r.info.Incarnation {
+		r.generation = as.Generation
+		return
+	}
+	if as.Worker.Incarnation > r.info.Incarnation {
+		r.clock = workerClock{}
+		r.durableEnd = 0
+	}
+	r.info, r.generation, r.durableEnd = as.Worker, as.Generation, max(r.durableEnd, as.LastAckedEnd)
+}
+
+// acknowledge notes which ends the worker may forget, unless they belong to another incarnation: each numbers its ends anew.
+func (r *leaseRenewer) acknowledge(a Ack) {
+	r.mu.Lock()
+	if a.Incarnation == r.info.Incarnation {
+		r.durableEnd = max(r.durableEnd, a.LastAckedEnd)
+	}
+	r.mu.Unlock()
+	wait.Signal(r.acks)
+}
+
+// leaseDeadline returns the end of the lease for a call that is sent now, on the worker's clock in milliseconds, and the time
+// on the agent's clock at which all tasks there have certainly expired. Both are 0 if the worker's clock has not been read
+// within maxClockAge, the worker does not answer, or the owner has not applied a report since it last did not answer.
+func (r *leaseRenewer) leaseDeadline(now time.Duration) (int64, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.clock.known || now-r.clock.readAt > maxClockAge || r.unresponsive || r.unconfirmed {
+		return 0, 0
+	}
+	leaseUntil := now + r.a.cfg.LeaseBound()
+	r.leaseUntil = max(r.leaseUntil, leaseUntil)
+	return r.clock.ms + (now - r.clock.readAt + r.a.cfg.Lease).Milliseconds(), leaseUntil
+}
+
+// recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
+// report, or nil for a late answer of an earlier incarnation than the known one, which it ignores.
+func (r *leaseRenewer) recordAnswer(a RenewalAnswer) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.Incarnation < r.info.Incarnation {
+		return nil
+	}
+	if a.Incarnation > r.info.Incarnation {
+		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
+		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
+		if r.leaseUntil > 0 { // calls with a deadline on the clock of the earlier process may have reached this one
+			r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.restartLeaseBound())
+		}
+	}
+	if r.unresponsive {
+		r.unresponsive, r.unconfirmed = false, true
+		if r.readyClosed {
+			r.ready, r.readyClosed = make(chan struct{}), false
+		}
+	}
+	r.excused = 0
+	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
+	r.updateReady()
+	silences := r.silences
+	return func() { r.confirm(silences) }
+}
+
+// updateReady closes ready if calls may extend the lease. The caller holds mu.
+func (r *leaseRenewer) updateReady() {
+	if !r.readyClosed && !r.unconfirmed {
+		close(r.ready)
+		r.readyClosed = true
+	}
+}
+
+// confirm notes that the owner has applied a report that the worker sent after this number of silences.
+func (r *leaseRenewer) confirm(silences int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unconfirmed && silences == r.silences {
+		r.unconfirmed = false
+		r.updateReady()
+	}
+}
+
+// recordFailure notes a renewal without an answer, which a pause of this process may explain (excusable). It returns when all
+// tasks have expired unless a later call extends the lease, which covers starts whose outcome is not known yet, and whether the
+// failure is excused, so that later calls may extend the lease.
+func (r *leaseRenewer) recordFailure(excusable bool) (leaseUntil time.Duration, excused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	excused = excusable && r.excused < maxExcusedMisses
+	if excused {
+		r.excused++
+	} else {
+		r.unresponsive = true
+		r.silences++
+	}
+	return r.leaseUntil, excused
+}
+
+// lastLeaseEnd returns when all tasks have certainly expired without another call, or 0 if no call has extended the lease.
+func (r *leaseRenewer) lastLeaseEnd() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaseUntil
+}
+
+// readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
+func (r *leaseRenewer) readySignal() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready
+}
+
+func (r *leaseRenewer) state() (scheduler.WorkerInfo, int64, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info, r.generation, r.durableEnd
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -237,87 +237,6 @@
 	}
 }
 
-// resetWorker drops all placements of a worker whose process is gone or whose lease has expired, and resets what was known
-// about the process.
-func (s *Scheduler) resetWorker(w *worker, cause LossCause, now time.Time) {
-	s.resetWorkerExcept(w, nil, cause, now)
-}
-
-// resetWorkerExcept is resetWorker, but keeps some of the placements.
-func (s *Scheduler) resetWorkerExcept(w *worker, kept []*placement, cause LossCause, now time.Time) {
-	lost := slices.DeleteFunc(slices.Clone(w.placements), func(p *placement) bool { return slices.Contains(kept, p) })
-	s.recordLoss(w, lost, cause, now)
-	if cause == LossRestarted {
-		w.moved = false
-		if s.silences[w.info.ID] == nil {
-			s.beginSilence(w, now)
-		}
-		s.confirmCrash(w.info.ID, now)
-	}
-	for _, p := range lost {
-		s.dropPlacement(p, now)
-	}
-	w.placements, w.used, w.urgentCPU, w.suspectedRuns = nil, workload.Resources{}, 0, 0
-	for _, p := range kept {
-		w.addPlacement(p)
-	}
-	w.fenced = false
-	if cause != LossLeaseExpired { // that process may go on
-		w.firstAnswer = time.Time{}
-	}
-	w.silentSince = time.Time{}
-	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
-	delete(s.withPendingAcks, w)
-	w.health = health{}
-	if cause != LossRestarted { // an earlier owner may have started runs on the later incarnation, too, which its report lists
-		s.markResolved(w.info.ID)
-	}
-}
-
-// restartWorker applies the restart of a worker that a report of its new process shows. The calls name the worker and not the process,
-// so the new one may have received starts that were still in progress when the report was requested.
-func (s *Scheduler) restartWorker(w *worker, incarnation int64, requestedAt, now time.Time) {
-	var kept []*placement
-	for _, p := range w.placements {
-		if p.mayBeUnreported(requestedAt) {
-			kept = append(kept, p)
-		}
-	}
-	s.resetWorkerExcept(w, kept, LossRestarted, now)
-	w.info.Incarnation, w.info.Draining, w.undescribed = incarnation, false, true
-	for _, p := range kept {
-		if p.state != running {
-			s.orderStop(p, "the worker has restarted and may receive the start late")
-		}
-	}
-}
-
-// mayBeUnreported reports whether a worker may execute the run although a report that was requested at the given time does not list it.
-func (p *placement) mayBeUnreported(requestedAt time.Time) bool {
-	switch p.state {
-	case starting:
-		return true
-	case stopping:
-		return p.stopAckedAt.IsZero() || !requestedAt.After(p.stopAckedAt)
-	}
-	return p.confirmedAt.IsZero() || !requestedAt.After(p.confirmedAt)
-}
-
-// dropPlacement removes a run that certainly no longer executes and requeues its task.
-func (s *Scheduler) dropPlacement(p *placement, now time.Time) {
-	p.worker.removePlacement(p)
-	s.recordFreed(p, now)
-	t := p.task
-	if t == nil || t.placement != p {
-		return
-	}
-	t.placement = nil
-	s.saveCheckpoint(t, p.checkpoint)
-	if t.unit.step.Gang && !t.done {
-		s.stopUnit(t.unit, "another gang member was lost")
-	}
-}
-
 // saveCheckpoint records the checkpoint from which the next run of a task, or of its gang, resumes.
 func (s *Scheduler) saveCheckpoint(t *task, checkpoint string) {
 	if checkpoint == "" || !t.unit.step.Checkpointing {
@@ -330,34 +249,6 @@
 	t.checkpoint = checkpoint
 }
 
-// MarkUnreachable records that a worker did not answer a call, which failed at the given time. Without another renewal, the lease of every run on the worker
-// has expired at leaseUntil, including runs that earlier owners started.
-func (s *Scheduler) MarkUnreachable(failedAt time.Time, workerID string, leaseUntil time.Time) {
-	w := s.workers[workerID]
-	if w == nil {
-		return
-	}
-	if !w.unreachable {
-		w.silentSince = failedAt
-		s.beginSilence(w, failedAt)
-	}
-	w.unreachable = true
-	w.extendLease(leaseUntil)
-}
-
-// MarkEnded records that another worker rejected a call to an incarnation of a worker, as it does after the process of the incarnation
-// has ended. The runs are given up only if the call went to the address at which the incarnation has answered this owner, and no other
-// worker answered there meanwhile: behind a proxy, or by an odd entry, the call may have missed a process that goes on. It is called
-// after MarkUnreachable.
-func (s *Scheduler) MarkEnded(now time.Time, workerID string, incarnation int64) {
-	w := s.workers[workerID]
-	if w == nil || w.info.Incarnation != incarnation || !w.answered() || w.moved || s.sharesAddress(w) {
-		return
-	}
-	s.confirmCrash(workerID, now)
-	s.resetWorker(w, LossEnded, now)
-}
-
 // ExtendLease records that a call that the worker may have processed extended the lease of its runs until the given time.
 func (s *Scheduler) ExtendLease(workerID string, until time.Time) {
 	if w := s.workers[workerID]; w != nil {
@@ -371,34 +262,6 @@
 	}
 }
 
-// expireWorkers drops the runs of unreachable workers whose lease has certainly expired. It also removes workers without
-// runs that are not listed and either unreachable or without a report to this owner.
-func (s *Scheduler) expireWorkers(now time.Time) {
-	for _, w := range s.sortedWorkers {
-		if w.unreachable && w.fenced && now.After(w.leaseUntil) {
-			lastEnd, lastDurableEnd, pendingAcks := w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks
-			s.resetWorker(w, LossLeaseExpired, now)
-			// The process may still be alive: it continues the numbering of its ends.
-			w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = lastEnd, lastDurableEnd, pendingAcks
-			if len(pendingAcks) > 0 {
-				s.withPendingAcks[w] = struct{}{}
-			}
-		}
-		if w.announced != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
-			s.resetWorker(w, LossRestarted, now)
-			s.UpsertWorker(now, *w.announced)
-		}
-	}
-	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
-		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0
-		if gone {
-			delete(s.workers, w.info.ID)
-			delete(s.withPendingAcks, w)
-		}
-		return gone
-	})
-}
-
 // WorkerCount returns the number of workers that the owner has to keep in contact with.
 func (s *Scheduler) WorkerCount() int { return len(s.sortedWorkers) }
 
