Test that a report from before a silence does not confirm a lease extension

The check that a confirmation belongs to the present silence had no test: without it (trial), all tests of the package pass and the new one fails with "the lease is extended before the owner has applied a report from after the silence".

--- a/internal/cluster/delegate/lease_test.go
+++ b/internal/cluster/delegate/lease_test.go
@@ -265,3 +265,20 @@
 		}
 	})
 }
+
+// Guards against a lease that is extended after a second silence because the owner has applied a report from before it: the owner has
+// been told of the second silence since, and computes the end of the lease from it.
+func TestReportFromBeforeSilenceConfirmsNothing(t *testing.T) {
+	r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: newTestClock().since}}, ready: make(chan struct{}), info: testWorker("w1"), unresponsive: true}
+	applied := r.recordAnswer(RenewalAnswer{ClockMS: 1000, Incarnation: 1})
+	r.recordFailure(false)
+	appliedLater := r.recordAnswer(RenewalAnswer{ClockMS: 2000, Incarnation: 1})
+	applied()
+	if deadline, _ := r.leaseDeadline(r.a.deps.Clock()); deadline != 0 {
+		t.Error("the lease is extended before the owner has applied a report from after the silence")
+	}
+	appliedLater()
+	if deadline, _ := r.leaseDeadline(r.a.deps.Clock()); deadline == 0 {
+		t.Error("the lease is not extended after the owner has applied a report from after the silence")
+	}
+}
