--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// MarkUnreachable records that a worker did not answer a call, which failed at the given time. Without another renewal, the lease of every run on the worker
-// has expired at leaseUntil, including runs that earlier owners started.
+// MarkUnreachable records that a worker did not answer a call, which failed at the given time. Without another renewal, the lease
+// of every run on the worker has expired at leaseUntil, including runs that earlier owners started.
 func (s *Scheduler) MarkUnreachable(failedAt time.Time, workerID string, leaseUntil time.Time) {
 	w := s.workers[workerID]
 	if w == nil {
