Let the test of owners in series wait for the owner's first list of workers

The owner's list, which is empty, was read in another goroutine; if that came after the test's entry of w9, it delisted the worker. The expectations are unchanged.

--- a/internal/cluster/coordinator/owners_test.go
+++ b/internal/cluster/coordinator/owners_test.go
@@ -55,6 +55,7 @@
 			})
 			Convey("When the second owner ends after it used w9 as well, a third one waits for the first owner's lease on w0 only", func() {
 				second := runOwner(t, store, 1, 0)
+				synctest.Wait() // until the owner has read its list, which is empty and would delist the worker
 				second.current().Upsert(testWorker("w9"))
 				runUntilListed(t, second, "w0", "w9")
 				So(unresolvedAfterShortWait(successorOf(t, second, 2)), ShouldResemble, []string{"w0"})
