Repeat a lost run only after a commit that confirms the ownership

Callers saw tasks start again after their ends as done had been acknowledged. An owner (epoch 1) was frozen for 4.6 s. Another one claimed, read the ends from the workers, acknowledged them and was killed, while an outage of the store began. The first owner woke with a valid lease of 8 s, found that the workers rejected its calls, took their leases for expired at the end that it knew of, and started the tasks on workers that had been cut off from the second owner and so had not seen its epoch.

Cause: the end of a lease, or of a process, was taken as the end of a run, although an owner that has claimed since may have extended that lease or acknowledged the end of the run. Only the store can tell, and an owner acts for 8 s without asking it.

The task of a lost run now waits for a commit that was built after the loss: if it succeeds, nobody had claimed before. During an outage lost runs wait for its end.

TestLostRunIsRepeatedOnlyByAConfirmedOwner fails before in all variants: "Expected [{Task:j.0.0.0 Run:2 Worker:{ID:w1 ...}}] to be empty". The fixture of the scheduler's tests makes the commit and the plan that follow a loss; TestStartIsWithdrawnWhenAnotherRunIsDone, which plans by itself, does so in two steps.

--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -54,10 +54,16 @@
 	return &workload.Spec{ID: id, Queue: f.queue, Steps: steps, Accepted: now}
 }
 
-// plan commits all records, makes a complete plan and lets the workers accept every start and stop.
+// plan commits all records, makes a complete plan and lets the workers accept every start and stop. If the plan has found runs that
+// are lost, another commit confirms the ownership, and another plan follows.
 func (f *fixture) plan(now time.Time) Plan {
 	f.commit()
 	p := f.Plan(now)
+	if len(f.unconfirmedLosses) > 0 {
+		f.commit()
+		next := f.Plan(now)
+		p.Starts, p.Stops = append(p.Starts, next.Starts...), append(p.Stops, next.Stops...)
+	}
 	for _, s := range p.Starts {
 		f.active[s.Worker.ID] = append(f.active[s.Worker.ID], ActiveRun{Task: s.Task, Run: s.Run})
 		f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartAccepted, AnsweredAt: now, LeaseUntil: now.Add(5 * time.Second)})
--- a/internal/cluster/scheduler/losses.go
+++ b/internal/cluster/scheduler/losses.go
@@ -39,7 +39,7 @@
 	Age  time.Duration // from its start until the loss was noticed
 }
 
-// recordLoss records the loss of runs that were placed on the worker.
+// recordLoss records the loss of runs that were placed on the worker. Their tasks wait until a commit confirms the ownership.
 func (s *Scheduler) recordLoss(w *worker, lost []*placement, cause LossCause, now time.Time) {
 	if len(lost) == 0 {
 		return
@@ -52,6 +52,9 @@
 		l.LeaseLeft = w.leaseUntil.Sub(now)
 	}
 	for _, p := range lost {
+		if p.task != nil {
+			s.unconfirmedLosses[p.task.unit] = s.generation
+		}
 		l.Runs = append(l.Runs, LostRun{p.id, p.run, l.NoticedAt.Sub(p.startedAt())})
 	}
 	slices.SortFunc(l.Runs, func(a, b LostRun) int { return cmp.Compare(a.Age, b.Age) })
--- a/internal/cluster/scheduler/losses_test.go
+++ b/internal/cluster/scheduler/losses_test.go
@@ -39,3 +39,32 @@
 		})
 	})
 }
+
+// Guards against tasks that run twice, or again after their end, by an owner that was paused: another owner has claimed meanwhile, has
+// extended the lease of a run or acknowledged its end, and is gone again before the first one learns of it.
+func TestLostRunIsRepeatedOnlyByAConfirmedOwner(t *testing.T) {
+	for name, lose := range map[string]func(f *fixture, s Start){
+		"its lease expires":           func(f *fixture, s Start) { f.cutOff([]Start{s}, at(time.Second)) },
+		"its worker's process ends":   func(f *fixture, s Start) { f.MarkEnded(at(time.Second), s.Worker.ID, s.Worker.Incarnation) },
+		"its report does not list it": func(f *fixture, s Start) { f.active[s.Worker.ID] = nil; f.report(s.Worker.ID, at(time.Second)) },
+	} {
+		Convey("Given a run that is lost since "+name, t, func() {
+			f := newFixture(1, 2)
+			f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+			s := f.plan(t0).Starts[0]
+			before, _, _ := f.TakeRecords()
+			lose(f, s)
+			So(f.Plan(at(7*time.Second)).Starts, ShouldBeEmpty)
+			Convey("A commit that was built before the loss confirms nothing", func() {
+				f.MarkGenerationStored(before)
+				So(f.Plan(at(7*time.Second)).Starts, ShouldBeEmpty)
+			})
+			Convey("The task starts again once a later commit has confirmed the ownership, without waiting for a complete plan", func() {
+				generation, _, needed := f.TakeRecords()
+				So(needed, ShouldBeTrue)
+				f.MarkGenerationStored(generation)
+				So(f.PlanChanged(at(7*time.Second)).Starts, ShouldHaveLength, 1)
+			})
+		})
+	}
+}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -69,6 +69,10 @@
 	// withPendingAcks holds the workers with ends that were applied and are not durable yet.
 	withPendingAcks map[*worker]struct{}
 
+	// unconfirmedLosses maps the units whose runs were lost to the generation whose commit shows that no other owner had taken over
+	// before the loss. Until then, another owner may have extended the leases of these runs, or acknowledged their ends.
+	unconfirmedLosses map[*unit]int64
+
 	dirty      map[*job]struct{} // jobs that have changed since their last record was taken
 	generation int64             // of the records that the next TakeRecords returns
 	newJobs    []*job            // jobs added since the last TakeRecords that TakeNewJobRecords has not considered yet
@@ -96,6 +100,7 @@
 		silences:          map[string]*silence{},
 		riskyQueues:       map[string]time.Time{},
 		withPendingAcks:   map[*worker]struct{}{},
+		unconfirmedLosses: map[*unit]int64{},
 		dirty:             map[*job]struct{}{},
 		generation:        1,
 		reservations:      reservations{},
--- a/internal/cluster/scheduler/superseded_end_test.go
+++ b/internal/cluster/scheduler/superseded_end_test.go
@@ -86,6 +86,8 @@
 		first := f.plan(t0).Starts
 		f.cutOff(first, at(time.Second))
 		f.commit()
+		So(f.Plan(at(7*time.Second)).Starts, ShouldBeEmpty) // the lease has expired; the ownership is not confirmed since
+		f.commit()
 		second := f.Plan(at(7 * time.Second)).Starts
 		So(second, ShouldHaveLength, 1)
 		worker := second[0].Worker.ID
