--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -251,17 +251,20 @@
 	if !c.awaitIdle([]string{fill}, from.Add(lastingGrace), idleTime, from.Add(30*time.Second)) {
 		return nil, nil
 	}
-	idle := c.awaitIdle([]string{fill}, time.Now(), 10*time.Second, time.Now().Add(15*time.Second))
-	return []string{fmt.Sprintf("LOST: %s has had no run for %s and more since %s after its last run (for 10 s more: %v); %d minions live, with %d runs of 8 of 32 cores each",
+	log.printf("no run for %s, %s after the last one", idleTime, lastingGrace)
+	idle := c.awaitIdle([]string{fill}, time.Now(), 40*time.Second, time.Now().Add(45*time.Second))
+	return []string{fmt.Sprintf("LOST: %s has had no run for %s from %s after its last run on (nor for 40 s more: %v); %d minions live, with %d runs of 8 of 32 cores each",
 		fill, idleTime, lastingGrace, idle, len(c.fleet.live()), c.runs())}, nil
 }
 
-// playQuarantine: six sound services and, with the disruption, three whose tasks fail half a second after each start. All have room on
-// each of the four minions. The tasks of the sound ones fail at times, after 10 to 20 s, and must start again within 9 s.
+// playQuarantine: two sound services and, with the disruption, three whose tasks fail half a second after they are at work. There is
+// always room on two of the four minions. The tasks of the sound ones fail at times, after 5 to 25 s, and must start again within 9 s.
 func playQuarantine(root string, log *record, trouble bool) ([]string, error) {
 	const (
-		sound = 6 // services
-		bad   = 3
+		sound      = 2 // services
+		soundTasks = 3
+		bad        = 3
+		badTasks   = 4
 	)
 	badJobs := map[string]bool{}
 	for range bad {
@@ -271,29 +274,26 @@
 		if badJobs[jobOf(task)] {
 			return behavior{lasts: true, outcome: "failed", duration: startupTime + 500*time.Millisecond}
 		}
-		return behavior{lasts: true, outcome: "failed", duration: 10*time.Second + rand.N(10*time.Second)}
+		return behavior{lasts: true, outcome: "failed", duration: 5*time.Second + rand.N(20*time.Second)}
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer c.close()
-	service := func(count int, image string) step {
-		return step{"count": count, "cpu": 1500, "memMb": 4000, "longRunning": true, "image": image, "antiAffinity": 1}
-	}
 	var tasks []string
 	for range sound {
-		job, err := c.submit("check", "a sound service", service(2, "sound"))
+		job, err := c.submit("check", "a sound service", step{"count": soundTasks, "cpu": 9000, "memMb": 8000, "longRunning": true, "image": "sound"})
 		if err != nil {
 			return nil, err
 		}
-		tasks = append(tasks, tasksOf(job, 0, 2)...)
+		tasks = append(tasks, tasksOf(job, 0, soundTasks)...)
 	}
 	if err := c.awaitActive(tasks, 10*time.Second); err != nil {
 		return nil, err
 	}
 	if trouble {
 		for job := range badJobs {
-			if _, err := c.submitAs(job, "check", "a bad service", service(4, "bad")); err != nil {
+			if _, err := c.submitAs(job, "check", "a bad service", step{"count": badTasks, "cpu": 1000, "memMb": 1000, "longRunning": true, "image": "bad", "antiAffinity": 1}); err != nil {
 				return nil, err
 			}
 		}
