Review: jobs with many tasks take the memory of each owner in turn

Cause: each task of each accepted job takes some 250 bytes of the owner from the moment that the job is read; a limit exists for one job only. A successor reads the same jobs.

The project's code is not changed.

--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -72,6 +72,7 @@
 	servers []*http.Server
 	client  *http.Client
 	version int64
+	killed  int // processes that were killed for their memory
 }
 
 // daemon is a process of the system.
@@ -79,6 +80,7 @@
 	name, ip string
 	cmd      *exec.Cmd
 	exited   chan struct{}
+	exitedAt time.Time // when the platform has killed it; zero while it runs
 }
 
 var errSetup = errors.New("the case can't run")
@@ -180,7 +182,7 @@
 	if err := os.WriteFile(c.settingsPath(d), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	logFile, err := os.Create(filepath.Join(c.dir, d.name+".log"))
+	logFile, err := os.OpenFile(filepath.Join(c.dir, d.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -202,6 +204,51 @@
 	return d, nil
 }
 
+// memoryLimit is what a process may use, as in its settings (memoryMb).
+const memoryLimit = 284 << 20
+
+// restartDelay is after what time the platform starts a process again that has ended.
+const restartDelay = 500 * time.Millisecond
+
+// limitMemory watches the processes for a time: it kills those that use more memory than they may, and starts them again.
+func (c *cluster) limitMemory(d time.Duration) {
+	for end := time.Now().Add(d); ; time.Sleep(20 * time.Millisecond) {
+		for i, d := range c.daemons {
+			if used := d.memory(); used > memoryLimit {
+				c.killed++
+				c.log.printf("process %s uses %d MB and is killed", d.name, used>>20)
+				_ = d.cmd.Process.Kill()
+				<-d.exited
+				d.exitedAt = time.Now()
+			}
+			if !d.exitedAt.IsZero() && time.Since(d.exitedAt) > restartDelay {
+				all := c.daemons
+				again, err := c.startDaemon(i, c.storeAddr())
+				c.daemons = all
+				if err == nil {
+					c.daemons[i] = again
+				}
+			}
+		}
+		if time.Now().After(end) {
+			return
+		}
+	}
+}
+
+// memory returns the resident memory of a process in bytes, or 0 if it has ended.
+func (d *daemon) memory() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", d.cmd.Process.Pid))
+	if err != nil || !d.exitedAt.IsZero() {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // startDaemons starts n processes and waits until all are ready.
 func (c *cluster) startDaemons(n int) error {
 	for i := range n {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,6 +21,7 @@
 	"big-orders":  playBigOrders,
 	"silent-feed": playSilentFeed,
 	"hold-back":   playHoldBack,
+	"memory":      playMemory,
 }
 
 func main() {
