--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -517,11 +517,12 @@
 	return nil
 }
 
-// playMemory: clients hand in 12 jobs of 100,000 tasks. The platform kills a process over its memory and starts it again. A small job of
+// playMemory: clients hand in 16 jobs of 100,000 small tasks, ten of them on a minion at most. The platform kills a process over its memory and starts it again. A small job of
 // the most urgent queue, which is handed in after them, finds all minions idle.
 func playMemory(root string, log *record, trouble bool) ([]string, error) {
 	const (
-		bigJobs  = 12
+		bigJobs  = 16
+		bigCPU   = 50
 		bigTasks = 100_000
 	)
 	c, err := newSystem(root, log, 8, func(string, int64, string) behavior {
@@ -533,7 +534,7 @@
 	defer c.close()
 	if trouble {
 		for range bigJobs {
-			if _, err := c.submit("check", "a big job", step{"count": bigTasks, "cpu": 2000, "memMb": 1000, "estimatedDurationMs": 850}); err != nil {
+			if _, err := c.submit("check", "a big job", step{"count": bigTasks, "cpu": bigCPU, "memMb": 50, "estimatedDurationMs": 850, "antiAffinity": 10}); err != nil {
 				return nil, err
 			}
 			c.limitMemory(700 * time.Millisecond)
@@ -570,7 +571,7 @@
 	if !idle {
 		return nil, nil
 	}
-	if most*2000 > 8*minionCPU/2 {
+	if most*bigCPU > 8*minionCPU/2 {
 		return nil, fmt.Errorf("%w: %d runs use more than half of the capacity", errSetup, most)
 	}
 	return []string{fmt.Sprintf("LOST: %.0f s after the end of the traffic, job %s has had nothing running for %s; %d runs at most on %d minions; %d times a process was killed for its memory",
