Require two workers that are known to have started a task to give it up

After five crashes, of which one was more than weak evidence, a task was given up even if no worker had answered its start: a worker that crashed unnoticed may get a start, and the task is then held for a cause.

A task that crashes every worker before the start is answered can be told only by that, so five crashes still suffice if each was prompt and hit no other job; otherwise such a task would crash workers without an end.

Before: TestUnansweredStartsOnCrashedWorkersFailNoJob fails (given up after five unanswered starts whose calls failed 200 ms later). After: it passes, and so do the other tests of crashes. Found by reading, not seen in a play.

--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -40,6 +40,7 @@
 	// trace. A harmless one seldom meets so many crashes before it ends or outlasts them.
 	givenUpWeight     = promptWeight + startWeight
 	sureWeight        = 4 * startWeight
+	minCrashedWorkers = 2
 	maxCrashes        = 5
 	minCrashAddresses = 3
 
@@ -193,12 +194,17 @@
 	t.notBefore = until
 }
 
-// isConclusive reports whether a task with the evidence is given up.
+// isConclusive reports whether a task with the evidence is given up: workers have crashed under it, at least minCrashedWorkers of which
+// are known to have started it. A task that crashes each worker before the start is answered is known only by maxCrashes prompt crashes.
 func isConclusive(e *workload.CrashEvidence) bool {
 	switch {
+	case e.Crashes >= maxCrashes && e.Weight == e.Crashes*promptWeight:
+		return true
+	case e.Total < minCrashedWorkers:
+		return false
 	case e.Crashes >= maxCrashes && pointsToStart(e), e.Total >= maxCrashes && len(e.Addresses) >= minCrashAddresses:
 		return true
-	case e.Accepted < 2:
+	case e.Accepted < minCrashedWorkers:
 		return false // a worker that did not receive the start crashed for another cause
 	case e.Weight >= sureWeight:
 		return true
--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -251,6 +251,33 @@
 	})
 }
 
+// Guards against a job that fails although no worker is known to have started its task: the workers had crashed before the starts were
+// sent, or crash beside other jobs. Only a task that none of five workers outlives by a moment is given up without an answer.
+func TestUnansweredStartsOnCrashedWorkersFailNoJob(t *testing.T) {
+	crashAfter := func(f *fixture, silence time.Duration) {
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		for i := range 6 {
+			now := at(time.Duration(10*i) * time.Second)
+			f.commit()
+			for _, s := range f.Plan(now).Starts {
+				f.MarkUnreachable(now.Add(silence), s.Worker.ID, now.Add(5*time.Second))
+				f.MarkEnded(now.Add(silence+50*time.Millisecond), s.Worker.ID, 1)
+			}
+		}
+	}
+	Convey("Given a task whose starts are not answered by six workers, which turn out to have crashed", t, func() {
+		f := newFixture(1, 8)
+		Convey("its job goes on if the calls fail after a while", func() {
+			crashAfter(f, 200*time.Millisecond)
+			So(f.TakeGivenUp(), ShouldBeEmpty)
+		})
+		Convey("it is given up if all calls fail at once", func() {
+			crashAfter(f, 10*time.Millisecond)
+			So(f.TakeGivenUp(), ShouldHaveLength, 1)
+		})
+	})
+}
+
 // crashUnder lets the worker of a job's only run crash at an age of the run, and returns the time at which that is known.
 func (f *fixture) crashUnder(now time.Time, age time.Duration) time.Time {
 	p := f.plan(now)
