Count no crash against a run that was being stopped before

A run that is being stopped, as those of a gang with a lost member are, may have ended when its worker crashes. It counted as a crash under the task all the same, so five such crashes failed the job without a crash under any of its runs. A run that had just started still counts: the members of a gang that all crash their workers would otherwise hide each other.

Before: TestCrashesAfterStopsFailNoJob fails (given up after five). After: it passes.

--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -278,6 +278,26 @@
 	})
 }
 
+// Guards against a job that fails because of workers that crash after its runs on them were stopped.
+func TestCrashesAfterStopsFailNoJob(t *testing.T) {
+	Convey("Given a task whose run is being stopped on each of six workers that crash", t, func() {
+		f := newFixture(1, 8)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		for i := range 6 {
+			now := at(time.Duration(10*i) * time.Second)
+			p := f.plan(now)
+			So(p.Starts, ShouldHaveLength, 1)
+			w := f.workers[p.Starts[0].Worker.ID]
+			f.stopRun(w.findPlacement(p.Starts[0].Task, p.Starts[0].Run), "preempted")
+			f.MarkUnreachable(now.Add(time.Second), w.info.ID, now.Add(5*time.Second))
+			f.MarkEnded(now.Add(time.Second), w.info.ID, 1)
+		}
+		Convey("its job goes on: the runs may have ended before", func() {
+			So(f.TakeGivenUp(), ShouldBeEmpty)
+		})
+	})
+}
+
 // crashUnder lets the worker of a job's only run crash at an age of the run, and returns the time at which that is known.
 func (f *fixture) crashUnder(now time.Time, age time.Duration) time.Time {
 	p := f.plan(now)
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -50,7 +50,7 @@
 		weight := crashWeight(p, started, since)
 		e := &p.task.evidence
 		e.Suspect(workload.SuspectedCrash{Worker: w.info.ID, Address: l.address, Incarnation: l.incarnation, Run: p.run, Weight: weight,
-			Accepted: !p.confirmedAt.IsZero(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
+			Accepted: p.wasActive(since), Age: max(since.Sub(p.startedAt()), 0), Since: since})
 		l.tasks = append(l.tasks, p.task)
 		if durable(e, weight) {
 			s.markTaskChanged(p.task)
@@ -59,6 +59,12 @@
 	s.silences[w.info.ID] = l
 }
 
+// wasActive reports whether the worker had certainly started the run and, as far as is known, not ended it when it stopped answering. A
+// run that is being stopped may have ended, except that one which crashes its worker at once leaves no time to stop it.
+func (p *placement) wasActive(since time.Time) bool {
+	return !p.confirmedAt.IsZero() && (p.state != stopping || p.justStarted(since))
+}
+
 // endSilence ends the silence of a worker that answers. If another incarnation than the silent one answers, that one has crashed.
 func (s *Scheduler) endSilence(w *worker, now time.Time) {
 	switch l := s.silences[w.info.ID]; {
