Test the budget of starts of late-crashing tasks amid other crashes

BUDGET: a task is not started three times more after three workers have crashed under it. The test plays tasks that crash their workers 0.2 to 0.8 s after the start, among workers that crash at random.

Tried and dropped: giving a task up before the third start after three counted crashes.

--- a/internal/cluster/scheduler/crash_simulation_test.go
+++ b/internal/cluster/scheduler/crash_simulation_test.go
@@ -44,6 +44,7 @@
 	crashes    map[workload.TaskID]int // workers that crashed under a deadly task
 	excess     map[workload.TaskID]int // starts of it after three crashes
 	lost       map[workload.TaskID]int // workers that crashed while they had a run of the task
+	overBudget map[workload.TaskID]int // starts of a deadly task that has lost three workers
 	gone       []Start                 // runs that ended with their workers since the last step
 	// recordedAgain lists jobs with another record after the one of their final state.
 	recordedAgain []string
@@ -60,7 +61,7 @@
 		back: map[string]time.Duration{}, silentAt: map[string]time.Duration{}, noticed: map[string]time.Duration{}, joined: map[string]int{}, born: map[string]int64{},
 		running: map[string]map[runKey]crashedRun{}, due: map[string]time.Duration{},
 		specs: map[string]*workload.Spec{}, progress: map[string]*workload.Progress{}, crashes: map[workload.TaskID]int{},
-		excess: map[workload.TaskID]int{}, lost: map[workload.TaskID]int{}}
+		excess: map[workload.TaskID]int{}, lost: map[workload.TaskID]int{}, overBudget: map[workload.TaskID]int{}}
 	for i := range workers {
 		d.join(fmt.Sprintf("a%d", i))
 	}
@@ -212,6 +213,9 @@
 	runs[runKey{s.Task, s.Run}] = crashedRun{s, d.now, d.now + d.taskTime}
 	d.HandleStartResult(now, result)
 	if d.deadly(s.Task) {
+		if d.lost[s.Task] >= 3 {
+			d.overBudget[s.Task]++
+		}
 		if d.crashes[s.Task] >= 3 {
 			d.excess[s.Task]++
 		}
--- a/internal/cluster/scheduler/gang_crashes_test.go
+++ b/internal/cluster/scheduler/gang_crashes_test.go
@@ -206,3 +206,32 @@
 	}
 	return most
 }
+
+// Guards against a task that is started three times more after three workers have crashed under it, because other crashes end some of its
+// runs, or because the workers crash at few addresses. The owner stays the same: it notices all crashes.
+func TestTaskIsNotStartedThriceAfterThreeCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		Convey(fmt.Sprintf("Given tasks that crash workers some time after their starts, and workers that crash at random, seed %d", seed), t, func() {
+			random := rand.New(rand.NewPCG(seed, 24))
+			d := newCrashSimulation(12+random.IntN(20), func(id workload.TaskID) bool {
+				return strings.HasPrefix(id.Job, "deadly") && id.Index == 0
+			})
+			d.endsSeen, d.taskTime = seed%2 == 0, 3*time.Second
+			d.callPause = time.Duration(random.IntN(8)) * 50 * time.Millisecond
+			d.crashDelay = time.Duration(200+random.IntN(600)) * time.Millisecond
+			for n := 0; d.now < 20*time.Second; n++ {
+				d.submitRandom(random, n)
+				for range random.IntN(3) {
+					d.crash(fmt.Sprintf("a%d", random.IntN(d.workers)))
+				}
+				d.run(d.now + 400*time.Millisecond)
+			}
+			d.run(d.now + 30*time.Second)
+			Convey("It is given up before", func() {
+				for task, n := range d.overBudget {
+					So(fmt.Sprint(task, " ", n < 3), ShouldEqual, fmt.Sprint(task, " true"))
+				}
+			})
+		})
+	}
+}
