Count a crash against a run whose stop was not acknowledged

Only a stop that the worker has acknowledged now shows that the run may have ended before the crash.

--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -50,7 +50,7 @@
 		weight := crashWeight(p, started, since)
 		e := &p.task.evidence
 		e.Suspect(workload.SuspectedCrash{Worker: w.info.ID, Address: l.address, Incarnation: l.incarnation, Run: p.run, Weight: weight,
-			Accepted: p.wasActive(since), Age: max(since.Sub(p.startedAt()), 0), Since: since})
+			Accepted: p.wasActive(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
 		l.tasks = append(l.tasks, p.task)
 		if durable(e, weight) {
 			s.markTaskChanged(p.task)
@@ -59,11 +59,10 @@
 	s.silences[w.info.ID] = l
 }
 
-// wasActive reports whether the worker had certainly started the run and, as far as is known, not ended it when it stopped answering. A
-// run that is being stopped may have ended, except that one which crashes its worker at once leaves no time to stop it.
-func (p *placement) wasActive(since time.Time) bool {
-	return !p.confirmedAt.IsZero() && (p.state != stopping || p.justStarted(since))
-}
+// wasActive reports whether the worker had certainly started the run and not accepted an order to stop it when it stopped answering. An
+// order without an answer says nothing: the other members of a gang end first when one of them crashes its worker, and the order to
+// stop that one too may be given before the crash is noticed.
+func (p *placement) wasActive() bool { return !p.confirmedAt.IsZero() && p.stopAckedAt.IsZero() }
 
 // endSilence ends the silence of a worker that answers. If another incarnation than the silent one answers, that one has crashed.
 func (s *Scheduler) endSilence(w *worker, now time.Time) {
