Let a gang's member avoid the addresses of its own crashes

Since crashes are counted by member, five crashes at three addresses give a member up. It now avoids those of its own crashes as well.

--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 // Penalties are added to the CPU that a worker has left, in thousandths of a core, when workers are compared for the best
@@ -128,8 +130,14 @@
 	if _, failed := t.failedWorkers[w.info.ID]; failed {
 		penalty += failedRunPenalty
 	}
-	if e := t.startEvidence(); !pointsToStart(e) && slices.Contains(e.Addresses, w.info.Address) {
+	if t.avoidsAddress(w.info.Address) {
 		penalty += crashPenalty
 	}
 	return penalty
 }
+
+// avoidsAddress reports whether a worker at the address has crashed under the task, or under its gang, long after the start.
+func (t *task) avoidsAddress(address string) bool {
+	blames := func(e *workload.CrashEvidence) bool { return !pointsToStart(e) && slices.Contains(e.Addresses, address) }
+	return blames(&t.evidence) || t.unit.step.Gang && blames(&t.unit.evidence)
+}
--- a/internal/cluster/scheduler/gang_crashes_test.go
+++ b/internal/cluster/scheduler/gang_crashes_test.go
@@ -235,3 +235,21 @@
 		})
 	}
 }
+
+// Guards against a member that crashes its workers at the same addresses again and again, as if the hosts were the cause: it has to
+// avoid these also when crashes under other members have filled the gang's list.
+func TestGangMemberAvoidsAddressesOfItsCrashes(t *testing.T) {
+	Convey("Given a gang with crashes at four addresses, and a member with crashes at two others", t, func() {
+		f := newFixture(1, 7)
+		f.AddJob(t0, f.job("gang", t0, gangStep(2, 1)), nil, false)
+		u := f.jobs["gang"].occurrences[0].units[0]
+		u.evidence = workload.CrashEvidence{Crashes: 4, Weight: 4, Total: 4, Addresses: []string{"w0", "w1", "w2", "w3"}}
+		u.tasks[0].evidence = workload.CrashEvidence{Crashes: 2, Weight: 2, Total: 2, Addresses: []string{"w4", "w5"}}
+		Convey("It starts at none of them while there is another one", func() {
+			starts := f.plan(t0).Starts
+			So(starts, ShouldHaveLength, 2)
+			So(starts[0].Worker.Address, ShouldEqual, "w6")
+			So(starts[1].Worker.Address, ShouldBeIn, "w4", "w5")
+		})
+	})
+}
