Count only the first crash under each run of a gang

A gang's run ends on all workers once one of them has crashed. When other workers of it crashed soon after, before their reports had arrived, they counted against their members as well, although nothing of the gang ran there any more.

The first silence under a run now counts, with others within 50 ms, since a rack may be lost at once, and those within 100 ms after the start, since members that all crash their workers would otherwise hide each other.

Before: TestOnlyTheFirstCrashUnderAGangRunCounts fails. After: it passes.

--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -138,6 +138,8 @@
 
 // avoidsAddress reports whether a worker at the address has crashed under the task, or under its gang, long after the start.
 func (t *task) avoidsAddress(address string) bool {
-	blames := func(e *workload.CrashEvidence) bool { return !pointsToStart(e) && slices.Contains(e.Addresses, address) }
+	blames := func(e *workload.CrashEvidence) bool {
+		return !pointsToStart(e) && slices.Contains(e.Addresses, address)
+	}
 	return blames(&t.evidence) || t.unit.step.Gang && blames(&t.unit.evidence)
 }
--- a/internal/cluster/scheduler/gang_crashes_test.go
+++ b/internal/cluster/scheduler/gang_crashes_test.go
@@ -253,3 +253,33 @@
 		})
 	})
 }
+
+// Guards against crashes that count against members whose run had ended before, because another worker of the gang had crashed.
+func TestOnlyTheFirstCrashUnderAGangRunCounts(t *testing.T) {
+	for _, c := range []struct {
+		age, later time.Duration
+		counted    int
+	}{
+		{2 * time.Second, 200 * time.Millisecond, 0},
+		{2 * time.Second, 20 * time.Millisecond, 1}, // a rack
+		{20 * time.Millisecond, 70 * time.Millisecond, 1},
+	} {
+		Convey(fmt.Sprintf("Given a gang whose workers crash %s after the start, one %s after the other", c.age, c.later), t, func() {
+			f := newFixture(1, 2)
+			f.AddJob(t0, f.job("gang", t0, gangStep(2, 1)), nil, false)
+			starts := f.plan(t0).Starts
+			So(starts, ShouldHaveLength, 2)
+			first, second := starts[0].Worker.ID, starts[1].Worker.ID
+			lease := at(8 * time.Second)
+			f.MarkUnreachable(at(c.age), first, lease)
+			f.MarkUnreachable(at(c.age+c.later), second, lease)
+			f.MarkEnded(at(3*time.Second), second, 1)
+			f.MarkEnded(at(3*time.Second), first, 1)
+			tasks := f.jobs["gang"].occurrences[0].units[0].tasks
+			Convey("The first one counts, the other only at the same moment or just after the start", func() {
+				So(tasks[starts[0].Task.Index].evidence.Total, ShouldEqual, 1)
+				So(tasks[starts[1].Task.Index].evidence.Total, ShouldEqual, c.counted)
+			})
+		})
+	}
+}
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -51,6 +51,7 @@
 	checkpoint string
 	failedRuns []int64
 	evidence   workload.CrashEvidence
+	broken     brokenRun
 
 	tickets        map[string]ticket   // by ID of the worker that the policy service approved
 	denied         map[string]struct{} // IDs of workers that the policy service did not approve
@@ -63,6 +64,12 @@
 	nomination     nomination
 }
 
+// brokenRun is a run of a gang that lost a worker, as far as is known.
+type brokenRun struct {
+	run int64
+	at  time.Time // when the first of its workers stopped answering
+}
+
 // ticket is the policy service's permission to run a unit on a worker.
 type ticket struct {
 	value   string
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -48,9 +48,10 @@
 			continue
 		}
 		weight := crashWeight(p, started, since)
+		p.noteBroken(since)
 		e := &p.task.evidence
 		e.Suspect(workload.SuspectedCrash{Worker: w.info.ID, Address: l.address, Incarnation: l.incarnation, Run: p.run, Weight: weight,
-			Accepted: p.wasActive(), Age: max(since.Sub(p.startedAt()), 0), Since: since})
+			Accepted: p.wasActive(since), Age: max(since.Sub(p.startedAt()), 0), Since: since})
 		l.tasks = append(l.tasks, p.task)
 		if durable(e, weight) {
 			s.markTaskChanged(p.task)
@@ -62,7 +63,23 @@
 // wasActive reports whether the worker had certainly started the run and not accepted an order to stop it when it stopped answering. An
 // order without an answer says nothing: the other members of a gang end first when one of them crashes its worker, and the order to
 // stop that one too may be given before the crash is noticed.
-func (p *placement) wasActive() bool { return !p.confirmedAt.IsZero() && p.stopAckedAt.IsZero() }
+//
+// A run of a gang ends on all workers once one of them has crashed. So only the first crash under it counts, with others at the same
+// moment, and those so soon after the start that the start must be the cause.
+func (p *placement) wasActive(since time.Time) bool {
+	if p.confirmedAt.IsZero() || !p.stopAckedAt.IsZero() {
+		return false
+	}
+	b := p.task.unit.broken
+	return !p.task.unit.step.Gang || since.Sub(b.at) <= sameCrashWindow || since.Sub(p.startedAt()) < promptCrashWindow
+}
+
+// noteBroken notes when the first worker of a gang's run stopped answering.
+func (p *placement) noteBroken(since time.Time) {
+	if b := &p.task.unit.broken; b.run != p.run || since.Before(b.at) {
+		*b = brokenRun{p.run, since}
+	}
+}
 
 // endSilence ends the silence of a worker that answers. If another incarnation than the silent one answers, that one has crashed.
 func (s *Scheduler) endSilence(w *worker, now time.Time) {
@@ -77,7 +94,11 @@
 
 // dropSilence removes a silence and the suspicions that it has caused.
 func (s *Scheduler) dropSilence(workerID string) {
-	for _, t := range s.silences[workerID].tasks {
+	l := s.silences[workerID]
+	for _, t := range l.tasks {
+		if t.unit.broken.at.Equal(l.since) {
+			t.unit.broken = brokenRun{}
+		}
 		e := &t.evidence
 		if c, found := e.TakeSuspected(workerID); found && durable(e, c.Weight) {
 			s.markTaskChanged(t)
