--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -12,6 +12,8 @@
 	// same moment, of workers that had not just accepted a run, the cause is assumed to lie outside the workers.
 	sameCrashWindow       = 50 * time.Millisecond
 	maxUnexplainedCrashes = 1
+	// gangBreakTime is the time after the crash of a worker in which runs of the same gang may still be active on others.
+	gangBreakTime = 10 * time.Millisecond
 	// silenceRetention is how long the scheduler remembers the runs of a silent worker after their lease has expired. A worker
 	// that crashed is usually back, as another incarnation, after a few seconds.
 	silenceRetention = 30 * time.Second
@@ -71,7 +73,7 @@
 		return false
 	}
 	b := p.task.unit.broken
-	return !p.task.unit.step.Gang || since.Sub(b.at) <= sameCrashWindow || since.Sub(p.startedAt()) < promptCrashWindow
+	return !p.task.unit.step.Gang || since.Sub(b.at) < gangBreakTime || since.Sub(p.startedAt()) < promptCrashWindow
 }
 
 // noteBroken notes when the first worker of a gang's run stopped answering.
