Reserve workers only for gangs that are expected to start soon

Cause: a gang that does not fit and is not late reserved every worker that may run a member, whether or not the room for it could ever come free, for as long as (slackFactor - 1) times its estimate. Nothing later in the order could start there.

A gang now reserves workers only if it is expected to fit within 5 s by the known ends of the runs there; runs that last, or that should have ended a second ago, have none. It may do so for 10 s in all. Jobs that are expected to end before the gang starts use the reserved room (backfill).

--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -58,14 +58,17 @@
 }
 
 // usableWorkers returns the approved workers on which tasks of the unit may be placed now: those that are not reserved for a
-// unit that comes before it in the planning order.
-func (s *Scheduler) usableWorkers(c candidate, now time.Time) []*worker {
-	return withoutBlurring(c.unit, c.waiting, s.withoutReserved(c, s.approvedWorkers(c.unit, now, now)), now)
+// unit that comes before it in the planning order. The second result reports whether there are others.
+func (s *Scheduler) usableWorkers(c candidate, now time.Time) ([]*worker, bool) {
+	workers, reserved := s.withoutReserved(c, s.approvedWorkers(c.unit, now, now), now)
+	return withoutBlurring(c.unit, c.waiting, workers, now), reserved
 }
 
-// withoutReserved removes the workers that are reserved for a unit that comes before c in the planning order.
-func (s *Scheduler) withoutReserved(c candidate, workers []*worker) []*worker {
-	return slices.DeleteFunc(workers, func(w *worker) bool { return s.reservations.exclude(c, w) })
+// withoutReserved removes the workers that are reserved for a unit that comes before c in the planning order, and reports whether there
+// are any.
+func (s *Scheduler) withoutReserved(c candidate, workers []*worker, now time.Time) ([]*worker, bool) {
+	left := slices.DeleteFunc(workers, func(w *worker) bool { return s.excludes(c, w, now) })
+	return left, len(left) < len(workers)
 }
 
 // approvedWorkers returns the workers that can run the unit now and, if its queue needs tickets, have one that expires after
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -62,6 +62,8 @@
 	expectedDemand demandEstimate
 	latestStart    time.Time // as of the last plan that considered the unit; see Scheduler.latestStart
 	nomination     nomination
+	firstReserved  time.Time // gangs only: when workers were first reserved for it; zero before
+	heldBackSince  time.Time // since when reservations for gangs hold it back while none of its tasks finds a place; zero otherwise
 }
 
 // brokenRun is a run of a gang that lost a worker, as far as is known.
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -30,6 +30,7 @@
 		s.openDueOccurrences(j, now)
 	}
 	s.reservations = reservations{}
+	clear(s.lowUseServices)
 	clear(s.changedUnits)
 	s.expireNominations(now)
 	s.adviceQueue.clear()
@@ -99,7 +100,8 @@
 // placeTasks places the waiting tasks of a unit that is not a gang one by one, and returns how many found a worker.
 func (s *Scheduler) placeTasks(c candidate, now time.Time, plan *Plan) int {
 	placed := 0
-	workers := s.usableWorkers(c, now)
+	workers, heldBack := s.usableWorkers(c, now)
+	defer func() { c.unit.noteHeldBack(heldBack, placed, now) }()
 	for _, t := range c.waiting {
 		if !s.leavesHeadroom(c.unit) || s.startsHeldBack(c.unit, now) {
 			break
@@ -128,24 +130,25 @@
 }
 
 // placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit and is
-// overdue, less urgent runs are stopped for it. If it is not overdue or that does not help, and it is not late, the workers that
-// it may use are reserved.
+// overdue, less urgent runs are stopped for it. If it is not overdue or that does not help, and it is not late, workers are reserved
+// for it.
 func (s *Scheduler) placeGang(c candidate, now time.Time, plan *Plan) int {
 	u := c.unit
 	chosen, waits := s.takeNomination(c, now)
 	if waits {
 		return 0
 	}
-	workers := s.usableWorkers(c, now)
+	workers, heldBack := s.usableWorkers(c, now)
 	if chosen == nil {
 		chosen = s.assignGang(c.waiting, workers)
 	}
+	u.noteHeldBack(heldBack, len(chosen), now)
 	if chosen == nil {
 		if c.overdue(now) {
 			s.nominate(c, workers, now)
 		}
 		if len(u.nomination.workers) == 0 && !c.late {
-			s.reservations.add(c, s.workersToReserve(c, workers, now), len(s.sortedWorkers))
+			s.reserve(c, s.workersToReserve(c, workers, now), now)
 		}
 		return 0
 	}
@@ -156,16 +159,6 @@
 	return len(c.waiting)
 }
 
-// workersToReserve returns the workers to reserve for a gang that does not fit. Usually these are the ones that it may use now. A
-// gang that has waited long also keeps the workers whose tickets have expired: approvals last, and tickets can be renewed once
-// there is room.
-func (s *Scheduler) workersToReserve(c candidate, usable []*worker, now time.Time) []*worker {
-	if !c.overdue(now) {
-		return usable
-	}
-	return s.withoutReserved(c, s.approvedWorkers(c.unit, now, time.Time{}))
-}
-
 // assignGang finds a worker for each task of a gang, or returns nil. If the gang runs slower across several racks, it first
 // tries to fit all tasks into one rack.
 func (s *Scheduler) assignGang(tasks []*task, workers []*worker) []*worker {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -45,7 +45,8 @@
 	workersCheckedAt time.Time
 	headroom         headroom
 	startLimiter     startLimiter
-	reservations     reservations // workers reserved for gangs that did not fit, since the last complete plan began
+	reservations     reservations    // workers reserved for gangs that did not fit, since the last complete plan began
+	lowUseServices   map[string]bool // by service, since the last complete plan began; see lowUse
 	stopLatency      stopLatency
 	// nominationsChanged is set when resources are freed on a worker that a gang is nominated for.
 	nominationsChanged bool
@@ -104,6 +105,7 @@
 		dirty:             map[*job]struct{}{},
 		generation:        1,
 		reservations:      reservations{},
+		lowUseServices:    map[string]bool{},
 		durationRatios:    map[string]*durationRatio{},
 		approvalCounts:    map[string]*approvalCount{},
 	}
