Measure messages as they are encoded, with one encoder for all

The delegate could not read an answer of more than 1 MiB and asked for the same one until its permit expired, while all other orders and renewals waited.

The package wire encodes all calls between daemons, to workers and to the store, and the rows, without the escape for HTML pages. Orders and events share a message by their encoded size; events had a limit by number only. Checkpoints that are too large for a message are not passed on.

--- a/internal/cluster/coordinator/executor.go
+++ b/internal/cluster/coordinator/executor.go
@@ -4,18 +4,19 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
-const (
-	// maxBatchBytes limits the size of the orders in one answer to a delegate.
-	maxBatchBytes = 256 << 10
-	// orderBytes is the approximate size of an order without its payload and checkpoint.
-	orderBytes = 400
-	// clockWindow is the time for which an estimate of an executor's clock is used for leases, and up to twice that. Clocks that drift
-	// apart by 100 millionths differ by 12 ms then.
-	clockWindow = time.Minute
-)
+// clockWindow is the time for which an estimate of an executor's clock is used for leases, and up to twice that. Clocks that drift apart
+// by 100 millionths differ by 12 ms then.
+const clockWindow = time.Minute
+
+// queuedOrder is an order that a delegate has not acknowledged.
+type queuedOrder struct {
+	order delegate.Order
+	size  int // in bytes, as encoded
+}
 
 // executor carries out the owner's orders for some of the workers. It is either the owner's own process, which has an agent,
 // or a session of a remote delegate, which fetches its orders from the queue unacked. The term's mu guards it.
@@ -29,9 +30,9 @@
 	windowBegan              time.Time
 	agent                    *delegate.Agent
 
-	unacked     []delegate.Order // orders that the delegate has not acknowledged
-	lastAcked   int64            // number of the last acknowledged order, the one before unacked[0]
-	lastEvent   int64            // sequence number of the last event that was received
+	unacked     []queuedOrder
+	lastAcked   int64 // number of the last acknowledged order, the one before unacked[0]
+	lastEvent   int64 // sequence number of the last event that was received
 	lastCall    time.Time
 	ended       bool
 	ordersReady chan struct{} // signals that there are orders or that the session has ended
@@ -90,7 +91,7 @@
 	case ex.agent != nil:
 		ex.agent.Apply([]delegate.Order{o})
 	case !ex.ended:
-		ex.unacked = append(ex.unacked, o)
+		ex.unacked = append(ex.unacked, queuedOrder{o, wire.Size(o)})
 		wait.Signal(ex.ordersReady)
 	}
 }
@@ -102,20 +103,18 @@
 	wait.Signal(ex.ordersReady)
 }
 
-// ordersAfter removes the orders up to the number after, which the delegate acknowledges. It returns the following ones, up
-// to about maxBatchBytes, and the number of the last one of them.
+// ordersAfter removes the orders up to the number after, which the delegate acknowledges. It returns the following ones, as many as share
+// a message, and the number of the last one of them.
 func (ex *executor) ordersAfter(after int64) ([]delegate.Order, int64) {
 	if done := after - ex.lastAcked; done > 0 {
 		done = min(done, int64(len(ex.unacked)))
-		ex.unacked = append([]delegate.Order(nil), ex.unacked[done:]...)
+		ex.unacked = append([]queuedOrder(nil), ex.unacked[done:]...)
 		ex.lastAcked += done
 	}
-	size, n := 0, 0
-	for ; n < len(ex.unacked) && size < maxBatchBytes; n++ {
-		size += orderBytes
-		if s := ex.unacked[n].Start; s != nil {
-			size += len(s.Payload) + len(s.Checkpoint)
-		}
+	n := wire.Batch(ex.unacked, func(q queuedOrder) int { return q.size }, len(ex.unacked))
+	orders := make([]delegate.Order, n)
+	for i, q := range ex.unacked[:n] {
+		orders[i] = q.order
 	}
-	return ex.unacked[:n:n], ex.lastAcked + int64(n)
+	return orders, ex.lastAcked + int64(n)
 }
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -170,6 +170,7 @@
 	if answer.Incarnation == 0 {
 		answer.Incarnation = info.Incarnation // the worker does not name it
 	}
+	r.limitCheckpoints(&answer)
 	applied := r.recordAnswer(answer)
 	if applied == nil {
 		return 0, nil
--- a/internal/cluster/delegate/session.go
+++ b/internal/cluster/delegate/session.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -158,7 +159,7 @@
 	callInterval atomic.Int64  // minimum time between two calls to the owner, in nanoseconds
 	eventsReady  chan struct{} // signalled when there are events to send
 	mu           sync.Mutex
-	unacked      []Event
+	unacked      []queuedEvent
 	lastAcked    int64 // number of the last event that the owner has acknowledged
 	sending      bool  // a call that carries events is in progress
 	polling      bool  // a request without events waits for orders
@@ -240,9 +241,16 @@
 	s.manager.workers.Store(int64(s.agent.Workers()))
 }
 
+// queuedEvent is an event that the owner has not acknowledged.
+type queuedEvent struct {
+	event Event
+	size  int // in bytes, as encoded
+}
+
 func (s *session) emit(e Event) {
+	q := queuedEvent{e, wire.Size(e)}
 	s.mu.Lock()
-	s.unacked = append(s.unacked, e)
+	s.unacked = append(s.unacked, q)
 	s.mu.Unlock()
 	wait.Signal(s.eventsReady)
 }
@@ -280,8 +288,12 @@
 		return 0, nil
 	}
 	s.sending = true
-	n := min(len(s.unacked), maxEventsPerCall)
-	return s.lastAcked + 1, s.unacked[:n:n]
+	n := wire.Batch(s.unacked, func(q queuedEvent) int { return q.size }, maxEventsPerCall)
+	events := make([]Event, n)
+	for i, q := range s.unacked[:n] {
+		events[i] = q.event
+	}
+	return s.lastAcked + 1, events
 }
 
 // finishSend records that a call that carried n events has ended, and whether the owner has applied them.
@@ -289,18 +301,18 @@
 	if n == 0 {
 		return
 	}
-	var done []Event
+	var done []queuedEvent
 	s.mu.Lock()
 	s.sending = false
 	if applied {
 		s.lastAcked += int64(n)
 		done = s.unacked[:n]
-		s.unacked = append([]Event(nil), s.unacked[n:]...)
+		s.unacked = append([]queuedEvent(nil), s.unacked[n:]...)
 	}
 	more := len(s.unacked) > 0
 	s.mu.Unlock()
-	for _, e := range done {
-		e.notifyApplied()
+	for _, q := range done {
+		q.event.notifyApplied()
 	}
 	if more {
 		wait.Signal(s.eventsReady)
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/network"
 )
@@ -108,8 +109,6 @@
 	// idleConnections is the highest number of idle connections to one peer that are kept open.
 	idleConnections = 4
 	idleTimeout     = 30 * time.Second
-	// maxAnswerBytes is the maximum size of an answer; the rest is not read.
-	maxAnswerBytes = 1 << 20
 )
 
 // Client calls other daemons.
@@ -186,9 +185,9 @@
 
 // call posts in to a path of the daemon at addr and decodes the answer into out.
 func (c *Client) call(ctx context.Context, addr, path string, in, out any) error {
-	body, err := json.Marshal(in)
+	body, err := wire.Encode(in)
 	if err != nil {
-		return errors.Wrap(err, "encode call")
+		return err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
@@ -203,10 +202,13 @@
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxMessageBytes+1))
 	if err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
+	if len(data) > wire.MaxMessageBytes {
+		return errors.Wrapf(ErrFailed, "%s answered more than %d bytes to %s", addr, wire.MaxMessageBytes, path)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		if err := json.Unmarshal(data, out); err != nil {
--- a/internal/cluster/peers/delegates.go
+++ b/internal/cluster/peers/delegates.go
@@ -22,7 +22,7 @@
 		writeError(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, batch)
+	c.PureJSON(http.StatusOK, batch)
 }
 
 func (s *Server) deliver(c *gin.Context) {
@@ -34,7 +34,7 @@
 		writeError(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, deliverAnswer{})
+	c.PureJSON(http.StatusOK, deliverAnswer{})
 }
 
 // FetchOrders implements delegate.OwnerClient.
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -91,7 +91,7 @@
 		c.Status(http.StatusMisdirectedRequest)
 		return
 	}
-	c.JSON(http.StatusServiceUnavailable, gin.H{"error": err.Error()})
+	c.PureJSON(http.StatusServiceUnavailable, gin.H{"error": err.Error()})
 }
 
 // decodeRequest reads the JSON body of a call. If it is invalid, it answers 400 and returns false.
@@ -113,7 +113,7 @@
 		writeError(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy()})
+	c.PureJSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy()})
 }
 
 func (s *Server) pending(c *gin.Context) {
@@ -126,7 +126,7 @@
 		writeError(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, pendingAnswer{n})
+	c.PureJSON(http.StatusOK, pendingAnswer{n})
 }
 
 func (s *Server) advise(c *gin.Context) {
@@ -139,7 +139,7 @@
 		writeError(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, adviseAnswer{a.Approved, a.Validity.Milliseconds()})
+	c.PureJSON(http.StatusOK, adviseAnswer{a.Approved, a.Validity.Milliseconds()})
 }
 
 func (s *Server) watch(c *gin.Context) {
@@ -150,7 +150,7 @@
 	if in.BootID == s.bootID && s.coordinator.Epoch() > 0 {
 		wait.For(c.Request.Context(), min(in.Wait, maxWatchWait))
 	}
-	c.JSON(http.StatusOK, watchAnswer{s.bootID, s.coordinator.Epoch() > 0})
+	c.PureJSON(http.StatusOK, watchAnswer{s.bootID, s.coordinator.Epoch() > 0})
 }
 
 func (s *Server) take(c *gin.Context) {
@@ -160,7 +160,7 @@
 	}
 	if in.Job != nil {
 		if err := in.Job.Validate(); err != nil {
-			c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
+			c.PureJSON(http.StatusBadRequest, gin.H{"error": err.Error()})
 			return
 		}
 		s.coordinator.NotifyJobStored(in.Job)
@@ -168,7 +168,7 @@
 	if in.Cancel != "" {
 		s.coordinator.NotifyCancelStored(in.Cancel)
 	}
-	c.JSON(http.StatusOK, takeAnswer{s.coordinator.Busy()})
+	c.PureJSON(http.StatusOK, takeAnswer{s.coordinator.Busy()})
 }
 
 // explain shows operators why a job is waiting. Only the owner can answer this.
@@ -176,11 +176,11 @@
 	d, ok, err := s.coordinator.Explain(c.Param("id"))
 	switch {
 	case err != nil:
-		c.JSON(http.StatusServiceUnavailable, gin.H{"code": "not_owner", "message": err.Error()})
+		c.PureJSON(http.StatusServiceUnavailable, gin.H{"code": "not_owner", "message": err.Error()})
 	case !ok:
-		c.JSON(http.StatusNotFound, gin.H{"code": "not_found", "message": "the owner knows no such job"})
+		c.PureJSON(http.StatusNotFound, gin.H{"code": "not_found", "message": "the owner knows no such job"})
 	default:
-		c.JSON(http.StatusOK, d)
+		c.PureJSON(http.StatusOK, d)
 	}
 }
 
@@ -189,7 +189,7 @@
 	if !ok {
 		return
 	}
-	c.JSON(http.StatusOK, offerAnswer{s.successor.TakeOver(c.Request.Context(), in.BootID, in.LastSeq)})
+	c.PureJSON(http.StatusOK, offerAnswer{s.successor.TakeOver(c.Request.Context(), in.BootID, in.LastSeq)})
 }
 
 type storeAnswer struct {
@@ -213,7 +213,7 @@
 	}
 	outcome, err := s.submitter.StoreJob(c.Request.Context(), in.Job, in.Alternative)
 	s.log.Info("job stored for a peer", zap.String("job", in.Job.ID), zap.String("outcome", string(outcome)), asynclog.Error(err))
-	c.JSON(http.StatusOK, storeAnswer{outcome})
+	c.PureJSON(http.StatusOK, storeAnswer{outcome})
 }
 
 func (s *Server) cancel(c *gin.Context) {
@@ -223,7 +223,7 @@
 	}
 	outcome, err := s.submitter.StoreCancel(c.Request.Context(), in.Job, in.Alternative)
 	s.log.Info("cancellation stored for a peer", zap.String("job", in.Job), zap.String("outcome", string(outcome)), asynclog.Error(err))
-	c.JSON(http.StatusOK, storeAnswer{outcome})
+	c.PureJSON(http.StatusOK, storeAnswer{outcome})
 }
 
 // Submit asks a peer to store a job.
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 )
 
 // Tables of the daemons.
@@ -143,9 +144,9 @@
 
 // Encode encodes v as the value of a row.
 func Encode(v any) ([]byte, error) {
-	data, err := json.Marshal(v)
+	data, err := wire.Encode(v)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode row")
+		return nil, errors.Wrap(err, "row")
 	}
 	return data, nil
 }
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 )
 
 // Resources are the resources that a task needs or a worker has.
@@ -198,21 +199,9 @@
 	*Spec
 }
 
-// encode encodes a value for a row. Other than json.Marshal it does not escape characters that only matter in HTML pages, which would
-// take up to six times as much room as in the caller's request.
-func encode(v any) ([]byte, error) {
-	var out bytes.Buffer
-	e := json.NewEncoder(&out)
-	e.SetEscapeHTML(false)
-	if err := e.Encode(v); err != nil {
-		return nil, err
-	}
-	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
-}
-
 // EncodeSpec encodes a job for its row.
 func EncodeSpec(s *Spec) ([]byte, error) {
-	return encode(storedSpec{SpecFormat, s})
+	return wire.Encode(storedSpec{SpecFormat, s})
 }
 
 // DecodeSpec decodes the output of EncodeSpec.
@@ -234,7 +223,7 @@
 }
 
 // EncodeBatchJob encodes a job for a row that it shares with others; see JoinJobBatch.
-func EncodeBatchJob(s *Spec) ([]byte, error) { return encode(s) }
+func EncodeBatchJob(s *Spec) ([]byte, error) { return wire.Encode(s) }
 
 // BatchOverhead is the room that JoinJobBatch needs beside the jobs and a byte for each of them.
 const BatchOverhead = 32
@@ -261,13 +250,13 @@
 // EncodeProgress sets the format version of p and encodes p for its row.
 func EncodeProgress(p *Progress) ([]byte, error) {
 	p.Format = ProgressFormat
-	return encode(p)
+	return wire.Encode(p)
 }
 
 // EncodeProgressChunk is EncodeProgress for a chunk after the first.
 func EncodeProgressChunk(p *Progress) ([]byte, error) {
 	p.Format = ProgressChunkFormat
-	return encode(p)
+	return wire.Encode(p)
 }
 
 // DecodeProgress decodes the output of EncodeProgress and EncodeProgressChunk.
