--- a/internal/cluster/scheduler/reservations.go
+++ b/internal/cluster/scheduler/reservations.go
@@ -125,13 +125,14 @@
 	if !reserved || r.holder.unit == c.unit || !r.holder.before(c) || !c.late && c.unit.preemptibleFor(r.holder.unit) {
 		return false
 	}
-	return !s.endsBefore(c.unit, r.until, now) && !s.heldBackTooLong(c.unit, now)
+	return !s.backfills(c.unit, r.until, now) && !s.heldBackTooLong(c.unit, now)
 }
 
-// endsBefore reports whether tasks of the unit that start now are expected to end some time before the given time.
-func (s *Scheduler) endsBefore(u *unit, t, now time.Time) bool {
+// backfills reports whether tasks of the unit may use workers that are reserved from the given time on: if they start now, they are
+// expected to end some time before.
+func (s *Scheduler) backfills(u *unit, reservedFrom, now time.Time) bool {
 	d := s.expectedDuration(u)
-	return d > 0 && !u.step.LongRunning && now.Add(d+backfillMargin).Before(t)
+	return d > 0 && !u.step.LongRunning && now.Add(d+backfillMargin).Before(reservedFrom)
 }
 
 // heldBackTooLong reports whether reservations must not hold the unit back any more.
