--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -63,7 +63,16 @@
 	}
 	leaseUntil := now + r.a.cfg.LeaseBound()
 	r.leaseUntil = max(r.leaseUntil, leaseUntil)
-	return r.clock.ms + (now - r.clock.readAt + r.a.cfg.Lease).Milliseconds(), leaseUntil
+	deadline := r.clock.ms + (now - r.clock.readAt + r.a.cfg.Lease).Milliseconds()
+	r.maxDeadline = deadline
+	return deadline, leaseUntil
+}
+
+// deadline returns the latest deadline that a call has carried, on the clock of the incarnation that it was meant for.
+func (r *leaseRenewer) deadline() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.maxDeadline
 }
 
 // recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -69,6 +69,7 @@
 	// or owner, and it may learn of the answer later than that.
 	unconfirmed bool
 	leaseUntil  time.Duration // when all tasks have certainly expired without another call, on the agent's clock
+	maxDeadline int64         // latest deadline that a call has carried, on the worker's clock
 	excused     int           // renewals since the last answer whose missing answer was excused
 	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
 	ready       chan struct{} // closed once a call may extend the lease: the clock is known and unconfirmed is not set
@@ -177,6 +178,8 @@
 	}
 	if answer.Incarnation > info.Incarnation {
 		leaseUntil = r.lastLeaseEnd()
+		r.a.log.Warn("worker has restarted", zap.String("worker", r.id), zap.Int64("born", answer.Incarnation), zap.Int64("earlier_born", info.Incarnation),
+			zap.Int64("clock_ms", answer.ClockMS), zap.Int64("earlier_deadline_ms", r.deadline()), zap.Duration("lease_left", max(leaseUntil-r.a.deps.Clock(), 0)))
 	}
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
