Fence calls for an earlier incarnation of a worker, and hand its lease on

Cause: a call that is meant for one incarnation of a worker is carried out by the next one, because only the id names the worker. Its deadline is a time on another clock, millions of ms ahead, and is shortened to the longest lease that the worker grants (10 s), not to the 4.5 s that the owner counts with. The delegate that saw the restart knew that; the next owner did not, nor did any owner if the call was carried out after the first answer of the new incarnation. Class of fault: knowledge that a decision depends on is kept in the memory of the process that learned it.

Nothing starts on an incarnation before it is stored, so a successor knows of each, or sees that it is new.

Why not the longest lease for all workers: it makes every lost worker cost twice as much, and leaves calls open that are carried out later.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -37,6 +37,7 @@
 type assignment struct {
 	executor     *executor
 	generation   int64 // fencing token of the assignment: events with an earlier one are ignored
+	fence        int64 // fences off calls of earlier executors and those for earlier incarnations; see delegate.FencingToken
 	info         scheduler.WorkerInfo
 	lastAckedEnd int64 // number of the last ended run that the executor may acknowledge to the worker, since its record is durable
 	starts       map[runKey]delegate.StartOrder
@@ -50,9 +51,9 @@
 	remote           map[string]*executor // delegates by host
 	rejoinAt         map[string]time.Time // hosts that timed out, and when they may be delegates again
 	assignments      map[string]*assignment
-	generation       int64
-	assignmentsValid bool // every worker has an executor, chosen for the current set of delegates
-	workersListed    bool // the list of workers has been read
+	lastNumber       int64 // see nextNumber
+	assignmentsValid bool  // every worker has an executor, chosen for the current set of delegates
+	workersListed    bool  // the list of workers has been read
 	assignedAt       time.Time
 	startedAt        time.Time
 	noDelegatesSince time.Time
@@ -125,18 +126,27 @@
 	}
 	if info.Incarnation != a.info.Incarnation {
 		a.lastAckedEnd = as.t.sched.LastDurableEnd(info.ID, info.Incarnation)
+		a.fence = as.nextNumber()
 		clear(a.starts)
 		clear(a.stops)
 	}
 	a.info = info
 	if a.executor != nil {
-		a.executor.send(delegate.Order{Assign: a.assignOrder()})
+		a.executor.send(delegate.Order{Assign: as.assignOrder(a)})
 	}
 }
 
-// assignOrder returns the order that assigns the worker to its executor, or updates the worker's entry there.
-func (a *assignment) assignOrder() *delegate.Assignment {
-	return &delegate.Assignment{Worker: a.info, Generation: a.generation, LastAckedEnd: a.lastAckedEnd}
+// assignOrder returns the order that assigns a worker to its executor, or updates the worker's entry there.
+func (as *assigner) assignOrder(a *assignment) *delegate.Assignment {
+	return &delegate.Assignment{Worker: a.info, Generation: a.generation, LastAckedEnd: a.lastAckedEnd,
+		FencingToken:     delegate.FencingToken(as.t.ownership.Epoch(), a.fence),
+		MayGetStaleCalls: as.t.sched.MayGetStaleCalls(a.info.ID)}
+}
+
+// nextNumber returns the next generation or fence. They rise within a term.
+func (as *assigner) nextNumber() int64 {
+	as.lastNumber++
+	return as.lastNumber
 }
 
 // sendRelease orders the executor to stop calling the worker.
@@ -152,12 +162,12 @@
 	if old := a.executor; old != nil {
 		a.sendRelease()
 		// The time of the plan may be long ago, and the old executor has extended the lease since.
-		as.t.sched.ExtendLease(a.info.ID, time.Now().Add(old.maxPermit()+as.t.cfg.Delegate.LeaseBound()))
+		as.t.sched.ExtendLease(a.info.ID, time.Now().Add(old.maxPermit()+as.t.leaseBound(a.info.ID)))
 	}
-	as.generation++
-	a.executor, a.generation = ex, as.generation
+	a.generation = as.nextNumber()
+	a.executor, a.fence = ex, a.generation
 	a.lastAckedEnd = as.t.sched.LastDurableEnd(a.info.ID, a.info.Incarnation)
-	ex.send(delegate.Order{Assign: a.assignOrder()})
+	ex.send(delegate.Order{Assign: as.assignOrder(a)})
 	for k, s := range a.stops {
 		delete(a.starts, k) // a run that is being stopped need not be started
 		s.Generation = a.generation
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -189,11 +189,11 @@
 	if t.sched.IsUnresolved(worker) {
 		// An earlier owner may have extended the lease until now. A delegate extends it only after this report is applied, so a missed
 		// renewal before that tells of no lease.
-		t.sched.ExtendLease(worker, now.Add(t.cfg.Delegate.LeaseBound()))
+		t.sched.ExtendLease(worker, now.Add(t.leaseBound(worker)))
 	}
 	applied := t.sched.HandleReport(now, scheduler.Report{
 		Worker: worker, Incarnation: r.Incarnation, SentAt: sentAt, LeaseUntil: ex.leaseEnd(r.LeaseUntil),
-		Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded,
+		Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded, Unfenced: r.Unfenced,
 	})
 	for _, end := range applied {
 		t.meters.ends.Record(end.Outcome, end.OrderedAt)
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -80,12 +80,18 @@
 // runSuccessor is runOwnerOn for an owner that knows whether the process of its predecessor has ended.
 func runSuccessor(t *testing.T, store rowstore.Store, epoch int64, workers int, predecessorGone bool) *testOwner {
 	t.Helper()
-	began := time.Now()
-	o := &testOwner{store: store, clock: func() time.Duration { return time.Hour + time.Since(began) }}
 	var list fixedWorkers
 	for i := range workers {
 		list = append(list, testWorker(fmt.Sprintf("w%d", i)))
 	}
+	return runOwnerWith(t, store, epoch, list, predecessorGone, delegate.Config{Lease: 4 * time.Second, GangTimeout: 3 * time.Second})
+}
+
+// runOwnerWith is runSuccessor with any list of workers and any settings of leases.
+func runOwnerWith(t *testing.T, store rowstore.Store, epoch int64, list fixedWorkers, predecessorGone bool, leases delegate.Config) *testOwner {
+	t.Helper()
+	began := time.Now()
+	o := &testOwner{store: store, clock: func() time.Duration { return time.Hour + time.Since(began) }}
 	ownership, err := election.Claim(t.Context(), store, election.Identity{Host: "owner", BootID: fmt.Sprint(epoch)},
 		election.Predecessor{Epoch: epoch}, o.clock)
 	if err != nil {
@@ -95,7 +101,7 @@
 	queueConfig := queues.NewConfigHolder()
 	queueConfig.Update(&queues.Config{Version: 1, Queues: []queues.Queue{testQueue}})
 	o.Coordinator = New(
-		Config{Delegate: delegate.Config{Lease: 4 * time.Second, GangTimeout: 3 * time.Second}, Retention: time.Minute},
+		Config{Delegate: leases, Retention: time.Minute},
 		Deps{Store: store, Queues: queueConfig, Workers: noWorkers{&o.renewals}, PolicyClient: noPolicyHosts{}, Discovery: list, Clock: o.clock, ProcessorTime: func() time.Duration { return 0 },
 			Log: zap.NewNop(), Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -169,9 +169,11 @@
 		}
 		t.inheritedDelegates, t.delegated, t.storedDelegated = u.Delegated, u.Delegated, u.Delegated
 		t.storedInherited = true
+		uses := u.Uses()
 		for _, id := range u.IDs {
 			t.sched.AddUnresolvedWorker(id, leasesExpireAt)
-			t.inUse[id] = true
+			t.sched.SetPreviousUse(time.Now(), id, uses[id])
+			t.inUse[id] = uses[id]
 		}
 		for _, id := range u.InheritedBy(t.ownership.Epoch()) {
 			t.sched.InheritUnresolvedWorker(id, leasesExpireAt)
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -58,8 +58,8 @@
 type recordBatch struct {
 	generation int64 // of the records, as the scheduler numbers them
 	records    []scheduler.Record
-	inUse      map[string]bool // workers in use; nil if the stored row is up to date
-	inherited  []string        // those of inUse to which an earlier owner may still send orders
+	inUse      map[string]scheduler.WorkerUse // workers in use; nil if the stored row is up to date
+	inherited  []string                       // those of inUse to which an earlier owner may still send orders
 	delegated  bool
 	needed     bool
 }
@@ -82,16 +82,20 @@
 		b.needed, b.inUse, b.inherited, b.delegated = true, current, inherited, t.delegated
 		// Nothing may be started any more on workers that the list to be written leaves out, even if they answer again
 		// meanwhile.
-		maps.DeleteFunc(t.inUse, func(id string, _ bool) bool { return !current[id] })
+		maps.DeleteFunc(t.inUse, func(id string, _ scheduler.WorkerUse) bool {
+			_, stays := current[id]
+			return !stays
+		})
 	}
 	return b
 }
 
 // workersInUse returns the workers that have to be in the stored list. The caller holds mu.
-func (t *term) workersInUse() map[string]bool {
-	current := map[string]bool{}
+func (t *term) workersInUse() map[string]scheduler.WorkerUse {
+	now := time.Now()
+	current := map[string]scheduler.WorkerUse{}
 	for _, id := range t.sched.WorkersInUse() {
-		current[id] = true
+		current[id] = t.sched.Use(id, now)
 	}
 	return current
 }
@@ -140,8 +144,9 @@
 func (t *term) encodeBatch(b recordBatch) ([]recordRows, bool) {
 	changes := make([]recordRows, 0, len(b.records)+1)
 	if b.inUse != nil {
-		value, err := records.Encode(records.WorkersInUse{IDs: slices.Sorted(maps.Keys(b.inUse)), Delegated: b.delegated,
-			Epoch: t.ownership.Epoch(), Inherited: slices.Sorted(slices.Values(b.inherited))})
+		u := records.NewWorkersInUse(b.inUse)
+		u.Delegated, u.Epoch, u.Inherited = b.delegated, t.ownership.Epoch(), slices.Sorted(slices.Values(b.inherited))
+		value, err := records.Encode(u)
 		if err != nil {
 			t.log.Error("list of workers can't be encoded", asynclog.Error(err))
 			return nil, false
--- a/internal/cluster/coordinator/rows.go
+++ b/internal/cluster/coordinator/rows.go
@@ -51,7 +51,7 @@
 	// partOf is the job whose record continues in the rows that follow; "" if these are its last ones.
 	partOf string
 	// inUse is the list of workers in use that the rows hold, or nil. inherited means that the list names some as inherited.
-	inUse     map[string]bool
+	inUse     map[string]scheduler.WorkerUse
 	inherited bool
 	delegated bool
 }
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -49,7 +49,7 @@
 	sched    *scheduler.Scheduler
 	assigner *assigner
 	advice   *adviceDispatcher
-	inUse    map[string]bool // workers whose use by this owner is stored
+	inUse    map[string]scheduler.WorkerUse // workers whose use by this owner is stored
 	// inUseCheckedAt is when takeRecords last checked whether the stored list of workers in use is up to date.
 	inUseCheckedAt time.Time
 	// pending is the number of waiting jobs by queue, counted at pendingAt.
@@ -91,8 +91,8 @@
 	t := &term{
 		cfg: c.cfg, deps: c.deps, ownership: ownership, predecessorGone: predecessorGone,
 		log:           c.deps.Log.With(zap.Int64("epoch", ownership.Epoch())),
-		sched:         scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention}),
-		inUse:         map[string]bool{},
+		sched:         scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention, StaleLease: c.cfg.Delegate.StaleLeaseBound()}),
+		inUse:         map[string]scheduler.WorkerUse{},
 		jobBatchIndex: newJobBatchIndex(), rows: newRowIndex(c.cfg.maxValueBytes()), inboxParts: map[string]int{}, expired: map[string]bool{},
 		meters:        newMeters(c.deps.Metrics),
 		pressure:      pressure{processors: c.cfg.Processors, used: c.deps.ProcessorTime},
@@ -271,6 +271,14 @@
 	return bound
 }
 
+// leaseBound returns the longest time that a task may run on a worker after the last call of an executor to it.
+func (t *term) leaseBound(worker string) time.Duration {
+	if t.sched.MayGetStaleCalls(worker) {
+		return t.cfg.Delegate.StaleLeaseBound()
+	}
+	return t.cfg.Delegate.LeaseBound()
+}
+
 // planChanges runs a partial plan: the scheduler considers only what has changed since the last plan.
 func (t *term) planChanges(ctx context.Context) {
 	if !t.ownership.LeaseValid() {
@@ -310,9 +318,9 @@
 }
 
 // sendStart passes the start of a run on to the worker's executor, or rejects it. Before anything runs on a worker, its use
-// must be stored, so that a successor waits for the worker's report.
+// of the same incarnation must be stored, so that a successor waits for the worker's report and knows how long its lease may be.
 func (t *term) sendStart(s scheduler.Start) {
-	if t.inUse[s.Worker.ID] && t.assigner.sendStart(s) {
+	if use, stored := t.inUse[s.Worker.ID]; stored && use.Incarnation == s.Worker.Incarnation && t.assigner.sendStart(s) {
 		return
 	}
 	now := time.Now()
--- a/internal/cluster/delegate/agent.go
+++ b/internal/cluster/delegate/agent.go
@@ -95,8 +95,9 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
-	r := &leaseRenewer{a: a, id: as.Worker.ID, cancel: cancel, acks: make(chan struct{}, 1), ready: make(chan struct{}),
-		info: as.Worker, generation: as.Generation, durableEnd: as.LastAckedEnd, unresponsive: true}
+	r := &leaseRenewer{a: a, id: as.Worker.ID, cancel: cancel, acks: make(chan struct{}, 1), ownerActed: make(chan struct{}, 1),
+		ready: make(chan struct{}), info: as.Worker, generation: as.Generation, durableEnd: as.LastAckedEnd, token: a.epoch, unresponsive: true}
+	r.updateAssignment(as)
 	a.renewers[as.Worker.ID] = r
 	a.wg.Go(func() { r.run(ctx) })
 }
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -2,8 +2,8 @@
 //
 // The owner makes all scheduling decisions, but calling hundreds of workers takes more processor time than one host has. So
 // it assigns each worker to a delegate, which may be any host. The delegate renews the leases of its workers, forwards their
-// reports to the owner, and sends the owner's starts and stops. Its calls carry the owner's epoch as a fencing token, and it
-// makes them only while it has a permit: a short lease that each answer of the owner renews.
+// reports to the owner, and sends the owner's starts and stops. Its calls carry a fencing token, and it makes them only while it
+// has a permit: a short lease that each answer of the owner renews.
 //
 // A host polls the owner for orders in a session. Both directions tolerate lost answers: orders and events are numbered and
 // sent again until they are acknowledged.
@@ -28,7 +28,7 @@
 // Renewal extends the lease of all tasks on a worker and requests a report. It is a long poll: the worker answers as soon as
 // a run has ended, or after Wait.
 type Renewal struct {
-	Epoch        int64
+	FencingToken int64
 	LastAckedEnd int64         // acknowledges ended runs up to this number; the worker may forget them
 	Deadline     int64         // new end of the lease on the worker's clock, in milliseconds; 0 does not extend it
 	PollTimeout  time.Duration // the worker delays its answer up to this long until a run ends
@@ -41,25 +41,26 @@
 	Active      []scheduler.ActiveRun
 	Ended       []scheduler.EndedRun
 	MoreEnded   bool // further runs may have ended, which the worker lists once those in Ended are acknowledged
+
+	token int64 // of the renewal that it answers
 }
 
 // StartCall is a start order with what the delegate adds before it sends the order to the worker.
 type StartCall struct {
 	StartOrder
-	Worker   scheduler.WorkerInfo
-	Epoch    int64
-	Deadline int64 // end of the lease on the worker's clock, in milliseconds
+	Worker       scheduler.WorkerInfo
+	FencingToken int64
+	Deadline     int64 // end of the lease on the worker's clock, in milliseconds
 }
 
 // StopCall is a stop order with what the delegate adds before it sends the order to the worker.
 type StopCall struct {
 	StopOrder
-	Worker scheduler.WorkerInfo
-	Epoch  int64
+	Worker       scheduler.WorkerInfo
+	FencingToken int64
 }
 
-// WorkerClient calls workers. Each call carries the owner's epoch as a fencing token; a worker ignores calls of
-// an earlier epoch.
+// WorkerClient calls workers. Each call carries a fencing token; see FencingToken.
 type WorkerClient interface {
 	// Renew renews the lease of a worker. The error wraps ErrWorkerEnded if another worker answers at the worker's address.
 	Renew(ctx context.Context, w scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error)
@@ -83,12 +84,13 @@
 	leaseMargin      = 300 * time.Millisecond
 )
 
-// LeaseBound returns the longest time that a task may run on a worker after the deadline of its last renewal was computed.
+// LeaseBound returns the longest time that a task may run on a worker after the deadline of its last renewal was computed, unless a call
+// for an earlier incarnation of the worker has set the lease.
 func (c Config) LeaseBound() time.Duration { return leaseBound(c.Lease) }
 
-// restartLeaseBound is LeaseBound for a worker that has restarted and may have received a deadline on the clock of its earlier process,
-// which it shortens to the longest lease that it grants.
-func (c Config) restartLeaseBound() time.Duration { return leaseBound(max(c.Lease, c.MaxLease)) }
+// StaleLeaseBound returns the longest time that a task may run on a worker after a call for an earlier incarnation, with a deadline on
+// another clock, was carried out there. The worker shortens such a deadline to the longest lease that it grants.
+func (c Config) StaleLeaseBound() time.Duration { return leaseBound(max(c.Lease, c.MaxLease)) }
 
 func leaseBound(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)*leaseDriftFactor) + leaseMargin
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -50,6 +50,7 @@
 	maxDeadline int64 // latest deadline of all renewals
 	lastAcked   int64 // number of the last ended run that a renewal acknowledged
 	incarnation int64 // incarnation of the workers; 0 means 1
+	renewals    []Renewal
 	ended       []scheduler.EndedRun
 }
 
@@ -86,6 +87,7 @@
 func (w *fakeWorkers) Renew(ctx context.Context, _ scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error) {
 	w.mu.Lock()
 	w.renews++
+	w.renewals = append(w.renewals, r)
 	w.maxDeadline = max(w.maxDeadline, r.Deadline)
 	w.lastAcked = r.LastAckedEnd
 	silent, malformed, ended, incarnation := w.silent, w.malformed, w.ended, max(w.incarnation, 1)
--- /dev/null
+++ b/internal/cluster/delegate/fencing_test.go
@@ -0,0 +1,163 @@
+package delegate
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// restartFixture is an agent with one worker whose owner assigns fencing tokens. It collects the worker's reports.
+type restartFixture struct {
+	*Agent
+	workers *fakeWorkers
+	mu      sync.Mutex
+	reports []Report
+	started []StartResult
+}
+
+func newRestartFixture(t *testing.T) *restartFixture {
+	cfg := testConfig
+	cfg.MaxLease = 10 * time.Second
+	f := &restartFixture{workers: &fakeWorkers{}}
+	f.Agent = NewAgent(t.Context(), cfg, Deps{Client: f.workers, Clock: newTestClock().since, Log: zap.NewNop()}, testEpoch,
+		func() bool { return true }, f.apply)
+	as := assign("w1")
+	as.Assign.FencingToken = FencingToken(testEpoch, 1)
+	f.Apply([]Order{as})
+	time.Sleep(2 * time.Second)
+	f.workers.restart()
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+func (f *restartFixture) apply(e Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.Report != nil {
+		f.reports = append(f.reports, *e.Report)
+	}
+	if e.Started != nil {
+		f.started = append(f.started, *e.Started)
+	}
+}
+
+// reportsOf returns the reports of an incarnation.
+func (f *restartFixture) reportsOf(incarnation int64) []Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Report
+	for _, r := range f.reports {
+		if r.Incarnation == incarnation {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// raiseToken applies the owner's assignment of the next incarnation.
+func (f *restartFixture) raiseToken() {
+	w := testWorker("w1")
+	w.Incarnation = 2
+	f.Apply([]Order{{Assign: &Assignment{Worker: w, Generation: 1, FencingToken: FencingToken(testEpoch, 2), MayGetStaleCalls: true}}})
+}
+
+// latestDeadline returns the latest deadline of the renewals with a token.
+func (f *restartFixture) latestDeadline(token int64) int64 {
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	latest := int64(0)
+	for _, r := range f.workers.renewals {
+		if r.FencingToken == token {
+			latest = max(latest, r.Deadline)
+		}
+	}
+	return latest
+}
+
+// Guards against a start on a worker that may still carry out calls for its earlier incarnation: they set a longer lease than the owner
+// counts with.
+func TestNothingStartsBeforeStaleCallsAreFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.Close()
+		before := f.latestDeadline(FencingToken(testEpoch, 1))
+		order := startOn("w1", 0)
+		order.Start.Incarnation = 2
+		f.Apply([]Order{order})
+		time.Sleep(2 * time.Second)
+		if _, starts, _ := f.workers.counts(); starts != 0 {
+			t.Errorf("%d starts were sent with the token of the earlier incarnation", starts)
+		}
+		if after := f.latestDeadline(FencingToken(testEpoch, 1)); after != before {
+			t.Errorf("the lease was extended by %d ms with the token of the earlier incarnation", after-before)
+		}
+		f.raiseToken()
+		f.Apply([]Order{order})
+		time.Sleep(2 * time.Second)
+		if _, starts, _ := f.workers.counts(); starts != 1 {
+			t.Errorf("%d starts were sent with the higher token, want 1", starts)
+		}
+		if f.latestDeadline(FencingToken(testEpoch, 2)) == 0 {
+			t.Error("the lease is not extended with the higher token")
+		}
+	})
+}
+
+// Guards against an owner that counts the longest lease from the first answer of a restarted worker: a call for the earlier incarnation
+// may be carried out until one with a higher token is answered.
+func TestLongestLeaseCountsFromTheFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.Close()
+		for _, r := range f.reportsOf(2) {
+			if !r.Unfenced {
+				t.Fatal("a report says that calls for the earlier incarnation are fenced off before the token was raised")
+			}
+		}
+		seen := len(f.reportsOf(2))
+		f.raiseToken()
+		time.Sleep(time.Second)
+		reports := f.reportsOf(2)[seen:]
+		for len(reports) > 0 && reports[0].Unfenced {
+			reports = reports[1:] // requested before the token was raised
+		}
+		if len(reports) == 0 {
+			t.Fatal("no report says that calls for the earlier incarnation are fenced off")
+		}
+		if granted := reports[0].LeaseUntil - reports[0].SentAt; granted < 10*time.Second {
+			t.Errorf("the report tells a lease of %v; it may last 10 s", granted)
+		}
+	})
+}
+
+// Guards against a worker that can't be used after a restart because an owner of an earlier release assigns no tokens.
+func TestRestartUnderAnOwnerWithoutTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		time.Sleep(time.Second)
+		f.workers.restart()
+		time.Sleep(time.Second)
+		before := f.workers.deadline()
+		time.Sleep(time.Second)
+		if f.workers.deadline() == before {
+			t.Error("the lease is not extended after the restart")
+		}
+	})
+}
+
+// Guards against tokens that do not order calls by epoch first.
+func TestFencingTokensAreOrdered(t *testing.T) {
+	tokens := []int64{0, 1, FencingToken(1, 0), FencingToken(1, 1), FencingToken(1, 1<<40), FencingToken(2, 0), FencingToken(2, 7), FencingToken(1<<25-1, 1<<40)}
+	for i := 1; i < len(tokens); i++ {
+		if tokens[i] <= tokens[i-1] {
+			t.Errorf("token %d of the series, %d, does not follow %d", i, tokens[i], tokens[i-1])
+		}
+	}
+	if highest := tokens[len(tokens)-1]; int64(float64(highest)) != highest {
+		t.Errorf("a floating point number does not hold token %d", highest)
+	}
+}
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -31,6 +31,8 @@
 func (r *leaseRenewer) updateAssignment(as Assignment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer wait.Signal(r.ownerActed)
+	r.token = max(r.token, as.FencingToken)
 	if as.Worker.Incarnation < r.info.Incarnation {
 		r.generation = as.Generation
 		return
@@ -39,6 +41,9 @@
 		r.clock = workerClock{}
 		r.durableEnd = 0
 	}
+	if as.MayGetStaleCalls {
+		r.fenceAfter(as.FencingToken - 1)
+	}
 	r.info, r.generation, r.durableEnd = as.Worker, as.Generation, max(r.durableEnd, as.LastAckedEnd)
 }
 
@@ -54,11 +59,12 @@
 
 // leaseDeadline returns the end of the lease for a call that is sent now, on the worker's clock in milliseconds, and the time
 // on the agent's clock at which all tasks there have certainly expired. Both are 0 if the worker's clock has not been read
-// within maxClockAge, the worker does not answer, or the owner has not applied a report since it last did not answer.
+// within maxClockAge, the worker does not answer, the owner has not applied a report since it last did not answer, or stale calls may
+// still be carried out there.
 func (r *leaseRenewer) leaseDeadline(now time.Duration) (int64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.clock.known || now-r.clock.readAt > maxClockAge || r.unresponsive || r.unconfirmed {
+	if !r.clock.known || now-r.clock.readAt > maxClockAge || r.unresponsive || r.unconfirmed || r.staleToken != 0 {
 		return 0, 0
 	}
 	leaseUntil := now + r.a.cfg.LeaseBound()
@@ -86,15 +92,15 @@
 	if a.Incarnation > r.info.Incarnation {
 		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
 		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
-		if r.leaseUntil > 0 { // calls with a deadline on the clock of the earlier process may have reached this one
-			r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.restartLeaseBound())
+		r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
+		if r.token != r.a.epoch { // an owner of an earlier release never raises it
+			r.fenceAfter(r.token)
 		}
 	}
+	r.noteFence(a.token)
 	if r.unresponsive {
 		r.unresponsive, r.unconfirmed = false, true
-		if r.readyClosed {
-			r.ready, r.readyClosed = make(chan struct{}), false
-		}
+		r.reopenReady()
 	}
 	r.excused = 0
 	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
@@ -103,9 +109,16 @@
 	return func() { r.confirm(silences) }
 }
 
+// reopenReady replaces ready after it was closed. The caller holds mu.
+func (r *leaseRenewer) reopenReady() {
+	if r.readyClosed {
+		r.ready, r.readyClosed = make(chan struct{}), false
+	}
+}
+
 // updateReady closes ready if calls may extend the lease. The caller holds mu.
 func (r *leaseRenewer) updateReady() {
-	if !r.readyClosed && !r.unconfirmed {
+	if !r.readyClosed && !r.unconfirmed && r.staleToken == 0 {
 		close(r.ready)
 		r.readyClosed = true
 	}
@@ -118,6 +131,7 @@
 	if r.unconfirmed && silences == r.silences {
 		r.unconfirmed = false
 		r.updateReady()
+		wait.Signal(r.ownerActed)
 	}
 }
 
@@ -151,8 +165,16 @@
 	return r.ready
 }
 
-func (r *leaseRenewer) state() (scheduler.WorkerInfo, int64, int64) {
+// renewerState is the state of a leaseRenewer that calls to the worker need.
+type renewerState struct {
+	info         scheduler.WorkerInfo
+	generation   int64
+	lastAckedEnd int64
+	token        int64
+}
+
+func (r *leaseRenewer) state() renewerState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.info, r.generation, r.durableEnd
+	return renewerState{r.info, r.generation, r.durableEnd, r.token}
 }
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -22,6 +22,10 @@
 	Worker       scheduler.WorkerInfo `json:"worker"`
 	Generation   int64                `json:"gen"`      // rises each time the worker gets another delegate; the owner ignores events of earlier generations
 	LastAckedEnd int64                `json:"last_end"` // the owner has stored the worker's ended runs up to this number
+	// FencingToken is the token of calls to the worker. Owners of earlier releases leave it out; then it is their epoch.
+	FencingToken int64 `json:"token,omitempty"`
+	// MayGetStaleCalls means that calls for an earlier incarnation of the worker, with lower tokens, may still reach this one.
+	MayGetStaleCalls bool `json:"stale,omitempty"`
 }
 
 // StartOrder starts a run, which is one attempt to execute a task.
@@ -124,6 +128,8 @@
 	Active      []scheduler.ActiveRun `json:"active,omitempty"`
 	Ended       []scheduler.EndedRun  `json:"ended,omitempty"`
 	MoreEnded   bool                  `json:"more_ended,omitempty"` // as in a RenewalAnswer
+	// Unfenced means that calls for an earlier incarnation of the worker may still reach this one.
+	Unfenced bool `json:"unfenced,omitempty"`
 }
 
 // MissedRenewal is a renewal that the worker did not answer.
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -40,17 +40,17 @@
 	for r != nil && countedAttempts < len(startTimeouts) {
 		now := a.deps.Clock()
 		leaseDeadline, leaseUntil := r.leaseDeadline(now)
-		info, _, _ := r.state()
+		st := r.state()
 		if a.renewer(o.WorkerID) != r {
 			break // checked after the deadline was computed: the owner's bound of the lease counts from the release
 		}
-		if leaseDeadline == 0 || info.Incarnation != o.Incarnation || !a.permitValid() || a.ctx.Err() != nil || now-began > a.cfg.GangTimeout/2 {
+		if leaseDeadline == 0 || st.info.Incarnation != o.Incarnation || !a.permitValid() || a.ctx.Err() != nil || now-began > a.cfg.GangTimeout/2 {
 			break
 		}
 		result.LeaseUntil = max(result.LeaseUntil, leaseUntil)
 		attempts++
 		timeout := startTimeouts[countedAttempts]
-		outcome, err := a.sendStart(StartCall{StartOrder: o, Worker: info, Epoch: a.epoch, Deadline: leaseDeadline}, timeout)
+		outcome, err := a.sendStart(StartCall{StartOrder: o, Worker: st.info, FencingToken: st.token, Deadline: leaseDeadline}, timeout)
 		if outcome != scheduler.StartUnknown {
 			result.Outcome = outcome
 			break
@@ -87,11 +87,11 @@
 		return
 	}
 	for failures := 0; a.ctx.Err() == nil; failures++ {
-		info, _, _ := r.state()
-		if info.Incarnation != o.Incarnation || a.renewer(o.WorkerID) != r {
+		st := r.state()
+		if st.info.Incarnation != o.Incarnation || a.renewer(o.WorkerID) != r {
 			return
 		}
-		if a.permitValid() && a.sendStop(StopCall{StopOrder: o, Worker: info, Epoch: a.epoch}) == nil {
+		if a.permitValid() && a.sendStop(StopCall{StopOrder: o, Worker: st.info, FencingToken: st.token}) == nil {
 			break
 		}
 		wait.For(a.ctx, wait.Backoff(stopMinRetryDelay, stopMaxRetryDelay, failures))
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -54,11 +54,16 @@
 	id     string // of the worker
 	cancel context.CancelFunc
 	acks   chan struct{} // signalled when more ended runs are acknowledged
+	// ownerActed is signalled when the owner has applied a report or changed the assignment.
+	ownerActed chan struct{}
 
 	mu         sync.Mutex
 	info       scheduler.WorkerInfo
 	generation int64
 	durableEnd int64 // the owner has stored ended runs up to this number
+	token      int64 // of calls to the worker
+	// staleToken is set while stale calls with tokens up to it may be carried out by the present incarnation.
+	staleToken int64
 	clock      workerClock
 	// unresponsive is set until the first answer, and from a renewal without an answer until the next answer. While it is set,
 	// no call extends the lease, so that the tasks there expire even if the worker processes a call late.
@@ -72,7 +77,7 @@
 	maxDeadline int64         // latest deadline that a call has carried, on the worker's clock
 	excused     int           // renewals since the last answer whose missing answer was excused
 	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
-	ready       chan struct{} // closed once a call may extend the lease: the clock is known and unconfirmed is not set
+	ready       chan struct{} // closed once a call may extend the lease: the clock is known, unconfirmed and staleToken are not set
 	readyClosed bool
 }
 
@@ -106,17 +111,18 @@
 		}
 		failures = 0
 		pollTimeout = r.awaitAcks(ctx, ends)
-		r.awaitConfirmation(ctx)
+		r.awaitOwner(ctx)
 	}
 }
 
-// awaitConfirmation waits until the owner has applied a report from after the last silence, or until the wait times out.
-func (r *leaseRenewer) awaitConfirmation(ctx context.Context) {
+// awaitOwner waits until the owner has applied a report from after the last silence, and has raised the token if the worker has
+// restarted, or until the wait times out.
+func (r *leaseRenewer) awaitOwner(ctx context.Context) {
 	r.mu.Lock()
-	unconfirmed, ready := r.unconfirmed, r.ready
+	waiting := r.unconfirmed || r.staleToken != 0 && r.token <= r.staleToken
 	r.mu.Unlock()
-	if unconfirmed {
-		wait.ForOrSignal(ctx, confirmTimeout, ready)
+	if waiting {
+		wait.ForOrSignal(ctx, confirmTimeout, r.ownerActed)
 	}
 }
 
@@ -130,7 +136,7 @@
 	wait.For(ctx, endBatchDelay)
 	limit := time.Now().Add(ackTimeout)
 	for ctx.Err() == nil && time.Now().Before(limit) {
-		if _, _, lastAckedEnd := r.state(); lastAckedEnd >= ends {
+		if r.state().lastAckedEnd >= ends {
 			return time.Duration(r.a.renewPollTimeout.Load())
 		}
 		wait.ForOrSignal(ctx, time.Until(limit), r.acks)
@@ -141,7 +147,8 @@
 // renew sends one renewal and emits the report. It returns the highest number of the ended runs in the report. Errors:
 // errPermitExpired if nothing was sent.
 func (r *leaseRenewer) renew(ctx context.Context, pollTimeout time.Duration) (int64, error) {
-	info, generation, lastAckedEnd := r.state()
+	st := r.state()
+	info, generation := st.info, st.generation
 	sentAt := r.a.deps.Clock()
 	leaseDeadline, leaseUntil := r.leaseDeadline(sentAt)
 	if !r.a.permitValid() {
@@ -153,7 +160,7 @@
 	timeout := pollTimeout + renewTimeout
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	answer, err := r.a.deps.Client.Renew(callCtx, info, Renewal{Epoch: r.a.epoch, LastAckedEnd: lastAckedEnd, Deadline: leaseDeadline, PollTimeout: pollTimeout})
+	answer, err := r.a.deps.Client.Renew(callCtx, info, Renewal{FencingToken: st.token, LastAckedEnd: st.lastAckedEnd, Deadline: leaseDeadline, PollTimeout: pollTimeout})
 	if ctx.Err() != nil && err != nil {
 		return 0, err // released from this delegate; the next one finds out the worker's state
 	}
@@ -171,19 +178,23 @@
 	if answer.Incarnation == 0 {
 		answer.Incarnation = info.Incarnation // the worker does not name it
 	}
+	answer.token = st.token
 	r.limitCheckpoints(&answer)
+	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
 	if applied == nil {
 		return 0, nil
 	}
+	if stale || answer.Incarnation > info.Incarnation {
+		leaseUntil = r.lastLeaseEnd() // a stale call may have set it
+	}
 	if answer.Incarnation > info.Incarnation {
-		leaseUntil = r.lastLeaseEnd()
 		r.a.log.Warn("worker has restarted", zap.String("worker", r.id), zap.Int64("born", answer.Incarnation), zap.Int64("earlier_born", info.Incarnation),
 			zap.Int64("clock_ms", answer.ClockMS), zap.Int64("earlier_deadline_ms", r.deadline()), zap.Duration("lease_left", max(leaseUntil-r.a.deps.Clock(), 0)))
 	}
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
-		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded,
+		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded, Unfenced: r.unfenced(),
 	}})
 	last := int64(0)
 	for _, e := range answer.Ended {
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -12,6 +14,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 )
 
@@ -131,6 +134,38 @@
 	Epoch int64 `json:"epoch,omitempty"`
 	// Inherited are those of IDs to which an owner before the writer may still have sent orders when the list was written.
 	Inherited []string `json:"inherited,omitempty"`
+	// Incarnations are those of IDs, in the same order. Earlier releases leave it out.
+	Incarnations []int64 `json:"born,omitempty"`
+	// StaleLeases are those of IDs whose lease a call for an earlier incarnation may have set.
+	StaleLeases []string `json:"stale,omitempty"`
+}
+
+// NewWorkersInUse returns the list of workers and their uses, by ID.
+func NewWorkersInUse(uses map[string]scheduler.WorkerUse) WorkersInUse {
+	u := WorkersInUse{IDs: slices.Sorted(maps.Keys(uses))}
+	for _, id := range u.IDs {
+		u.Incarnations = append(u.Incarnations, uses[id].Incarnation)
+		if uses[id].StaleLease {
+			u.StaleLeases = append(u.StaleLeases, id)
+		}
+	}
+	return u
+}
+
+// Uses returns the uses of the workers, by ID.
+func (u WorkersInUse) Uses() map[string]scheduler.WorkerUse {
+	uses := make(map[string]scheduler.WorkerUse, len(u.IDs))
+	for i, id := range u.IDs {
+		var use scheduler.WorkerUse
+		if i < len(u.Incarnations) {
+			use.Incarnation = u.Incarnations[i]
+		}
+		uses[id] = use
+	}
+	for _, id := range u.StaleLeases {
+		uses[id] = scheduler.WorkerUse{Incarnation: uses[id].Incarnation, StaleLease: true}
+	}
+	return uses
 }
 
 // InheritedBy returns the workers to which an owner before the previous one may still send orders, as the owner of an epoch has
--- /dev/null
+++ b/internal/cluster/scheduler/incarnations_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const testStaleLease = 11 * time.Second
+
+// newStaleLeaseFixture returns a fixture with two workers whose first incarnations no earlier owner has used, long after their first reports.
+func newStaleLeaseFixture() (*fixture, time.Time) {
+	f := newFixture(1, 0)
+	f.cfg.StaleLease = testStaleLease
+	f.addWorker("w0")
+	f.addWorker("w1")
+	now := at(testStaleLease + time.Second)
+	f.report("w0", now)
+	f.report("w1", now)
+	return f, now
+}
+
+// Guards against two runs of a task: a call for the earlier incarnation of a worker sets the lease of the next one just before its first
+// call with a higher token, and the worker is silent from then on.
+func TestLeaseOfRestartedWorkerCountsFromTheFence(t *testing.T) {
+	Convey("Given a worker that restarts and a run that it accepts afterwards", t, func() {
+		f, now := newStaleLeaseFixture()
+		f.DelistWorker("w1")
+		report := func(now time.Time, unfenced bool) {
+			f.HandleReport(now, Report{Worker: "w0", Incarnation: 2, SentAt: now, LeaseUntil: now.Add(5 * time.Second), Unfenced: unfenced, Active: f.active["w0"]})
+		}
+		So(f.Use("w0", now), ShouldResemble, WorkerUse{Incarnation: 1})
+		report(now, true)
+		So(f.MayGetStaleCalls("w0"), ShouldBeTrue)
+		fencedAt := now.Add(500 * time.Millisecond)
+		report(fencedAt, false)
+		So(f.MayGetStaleCalls("w0"), ShouldBeFalse)
+		w := f.workers["w0"].info
+		w.Incarnation = 2
+		f.UpsertWorker(fencedAt, w)
+		f.AddJob(fencedAt, f.job("j", fencedAt, simpleStep(1)), nil, false)
+		So(f.plan(fencedAt).Starts, ShouldHaveLength, 1)
+		Convey("Its runs are given up only once the longest lease since the fence has expired", func() {
+			silentAt := fencedAt.Add(time.Second)
+			f.MarkUnreachable(silentAt, "w0", silentAt.Add(5*time.Second))
+			So(f.plan(fencedAt.Add(testStaleLease-100*time.Millisecond)).Starts, ShouldBeEmpty)
+			So(f.TakeWorkerLosses(), ShouldBeEmpty)
+			f.plan(fencedAt.Add(testStaleLease + 100*time.Millisecond))
+			So(f.TakeWorkerLosses(), ShouldHaveLength, 1)
+		})
+		Convey("A successor has to know that until then", func() {
+			So(f.Use("w0", fencedAt.Add(testStaleLease-time.Millisecond)), ShouldResemble, WorkerUse{Incarnation: 2, StaleLease: true})
+			So(f.Use("w0", fencedAt.Add(testStaleLease)), ShouldResemble, WorkerUse{Incarnation: 2})
+		})
+		Convey("A second restart within the lease counts anew", func() {
+			again := fencedAt.Add(2 * time.Second)
+			f.HandleReport(again, Report{Worker: "w0", Incarnation: 3, SentAt: again, LeaseUntil: again.Add(5 * time.Second)})
+			So(f.Use("w0", again), ShouldResemble, WorkerUse{Incarnation: 3, StaleLease: true})
+			So(f.workers["w0"].leaseUntil, ShouldEqual, again.Add(testStaleLease))
+		})
+	})
+}
+
+// Guards against a successor that counts the ordinary lease on a worker that may have restarted, or the longest one on each.
+func TestPreviousUseTellsWhetherAWorkerHasRestarted(t *testing.T) {
+	f := newFixture(2, 0)
+	f.cfg.StaleLease = testStaleLease
+	for id, use := range map[string]WorkerUse{"same": {Incarnation: 1}, "restarted": {Incarnation: 0}, "marked": {Incarnation: 1, StaleLease: true}} {
+		f.AddUnresolvedWorker(id, at(5*time.Second))
+		f.SetPreviousUse(t0, id, use)
+		if got := f.Use(id, t0); got != use {
+			t.Errorf("before the first report the use of worker %s is %+v, want %+v", id, got, use)
+		}
+	}
+	for id, long := range map[string]bool{"same": false, "restarted": true, "marked": true, "unknown": true} {
+		f.addWorker(id)
+		if got := f.workers[id].leaseUntil; got.Equal(at(testStaleLease)) != long {
+			t.Errorf("after the first report the lease of worker %s ends at %v", id, got.Sub(t0))
+		}
+		if got := f.Use(id, at(time.Second)); got != (WorkerUse{Incarnation: 1, StaleLease: long}) {
+			t.Errorf("after the first report the use of worker %s is %+v", id, got)
+		}
+	}
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -48,6 +48,8 @@
 	Ended       []EndedRun
 	// MoreEnded means that Ended may leave out runs that have ended. A run that the report does not list may be one of them.
 	MoreEnded bool
+	// Unfenced means that stale calls may still reach the incarnation.
+	Unfenced bool
 }
 
 // AppliedEnd is the end of a run as applied from a report, for logs and metrics.
@@ -76,6 +78,7 @@
 	s.endSilence(w, now)
 	s.confirmReplaced(w, r.SentAt, now)
 	w.extendLease(r.LeaseUntil)
+	s.noteFence(w, r.Unfenced, now)
 	var applied []AppliedEnd
 	for _, e := range r.Ended {
 		if e.Number <= w.lastAppliedEnd {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -29,22 +29,25 @@
 	listed      bool // the platform's list of workers has it
 	undescribed bool // it has restarted, and info still holds the capacity and labels of an earlier incarnation
 	// announced is the entry of a later incarnation that has not answered yet, while the present one may go on.
-	announced      *WorkerInfo
-	announcedAt    time.Time          // when that entry was read
-	fenced         bool               // it has reported to this owner, so it rejects orders of earlier owners
-	unreachable    bool               // it did not answer the last call
-	silentSince    time.Time          // when the first call without an answer failed; zero while it answers
-	answeredAs     int64              // the incarnation that firstAnswer and lastAnswer belong to
-	firstAnswer    time.Time          // when the first answer of the incarnation to this owner was requested; zero before
-	lastAnswer     time.Time          // when the last one was requested
-	moved          bool               // the list has given the incarnation another address than before
-	leaseUntil     time.Time          // when all runs on it have stopped unless the lease is renewed
-	shutdownAt     time.Time          // when a draining worker shuts down
-	used           workload.Resources // by its placements
-	urgentCPU      int64              // millicores used by urgent tasks; see headroom
-	suspectedRuns  int                // placements with suspected set
-	held           workload.Resources // for gangs that are nominated for the worker
-	expectedDemand workload.Resources // of units that wait for an answer of the policy service
+	announced   *WorkerInfo
+	announcedAt time.Time // when that entry was read
+	fenced      bool      // it has reported to this owner, so it rejects orders of earlier owners
+	unreachable bool      // it did not answer the last call
+	silentSince time.Time // when the first call without an answer failed; zero while it answers
+	answeredAs  int64     // the incarnation that firstAnswer and lastAnswer belong to
+	firstAnswer time.Time // when the first answer of the incarnation to this owner was requested; zero before
+	lastAnswer  time.Time // when the last one was requested
+	moved       bool      // the list has given the incarnation another address than before
+	leaseUntil  time.Time // when all runs on it have stopped unless the lease is renewed
+	// mayGetStaleCalls is set until a report shows that stale calls can't reach the present incarnation any more.
+	mayGetStaleCalls bool
+	staleLeaseUntil  time.Time          // when a lease that a stale call has set has expired at the latest
+	shutdownAt       time.Time          // when a draining worker shuts down
+	used             workload.Resources // by its placements
+	urgentCPU        int64              // millicores used by urgent tasks; see headroom
+	suspectedRuns    int                // placements with suspected set
+	held             workload.Resources // for gangs that are nominated for the worker
+	expectedDemand   workload.Resources // of units that wait for an answer of the policy service
 	// expectedGangDemand is the part of expectedDemand that is due to gangs.
 	expectedGangDemand workload.Resources
 	placements         []*placement // few, so a linear search is faster than a map
@@ -167,7 +170,7 @@
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
 	w := s.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info}
+		w = &worker{info: info, mayGetStaleCalls: s.mayHaveFormerIncarnation(info)}
 		s.workers[info.ID] = w
 		s.sortedWorkers = append(s.sortedWorkers, w)
 		sort.Slice(s.sortedWorkers, func(i, j int) bool { return s.sortedWorkers[i].info.ID < s.sortedWorkers[j].info.ID })
@@ -182,6 +185,7 @@
 			return
 		}
 		s.resetWorker(w, LossRestarted, now)
+		w.mayGetStaleCalls = true
 	}
 	sameIncarnation := w.info.Incarnation == info.Incarnation
 	// A process keeps its address. With two of them, nobody knows which one a call has reached.
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -55,6 +55,7 @@
 	}
 	s.resetWorkerExcept(w, kept, LossRestarted, now)
 	w.info.Incarnation, w.info.Draining, w.undescribed = incarnation, false, true
+	w.mayGetStaleCalls = true
 	for _, p := range kept {
 		if p.state != running {
 			s.orderStop(p, "the worker has restarted and may receive the start late")
