Acknowledge no ends to a worker that does not answer

If the worker has restarted, it forgets its own ends up to that number before anybody has read them. The end of a run that was started late, as done, would be lost and the task would run again.

Cause: as for the lease, a number that means something to one incarnation is sent to whichever answers next. The next answer tells which one it is, so a renewal acknowledges nothing until then. Ends that are listed again meanwhile are known by their numbers.

TestSilentWorkerGetsNoAcknowledgement fails before: a silent worker is told that ends up to 5 are stored. A renewal that was in progress when the worker crashed still carries its number; the next incarnation carries it out before it has any end, unless it is late by seconds.

--- a/internal/cluster/delegate/fencing_test.go
+++ b/internal/cluster/delegate/fencing_test.go
@@ -161,3 +161,27 @@
 		t.Errorf("a floating point number does not hold token %d", highest)
 	}
 }
+
+// Guards against an end that a restarted worker forgets before it is read: each incarnation numbers its ends anew, so an acknowledgement
+// for the earlier one may cover the end of a run that was started late.
+func TestSilentWorkerGetsNoAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", Incarnation: 1, LastAckedEnd: 5}}})
+		time.Sleep(time.Second)
+		if acked := f.workers.acked(); acked != 5 {
+			t.Fatalf("a worker that answers is told that ends up to %d are stored, want 5", acked)
+		}
+		f.workers.setSilent(true)
+		time.Sleep(2 * time.Second)
+		if acked := f.workers.acked(); acked != 0 {
+			t.Errorf("a silent worker is told that ends up to %d are stored", acked)
+		}
+		f.workers.setSilent(false)
+		time.Sleep(2 * time.Second)
+		if acked := f.workers.acked(); acked != 5 {
+			t.Errorf("after the silence the worker is told that ends up to %d are stored, want 5", acked)
+		}
+	})
+}
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -171,10 +171,11 @@
 	generation   int64
 	lastAckedEnd int64
 	token        int64
+	unresponsive bool
 }
 
 func (r *leaseRenewer) state() renewerState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return renewerState{r.info, r.generation, r.durableEnd, r.token}
+	return renewerState{r.info, r.generation, r.durableEnd, r.token, r.unresponsive}
 }
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -149,6 +149,9 @@
 func (r *leaseRenewer) renew(ctx context.Context, pollTimeout time.Duration) (int64, error) {
 	st := r.state()
 	info, generation := st.info, st.generation
+	if st.unresponsive {
+		st.lastAckedEnd = 0 // the worker may have restarted, and each incarnation numbers its ends anew
+	}
 	sentAt := r.a.deps.Clock()
 	leaseDeadline, leaseUntil := r.leaseDeadline(sentAt)
 	if !r.a.permitValid() {
