Let an unanswered start wait for an announced incarnation that is silent

If that incarnation announces itself in the list but is cut off before its first answer, the owner counted the ordinary lease from its last call and started the task elsewhere.

Change: if the list announces a later incarnation, and there is a run that nobody has seen confirmed, the runs of the worker are kept until the longest lease since the announcement has expired. Confirmed runs ended with the earlier incarnation, so they don't make anything wait longer.

TestUnansweredStartWaitsForAnAnnouncedIncarnation fails before: the task is given up 4 s after the announcement, with a lease of 11 s. Not covered: an incarnation that reaches neither the store nor any owner.

--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A stale call is one that was meant for an earlier incarnation of a worker. The next incarnation under the same ID carries it out all the
 // same, until it has seen the higher fencing token of a call that is meant for it. Its deadline, on another clock, may set a lease up to
@@ -50,6 +53,14 @@
 	return use.Incarnation != info.Incarnation || use.StaleLease
 }
 
+// extendForStaleStarts extends the lease of a worker of which a later incarnation is listed, if that one may have carried out a start to
+// which nobody has seen an answer.
+func (s *Scheduler) extendForStaleStarts(w *worker, now time.Time) {
+	if slices.ContainsFunc(w.placements, func(p *placement) bool { return p.confirmedAt.IsZero() }) {
+		w.extendLease(now.Add(s.cfg.StaleLease))
+	}
+}
+
 // noteFence applies a report of a worker that stale calls could reach. Until it was sent, they may have set a lease.
 func (s *Scheduler) noteFence(w *worker, unfenced bool, now time.Time) {
 	if !w.mayGetStaleCalls && !unfenced {
--- a/internal/cluster/scheduler/incarnations_test.go
+++ b/internal/cluster/scheduler/incarnations_test.go
@@ -83,3 +83,36 @@
 		}
 	}
 }
+
+// Guards against two runs of a task: a start without an answer is carried out by the next incarnation of its worker, which announces
+// itself but does not answer.
+func TestUnansweredStartWaitsForAnAnnouncedIncarnation(t *testing.T) {
+	Convey("Given a worker that stops answering", t, func() {
+		f, now := newStaleLeaseFixture()
+		f.DelistWorker("w1")
+		f.AddJob(now, f.job("j", now, simpleStep(1)), nil, false)
+		f.commit()
+		s := f.Plan(now).Starts[0]
+		restarted := f.workers["w0"].info
+		restarted.Incarnation = 2
+		lease := now.Add(5 * time.Second)
+		losesRun := func(at time.Time) bool {
+			f.plan(at)
+			return len(f.TakeWorkerLosses()) > 0 || f.jobs["j"].occurrences[0].units[0].tasks[0].placement == nil
+		}
+		Convey("When a start was not answered and a later incarnation is listed, the task waits for the longest lease", func() {
+			f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartUnknown, AnsweredAt: now, LeaseUntil: lease})
+			f.MarkUnreachable(now, "w0", lease)
+			f.UpsertWorker(now.Add(time.Second), restarted)
+			f.UpsertWorker(now.Add(2*time.Second), restarted)
+			So(losesRun(now.Add(time.Second+testStaleLease-100*time.Millisecond)), ShouldBeFalse)
+			So(losesRun(now.Add(time.Second+testStaleLease+100*time.Millisecond)), ShouldBeTrue)
+		})
+		Convey("When the start was accepted, the run belongs to the earlier incarnation and has the ordinary lease", func() {
+			f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartAccepted, AnsweredAt: now, LeaseUntil: lease})
+			f.MarkUnreachable(now, "w0", lease)
+			f.UpsertWorker(now.Add(time.Second), restarted)
+			So(losesRun(lease.Add(100*time.Millisecond)), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -178,10 +178,14 @@
 	if info.Incarnation < w.info.Incarnation {
 		return
 	}
+	announced := w.announced
 	w.announced = nil
 	if info.Incarnation > w.info.Incarnation {
 		if w.answered() {
 			w.announce(info, now)
+			if announced == nil || announced.Incarnation < info.Incarnation {
+				s.extendForStaleStarts(w, now)
+			}
 			return
 		}
 		s.resetWorker(w, LossRestarted, now)
