Read a worker's id for a log line without a data race

The line "worker answers again" read the description of the worker without the lock, which an assignment replaces when the worker has restarted. The race detector reports it in the tests with restarted workers; with the constant id it reports none.

--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		if failures > 0 {
-			r.a.log.Info("worker answers again", zap.String("worker", r.info.ID), zap.Int("failures", failures))
+			r.a.log.Info("worker answers again", zap.String("worker", r.id), zap.Int("failures", failures))
 		}
 		failures = 0
 		pollTimeout = r.awaitAcks(ctx, ends)
