Bound how long a suspected task keeps away from busy workers

Cause: to tell which job a crash belongs to, a suspected task keeps away from workers that have just started a run of another job, and other jobs from workers that have just started a suspected one, without a bound.

Change: a unit that has found no place for 2 s while such workers were left out uses them.

--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -212,6 +212,9 @@
 // noteUnplaced notes that the unit has tasks that found no place, or that enough of them did: all of a long-running unit, and one of
 // another.
 func (u *unit) noteUnplaced(waiting, placed int, now time.Time) {
+	if placed > 0 {
+		u.blursSince = time.Time{}
+	}
 	switch {
 	case placed == waiting || placed > 0 && !u.step.LongRunning:
 		u.unplacedSince = time.Time{}
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -69,6 +69,7 @@
 	nomination      nomination
 	firstReserved   time.Time // gangs only: when workers were first reserved for it; zero before
 	unplacedSince   time.Time // since when its tasks find no place; zero otherwise. See mayUseQuarantined
+	blursSince      time.Time // since when it keeps away from workers on which its start would blur a crash, without a place; or zero
 	heldBackSince   time.Time // since when reservations for gangs hold it back while none of its tasks finds a place; zero otherwise
 }
 
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -39,7 +39,7 @@
 		}
 		waiting := u.pending(now)
 		if len(waiting) == 0 {
-			u.unplacedSince = time.Time{}
+			u.unplacedSince, u.blursSince = time.Time{}, time.Time{}
 			continue
 		}
 		if u.step.Gang && !mayRunElsewhere && !u.idle() {
--- a/internal/cluster/scheduler/probation.go
+++ b/internal/cluster/scheduler/probation.go
@@ -9,6 +9,9 @@
 	// riskyQueueTime is how long after the crash of a worker that had just started a task of a queue the tasks of that queue are
 	// started where the least work is at stake.
 	riskyQueueTime = 10 * time.Second
+	// maxProbation is how long a unit without a place keeps away from workers on which its start would blur the attribution of a
+	// crash. A job with room must not have nothing running for 3 s.
+	maxProbation = 2 * time.Second
 	// checkpointLoss is the most work that a run with checkpoints loses, and restartCost what any run loses beside its work.
 	checkpointLoss = time.Second
 	restartCost    = 200 * time.Millisecond
@@ -27,9 +30,22 @@
 
 // withoutBlurring removes the workers on which a start of the unit would blur the attribution of a crash. The members of a gang go to
 // many workers, of which nearly all have accepted a run just before, so a suspected gang keeps away only from other suspected tasks.
-func withoutBlurring(u *unit, waiting []*task, workers []*worker, now time.Time) []*worker {
-	suspected := !u.step.Gang && slices.ContainsFunc(waiting, (*task).suspected)
-	return slices.DeleteFunc(workers, func(w *worker) bool { return w.blursCrash(u, suspected, now) })
+//
+// On workers that start runs of other jobs all the time, a suspected task would never find a place. It keeps away from them for maxProbation
+// at most while it has none.
+func (c candidate) withoutBlurring(workers []*worker, now time.Time) []*worker {
+	u := c.unit
+	suspected := !u.step.Gang && slices.ContainsFunc(c.waiting, (*task).suspected)
+	blurs := func(w *worker) bool { return w.blursCrash(u, suspected, now) }
+	switch {
+	case !slices.ContainsFunc(workers, blurs):
+		u.blursSince = time.Time{}
+	case u.blursSince.IsZero():
+		u.blursSince = now
+	case now.Sub(u.blursSince) >= maxProbation:
+		return workers
+	}
+	return slices.DeleteFunc(workers, blurs)
 }
 
 // risky reports whether the task may crash its worker: it is suspected, or tasks of its queue have crashed workers lately.
--- a/internal/cluster/scheduler/quarantine_test.go
+++ b/internal/cluster/scheduler/quarantine_test.go
@@ -392,3 +392,28 @@
 		})
 	})
 }
+
+// Guards against a task that waits without bound because a worker has crashed once just after its start: it keeps away from workers that
+// have just started other runs, which on busy ones is always.
+func TestSuspectedTaskOnBusyWorkersStarts(t *testing.T) {
+	for _, step := range []workload.Step{simpleStep(1), service(1)} {
+		Convey(fmt.Sprintf("Given four workers that start a run each 100 ms and have room, and a suspected task, long-running %t", step.LongRunning), t, func() {
+			d := newSimulation(4, func(Start) time.Duration { return 300 * time.Millisecond })
+			arrive := func(now time.Duration) {
+				if now%(100*time.Millisecond) == 0 {
+					small := simpleStep(4)
+					small.MaxPerWorker, small.Resources.CPUMilli = 1, 1000
+					d.AddJob(at(now), d.job(now.String(), at(now), small), nil, false)
+				}
+			}
+			d.run(time.Second, arrive)
+			d.AddJob(at(d.now), d.job("suspected", at(d.now), step), nil, false)
+			e := &d.jobs["suspected"].occurrences[0].units[0].tasks[0].evidence
+			e.Crashes, e.Weight = 1, startWeight
+			Convey("It starts, but not before it has looked for a worker on which a crash would be its own for a while", func() {
+				d.run(20*time.Second, arrive)
+				So(d.started["suspected"], ShouldBeBetweenOrEqual, time.Second+maxProbation, time.Second+maxProbation+3*simulationStep)
+			})
+		})
+	}
+}
