Keep an unanswered start placed until its worker is fenced after a restart

The next incarnation remembers no stop and may carry the start out, but its first report, which listed no such run, freed the task at once, because the stop had been acknowledged before the report was requested. The task ran twice.

Cause: an acknowledgement of one incarnation was used for the next one, as the lease was. A run that nobody has seen confirmed is kept across a restart, its stop is ordered again, and it is dropped only by a report from after the fence, when no earlier call can be carried out any more.

TestStopAckOfEndedIncarnationDoesNotFreeTheTask fails before: run 2 starts elsewhere while stale calls may still start run 1.

--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -56,7 +56,7 @@
 // extendForStaleStarts extends the lease of a worker of which a later incarnation is listed, if that one may have carried out a start to
 // which nobody has seen an answer.
 func (s *Scheduler) extendForStaleStarts(w *worker, now time.Time) {
-	if slices.ContainsFunc(w.placements, func(p *placement) bool { return p.confirmedAt.IsZero() }) {
+	if slices.ContainsFunc(w.placements, (*placement).unanswered) {
 		w.extendLease(now.Add(s.cfg.StaleLease))
 	}
 }
--- a/internal/cluster/scheduler/incarnations_test.go
+++ b/internal/cluster/scheduler/incarnations_test.go
@@ -116,3 +116,32 @@
 		})
 	})
 }
+
+// Guards against two runs of a task: the stop of an unanswered start was acknowledged by an incarnation that has ended, and the next one,
+// which remembers no stop, may still carry out the start.
+func TestStopAckOfEndedIncarnationDoesNotFreeTheTask(t *testing.T) {
+	f, now := newStaleLeaseFixture()
+	f.AddJob(now, f.job("j", now, simpleStep(1)), nil, false)
+	f.commit()
+	starts := f.Plan(now).Starts
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	s := starts[0]
+	now = now.Add(time.Second)
+	f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartUnknown, AnsweredAt: now, LeaseUntil: now.Add(5 * time.Second)})
+	if stops := f.Plan(now).Stops; len(stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(stops))
+	}
+	now = now.Add(100 * time.Millisecond)
+	f.HandleStopAck(now, s.Worker.ID, s.Task, s.Run)
+	now = now.Add(100 * time.Millisecond)
+	f.HandleReport(now, Report{Worker: s.Worker.ID, Incarnation: 2, SentAt: now, LeaseUntil: now.Add(testStaleLease), Unfenced: true})
+	f.commit()
+	again := f.Plan(now).Starts
+	f.commit()
+	again = append(again, f.Plan(now.Add(100*time.Millisecond)).Starts...)
+	if len(again) > 0 {
+		t.Errorf("run %d starts on %s while stale calls may still start run %d on %s", again[0].Run, again[0].Worker.ID, s.Run, s.Worker.ID)
+	}
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -180,14 +180,15 @@
 }
 
 // dropUnlistedRuns drops the runs that a report lists neither as active nor as ended, if the report was requested after the
-// worker had confirmed the run or, for a run that is being stopped, the stop.
+// worker had confirmed the run or, for a run that is being stopped, the stop. While stale calls may reach the worker, a run that nobody
+// has seen there may still start.
 func (s *Scheduler) dropUnlistedRuns(w *worker, listed map[runKey]bool, requestedAt, now time.Time) {
 	var lost []*placement // a run that is being stopped and no longer listed has ended as intended
 	for _, p := range slices.Clone(w.placements) {
 		if listed[runKey{p.id, p.run}] {
 			continue
 		}
-		if !p.mayBeUnreported(requestedAt) {
+		if !p.mayBeUnreported(requestedAt) && !(w.mayGetStaleCalls && p.unanswered()) {
 			if p.state == running {
 				lost = append(lost, p)
 			}
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -49,7 +49,7 @@
 func (s *Scheduler) restartWorker(w *worker, incarnation int64, requestedAt, now time.Time) {
 	var kept []*placement
 	for _, p := range w.placements {
-		if p.mayBeUnreported(requestedAt) {
+		if p.mayBeUnreported(requestedAt) || p.unanswered() {
 			kept = append(kept, p)
 		}
 	}
@@ -63,6 +63,10 @@
 	}
 }
 
+// unanswered reports whether nobody has seen the worker confirm the run. The order to start it may be carried out by a later incarnation,
+// which remembers no stop that an earlier one has acknowledged.
+func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() }
+
 // mayBeUnreported reports whether a worker may execute the run although a report that was requested at the given time does not list it.
 func (p *placement) mayBeUnreported(requestedAt time.Time) bool {
 	switch p.state {
