Count the ordinary lease for workers that no owner has called before

Workers that are back after a crash usually have a new ID, and added ones have.

The owner now remembers for 30 s how a worker was used that it removed, and the previous owner's list for as long; calls are late by seconds. A worker of which nothing is known counts as restarted only while the term is younger than that, since an owner before the previous one may have used it.

TestNewWorkerCountsTheOrdinaryLease fails before: 11 s in place of 5 s a minute into a term. TestWorkerThatWasRemovedMayHaveRestarted holds the other side.

--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -90,8 +90,9 @@
 func newTerm(ctx context.Context, c *Coordinator, ownership *election.Ownership, predecessorGone func() bool) *term {
 	t := &term{
 		cfg: c.cfg, deps: c.deps, ownership: ownership, predecessorGone: predecessorGone,
-		log:           c.deps.Log.With(zap.Int64("epoch", ownership.Epoch())),
-		sched:         scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention, StaleLease: c.cfg.Delegate.StaleLeaseBound()}),
+		log: c.deps.Log.With(zap.Int64("epoch", ownership.Epoch())),
+		sched: scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention, Began: time.Now(),
+			StaleLease: c.cfg.Delegate.StaleLeaseBound()}),
 		inUse:         map[string]scheduler.WorkerUse{},
 		jobBatchIndex: newJobBatchIndex(), rows: newRowIndex(c.cfg.maxValueBytes()), inboxParts: map[string]int{}, expired: map[string]bool{},
 		meters:        newMeters(c.deps.Metrics),
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -16,27 +16,44 @@
 	StaleLease bool
 }
 
-// previousUse is how the previous owner used a worker.
-type previousUse struct {
+// staleCallLimit is the time after which no call to an earlier incarnation is carried out any more. Calls are late by seconds.
+const staleCallLimit = 30 * time.Second
+
+// lastUse is how a worker was used last that the scheduler has not listed yet, or not any more.
+type lastUse struct {
 	WorkerUse
+	notedAt         time.Time // while the worker was in use, or afterwards
 	staleLeaseUntil time.Time // when the lease that a stale call may have set has expired at the latest; zero if there was none
 }
 
-// SetPreviousUse records how the previous owner used a worker. What it started there runs on that incarnation. A worker without a record
-// may have been used as any incarnation.
+// SetPreviousUse records how the previous owner used a worker. What it started there runs on that incarnation.
 func (s *Scheduler) SetPreviousUse(now time.Time, workerID string, use WorkerUse) {
-	p := previousUse{WorkerUse: use}
+	u := lastUse{WorkerUse: use, notedAt: now}
 	if use.StaleLease {
-		p.staleLeaseUntil = now.Add(s.cfg.StaleLease)
+		u.staleLeaseUntil = now.Add(s.cfg.StaleLease)
+	}
+	s.lastUses[workerID] = u
+}
+
+// noteLastUse records how a worker was used that is removed now.
+func (s *Scheduler) noteLastUse(w *worker, now time.Time) {
+	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now}
+}
+
+// expireLastUses forgets the workers that no stale call can reach any more.
+func (s *Scheduler) expireLastUses(now time.Time) {
+	for id, u := range s.lastUses {
+		if now.Sub(u.notedAt) > staleCallLimit && !s.IsUnresolved(id) {
+			delete(s.lastUses, id)
+		}
 	}
-	s.previousUses[workerID] = p
 }
 
 // Use returns what a successor has to know about a worker.
 func (s *Scheduler) Use(workerID string, now time.Time) WorkerUse {
 	w := s.workers[workerID]
 	if w == nil || !w.fenced && s.IsUnresolved(workerID) {
-		return s.previousUses[workerID].WorkerUse
+		return s.lastUses[workerID].WorkerUse
 	}
 	return WorkerUse{Incarnation: w.info.Incarnation, StaleLease: w.mayGetStaleCalls || now.Before(w.staleLeaseUntil)}
 }
@@ -47,10 +64,13 @@
 	return w != nil && w.mayGetStaleCalls
 }
 
-// mayHaveFormerIncarnation reports whether an earlier incarnation than the given one may have received calls.
-func (s *Scheduler) mayHaveFormerIncarnation(info WorkerInfo) bool {
-	use := s.previousUses[info.ID]
-	return use.Incarnation != info.Incarnation || use.StaleLease
+// mayHaveEarlierIncarnation reports whether an earlier incarnation than the given one may have received calls a short time ago. A worker
+// of which nothing is known may have been used by an owner before the previous one, unless the term is older than that.
+func (s *Scheduler) mayHaveEarlierIncarnation(info WorkerInfo, now time.Time) bool {
+	if u, known := s.lastUses[info.ID]; known {
+		return u.Incarnation != info.Incarnation || u.StaleLease
+	}
+	return now.Sub(s.cfg.Began) < staleCallLimit
 }
 
 // extendForStaleStarts extends the lease of a worker of which a later incarnation is listed, if that one may have carried out a start to
--- a/internal/cluster/scheduler/incarnations_test.go
+++ b/internal/cluster/scheduler/incarnations_test.go
@@ -12,7 +12,7 @@
 // newStaleLeaseFixture returns a fixture with two workers whose first incarnations no earlier owner has used, long after their first reports.
 func newStaleLeaseFixture() (*fixture, time.Time) {
 	f := newFixture(1, 0)
-	f.cfg.StaleLease = testStaleLease
+	f.cfg.Began, f.cfg.StaleLease = t0, testStaleLease
 	f.addWorker("w0")
 	f.addWorker("w1")
 	now := at(testStaleLease + time.Second)
@@ -65,7 +65,7 @@
 // Guards against a successor that counts the ordinary lease on a worker that may have restarted, or the longest one on each.
 func TestPreviousUseTellsWhetherAWorkerHasRestarted(t *testing.T) {
 	f := newFixture(2, 0)
-	f.cfg.StaleLease = testStaleLease
+	f.cfg.Began, f.cfg.StaleLease = t0, testStaleLease
 	for id, use := range map[string]WorkerUse{"same": {Incarnation: 1}, "restarted": {Incarnation: 0}, "marked": {Incarnation: 1, StaleLease: true}} {
 		f.AddUnresolvedWorker(id, at(5*time.Second))
 		f.SetPreviousUse(t0, id, use)
@@ -145,3 +145,42 @@
 		t.Errorf("run %d starts on %s while stale calls may still start run %d on %s", again[0].Run, again[0].Worker.ID, s.Run, s.Worker.ID)
 	}
 }
+
+// Guards against the longest lease for a worker whose ID nobody has ever called: no stale call can reach it.
+func TestNewWorkerCountsTheOrdinaryLease(t *testing.T) {
+	f, now := newStaleLeaseFixture()
+	now = now.Add(time.Minute)
+	f.report("w0", now)
+	f.report("w1", now)
+	w := f.workers["w0"].info
+	w.ID, w.Address = "new", "new"
+	f.UpsertWorker(now, w)
+	f.HandleReport(now, Report{Worker: "new", Incarnation: 1, SentAt: now, LeaseUntil: now.Add(5 * time.Second)})
+	if left := f.workers["new"].leaseUntil.Sub(now); left > 5*time.Second {
+		t.Errorf("the lease of a worker that nobody has called before ends after %v, want 5 s", left)
+	}
+}
+
+// Guards against the ordinary lease for a worker that comes back as another incarnation after it was removed, and against the longest one
+// for one that was only cut off.
+func TestWorkerThatWasRemovedMayHaveRestarted(t *testing.T) {
+	for incarnation, long := range map[int64]bool{1: false, 2: true} {
+		f, now := newStaleLeaseFixture()
+		now = now.Add(time.Minute)
+		f.report("w0", now)
+		info := f.workers["w0"].info
+		f.DelistWorker("w0")
+		f.MarkUnreachable(now, "w0", now.Add(5*time.Second))
+		now = now.Add(6 * time.Second)
+		f.plan(now)
+		if f.workers["w0"] != nil {
+			t.Fatal("the worker was not removed")
+		}
+		info.Incarnation = incarnation
+		f.UpsertWorker(now, info)
+		f.HandleReport(now, Report{Worker: "w0", Incarnation: incarnation, SentAt: now, LeaseUntil: now.Add(5 * time.Second)})
+		if got := f.workers["w0"].leaseUntil.Sub(now); (got == testStaleLease) != long {
+			t.Errorf("back as incarnation %d the worker has a lease of %v", incarnation, got)
+		}
+	}
+}
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -46,6 +46,7 @@
 	s.workersCheckedAt = now
 	s.expireWorkers(now)
 	s.expireSilences(now)
+	s.expireLastUses(now)
 	s.stopStalled(now)
 	s.stopOnDrainingWorkers(now)
 }
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	Epoch int64
 	// Retention is how long the state of an ended job can still be looked up.
 	Retention time.Duration
+	// Began is when the term began.
+	Began time.Time
 	// StaleLease is the longest time for which runs may go on after a stale call has set their lease.
 	StaleLease time.Duration
 }
@@ -64,10 +66,9 @@
 	cancelled map[string]time.Time
 
 	unresolved map[string]unresolvedWorker // by ID of a worker that may still run tasks of an earlier owner
-	// previousUses holds how the previous owner used its workers, by ID.
-	previousUses map[string]previousUse
-	silences     map[string]*silence // by ID of a worker that does not answer
-	crashes      []crash             // within silenceRetention
+	lastUses   map[string]lastUse          // by ID, within staleCallLimit
+	silences   map[string]*silence         // by ID of a worker that does not answer
+	crashes    []crash                     // within silenceRetention
 	// riskyQueues maps the names of queues with tasks that crashed workers to the time until which their tasks count as risky.
 	riskyQueues map[string]time.Time
 
@@ -102,7 +103,7 @@
 		futureOccurrences: map[*job]struct{}{},
 		cancelled:         map[string]time.Time{},
 		unresolved:        map[string]unresolvedWorker{},
-		previousUses:      map[string]previousUse{},
+		lastUses:          map[string]lastUse{},
 		silences:          map[string]*silence{},
 		riskyQueues:       map[string]time.Time{},
 		withPendingAcks:   map[*worker]struct{}{},
--- a/internal/cluster/scheduler/unresolved.go
+++ b/internal/cluster/scheduler/unresolved.go
@@ -72,7 +72,7 @@
 	for id, u := range s.unresolved {
 		w := s.workers[id]
 		extended := w != nil && w.fenced && !now.After(w.leaseUntil)
-		if now.After(u.expiresAt) && now.After(s.previousUses[id].staleLeaseUntil) && !extended {
+		if now.After(u.expiresAt) && now.After(s.lastUses[id].staleLeaseUntil) && !extended {
 			delete(s.unresolved, id)
 		}
 	}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -170,7 +170,7 @@
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
 	w := s.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, mayGetStaleCalls: s.mayHaveFormerIncarnation(info)}
+		w = &worker{info: info, mayGetStaleCalls: s.mayHaveEarlierIncarnation(info, now)}
 		s.workers[info.ID] = w
 		s.sortedWorkers = append(s.sortedWorkers, w)
 		sort.Slice(s.sortedWorkers, func(i, j int) bool { return s.sortedWorkers[i].info.ID < s.sortedWorkers[j].info.ID })
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -142,6 +142,7 @@
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
 		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0
 		if gone {
+			s.noteLastUse(w, now)
 			delete(s.workers, w.info.ID)
 			delete(s.withPendingAcks, w)
 		}
