Let a successor wait for a listed restart that does not answer

The longest lease now counts from the entry, as it does for the owner that had seen the earlier incarnation.

--- a/internal/cluster/coordinator/restart_test.go
+++ b/internal/cluster/coordinator/restart_test.go
@@ -202,3 +202,38 @@
 		})
 	})
 }
+
+// Guards against two runs of a task: the list of workers shows a successor that a worker has restarted, so that it may carry out an
+// unanswered start with the longest lease, but the worker is cut off before its first answer.
+func TestListedRestartWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an unanswered start on a worker whose restart the next owner sees in the list", t, func() {
+			store := rowstore.NewMemory()
+			first := runOwnerWith(t, store, 0, fixedWorkers{testWorker("w0"), testWorker("w1")}, false, longLeases)
+			a := first.testDelegate(t, "a")
+			a.serve(longLeases.StaleLeaseBound() + time.Second)
+			first.submit("j1", 1)
+			a.serve(200 * time.Millisecond)
+			So(a.starts, ShouldHaveLength, 1)
+			run := a.starts[0]
+			first.end()
+			list := fixedWorkers{restartedWorker("w0"), testWorker("w1")}
+			if run.WorkerID == "w1" {
+				list = fixedWorkers{testWorker("w0"), restartedWorker("w1")}
+			}
+			second := runOwnerWith(t, store, 1, list, true, longLeases)
+			defer second.end()
+			b := second.testDelegate(t, "b")
+			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+				So(b.exchange(), ShouldBeNil)
+			}
+			claimedAt := time.Now()
+			delete(b.workers, run.WorkerID)
+			for time.Since(claimedAt) < 20*time.Second && len(b.starts) == 0 {
+				b.serve(100 * time.Millisecond)
+			}
+			t.Logf("the task starts elsewhere %v after the takeover; longest lease %v", time.Since(claimedAt), longLeases.StaleLeaseBound())
+			So(time.Since(claimedAt), ShouldBeGreaterThan, longLeases.StaleLeaseBound()-time.Second)
+		})
+	})
+}
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -24,6 +24,7 @@
 	WorkerUse
 	notedAt         time.Time // while the worker was in use, or afterwards
 	staleLeaseUntil time.Time // when the lease that a stale call may have set has expired at the latest; zero if there was none
+	listedAs        int64     // latest incarnation of an unresolved worker that the list has shown
 }
 
 // SetPreviousUse records how the previous owner used a worker. What it started there runs on that incarnation.
@@ -35,6 +36,16 @@
 	s.lastUses[workerID] = u
 }
 
+// noteListed notes the entry of an unresolved worker. Before a later incarnation than the used one answers, it may carry out a start to
+// which no owner has seen an answer.
+func (s *Scheduler) noteListed(info WorkerInfo, now time.Time) {
+	u := s.lastUses[info.ID]
+	if s.IsUnresolved(info.ID) && info.Incarnation > max(u.Incarnation, u.listedAs) {
+		u.listedAs, u.staleLeaseUntil = info.Incarnation, now.Add(s.cfg.StaleLease)
+		s.lastUses[info.ID] = u
+	}
+}
+
 // noteLastUse records how a worker was used that is removed now.
 func (s *Scheduler) noteLastUse(w *worker, now time.Time) {
 	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -168,6 +168,7 @@
 // it answers: an entry alone may be from another writer. An older one is ignored. A draining worker remains so until a newer
 // incarnation replaces it.
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
+	s.noteListed(info, now)
 	w := s.workers[info.ID]
 	if w == nil {
 		w = &worker{info: info, mayGetStaleCalls: s.mayHaveEarlierIncarnation(info, now)}
