Count stale leases from the end of a previous owner that may go on

A previous owner that has not ended may let late calls reach that worker, and start tasks there, until its own lease has expired. The longest lease now counts from then, or from when the previous owner's process and its delegates have ended.

--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -160,7 +160,8 @@
 	}
 	// The predecessor may have sent orders until its ownership lease expired, and the runs that they started may go on
 	// until their own leases expire.
-	leasesExpireAt := time.Now().Add(election.LeaseDuration + t.cfg.Delegate.LeaseBound())
+	ownerUntil := time.Now().Add(election.LeaseDuration)
+	leasesExpireAt := ownerUntil.Add(t.cfg.Delegate.LeaseBound())
 	for _, r := range records.Join(rows) {
 		t.rows.note(r.Key, r.Parts)
 		var u records.WorkersInUse
@@ -172,7 +173,7 @@
 		uses := u.Uses()
 		for _, id := range u.IDs {
 			t.sched.AddUnresolvedWorker(id, leasesExpireAt)
-			t.sched.SetPreviousUse(time.Now(), id, uses[id])
+			t.sched.SetPreviousUse(id, uses[id], ownerUntil)
 			t.inUse[id] = uses[id]
 		}
 		for _, id := range u.InheritedBy(t.ownership.Epoch()) {
--- a/internal/cluster/coordinator/restart_test.go
+++ b/internal/cluster/coordinator/restart_test.go
@@ -237,3 +237,43 @@
 		})
 	})
 }
+
+// Guards against a successor that counts the longest lease from its takeover while the previous owner, which has not ended, may still
+// let stale calls reach the worker and start tasks there.
+func TestStaleLeaseUnderAnOwnerThatGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a worker whose stale calls the previous owner, which may go on for its lease, has not fenced off", t, func() {
+			store := rowstore.NewMemory()
+			first := runOwnerWith(t, store, 0, fixedWorkers{testWorker("w0"), testWorker("w1")}, false, longLeases)
+			a := first.testDelegate(t, "a")
+			a.serve(longLeases.StaleLeaseBound() + time.Second)
+			first.submit("j1", 1)
+			a.serve(200 * time.Millisecond)
+			So(a.starts, ShouldHaveLength, 1)
+			run := a.starts[0]
+			So(a.exchange(a.restartReport(run.WorkerID, true)), ShouldBeNil)
+			first.current().Upsert(restartedWorker(run.WorkerID))
+			time.Sleep(300 * time.Millisecond)
+			So(first.readWorkersInUse(t).Uses()[run.WorkerID], ShouldResemble, scheduler.WorkerUse{Incarnation: 2, StaleLease: true})
+			list := fixedWorkers{restartedWorker("w0"), testWorker("w1")}
+			if run.WorkerID == "w1" {
+				list = fixedWorkers{testWorker("w0"), restartedWorker("w1")}
+			}
+			second := runOwnerWith(t, store, 1, list, false, longLeases)
+			defer first.end()
+			defer second.end()
+			b := second.testDelegate(t, "b")
+			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+				So(b.exchange(), ShouldBeNil)
+			}
+			claimedAt := time.Now()
+			delete(b.workers, run.WorkerID)
+			for time.Since(claimedAt) < 30*time.Second && len(b.starts) == 0 {
+				b.serve(100 * time.Millisecond)
+			}
+			bound := 8*time.Second + longLeases.StaleLeaseBound()
+			t.Logf("the task starts elsewhere %v after the takeover; lease of the owner and longest lease %v", time.Since(claimedAt), bound)
+			So(time.Since(claimedAt), ShouldBeGreaterThan, bound-time.Second)
+		})
+	})
+}
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -246,6 +246,7 @@
 	if remaining > 0 && t.predecessorGone() {
 		t.predecessorEnded = true
 		t.sched.LimitUnresolvedLease(now.Add(t.inheritedRunLimit()))
+		t.sched.LimitPreviousUse(now.Add(t.inheritedCallLimit()))
 	}
 	if remaining == 0 && t.unresolvedWorkers > 0 {
 		t.log.Info("nothing of earlier owners runs unseen any more", zap.Duration("took", now.Sub(t.startedAt)))
@@ -263,13 +264,17 @@
 }
 
 // inheritedRunLimit returns the maximum time for which a run that the previous owner started may go on after that owner's
-// process has ended.
+// process has ended, unless a stale call has set its lease.
 func (t *term) inheritedRunLimit() time.Duration {
-	bound := t.cfg.Delegate.LeaseBound()
+	return t.inheritedCallLimit() + t.cfg.Delegate.LeaseBound()
+}
+
+// inheritedCallLimit returns the maximum time for which calls of the previous owner go on after that owner's process has ended.
+func (t *term) inheritedCallLimit() time.Duration {
 	if t.inheritedDelegates {
-		bound += delegate.PermitLimit
+		return delegate.PermitLimit
 	}
-	return bound
+	return 0
 }
 
 // leaseBound returns the longest time that a task may run on a worker after the last call of an executor to it.
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -27,15 +27,28 @@
 	listedAs        int64     // latest incarnation of an unresolved worker that the list has shown
 }
 
-// SetPreviousUse records how the previous owner used a worker. What it started there runs on that incarnation.
-func (s *Scheduler) SetPreviousUse(now time.Time, workerID string, use WorkerUse) {
-	u := lastUse{WorkerUse: use, notedAt: now}
+// SetPreviousUse records how the previous owner used a worker, which may go on until the given time. What it started there runs on that
+// incarnation.
+func (s *Scheduler) SetPreviousUse(workerID string, use WorkerUse, until time.Time) {
+	u := lastUse{WorkerUse: use, notedAt: until}
 	if use.StaleLease {
-		u.staleLeaseUntil = now.Add(s.cfg.StaleLease)
+		u.staleLeaseUntil = until.Add(s.cfg.StaleLease)
 	}
 	s.lastUses[workerID] = u
 }
 
+// LimitPreviousUse records that the previous owner does not go on after the given time. Nothing is known of the owners before it.
+func (s *Scheduler) LimitPreviousUse(until time.Time) {
+	limit := until.Add(s.cfg.StaleLease)
+	for id, unresolved := range s.unresolved {
+		u := s.lastUses[id]
+		if !unresolved.inherited && limit.Before(u.staleLeaseUntil) {
+			u.staleLeaseUntil = limit
+			s.lastUses[id] = u
+		}
+	}
+}
+
 // noteListed notes the entry of an unresolved worker. Before a later incarnation than the used one answers, it may carry out a start to
 // which no owner has seen an answer.
 func (s *Scheduler) noteListed(info WorkerInfo, now time.Time) {
--- a/internal/cluster/scheduler/incarnations_test.go
+++ b/internal/cluster/scheduler/incarnations_test.go
@@ -68,7 +68,7 @@
 	f.cfg.Began, f.cfg.StaleLease = t0, testStaleLease
 	for id, use := range map[string]WorkerUse{"same": {Incarnation: 1}, "restarted": {Incarnation: 0}, "marked": {Incarnation: 1, StaleLease: true}} {
 		f.AddUnresolvedWorker(id, at(5*time.Second))
-		f.SetPreviousUse(t0, id, use)
+		f.SetPreviousUse(id, use, t0)
 		if got := f.Use(id, t0); got != use {
 			t.Errorf("before the first report the use of worker %s is %+v, want %+v", id, got, use)
 		}
