Back off from a worker that answers as an earlier incarnation

If a worker answers as an earlier incarnation than the listed one, as after an odd entry, its delegate ignored the answer and renewed again at once, 900 times a second, and told the owner neither of an answer nor of a silence, so that runs there never expired. Such an answer now counts as a missed renewal. TestAnswersOfAnEarlierIncarnationCauseNoBusyLoop fails before.

--- a/internal/cluster/delegate/fencing_test.go
+++ b/internal/cluster/delegate/fencing_test.go
@@ -185,3 +185,21 @@
 		}
 	})
 }
+
+// Guards against a worker that a delegate calls without a pause while its listed incarnation has not answered.
+func TestAnswersOfAnEarlierIncarnationCauseNoBusyLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		time.Sleep(time.Second)
+		w := testWorker("w1")
+		w.Incarnation = 2
+		f.Apply([]Order{{Assign: &Assignment{Worker: w, Generation: 1, FencingToken: FencingToken(testEpoch, 2), MayGetStaleCalls: true}}})
+		before, _, _ := f.workers.counts()
+		time.Sleep(time.Second)
+		after, _, _ := f.workers.counts()
+		if after-before > 50 {
+			t.Errorf("%d renewals in a second", after-before)
+		}
+	})
+}
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -43,6 +43,9 @@
 // lists no runs either, so it must not count as a report.
 var errNoClock = errors.New("delegate: answer without the worker's clock")
 
+// errEarlierIncarnation means that an earlier incarnation of the worker answered than the one that was called.
+var errEarlierIncarnation = errors.New("delegate: answer of an earlier incarnation")
+
 // RenewPollTimeout returns the long-poll timeout of renewals for an owner with this number of workers.
 func RenewPollTimeout(workers int) time.Duration {
 	return min(max(renewPollTimeout, time.Duration(workers)*renewPollPerWorker), maxRenewPollTimeout)
@@ -170,6 +173,9 @@
 	if err == nil && answer.ClockMS == 0 {
 		err = errNoClock
 	}
+	if err == nil && answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
+		err = errEarlierIncarnation
+	}
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
