Keep the reservation of an earlier gang on a worker

A gang that may use workers reserved for an earlier one, since it would backfill them or was held back too long, took their reservations over with its own, later time. Jobs that end before that time but after the earlier gang's start could then start there and delay it. TestReservationOfAnEarlierGangIsKept fails before: three workers of the first gang are reserved for the second.

--- a/internal/cluster/scheduler/reservations.go
+++ b/internal/cluster/scheduler/reservations.go
@@ -33,9 +33,9 @@
 type reservations map[*worker]reservation
 
 // reserve reserves workers for a gang that does not fit: those with room for a member at the time at which all are expected to fit. More
-// than it needs are reserved, since some runs last longer than expected. There is no reservation if the gang is not expected to fit soon,
-// since the room that it waits for may never come free, nor if too many workers are reserved already, or if it has had reservations for
-// too long.
+// than it needs are reserved, since some runs last longer than expected. A worker that is reserved keeps its reservation. There is no
+// reservation if the gang is not expected to fit soon, since the room that it waits for may never come free, nor if too many workers are
+// reserved already, or if it has had reservations for too long.
 func (s *Scheduler) reserve(c candidate, workers []*worker, now time.Time) {
 	u := c.unit
 	if len(s.reservations) > len(s.sortedWorkers)/reservedShareDivisor {
@@ -52,7 +52,7 @@
 		u.firstReserved = now
 	}
 	for _, w := range workers {
-		if s.placesAt(u, w, start, now) > 0 {
+		if _, reserved := s.reservations[w]; !reserved && s.placesAt(u, w, start, now) > 0 {
 			s.reservations[w] = reservation{c, earliest}
 		}
 	}
--- a/internal/cluster/scheduler/reservations_test.go
+++ b/internal/cluster/scheduler/reservations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -184,3 +185,35 @@
 	}
 	return out
 }
+
+// Guards against a gang that takes over the workers that are reserved for an earlier one, so that jobs which would delay that one start there.
+func TestReservationOfAnEarlierGangIsKept(t *testing.T) {
+	f := newFixture(1, 6)
+	task := simpleStep(1)
+	task.Estimate = 3 * time.Second
+	f.AddJob(t0, f.job("task", t0, task), nil, false)
+	f.plan(t0)
+	for i, members := range []int{6, 12} {
+		gang := gangStep(members, 2)
+		gang.Estimate = 10 * time.Second
+		spec := f.job(fmt.Sprint("gang", i), t0, gang)
+		spec.Queue.Priority += i
+		f.AddJob(t0, spec, nil, false)
+	}
+	f.commit()
+	gangs := f.candidates(maps.Keys(f.open), t0)
+	if len(gangs) != 2 {
+		t.Fatalf("%d gangs wait, want 2", len(gangs))
+	}
+	first := f.sortedWorkers[:3]
+	f.reserve(gangs[0], first, t0)
+	f.reserve(gangs[1], f.sortedWorkers, t0)
+	for w, r := range f.reservations {
+		if slices.Contains(first, w) != (r.holder.unit == gangs[0].unit) {
+			t.Errorf("worker %s is reserved for %s", w.info.ID, r.holder.unit.job.spec.ID)
+		}
+	}
+	if len(f.reservations) != 6 {
+		t.Errorf("%d workers are reserved, want 6", len(f.reservations))
+	}
+}
