Keep the state of a task only while it is of use

Callers saw a small urgent job accepted and never started on idle workers.

Cause: the owner made an object of 248 bytes for each task when its job was added, and kept it until the job ended.

Change: taskSet keeps the state of a task from its first start, or from stored progress, until it is done and has no run.

--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -177,7 +177,7 @@
 	if _, open := s.open[u]; !open || !u.needsAdvice(now) {
 		return nil
 	}
-	waiting := len(u.pending(now))
+	waiting := u.tasks.countWaiting(now)
 	if waiting == 0 || !s.mayExamine(u, now) {
 		return nil
 	}
--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -235,7 +235,12 @@
 	if t.evidence.Counted() && t.outlasts(&t.evidence, since) {
 		s.clearEvidence(t, &t.evidence)
 	}
-	if gang && !slices.ContainsFunc(t.unit.tasks, func(m *task) bool { return m.placement.worker.unreachable || !m.outlasts(&t.unit.evidence, since) }) {
+	if gang {
+		for m := range t.unit.tasks.kept() { // all members, since all are at work
+			if m.placement.worker.unreachable || !m.outlasts(&t.unit.evidence, since) {
+				return
+			}
+		}
 		s.clearEvidence(t, &t.unit.evidence)
 	}
 }
@@ -247,7 +252,7 @@
 		return t.placement.startedAt(), true
 	}
 	var since time.Time
-	for _, member := range t.unit.tasks {
+	for member := range t.unit.tasks.all() {
 		p := member.placement
 		if p == nil || p.state == starting {
 			return time.Time{}, false
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -50,7 +50,7 @@
 			w.used, len(w.placements)})
 	}
 	for u := range s.open {
-		if waiting := len(u.pending(now)); waiting > 0 && len(d.Waiting) < maxDumpedUnits {
+		if waiting := u.tasks.countWaiting(now); waiting > 0 && len(d.Waiting) < maxDumpedUnits {
 			d.Waiting = append(d.Waiting, UnitDump{u.id().String(), u.job.spec.Queue.Name, waiting, s.waitReason(u, now)})
 		}
 	}
@@ -131,10 +131,10 @@
 		d.Reason = "many steps of the job wait already"
 	case !open:
 		d.Reason = "an earlier step has not ended"
-	case len(u.pending(now)) > 0:
+	case u.tasks.countWaiting(now) > 0:
 		d.Reason = s.waitReason(u, now)
 	}
-	for _, t := range u.tasks {
+	for t := range u.tasks.all() {
 		d.Tasks = append(d.Tasks, t.dump())
 	}
 	return d
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -61,7 +61,7 @@
 // unit that comes before it in the planning order. The second result reports whether there are others.
 func (s *Scheduler) usableWorkers(c candidate, now time.Time) ([]*worker, bool) {
 	workers, reserved := s.withoutReserved(c, s.approvedWorkers(c.unit, now, now), now)
-	return withoutBlurring(c.unit, c.waiting, workers, now), reserved
+	return withoutBlurring(c.unit, workers, now), reserved
 }
 
 // withoutReserved removes the workers that are reserved for a unit that comes before c in the planning order, and reports whether there
--- a/internal/cluster/scheduler/gang_crashes_test.go
+++ b/internal/cluster/scheduler/gang_crashes_test.go
@@ -244,7 +244,7 @@
 		f.AddJob(t0, f.job("gang", t0, gangStep(2, 1)), nil, false)
 		u := f.jobs["gang"].occurrences[0].units[0]
 		u.evidence = workload.CrashEvidence{Crashes: 4, Weight: 4, Total: 4, Addresses: []string{"w0", "w1", "w2", "w3"}}
-		u.tasks[0].evidence = workload.CrashEvidence{Crashes: 2, Weight: 2, Total: 2, Addresses: []string{"w4", "w5"}}
+		u.tasks.get(0).evidence = workload.CrashEvidence{Crashes: 2, Weight: 2, Total: 2, Addresses: []string{"w4", "w5"}}
 		Convey("It starts at none of them while there is another one", func() {
 			starts := f.plan(t0).Starts
 			So(starts, ShouldHaveLength, 2)
@@ -276,10 +276,10 @@
 			f.MarkUnreachable(at(c.age+c.later), second, lease)
 			f.MarkEnded(at(3*time.Second), second, 1)
 			f.MarkEnded(at(3*time.Second), first, 1)
-			tasks := f.jobs["gang"].occurrences[0].units[0].tasks
+			tasks := &f.jobs["gang"].occurrences[0].units[0].tasks
 			Convey("The first one counts, the other only at the same moment or just after the start", func() {
-				So(tasks[starts[0].Task.Index].evidence.Total, ShouldEqual, 1)
-				So(tasks[starts[1].Task.Index].evidence.Total, ShouldEqual, c.counted)
+				So(tasks.peek(starts[0].Task.Index).evidence.Total, ShouldEqual, 1)
+				So(tasks.peek(starts[1].Task.Index).evidence.Total, ShouldEqual, c.counted)
 			})
 		})
 	}
--- a/internal/cluster/scheduler/health.go
+++ b/internal/cluster/scheduler/health.go
@@ -116,7 +116,7 @@
 // unchangedFor returns how long no task of the unit has made progress.
 func (u *unit) unchangedFor() time.Duration {
 	shortest := time.Duration(1<<63 - 1)
-	for _, t := range u.tasks {
+	for t := range u.tasks.kept() {
 		if t.placement != nil {
 			shortest = min(shortest, t.placement.unchangedFor)
 		}
--- a/internal/cluster/scheduler/incarnations_test.go
+++ b/internal/cluster/scheduler/incarnations_test.go
@@ -98,7 +98,7 @@
 		lease := now.Add(5 * time.Second)
 		losesRun := func(at time.Time) bool {
 			f.plan(at)
-			return len(f.TakeWorkerLosses()) > 0 || f.jobs["j"].occurrences[0].units[0].tasks[0].placement == nil
+			return len(f.TakeWorkerLosses()) > 0 || f.jobs["j"].occurrences[0].units[0].tasks.peek(0).placement == nil
 		}
 		Convey("When a start was not answered and a later incarnation is listed, the task waits for the longest lease", func() {
 			f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartUnknown, AnsweredAt: now, LeaseUntil: lease})
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -40,8 +40,8 @@
 	occurrence       *occurrence
 	index            int
 	step             *workload.Step
-	tasks            []*task
-	firstTask        int  // number of tasks[0] among the tasks of the occurrence
+	tasks            taskSet
+	firstTask        int  // number of the first task among the tasks of the occurrence
 	tasksLeft        int  // tasks that are not done
 	unmet            int  // entries of step.DependsOn whose steps are not done
 	countedAsWaiting bool // see openUnits
@@ -96,11 +96,8 @@
 	o := &occurrence{number: number, units: make([]*unit, len(j.spec.Steps))}
 	for i := range j.spec.Steps {
 		u := &unit{job: j, occurrence: o, index: i, step: &j.spec.Steps[i], unmet: len(j.spec.Steps[i].DependsOn)}
-		u.tasks = make([]*task, u.step.Count)
-		for n := range u.tasks {
-			u.tasks[n] = &task{unit: u, index: n}
-		}
-		u.tasksLeft = len(u.tasks)
+		u.tasks = taskSet{unit: u, count: u.step.Count}
+		u.tasksLeft = u.step.Count
 		u.firstTask = o.tasksLeft
 		o.tasksLeft += u.tasksLeft
 		o.units[i] = u
@@ -118,7 +115,7 @@
 
 // idle reports whether no task of the unit has a run that may still execute.
 func (u *unit) idle() bool {
-	for _, t := range u.tasks {
+	for t := range u.tasks.kept() {
 		if t.placement != nil {
 			return false
 		}
@@ -126,17 +123,6 @@
 	return true
 }
 
-// pending returns the tasks that wait to be placed on a worker.
-func (u *unit) pending(now time.Time) []*task {
-	var out []*task
-	for _, t := range u.tasks {
-		if !t.done && t.placement == nil && !now.Before(t.notBefore) {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 // resources returns what one task of the unit reserves on a worker. A best-effort task reserves no CPU: it uses what other
 // tasks leave idle.
 func (u *unit) resources() workload.Resources {
@@ -147,7 +133,7 @@
 	return r
 }
 
-// markDone marks a task as done and opens the steps whose dependencies are done with it. It reports whether the task was
+// markDone marks a task as done, frees its state unless it has a run, and opens the steps whose dependencies are done with it. It reports whether the task was
 // not done before.
 func (s *Scheduler) markDone(t *task) bool {
 	if t.done {
@@ -155,6 +141,7 @@
 	}
 	t.done = true
 	u := t.unit
+	u.tasks.release(t)
 	u.tasksLeft--
 	u.occurrence.tasksLeft--
 	if u.tasksLeft == 0 {
--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -88,7 +88,7 @@
 		return nil, false
 	}
 	ready := true
-	usable := len(n.workers) == len(c.waiting) && now.Before(n.expires)
+	usable := len(n.workers) == c.waiting && now.Before(n.expires)
 	for _, w := range n.workers {
 		usable = usable && s.canRun(u, w, now)
 		ready = ready && !w.blursCrash(u, false, now) && w.free().CanFit(workload.Resources{}) // the resources of all members are held already
@@ -147,7 +147,7 @@
 }
 
 func newGangRoom(u *unit, w *worker, now time.Time) *gangRoom {
-	r := &gangRoom{worker: w, size: u.resources(), membersLeft: len(u.tasks)}
+	r := &gangRoom{worker: w, size: u.resources(), membersLeft: u.tasks.count}
 	if limit := u.step.MaxPerWorker; limit > 0 {
 		r.membersLeft = limit - w.countTasksOf(u)
 	}
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -9,7 +9,7 @@
 // candidate is a unit with waiting tasks, with the values that decide its position in the planning order.
 type candidate struct {
 	unit        *unit
-	waiting     []*task
+	waiting     int // tasks that wait to be placed on a worker
 	priority    int
 	late        bool // too late to meet the job's latency objective
 	latestStart time.Time
@@ -37,8 +37,8 @@
 		if mayRunElsewhere && u.job.inherited {
 			continue
 		}
-		waiting := u.pending(now)
-		if len(waiting) == 0 {
+		waiting := u.tasks.countWaiting(now)
+		if waiting == 0 {
 			continue
 		}
 		if u.step.Gang && !mayRunElsewhere && !u.idle() {
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -89,10 +89,10 @@
 	default:
 		placed = s.placeTasks(c, now, plan)
 	}
-	if placed == len(c.waiting) {
+	if placed == c.waiting {
 		s.unitPlaced(u)
 	}
-	if len(c.waiting) > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || s.leavesHeadroom(u)) {
+	if c.waiting > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || s.leavesHeadroom(u)) {
 		s.adviceQueue.add(c)
 	}
 }
@@ -102,7 +102,7 @@
 	placed := 0
 	workers, heldBack := s.usableWorkers(c, now)
 	defer func() { c.unit.noteHeldBack(heldBack, placed, now) }()
-	for _, t := range c.waiting {
+	for t := range c.unit.tasks.waiting(now) {
 		if !s.leavesHeadroom(c.unit) || s.startsHeldBack(c.unit, now) {
 			break
 		}
@@ -140,7 +140,7 @@
 	}
 	workers, heldBack := s.usableWorkers(c, now)
 	if chosen == nil {
-		chosen = s.assignGang(c.waiting, workers)
+		chosen = s.assignGang(u, workers, now)
 	}
 	u.noteHeldBack(heldBack, len(chosen), now)
 	if chosen == nil {
@@ -153,16 +153,17 @@
 		return 0
 	}
 	u.run = s.nextRunNumber(u.run, u.job.inherited)
-	for i, t := range c.waiting {
-		plan.Starts = append(plan.Starts, s.startRun(t, chosen[i], u.run, now))
+	for t := range u.tasks.waiting(now) {
+		plan.Starts = append(plan.Starts, s.startRun(t, chosen[0], u.run, now))
+		chosen = chosen[1:]
 	}
-	return len(c.waiting)
+	return c.waiting
 }
 
-// assignGang finds a worker for each task of a gang, or returns nil. If the gang runs slower across several racks, it first
+// assignGang finds a worker for each waiting task of a gang, or returns nil. If the gang runs slower across several racks, it first
 // tries to fit all tasks into one rack.
-func (s *Scheduler) assignGang(tasks []*task, workers []*worker) []*worker {
-	if tasks[0].unit.step.SameRack {
+func (s *Scheduler) assignGang(u *unit, workers []*worker, now time.Time) []*worker {
+	if u.step.SameRack {
 		byRack := map[string][]*worker{}
 		for _, w := range workers {
 			byRack[w.info.Rack] = append(byRack[w.info.Rack], w)
@@ -173,23 +174,23 @@
 		}
 		sort.Strings(racks)
 		for _, r := range racks {
-			if chosen := assignAll(tasks, byRack[r]); chosen != nil {
+			if chosen := assignAll(u, byRack[r], now); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return assignAll(tasks, workers)
+	return assignAll(u, workers, now)
 }
 
-// assignAll chooses the best-fitting worker for each task in turn, or returns nil if one finds none. It starts nothing and
+// assignAll chooses the best-fitting worker for each waiting task of a unit in turn, or returns nil if one finds none. It starts nothing and
 // does not change the workers.
-func assignAll(tasks []*task, workers []*worker) []*worker {
-	chosen := make([]*worker, 0, len(tasks))
+func assignAll(u *unit, workers []*worker, now time.Time) []*worker {
+	var chosen []*worker
 	assignedResources := map[*worker]workload.Resources{}
 	assignedTasks := map[*worker]int{}
-	needed := tasks[0].unit.resources()
-	limit := tasks[0].unit.step.MaxPerWorker
-	for _, t := range tasks {
+	needed := u.resources()
+	limit := u.step.MaxPerWorker
+	for t := range u.tasks.waiting(now) {
 		var bestWorker *worker
 		var bestLeft int64
 		for _, w := range workers {
--- a/internal/cluster/scheduler/probation.go
+++ b/internal/cluster/scheduler/probation.go
@@ -27,8 +27,13 @@
 
 // withoutBlurring removes the workers on which a start of the unit would blur the attribution of a crash. The members of a gang go to
 // many workers, of which nearly all have accepted a run just before, so a suspected gang keeps away only from other suspected tasks.
-func withoutBlurring(u *unit, waiting []*task, workers []*worker, now time.Time) []*worker {
-	suspected := !u.step.Gang && slices.ContainsFunc(waiting, (*task).suspected)
+func withoutBlurring(u *unit, workers []*worker, now time.Time) []*worker {
+	suspected := false
+	if !u.step.Gang {
+		for t := range u.tasks.kept() {
+			suspected = suspected || t.waits(now) && t.suspected()
+		}
+	}
 	return slices.DeleteFunc(workers, func(w *worker) bool { return w.blursCrash(u, suspected, now) })
 }
 
--- a/internal/cluster/scheduler/progress.go
+++ b/internal/cluster/scheduler/progress.go
@@ -44,11 +44,12 @@
 		return // the record of the final state is the last one
 	}
 	s.dirty[j] = struct{}{}
-	first, last := t, t
+	first, last := t.number(), t.number()
 	if t.unit.step.Gang {
-		first, last = t.unit.tasks[0], t.unit.tasks[len(t.unit.tasks)-1]
+		first -= t.index
+		last = first + t.unit.tasks.count - 1
 	}
-	for n := first.number() / tasksPerChunk; n <= last.number()/tasksPerChunk; n++ {
+	for n := first / tasksPerChunk; n <= last/tasksPerChunk; n++ {
 		if j.chunks.changed == nil {
 			j.chunks.changed = map[int]struct{}{}
 		}
@@ -98,35 +99,53 @@
 		p.State = workload.Running
 	}
 	for number := n * tasksPerChunk; number < (n+1)*tasksPerChunk; {
-		tasks, next := j.tasksFrom(number)
+		u, index, next := j.unitAt(number)
 		if next == 0 {
 			break
 		}
 		next = min(next, (n+1)*tasksPerChunk)
-		for _, t := range tasks[:min(len(tasks), next-number)] {
-			if tp := t.progress(); tp.Worthwhile() {
-				p.Tasks = append(p.Tasks, tp)
-			}
+		if u != nil {
+			p.Tasks = u.appendProgress(p.Tasks, index, index+next-number)
 		}
 		number = next
 	}
 	return p
 }
 
-// tasksFrom returns the tasks of a unit from the one with the number on, and the number of the first task after that unit. There are
-// no tasks if the occurrence is not open, and the number is 0 after the last task.
-func (j *job) tasksFrom(number int) ([]*task, int) {
+// unitAt returns the unit of the task with the number, the index of the task in it, and the number of the first task after that unit.
+// The unit is nil if the occurrence is not open, and the number of the next task is 0 after the last one.
+func (j *job) unitAt(number int) (*unit, int, int) {
 	perOccurrence := j.chunks.tasksPerOccurrence
 	if number >= perOccurrence*len(j.occurrences) {
-		return nil, 0
+		return nil, 0, 0
 	}
 	o, first := j.occurrences[number/perOccurrence], number/perOccurrence*perOccurrence
 	if o == nil {
-		return nil, first + perOccurrence
+		return nil, 0, first + perOccurrence
 	}
 	i := sort.Search(len(o.units), func(i int) bool { return o.units[i].firstTask > number-first }) - 1
 	u := o.units[i]
-	return u.tasks[number-first-u.firstTask:], first + u.firstTask + len(u.tasks)
+	return u, number - first - u.firstTask, first + u.firstTask + u.tasks.count
+}
+
+// appendProgress appends the progress of the tasks from index first up to end as far as there is anything to store.
+func (u *unit) appendProgress(out []workload.TaskProgress, first, end int) []workload.TaskProgress {
+	for index := first; index < end; index++ {
+		t, done := u.tasks.state(index)
+		switch {
+		case done:
+			out = append(out, workload.TaskProgress{Occurrence: u.occurrence.number, Step: u.index, Index: index, Done: true})
+			continue
+		case t == nil && !u.step.Gang:
+			continue // it has never been placed
+		case t == nil:
+			t = u.tasks.peek(index) // the members of a gang share their progress
+		}
+		if tp := t.progress(); tp.Worthwhile() {
+			out = append(out, tp)
+		}
+	}
+	return out
 }
 
 // newChunks returns the division of a job's progress; nothing has changed and nothing is stored.
@@ -139,14 +158,11 @@
 	return c
 }
 
-// progress returns the progress of a task, or of its gang as far as the members share it, in its durable form.
+// progress returns the progress of a task that is not done, or of its gang as far as the members share it, in its durable form.
 func (t *task) progress() workload.TaskProgress {
 	u := t.unit
-	p := workload.TaskProgress{Occurrence: u.occurrence.number, Step: u.index, Index: t.index, Done: t.done}
-	if t.done {
-		return p
-	}
-	p.FailedRuns, p.Checkpoint, p.Run = t.failedRuns, t.checkpoint, t.run
+	p := workload.TaskProgress{Occurrence: u.occurrence.number, Step: u.index, Index: t.index, FailedRuns: t.failedRuns,
+		Checkpoint: t.checkpoint, Run: t.run}
 	if u.step.Gang {
 		p.FailedRuns, p.Checkpoint, p.Run = u.failedRuns, u.checkpoint, u.run
 	}
@@ -194,14 +210,15 @@
 		return nil
 	}
 	u := s.openOccurrence(j, tp.Occurrence).units[tp.Step]
-	if !inRange(tp.Index, len(u.tasks)) {
+	if !inRange(tp.Index, u.tasks.count) {
 		return nil
 	}
-	t := u.tasks[tp.Index]
+	t := u.tasks.peek(tp.Index)
+	if !tp.Done && !t.done {
+		u.tasks.keep(t)
+	}
 	t.failedRuns, t.checkpoint, t.run = tp.FailedRuns, tp.Checkpoint, tp.Run
-	members := []*task{t}
 	if u.step.Gang {
-		members = u.tasks
 		if len(tp.FailedRuns) > len(u.failedRuns) {
 			u.failedRuns = tp.FailedRuns
 		}
@@ -209,8 +226,8 @@
 			u.run, u.checkpoint = tp.Run, tp.Checkpoint
 		}
 	}
-	if tp.Done {
-		for _, member := range members {
+	if tp.Done && !t.done { // the whole gang is done with its first member
+		for member := range t.representedBy() {
 			s.markDone(member)
 		}
 	}
--- a/internal/cluster/scheduler/progress_test.go
+++ b/internal/cluster/scheduler/progress_test.go
@@ -61,12 +61,8 @@
 		for range rapid.IntRange(1, 40).Draw(rt, "ends") {
 			o := j.occurrences[rapid.IntRange(0, len(j.occurrences)-1).Draw(rt, "occurrence")]
 			u := o.units[rapid.IntRange(0, len(o.units)-1).Draw(rt, "unit")]
-			ended := u.tasks[rapid.IntRange(0, len(u.tasks)-1).Draw(rt, "task")]
-			members := []*task{ended}
-			if u.step.Gang {
-				members = u.tasks
-			}
-			for _, m := range members {
+			ended := u.tasks.get(rapid.IntRange(0, u.tasks.count-1).Draw(rt, "task"))
+			for m := range ended.representedBy() {
 				f.markDone(m)
 			}
 			f.markTaskChanged(ended)
@@ -79,7 +75,8 @@
 		next.AddJob(t0, spec, stored.load(), true)
 		for k, o := range j.occurrences {
 			for i, u := range o.units {
-				for n, task := range u.tasks {
+				for task := range u.tasks.all() {
+					n := task.index
 					if done := next.task(workload.TaskID{Job: "j", Occurrence: k, Step: i, Index: n}).done; done != task.done {
 						rt.Fatalf("task %d.%d.%d is done: %t, a successor thinks %t", k, i, n, task.done, done)
 					}
@@ -100,7 +97,7 @@
 		Convey("the end of a run changes one chunk, of its task and its neighbours", func() {
 			j := f.jobs["j"]
 			for n := range 3000 {
-				j.occurrences[0].units[0].tasks[n].done = true
+				f.markDone(j.occurrences[0].units[0].tasks.get(n))
 			}
 			last := starts[len(starts)-1]
 			f.end(last, EndDone, at(2*time.Second))
@@ -108,7 +105,7 @@
 			So(records, ShouldHaveLength, 1)
 			So(records[0].Chunks, ShouldBeEmpty)
 			So(len(records[0].Progress.Tasks), ShouldBeLessThanOrEqualTo, tasksPerChunk)
-			f.markTaskChanged(j.occurrences[0].units[0].tasks[2999])
+			f.markTaskChanged(j.occurrences[0].units[0].tasks.get(2999))
 			_, records, _ = f.TakeRecords()
 			So(records[0].Progress, ShouldBeNil)
 			So(records[0].Chunks, ShouldHaveLength, 1)
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -149,10 +149,10 @@
 		return nil
 	}
 	u := s.openOccurrence(j, id.Occurrence).units[id.Step]
-	if !inRange(id.Index, len(u.tasks)) {
+	if !inRange(id.Index, u.tasks.count) {
 		return nil
 	}
-	return u.tasks[id.Index]
+	return u.tasks.get(id.Index)
 }
 
 // updatePlacement applies what a report says about a known run.
@@ -213,7 +213,7 @@
 	}
 	current := p != nil && t.placement == p
 	if current {
-		t.placement = nil
+		t.removePlacement()
 	}
 	j := t.unit.job
 	t.run = max(t.run, e.Run)
@@ -259,11 +259,7 @@
 		return
 	}
 	w.health.succeeded()
-	members := []*task{t}
-	if t.unit.step.Gang {
-		members = t.unit.tasks
-	}
-	for _, member := range members {
+	for member := range t.representedBy() {
 		s.markDone(member)
 		if p := member.placement; p != nil && p.run != run {
 			s.stopRun(p, "another run of the task is done")
@@ -304,7 +300,7 @@
 
 // stopGangRun stops the members of one run of a gang. Members of another run are not affected by the end of one that was given up.
 func (s *Scheduler) stopGangRun(u *unit, run int64, reason string) {
-	for _, t := range u.tasks {
+	for t := range u.tasks.kept() {
 		if t.placement != nil && t.placement.run == run {
 			s.stopRun(t.placement, reason)
 		}
--- a/internal/cluster/scheduler/reservations.go
+++ b/internal/cluster/scheduler/reservations.go
@@ -64,7 +64,7 @@
 	fits := func(at time.Time) bool {
 		places := 0
 		for _, w := range workers {
-			if places += s.placesAt(c.unit, w, at, now); places >= len(c.waiting) {
+			if places += s.placesAt(c.unit, w, at, now); places >= c.waiting {
 				return true
 			}
 		}
--- a/internal/cluster/scheduler/reservations_test.go
+++ b/internal/cluster/scheduler/reservations_test.go
@@ -178,7 +178,7 @@
 				places += countFitting(w.info.Capacity.Sub(w.used), u.resources())
 			}
 		}
-		if !u.step.Gang && u.idle() && places >= 2*len(u.tasks) {
+		if !u.step.Gang && u.idle() && places >= 2*u.tasks.count {
 			out = append(out, id)
 		}
 	}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -259,7 +259,7 @@
 
 // stopUnit orders the stop of all runs of a unit.
 func (s *Scheduler) stopUnit(u *unit, reason string) {
-	for _, t := range u.tasks {
+	for t := range u.tasks.kept() {
 		if t.placement != nil {
 			s.stopRun(t.placement, reason)
 		}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -123,7 +123,7 @@
 	if t == nil || t.placement != p {
 		return
 	}
-	t.placement = nil
+	t.removePlacement()
 	u := t.unit
 	s.changedUnits[u] = struct{}{}
 	switch outcome {
@@ -160,6 +160,7 @@
 	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), urgent: s.urgent(u),
 		suspected: t.suspected(), orderedAt: now, percentChangedAt: now}
 	t.placement = p
+	u.tasks.keep(t)
 	w.addPlacement(p)
 	if u.job.firstStart.IsZero() {
 		u.job.firstStart = now
--- a/internal/cluster/scheduler/usage.go
+++ b/internal/cluster/scheduler/usage.go
@@ -36,7 +36,7 @@
 		u.Used = u.Used.Add(w.used)
 	}
 	for open := range s.open {
-		waiting := len(open.pending(now))
+		waiting := open.tasks.countWaiting(now)
 		if waiting == 0 {
 			continue
 		}
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -82,7 +82,7 @@
 	if t == nil || t.placement != p {
 		return
 	}
-	t.placement = nil
+	t.removePlacement()
 	s.saveCheckpoint(t, p.checkpoint)
 	if t.unit.step.Gang && !t.done {
 		s.stopUnit(t.unit, "another gang member was lost")
