--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -82,18 +82,21 @@
 	if now.Before(u.notBefore) || u.awaitsAdvice(now) && len(u.tickets) == 0 || s.startsHeldBack(u, now) {
 		return
 	}
+	u.usesQuarantined = false
+	u.usesQuarantined = s.mayUseQuarantined(c, now)
 	placed := 0
 	switch {
 	case c.adviceOnly:
 	case u.step.Gang:
 		placed = s.placeGang(c, now, plan)
+		u.noteUnplaced(c.waiting, placed, now)
 	default:
 		placed = s.placeTasks(c, now, plan)
 	}
 	if placed == c.waiting {
 		s.unitPlaced(u)
 	}
-	if c.waiting > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || s.leavesHeadroom(u)) {
+	if c.waiting > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u)) {
 		s.adviceQueue.add(c)
 	}
 }
@@ -102,9 +105,15 @@
 func (s *Scheduler) placeTasks(c candidate, now time.Time, plan *Plan) int {
 	placed := 0
 	workers, heldBack := s.usableWorkers(c, now)
-	defer func() { c.unit.noteHeldBack(heldBack, placed, now) }()
+	c.unit.makesRoom = false
+	defer func() {
+		c.unit.noteHeldBack(heldBack, placed, now)
+		c.unit.noteUnplaced(c.waiting, placed, now)
+	}()
 	for t := range c.unit.tasks.waiting(now) {
-		if !s.leavesHeadroom(c.unit) || s.startsHeldBack(c.unit, now) {
+		// The headroom is a share of what the workers without quarantine have free, so it never leaves room on the others.
+		leavesHeadroom := s.leavesHeadroom(c.unit)
+		if !leavesHeadroom && !c.unit.usesQuarantined || s.startsHeldBack(c.unit, now) {
 			break
 		}
 		w := s.chooseWorker(t, workers, now)
@@ -112,12 +121,15 @@
 			if !c.longRunning() {
 				break // the other tasks need the same resources
 			}
-			s.preempt(t, workers, now)
+			c.unit.makesRoom = s.preempt(t, workers, now) || c.unit.makesRoom
 			continue
 		}
 		run := s.nextRunNumber(t.run, c.unit.job.inherited)
 		plan.Starts = append(plan.Starts, s.startRun(t, w, run, now))
 		placed++
+		if !leavesHeadroom || w.health.quarantined(now) && !c.longRunning() {
+			break // one task shows whether the worker fails everything; the others keep their attempts
+		}
 	}
 	return placed
 }
@@ -127,7 +139,7 @@
 	if s.risky(t, now) {
 		return leastAtStake(t, workers, now)
 	}
-	return bestFit(t, workers)
+	return bestFit(t, workers, now)
 }
 
 // placeGang places all tasks of a gang or none (gang scheduling) and returns how many it placed. If the gang does not fit and is
@@ -199,7 +211,7 @@
 			if w.runsLeft() <= assignedTasks[w] || !free.CanFit(needed) || limit > 0 && w.countTasksOf(t.unit)+assignedTasks[w] >= limit {
 				continue
 			}
-			left := free.CPUMilli + t.penalty(w)
+			left := free.CPUMilli + t.penalty(w, now)
 			if bestWorker == nil || left < bestLeft {
 				bestWorker, bestLeft = w, left
 			}
