Keep the completed tasks that a successor reads as ranges

Jobs that an owner held without trouble could take the memory of its successor while it loads them.

Change: loadProgress moves completed tasks to ranges (CompactDone) after each row. The rows are the same.

TestLoadedProgressOfCompletedTasksIsSmall fails before: two jobs with 100,000 completed tasks take 21 MB beside a limit of 5 MB. TestSuccessorKnowsTheProgressOfAllTasks covers both forms. The rows themselves are still read at once; that was not measured in a process.

--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -59,6 +59,7 @@
 			// Without its progress, the job might run completed tasks again.
 			return nil, errors.Wrapf(err, "progress of job %s", r.Name)
 		}
+		p.CompactDone()
 		id, chunk := records.ParseProgressKey(r.Key)
 		if chunk > 0 {
 			p.StoredChunks = []int{chunk}
@@ -66,6 +67,7 @@
 		if other := out[id]; other != nil {
 			p.State = other.State // that of the first chunk
 			p.Tasks, p.StoredChunks = append(other.Tasks, p.Tasks...), append(other.StoredChunks, p.StoredChunks...)
+			p.DoneRanges = append(other.DoneRanges, p.DoneRanges...)
 		}
 		out[id] = p
 	}
--- a/internal/cluster/coordinator/load_test.go
+++ b/internal/cluster/coordinator/load_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +64,47 @@
 		})
 	})
 }
+
+// Guards against a successor that runs out of memory while it loads, because it holds an entry for each completed task of all jobs.
+func TestLoadedProgressOfCompletedTasksIsSmall(t *testing.T) {
+	Convey("Given stored progress of two jobs with 100,000 completed tasks each", t, func() {
+		const tasks, perRow = 100_000, 256
+		store := rowstore.NewMemory()
+		for _, id := range []string{"a", "b"} {
+			for first := 0; first < tasks; first += perRow {
+				p := &workload.Progress{State: workload.Running}
+				for n := first; n < min(first+perRow, tasks); n++ {
+					p.Tasks = append(p.Tasks, workload.TaskProgress{Index: n, Done: true})
+				}
+				value, err := workload.EncodeProgressChunk(p)
+				So(err, ShouldBeNil)
+				key := records.ProgressKey(id)
+				if first > 0 {
+					key = records.ProgressChunkKey(id, first/perRow)
+				}
+				putRow(t, store, key, value)
+			}
+		}
+		owner := &term{deps: Deps{Store: store}, rows: newRowIndex(rowstore.MaxValueBytes(0))}
+		heap := func() int64 {
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return int64(m.HeapAlloc)
+		}
+		before := heap()
+		progress, err := owner.loadProgress(t.Context(), records.Progress)
+		So(err, ShouldBeNil)
+		Convey("it takes less than 25 bytes for each task, and all of them are known as completed", func() {
+			So(heap()-before, ShouldBeLessThan, 2*tasks*25)
+			for _, id := range []string{"a", "b"} {
+				done := len(progress[id].Tasks)
+				for _, r := range progress[id].DoneRanges {
+					done += r.Count
+				}
+				So(done, ShouldEqual, tasks)
+			}
+			runtime.KeepAlive(owner)
+		})
+	})
+}
--- a/internal/cluster/scheduler/progress.go
+++ b/internal/cluster/scheduler/progress.go
@@ -193,6 +193,11 @@
 
 // restore applies progress that an earlier owner stored, and opens the occurrences that it mentions.
 func (s *Scheduler) restore(j *job, p *workload.Progress, now time.Time) {
+	for _, r := range p.DoneRanges {
+		for n := range r.Count {
+			s.restoreTask(j, workload.TaskProgress{Occurrence: r.Occurrence, Step: r.Step, Index: r.First + n, Done: true})
+		}
+	}
 	for _, tp := range p.Tasks {
 		if t := s.restoreTask(j, tp); t != nil {
 			s.restoreEvidence(t, tp, now)
--- a/internal/cluster/scheduler/progress_test.go
+++ b/internal/cluster/scheduler/progress_test.go
@@ -72,7 +72,11 @@
 		}
 		stored.take(f)
 		next := newFixture(2, 0)
-		next.AddJob(t0, spec, stored.load(), true)
+		loaded := stored.load()
+		if rapid.Bool().Draw(rt, "compact") {
+			loaded.CompactDone()
+		}
+		next.AddJob(t0, spec, loaded, true)
 		for k := range j.occurrences {
 			for i, step := range steps {
 				for n := range step.Count {
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -181,6 +181,37 @@
 	Tasks  []TaskProgress `json:"tasks,omitempty"` // only tasks with progress to store
 	// StoredChunks are the numbers of the chunks after the first that were read.
 	StoredChunks []int `json:"-"`
+	// DoneRanges are tasks that are done, see CompactDone.
+	DoneRanges []TaskRange `json:"-"`
+}
+
+// TaskRange is a range of consecutive tasks of a step.
+type TaskRange struct {
+	Occurrence, Step, First, Count int
+}
+
+// CompactDone moves the tasks that are done from Tasks to DoneRanges. A successor holds the progress of all jobs at once while it loads
+// them, and a job may have 100,000 tasks that are done, with 105 bytes each in Tasks.
+func (p *Progress) CompactDone() {
+	var tasks []TaskProgress
+	for _, t := range p.Tasks {
+		if !t.Done {
+			tasks = append(tasks, t)
+			continue
+		}
+		last := len(p.DoneRanges) - 1
+		if last >= 0 && p.DoneRanges[last].endsAt(t) {
+			p.DoneRanges[last].Count++
+		} else {
+			p.DoneRanges = append(p.DoneRanges, TaskRange{t.Occurrence, t.Step, t.Index, 1})
+		}
+	}
+	p.Tasks = tasks
+}
+
+// endsAt reports whether the task is the next one after the range.
+func (r TaskRange) endsAt(t TaskProgress) bool {
+	return r.Occurrence == t.Occurrence && r.Step == t.Step && r.First+r.Count == t.Index
 }
 
 // Versions of the row formats. A row with a newer format is not read, so that an older program can't damage it.
