--- a/internal/cluster/coordinator/restart_test.go
+++ b/internal/cluster/coordinator/restart_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
+	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 )
@@ -21,6 +22,57 @@
 	return w
 }
 
+// twoWorkersWithRestarted returns a list of two workers of which one is a second incarnation.
+func twoWorkersWithRestarted(id string) fixedWorkers {
+	list := fixedWorkers{testWorker("w0"), testWorker("w1")}
+	for i, w := range list {
+		if w.ID == id {
+			list[i] = restartedWorker(id)
+		}
+	}
+	return list
+}
+
+// runOwnerWithStart runs an owner with two workers until it takes none of them for restarted, and has it start a task.
+func runOwnerWithStart(t *testing.T, store rowstore.Store) (*testOwner, *testDelegate) {
+	o := runOwnerWith(t, store, 0, fixedWorkers{testWorker("w0"), testWorker("w1")}, false, longLeases)
+	td := o.testDelegate(t, "a")
+	td.serve(longLeases.StaleLeaseBound() + time.Second)
+	o.submit("j1", 1)
+	td.serve(200 * time.Millisecond)
+	So(td.starts, ShouldHaveLength, 1)
+	return o, td
+}
+
+// delegateOfTwoWorkers returns a delegate to which two workers are assigned. It has not reported yet.
+func (o *testOwner) delegateOfTwoWorkers(t *testing.T, name string) *testDelegate {
+	td := o.testDelegate(t, name)
+	for limit := time.Now().Add(time.Second); len(td.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		So(td.exchange(), ShouldBeNil)
+	}
+	So(td.workers, ShouldHaveLength, 2)
+	return td
+}
+
+// reportOnce reports a run on a second incarnation, which does not answer the next call.
+func (td *testDelegate) reportOnce(run delegate.StartOrder) {
+	report := td.restartReport(run.WorkerID, false, scheduler.ActiveRun{Task: run.Task, Run: run.Run})
+	missed := delegate.Event{WorkerID: run.WorkerID, Generation: td.workers[run.WorkerID],
+		MissedRenewal: &delegate.MissedRenewal{FailedAt: td.o.clock(), Incarnation: 2}}
+	So(td.exchange(report, missed), ShouldBeNil)
+}
+
+// awaitStartElsewhere lets the other workers than that of a run report, and returns the time until a task starts there, 30 s at most.
+func (td *testDelegate) awaitStartElsewhere(run delegate.StartOrder) time.Duration {
+	began := time.Now()
+	delete(td.workers, run.WorkerID)
+	for time.Since(began) < 30*time.Second && len(td.starts) == 0 {
+		td.serve(100 * time.Millisecond)
+	}
+	So(td.starts, ShouldHaveLength, 1)
+	return time.Since(began)
+}
+
 // restartWorkers reports answers of second incarnations of all assigned workers, the first ones to calls for the earlier incarnations, and
 // lists them.
 func (td *testDelegate) restartWorkers() {
@@ -73,16 +125,10 @@
 			first.end()
 			second := runOwnerWith(t, store, 1, fixedWorkers{restartedWorker("w0"), restartedWorker("w1")}, true, longLeases)
 			defer second.end()
-			b := second.testDelegate(t, "b")
-			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-				So(b.exchange(), ShouldBeNil)
-			}
+			b := second.delegateOfTwoWorkers(t, "b")
 			claimedAt := time.Now()
 			Convey("When its worker is cut off after its first answer to the next owner, the task waits for the longest lease", func() {
-				report := b.restartReport(run.WorkerID, false, scheduler.ActiveRun{Task: run.Task, Run: run.Run})
-				missed := delegate.Event{WorkerID: run.WorkerID, Generation: b.workers[run.WorkerID],
-					MissedRenewal: &delegate.MissedRenewal{FailedAt: second.clock(), Incarnation: 2}}
-				So(b.exchange(report, missed), ShouldBeNil)
+				b.reportOnce(run)
 				b.expectStartElsewhereAfter(run, longLeases.StaleLeaseBound())
 			})
 			Convey("When its worker never answers the next owner, the task waits for the longest lease", func() {
@@ -107,25 +153,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given a run on a worker whose restart only the next owner sees", t, func() {
 			store := rowstore.NewMemory()
-			first := runOwnerWith(t, store, 0, fixedWorkers{testWorker("w0"), testWorker("w1")}, false, longLeases)
-			a := first.testDelegate(t, "a")
-			a.serve(longLeases.StaleLeaseBound() + time.Second)
-			first.submit("j1", 1)
-			a.serve(200 * time.Millisecond)
-			So(a.starts, ShouldHaveLength, 1)
+			first, a := runOwnerWithStart(t, store)
 			run := a.starts[0]
 			first.end()
 			second := runOwnerWith(t, store, 1, fixedWorkers{restartedWorker("w0"), restartedWorker("w1")}, true, longLeases)
 			defer second.end()
-			b := second.testDelegate(t, "b")
-			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-				So(b.exchange(), ShouldBeNil)
-			}
+			b := second.delegateOfTwoWorkers(t, "b")
 			Convey("When a late start is carried out there and the worker is cut off, the task waits for the longest lease", func() {
-				report := b.restartReport(run.WorkerID, false, scheduler.ActiveRun{Task: run.Task, Run: run.Run})
-				missed := delegate.Event{WorkerID: run.WorkerID, Generation: b.workers[run.WorkerID],
-					MissedRenewal: &delegate.MissedRenewal{FailedAt: second.clock(), Incarnation: 2}}
-				So(b.exchange(report, missed), ShouldBeNil)
+				b.reportOnce(run)
 				b.expectStartElsewhereAfter(run, longLeases.StaleLeaseBound())
 			})
 		})
@@ -209,31 +244,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given an unanswered start on a worker whose restart the next owner sees in the list", t, func() {
 			store := rowstore.NewMemory()
-			first := runOwnerWith(t, store, 0, fixedWorkers{testWorker("w0"), testWorker("w1")}, false, longLeases)
-			a := first.testDelegate(t, "a")
-			a.serve(longLeases.StaleLeaseBound() + time.Second)
-			first.submit("j1", 1)
-			a.serve(200 * time.Millisecond)
-			So(a.starts, ShouldHaveLength, 1)
+			first, a := runOwnerWithStart(t, store)
 			run := a.starts[0]
 			first.end()
-			list := fixedWorkers{restartedWorker("w0"), testWorker("w1")}
-			if run.WorkerID == "w1" {
-				list = fixedWorkers{testWorker("w0"), restartedWorker("w1")}
-			}
-			second := runOwnerWith(t, store, 1, list, true, longLeases)
+			second := runOwnerWith(t, store, 1, twoWorkersWithRestarted(run.WorkerID), true, longLeases)
 			defer second.end()
-			b := second.testDelegate(t, "b")
-			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-				So(b.exchange(), ShouldBeNil)
-			}
-			claimedAt := time.Now()
-			delete(b.workers, run.WorkerID)
-			for time.Since(claimedAt) < 20*time.Second && len(b.starts) == 0 {
-				b.serve(100 * time.Millisecond)
-			}
-			t.Logf("the task starts elsewhere %v after the takeover; longest lease %v", time.Since(claimedAt), longLeases.StaleLeaseBound())
-			So(time.Since(claimedAt), ShouldBeGreaterThan, longLeases.StaleLeaseBound()-time.Second)
+			b := second.delegateOfTwoWorkers(t, "b")
+			So(b.awaitStartElsewhere(run), ShouldBeGreaterThan, longLeases.StaleLeaseBound()-time.Second)
 		})
 	})
 }
@@ -244,36 +261,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given a worker whose stale calls the previous owner, which may go on for its lease, has not fenced off", t, func() {
 			store := rowstore.NewMemory()
-			first := runOwnerWith(t, store, 0, fixedWorkers{testWorker("w0"), testWorker("w1")}, false, longLeases)
-			a := first.testDelegate(t, "a")
-			a.serve(longLeases.StaleLeaseBound() + time.Second)
-			first.submit("j1", 1)
-			a.serve(200 * time.Millisecond)
-			So(a.starts, ShouldHaveLength, 1)
+			first, a := runOwnerWithStart(t, store)
 			run := a.starts[0]
 			So(a.exchange(a.restartReport(run.WorkerID, true)), ShouldBeNil)
 			first.current().Upsert(restartedWorker(run.WorkerID))
 			time.Sleep(300 * time.Millisecond)
 			So(first.readWorkersInUse(t).Uses()[run.WorkerID], ShouldResemble, scheduler.WorkerUse{Incarnation: 2, StaleLease: true})
-			list := fixedWorkers{restartedWorker("w0"), testWorker("w1")}
-			if run.WorkerID == "w1" {
-				list = fixedWorkers{testWorker("w0"), restartedWorker("w1")}
-			}
-			second := runOwnerWith(t, store, 1, list, false, longLeases)
+			second := runOwnerWith(t, store, 1, twoWorkersWithRestarted(run.WorkerID), false, longLeases)
 			defer first.end()
 			defer second.end()
-			b := second.testDelegate(t, "b")
-			for limit := time.Now().Add(time.Second); len(b.workers) < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-				So(b.exchange(), ShouldBeNil)
-			}
-			claimedAt := time.Now()
-			delete(b.workers, run.WorkerID)
-			for time.Since(claimedAt) < 30*time.Second && len(b.starts) == 0 {
-				b.serve(100 * time.Millisecond)
-			}
-			bound := 8*time.Second + longLeases.StaleLeaseBound()
-			t.Logf("the task starts elsewhere %v after the takeover; lease of the owner and longest lease %v", time.Since(claimedAt), bound)
-			So(time.Since(claimedAt), ShouldBeGreaterThan, bound-time.Second)
+			b := second.delegateOfTwoWorkers(t, "b")
+			So(b.awaitStartElsewhere(run), ShouldBeGreaterThan, election.LeaseDuration+longLeases.StaleLeaseBound()-time.Second)
 		})
 	})
 }
