Count the longest lease when another incarnation accepts a start

Callers saw tasks run twice after workers restarted within the 0.85 s in which a renewal waits for its answer: the owner sent a start that was meant for the earlier incarnation, the next one accepted it, and the worker was cut off before any report. The run was taken for one of the earlier incarnation, so the owner and its successor gave it up after the ordinary lease. Its deadline, on a clock that begins anew, had set the longest lease that the worker grants (10 s in place of 4.5 s).

Tickets don't prevent it. The policy service had been asked after the restart, so the ticket was one of the next incarnation.

The answer to a start does not name the incarnation, but it contains the worker's clock, and that tells how long the lease may be. If the deadline is further ahead of it than the ordinary lease, the delegate reports the longest lease, extends no lease until the next report, and lets later calls without an answer count the same; the owner stores the flag of the stale lease for its successor and starts nothing there for a second. A clock that agrees with the known one sets no longer lease, whoever answered.

--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -64,9 +64,9 @@
 type WorkerClient interface {
 	// Renew renews the lease of a worker. The error wraps ErrWorkerEnded if another worker answers at the worker's address.
 	Renew(ctx context.Context, w scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error)
-	// Start sends a start once, without retries. It returns StartUnknown whenever the run may have been started without
+	// Start sends a start once, without retries. The outcome is StartUnknown whenever the run may have been started without
 	// a definite answer.
-	Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error)
+	Start(ctx context.Context, c StartCall) (StartAnswer, error)
 	Stop(ctx context.Context, c StopCall) error
 }
 
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -47,9 +47,10 @@
 	renews      int
 	starts      []string
 	stops       []string
-	maxDeadline int64 // latest deadline of all renewals
-	lastAcked   int64 // number of the last ended run that a renewal acknowledged
-	incarnation int64 // incarnation of the workers; 0 means 1
+	maxDeadline int64         // latest deadline of all renewals
+	lastAcked   int64         // number of the last ended run that a renewal acknowledged
+	incarnation int64         // incarnation of the workers; 0 means 1
+	clockBehind time.Duration // how far the clock in answers to starts is behind that of the reports
 	renewals    []Renewal
 	ended       []scheduler.EndedRun
 }
@@ -110,16 +111,16 @@
 	return RenewalAnswer{ClockMS: time.Now().UnixMilli(), Incarnation: incarnation, Ended: ended}, nil
 }
 
-func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error) {
+func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (StartAnswer, error) {
 	w.mu.Lock()
 	w.starts = append(w.starts, fmt.Sprintf("%s/%d on %s", c.Task, c.Run, c.Worker.ID))
-	silent := w.silent
+	silent, clockBehind := w.silent, w.clockBehind
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return scheduler.StartUnknown, errNoAnswer
+		return StartAnswer{Outcome: scheduler.StartUnknown}, errNoAnswer
 	}
-	return scheduler.StartAccepted, nil
+	return StartAnswer{Outcome: scheduler.StartAccepted, ClockMS: time.Now().Add(-clockBehind).UnixMilli()}, nil
 }
 
 func (w *fakeWorkers) Stop(_ context.Context, c StopCall) error {
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -102,7 +102,7 @@
 		r.unresponsive, r.unconfirmed = false, true
 		r.reopenReady()
 	}
-	r.excused = 0
+	r.excused, r.otherClock = 0, false
 	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
 	r.updateReady()
 	silences := r.silences
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -151,7 +151,10 @@
 	AnsweredAt time.Duration          `json:"at"`
 	LeaseUntil time.Duration          `json:"lease"`
 	Outcome    scheduler.StartOutcome `json:"outcome"`
-	Took       time.Duration          `json:"took"`
+	// OtherClock means that another incarnation than the one that was called has answered, as the clock in the answer shows. The
+	// deadline of the start may have set the longest lease there.
+	OtherClock bool          `json:"other_clock,omitempty"`
+	Took       time.Duration `json:"took"`
 }
 
 // StopResult means that a worker has accepted a stop.
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -50,12 +50,14 @@
 		result.LeaseUntil = max(result.LeaseUntil, leaseUntil)
 		attempts++
 		timeout := startTimeouts[countedAttempts]
-		outcome, err := a.sendStart(StartCall{StartOrder: o, Worker: st.info, FencingToken: st.token, Deadline: leaseDeadline}, timeout)
-		if outcome != scheduler.StartUnknown {
-			result.Outcome = outcome
+		answer, err := a.sendStart(StartCall{StartOrder: o, Worker: st.info, FencingToken: st.token, Deadline: leaseDeadline}, timeout)
+		if answer.Outcome != scheduler.StartUnknown {
+			result.Outcome = answer.Outcome
+			a.checkClock(r, leaseDeadline, answer.ClockMS, &result)
 			break
 		}
 		maybeStarted = true
+		result.LeaseUntil = max(result.LeaseUntil, r.noteUnanswered(leaseDeadline, a.deps.Clock()))
 		if !a.pauseDetector.mayExplainTimeout(now, a.deps.Clock(), timeout) {
 			countedAttempts++
 		}
@@ -74,7 +76,18 @@
 	a.emit(Event{WorkerID: o.WorkerID, Generation: o.Generation, Started: &result})
 }
 
-func (a *Agent) sendStart(c StartCall, timeout time.Duration) (scheduler.StartOutcome, error) {
+// checkClock adds to the result what the clock in the answer to a start with the given deadline shows.
+func (a *Agent) checkClock(r *leaseRenewer, deadline, clockMS int64, result *StartResult) {
+	leaseUntil, otherClock := r.checkClock(deadline, clockMS, a.deps.Clock())
+	if !otherClock {
+		return
+	}
+	result.LeaseUntil, result.OtherClock = max(result.LeaseUntil, leaseUntil), true
+	a.log.Warn("a start was answered by a clock that does not continue", zap.String("worker", r.id), zap.Int64("clock_ms", clockMS),
+		zap.Int64("deadline_ms", deadline), zap.Stringer("outcome", result.Outcome))
+}
+
+func (a *Agent) sendStart(c StartCall, timeout time.Duration) (StartAnswer, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, timeout)
 	defer cancel()
 	return a.deps.Client.Start(ctx, c)
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -78,6 +78,7 @@
 	unconfirmed bool
 	leaseUntil  time.Duration // when all tasks have certainly expired without another call, on the agent's clock
 	maxDeadline int64         // latest deadline that a call has carried, on the worker's clock
+	otherClock  bool          // since the last report, a start was answered by another clock than the one of that report
 	excused     int           // renewals since the last answer whose missing answer was excused
 	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
 	ready       chan struct{} // closed once a call may extend the lease: the clock is known, unconfirmed and staleToken are not set
@@ -179,6 +180,7 @@
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
+		r.noteUnanswered(leaseDeadline, failedAt)
 		leaseUntil, excused := r.recordFailure(excusable)
 		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt,
 			Ended: errors.Is(err, ErrWorkerEnded), Incarnation: info.Incarnation, Excused: excused}})
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -111,6 +111,11 @@
 		return
 	}
 	w.mayGetStaleCalls = unfenced
+	s.noteStaleLease(w, now)
+}
+
+// noteStaleLease notes that a stale call may have set the lease of a worker until now.
+func (s *Scheduler) noteStaleLease(w *worker, now time.Time) {
 	w.staleLeaseUntil = now.Add(s.cfg.StaleLease)
 	w.extendLease(w.staleLeaseUntil)
 }
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -56,12 +56,17 @@
 	Outcome    StartOutcome
 	AnsweredAt time.Time // when the answer was received
 	LeaseUntil time.Time
+	// OtherClock means that another incarnation than the known one has answered, on whose clock the start may have set the longest lease.
+	OtherClock bool
 }
 
 const (
 	// rejectionDelay is how long a worker gets no tasks after it rejected one because it lacked free resources or was
 	// unhealthy.
 	rejectionDelay = 300 * time.Millisecond
+	// otherClockDelay is how long a worker gets no tasks after another incarnation than the known one has answered a start. Its report
+	// comes within the timeout of the renewal that is under way.
+	otherClockDelay = time.Second
 	// oldRunIncrement is added to the run number of a task after a worker rejected it as old (RejectedStaleRun), to get
 	// past the highest run number that the worker has seen.
 	oldRunIncrement = 16
@@ -75,6 +80,10 @@
 		return
 	}
 	w.extendLease(r.LeaseUntil)
+	if r.OtherClock {
+		s.noteStaleLease(w, now)
+		w.health.rejectsUntil = now.Add(otherClockDelay)
+	}
 	p := w.findPlacement(r.Task, r.Run)
 	if p == nil {
 		return
