Don't wait for the lease of a worker to which a start was not sent

A task waited 4.9 s for the lease of a worker that stops answering although no part of its start had left the host: the connection was not made in time, or the three connections for starts were taken by others that got no answer. The client knew that nothing was sent, but told the delegate only that the outcome was unknown, so the run was stopped and its task held until the lease had expired.

The answer now says so. Attempts go on as before; if none was sent, the worker has rejected the start as far as the owner is concerned, and the task starts elsewhere. It also leaves fewer starts that a later incarnation may carry out.

--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -53,6 +53,14 @@
 	Deadline     int64 // end of the lease on the worker's clock, in milliseconds
 }
 
+// StartAnswer is the result of sending a start once.
+type StartAnswer struct {
+	Outcome scheduler.StartOutcome
+	// NotSent means that the outcome is StartUnknown only because no part of the start was sent in time, so the worker has not received it.
+	NotSent bool
+	ClockMS int64 // the worker's clock; 0 if the answer does not tell
+}
+
 // StopCall is a stop order with what the delegate adds before it sends the order to the worker.
 type StopCall struct {
 	StopOrder
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -50,6 +50,7 @@
 	maxDeadline int64         // latest deadline of all renewals
 	lastAcked   int64         // number of the last ended run that a renewal acknowledged
 	incarnation int64         // incarnation of the workers; 0 means 1
+	notSent     bool          // while silent is set, nothing of a start is sent
 	clockBehind time.Duration // how far the clock in answers to starts is behind that of the reports
 	renewals    []Renewal
 	ended       []scheduler.EndedRun
@@ -114,11 +115,11 @@
 func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (StartAnswer, error) {
 	w.mu.Lock()
 	w.starts = append(w.starts, fmt.Sprintf("%s/%d on %s", c.Task, c.Run, c.Worker.ID))
-	silent, clockBehind := w.silent, w.clockBehind
+	silent, clockBehind, notSent := w.silent, w.clockBehind, w.notSent
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return StartAnswer{Outcome: scheduler.StartUnknown}, errNoAnswer
+		return StartAnswer{Outcome: scheduler.StartUnknown, NotSent: notSent}, errNoAnswer
 	}
 	return StartAnswer{Outcome: scheduler.StartAccepted, ClockMS: time.Now().Add(-clockBehind).UnixMilli()}, nil
 }
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -56,8 +56,12 @@
 			a.checkClock(r, leaseDeadline, answer.ClockMS, &result)
 			break
 		}
-		maybeStarted = true
-		result.LeaseUntil = max(result.LeaseUntil, r.noteUnanswered(leaseDeadline, a.deps.Clock()))
+		if answer.NotSent {
+			result.Outcome = scheduler.RejectedUnhealthy
+		} else {
+			maybeStarted = true
+			result.LeaseUntil = max(result.LeaseUntil, r.noteUnanswered(leaseDeadline, a.deps.Clock()))
+		}
 		if !a.pauseDetector.mayExplainTimeout(now, a.deps.Clock(), timeout) {
 			countedAttempts++
 		}
--- a/internal/cluster/delegate/otherclock.go
+++ b/internal/cluster/delegate/otherclock.go
@@ -1,16 +1,6 @@
 package delegate
 
-import (
-	"time"
-
-	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
-)
-
-// StartAnswer is a worker's answer to a start.
-type StartAnswer struct {
-	Outcome scheduler.StartOutcome
-	ClockMS int64 // the worker's clock; 0 if the answer does not tell
-}
+import "time"
 
 // maxClockLag is how far the worker's clock in the answer to a start may lag behind the one that the deadline was computed with. A reading
 // that is as old as maxClockAge lags by 0.1 s on a clock that is 2 % slow.
