Send an acknowledgement of ends to a worker only once

A task ran again although a run of it had ended as done and the end had been acknowledged: a worker crashed and came back under its ID after 0.1 s, its next incarnation carried out a start without an answer, and the renewal that was under way at the crash told it to forget the ends up to the number of the earlier incarnation. Ends are numbered anew, so the end was forgotten unseen. Every renewal carried the last number again, although the worker has forgotten these ends since the first one, so any renewal could do this.

A renewal now carries the number only until one that carried it was answered by that incarnation. What remains is a renewal that is under way at the crash and acknowledges something new.

TestRenewalForTheEarlierIncarnationLosesNoEnd fails before, with the owner calling the workers and with delegates ("run 2 on i-3 started after the end as done of run 1 on i-1 was acknowledged"); TestAcknowledgementsAreNotRepeated as well ([5 5 5 5 5 8 ...], want 5 and 8).

The fake workers of the delegate's tests now remember the highest number since the last restart or silence, in place of the last one. That is stricter: TestRestartedWorkerKeepsItsEndedRuns and TestSilentWorkerGetsNoAcknowledgement also look at the first renewal after the restart, and fail before. After a silence of the same incarnation the number 5 is not repeated any more, so the test expects one that the owner stored meanwhile, 6.

--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -48,7 +48,7 @@
 	starts      []string
 	stops       []string
 	maxDeadline int64         // latest deadline of all renewals
-	lastAcked   int64         // number of the last ended run that a renewal acknowledged
+	highestAck  int64         // highest number of an end that a renewal has acknowledged since the last restart or change of silent
 	incarnation int64         // incarnation of the workers; 0 means 1
 	notSent     bool          // while silent is set, nothing of a start is sent
 	clockBehind time.Duration // how far the clock in answers to starts is behind that of the reports
@@ -59,19 +59,19 @@
 func (w *fakeWorkers) setSilent(silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = silent
+	w.silent, w.highestAck = silent, 0
 }
 
 func (w *fakeWorkers) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.incarnation = 2
+	w.incarnation, w.highestAck = 2, 0
 }
 
 func (w *fakeWorkers) acked() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.lastAcked
+	return w.highestAck
 }
 
 func (w *fakeWorkers) deadline() int64 {
@@ -91,7 +91,7 @@
 	w.renews++
 	w.renewals = append(w.renewals, r)
 	w.maxDeadline = max(w.maxDeadline, r.Deadline)
-	w.lastAcked = r.LastAckedEnd
+	w.highestAck = max(w.highestAck, r.LastAckedEnd)
 	silent, malformed, ended, incarnation := w.silent, w.malformed, w.ended, max(w.incarnation, 1)
 	w.mu.Unlock()
 	if malformed {
--- a/internal/cluster/delegate/fencing_test.go
+++ b/internal/cluster/delegate/fencing_test.go
@@ -1,6 +1,7 @@
 package delegate
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -178,10 +179,51 @@
 		if acked := f.workers.acked(); acked != 0 {
 			t.Errorf("a silent worker is told that ends up to %d are stored", acked)
 		}
+		f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", Incarnation: 1, LastAckedEnd: 6}}})
+		time.Sleep(time.Second)
+		if acked := f.workers.acked(); acked != 0 {
+			t.Errorf("a silent worker is told that ends up to %d are stored", acked)
+		}
 		f.workers.setSilent(false)
 		time.Sleep(2 * time.Second)
-		if acked := f.workers.acked(); acked != 5 {
-			t.Errorf("after the silence the worker is told that ends up to %d are stored, want 5", acked)
+		if acked := f.workers.acked(); acked != 6 {
+			t.Errorf("after the silence the worker is told that ends up to %d are stored, want 6", acked)
+		}
+	})
+}
+
+// Guards against ends that the next incarnation forgets: most renewals that are under way at a crash must not acknowledge anything, but an
+// acknowledgement without an answer, or to an earlier incarnation, must not be taken for one that the worker has applied.
+func TestAcknowledgementsAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAgentFixture(t.Context())
+		defer f.Close()
+		sent := func() (numbers []int64) {
+			f.workers.mu.Lock()
+			defer f.workers.mu.Unlock()
+			for _, r := range f.workers.renewals {
+				if r.LastAckedEnd > 0 {
+					numbers = append(numbers, r.LastAckedEnd)
+				}
+			}
+			return numbers
+		}
+		f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", Incarnation: 1, LastAckedEnd: 5}}})
+		time.Sleep(3 * time.Second)
+		f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", Incarnation: 1, LastAckedEnd: 8}}})
+		time.Sleep(3 * time.Second)
+		if got := sent(); !slices.Equal(got, []int64{5, 8}) {
+			t.Errorf("renewals have acknowledged ends up to %v, want 5 and 8", got)
+		}
+		f.workers.restart()
+		time.Sleep(3 * time.Second)
+		w := testWorker("w1")
+		w.Incarnation = 2
+		f.Apply([]Order{{Assign: &Assignment{Worker: w, Generation: 1, FencingToken: FencingToken(testEpoch, 2), MayGetStaleCalls: true}}})
+		f.Apply([]Order{{Ack: &Ack{WorkerID: "w1", Incarnation: 2, LastAckedEnd: 3}}})
+		time.Sleep(3 * time.Second)
+		if got := sent(); !slices.Equal(got, []int64{5, 8, 3}) {
+			t.Errorf("renewals have acknowledged ends up to %v, want 5, 8 and, after the restart, 3", got)
 		}
 	})
 }
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -64,7 +64,9 @@
 	info       scheduler.WorkerInfo
 	generation int64
 	durableEnd int64 // the owner has stored ended runs up to this number
-	token      int64 // of calls to the worker
+	// ackedIncarnation has answered a renewal that acknowledged its ends up to ackedEnd.
+	ackedIncarnation, ackedEnd int64
+	token                      int64 // of calls to the worker
 	// staleToken is set while stale calls with tokens up to it may be carried out by the present incarnation.
 	staleToken int64
 	clock      workerClock
@@ -153,9 +155,7 @@
 func (r *leaseRenewer) renew(ctx context.Context, pollTimeout time.Duration) (int64, error) {
 	st := r.state()
 	info, generation := st.info, st.generation
-	if st.unresponsive {
-		st.lastAckedEnd = 0 // the worker may have restarted, and each incarnation numbers its ends anew
-	}
+	st.lastAckedEnd = r.ackToSend(st)
 	sentAt := r.a.deps.Clock()
 	leaseDeadline, leaseUntil := r.leaseDeadline(sentAt)
 	if !r.a.permitValid() {
@@ -190,6 +190,9 @@
 		answer.Incarnation = info.Incarnation // the worker does not name it
 	}
 	answer.token = st.token
+	if answer.Incarnation == info.Incarnation {
+		r.noteAcked(info.Incarnation, st.lastAckedEnd)
+	}
 	r.limitCheckpoints(&answer)
 	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
