Let tasks without a ticket wait for unanswered starts on silent workers

A task ran twice: its start was not answered, since the worker had crashed; the worker's next incarnation carried it out 0.3 s later and was cut off before it answered any call or got into the list of workers. The owner gave the run up after the ordinary lease, but the deadline of the start, on a clock that begins anew, had set the longest one.

Only a start without a ticket can do this: a ticket from before the restart is rejected, and of one from after it the window is a few milliseconds. So the tasks of such starts, and no others on the worker, wait for the longest lease (10.6 s in place of 4.9 s at a maxHoldMs of 10 s), counted from when the start was given up; connections are reset then, so a start is hardly carried out after that. The wait ends as before when the worker, its next incarnation or another worker at its address answers. Long-running tasks don't wait: they must not be without a run for 3 s after 4 calm seconds.

Ways weighed: counting the longest lease for the whole worker makes each lost worker cost twice as much, although only unanswered starts can run unseen; passing the flag on to a successor would make all inherited jobs wait for 10.6 s.

--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -101,6 +101,7 @@
 			p.task.evidence.AcceptStart(w.info.ID, p.run)
 		}
 	case StartUnknown:
+		p.givenUpAt = r.AnsweredAt
 		if p.state == starting {
 			s.stopRun(p, "the start was not answered")
 			s.stopGangOf(p, "start order of another gang member was not answered")
@@ -167,7 +168,7 @@
 	u := t.unit
 	t.run = run
 	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), urgent: s.urgent(u),
-		suspected: t.suspected(), orderedAt: now, percentChangedAt: now}
+		suspected: t.suspected(), orderedAt: now, percentChangedAt: now, withTicket: u.tickets[w.info.ID].value != ""}
 	t.placement = p
 	u.tasks.keep(t)
 	w.addPlacement(p)
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -121,13 +121,14 @@
 	s.resetWorker(w, LossEnded, now)
 }
 
-// expireWorkers drops the runs of unreachable workers whose lease has certainly expired. It also removes workers without
-// runs that are not listed and either unreachable or without a report to this owner.
+// expireWorkers drops the runs of unreachable workers whose lease has certainly expired, also if an incarnation that no owner knows may run
+// them. It also removes workers without runs that are not listed and either unreachable or without a report to this owner.
 func (s *Scheduler) expireWorkers(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if w.unreachable && w.fenced && now.After(w.leaseUntil) {
+		waiting := s.placementsUnseen(w, now)
+		if w.unreachable && (w.fenced && now.After(w.leaseUntil) || !w.fenced && len(waiting) < len(w.placements)) {
 			lastEnd, lastDurableEnd, pendingAcks := w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks
-			s.resetWorker(w, LossLeaseExpired, now)
+			s.resetWorkerExcept(w, waiting, LossLeaseExpired, now)
 			// The process may still be alive: it continues the numbering of its ends.
 			w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = lastEnd, lastDurableEnd, pendingAcks
 			if len(pendingAcks) > 0 {
