Don't suspect a start on the next incarnation of the earlier one's crash

A task was suspected of having crashed a worker with which it had nothing to do: the worker had crashed and come back unseen, its next incarnation accepted the start, and the owner noticed the silence of the earlier one just after that. The start counted as accepted within 0.1 s before the crash, with weight 4; a job is given up at 6 after two such crashes.

A start that another clock has answered is now left out when a worker stops answering, and a suspicion that came before the result is withdrawn.

TestStartOnAnotherClockIsNoCauseOfTheCrash fails before, whichever comes first (Crashes:1 Accepted:1 Weight:4).

--- a/internal/cluster/scheduler/crashes.go
+++ b/internal/cluster/scheduler/crashes.go
@@ -108,7 +108,7 @@
 func (w *worker) justStarted(at time.Time) []*placement {
 	var started []*placement
 	for _, p := range w.placements {
-		if p.task != nil && p.justStarted(at) {
+		if p.task != nil && !p.onOther && p.justStarted(at) {
 			started = append(started, p)
 		}
 	}
--- a/internal/cluster/scheduler/otherclock_test.go
+++ b/internal/cluster/scheduler/otherclock_test.go
@@ -35,3 +35,31 @@
 		})
 	})
 }
+
+// Guards against a task that is suspected of the crash of a worker's earlier incarnation although the later one has accepted its start.
+func TestStartOnAnotherClockIsNoCauseOfTheCrash(t *testing.T) {
+	for _, silentFirst := range []bool{true, false} {
+		f, now := newStaleLeaseFixture()
+		f.DelistWorker("w1")
+		f.AddJob(now, f.job("j", now, simpleStep(1)), nil, false)
+		f.commit()
+		s := f.Plan(now).Starts[0]
+		lease := now.Add(5 * time.Second)
+		if silentFirst {
+			f.MarkUnreachable(now, "w0", lease)
+		}
+		f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: "w0", Outcome: StartAccepted, AnsweredAt: now, LeaseUntil: lease, OtherClock: true})
+		if !silentFirst {
+			f.MarkUnreachable(now, "w0", lease)
+		}
+		answered := now.Add(500 * time.Millisecond)
+		f.HandleReport(answered, Report{Worker: "w0", Incarnation: 2, SentAt: answered, LeaseUntil: lease, Active: []ActiveRun{{Task: s.Task, Run: s.Run}}})
+		task := f.jobs["j"].occurrences[0].units[0].tasks.peek(0)
+		if !task.evidence.Empty() {
+			t.Errorf("worker silent before the result: %t; evidence against the task: %+v", silentFirst, task.evidence)
+		}
+		if p := task.placement; p == nil || p.worker.info.Incarnation != 2 || p.state != running {
+			t.Errorf("worker silent before the result: %t; the run is not taken over from the later incarnation: %+v", silentFirst, p)
+		}
+	}
+}
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -46,7 +46,7 @@
 	started := w.justStarted(since)
 	l.explained = slices.ContainsFunc(started, func(p *placement) bool { return since.Sub(p.startedAt()) < promptCrashWindow })
 	for _, p := range w.placements {
-		if p.task == nil || p.task.placement != p {
+		if p.task == nil || p.task.placement != p || p.onOther {
 			continue
 		}
 		weight := crashWeight(p, started, since)
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -91,6 +91,9 @@
 	if r.Outcome < StartAccepted || r.Outcome > RejectedOther {
 		r.Outcome = StartUnknown
 	}
+	if p.onOther = r.OtherClock; p.onOther {
+		s.withdrawSuspicion(p)
+	}
 	switch r.Outcome {
 	case StartAccepted:
 		if p.state == starting {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -94,6 +94,7 @@
 	orderedAt   time.Time
 	confirmedAt time.Time // when the worker accepted the start, or when the first report that lists the run was requested
 	stopAckedAt time.Time // when the worker accepted the stop
+	onOther     bool      // another incarnation than the known one has answered the order to start it
 	withTicket  bool      // the order to start it carried a ticket
 	givenUpAt   time.Time // when the last attempt to start it was given up without an answer; zero before
 
