Log the release, and worker clocks that do not continue

The record of the incident tells neither which code ran nor whether a worker restarted with a start time that is not higher than before: such a worker is taken for its earlier incarnation without a line.

'daemon started' names the build. A renewal's answer is compared with the last reading of the worker's clock; a steady clock can't go back or ahead of the time that has passed. An answer that names an earlier start time is logged with both start times.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,6 +17,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/sebdah/goldie/v2"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/release"
 )
 
 // fakeDaemon implements both listeners of a daemon. It keeps lists and their versions like a real one; requests and jobs
@@ -221,7 +223,7 @@
 	t.Cleanup(entry.Close)
 	s := &session{f: f, admin: admin.Listener.Addr().String(), entry: entry.Listener.Addr().String()}
 	s.replacer = strings.NewReplacer(s.admin, "ADMIN", s.entry, "ENTRY", refusingAddr, "GONE", dir, "DIR",
-		"greengagectl "+toolVersion(), "greengagectl OWN-VERSION")
+		"greengagectl "+release.Version(), "greengagectl OWN-VERSION")
 	t.Setenv("GREENGAGE_ADMIN", s.admin)
 	t.Setenv("GREENGAGE_CALLERS", s.entry)
 	t.Setenv("GREENGAGE_SECRET", "s3cret")
--- a/internal/cli/processes.go
+++ b/internal/cli/processes.go
@@ -4,10 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/greengagewing/greengagewing/internal/release"
 )
 
 // callEach calls path on every admin listener and prints the responses. If some calls fail, it reports them after the
@@ -90,7 +91,7 @@
 // Execute implements flags.Commander.
 func (c *showVersion) Execute([]string) error {
 	if c.app.Output == "table" {
-		fmt.Fprintf(c.app.out, "greengagectl %s\n", toolVersion())
+		fmt.Fprintf(c.app.out, "greengagectl %s\n", release.Version())
 	}
 	return c.app.callEach("/version", func(addr string, body []byte) error {
 		var words []string
@@ -101,17 +102,3 @@
 		return nil
 	})
 }
-
-func toolVersion() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	version := info.Main.Version
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			version += " " + s.Value
-		}
-	}
-	return version
-}
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -29,6 +29,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/network"
+	"github.com/greengagewing/greengagewing/internal/release"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -140,7 +141,7 @@
 	host := n.host()
 	host.Started = time.Now()
 	n.duties.Go(func() { peers.Register(n.dutiesCtx, n.parts.Store, host, n.parts.Log) })
-	n.parts.Log.Info("daemon started", zap.String("peer_addr", n.parts.Self.Addr), zap.String("boot", n.parts.Self.BootID),
+	n.parts.Log.Info("daemon started", zap.String("release", release.Version()), zap.String("peer_addr", n.parts.Self.Addr), zap.String("boot", n.parts.Self.BootID),
 		zap.Duration("lease", n.parts.Config.Delegate.Lease))
 	return nil
 }
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -42,7 +42,8 @@
 	Ended       []scheduler.EndedRun
 	MoreEnded   bool // further runs may have ended, which the worker lists once those in Ended are acknowledged
 
-	token int64 // of the renewal that it answers
+	token  int64         // of the renewal that it answers
+	sentAt time.Duration // when that renewal was sent, on the agent's clock
 }
 
 // StartCall is a start order with what the delegate adds before it sends the order to the worker.
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -7,23 +7,9 @@
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
-const (
-	// maxClockAge is the age from which a reading of a worker's clock is not used for deadlines. A clock that is 2 % slow drifts
-	// by 0.1 s in that time, and leaseMargin allows for more. A reading gets older while this process is suspended or excuses
-	// missed answers.
-	maxClockAge = 5 * time.Second
-
-	// maxExcusedMisses is the number of consecutive renewals whose missing answer is excused by a pause of this process. A process
-	// that is often short of processor time must still notice a silent worker.
-	maxExcusedMisses = 5
-)
-
-// workerClock estimates the present time on a worker's clock from its last answer.
-type workerClock struct {
-	known  bool
-	ms     int64
-	readAt time.Duration // when the answer arrived, on the agent's clock
-}
+// maxExcusedMisses is the number of consecutive renewals whose missing answer is excused by a pause of this process. A process
+// that is often short of processor time must still notice a silent worker.
+const maxExcusedMisses = 5
 
 // updateAssignment takes over a changed description of the worker. If the worker has restarted, its clock and the
 // acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the known one, only
@@ -103,7 +89,7 @@
 		r.reopenReady()
 	}
 	r.excused = 0
-	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
+	r.clock = workerClock{known: true, ms: a.ClockMS, askedAt: a.sentAt, readAt: r.a.deps.Clock()}
 	r.updateReady()
 	silences := r.silences
 	return func() { r.confirm(silences) }
@@ -151,6 +137,13 @@
 	return r.leaseUntil, excused
 }
 
+// lastClock returns the last reading of the worker's clock.
+func (r *leaseRenewer) lastClock() workerClock {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock
+}
+
 // lastLeaseEnd returns when all tasks have certainly expired without another call, or 0 if no call has extended the lease.
 func (r *leaseRenewer) lastLeaseEnd() time.Duration {
 	r.mu.Lock()
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -174,6 +174,8 @@
 		err = errNoClock
 	}
 	if err == nil && answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
+		r.a.log.Warn("worker names an earlier start time", zap.String("worker", r.id), zap.Int64("born", answer.Incarnation),
+			zap.Int64("known_born", info.Incarnation), zap.Int64("clock_ms", answer.ClockMS))
 		err = errEarlierIncarnation
 	}
 	if err != nil {
@@ -187,8 +189,11 @@
 	if answer.Incarnation == 0 {
 		answer.Incarnation = info.Incarnation // the worker does not name it
 	}
-	answer.token = st.token
+	answer.token, answer.sentAt = st.token, sentAt
 	r.limitCheckpoints(&answer)
+	if answer.Incarnation == info.Incarnation {
+		r.checkClock(answer)
+	}
 	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
 	if applied == nil {
@@ -211,3 +216,14 @@
 	}
 	return last, nil
 }
+
+// checkClock logs an answer whose clock does not continue that of the answer before.
+func (r *leaseRenewer) checkClock(a RenewalAnswer) {
+	before, now := r.lastClock(), r.a.deps.Clock()
+	if before.continues(workerClock{known: true, ms: a.ClockMS, askedAt: a.sentAt, readAt: now}) {
+		return
+	}
+	low, high := before.expected(a.sentAt, now)
+	r.a.log.Warn("worker's clock does not continue", zap.String("worker", r.id), zap.Int64("born", a.Incarnation),
+		zap.Int64("clock_ms", a.ClockMS), zap.Int64("expected_from_ms", low), zap.Int64("expected_to_ms", high))
+}
