Take a worker's start time for a name, not for an order

Cause: reports and entries were compared by the start time that they name, so those of the present incarnation were dropped as late ones of an earlier one. The delegate backed off from the worker as if it did not answer, the owner gave its runs up after the ordinary lease, and nobody counted the longest lease that a stale call may have set.

The order comes from what is sequential instead. One renewal of a worker is sent after the other, so another name than that of the last answer is a later incarnation, unless the report was requested before the first answer of the present one, or was in progress when the owner named another incarnation. An entry is late if it names an incarnation that an answer of another one has replaced.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -277,7 +277,7 @@
 // sendStop sends a stop to the worker's executor. If the worker has none, the next one gets the stop.
 func (as *assigner) sendStop(s scheduler.Stop) {
 	a := as.assignments[s.Worker.ID]
-	if a == nil || s.Worker.Incarnation < a.info.Incarnation {
+	if a == nil || !as.t.sched.IsPresent(s.Worker.ID, s.Worker.Incarnation) {
 		return // the run has ended: the worker was restarted, or removed after its last run
 	}
 	as.updateWorker(a, s.Worker) // the executor ignores orders for another process of the worker than it knows
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -12,20 +12,21 @@
 const maxExcusedMisses = 5
 
 // updateAssignment takes over a changed description of the worker. If the worker has restarted, its clock and the
-// acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the known one, only
-// the generation is taken over.
+// acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the one that has
+// answered, only the generation is taken over.
 func (r *leaseRenewer) updateAssignment(as Assignment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer wait.Signal(r.ownerActed)
 	r.token = max(r.token, as.FencingToken)
-	if as.Worker.Incarnation < r.info.Incarnation {
+	if r.replaced.Contains(as.Worker.Incarnation) {
 		r.generation = as.Generation
 		return
 	}
-	if as.Worker.Incarnation > r.info.Incarnation {
+	if as.Worker.Incarnation != r.info.Incarnation {
 		r.clock = workerClock{}
 		r.durableEnd = 0
+		r.namedAt = r.a.deps.Clock()
 	}
 	if as.MayGetStaleCalls {
 		r.fenceAfter(as.FencingToken - 1)
@@ -68,15 +69,17 @@
 }
 
 // recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
-// report, or nil for a late answer of an earlier incarnation than the known one, which it ignores.
+// report. One renewal is sent after the other, so another incarnation than the one that answered before is a later one. Only an answer
+// to a renewal that was in progress when the owner named another incarnation may be of an earlier one: then the result is nil.
 func (r *leaseRenewer) recordAnswer(a RenewalAnswer) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a.Incarnation < r.info.Incarnation {
-		return nil
-	}
-	if a.Incarnation > r.info.Incarnation {
+	if a.Incarnation != r.info.Incarnation {
+		if a.sentAt <= r.namedAt {
+			return nil
+		}
 		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
+		r.replaced.Replace(r.info.Incarnation, a.Incarnation)
 		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
 		r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
 		if r.token != r.a.epoch { // an owner of an earlier release never raises it
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -43,9 +43,6 @@
 // lists no runs either, so it must not count as a report.
 var errNoClock = errors.New("delegate: answer without the worker's clock")
 
-// errEarlierIncarnation means that an earlier incarnation of the worker answered than the one that was called.
-var errEarlierIncarnation = errors.New("delegate: answer of an earlier incarnation")
-
 // RenewPollTimeout returns the long-poll timeout of renewals for an owner with this number of workers.
 func RenewPollTimeout(workers int) time.Duration {
 	return min(max(renewPollTimeout, time.Duration(workers)*renewPollPerWorker), maxRenewPollTimeout)
@@ -62,6 +59,8 @@
 
 	mu         sync.Mutex
 	info       scheduler.WorkerInfo
+	replaced   scheduler.ReplacedIncarnations
+	namedAt    time.Duration // when the owner last named another incarnation than the one that answered, on the agent's clock
 	generation int64
 	durableEnd int64 // the owner has stored ended runs up to this number
 	token      int64 // of calls to the worker
@@ -173,11 +172,6 @@
 	if err == nil && answer.ClockMS == 0 {
 		err = errNoClock
 	}
-	if err == nil && answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
-		r.a.log.Warn("worker names an earlier start time", zap.String("worker", r.id), zap.Int64("born", answer.Incarnation),
-			zap.Int64("known_born", info.Incarnation), zap.Int64("clock_ms", answer.ClockMS))
-		err = errEarlierIncarnation
-	}
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
@@ -199,10 +193,10 @@
 	if applied == nil {
 		return 0, nil
 	}
-	if stale || answer.Incarnation > info.Incarnation {
+	if stale || answer.Incarnation != info.Incarnation {
 		leaseUntil = r.lastLeaseEnd() // a stale call may have set it
 	}
-	if answer.Incarnation > info.Incarnation {
+	if answer.Incarnation != info.Incarnation {
 		r.a.log.Warn("worker has restarted", zap.String("worker", r.id), zap.Int64("born", answer.Incarnation), zap.Int64("earlier_born", info.Incarnation),
 			zap.Int64("clock_ms", answer.ClockMS), zap.Int64("earlier_deadline_ms", r.deadline()), zap.Duration("lease_left", max(leaseUntil-r.a.deps.Clock(), 0)))
 	}
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -24,7 +24,7 @@
 	WorkerUse
 	notedAt         time.Time // while the worker was in use, or afterwards
 	staleLeaseUntil time.Time // when the lease that a stale call may have set has expired at the latest; zero if there was none
-	listedAs        int64     // latest incarnation of an unresolved worker that the list has shown
+	listedAs        int64     // last incarnation other than the used one that the list has shown while the worker was unresolved
 }
 
 // SetPreviousUse records how the previous owner used a worker, which may go on until the given time. What it started there runs on that
@@ -49,11 +49,11 @@
 	}
 }
 
-// noteListed notes the entry of an unresolved worker. Before a later incarnation than the used one answers, it may carry out a start to
+// noteListed notes the entry of an unresolved worker. Before another incarnation than the used one answers, it may carry out a start to
 // which no owner has seen an answer.
 func (s *Scheduler) noteListed(info WorkerInfo, now time.Time) {
 	u := s.lastUses[info.ID]
-	if s.IsUnresolved(info.ID) && info.Incarnation > max(u.Incarnation, u.listedAs) {
+	if s.IsUnresolved(info.ID) && info.Incarnation != u.Incarnation && info.Incarnation != u.listedAs {
 		u.listedAs, u.staleLeaseUntil = info.Incarnation, now.Add(s.cfg.StaleLease)
 		s.lastUses[info.ID] = u
 	}
@@ -82,6 +82,12 @@
 	return WorkerUse{Incarnation: w.info.Incarnation, StaleLease: w.mayGetStaleCalls || now.Before(w.staleLeaseUntil)}
 }
 
+// IsPresent reports whether the incarnation of a worker is its present one, as far as this owner knows.
+func (s *Scheduler) IsPresent(workerID string, incarnation int64) bool {
+	w := s.workers[workerID]
+	return w != nil && w.info.Incarnation == incarnation
+}
+
 // MayGetStaleCalls reports whether stale calls may still reach the present incarnation of a worker.
 func (s *Scheduler) MayGetStaleCalls(workerID string) bool {
 	w := s.workers[workerID]
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -67,10 +67,13 @@
 // HandleReport applies a worker's report and returns the ends that it newly lists.
 func (s *Scheduler) HandleReport(now time.Time, r Report) []AppliedEnd {
 	w := s.workers[r.Worker]
-	if w == nil || r.Incarnation < w.info.Incarnation {
+	if w == nil {
 		return nil
 	}
-	if r.Incarnation > w.info.Incarnation {
+	if r.Incarnation != w.info.Incarnation {
+		if w.answered() && r.SentAt.Before(w.firstAnswer) {
+			return nil // a late answer of an earlier incarnation
+		}
 		s.restartWorker(w, r.Incarnation, r.SentAt, now)
 	}
 	w.unreachable, w.fenced = false, true
--- a/internal/cluster/scheduler/restart_test.go
+++ b/internal/cluster/scheduler/restart_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 // Guards against two concurrent runs of a task: a worker restarts under its ID while a start is in progress, the new process receives
@@ -56,3 +58,39 @@
 		})
 	})
 }
+
+// Guards against a restarted worker that is not used, or whose earlier runs count as active, because its start time is not a later one.
+func TestRestartedWorkerMayNameAnEarlierStartTime(t *testing.T) {
+	Convey("Given a worker with a run, and a report of an incarnation with an earlier start time", t, func() {
+		f := newFixture(1, 0)
+		later := WorkerInfo{ID: "w0", Service: testService, Address: "w0", Rack: "r1", Incarnation: 5_000,
+			Capacity: workload.Resources{CPUMilli: 10_000, MemoryMB: 10_000}}
+		report := func(incarnation int64, sentAt time.Time, now time.Time) {
+			f.HandleReport(now, Report{Worker: "w0", Incarnation: incarnation, SentAt: sentAt, LeaseUntil: now.Add(5 * time.Second), Active: f.active["w0"]})
+		}
+		f.UpsertWorker(t0, later)
+		report(later.Incarnation, t0, t0)
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
+		started := f.plan(t0).Starts
+		So(started, ShouldHaveLength, 1)
+		f.active["w0"] = nil
+		report(4_000, at(time.Second), at(time.Second))
+		f.commit()
+		Convey("The run of its earlier incarnation is lost, and starts again once the entry of the present one is read", func() {
+			So(f.TakeWorkerLosses()[0].Cause, ShouldEqual, LossRestarted)
+			So(f.plan(at(time.Second)).Starts, ShouldBeEmpty)
+			present := later
+			present.Incarnation = 4_000
+			f.UpsertWorker(at(2*time.Second), present)
+			again := f.plan(at(2 * time.Second)).Starts
+			So(again, ShouldHaveLength, 1)
+			So(again[0].Worker.Incarnation, ShouldEqual, 4_000)
+		})
+		Convey("A late entry and a late report of its earlier incarnation change nothing", func() {
+			f.UpsertWorker(at(2*time.Second), later)
+			report(later.Incarnation, at(500*time.Millisecond), at(2*time.Second))
+			So(f.IsPresent("w0", 4_000), ShouldBeTrue)
+			So(f.plan(at(2*time.Second)).Starts, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/scheduler/silences.go
+++ b/internal/cluster/scheduler/silences.go
@@ -87,7 +87,7 @@
 func (s *Scheduler) endSilence(w *worker, now time.Time) {
 	switch l := s.silences[w.info.ID]; {
 	case l == nil:
-	case l.incarnation < w.info.Incarnation:
+	case l.incarnation != w.info.Incarnation:
 		s.confirmCrash(w.info.ID, now)
 	default:
 		s.dropSilence(w.info.ID)
@@ -126,11 +126,11 @@
 			continue
 		}
 		w := s.workers[id]
-		if w == nil || l.incarnation < w.info.Incarnation {
+		if w == nil || l.incarnation != w.info.Incarnation {
 			s.confirmCrash(id, now) // nothing that is known to run belongs to the silent incarnation
 			continue
 		}
-		if w.unreachable && w.calledOnlyAt(l.address) && l.incarnation == w.info.Incarnation {
+		if w.unreachable && w.calledOnlyAt(l.address) {
 			s.confirmCrash(id, now)
 			s.resetWorker(w, LossReplaced, now)
 		}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -28,17 +28,18 @@
 	info        WorkerInfo
 	listed      bool // the platform's list of workers has it
 	undescribed bool // it has restarted, and info still holds the capacity and labels of an earlier incarnation
-	// announced is the entry of a later incarnation that has not answered yet, while the present one may go on.
+	// announced is the entry of another incarnation that has not answered yet, while the present one may go on.
 	announced   *WorkerInfo
-	announcedAt time.Time // when that entry was read
-	fenced      bool      // it has reported to this owner, so it rejects orders of earlier owners
-	unreachable bool      // it did not answer the last call
-	silentSince time.Time // when the first call without an answer failed; zero while it answers
-	answeredAs  int64     // the incarnation that firstAnswer and lastAnswer belong to
-	firstAnswer time.Time // when the first answer of the incarnation to this owner was requested; zero before
-	lastAnswer  time.Time // when the last one was requested
-	moved       bool      // the list has given the incarnation another address than before
-	leaseUntil  time.Time // when all runs on it have stopped unless the lease is renewed
+	announcedAt time.Time            // when that entry was read
+	earlier     ReplacedIncarnations // those that have answered this owner before the present one
+	fenced      bool                 // it has reported to this owner, so it rejects orders of earlier owners
+	unreachable bool                 // it did not answer the last call
+	silentSince time.Time            // when the first call without an answer failed; zero while it answers
+	answeredAs  int64                // the incarnation that firstAnswer and lastAnswer belong to
+	firstAnswer time.Time            // when the first answer of the incarnation to this owner was requested; zero before
+	lastAnswer  time.Time            // when the last one was requested
+	moved       bool                 // the list has given the incarnation another address than before
+	leaseUntil  time.Time            // when all runs on it have stopped unless the lease is renewed
 	// mayGetStaleCalls is set until a report shows that stale calls can't reach the present incarnation any more.
 	mayGetStaleCalls bool
 	staleLeaseUntil  time.Time          // when a lease that a stale call has set has expired at the latest
@@ -165,9 +166,9 @@
 	return n > 0
 }
 
-// UpsertWorker adds a worker or updates its description. A newer incarnation under the same ID ends all runs of the previous one once
-// it answers: an entry alone may be from another writer. An older one is ignored. A draining worker remains so until a newer
-// incarnation replaces it.
+// UpsertWorker adds a worker or updates its description. Another incarnation under the same ID ends all runs of the present one once
+// it answers: an entry alone may be from another writer. The entry of an earlier one is late and is ignored. A draining worker remains so
+// until another incarnation replaces it.
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
 	s.noteListed(info, now)
 	w := s.workers[info.ID]
@@ -177,15 +178,15 @@
 		s.sortedWorkers = append(s.sortedWorkers, w)
 		sort.Slice(s.sortedWorkers, func(i, j int) bool { return s.sortedWorkers[i].info.ID < s.sortedWorkers[j].info.ID })
 	}
-	if info.Incarnation < w.info.Incarnation {
+	if w.earlier.Contains(info.Incarnation) {
 		return
 	}
 	announced := w.announced
 	w.announced = nil
-	if info.Incarnation > w.info.Incarnation {
+	if info.Incarnation != w.info.Incarnation {
 		if w.answered() {
 			w.announce(info, now)
-			if announced == nil || announced.Incarnation < info.Incarnation {
+			if announced == nil || announced.Incarnation != info.Incarnation {
 				s.extendForStaleStarts(w, now)
 			}
 			return
@@ -204,24 +205,24 @@
 	if info.Draining {
 		w.shutdownAt = now.Add(info.DrainRemaining)
 	}
-	if l := s.silences[info.ID]; l != nil && l.incarnation < info.Incarnation {
+	if l := s.silences[info.ID]; l != nil && l.incarnation != info.Incarnation {
 		s.endSilence(w, now)
 	}
 }
 
-// announce notes the entry of a later incarnation, which is called at its own address from now on.
+// announce notes the entry of another incarnation, which is called at its own address from now on.
 func (w *worker) announce(info WorkerInfo, now time.Time) {
 	w.moved = w.moved || w.info.Address != info.Address
 	w.info.Address = info.Address
 	w.announced, w.announcedAt, w.listed = &info, now, true
 }
 
-// handleAnnounced decides about the entry of a later incarnation after an answer that was requested at requestedAt: the entry is used if
-// that incarnation has answered, and dropped if the earlier one goes on.
+// handleAnnounced decides about the entry of another incarnation after an answer that was requested at requestedAt: the entry is used if
+// that incarnation has answered, and dropped if the present one goes on.
 func (s *Scheduler) handleAnnounced(w *worker, requestedAt, now time.Time) {
 	switch e := w.announced; {
 	case e == nil:
-	case e.Incarnation <= w.info.Incarnation:
+	case e.Incarnation == w.info.Incarnation:
 		w.announced = nil
 		s.UpsertWorker(now, *e)
 	case requestedAt.After(w.announcedAt):
--- a/internal/cluster/scheduler/worker_model_test.go
+++ b/internal/cluster/scheduler/worker_model_test.go
@@ -16,6 +16,9 @@
 // modelPage is how many ends a model worker lists in one answer.
 const modelPage = 3
 
+// modelStartTime is about the start time of all workers.
+const modelStartTime = 1_000_000
+
 // modelWorker is a worker as the protocol describes it: it runs what it is told to start, numbers its ends, forgets those that are
 // acknowledged, and lists at most modelPage of the others.
 type modelWorker struct {
@@ -41,10 +44,12 @@
 	lease   time.Duration // of the runs, from each call that a worker receives
 	epoch   int64
 	workers []*modelWorker
-	specs   []*workload.Spec
-	stored  map[string]*workload.Progress // by job
-	running map[workload.TaskID]int       // runs that are active
-	done    map[workload.TaskID]bool      // an end as done is acknowledged, or will be: neither a restart nor a lapsed lease came between
+	// restarts counts the starts of all workers. An incarnation's start time is above or below those before it, since clocks may be set.
+	restarts int64
+	specs    []*workload.Spec
+	stored   map[string]*workload.Progress // by job
+	running  map[workload.TaskID]int       // runs that are active
+	done     map[workload.TaskID]bool      // an end as done is acknowledged, or will be: neither a restart nor a lapsed lease came between
 	// applied holds the tasks of which an end as done has reached the owner. No start may be ordered afterwards, even if the lease
 	// of the run had expired in between. durable holds those of which the successor knows.
 	applied, durable map[workload.TaskID]bool
@@ -69,7 +74,12 @@
 	for _, e := range w.ended {
 		delete(m.done, e.Task)
 	}
-	*w = modelWorker{id: w.id, incarnation: w.incarnation + 1, active: map[workload.TaskID]int64{}, lastRun: map[workload.TaskID]int64{},
+	m.restarts++
+	incarnation := modelStartTime + m.restarts
+	if m.restarts%3 == 0 {
+		incarnation = modelStartTime - m.restarts
+	}
+	*w = modelWorker{id: w.id, incarnation: incarnation, active: map[workload.TaskID]int64{}, lastRun: map[workload.TaskID]int64{},
 		delayed: w.delayed, cutOff: w.cutOff}
 	m.list(w)
 }
@@ -297,7 +307,7 @@
 }
 
 // Guards against second runs of tasks of which a run is active or has ended as done, when a worker lists its ends in parts, its answers
-// get lost, are repeated or overtake each other, and it starts again.
+// get lost, are repeated or overtake each other, and it starts again, also with an earlier start time.
 func TestNoSecondRunWhateverAWorkerAnswers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(rt, 2, time.Hour)
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -53,6 +53,9 @@
 			kept = append(kept, p)
 		}
 	}
+	if w.answered() {
+		w.earlier.Replace(w.info.Incarnation, incarnation)
+	}
 	s.resetWorkerExcept(w, kept, LossRestarted, now)
 	w.info.Incarnation, w.info.Draining, w.undescribed = incarnation, false, true
 	w.mayGetStaleCalls = true
