See restarts of workers that name the same start time by their clocks

Cause: the start time was the only sign of another incarnation. Deadlines and numbers of ends that were meant for the earlier process were taken for those of the present one, and nobody counted the longest lease.

A worker's clock is steady, and a stale deadline does harm exactly if it means another time on the clock of the next incarnation. If the clock does not continue, the owner raises the fence, counts the longest lease and takes ends as numbered anew, and starts wait until the stored list has the stale lease. Runs that the report lists go on: a worker that was suspended looks the same.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -39,6 +39,7 @@
 	generation   int64 // fencing token of the assignment: events with an earlier one are ignored
 	fence        int64 // fences off calls of earlier executors and those for earlier incarnations; see delegate.FencingToken
 	info         scheduler.WorkerInfo
+	restarts     int   // of the worker, as scheduler.Restarts tells, when the fence was raised
 	lastAckedEnd int64 // number of the last ended run that the executor may acknowledge to the worker, since its record is durable
 	starts       map[runKey]delegate.StartOrder
 	stops        map[runKey]delegate.StopOrder
@@ -120,13 +121,18 @@
 // updateWorker stores a worker's entry in its assignment, and passes it on to the executor if the worker was restarted, has
 // another address or drains.
 func (as *assigner) updateWorker(a *assignment, info scheduler.WorkerInfo) {
-	if info.Incarnation == a.info.Incarnation && info.Address == a.info.Address && info.Draining == a.info.Draining {
+	restarts := as.t.sched.Restarts(info.ID)
+	sameIncarnation := info.Incarnation == a.info.Incarnation
+	if sameIncarnation && restarts == a.restarts && info.Address == a.info.Address && info.Draining == a.info.Draining {
 		a.info = info
 		return
 	}
-	if info.Incarnation != a.info.Incarnation {
+	if !sameIncarnation || restarts != a.restarts {
+		a.restarts = restarts
 		a.lastAckedEnd = as.t.sched.LastDurableEnd(info.ID, info.Incarnation)
 		a.fence = as.nextNumber()
+	}
+	if !sameIncarnation {
 		clear(a.starts)
 		clear(a.stops)
 	}
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -191,10 +191,15 @@
 		// renewal before that tells of no lease.
 		t.sched.ExtendLease(worker, now.Add(t.leaseBound(worker)))
 	}
+	restarts, zero, sameStartTime := t.sched.Restarts(worker), t.sched.ClockZero(worker), t.sched.IsPresent(worker, r.Incarnation)
 	applied := t.sched.HandleReport(now, scheduler.Report{
 		Worker: worker, Incarnation: r.Incarnation, SentAt: sentAt, LeaseUntil: ex.leaseEnd(r.LeaseUntil),
-		Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded, Unfenced: r.Unfenced,
+		Active: r.Active, Ended: r.Ended, MoreEnded: r.MoreEnded, Unfenced: r.Unfenced, ClockMS: r.ClockMS, ClockJumped: r.ClockJumped,
 	})
+	if sameStartTime && t.sched.Restarts(worker) != restarts {
+		t.log.Warn("worker may have restarted with the same start time", zap.String("worker", worker), zap.Int64("born", r.Incarnation),
+			zap.Int64("clock_zero_ms", t.sched.ClockZero(worker).UnixMS), zap.Int64("earlier_clock_zero_ms", zero.UnixMS))
+	}
 	for _, end := range applied {
 		t.meters.ends.Record(end.Outcome, end.OrderedAt)
 		t.log.Info("run ended", zap.String("job", end.Job), zap.Stringer("task", end.Task), zap.Int64("run", end.Run),
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -172,10 +172,11 @@
 		}
 		t.inheritedDelegates, t.delegated, t.storedDelegated = u.Delegated, u.Delegated, u.Delegated
 		t.storedInherited = true
-		uses := u.Uses()
+		uses, clocks := u.Uses(), u.Clocks()
 		for _, id := range u.IDs {
 			t.sched.AddUnresolvedWorker(id, leasesExpireAt)
 			t.sched.SetPreviousUse(id, uses[id], ownerUntil)
+			t.sched.SetPreviousClock(id, clocks[id])
 			t.inUse[id] = uses[id]
 		}
 		for _, id := range u.InheritedBy(t.ownership.Epoch()) {
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -59,6 +59,7 @@
 	generation int64 // of the records, as the scheduler numbers them
 	records    []scheduler.Record
 	inUse      map[string]scheduler.WorkerUse // workers in use; nil if the stored row is up to date
+	clocks     map[string]scheduler.ClockZero // of the workers in inUse
 	inherited  []string                       // those of inUse to which an earlier owner may still send orders
 	delegated  bool
 	needed     bool
@@ -80,6 +81,10 @@
 	current, inherited := t.workersInUse(), t.inheritedWorkers()
 	if !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated || t.storedInherited && len(inherited) == 0 {
 		b.needed, b.inUse, b.inherited, b.delegated = true, current, inherited, t.delegated
+		b.clocks = make(map[string]scheduler.ClockZero, len(current))
+		for id := range current {
+			b.clocks[id] = t.sched.ClockZero(id)
+		}
 		// Nothing may be started any more on workers that the list to be written leaves out, even if they answer again
 		// meanwhile.
 		maps.DeleteFunc(t.inUse, func(id string, _ scheduler.WorkerUse) bool {
@@ -145,6 +150,7 @@
 	changes := make([]recordRows, 0, len(b.records)+1)
 	if b.inUse != nil {
 		u := records.NewWorkersInUse(b.inUse)
+		u.SetClocks(b.clocks, time.Now())
 		u.Delegated, u.Epoch, u.Inherited = b.delegated, t.ownership.Epoch(), slices.Sorted(slices.Values(b.inherited))
 		value, err := records.Encode(u)
 		if err != nil {
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -326,9 +326,15 @@
 // sendStart passes the start of a run on to the worker's executor, or rejects it. Before anything runs on a worker, its use
 // of the same incarnation must be stored, so that a successor waits for the worker's report and knows how long its lease may be.
 func (t *term) sendStart(s scheduler.Start) {
-	if use, stored := t.inUse[s.Worker.ID]; stored && use.Incarnation == s.Worker.Incarnation && t.assigner.sendStart(s) {
+	now := time.Now()
+	if t.useStored(s.Worker, now) && t.assigner.sendStart(s) {
 		return
 	}
-	now := time.Now()
 	t.sched.HandleStartResult(now, scheduler.StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: scheduler.RejectedOther, AnsweredAt: now})
 }
+
+// useStored reports whether the stored list tells a successor what it has to know about the use of a worker.
+func (t *term) useStored(w scheduler.WorkerInfo, now time.Time) bool {
+	use, stored := t.inUse[w.ID]
+	return stored && use.Incarnation == w.Incarnation && (use.StaleLease || !t.sched.Use(w.ID, now).StaleLease)
+}
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -44,6 +44,8 @@
 
 	token  int64         // of the renewal that it answers
 	sentAt time.Duration // when that renewal was sent, on the agent's clock
+	// clockJumped means that the clock does not continue that of the last answer, although the worker names the same incarnation.
+	clockJumped bool
 }
 
 // StartCall is a start order with what the delegate adds before it sends the order to the worker.
--- a/internal/cluster/delegate/fencing.go
+++ b/internal/cluster/delegate/fencing.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// ownerUnaware reports whether the owner did not know yet that the worker has restarted when it sent an order with the given token, or none
+// since: it raises the token with each restart. The caller holds mu.
+func (r *leaseRenewer) ownerUnaware(token int64) bool {
+	return r.staleToken != 0 && token <= r.staleToken
+}
+
 // unfenced reports whether stale calls may still be carried out.
 func (r *leaseRenewer) unfenced() bool {
 	r.mu.Lock()
--- a/internal/cluster/delegate/fencing_test.go
+++ b/internal/cluster/delegate/fencing_test.go
@@ -203,3 +203,25 @@
 		}
 	})
 }
+
+// Guards against ends of a restarted worker that are acknowledged unseen, by numbers that the owner meant for the earlier process with the
+// same start time.
+func TestAcknowledgementsFromBeforeASuspectedRestartAreIgnored(t *testing.T) {
+	clock := newTestClock()
+	info := testWorker("w1")
+	r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: clock.since}}, ready: make(chan struct{}), info: info, token: FencingToken(testEpoch, 1)}
+	r.recordAnswer(RenewalAnswer{ClockMS: 600_000, Incarnation: 1})
+	ack := Ack{WorkerID: info.ID, Incarnation: 1, LastAckedEnd: 57}
+	r.acknowledge(ack)
+	r.recordAnswer(RenewalAnswer{ClockMS: 1000, Incarnation: 1, token: r.token, clockJumped: true})
+	r.acknowledge(ack)
+	r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: r.token, LastAckedEnd: 57})
+	if got := r.state().lastAckedEnd; got != 0 {
+		t.Errorf("ends up to %d are acknowledged before the owner knows of the restart", got)
+	}
+	r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: r.token + 1, MayGetStaleCalls: true})
+	r.acknowledge(Ack{WorkerID: info.ID, Incarnation: 1, LastAckedEnd: 3})
+	if got := r.state().lastAckedEnd; got != 3 {
+		t.Errorf("ends up to %d are acknowledged after the owner has seen the restart; want 3", got)
+	}
+}
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -31,13 +31,16 @@
 	if as.MayGetStaleCalls {
 		r.fenceAfter(as.FencingToken - 1)
 	}
-	r.info, r.generation, r.durableEnd = as.Worker, as.Generation, max(r.durableEnd, as.LastAckedEnd)
+	r.info, r.generation = as.Worker, as.Generation
+	if !r.ownerUnaware(as.FencingToken) {
+		r.durableEnd = max(r.durableEnd, as.LastAckedEnd)
+	}
 }
 
 // acknowledge notes which ends the worker may forget, unless they belong to another incarnation: each numbers its ends anew.
 func (r *leaseRenewer) acknowledge(a Ack) {
 	r.mu.Lock()
-	if a.Incarnation == r.info.Incarnation {
+	if a.Incarnation == r.info.Incarnation && !r.ownerUnaware(r.token) {
 		r.durableEnd = max(r.durableEnd, a.LastAckedEnd)
 	}
 	r.mu.Unlock()
@@ -78,13 +81,11 @@
 		if a.sentAt <= r.namedAt {
 			return nil
 		}
-		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
 		r.replaced.Replace(r.info.Incarnation, a.Incarnation)
-		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
-		r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
-		if r.token != r.a.epoch { // an owner of an earlier release never raises it
-			r.fenceAfter(r.token)
-		}
+		r.info.Incarnation = a.Incarnation
+		r.noteRestart()
+	} else if a.clockJumped {
+		r.noteRestart()
 	}
 	r.noteFence(a.token)
 	if r.unresponsive {
@@ -98,6 +99,16 @@
 	return func() { r.confirm(silences) }
 }
 
+// noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
+// holds mu.
+func (r *leaseRenewer) noteRestart() {
+	r.durableEnd = 0
+	r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
+	if r.token != r.a.epoch { // an owner of an earlier release never raises it
+		r.fenceAfter(r.token)
+	}
+}
+
 // reopenReady replaces ready after it was closed. The caller holds mu.
 func (r *leaseRenewer) reopenReady() {
 	if r.readyClosed {
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -130,6 +130,10 @@
 	MoreEnded   bool                  `json:"more_ended,omitempty"` // as in a RenewalAnswer
 	// Unfenced means that calls for an earlier incarnation of the worker may still reach this one.
 	Unfenced bool `json:"unfenced,omitempty"`
+	// ClockMS is what the worker's clock showed. ClockJumped means that it does not continue that of the report before, so that the worker
+	// may have restarted although it names the same incarnation.
+	ClockMS     int64 `json:"clock,omitempty"`
+	ClockJumped bool  `json:"jumped,omitempty"`
 }
 
 // MissedRenewal is a renewal that the worker did not answer.
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -185,15 +185,13 @@
 	}
 	answer.token, answer.sentAt = st.token, sentAt
 	r.limitCheckpoints(&answer)
-	if answer.Incarnation == info.Incarnation {
-		r.checkClock(answer)
-	}
+	answer.clockJumped = answer.Incarnation == info.Incarnation && !r.clockContinues(answer)
 	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
 	if applied == nil {
 		return 0, nil
 	}
-	if stale || answer.Incarnation != info.Incarnation {
+	if stale || answer.Incarnation != info.Incarnation || answer.clockJumped {
 		leaseUntil = r.lastLeaseEnd() // a stale call may have set it
 	}
 	if answer.Incarnation != info.Incarnation {
@@ -203,6 +201,7 @@
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
 		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded, Unfenced: r.unfenced(),
+		ClockMS: answer.ClockMS, ClockJumped: answer.clockJumped,
 	}})
 	last := int64(0)
 	for _, e := range answer.Ended {
@@ -211,13 +210,14 @@
 	return last, nil
 }
 
-// checkClock logs an answer whose clock does not continue that of the answer before.
-func (r *leaseRenewer) checkClock(a RenewalAnswer) {
+// clockContinues reports whether the clock of an answer continues that of the answer before.
+func (r *leaseRenewer) clockContinues(a RenewalAnswer) bool {
 	before, now := r.lastClock(), r.a.deps.Clock()
 	if before.continues(workerClock{known: true, ms: a.ClockMS, askedAt: a.sentAt, readAt: now}) {
-		return
+		return true
 	}
 	low, high := before.expected(a.sentAt, now)
 	r.a.log.Warn("worker's clock does not continue", zap.String("worker", r.id), zap.Int64("born", a.Incarnation),
 		zap.Int64("clock_ms", a.ClockMS), zap.Int64("expected_from_ms", low), zap.Int64("expected_to_ms", high))
+	return false
 }
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -138,6 +139,10 @@
 	Incarnations []int64 `json:"born,omitempty"`
 	// StaleLeases are those of IDs whose lease a call for an earlier incarnation may have set.
 	StaleLeases []string `json:"stale,omitempty"`
+	// ClockZeros tell when the clocks of IDs showed zero, in the same order; 0 if it is not known. They were read about ReadAtMS. Both are
+	// in milliseconds since 1970.
+	ClockZeros []int64 `json:"clock_zero,omitempty"`
+	ReadAtMS   int64   `json:"read,omitempty"`
 }
 
 // NewWorkersInUse returns the list of workers and their uses, by ID.
@@ -168,6 +173,26 @@
 	return uses
 }
 
+// Clocks returns the zeros of the workers' clocks, by ID.
+func (u WorkersInUse) Clocks() map[string]scheduler.ClockZero {
+	clocks := make(map[string]scheduler.ClockZero, len(u.ClockZeros))
+	for i, zero := range u.ClockZeros[:min(len(u.ClockZeros), len(u.IDs))] {
+		clocks[u.IDs[i]] = scheduler.ClockZero{UnixMS: zero, ReadAt: time.UnixMilli(u.ReadAtMS)}
+	}
+	return clocks
+}
+
+// SetClocks records the zeros of the workers' clocks, which were read about the given time.
+func (u *WorkersInUse) SetClocks(clocks map[string]scheduler.ClockZero, readAt time.Time) {
+	if len(u.IDs) == 0 {
+		return
+	}
+	u.ClockZeros, u.ReadAtMS = make([]int64, len(u.IDs)), readAt.UnixMilli()
+	for i, id := range u.IDs {
+		u.ClockZeros[i] = clocks[id].UnixMS
+	}
+}
+
 // InheritedBy returns the workers to which an owner before the previous one may still send orders, as the owner of an epoch has
 // to assume: all workers, unless the previous owner wrote the list.
 func (u WorkersInUse) InheritedBy(epoch int64) []string {
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -24,6 +24,7 @@
 	WorkerUse
 	notedAt         time.Time // while the worker was in use, or afterwards
 	staleLeaseUntil time.Time // when the lease that a stale call may have set has expired at the latest; zero if there was none
+	clockZero       ClockZero // of the used incarnation
 	listedAs        int64     // last incarnation other than the used one that the list has shown while the worker was unresolved
 }
 
@@ -61,7 +62,7 @@
 
 // noteLastUse records how a worker was used that is removed now.
 func (s *Scheduler) noteLastUse(w *worker, now time.Time) {
-	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now}
+	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now, clockZero: s.ClockZero(w.info.ID)}
 }
 
 // expireLastUses forgets the workers that no stale call can reach any more.
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -50,6 +50,10 @@
 	MoreEnded bool
 	// Unfenced means that stale calls may still reach the incarnation.
 	Unfenced bool
+	// ClockMS is what the worker's clock showed, in milliseconds; 0 means that it is not known. ClockJumped means that it does not continue
+	// the reading before, so that the worker may have restarted although it names the same incarnation.
+	ClockMS     int64
+	ClockJumped bool
 }
 
 // AppliedEnd is the end of a run as applied from a report, for logs and metrics.
@@ -70,11 +74,15 @@
 	if w == nil {
 		return nil
 	}
+	zero := clockZeroAt(r.ClockMS, r.SentAt)
 	if r.Incarnation != w.info.Incarnation {
 		if w.answered() && r.SentAt.Before(w.firstAnswer) {
 			return nil // a late answer of an earlier incarnation
 		}
 		s.restartWorker(w, r.Incarnation, r.SentAt, now)
+		w.clockZero = zero
+	} else if !s.noteClock(w, zero) || r.ClockJumped {
+		s.suspectRestart(w)
 	}
 	w.unreachable, w.fenced = false, true
 	w.silentSince = time.Time{}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -40,6 +40,8 @@
 	lastAnswer  time.Time            // when the last one was requested
 	moved       bool                 // the list has given the incarnation another address than before
 	leaseUntil  time.Time            // when all runs on it have stopped unless the lease is renewed
+	clockZero   ClockZero            // of the present incarnation, as this owner has read it
+	restarts    int                  // restarts that this owner has seen or suspected
 	// mayGetStaleCalls is set until a report shows that stale calls can't reach the present incarnation any more.
 	mayGetStaleCalls bool
 	staleLeaseUntil  time.Time          // when a lease that a stale call has set has expired at the latest
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -58,6 +58,7 @@
 	}
 	s.resetWorkerExcept(w, kept, LossRestarted, now)
 	w.info.Incarnation, w.info.Draining, w.undescribed = incarnation, false, true
+	w.restarts++
 	w.mayGetStaleCalls = true
 	for _, p := range kept {
 		if p.state != running {
@@ -66,6 +67,28 @@
 	}
 }
 
+// suspectRestart notes that a worker may have restarted although it names the same incarnation. Calls for the earlier process may reach it,
+// and it numbers its ends anew. Its runs stay placed as long as its reports list them: if it has only been suspended, they go on.
+func (s *Scheduler) suspectRestart(w *worker) {
+	w.restarts++
+	w.mayGetStaleCalls = true
+	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
+	delete(s.withPendingAcks, w)
+	for _, p := range w.placements {
+		if p.unanswered() && !p.stopAckedAt.IsZero() {
+			s.orderStop(p, "the worker may have restarted and receive the start late")
+		}
+	}
+}
+
+// Restarts returns how many restarts of a worker this owner has seen or suspected.
+func (s *Scheduler) Restarts(workerID string) int {
+	if w := s.workers[workerID]; w != nil {
+		return w.restarts
+	}
+	return 0
+}
+
 // unanswered reports whether nobody has seen the worker confirm the run. The order to start it may be carried out by a later incarnation,
 // which remembers no stop that an earlier one has acknowledged.
 func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() }
