--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -7,50 +7,40 @@
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
-const (
-	// maxClockAge is the age from which a reading of a worker's clock is not used for deadlines. A clock that is 2 % slow drifts
-	// by 0.1 s in that time, and leaseMargin allows for more. A reading gets older while this process is suspended or excuses
-	// missed answers.
-	maxClockAge = 5 * time.Second
-
-	// maxExcusedMisses is the number of consecutive renewals whose missing answer is excused by a pause of this process. A process
-	// that is often short of processor time must still notice a silent worker.
-	maxExcusedMisses = 5
-)
-
-// workerClock estimates the present time on a worker's clock from its last answer.
-type workerClock struct {
-	known  bool
-	ms     int64
-	readAt time.Duration // when the answer arrived, on the agent's clock
-}
+// maxExcusedMisses is the number of consecutive renewals whose missing answer is excused by a pause of this process. A process
+// that is often short of processor time must still notice a silent worker.
+const maxExcusedMisses = 5
 
 // updateAssignment takes over a changed description of the worker. If the worker has restarted, its clock and the
-// acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the known one, only
-// the generation is taken over.
+// acknowledgements of its earlier incarnation are dropped. Of a description of an earlier incarnation than the one that has
+// answered, only the generation is taken over.
 func (r *leaseRenewer) updateAssignment(as Assignment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer wait.Signal(r.ownerActed)
 	r.token = max(r.token, as.FencingToken)
-	if as.Worker.Incarnation < r.info.Incarnation {
+	if r.replaced.Contains(as.Worker.Incarnation) {
 		r.generation = as.Generation
 		return
 	}
-	if as.Worker.Incarnation > r.info.Incarnation {
+	if as.Worker.Incarnation != r.info.Incarnation {
 		r.clock = workerClock{}
 		r.durableEnd = 0
+		r.namedAt = r.a.deps.Clock()
 	}
 	if as.MayGetStaleCalls {
 		r.fenceAfter(as.FencingToken - 1)
 	}
-	r.info, r.generation, r.durableEnd = as.Worker, as.Generation, max(r.durableEnd, as.LastAckedEnd)
+	r.info, r.generation = as.Worker, as.Generation
+	if !r.ownerUnaware(as.FencingToken) {
+		r.durableEnd = max(r.durableEnd, as.LastAckedEnd)
+	}
 }
 
 // acknowledge notes which ends the worker may forget, unless they belong to another incarnation: each numbers its ends anew.
 func (r *leaseRenewer) acknowledge(a Ack) {
 	r.mu.Lock()
-	if a.Incarnation == r.info.Incarnation {
+	if a.Incarnation == r.info.Incarnation && !r.ownerUnaware(r.token) {
 		r.durableEnd = max(r.durableEnd, a.LastAckedEnd)
 	}
 	r.mu.Unlock()
@@ -82,20 +72,20 @@
 }
 
 // recordAnswer takes over what an answer says about the worker. It returns a function to call once the owner has applied the
-// report, or nil for a late answer of an earlier incarnation than the known one, which it ignores.
+// report. One renewal is sent after the other, so another incarnation than the one that answered before is a later one. Only an answer
+// to a renewal that was in progress when the owner named another incarnation may be of an earlier one: then the result is nil.
 func (r *leaseRenewer) recordAnswer(a RenewalAnswer) func() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a.Incarnation < r.info.Incarnation {
-		return nil
-	}
-	if a.Incarnation > r.info.Incarnation {
-		// The worker has restarted: it numbers its ended runs anew, and earlier orders do not apply to it.
-		r.info.Incarnation, r.durableEnd = a.Incarnation, 0
-		r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
-		if r.token != r.a.epoch { // an owner of an earlier release never raises it
-			r.fenceAfter(r.token)
+	if a.Incarnation != r.info.Incarnation {
+		if a.sentAt <= r.namedAt {
+			return nil
 		}
+		r.replaced.Replace(r.info.Incarnation, a.Incarnation)
+		r.info.Incarnation = a.Incarnation
+		r.noteRestart()
+	} else if a.clockJumped {
+		r.noteRestart()
 	}
 	r.noteFence(a.token)
 	if r.unresponsive {
@@ -103,12 +93,22 @@
 		r.reopenReady()
 	}
 	r.excused, r.otherClock = 0, false
-	r.clock = workerClock{known: true, ms: a.ClockMS, readAt: r.a.deps.Clock()}
+	r.clock = workerClock{known: true, ms: a.ClockMS, askedAt: a.sentAt, readAt: r.a.deps.Clock()}
 	r.updateReady()
 	silences := r.silences
 	return func() { r.confirm(silences) }
 }
 
+// noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
+// holds mu.
+func (r *leaseRenewer) noteRestart() {
+	r.durableEnd = 0
+	r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
+	if r.token != r.a.epoch { // an owner of an earlier release never raises it
+		r.fenceAfter(r.token)
+	}
+}
+
 // reopenReady replaces ready after it was closed. The caller holds mu.
 func (r *leaseRenewer) reopenReady() {
 	if r.readyClosed {
@@ -151,6 +151,13 @@
 	return r.leaseUntil, excused
 }
 
+// lastClock returns the last reading of the worker's clock.
+func (r *leaseRenewer) lastClock() workerClock {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock
+}
+
 // lastLeaseEnd returns when all tasks have certainly expired without another call, or 0 if no call has extended the lease.
 func (r *leaseRenewer) lastLeaseEnd() time.Duration {
 	r.mu.Lock()
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -43,9 +43,6 @@
 // lists no runs either, so it must not count as a report.
 var errNoClock = errors.New("delegate: answer without the worker's clock")
 
-// errEarlierIncarnation means that an earlier incarnation of the worker answered than the one that was called.
-var errEarlierIncarnation = errors.New("delegate: answer of an earlier incarnation")
-
 // RenewPollTimeout returns the long-poll timeout of renewals for an owner with this number of workers.
 func RenewPollTimeout(workers int) time.Duration {
 	return min(max(renewPollTimeout, time.Duration(workers)*renewPollPerWorker), maxRenewPollTimeout)
@@ -62,6 +59,8 @@
 
 	mu         sync.Mutex
 	info       scheduler.WorkerInfo
+	replaced   scheduler.ReplacedIncarnations
+	namedAt    time.Duration // when the owner last named another incarnation than the one that answered, on the agent's clock
 	generation int64
 	durableEnd int64 // the owner has stored ended runs up to this number
 	// ackedIncarnation has answered a renewal that acknowledged its ends up to ackedEnd.
@@ -174,9 +173,6 @@
 	if err == nil && answer.ClockMS == 0 {
 		err = errNoClock
 	}
-	if err == nil && answer.Incarnation != 0 && answer.Incarnation < info.Incarnation {
-		err = errEarlierIncarnation
-	}
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
@@ -189,26 +185,28 @@
 	if answer.Incarnation == 0 {
 		answer.Incarnation = info.Incarnation // the worker does not name it
 	}
-	answer.token = st.token
-	if answer.Incarnation == info.Incarnation {
+	answer.token, answer.sentAt = st.token, sentAt
+	r.limitCheckpoints(&answer)
+	answer.clockJumped = answer.Incarnation == info.Incarnation && !r.clockContinues(answer)
+	if answer.Incarnation == info.Incarnation && !answer.clockJumped {
 		r.noteAcked(info.Incarnation, st.lastAckedEnd)
 	}
-	r.limitCheckpoints(&answer)
 	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
 	if applied == nil {
 		return 0, nil
 	}
-	if stale || answer.Incarnation > info.Incarnation {
+	if stale || answer.Incarnation != info.Incarnation || answer.clockJumped {
 		leaseUntil = r.lastLeaseEnd() // a stale call may have set it
 	}
-	if answer.Incarnation > info.Incarnation {
+	if answer.Incarnation != info.Incarnation {
 		r.a.log.Warn("worker has restarted", zap.String("worker", r.id), zap.Int64("born", answer.Incarnation), zap.Int64("earlier_born", info.Incarnation),
 			zap.Int64("clock_ms", answer.ClockMS), zap.Int64("earlier_deadline_ms", r.deadline()), zap.Duration("lease_left", max(leaseUntil-r.a.deps.Clock(), 0)))
 	}
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
 		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded, Unfenced: r.unfenced(),
+		ClockMS: answer.ClockMS, ClockJumped: answer.clockJumped,
 	}})
 	last := int64(0)
 	for _, e := range answer.Ended {
@@ -216,3 +214,15 @@
 	}
 	return last, nil
 }
+
+// clockContinues reports whether the clock of an answer continues that of the answer before.
+func (r *leaseRenewer) clockContinues(a RenewalAnswer) bool {
+	before, now := r.lastClock(), r.a.deps.Clock()
+	if before.continues(workerClock{known: true, ms: a.ClockMS, askedAt: a.sentAt, readAt: now}) {
+		return true
+	}
+	low, high := before.expected(a.sentAt, now)
+	r.a.log.Warn("worker's clock does not continue", zap.String("worker", r.id), zap.Int64("born", a.Incarnation),
+		zap.Int64("clock_ms", a.ClockMS), zap.Int64("expected_from_ms", low), zap.Int64("expected_to_ms", high))
+	return false
+}
