Log the workers of earlier owners that a successor gives up

A task that runs twice after a change of the owner could not be told apart from one that a successor waited for too short: it removed workers that did not report without a line.

The successor now warns for each of them with the incarnation and the flag that the stored list had, the incarnation that the worker's entry shows, whether the longest lease was counted and how long it waited. One line tells when the end of the previous owner has shortened the wait. TestWorkersOfEarlierOwnersThatAreGivenUpAreLogged fails without the lines.

--- a/internal/cluster/coordinator/losses.go
+++ b/internal/cluster/coordinator/losses.go
@@ -25,6 +25,16 @@
 	}
 }
 
+// logExpiredWorkers logs the workers of earlier owners that did not report before all leases there had expired. The caller holds mu.
+func (t *term) logExpiredWorkers() {
+	for _, e := range t.sched.TakeExpiredWorkers() {
+		t.log.Warn("worker of an earlier owner given up without a report", zap.String("worker", e.Worker),
+			zap.Int64("stored_born", e.PreviousUse.Incarnation), zap.Bool("stored_stale_lease", e.PreviousUse.StaleLease),
+			zap.Int64("listed_born", e.ListedAs), zap.Bool("stale_lease_counted", e.StaleLease), zap.Bool("inherited", e.Inherited),
+			zap.Duration("waited", e.Waited))
+	}
+}
+
 // logGivenUp logs the tasks that were given up because workers crashed under them. The caller holds mu.
 func (t *term) logGivenUp() {
 	for _, g := range t.sched.TakeGivenUp() {
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -244,9 +244,14 @@
 func (t *term) updateUnresolved(now time.Time) {
 	remaining := len(t.sched.UnresolvedWorkers())
 	if remaining > 0 && t.predecessorGone() {
-		t.predecessorEnded = true
-		t.sched.LimitUnresolvedLease(now.Add(t.inheritedRunLimit()))
+		limited := t.sched.LimitUnresolvedLease(now.Add(t.inheritedRunLimit()))
 		t.sched.LimitPreviousUse(now.Add(t.inheritedCallLimit()))
+		if !t.predecessorEnded {
+			t.log.Info("previous owner is gone, its workers are waited for less", zap.Int("workers", limited),
+				zap.Int("unresolved_workers", remaining), zap.Duration("limit", t.inheritedRunLimit()),
+				zap.Bool("delegated", t.inheritedDelegates), zap.Duration("after", now.Sub(t.startedAt)))
+		}
+		t.predecessorEnded = true
 	}
 	if remaining == 0 && t.unresolvedWorkers > 0 {
 		t.log.Info("nothing of earlier owners runs unseen any more", zap.Duration("took", now.Sub(t.startedAt)))
@@ -310,6 +315,7 @@
 		t.assigner.sendStop(s)
 	}
 	t.logWorkerLosses()
+	t.logExpiredWorkers()
 	t.logGivenUp()
 	t.logEndedJobs()
 	wait.Signal(t.saveRequested)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -86,6 +86,7 @@
 
 	endedJobs      []JobSummary              // since the last TakeEndedJobs
 	losses         []WorkerLoss              // since the last TakeWorkerLosses
+	expired        []ExpiredWorker           // since the last TakeExpiredWorkers
 	givenUp        []GivenUpTask             // since the last TakeGivenUp
 	stops          []Stop                    // to be returned by the next plan
 	durationRatios map[string]*durationRatio // by queue name
--- a/internal/cluster/scheduler/unresolved.go
+++ b/internal/cluster/scheduler/unresolved.go
@@ -45,14 +45,18 @@
 	return ids
 }
 
-// LimitUnresolvedLease records that the leases of all runs that the previous owner started expire at expiresAt at the latest.
-func (s *Scheduler) LimitUnresolvedLease(expiresAt time.Time) {
+// LimitUnresolvedLease records that the leases of all runs that the previous owner started expire at expiresAt at the latest. It returns
+// the number of workers of which that was not known.
+func (s *Scheduler) LimitUnresolvedLease(expiresAt time.Time) int {
+	limited := 0
 	for id, u := range s.unresolved {
 		if !u.inherited && expiresAt.Before(u.expiresAt) {
 			u.expiresAt = expiresAt
 			s.unresolved[id] = u
+			limited++
 		}
 	}
+	return limited
 }
 
 func (s *Scheduler) markResolved(workerID string) { delete(s.unresolved, workerID) }
@@ -73,7 +77,41 @@
 		w := s.workers[id]
 		extended := w != nil && w.fenced && !now.After(w.leaseUntil)
 		if now.After(u.expiresAt) && now.After(s.lastUses[id].staleLeaseUntil) && !extended {
+			s.noteExpired(id, u, now)
 			delete(s.unresolved, id)
 		}
 	}
 }
+
+// ExpiredWorker is a worker of an earlier owner that was given up because all leases there have expired, without a complete report to
+// this owner, for logs.
+type ExpiredWorker struct {
+	Worker      string
+	PreviousUse WorkerUse // as the previous owner has stored it
+	// ListedAs is the incarnation that the list of workers shows; 0 if the worker is not listed.
+	ListedAs   int64
+	StaleLease bool          // a lease that a stale call may have set was counted
+	Inherited  bool          // an owner before the previous one could still extend the leases
+	Waited     time.Duration // since the term began
+}
+
+// noteExpired notes an unresolved worker that is given up.
+func (s *Scheduler) noteExpired(id string, u unresolvedWorker, now time.Time) {
+	last := s.lastUses[id]
+	e := ExpiredWorker{Worker: id, PreviousUse: last.WorkerUse, StaleLease: !last.staleLeaseUntil.IsZero(), Inherited: u.inherited,
+		Waited: now.Sub(s.cfg.Began)}
+	if w := s.workers[id]; w != nil && w.listed {
+		e.ListedAs = w.info.Incarnation
+		if w.announced != nil {
+			e.ListedAs = w.announced.Incarnation
+		}
+	}
+	s.expired = append(s.expired, e)
+}
+
+// TakeExpiredWorkers returns the workers of earlier owners that were given up since the last call.
+func (s *Scheduler) TakeExpiredWorkers() []ExpiredWorker {
+	expired := s.expired
+	s.expired = nil
+	return expired
+}
