Give up workers of earlier owners only with a confirmed ownership

A task could run twice after three owners: a successor is paused while it waits for the leases of an earlier owner's runs, another host claims, reaches the worker and renews the run, and the first successor, whose own lease of 8 s still holds, takes the run for expired when it goes on. Likewise after a restart that only the paused owner sees first: the later one may have stored the end.

The loss of a run that is placed waits for a commit that was built after it since the rule for paused owners; a worker that was given up without its report had no such wait, since its runs are not placed. Inherited tasks now wait for that commit unless the incarnation that the previous owner used has reported itself: that one would have rejected the call. TestWorkerIsGivenUpOnlyByAConfirmedOwner failed in its three cases before.

--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -55,11 +55,11 @@
 }
 
 // plan commits all records, makes a complete plan and lets the workers accept every start and stop. If the plan has found runs that
-// are lost, another commit confirms the ownership, and another plan follows.
+// are lost or has given up workers, another commit confirms the ownership, and another plan follows.
 func (f *fixture) plan(now time.Time) Plan {
 	f.commit()
 	p := f.Plan(now)
-	if len(f.unconfirmedLosses) > 0 {
+	if len(f.unconfirmedLosses) > 0 || f.unconfirmedGiveUp > 0 {
 		f.commit()
 		next := f.Plan(now)
 		p.Starts, p.Stops = append(p.Starts, next.Starts...), append(p.Stops, next.Stops...)
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -88,14 +88,14 @@
 }
 
 // mayRunElsewhere reports whether tasks of the unit may run, or may have ended, by order of another owner: of an earlier one, some of
-// whose workers have not reported yet, or of a later one, until a commit of the job, or after the loss of a run, proves that there is
-// no later owner.
+// whose workers have not reported yet, or of a later one, until a commit of the job, or after the loss of a run or of a worker, proves
+// that there is no later owner.
 func (s *Scheduler) mayRunElsewhere(u *unit) bool {
 	if _, unconfirmed := s.unconfirmedLosses[u]; unconfirmed {
 		return true
 	}
 	if u.job.inherited {
-		return len(s.unresolved) > 0
+		return len(s.unresolved) > 0 || s.unconfirmedGiveUp > 0
 	}
 	return !u.job.stored
 }
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -69,9 +69,9 @@
 
 // TakeRecords returns the records of all jobs that changed since the last call, the most urgent first, and their generation, to
 // be passed to MarkGenerationStored once they are durable. The last result reports whether a commit is needed, for the records,
-// for pending acknowledgements of ends or to confirm the ownership after the loss of runs.
+// for pending acknowledgements of ends or to confirm the ownership after the loss of runs or of workers.
 func (s *Scheduler) TakeRecords() (int64, []Record, bool) {
-	needed := len(s.dirty) > 0 || len(s.withPendingAcks) > 0 || len(s.unconfirmedLosses) > 0
+	needed := len(s.dirty) > 0 || len(s.withPendingAcks) > 0 || len(s.unconfirmedLosses) > 0 || s.unconfirmedGiveUp > 0
 	records := make([]Record, 0, len(s.dirty))
 	for j := range s.dirty {
 		records = append(records, j.record())
@@ -163,6 +163,7 @@
 			s.changedUnits[u] = struct{}{}
 		}
 	}
+	s.markGiveUpsConfirmed(generation)
 	return acknowledged
 }
 
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -79,6 +79,9 @@
 	// unconfirmedLosses maps the units whose runs were lost to the generation whose commit shows that no other owner had taken over
 	// before the loss. Until then, another owner may have extended the leases of these runs, or acknowledged their ends.
 	unconfirmedLosses map[*unit]int64
+	// unconfirmedGiveUp is the generation whose commit shows the same for the last worker of an earlier owner that was given up without a
+	// report; 0 if there is none.
+	unconfirmedGiveUp int64
 
 	dirty      map[*job]struct{} // jobs that have changed since their last record was taken
 	generation int64             // of the records that the next TakeRecords returns
--- a/internal/cluster/scheduler/unresolved.go
+++ b/internal/cluster/scheduler/unresolved.go
@@ -59,7 +59,36 @@
 	return limited
 }
 
-func (s *Scheduler) markResolved(workerID string) { delete(s.unresolved, workerID) }
+// markResolved ends the wait for a worker that has reported everything. The incarnation that the previous owner used would have rejected
+// this owner's call if a later owner had called it; of another one, a later owner may have stored what is not reported any more.
+func (s *Scheduler) markResolved(workerID string) {
+	if w := s.workers[workerID]; w.info.Incarnation != s.lastUses[workerID].Incarnation {
+		s.giveUpUnresolved(workerID)
+	}
+	delete(s.unresolved, workerID)
+}
+
+// giveUpUnresolved ends the wait for a worker without its report. An owner that was paused may have been replaced, and the later owner
+// may have extended the leases there or acknowledged ends, so inherited tasks start only after a commit.
+func (s *Scheduler) giveUpUnresolved(workerID string) {
+	if s.IsUnresolved(workerID) {
+		s.unconfirmedGiveUp = s.generation
+	}
+	delete(s.unresolved, workerID)
+}
+
+// markGiveUpsConfirmed applies a commit of the records up to a generation.
+func (s *Scheduler) markGiveUpsConfirmed(generation int64) {
+	if s.unconfirmedGiveUp == 0 || s.unconfirmedGiveUp > generation {
+		return
+	}
+	s.unconfirmedGiveUp = 0
+	for u := range s.open {
+		if u.job.inherited {
+			s.changedUnits[u] = struct{}{}
+		}
+	}
+}
 
 // extendUnresolved keeps a worker unresolved whose report was incomplete: runs of an earlier owner may have ended there that it has
 // not listed yet.
@@ -78,7 +107,7 @@
 		extended := w != nil && w.fenced && !now.After(w.leaseUntil)
 		if now.After(u.expiresAt) && now.After(s.lastUses[id].staleLeaseUntil) && !extended {
 			s.noteExpired(id, u, now)
-			delete(s.unresolved, id)
+			s.giveUpUnresolved(id)
 		}
 	}
 }
--- a/internal/cluster/scheduler/unresolved_test.go
+++ b/internal/cluster/scheduler/unresolved_test.go
@@ -36,3 +36,44 @@
 		So(g.plan(at(11*time.Second)).Starts, ShouldHaveLength, 1)
 	})
 }
+
+// Guards against tasks that run twice by a successor that was paused: another owner has claimed meanwhile and has extended the lease of a
+// run that an earlier owner started, or acknowledged its end, and the paused one takes the run for gone.
+func TestWorkerIsGivenUpOnlyByAConfirmedOwner(t *testing.T) {
+	for name, resolve := range map[string]func(g *fixture){
+		"does not report": func(*fixture) {},
+		"has reported a full list of ends and is silent since": func(g *fixture) {
+			g.HandleReport(at(time.Second), Report{Worker: "w9", Incarnation: 1, SentAt: at(time.Second), LeaseUntil: at(6 * time.Second), MoreEnded: true,
+				Ended: []EndedRun{{Number: 1, Task: workload.TaskID{Job: "another"}, Run: 1, Reason: EndDone}}})
+			g.MarkUnreachable(at(2*time.Second), "w9", at(6*time.Second))
+		},
+		"has restarted since": func(g *fixture) {
+			g.HandleReport(at(6*time.Second), Report{Worker: "w9", Incarnation: 2, SentAt: at(6 * time.Second), LeaseUntil: at(11 * time.Second)})
+			g.DelistWorker("w9") // the task starts on the other one
+			g.MarkUnreachable(at(7*time.Second), "w9", at(11*time.Second))
+		},
+	} {
+		Convey("Given a successor and a worker that "+name, t, func() {
+			g := newFixture(2, 1)
+			g.AddUnresolvedWorker("w9", at(5*time.Second))
+			g.SetPreviousUse("w9", WorkerUse{Incarnation: 1}, t0)
+			g.UpsertWorker(t0, WorkerInfo{ID: "w9", Service: testService, Address: "w9", Incarnation: 1})
+			g.AddJob(t0, g.job("old", t0, simpleStep(1)), nil, true)
+			before, _, _ := g.TakeRecords()
+			resolve(g)
+			expired := at(7 * time.Second)
+			So(g.Plan(expired).Starts, ShouldBeEmpty)
+			So(g.UnresolvedWorkers(), ShouldBeEmpty)
+			Convey("A commit that was built before its leases had expired confirms nothing", func() {
+				g.MarkGenerationStored(before)
+				So(g.Plan(expired).Starts, ShouldBeEmpty)
+			})
+			Convey("Its tasks start once a later commit has confirmed the ownership, without waiting for a complete plan", func() {
+				generation, _, needed := g.TakeRecords()
+				So(needed, ShouldBeTrue)
+				g.MarkGenerationStored(generation)
+				So(g.PlanChanged(expired).Starts, ShouldHaveLength, 1)
+			})
+		})
+	}
+}
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -40,7 +40,7 @@
 	delete(s.withPendingAcks, w)
 	w.health = health{}
 	if cause != LossRestarted { // an earlier owner may have started runs on the later incarnation, too, which its report lists
-		s.markResolved(w.info.ID)
+		s.giveUpUnresolved(w.info.ID)
 	}
 }
 
