Count the end of the previous owner from when it is known

A successor that was paused in a plan, between reading its clock and asking whether the previous owner is gone, gave that owner's runs up earlier than their leases: they counted from before the pause, during which the previous owner could still renew them. The limits now count from a time that is read after the answer. TestEndOfPreviousOwnerCountsFromWhenItIsKnown, with a pause of 3 s, failed before.

--- a/internal/cluster/coordinator/owners_test.go
+++ b/internal/cluster/coordinator/owners_test.go
@@ -84,6 +84,34 @@
 	})
 }
 
+// Guards against runs that are given up too early by a successor that is paused between reading its clock and learning that the previous
+// owner is gone, which has renewed leases meanwhile.
+func TestEndOfPreviousOwnerCountsFromWhenItIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a successor that is paused for 3 s in a plan, while the previous owner ends", t, func() {
+			o := runOwner(t, rowstore.NewMemory(), 0, 1)
+			runUntilListed(t, o, "w0")
+			next := successorOf(t, o, 1)
+			paused := false
+			next.predecessorGone = func() bool {
+				if !paused {
+					time.Sleep(3 * time.Second)
+				}
+				paused = true
+				return true
+			}
+			next.updateUnresolved(time.Now())
+			Convey("Its runs are waited for from the end of the pause on", func() {
+				limit := next.inheritedRunLimit()
+				next.sched.Plan(time.Now().Add(limit - time.Millisecond))
+				So(next.sched.UnresolvedWorkers(), ShouldResemble, []string{"w0"})
+				next.sched.Plan(time.Now().Add(limit + time.Millisecond))
+				So(next.sched.UnresolvedWorkers(), ShouldBeEmpty)
+			})
+		})
+	})
+}
+
 // Guards against takeovers under which a list of an earlier release, which does not tell who wrote it, shortens the wait.
 func TestListOfEarlierReleaseIsInherited(t *testing.T) {
 	Convey("A list without an epoch, and one of an owner before the previous one, are inherited as a whole", t, func() {
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -244,8 +244,9 @@
 func (t *term) updateUnresolved(now time.Time) {
 	remaining := len(t.sched.UnresolvedWorkers())
 	if remaining > 0 && t.predecessorGone() {
-		limited := t.sched.LimitUnresolvedLease(now.Add(t.inheritedRunLimit()))
-		t.sched.LimitPreviousUse(now.Add(t.inheritedCallLimit()))
+		goneAt := time.Now() // after the answer: this process may have been paused since now was read, and that owner may have gone on
+		limited := t.sched.LimitUnresolvedLease(goneAt.Add(t.inheritedRunLimit()))
+		t.sched.LimitPreviousUse(goneAt.Add(t.inheritedCallLimit()))
 		if !t.predecessorEnded {
 			t.log.Info("previous owner is gone, its workers are waited for less", zap.Int("workers", limited),
 				zap.Int("unresolved_workers", remaining), zap.Duration("limit", t.inheritedRunLimit()),
