Renew a delegate's permit only with the releases applied

The owner counts the lease of a worker that it takes from a delegate from the release: the delegate's permit was granted before and ends 2 s later at most. Two cases broke that. A delegate whose further orders do not fit into one message (256 KB, 64 starts with the longest task specification) got a new permit with the first message and the release with a later one; if it is cut off from the owner between the two, it goes on renewing for longer than the owner counts. And the permit was taken over before the orders of the same answer were applied, so that a process that is paused between the two renews a worker that it has lost.

A message behind which a release waits now carries no permit, which leaves the earlier one as it is, and a session applies orders before their permit.

--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -95,6 +95,9 @@
 		return nil, delegate.OrderBatch{}, delegate.ErrSessionEnded
 	}
 	b.Orders, b.Last = ex.ordersAfter(r.After)
+	if ex.hasReleaseAfter(len(b.Orders)) {
+		b.Permit = 0 // the bound of that worker's lease counts from the release
+	}
 	return ex, b, nil
 }
 
--- a/internal/cluster/coordinator/executor.go
+++ b/internal/cluster/coordinator/executor.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
@@ -103,6 +104,11 @@
 	wait.Signal(ex.ordersReady)
 }
 
+// hasReleaseAfter reports whether a worker is released by an order behind the first n of the queue.
+func (ex *executor) hasReleaseAfter(n int) bool {
+	return slices.ContainsFunc(ex.unacked[n:], func(q queuedOrder) bool { return q.order.Release != "" })
+}
+
 // ordersAfter removes the orders up to the number after, which the delegate acknowledges. It returns the following ones, as many as share
 // a message, and the number of the last one of them.
 func (ex *executor) ordersAfter(after int64) ([]delegate.Order, int64) {
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -66,7 +66,8 @@
 	Wanted bool    `json:"wanted"` // false: the owner has no work for this host now
 	Last   int64   `json:"last"`   // number of the last order in Orders; the first order of a session has the number 1
 	Orders []Order `json:"orders,omitempty"`
-	// Permit is how long the delegate may call workers, counted from the time at which it sent the request.
+	// Permit is how long the delegate may call workers, counted from the time at which it sent the request. 0 leaves the earlier permit
+	// as it is.
 	Permit time.Duration `json:"permit"`
 	// RenewPollTimeout is the long-poll timeout of renewals: how long a worker delays its answer until a run ends.
 	RenewPollTimeout time.Duration `json:"renew_wait"`
--- a/internal/cluster/delegate/session.go
+++ b/internal/cluster/delegate/session.go
@@ -153,8 +153,9 @@
 	owner     Owner
 	id        string
 	agent     *Agent
-	lastOrder int64        // number of the last order that was passed to the agent
-	permitEnd atomic.Int64 // when the permit expires, on this host's clock
+	lastOrder int64         // number of the last order that was passed to the agent
+	sentAt    time.Duration // when the request was sent whose orders apply takes
+	permitEnd atomic.Int64  // when the permit expires, on this host's clock
 
 	callInterval atomic.Int64  // minimum time between two calls to the owner, in nanoseconds
 	eventsReady  chan struct{} // signalled when there are events to send
@@ -170,8 +171,8 @@
 	return s.manager.Deps.Clock() < time.Duration(s.permitEnd.Load())
 }
 
-// requestOrders requests orders and sends pending events. The answer renews the permit, whose validity counts from the time at
-// which the request was sent.
+// requestOrders requests orders and sends pending events. The permit of the answer, whose validity counts from the time at which the
+// request was sent, counts once apply has applied the orders.
 func (s *session) requestOrders(ctx context.Context) (OrderBatch, error) {
 	callCtx, cancel := context.WithTimeout(ctx, ordersTimeout)
 	defer cancel()
@@ -183,7 +184,7 @@
 	s.setPolling(false)
 	s.finishSend(len(r.Events), err == nil && b.Wanted)
 	if err == nil && b.Wanted {
-		s.permitEnd.Store(int64(sentAt + min(b.Permit, PermitLimit)))
+		s.sentAt = sentAt
 		s.callInterval.Store(int64(b.MinCallInterval))
 	}
 	return b, err
@@ -229,8 +230,14 @@
 	}
 }
 
-// apply passes the orders of a batch to the agent, except those that it passed on before.
+// apply passes the orders of a batch to the agent, except those that it passed on before, and renews the permit. The permit must not be
+// valid for a worker that the batch releases, since the owner's bound of its lease counts from the release. Before the first batch no
+// worker is assigned, and the calls to those that it assigns should not wait.
 func (s *session) apply(b OrderBatch) {
+	if s.lastOrder == 0 {
+		s.renewPermit(b)
+	}
+	defer s.renewPermit(b)
 	first := b.Last - int64(len(b.Orders)) + 1
 	skip := max(s.lastOrder-first+1, 0)
 	if skip < int64(len(b.Orders)) {
@@ -241,6 +248,13 @@
 	s.manager.workers.Store(int64(s.agent.Workers()))
 }
 
+// renewPermit takes over the permit of a batch. A batch without one leaves the earlier permit as it is.
+func (s *session) renewPermit(b OrderBatch) {
+	if b.Permit > 0 {
+		s.permitEnd.Store(int64(s.sentAt + min(b.Permit, PermitLimit)))
+	}
+}
+
 // queuedEvent is an event that the owner has not acknowledged.
 type queuedEvent struct {
 	event Event
