Hand a listed restart of a silent worker on to the next owner

A task without a ticket could run twice after two changes of the owner: an unanswered start is carried out by the next incarnation of its worker with the longest lease, the second owner learns of the restart from the list of workers, counts that lease and is gone, and the worker's entry expires before the third one reads the list. That one counted the ordinary lease, since the stored use of the worker was still the one of the first owner.

The stored use now has the flag of a stale lease for as long as such a lease is counted. TestListedRestartIsHandedOn failed before: the task started 7.7 s after the listing, with a longest lease of 9.6 s.

--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -77,7 +77,8 @@
 func (s *Scheduler) Use(workerID string, now time.Time) WorkerUse {
 	w := s.workers[workerID]
 	if w == nil || !w.fenced && s.IsUnresolved(workerID) {
-		return s.lastUses[workerID].WorkerUse
+		u := s.lastUses[workerID]
+		return WorkerUse{Incarnation: u.Incarnation, StaleLease: u.StaleLease || now.Before(u.staleLeaseUntil)} // its entry may be gone for a successor
 	}
 	return WorkerUse{Incarnation: w.info.Incarnation, StaleLease: w.mayGetStaleCalls || now.Before(w.staleLeaseUntil)}
 }
