Count a listed restart from the end of the previous owner

A successor that read in the list that a silent worker has restarted counted the longest lease from that moment, and replaced a later bound by it, although the previous owner may send calls for its own lease of 8 s, which the later incarnation carries out. It now counts from then, unless that owner is known to be gone. TestListedRestartUnderAnOwnerThatGoesOn failed before, with and without a restart that the previous owner had seen.

--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -50,11 +50,15 @@
 }
 
 // noteListed notes the entry of an unresolved worker. Before a later incarnation than the used one answers, it may carry out a start to
-// which no owner has seen an answer.
+// which no owner has seen an answer, also one that the previous owner sends until it stops.
 func (s *Scheduler) noteListed(info WorkerInfo, now time.Time) {
 	u := s.lastUses[info.ID]
 	if s.IsUnresolved(info.ID) && info.Incarnation > max(u.Incarnation, u.listedAs) {
-		u.listedAs, u.staleLeaseUntil = info.Incarnation, now.Add(s.cfg.StaleLease)
+		from := now
+		if u.notedAt.After(now) {
+			from = u.notedAt
+		}
+		u.listedAs, u.staleLeaseUntil = info.Incarnation, from.Add(s.cfg.StaleLease)
 		s.lastUses[info.ID] = u
 	}
 }
--- a/internal/cluster/scheduler/unresolved_test.go
+++ b/internal/cluster/scheduler/unresolved_test.go
@@ -77,3 +77,32 @@
 		})
 	}
 }
+
+// Guards against a successor that counts the longest lease from the moment at which the list shows a restart, while the previous owner may
+// still send calls that the later incarnation carries out.
+func TestListedRestartUnderAnOwnerThatGoesOn(t *testing.T) {
+	const goesOn = 8 * time.Second
+	for name, staleLease := range map[string]bool{"which did not know of an earlier restart": false, "which has seen an earlier restart": true} {
+		Convey("Given a previous owner that may go on, "+name+", and a worker that is listed as restarted", t, func() {
+			g := newFixture(2, 0)
+			g.cfg.Began, g.cfg.StaleLease = t0, testStaleLease
+			g.AddUnresolvedWorker("w9", at(goesOn+5*time.Second))
+			g.SetPreviousUse("w9", WorkerUse{Incarnation: 1, StaleLease: staleLease}, at(goesOn))
+			g.UpsertWorker(at(time.Second), WorkerInfo{ID: "w9", Service: testService, Address: "w9", Incarnation: 2})
+			Convey("It is waited for until the longest lease has expired since that owner stops", func() {
+				g.plan(at(goesOn + testStaleLease - time.Millisecond))
+				So(g.UnresolvedWorkers(), ShouldHaveLength, 1)
+				g.plan(at(goesOn + testStaleLease + time.Millisecond))
+				So(g.UnresolvedWorkers(), ShouldBeEmpty)
+			})
+			Convey("If that owner is known to be gone, the lease counts from then, and from the listing", func() {
+				g.LimitUnresolvedLease(at(2 * time.Second))
+				g.LimitPreviousUse(at(2 * time.Second))
+				g.plan(at(2*time.Second + testStaleLease - time.Millisecond))
+				So(g.UnresolvedWorkers(), ShouldHaveLength, 1)
+				g.plan(at(2*time.Second + testStaleLease + time.Millisecond))
+				So(g.UnresolvedWorkers(), ShouldBeEmpty)
+			})
+		})
+	}
+}
