Take leases for long where the stored list has no incarnations

After an upgrade from a release that does not store incarnations, a task could run twice: that release lets calls for an earlier incarnation set the lease of the next one, starts tasks there, and its list does not say so. The successor counted the ordinary lease unless the worker's entry was still listed. It now counts the longest one for each worker of such a list. TestListWithoutIncarnationsMayHideStaleLeases failed before: the task started after 6.5 s with a longest lease of 9.6 s.

--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -152,13 +152,14 @@
 	return u
 }
 
-// Uses returns the uses of the workers, by ID.
+// Uses returns the uses of the workers, by ID. An owner of a release that leaves the incarnations out did not fence off calls for earlier
+// ones, so such calls may have set all leases.
 func (u WorkersInUse) Uses() map[string]scheduler.WorkerUse {
 	uses := make(map[string]scheduler.WorkerUse, len(u.IDs))
 	for i, id := range u.IDs {
-		var use scheduler.WorkerUse
+		use := scheduler.WorkerUse{StaleLease: true}
 		if i < len(u.Incarnations) {
-			use.Incarnation = u.Incarnations[i]
+			use = scheduler.WorkerUse{Incarnation: u.Incarnations[i]}
 		}
 		uses[id] = use
 	}
