Tell a late registration from that of a later process

A successor gives the runs of its predecessor up 8 s earlier once another process has registered on the predecessor's host. The store may perform a registration seconds late: that of the host's earlier process, after the predecessor had claimed and before its own registration, was taken for a later process, while the predecessor went on.

A registration now names the version of the store that the process had read, and counts only if that is not older than the claim. TestLateRegistrationDoesNotReplaceAProcess failed before.

--- a/internal/cluster/peers/roster.go
+++ b/internal/cluster/peers/roster.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
@@ -26,6 +27,9 @@
 	// Processors is the processor time that the daemon may use, in cores.
 	Processors float64 `json:"processors"`
 	Draining   bool    `json:"draining,omitempty"`
+	// AliveAt is a version of the store that this process has read before it registered, so that it ran at that time. Earlier releases
+	// leave it out.
+	AliveAt int64 `json:"alive_at,omitempty"`
 }
 
 // Roster lists the registered daemons. It implements rowstore.Handler to follow the table Hosts.
@@ -115,12 +119,13 @@
 	return slices.DeleteFunc(hosts, func(h Host) bool { return h.Processors < minOwnerProcessorShare*largest })
 }
 
-// Replaced reports whether a process with another bootID has registered the host after the store's version since.
+// Replaced reports whether a process with another bootID has registered the host after the store's version since. The row of an earlier
+// process may take effect late; it was alive before that version only.
 func (r *Roster) Replaced(host, bootID string, since int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, ok := r.hosts[host]
-	return ok && e.BootID != bootID && e.version > since
+	return ok && e.BootID != bootID && e.version > since && (e.AliveAt == 0 || e.AliveAt >= since)
 }
 
 // Hosts returns all daemons that are not draining, sorted by host.
@@ -144,13 +149,9 @@
 // Register writes the row of this daemon. It retries until the write succeeds or ctx ends. Writes are conditional on the row's
 // version, so a write that takes effect late never replaces the row of a later process.
 func Register(ctx context.Context, store rowstore.Store, h Host, log *zap.Logger) {
-	value, err := records.Encode(h)
-	if err != nil {
-		log.Error("failed to encode the row of this host", asynclog.Error(err))
-		return
-	}
+	var err error
 	for failures := 0; ctx.Err() == nil; failures++ {
-		if err = register(ctx, store, h.Host, value); err == nil {
+		if err = register(ctx, store, h); err == nil {
 			log.Info("host registered", zap.Bool("draining", h.Draining), zap.Int("failures", failures))
 			return
 		}
@@ -159,14 +160,23 @@
 	log.Warn("gave up writing the row of this host", asynclog.Error(err))
 }
 
-func register(ctx context.Context, store rowstore.Store, host string, value []byte) error {
-	k := records.HostKey(host)
-	row, _, err := rowstore.ReadRow(ctx, store, k)
+func register(ctx context.Context, store rowstore.Store, h Host) error {
+	k := records.HostKey(h.Host)
+	page, err := store.Read(ctx, rowstore.Range{Table: k.Table, Partition: k.Partition, From: k.Name, To: k.Name + "\x00", Limit: 1})
+	if err != nil {
+		return errors.Wrap(err, "read the row of this host")
+	}
+	h.AliveAt = page.Version
+	value, err := records.Encode(h)
 	if err != nil {
 		return err
 	}
+	version := int64(0)
+	if len(page.Rows) > 0 {
+		version = page.Rows[0].Version
+	}
 	_, err = store.Commit(ctx, rowstore.Txn{
-		Conditions: []rowstore.Condition{{Key: k, Version: row.Version}}, Puts: []rowstore.Put{{Key: k, Value: value}},
+		Conditions: []rowstore.Condition{{Key: k, Version: version}}, Puts: []rowstore.Put{{Key: k, Value: value}},
 	})
 	return err
 }
