Start nothing before the flag of a stale lease is stored

A start needed the incarnation of its worker to be stored, and took the flag of a stale lease for stored with it. That holds only as long as the flag rises with the incarnation: a worker whose clock does not advance may start again with the same one, and a report that stale calls may reach it set the flag alone. A successor would count the ordinary lease for what started until the next write.

A start now needs a stored use that covers the present one. TestNothingStartsBeforeAStaleLeaseIsStored failed before. TestStoredUseIsNeverBehindTheRuns shows the rest of the order of writes, on a store that refuses commits, loses their answers or performs them up to 6 s late, and fails without the check of the incarnation.

--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -331,11 +331,12 @@
 }
 
 // sendStart passes the start of a run on to the worker's executor, or rejects it. Before anything runs on a worker, its use
-// of the same incarnation must be stored, so that a successor waits for the worker's report and knows how long its lease may be.
+// must be stored, so that a successor waits for the worker's report and knows how long its lease may be.
 func (t *term) sendStart(s scheduler.Start) {
-	if use, stored := t.inUse[s.Worker.ID]; stored && use.Incarnation == s.Worker.Incarnation && t.assigner.sendStart(s) {
+	now := time.Now()
+	use, stored := t.inUse[s.Worker.ID]
+	if stored && use.Incarnation == s.Worker.Incarnation && use.Covers(t.sched.Use(s.Worker.ID, now)) && t.assigner.sendStart(s) {
 		return
 	}
-	now := time.Now()
 	t.sched.HandleStartResult(now, scheduler.StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: scheduler.RejectedOther, AnsweredAt: now})
 }
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -16,6 +16,11 @@
 	StaleLease bool
 }
 
+// Covers reports whether a successor that knows u counts the leases of a worker whose present use is the given one.
+func (u WorkerUse) Covers(present WorkerUse) bool {
+	return u.Incarnation == present.Incarnation && (u.StaleLease || !present.StaleLease)
+}
+
 // staleCallLimit is the time after which no call to an earlier incarnation is carried out any more. Calls are late by seconds.
 const staleCallLimit = 30 * time.Second
 
