Keep what is known of a silent worker whose entry expires

Tasks ran twice after workers had restarted under their ids and were cut off while the owner was lost between the two, if the workers were cut off from the platform, too: their entries expire after a few seconds. A successor removed each worker that was not listed any more and had not answered, and with it the flag of a stale lease that the previous owner had stored (or that the entry itself had shown), so it counted the ordinary lease in place of the longest one.

The use of a worker that is still waited for is now kept when its entry is gone.

--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -68,8 +68,12 @@
 	}
 }
 
-// noteLastUse records how a worker was used that is removed now.
+// noteLastUse records how a worker was used that is removed now. Of an unresolved worker, the previous owner's use remains known: its
+// entry may be gone while runs go on.
 func (s *Scheduler) noteLastUse(w *worker, now time.Time) {
+	if s.IsUnresolved(w.info.ID) {
+		return
+	}
 	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now}
 }
 
--- a/internal/cluster/scheduler/unresolved_test.go
+++ b/internal/cluster/scheduler/unresolved_test.go
@@ -106,3 +106,31 @@
 		})
 	}
 }
+
+// Guards against two runs of a task: a restarted worker is cut off from the platform, too, so that its entry expires before its lease, and
+// the successor forgets with the entry that the lease may be the longest one.
+func TestStaleLeaseOutlastsTheEntryOfItsWorker(t *testing.T) {
+	for name, use := range map[string]WorkerUse{
+		"as the previous owner has stored it": {Incarnation: 2, StaleLease: true},
+		"as its entry has shown":              {Incarnation: 1},
+	} {
+		Convey("Given a worker of the previous owner, which has restarted "+name, t, func() {
+			g := newFixture(2, 1)
+			g.cfg.Began, g.cfg.StaleLease = t0, testStaleLease
+			g.AddUnresolvedWorker("w9", at(5*time.Second))
+			g.SetPreviousUse("w9", use, t0)
+			g.AddJob(t0, g.job("old", t0, simpleStep(1)), nil, true)
+			g.UpsertWorker(t0, WorkerInfo{ID: "w9", Service: testService, Address: "w9", Incarnation: 2})
+			g.plan(at(time.Second))
+			g.DelistWorker("w9")
+			g.plan(at(2 * time.Second))
+			Convey("Its tasks start once the longest lease has expired", func() {
+				So(g.plan(at(testStaleLease-time.Millisecond)).Starts, ShouldBeEmpty)
+				So(g.plan(at(testStaleLease+time.Millisecond)).Starts, ShouldHaveLength, 1)
+			})
+			Convey("A successor has to know that until then", func() {
+				So(g.Use("w9", at(3*time.Second)), ShouldResemble, WorkerUse{Incarnation: use.Incarnation, StaleLease: true})
+			})
+		})
+	}
+}
