--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -244,9 +244,15 @@
 func (t *term) updateUnresolved(now time.Time) {
 	remaining := len(t.sched.UnresolvedWorkers())
 	if remaining > 0 && t.predecessorGone() {
+		goneAt := time.Now() // after the answer: this process may have been paused since now was read, and that owner may have gone on
+		limited := t.sched.LimitUnresolvedLease(goneAt.Add(t.inheritedRunLimit()))
+		t.sched.LimitPreviousUse(goneAt.Add(t.inheritedCallLimit()))
+		if !t.predecessorEnded {
+			t.log.Info("previous owner is gone, its workers are waited for less", zap.Int("workers", limited),
+				zap.Int("unresolved_workers", remaining), zap.Duration("limit", t.inheritedRunLimit()),
+				zap.Bool("delegated", t.inheritedDelegates), zap.Duration("after", now.Sub(t.startedAt)))
+		}
 		t.predecessorEnded = true
-		t.sched.LimitUnresolvedLease(now.Add(t.inheritedRunLimit()))
-		t.sched.LimitPreviousUse(now.Add(t.inheritedCallLimit()))
 	}
 	if remaining == 0 && t.unresolvedWorkers > 0 {
 		t.log.Info("nothing of earlier owners runs unseen any more", zap.Duration("took", now.Sub(t.startedAt)))
@@ -310,6 +316,7 @@
 		t.assigner.sendStop(s)
 	}
 	t.logWorkerLosses()
+	t.logExpiredWorkers()
 	t.logGivenUp()
 	t.logEndedJobs()
 	wait.Signal(t.saveRequested)
@@ -324,17 +331,12 @@
 }
 
 // sendStart passes the start of a run on to the worker's executor, or rejects it. Before anything runs on a worker, its use
-// of the same incarnation must be stored, so that a successor waits for the worker's report and knows how long its lease may be.
+// must be stored, so that a successor waits for the worker's report and knows how long its lease may be.
 func (t *term) sendStart(s scheduler.Start) {
 	now := time.Now()
-	if t.useStored(s.Worker, now) && t.assigner.sendStart(s) {
+	use, stored := t.inUse[s.Worker.ID]
+	if stored && use.Incarnation == s.Worker.Incarnation && use.Covers(t.sched.Use(s.Worker.ID, now)) && t.assigner.sendStart(s) {
 		return
 	}
 	t.sched.HandleStartResult(now, scheduler.StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: scheduler.RejectedOther, AnsweredAt: now})
 }
-
-// useStored reports whether the stored list tells a successor what it has to know about the use of a worker.
-func (t *term) useStored(w scheduler.WorkerInfo, now time.Time) bool {
-	use, stored := t.inUse[w.ID]
-	return stored && use.Incarnation == w.Incarnation && (use.StaleLease || !t.sched.Use(w.ID, now).StaleLease)
-}
