--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -63,7 +63,9 @@
 	namedAt    time.Duration // when the owner last named another incarnation than the one that answered, on the agent's clock
 	generation int64
 	durableEnd int64 // the owner has stored ended runs up to this number
-	token      int64 // of calls to the worker
+	// ackedIncarnation has answered a renewal that acknowledged its ends up to ackedEnd.
+	ackedIncarnation, ackedEnd int64
+	token                      int64 // of calls to the worker
 	// staleToken is set while stale calls with tokens up to it may be carried out by the present incarnation.
 	staleToken int64
 	clock      workerClock
@@ -77,6 +79,7 @@
 	unconfirmed bool
 	leaseUntil  time.Duration // when all tasks have certainly expired without another call, on the agent's clock
 	maxDeadline int64         // latest deadline that a call has carried, on the worker's clock
+	otherClock  bool          // since the last report, a start was answered by another clock than the one of that report
 	excused     int           // renewals since the last answer whose missing answer was excused
 	silences    int           // number of renewals without an answer; tells to which silence a confirmation belongs
 	ready       chan struct{} // closed once a call may extend the lease: the clock is known, unconfirmed and staleToken are not set
@@ -151,9 +154,7 @@
 func (r *leaseRenewer) renew(ctx context.Context, pollTimeout time.Duration) (int64, error) {
 	st := r.state()
 	info, generation := st.info, st.generation
-	if st.unresponsive {
-		st.lastAckedEnd = 0 // the worker may have restarted, and each incarnation numbers its ends anew
-	}
+	st.lastAckedEnd = r.ackToSend(st)
 	sentAt := r.a.deps.Clock()
 	leaseDeadline, leaseUntil := r.leaseDeadline(sentAt)
 	if !r.a.permitValid() {
@@ -175,6 +176,7 @@
 	if err != nil {
 		failedAt := r.a.deps.Clock()
 		excusable := callCtx.Err() != nil && r.a.pauseDetector.mayExplainTimeout(sentAt, failedAt, timeout)
+		r.noteUnanswered(leaseDeadline, failedAt)
 		leaseUntil, excused := r.recordFailure(excusable)
 		r.a.emit(Event{WorkerID: info.ID, Generation: generation, MissedRenewal: &MissedRenewal{LeaseUntil: leaseUntil, FailedAt: failedAt,
 			Ended: errors.Is(err, ErrWorkerEnded), Incarnation: info.Incarnation, Excused: excused}})
@@ -186,6 +188,9 @@
 	answer.token, answer.sentAt = st.token, sentAt
 	r.limitCheckpoints(&answer)
 	answer.clockJumped = answer.Incarnation == info.Incarnation && !r.clockContinues(answer)
+	if answer.Incarnation == info.Incarnation && !answer.clockJumped {
+		r.noteAcked(info.Incarnation, st.lastAckedEnd)
+	}
 	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
 	if applied == nil {
