Take stale calls for possible after a restart that only the owner sees

A delegate that has not read a worker's clock before reports as fenced, so the report by which the owner noticed a restart with the same start time also told it that no stale call can reach the worker any more. The longest lease counted from that report instead of from the fence, and the next assignment did not make the delegate wait for the fence.

--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -74,7 +74,7 @@
 	if w == nil {
 		return nil
 	}
-	zero := clockZeroAt(r.ClockMS, r.SentAt)
+	zero, unfenced := clockZeroAt(r.ClockMS, r.SentAt), r.Unfenced
 	if r.Incarnation != w.info.Incarnation {
 		if w.answered() && r.SentAt.Before(w.firstAnswer) {
 			return nil // a late answer of an earlier incarnation
@@ -83,13 +83,14 @@
 		w.clockZero = zero
 	} else if !s.noteClock(w, zero) || r.ClockJumped {
 		s.suspectRestart(w)
+		unfenced = true // a delegate that has not read the clock before does not know of the restart
 	}
 	w.unreachable, w.fenced = false, true
 	w.silentSince = time.Time{}
 	s.endSilence(w, now)
 	s.confirmReplaced(w, r.SentAt, now)
 	w.extendLease(r.LeaseUntil)
-	s.noteFence(w, r.Unfenced, now)
+	s.noteFence(w, unfenced, now)
 	var applied []AppliedEnd
 	for _, e := range r.Ended {
 		if e.Number <= w.lastAppliedEnd {
--- a/internal/cluster/scheduler/workerclock_test.go
+++ b/internal/cluster/scheduler/workerclock_test.go
@@ -64,3 +64,22 @@
 		})
 	})
 }
+
+// Guards against an owner that takes stale calls for fenced off on the word of a delegate that does not know of the restart: only the owner
+// has seen, by the clock that an earlier delegate or owner has read, that the worker may have restarted.
+func TestRestartThatOnlyTheOwnerSeesIsNotFenced(t *testing.T) {
+	Convey("Given a worker whose clock has shown an hour", t, func() {
+		f, now := newStaleLeaseFixture()
+		report := func(clock time.Duration) {
+			f.HandleReport(now, Report{Worker: "w0", Incarnation: 1, SentAt: now, LeaseUntil: now.Add(5 * time.Second), ClockMS: clock.Milliseconds()})
+		}
+		report(time.Hour)
+		So(f.MayGetStaleCalls("w0"), ShouldBeFalse)
+		Convey("When a report that its next delegate takes for fenced shows another clock, stale calls may reach it", func() {
+			now = now.Add(time.Second)
+			report(time.Minute)
+			So(f.Restarts("w0"), ShouldEqual, 1)
+			So(f.MayGetStaleCalls("w0"), ShouldBeTrue)
+		})
+	})
+}
