Acknowledge ends only after the executor's first report on a worker

A new delegate was told at once up to which number ends are stored. If the worker had restarted with the same start time while it had no delegate, only the owner noticed that, from the first report; the delegate kept the number and acknowledged the ends of the present process unread. Their tasks ran again, although their ends as done were taken note of.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -41,8 +41,11 @@
 	info         scheduler.WorkerInfo
 	restarts     int   // of the worker, as scheduler.Restarts tells, when the fence was raised
 	lastAckedEnd int64 // number of the last ended run that the executor may acknowledge to the worker, since its record is durable
-	starts       map[runKey]delegate.StartOrder
-	stops        map[runKey]delegate.StopOrder
+	// reported is set once the executor has reported. Before that the worker may have restarted with the same start time unseen, so the
+	// executor must not acknowledge ends by the numbers of the earlier process.
+	reported bool
+	starts   map[runKey]delegate.StartOrder
+	stops    map[runKey]delegate.StopOrder
 }
 
 // assigner assigns the workers to executors and sends them the owner's orders. The callers of its methods hold the term's mu.
@@ -100,6 +103,7 @@
 			as.assignments[info.ID] = a
 		}
 		as.updateWorker(a, info)
+		as.sendAcks([]string{info.ID})
 		if a.executor == nil || a.executor.ended || !as.assignmentsValid {
 			ex := chooseExecutor(info)
 			settled = settled && ex != nil
@@ -129,7 +133,7 @@
 	}
 	if !sameIncarnation || restarts != a.restarts {
 		a.restarts = restarts
-		a.lastAckedEnd = as.t.sched.LastDurableEnd(info.ID, info.Incarnation)
+		a.lastAckedEnd = 0
 		a.fence = as.nextNumber()
 	}
 	if !sameIncarnation {
@@ -172,7 +176,7 @@
 	}
 	a.generation = as.nextNumber()
 	a.executor, a.fence = ex, a.generation
-	a.lastAckedEnd = as.t.sched.LastDurableEnd(a.info.ID, a.info.Incarnation)
+	a.lastAckedEnd, a.reported = 0, false
 	ex.send(delegate.Order{Assign: as.assignOrder(a)})
 	for k, s := range a.stops {
 		delete(a.starts, k) // a run that is being stopped need not be started
@@ -294,11 +298,12 @@
 	}
 }
 
-// sendAcks tells the executors of these workers which ended runs they may acknowledge, since their records are durable.
+// sendAcks tells the executors of these workers which ended runs they may acknowledge, since their records are durable. An executor that has
+// not reported on a worker yet is told after its first report.
 func (as *assigner) sendAcks(workerIDs []string) {
 	for _, id := range workerIDs {
 		a := as.assignments[id]
-		if a == nil {
+		if a == nil || !a.reported {
 			continue
 		}
 		if end := as.t.sched.LastDurableEnd(id, a.info.Incarnation); end > a.lastAckedEnd && a.executor != nil {
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -152,6 +152,7 @@
 	switch {
 	case e.Report != nil:
 		t.applyReport(now, ex, e.WorkerID, e.Report)
+		a.reported = true
 	case e.MissedRenewal != nil && e.MissedRenewal.Excused:
 		t.sched.ExtendLease(e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
 	case e.MissedRenewal != nil:
