Start nothing on a stale lease that the list being written leaves out

While the list of workers in use was written without a stale lease that has expired, the worker could restart with the same start time, and the list stored before, which still had the lease, let runs start. A successor that read the list in between counted the ordinary lease for them.

--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -91,6 +91,11 @@
 			_, stays := current[id]
 			return !stays
 		})
+		// Neither may anything be started that relies on a stale lease that the list to be written does not have any more.
+		for id, stored := range t.inUse {
+			stored.StaleLease = stored.StaleLease && current[id].StaleLease
+			t.inUse[id] = stored
+		}
 	}
 	return b
 }
