Store the clock of a worker that is listed late in a term

The list of workers in use was written when the worker was listed, before its first report, and not again once its clock had been read. A successor then could not notice that the worker had restarted with the same start time. In the first 30 s of a term the list was written again in any case, when the lease that a stale call may have set had expired.

--- a/internal/cluster/coordinator/commit.go
+++ b/internal/cluster/coordinator/commit.go
@@ -126,6 +126,7 @@
 	defer t.mu.Unlock()
 	if c.inUse != nil {
 		t.inUse, t.storedInherited, t.storedDelegated = c.inUse, c.inherited, c.delegated
+		t.storedClocks = c.clocks
 	}
 	t.sched.MarkStored(c.records)
 	t.requestPlan()
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -173,6 +173,7 @@
 		t.inheritedDelegates, t.delegated, t.storedDelegated = u.Delegated, u.Delegated, u.Delegated
 		t.storedInherited = true
 		uses, clocks := u.Uses(), u.Clocks()
+		t.storedClocks = clocks
 		for _, id := range u.IDs {
 			t.sched.AddUnresolvedWorker(id, leasesExpireAt)
 			t.sched.SetPreviousUse(id, uses[id], ownerUntil)
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -79,7 +79,7 @@
 	// The set of inherited workers only shrinks. It is written with any other change, and by itself once it is empty, so that it
 	// costs one write a term.
 	current, inherited := t.workersInUse(), t.inheritedWorkers()
-	if !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated || t.storedInherited && len(inherited) == 0 {
+	if !maps.Equal(current, t.inUse) || t.clockUnstored(current) || t.delegated != t.storedDelegated || t.storedInherited && len(inherited) == 0 {
 		b.needed, b.inUse, b.inherited, b.delegated = true, current, inherited, t.delegated
 		b.clocks = make(map[string]scheduler.ClockZero, len(current))
 		for id := range current {
@@ -100,6 +100,17 @@
 	return b
 }
 
+// clockUnstored reports whether the clock of a worker has been read that the stored list does not tell of, without which a successor can't
+// notice a restart with the same start time. The caller holds mu.
+func (t *term) clockUnstored(inUse map[string]scheduler.WorkerUse) bool {
+	for id := range inUse {
+		if t.storedClocks[id].UnixMS == 0 && t.sched.ClockZero(id).UnixMS != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // workersInUse returns the workers that have to be in the stored list. The caller holds mu.
 func (t *term) workersInUse() map[string]scheduler.WorkerUse {
 	now := time.Now()
@@ -163,6 +174,7 @@
 			return nil, false
 		}
 		c := t.rows.put(records.WorkersInUseKey, value)
+		c.clocks = b.clocks
 		c.inUse, c.inherited, c.delegated = b.inUse, len(b.inherited) > 0, b.delegated
 		changes = append(changes, c)
 	}
--- a/internal/cluster/coordinator/rows.go
+++ b/internal/cluster/coordinator/rows.go
@@ -52,6 +52,7 @@
 	partOf string
 	// inUse is the list of workers in use that the rows hold, or nil. inherited means that the list names some as inherited.
 	inUse     map[string]scheduler.WorkerUse
+	clocks    map[string]scheduler.ClockZero // of the workers in inUse
 	inherited bool
 	delegated bool
 }
--- a/internal/cluster/coordinator/storeduse_test.go
+++ b/internal/cluster/coordinator/storeduse_test.go
@@ -27,6 +27,25 @@
 	}
 }
 
+// Guards against a successor that can't notice that a worker has restarted with the same start time: the worker was listed late in the term,
+// and the list of workers in use was written before its first report.
+func TestClockOfAWorkerThatIsListedLateIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := runOwnerWith(t, rowstore.NewMemory(), 0, fixedWorkers{testWorker("w0")}, false, longLeases)
+		defer o.end()
+		a := o.testDelegate(t, "a")
+		a.serveClocks(31*time.Second, 0) // longer than calls are late
+		o.current().Upsert(testWorker("w1"))
+		a.serveClocks(time.Minute, 0)
+		u := o.readWorkersInUse(t)
+		for _, id := range []string{"w0", "w1"} {
+			if _, used := u.Uses()[id]; !used || u.Clocks()[id].UnixMS == 0 {
+				t.Errorf("a minute after its first report, the stored list does not tell when the clock of %s showed zero: %+v", id, u)
+			}
+		}
+	})
+}
+
 // Guards against a successor that is not told of a possible long lease: while the list without it is being written, the worker restarts with
 // the same start time, and the list before that, which still had the lease, lets a run start.
 func TestNothingStartsWhileAListWithoutTheStaleLeaseIsBeingWritten(t *testing.T) {
