--- a/internal/cluster/scheduler/workerclock.go
+++ b/internal/cluster/scheduler/workerclock.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// zeroTolerance allows for the time of a call, and for times of day that differ between hosts or are set.
@@ -30,8 +33,8 @@
 		return true
 	}
 	drift := time.Duration(float64(later.ReadAt.Sub(z.ReadAt).Abs()) * maxClockDrift)
-	moved := time.Duration(later.UnixMS-z.UnixMS) * time.Millisecond
-	return moved.Abs() <= zeroTolerance+drift
+	moved := math.Abs(float64(later.UnixMS) - float64(z.UnixMS)) // a clock may show any number: the difference may overflow
+	return moved <= float64((zeroTolerance + drift).Milliseconds())
 }
 
 // SetPreviousClock records the zero of a worker's clock as the previous owner knew it. It is called after SetPreviousUse.
--- a/internal/cluster/scheduler/workerclock_test.go
+++ b/internal/cluster/scheduler/workerclock_test.go
@@ -83,3 +83,14 @@
 		})
 	})
 }
+
+// Guards against a restart that goes unnoticed because the difference of two readings of a clock is beyond what a time.Duration holds.
+func TestClockReadingsThatDifferByCenturies(t *testing.T) {
+	const wrap = 18_446_744_073_709 // ms; in ns this is 2^64, less 0.55 ms
+	for _, clock := range []int64{1 << 53, wrap, 1<<63 - 1} {
+		before, after := clockZeroAt(clock, t0), clockZeroAt(1000, at(time.Second))
+		if before.continues(after) || after.continues(before) {
+			t.Errorf("a clock that shows %d ms is taken for one that shows 1000 ms", clock)
+		}
+	}
+}
