Use the entry of a worker whose start time repeats

An entry that names the start time of an incarnation that another one has replaced was taken for a late one and dropped. If the time of day of the worker's host returns to an earlier value, it is that of the present process: the worker answered, but got no tasks, or was not called at all any more. The entry is now kept and used once that incarnation answers, or nothing runs on the worker.

--- a/internal/cluster/scheduler/restart_test.go
+++ b/internal/cluster/scheduler/restart_test.go
@@ -94,3 +94,52 @@
 		})
 	})
 }
+
+// Guards against a worker that gets no tasks any more because its present incarnation names a start time that an earlier one had named: its
+// entry, read before its first answer, is taken for a late one.
+func TestWorkerReturnsToAnEarlierStartTime(t *testing.T) {
+	for name, names := range map[string][]int64{"new start time": {1, 2, 3}, "repeated start time": {1, 2, 1}} {
+		f, now := newStaleLeaseFixture()
+		entry := f.workers["w0"].info
+		for _, next := range names[1:] {
+			now = now.Add(time.Second)
+			entry.Incarnation = next
+			f.UpsertWorker(now, entry)
+			for range 3 {
+				now = now.Add(500 * time.Millisecond)
+				f.HandleReport(now, Report{Worker: "w0", Incarnation: next, SentAt: now, LeaseUntil: now.Add(5 * time.Second)})
+			}
+		}
+		if !f.workers["w0"].acceptsStarts() {
+			t.Errorf("%s: the worker has been listed and answers, but accepts no starts", name)
+		}
+	}
+}
+
+// Guards against a worker that is never called again: it crashes, its entry expires, and the next incarnation, which names a start time that an
+// earlier one had named, writes its entry while the runs of the crashed one are not given up yet.
+func TestWorkerReturnsToAnEarlierStartTimeAfterItsEntryExpired(t *testing.T) {
+	for name, next := range map[string]int64{"new start time": 3, "repeated start time": 1} {
+		f, now := newStaleLeaseFixture()
+		f.DelistWorker("w1")
+		entry := f.workers["w0"].info
+		entry.Incarnation = 2
+		f.UpsertWorker(now, entry)
+		for range 30 { // until no stale call can have set the lease
+			now = now.Add(500 * time.Millisecond)
+			f.HandleReport(now, Report{Worker: "w0", Incarnation: 2, SentAt: now, LeaseUntil: now.Add(5 * time.Second)})
+		}
+		f.AddJob(now, f.job("j", now, simpleStep(1)), nil, false)
+		if started := f.plan(now).Starts; len(started) != 1 || started[0].Worker.ID != "w0" {
+			t.Fatalf("%s: %d starts", name, len(started))
+		}
+		f.MarkUnreachable(now.Add(time.Second), "w0", now.Add(5*time.Second))
+		f.DelistWorker("w0")
+		entry.Incarnation = next
+		f.UpsertWorker(now.Add(3*time.Second), entry)
+		f.plan(now.Add(20 * time.Second)) // the lease has expired
+		if w := f.workers["w0"]; w == nil || !w.listed {
+			t.Errorf("%s: the worker is listed, but is not called any more", name)
+		}
+	}
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -31,6 +31,7 @@
 	// announced is the entry of another incarnation that has not answered yet, while the present one may go on.
 	announced   *WorkerInfo
 	announcedAt time.Time            // when that entry was read
+	ignored     *WorkerInfo          // the last entry, if it names an incarnation that another one has replaced
 	earlier     ReplacedIncarnations // those that have answered this owner before the present one
 	fenced      bool                 // it has reported to this owner, so it rejects orders of earlier owners
 	unreachable bool                 // it did not answer the last call
@@ -181,8 +182,10 @@
 		sort.Slice(s.sortedWorkers, func(i, j int) bool { return s.sortedWorkers[i].info.ID < s.sortedWorkers[j].info.ID })
 	}
 	if w.earlier.Contains(info.Incarnation) {
+		w.ignored = &info
 		return
 	}
+	w.ignored = nil
 	announced := w.announced
 	w.announced = nil
 	if info.Incarnation != w.info.Incarnation {
@@ -222,6 +225,9 @@
 // handleAnnounced decides about the entry of another incarnation after an answer that was requested at requestedAt: the entry is used if
 // that incarnation has answered, and dropped if the present one goes on.
 func (s *Scheduler) handleAnnounced(w *worker, requestedAt, now time.Time) {
+	if e := w.ignored; e != nil && e.Incarnation == w.info.Incarnation { // start times may repeat
+		s.UpsertWorker(now, *e)
+	}
 	switch e := w.announced; {
 	case e == nil:
 	case e.Incarnation == w.info.Incarnation:
@@ -246,7 +252,7 @@
 // as it answers.
 func (s *Scheduler) DelistWorker(id string) {
 	if w := s.workers[id]; w != nil {
-		w.listed, w.announced = false, nil
+		w.listed, w.announced, w.ignored = false, nil, nil
 	}
 }
 
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -160,9 +161,10 @@
 				s.withPendingAcks[w] = struct{}{}
 			}
 		}
-		if w.announced != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
+		if entry := cmp.Or(w.announced, w.ignored); entry != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
 			s.resetWorker(w, LossRestarted, now)
-			s.UpsertWorker(now, *w.announced)
+			w.earlier.Replace(w.info.Incarnation, entry.Incarnation)
+			s.UpsertWorker(now, *entry)
 		}
 	}
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
