Keep a run whose start was answered late until stale calls are fenced off

A start whose first attempt gets no answer is repeated, and the run counts as confirmed once the worker accepts an attempt. When the worker then restarted, the run was lost with the first report of the next incarnation, and its task started elsewhere, while the first attempt could still be carried out there until the fence.

--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -163,7 +163,7 @@
 		delete(a.starts, runKey{r.Task, r.Run})
 		t.meters.starts.Record(r.Outcome.String(), now.Add(-r.Took))
 		t.sched.HandleStartResult(now, scheduler.StartResult{Task: r.Task, Run: r.Run, Worker: e.WorkerID, Outcome: r.Outcome,
-			AnsweredAt: ex.ownerTime(r.AnsweredAt), LeaseUntil: ex.leaseEnd(r.LeaseUntil)})
+			AnsweredAt: ex.ownerTime(r.AnsweredAt), LeaseUntil: ex.leaseEnd(r.LeaseUntil), Retried: r.Retried})
 	case e.Stopped != nil:
 		r := e.Stopped
 		delete(a.stops, runKey{r.Task, r.Run})
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -156,6 +156,8 @@
 	LeaseUntil time.Duration          `json:"lease"`
 	Outcome    scheduler.StartOutcome `json:"outcome"`
 	Took       time.Duration          `json:"took"`
+	// Retried means that an earlier attempt was not answered.
+	Retried bool `json:"retried,omitempty"`
 }
 
 // StopResult means that a worker has accepted a stop.
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -62,6 +62,7 @@
 		a.log.Warn("start not answered", zap.Stringer("task", o.Task), zap.Int64("run", o.Run), zap.String("worker", o.WorkerID),
 			zap.Int("attempt", attempts), asynclog.Error(err))
 	}
+	result.Retried = maybeStarted
 	// The worker may still carry out an attempt that it did not answer, unless it has reported that it knows the run.
 	if maybeStarted && result.Outcome != scheduler.StartAccepted && result.Outcome != scheduler.RejectedStaleRun {
 		result.Outcome = scheduler.StartUnknown
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -56,6 +56,7 @@
 	Outcome    StartOutcome
 	AnsweredAt time.Time // when the answer was received
 	LeaseUntil time.Time
+	Retried    bool // an earlier attempt was not answered, which the worker may still carry out
 }
 
 const (
@@ -82,6 +83,7 @@
 	if r.Outcome < StartAccepted || r.Outcome > RejectedOther {
 		r.Outcome = StartUnknown
 	}
+	p.retried = r.Retried
 	switch r.Outcome {
 	case StartAccepted:
 		if p.state == starting {
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -96,6 +96,7 @@
 	adopted     bool // an earlier owner started it
 	sound       bool // see checkSound
 	orderedAt   time.Time
+	retried     bool      // an attempt of its start was not answered before one was
 	confirmedAt time.Time // when the worker accepted the start, or when the first report that lists the run was requested
 	stopAckedAt time.Time // when the worker accepted the stop
 
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -90,9 +90,9 @@
 	return 0
 }
 
-// unanswered reports whether nobody has seen the worker confirm the run. The order to start it may be carried out by a later incarnation,
-// which remembers no stop that an earlier one has acknowledged.
-func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() }
+// unanswered reports whether nobody has seen the worker confirm the run, or all attempts of its start. The order to start it may be carried
+// out by a later incarnation, which remembers no stop that an earlier one has acknowledged.
+func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() || p.retried }
 
 // mayBeUnreported reports whether a worker may execute the run although a report that was requested at the given time does not list it.
 func (p *placement) mayBeUnreported(requestedAt time.Time) bool {
