--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -155,6 +155,7 @@
 	switch {
 	case e.Report != nil:
 		t.applyReport(now, ex, e.WorkerID, e.Report)
+		a.reported = true
 	case e.MissedRenewal != nil && e.MissedRenewal.Excused:
 		t.sched.ExtendLease(e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
 	case e.MissedRenewal != nil:
@@ -165,7 +166,7 @@
 		delete(a.starts, runKey{r.Task, r.Run})
 		t.meters.starts.Record(r.Outcome.String(), now.Add(-r.Took))
 		t.sched.HandleStartResult(now, scheduler.StartResult{Task: r.Task, Run: r.Run, Worker: e.WorkerID, Outcome: r.Outcome,
-			AnsweredAt: ex.ownerTime(r.AnsweredAt), LeaseUntil: ex.leaseEnd(r.LeaseUntil), OtherClock: r.OtherClock})
+			AnsweredAt: ex.ownerTime(r.AnsweredAt), LeaseUntil: ex.leaseEnd(r.LeaseUntil), OtherClock: r.OtherClock, Retried: r.Retried})
 	case e.Stopped != nil:
 		r := e.Stopped
 		delete(a.stops, runKey{r.Task, r.Run})
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -160,6 +160,8 @@
 	// deadline of the start may have set the longest lease there.
 	OtherClock bool          `json:"other_clock,omitempty"`
 	Took       time.Duration `json:"took"`
+	// Retried means that an earlier attempt was not answered.
+	Retried bool `json:"retried,omitempty"`
 }
 
 // StopResult means that a worker has accepted a stop.
--- a/internal/cluster/scheduler/workerclock_test.go
+++ b/internal/cluster/scheduler/workerclock_test.go
@@ -64,3 +64,33 @@
 		})
 	})
 }
+
+// Guards against an owner that takes stale calls for fenced off on the word of a delegate that does not know of the restart: only the owner
+// has seen, by the clock that an earlier delegate or owner has read, that the worker may have restarted.
+func TestRestartThatOnlyTheOwnerSeesIsNotFenced(t *testing.T) {
+	Convey("Given a worker whose clock has shown an hour", t, func() {
+		f, now := newStaleLeaseFixture()
+		report := func(clock time.Duration) {
+			f.HandleReport(now, Report{Worker: "w0", Incarnation: 1, SentAt: now, LeaseUntil: now.Add(5 * time.Second), ClockMS: clock.Milliseconds()})
+		}
+		report(time.Hour)
+		So(f.MayGetStaleCalls("w0"), ShouldBeFalse)
+		Convey("When a report that its next delegate takes for fenced shows another clock, stale calls may reach it", func() {
+			now = now.Add(time.Second)
+			report(time.Minute)
+			So(f.Restarts("w0"), ShouldEqual, 1)
+			So(f.MayGetStaleCalls("w0"), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a restart that goes unnoticed because the difference of two readings of a clock is beyond what a time.Duration holds.
+func TestClockReadingsThatDifferByCenturies(t *testing.T) {
+	const wrap = 18_446_744_073_709 // ms; in ns this is 2^64, less 0.55 ms
+	for _, clock := range []int64{1 << 53, wrap, 1<<63 - 1} {
+		before, after := clockZeroAt(clock, t0), clockZeroAt(1000, at(time.Second))
+		if before.continues(after) || after.continues(before) {
+			t.Errorf("a clock that shows %d ms is taken for one that shows 1000 ms", clock)
+		}
+	}
+}
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -89,9 +90,9 @@
 	return 0
 }
 
-// unanswered reports whether nobody has seen the worker confirm the run. The order to start it may be carried out by a later incarnation,
-// which remembers no stop that an earlier one has acknowledged.
-func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() }
+// unanswered reports whether nobody has seen the worker confirm the run, or all attempts of its start. The order to start it may be carried
+// out by a later incarnation, which remembers no stop that an earlier one has acknowledged.
+func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() || p.retried }
 
 // mayBeUnreported reports whether a worker may execute the run although a report that was requested at the given time does not list it.
 func (p *placement) mayBeUnreported(requestedAt time.Time) bool {
@@ -161,9 +162,10 @@
 				s.withPendingAcks[w] = struct{}{}
 			}
 		}
-		if w.announced != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
+		if entry := cmp.Or(w.announced, w.ignored); entry != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
 			s.resetWorker(w, LossRestarted, now)
-			s.UpsertWorker(now, *w.announced)
+			w.earlier.Replace(w.info.Incarnation, entry.Incarnation)
+			s.UpsertWorker(now, *entry)
 		}
 	}
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
