--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -102,7 +102,7 @@
 // noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
 // holds mu.
 func (r *leaseRenewer) noteRestart() {
-	r.durableEnd = 0
+	r.durableEnd, r.ackedEnd = 0, 0
 	r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
 	if r.token != r.a.epoch { // an owner of an earlier release never raises it
 		r.fenceAfter(r.token)
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -16,6 +16,11 @@
 	StaleLease bool
 }
 
+// Covers reports whether a successor that knows u counts the leases of a worker whose present use is the given one.
+func (u WorkerUse) Covers(present WorkerUse) bool {
+	return u.Incarnation == present.Incarnation && (u.StaleLease || !present.StaleLease)
+}
+
 // staleCallLimit is the time after which no call to an earlier incarnation is carried out any more. Calls are late by seconds.
 const staleCallLimit = 30 * time.Second
 
@@ -51,17 +56,25 @@
 }
 
 // noteListed notes the entry of an unresolved worker. Before another incarnation than the used one answers, it may carry out a start to
-// which no owner has seen an answer.
+// which no owner has seen an answer, also one that the previous owner sends until it stops.
 func (s *Scheduler) noteListed(info WorkerInfo, now time.Time) {
 	u := s.lastUses[info.ID]
 	if s.IsUnresolved(info.ID) && info.Incarnation != u.Incarnation && info.Incarnation != u.listedAs {
-		u.listedAs, u.staleLeaseUntil = info.Incarnation, now.Add(s.cfg.StaleLease)
+		from := now
+		if u.notedAt.After(now) {
+			from = u.notedAt
+		}
+		u.listedAs, u.staleLeaseUntil = info.Incarnation, from.Add(s.cfg.StaleLease)
 		s.lastUses[info.ID] = u
 	}
 }
 
-// noteLastUse records how a worker was used that is removed now.
+// noteLastUse records how a worker was used that is removed now. Of an unresolved worker, the previous owner's use remains known: its
+// entry may be gone while runs go on.
 func (s *Scheduler) noteLastUse(w *worker, now time.Time) {
+	if s.IsUnresolved(w.info.ID) {
+		return
+	}
 	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now, clockZero: s.ClockZero(w.info.ID)}
 }
 
@@ -78,7 +91,8 @@
 func (s *Scheduler) Use(workerID string, now time.Time) WorkerUse {
 	w := s.workers[workerID]
 	if w == nil || !w.fenced && s.IsUnresolved(workerID) {
-		return s.lastUses[workerID].WorkerUse
+		u := s.lastUses[workerID]
+		return WorkerUse{Incarnation: u.Incarnation, StaleLease: u.StaleLease || now.Before(u.staleLeaseUntil)} // its entry may be gone for a successor
 	}
 	return WorkerUse{Incarnation: w.info.Incarnation, StaleLease: w.mayGetStaleCalls || now.Before(w.staleLeaseUntil)}
 }
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -58,6 +58,7 @@
 	LeaseUntil time.Time
 	// OtherClock means that another incarnation than the known one has answered, on whose clock the start may have set the longest lease.
 	OtherClock bool
+	Retried    bool // an earlier attempt was not answered, which the worker may still carry out
 }
 
 const (
@@ -94,6 +95,7 @@
 	if p.onOther = r.OtherClock; p.onOther {
 		s.withdrawSuspicion(p)
 	}
+	p.retried = r.Retried
 	switch r.Outcome {
 	case StartAccepted:
 		if p.state == starting {
