Keep a worker with an incomplete report until its lease has expired

A successor removed a silent worker that was not listed any more also if it had reported a full list of ends, and with it the lease that the successor's own unanswered calls had extended: tasks of the earlier owner started before it had expired.

--- a/internal/cluster/scheduler/unresolved_test.go
+++ b/internal/cluster/scheduler/unresolved_test.go
@@ -134,3 +134,25 @@
 		})
 	}
 }
+
+// Guards against two runs of a task: with the entry of a silent worker that has reported a full list of ends, the successor forgets the
+// lease that its own unanswered calls may have extended.
+func TestExtendedLeaseOutlastsTheEntryOfItsWorker(t *testing.T) {
+	Convey("Given a worker of the previous owner that has reported a full list of ends, is silent and not listed any more", t, func() {
+		g := newFixture(2, 1)
+		g.AddUnresolvedWorker("w9", at(5*time.Second))
+		g.SetPreviousUse("w9", WorkerUse{Incarnation: 1}, t0)
+		g.AddJob(t0, g.job("old", t0, simpleStep(1)), nil, true)
+		g.UpsertWorker(t0, WorkerInfo{ID: "w9", Service: testService, Address: "w9", Incarnation: 1})
+		g.HandleReport(at(time.Second), Report{Worker: "w9", Incarnation: 1, SentAt: at(time.Second), LeaseUntil: at(6 * time.Second), MoreEnded: true,
+			Ended: []EndedRun{{Number: 1, Task: workload.TaskID{Job: "another"}, Run: 1, Reason: EndDone}}})
+		g.MarkUnreachable(at(3*time.Second), "w9", at(8*time.Second))
+		g.DelistWorker("w9")
+		g.plan(at(4 * time.Second))
+		Convey("Its tasks start once that lease has expired", func() {
+			So(g.plan(at(7*time.Second)).Starts, ShouldBeEmpty)
+			So(g.plan(at(8*time.Second+time.Millisecond)).Starts, ShouldHaveLength, 1)
+			So(g.workers["w9"], ShouldBeNil)
+		})
+	})
+}
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -122,7 +122,8 @@
 }
 
 // expireWorkers drops the runs of unreachable workers whose lease has certainly expired. It also removes workers without
-// runs that are not listed and either unreachable or without a report to this owner.
+// runs that are not listed and either unreachable or without a report to this owner. One with an incomplete report may have ends that it
+// has not listed, and stays until its lease has expired.
 func (s *Scheduler) expireWorkers(now time.Time) {
 	for _, w := range s.sortedWorkers {
 		if w.unreachable && w.fenced && now.After(w.leaseUntil) {
@@ -140,7 +141,7 @@
 		}
 	}
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
-		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0
+		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0 && !(w.fenced && s.IsUnresolved(w.info.ID))
 		if gone {
 			s.noteLastUse(w, now)
 			delete(s.workers, w.info.ID)
