See a restart by the clock in the answer to a start

Until the renewal in progress at a crash has timed out, up to 0.85 s and with many workers 1.75 s, a delegate does not know that the worker is gone. Starts that it sent meanwhile were accepted by the next incarnation with a deadline on the clock of the earlier one, which sets the longest lease. If the worker was cut off before the next renewal was answered, the owner counted the ordinary lease and the tasks ran twice, also with a start time that is later and without any change of the owner or a delegate.

Every answer of a worker contains its clock. One that does not continue now counts as a restart, as in a report.

--- a/internal/cluster/coordinator/cutoff_test.go
+++ b/internal/cluster/coordinator/cutoff_test.go
@@ -64,11 +64,11 @@
 	}
 }
 
-func (w *leasedWorkers) Start(ctx context.Context, c delegate.StartCall) (scheduler.StartOutcome, error) {
+func (w *leasedWorkers) Start(ctx context.Context, c delegate.StartCall) (delegate.StartAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.call(c.Worker.ID, c.Deadline) {
-		return scheduler.RejectedUnhealthy, errCutOff
+		return delegate.StartAnswer{Outcome: scheduler.RejectedUnhealthy}, errCutOff
 	}
 	for other, runs := range w.runs {
 		for _, a := range runs {
@@ -78,7 +78,7 @@
 		}
 	}
 	w.runs[c.Worker.ID] = append(w.runs[c.Worker.ID], scheduler.ActiveRun{Task: c.Task, Run: c.Run})
-	return scheduler.StartAccepted, nil
+	return delegate.StartAnswer{Outcome: scheduler.StartAccepted}, nil
 }
 
 func (w *leasedWorkers) Stop(_ context.Context, c delegate.StopCall) error {
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -48,8 +48,8 @@
 	return delegate.RenewalAnswer{}, delegate.ErrSessionEnded
 }
 
-func (noWorkers) Start(context.Context, delegate.StartCall) (scheduler.StartOutcome, error) {
-	return scheduler.RejectedUnhealthy, nil
+func (noWorkers) Start(context.Context, delegate.StartCall) (delegate.StartAnswer, error) {
+	return delegate.StartAnswer{Outcome: scheduler.RejectedUnhealthy}, nil
 }
 
 func (noWorkers) Stop(context.Context, delegate.StopCall) error { return delegate.ErrSessionEnded }
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -56,6 +56,12 @@
 	Deadline     int64 // end of the lease on the worker's clock, in milliseconds
 }
 
+// StartAnswer is a worker's answer to a start.
+type StartAnswer struct {
+	Outcome scheduler.StartOutcome
+	ClockMS int64 // the worker's clock; 0 if the answer does not contain it
+}
+
 // StopCall is a stop order with what the delegate adds before it sends the order to the worker.
 type StopCall struct {
 	StopOrder
@@ -67,9 +73,9 @@
 type WorkerClient interface {
 	// Renew renews the lease of a worker. The error wraps ErrWorkerEnded if another worker answers at the worker's address.
 	Renew(ctx context.Context, w scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error)
-	// Start sends a start once, without retries. It returns StartUnknown whenever the run may have been started without
+	// Start sends a start once, without retries. The outcome is StartUnknown whenever the run may have been started without
 	// a definite answer.
-	Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error)
+	Start(ctx context.Context, c StartCall) (StartAnswer, error)
 	Stop(ctx context.Context, c StopCall) error
 }
 
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -110,16 +110,16 @@
 	return RenewalAnswer{ClockMS: time.Now().UnixMilli(), Incarnation: incarnation, Ended: ended}, nil
 }
 
-func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error) {
+func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (StartAnswer, error) {
 	w.mu.Lock()
 	w.starts = append(w.starts, fmt.Sprintf("%s/%d on %s", c.Task, c.Run, c.Worker.ID))
 	silent := w.silent
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return scheduler.StartUnknown, errNoAnswer
+		return StartAnswer{Outcome: scheduler.StartUnknown}, errNoAnswer
 	}
-	return scheduler.StartAccepted, nil
+	return StartAnswer{Outcome: scheduler.StartAccepted}, nil
 }
 
 func (w *fakeWorkers) Stop(_ context.Context, c StopCall) error {
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -87,6 +87,7 @@
 	} else if a.clockJumped {
 		r.noteRestart()
 	}
+	r.suspected = false
 	r.noteFence(a.token)
 	if r.unresponsive {
 		r.unresponsive, r.unconfirmed = false, true
@@ -99,6 +100,26 @@
 	return func() { r.confirm(silences) }
 }
 
+// checkClock reports whether a reading of the clock in the answer to a start that was sent at sentAt continues the reading of the last report.
+// If it does not, another incarnation has carried out the start, with a deadline on the clock of the earlier one.
+func (r *leaseRenewer) checkClock(ms int64, sentAt time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clock.continues(workerClock{known: true, ms: ms, askedAt: sentAt, readAt: r.a.deps.Clock()}) {
+		return true
+	}
+	r.suspected = true
+	r.noteRestart()
+	return false
+}
+
+// restartSuspected reports whether the answer to a start has shown another clock since the last report.
+func (r *leaseRenewer) restartSuspected() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspected
+}
+
 // noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
 // holds mu.
 func (r *leaseRenewer) noteRestart() {
--- a/internal/cluster/delegate/orders.go
+++ b/internal/cluster/delegate/orders.go
@@ -50,9 +50,12 @@
 		result.LeaseUntil = max(result.LeaseUntil, leaseUntil)
 		attempts++
 		timeout := startTimeouts[countedAttempts]
-		outcome, err := a.sendStart(StartCall{StartOrder: o, Worker: st.info, FencingToken: st.token, Deadline: leaseDeadline}, timeout)
-		if outcome != scheduler.StartUnknown {
-			result.Outcome = outcome
+		answer, err := a.sendStart(StartCall{StartOrder: o, Worker: st.info, FencingToken: st.token, Deadline: leaseDeadline}, timeout)
+		if answer.ClockMS != 0 && !r.checkClock(answer.ClockMS, now) {
+			result.LeaseUntil = max(result.LeaseUntil, r.lastLeaseEnd()) // the deadline may mean another time there
+		}
+		if answer.Outcome != scheduler.StartUnknown {
+			result.Outcome = answer.Outcome
 			break
 		}
 		maybeStarted = true
@@ -75,7 +78,7 @@
 	a.emit(Event{WorkerID: o.WorkerID, Generation: o.Generation, Started: &result})
 }
 
-func (a *Agent) sendStart(c StartCall, timeout time.Duration) (scheduler.StartOutcome, error) {
+func (a *Agent) sendStart(c StartCall, timeout time.Duration) (StartAnswer, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, timeout)
 	defer cancel()
 	return a.deps.Client.Start(ctx, c)
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -67,6 +67,7 @@
 	// staleToken is set while stale calls with tokens up to it may be carried out by the present incarnation.
 	staleToken int64
 	clock      workerClock
+	suspected  bool // the answer to a start shows another clock, which no report has told the owner yet
 	// unresponsive is set until the first answer, and from a renewal without an answer until the next answer. While it is set,
 	// no call extends the lease, so that the tasks there expire even if the worker processes a call late.
 	unresponsive bool
@@ -185,7 +186,7 @@
 	}
 	answer.token, answer.sentAt = st.token, sentAt
 	r.limitCheckpoints(&answer)
-	answer.clockJumped = answer.Incarnation == info.Incarnation && !r.clockContinues(answer)
+	answer.clockJumped = answer.Incarnation == info.Incarnation && (!r.clockContinues(answer) || r.restartSuspected())
 	stale := r.unfenced()
 	applied := r.recordAnswer(answer)
 	if applied == nil {
--- a/internal/cluster/delegate/workerclock.go
+++ b/internal/cluster/delegate/workerclock.go
@@ -25,7 +25,7 @@
 // expected returns the range in milliseconds within which the clock can show the time between the sending of a call and the arrival of its
 // answer.
 func (c workerClock) expected(askedAt, readAt time.Duration) (low, high int64) {
-	shortest, longest := max(askedAt-c.readAt, 0), readAt-c.askedAt
+	shortest, longest := askedAt-c.readAt, readAt-c.askedAt // the shortest is negative if the calls overlap
 	low = c.ms + int64(float64(shortest.Milliseconds())*(1-maxClockDrift)) - clockTolerance.Milliseconds()
 	high = c.ms + int64(float64(longest.Milliseconds())*(1+maxClockDrift)) + clockTolerance.Milliseconds()
 	return low, high
--- a/internal/cluster/delegate/workerclock_test.go
+++ b/internal/cluster/delegate/workerclock_test.go
@@ -26,6 +26,10 @@
 		So(before.continues(later(512_000, 10*time.Second, 0)), ShouldBeFalse)
 		So(before.continues(later(500_500, 10*time.Second, 0)), ShouldBeFalse)
 	})
+	Convey("An answer that overtakes the one before is of the same clock", t, func() { // a start is answered 0.9 s before a long poll, and read after it
+		poll := workerClock{known: true, ms: 500_000, askedAt: time.Hour - time.Second, readAt: time.Hour}
+		So(poll.continues(workerClock{known: true, ms: 499_100, askedAt: time.Hour - 950*time.Millisecond, readAt: time.Hour + time.Millisecond}), ShouldBeTrue)
+	})
 	Convey("The first reading continues any clock", t, func() {
 		So(workerClock{}.continues(later(1, 0, 0)), ShouldBeTrue)
 	})
