--- /dev/null
+++ b/internal/cluster/scheduler/restart_review_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// Guards against a worker that gets no tasks any more because it was draining when it restarted with the same start time.
+func TestDrainedWorkerRestartsWithTheSameStartTime(t *testing.T) {
+	f, now := newStaleLeaseFixture()
+	entry := f.workers["w0"].info
+	report := func(clock time.Duration, jumped bool) {
+		f.HandleReport(now, Report{Worker: "w0", Incarnation: 1, SentAt: now, LeaseUntil: now.Add(5 * time.Second), ClockMS: clock.Milliseconds(),
+			ClockJumped: jumped, Unfenced: jumped})
+	}
+	report(time.Hour, false)
+	entry.Draining, entry.DrainRemaining = true, 5*time.Second
+	f.UpsertWorker(now, entry)
+	now = now.Add(time.Second)
+	report(time.Second, true)
+	entry.Draining, entry.DrainRemaining = false, 0
+	f.UpsertWorker(now, entry)
+	for range 60 {
+		now = now.Add(time.Second)
+		report(now.Sub(t0), false)
+	}
+	if !f.workers["w0"].acceptsStarts() {
+		t.Error("a minute after the restart, of which the owner knows, and a ready entry the worker still counts as draining")
+	}
+}
+
+// Guards against a crash that is counted against tasks because of a late entry: a successor reads the entry of the incarnation before the
+// silent one, which says nothing about the silent one.
+func TestLateEntryIsNoEvidenceOfACrash(t *testing.T) {
+	for name, listed := range map[string]int64{"earlier incarnation": 4_000, "same incarnation": 5_000} {
+		f := newFixture(2, 0)
+		suspected := workload.SuspectedCrash{Worker: "w0", Address: "w0", Incarnation: 5_000, Run: 1, Weight: promptWeight, Accepted: true, Since: t0}
+		progress := &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{{Occurrence: 0, Step: 0, Index: 0, Run: 1,
+			Crash: &workload.CrashEvidence{Suspected: []workload.SuspectedCrash{suspected}}}}}
+		f.AddJob(t0, f.job("j", t0, simpleStep(1)), progress, true)
+		f.AddUnresolvedWorker("w0", at(5*time.Second))
+		f.SetPreviousUse("w0", WorkerUse{Incarnation: 5_000}, t0)
+		f.UpsertWorker(t0, WorkerInfo{ID: "w0", Service: testService, Address: "w0", Rack: "r1", Incarnation: listed,
+			Capacity: workload.Resources{CPUMilli: 10_000, MemoryMB: 10_000}})
+		// The worker was only cut off: it answers, and its run goes on.
+		f.HandleReport(at(time.Second), Report{Worker: "w0", Incarnation: 5_000, SentAt: at(time.Second), LeaseUntil: at(6 * time.Second),
+			Active: []ActiveRun{{Task: workload.TaskID{Job: "j"}, Run: 1}}})
+		if e := f.task(workload.TaskID{Job: "j"}).evidence; e.Counted() {
+			t.Errorf("with the entry of the %s, a crash is counted against the task although its run goes on: %+v", name, e)
+		}
+	}
+}
+
+// Guards against a task that crashes one worker after the other, whose crashes are not counted because the workers restart with the same start
+// time.
+func TestCrashCountsAlthoughTheWorkerNamesTheSameStartTime(t *testing.T) {
+	for name, next := range map[string]int64{"another start time": 2, "same start time": 1} {
+		f, now := newStaleLeaseFixture()
+		f.DelistWorker("w1")
+		f.AddJob(now, f.job("j", now, simpleStep(1)), nil, false)
+		starts := f.plan(now).Starts
+		if len(starts) != 1 {
+			t.Fatal("nothing was started")
+		}
+		f.MarkUnreachable(now.Add(50*time.Millisecond), "w0", now.Add(5*time.Second))
+		back := now.Add(time.Second)
+		f.HandleReport(back, Report{Worker: "w0", Incarnation: next, SentAt: back, LeaseUntil: back.Add(5 * time.Second), ClockMS: 1000,
+			ClockJumped: next == 1, Unfenced: true})
+		if e := f.task(starts[0].Task).evidence; !e.Counted() {
+			t.Errorf("with %s, the crash just after the start of a run that is gone is not counted against its task", name)
+		}
+	}
+}
+
+// Guards against a restart that goes unnoticed by the next delegate or owner because the earlier process was young: a stale deadline means a
+// time that is some seconds later on the next clock, and the ends are numbered anew.
+func TestYoungWorkerRestartsWithTheSameStartTime(t *testing.T) {
+	first := clockZeroAt(1000, at(time.Second)) // started at t0
+	second := clockZeroAt(200, at(4*time.Second))
+	if first.continues(second) {
+		t.Error("a clock that showed 1 s, and 3 s later 0.2 s, is taken for one that continues")
+	}
+}
