Keep the age of worker clocks that are listed again

A successor that listed the workers again before it had read their clocks let the next one take the readings of its predecessor for fresh. A clock that is 2 % slow moves by 72 s in an hour, so each such worker seemed to have restarted.

--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -139,8 +139,8 @@
 	Incarnations []int64 `json:"born,omitempty"`
 	// StaleLeases are those of IDs whose lease a call for an earlier incarnation may have set.
 	StaleLeases []string `json:"stale,omitempty"`
-	// ClockZeros tell when the clocks of IDs showed zero, in the same order; 0 if it is not known. They were read about ReadAtMS. Both are
-	// in milliseconds since 1970.
+	// ClockZeros tell when the clocks of IDs showed zero, in the same order; 0 if it is not known. The first of them was read at ReadAtMS.
+	// Both are in milliseconds since 1970.
 	ClockZeros []int64 `json:"clock_zero,omitempty"`
 	ReadAtMS   int64   `json:"read,omitempty"`
 }
@@ -183,14 +183,19 @@
 	return clocks
 }
 
-// SetClocks records the zeros of the workers' clocks, which were read about the given time.
+// SetClocks records the zeros of the workers' clocks, none of which was read after the given time. The earliest reading counts for all: a
+// clock that an earlier owner has read may have drifted since.
 func (u *WorkersInUse) SetClocks(clocks map[string]scheduler.ClockZero, readAt time.Time) {
 	if len(u.IDs) == 0 {
 		return
 	}
 	u.ClockZeros, u.ReadAtMS = make([]int64, len(u.IDs)), readAt.UnixMilli()
 	for i, id := range u.IDs {
-		u.ClockZeros[i] = clocks[id].UnixMS
+		c := clocks[id]
+		u.ClockZeros[i] = c.UnixMS
+		if c.UnixMS != 0 {
+			u.ReadAtMS = min(u.ReadAtMS, c.ReadAt.UnixMilli())
+		}
 	}
 }
 
