Compare no clock with that of another incarnation

If an entry had named the next incarnation before its first answer, that answer was compared with the clock of the incarnation before, and counted as a restart with the same start time.

--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -201,7 +201,7 @@
 			return
 		}
 		s.resetWorker(w, LossRestarted, now)
-		w.mayGetStaleCalls = true
+		w.mayGetStaleCalls, w.clockZero = true, ClockZero{}
 	}
 	sameIncarnation := w.info.Incarnation == info.Incarnation
 	// A process keeps its address. With two of them, nobody knows which one a call has reached.
--- a/internal/cluster/scheduler/workerclock_test.go
+++ b/internal/cluster/scheduler/workerclock_test.go
@@ -94,3 +94,24 @@
 		}
 	}
 }
+
+// Guards against a false alarm: an incarnation that answers for the first time is compared with the clock of the one before, although the
+// entry had named it already.
+func TestClockOfTheIncarnationBeforeIsNotCompared(t *testing.T) {
+	f, now := newStaleLeaseFixture()
+	report := func(incarnation int64, clock time.Duration) {
+		f.HandleReport(now, Report{Worker: "w0", Incarnation: incarnation, SentAt: now, LeaseUntil: now.Add(5 * time.Second), ClockMS: clock.Milliseconds()})
+	}
+	report(1, time.Hour)
+	f.MarkUnreachable(now, "w0", now)
+	next := f.workers["w0"].info
+	next.Incarnation = 2
+	f.UpsertWorker(now, next)
+	now = now.Add(20 * time.Second)
+	f.Plan(now) // nothing runs on the worker, so the entry is used
+	before := f.Restarts("w0")
+	report(2, time.Second)
+	if got := f.Restarts("w0"); got != before {
+		t.Errorf("the first report of the listed incarnation counts as %d more restarts", got-before)
+	}
+}
