Count no crash because of a late entry

A successor that read the entry of an incarnation before the silent one counted a crash of the silent one, although that one answered then and its runs went on. An entry alone counts nothing now; the answer of another incarnation than the silent one does as before.

TestLateEntryIsNoEvidenceOfACrash failed before.

--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -214,9 +214,6 @@
 	if info.Draining {
 		w.shutdownAt = now.Add(info.DrainRemaining)
 	}
-	if l := s.silences[info.ID]; l != nil && l.incarnation != info.Incarnation {
-		s.endSilence(w, now)
-	}
 }
 
 // announce notes the entry of another incarnation, which is called at its own address from now on.
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -54,6 +54,9 @@
 			kept = append(kept, p)
 		}
 	}
+	if l := s.silences[w.info.ID]; l != nil && l.incarnation == incarnation { // a late entry had named an earlier one
+		s.dropSilence(w.info.ID)
+	}
 	if w.answered() {
 		w.earlier.Replace(w.info.Incarnation, incarnation)
 	}
