End the drain of a worker that restarts with the same start time

A worker counts as draining until another incarnation replaces it, so one that named the same start time after the restart got no tasks any more. Its entry now ends the drain if the worker may have restarted.

--- a/internal/cluster/scheduler/restart_review_test.go
+++ b/internal/cluster/scheduler/restart_review_test.go
@@ -5,30 +5,6 @@
 	"time"
 )
 
-// Guards against a worker that gets no tasks any more because it was draining when it restarted with the same start time.
-func TestDrainedWorkerRestartsWithTheSameStartTime(t *testing.T) {
-	f, now := newStaleLeaseFixture()
-	entry := f.workers["w0"].info
-	report := func(clock time.Duration, jumped bool) {
-		f.HandleReport(now, Report{Worker: "w0", Incarnation: 1, SentAt: now, LeaseUntil: now.Add(5 * time.Second), ClockMS: clock.Milliseconds(),
-			ClockJumped: jumped, Unfenced: jumped})
-	}
-	report(time.Hour, false)
-	entry.Draining, entry.DrainRemaining = true, 5*time.Second
-	f.UpsertWorker(now, entry)
-	now = now.Add(time.Second)
-	report(time.Second, true)
-	entry.Draining, entry.DrainRemaining = false, 0
-	f.UpsertWorker(now, entry)
-	for range 60 {
-		now = now.Add(time.Second)
-		report(now.Sub(t0), false)
-	}
-	if !f.workers["w0"].acceptsStarts() {
-		t.Error("a minute after the restart, of which the owner knows, and a ready entry the worker still counts as draining")
-	}
-}
-
 // Guards against a task that crashes one worker after the other, whose crashes are not counted because the workers restart with the same start
 // time.
 func TestCrashCountsAlthoughTheWorkerNamesTheSameStartTime(t *testing.T) {
--- a/internal/cluster/scheduler/restart_test.go
+++ b/internal/cluster/scheduler/restart_test.go
@@ -143,3 +143,40 @@
 		}
 	}
 }
+
+// Guards against a worker that gets no tasks any more because it was draining when it restarted with the same start time.
+func TestDrainedWorkerRestartsWithTheSameStartTime(t *testing.T) {
+	for _, entryFirst := range []bool{false, true} {
+		f, now := newStaleLeaseFixture()
+		draining := f.workers["w0"].info
+		ready := draining
+		draining.Draining, draining.DrainRemaining = true, 5*time.Second
+		report := func(clock time.Duration, jumped bool) {
+			f.HandleReport(now, Report{Worker: "w0", Incarnation: 1, SentAt: now, LeaseUntil: now.Add(5 * time.Second), ClockMS: clock.Milliseconds(),
+				ClockJumped: jumped, Unfenced: jumped})
+		}
+		report(time.Hour, false)
+		f.UpsertWorker(now, draining)
+		now = now.Add(time.Second)
+		if entryFirst {
+			f.UpsertWorker(now, ready)
+			if f.workers["w0"].acceptsStarts() {
+				t.Error("a ready entry ends the drain of a worker that has not restarted")
+			}
+		}
+		report(time.Second, true)
+		if !entryFirst {
+			if f.workers["w0"].acceptsStarts() {
+				t.Error("the drain ends before an entry says so")
+			}
+			f.UpsertWorker(now, ready)
+		}
+		for i := range 60 {
+			now = now.Add(time.Second)
+			report(time.Duration(i+2)*time.Second, false)
+		}
+		if !f.workers["w0"].acceptsStarts() {
+			t.Errorf("entry first: %v: a minute after the restart and a ready entry the worker still counts as draining", entryFirst)
+		}
+	}
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -46,6 +46,8 @@
 	// mayGetStaleCalls is set until a report shows that stale calls can't reach the present incarnation any more.
 	mayGetStaleCalls bool
 	staleLeaseUntil  time.Time          // when a lease that a stale call has set has expired at the latest
+	entryDraining    bool               // the last entry says that it drains
+	drainSuspect     bool               // it may have restarted since it began to drain, so the next entry tells
 	shutdownAt       time.Time          // when a draining worker shuts down
 	used             workload.Resources // by its placements
 	urgentCPU        int64              // millicores used by urgent tasks; see headroom
@@ -175,7 +177,7 @@
 
 // UpsertWorker adds a worker or updates its description. Another incarnation under the same ID ends all runs of the present one once
 // it answers: an entry alone may be from another writer. The entry of an earlier one is late and is ignored. A draining worker remains so
-// until another incarnation replaces it.
+// until another incarnation replaces it, or until an entry says otherwise and it may have restarted with the same start time.
 func (s *Scheduler) UpsertWorker(now time.Time, info WorkerInfo) {
 	s.noteListed(info, now)
 	w := s.workers[info.ID]
@@ -206,9 +208,10 @@
 	sameIncarnation := w.info.Incarnation == info.Incarnation
 	// A process keeps its address. With two of them, nobody knows which one a call has reached.
 	w.moved = sameIncarnation && (w.moved || w.info.Address != info.Address)
-	wasDraining := w.info.Draining && sameIncarnation
+	wasDraining := w.info.Draining && sameIncarnation && !w.drainSuspect
 	w.info = info
 	w.info.Draining = info.Draining || wasDraining
+	w.entryDraining, w.drainSuspect = info.Draining, false
 	w.reserveForUnknownRuns()
 	w.listed, w.undescribed = true, false
 	if info.Draining {
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -76,6 +76,8 @@
 func (s *Scheduler) suspectRestart(w *worker) {
 	w.restarts++
 	w.mayGetStaleCalls = true
+	w.info.Draining = w.info.Draining && w.entryDraining
+	w.drainSuspect = w.info.Draining
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	delete(s.withPendingAcks, w)
 	for _, p := range w.placements {
