Count crashes of workers that restart with the same start time

Such a worker's silence ended like that of one that was only cut off, so a task that crashes its workers was never given up. A worker that may have restarted and lists none of its confirmed runs has crashed; one that was suspended lists them.

TestCrashCountsAlthoughTheWorkerNamesTheSameStartTime failed before.

--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -83,6 +83,9 @@
 		w.clockZero = zero
 	} else if !s.noteClock(w, zero) || r.ClockJumped {
 		s.suspectRestart(w)
+		if w.lacksRuns(r) {
+			s.confirmCrash(w.info.ID, now)
+		}
 		unfenced = true // a delegate that has not read the clock before does not know of the restart
 	}
 	w.unreachable, w.fenced = false, true
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -87,6 +87,23 @@
 	}
 }
 
+// lacksRuns reports whether a worker lists none of the runs that it had confirmed before the report was requested. One that has only been
+// suspended lists them all, as active or as ended.
+func (w *worker) lacksRuns(r Report) bool {
+	confirmed := 0
+	for _, p := range w.placements {
+		if p.state != running || p.mayBeUnreported(r.SentAt) {
+			continue
+		}
+		confirmed++
+		if slices.ContainsFunc(r.Active, func(a ActiveRun) bool { return a.Task == p.id && a.Run == p.run }) ||
+			slices.ContainsFunc(r.Ended, func(e EndedRun) bool { return e.Task == p.id && e.Run == p.run }) {
+			return false
+		}
+	}
+	return confirmed > 0 && !r.MoreEnded
+}
+
 // Restarts returns how many restarts of a worker this owner has seen or suspected.
 func (s *Scheduler) Restarts(workerID string) int {
 	if w := s.workers[workerID]; w != nil {
