Fence after a clock jump only under an owner that raises the token

An owner of the release before raises a worker's token only when the worker names another start time. A delegate that waited for a higher token after the worker's clock had jumped extended no lease and started nothing there any more, also if the worker had only been suspended. Assignments now tell whether the owner takes part.

The test of acknowledgements before a suspected restart sets the new field, since it plays a present owner; what it expects is unchanged.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -150,7 +150,7 @@
 func (as *assigner) assignOrder(a *assignment) *delegate.Assignment {
 	return &delegate.Assignment{Worker: a.info, Generation: a.generation, LastAckedEnd: a.lastAckedEnd,
 		FencingToken:     delegate.FencingToken(as.t.ownership.Epoch(), a.fence),
-		MayGetStaleCalls: as.t.sched.MayGetStaleCalls(a.info.ID)}
+		MayGetStaleCalls: as.t.sched.MayGetStaleCalls(a.info.ID), FencesClockJumps: true}
 }
 
 // nextNumber returns the next generation or fence. They rise within a term.
--- a/internal/cluster/delegate/fencing_test.go
+++ b/internal/cluster/delegate/fencing_test.go
@@ -251,17 +251,18 @@
 func TestAcknowledgementsFromBeforeASuspectedRestartAreIgnored(t *testing.T) {
 	clock := newTestClock()
 	info := testWorker("w1")
-	r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: clock.since}}, ready: make(chan struct{}), info: info, token: FencingToken(testEpoch, 1)}
+	r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: clock.since}}, ready: make(chan struct{}), info: info, token: FencingToken(testEpoch, 1),
+		fencesClockJumps: true}
 	r.recordAnswer(RenewalAnswer{ClockMS: 600_000, Incarnation: 1})
 	ack := Ack{WorkerID: info.ID, Incarnation: 1, LastAckedEnd: 57}
 	r.acknowledge(ack)
 	r.recordAnswer(RenewalAnswer{ClockMS: 1000, Incarnation: 1, token: r.token, clockJumped: true})
 	r.acknowledge(ack)
-	r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: r.token, LastAckedEnd: 57})
+	r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: r.token, LastAckedEnd: 57, FencesClockJumps: true})
 	if got := r.state().lastAckedEnd; got != 0 {
 		t.Errorf("ends up to %d are acknowledged before the owner knows of the restart", got)
 	}
-	r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: r.token + 1, MayGetStaleCalls: true})
+	r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: r.token + 1, MayGetStaleCalls: true, FencesClockJumps: true})
 	r.acknowledge(Ack{WorkerID: info.ID, Incarnation: 1, LastAckedEnd: 3})
 	if got := r.state().lastAckedEnd; got != 3 {
 		t.Errorf("ends up to %d are acknowledged after the owner has seen the restart; want 3", got)
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -19,6 +19,7 @@
 	defer r.mu.Unlock()
 	defer wait.Signal(r.ownerActed)
 	r.token = max(r.token, as.FencingToken)
+	r.fencesClockJumps = as.FencesClockJumps
 	if r.replaced.Contains(as.Worker.Incarnation) {
 		r.generation = as.Generation
 		return
@@ -83,9 +84,9 @@
 		}
 		r.replaced.Replace(r.info.Incarnation, a.Incarnation)
 		r.info.Incarnation = a.Incarnation
-		r.noteRestart()
+		r.noteRestart(true)
 	} else if a.clockJumped {
-		r.noteRestart()
+		r.noteRestart(r.fencesClockJumps)
 	}
 	r.noteFence(a.token)
 	if r.unresponsive {
@@ -101,10 +102,10 @@
 
 // noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
 // holds mu.
-func (r *leaseRenewer) noteRestart() {
+func (r *leaseRenewer) noteRestart(ownerFences bool) {
 	r.durableEnd, r.ackedEnd = 0, 0
 	r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
-	if r.token != r.a.epoch { // an owner of an earlier release never raises it
+	if ownerFences && r.token != r.a.epoch { // an owner of an earlier release never raises it
 		r.fenceAfter(r.token)
 	}
 }
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -26,6 +26,8 @@
 	FencingToken int64 `json:"token,omitempty"`
 	// MayGetStaleCalls means that calls for an earlier incarnation of the worker, with lower tokens, may still reach this one.
 	MayGetStaleCalls bool `json:"stale,omitempty"`
+	// FencesClockJumps means that the owner raises the token after a Report with ClockJumped. Owners of earlier releases don't.
+	FencesClockJumps bool `json:"clocks,omitempty"`
 }
 
 // StartOrder starts a run, which is one attempt to execute a task.
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -57,12 +57,14 @@
 	// ownerActed is signalled when the owner has applied a report or changed the assignment.
 	ownerActed chan struct{}
 
-	mu         sync.Mutex
-	info       scheduler.WorkerInfo
-	replaced   scheduler.ReplacedIncarnations
-	namedAt    time.Duration // when the owner last named another incarnation than the one that answered, on the agent's clock
-	generation int64
-	durableEnd int64 // the owner has stored ended runs up to this number
+	mu       sync.Mutex
+	info     scheduler.WorkerInfo
+	replaced scheduler.ReplacedIncarnations
+	namedAt  time.Duration // when the owner last named another incarnation than the one that answered, on the agent's clock
+	// fencesClockJumps means that the owner raises the token also if the worker may have restarted with the same start time.
+	fencesClockJumps bool
+	generation       int64
+	durableEnd       int64 // the owner has stored ended runs up to this number
 	// ackedIncarnation has answered a renewal that acknowledged its ends up to ackedEnd.
 	ackedIncarnation, ackedEnd int64
 	token                      int64 // of calls to the worker
--- a/internal/cluster/delegate/restart_review_test.go
+++ b/internal/cluster/delegate/restart_review_test.go
@@ -65,7 +65,8 @@
 		clock := newTestClock()
 		info := testWorker("w1")
 		info.Incarnation = names[0]
-		r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: clock.since}}, ready: make(chan struct{}), info: info, token: FencingToken(testEpoch, 1)}
+		r := &leaseRenewer{a: &Agent{cfg: testConfig, deps: Deps{Clock: clock.since}}, ready: make(chan struct{}), info: info, token: FencingToken(testEpoch, 1),
+			fencesClockJumps: true}
 		answer := func(incarnation int64, jumped bool) {
 			r.recordAnswer(RenewalAnswer{ClockMS: 1000, Incarnation: incarnation, token: r.token, sentAt: clock.since(), clockJumped: jumped})
 		}
@@ -74,7 +75,7 @@
 		answer(names[2], names[2] == names[1])
 		// The owner has stored three ends of the second process by now, and has not seen the third one.
 		info.Incarnation = names[1]
-		r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: FencingToken(testEpoch, 2), LastAckedEnd: 3, MayGetStaleCalls: true})
+		r.updateAssignment(Assignment{Worker: info, Generation: 1, FencingToken: FencingToken(testEpoch, 2), LastAckedEnd: 3, MayGetStaleCalls: true, FencesClockJumps: true})
 		if got := r.state().lastAckedEnd; got != 0 {
 			t.Errorf("%s: ends up to %d of the third process are acknowledged before the owner knows of it", name, got)
 		}
