--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -54,6 +54,9 @@
 			kept = append(kept, p)
 		}
 	}
+	if l := s.silences[w.info.ID]; l != nil && l.incarnation == incarnation { // a late entry had named an earlier one
+		s.dropSilence(w.info.ID)
+	}
 	if w.answered() {
 		w.earlier.Replace(w.info.Incarnation, incarnation)
 	}
@@ -73,6 +76,8 @@
 func (s *Scheduler) suspectRestart(w *worker) {
 	w.restarts++
 	w.mayGetStaleCalls = true
+	w.info.Draining = w.info.Draining && w.entryDraining
+	w.drainSuspect = w.info.Draining
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	delete(s.withPendingAcks, w)
 	for _, p := range w.placements {
@@ -82,6 +87,23 @@
 	}
 }
 
+// lacksRuns reports whether a worker lists none of the runs that it had confirmed before the report was requested. One that has only been
+// suspended lists them all, as active or as ended.
+func (w *worker) lacksRuns(r Report) bool {
+	confirmed := 0
+	for _, p := range w.placements {
+		if p.state != running || p.mayBeUnreported(r.SentAt) {
+			continue
+		}
+		confirmed++
+		if slices.ContainsFunc(r.Active, func(a ActiveRun) bool { return a.Task == p.id && a.Run == p.run }) ||
+			slices.ContainsFunc(r.Ended, func(e EndedRun) bool { return e.Task == p.id && e.Run == p.run }) {
+			return false
+		}
+	}
+	return confirmed > 0 && !r.MoreEnded
+}
+
 // Restarts returns how many restarts of a worker this owner has seen or suspected.
 func (s *Scheduler) Restarts(workerID string) int {
 	if w := s.workers[workerID]; w != nil {
