--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -59,6 +59,7 @@
 	generation int64 // of the records, as the scheduler numbers them
 	records    []scheduler.Record
 	inUse      map[string]scheduler.WorkerUse // workers in use; nil if the stored row is up to date
+	clocks     map[string]scheduler.ClockZero // of the workers in inUse
 	inherited  []string                       // those of inUse to which an earlier owner may still send orders
 	delegated  bool
 	needed     bool
@@ -78,18 +79,38 @@
 	// The set of inherited workers only shrinks. It is written with any other change, and by itself once it is empty, so that it
 	// costs one write a term.
 	current, inherited := t.workersInUse(), t.inheritedWorkers()
-	if !maps.Equal(current, t.inUse) || t.delegated != t.storedDelegated || t.storedInherited && len(inherited) == 0 {
+	if !maps.Equal(current, t.inUse) || t.clockUnstored(current) || t.delegated != t.storedDelegated || t.storedInherited && len(inherited) == 0 {
 		b.needed, b.inUse, b.inherited, b.delegated = true, current, inherited, t.delegated
+		b.clocks = make(map[string]scheduler.ClockZero, len(current))
+		for id := range current {
+			b.clocks[id] = t.sched.ClockZero(id)
+		}
 		// Nothing may be started any more on workers that the list to be written leaves out, even if they answer again
 		// meanwhile.
 		maps.DeleteFunc(t.inUse, func(id string, _ scheduler.WorkerUse) bool {
 			_, stays := current[id]
 			return !stays
 		})
+		// Neither may anything be started that relies on a stale lease that the list to be written does not have any more.
+		for id, stored := range t.inUse {
+			stored.StaleLease = stored.StaleLease && current[id].StaleLease
+			t.inUse[id] = stored
+		}
 	}
 	return b
 }
 
+// clockUnstored reports whether the clock of a worker has been read that the stored list does not tell of, without which a successor can't
+// notice a restart with the same start time. The caller holds mu.
+func (t *term) clockUnstored(inUse map[string]scheduler.WorkerUse) bool {
+	for id := range inUse {
+		if t.storedClocks[id].UnixMS == 0 && t.sched.ClockZero(id).UnixMS != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // workersInUse returns the workers that have to be in the stored list. The caller holds mu.
 func (t *term) workersInUse() map[string]scheduler.WorkerUse {
 	now := time.Now()
@@ -145,6 +166,7 @@
 	changes := make([]recordRows, 0, len(b.records)+1)
 	if b.inUse != nil {
 		u := records.NewWorkersInUse(b.inUse)
+		u.SetClocks(b.clocks, time.Now())
 		u.Delegated, u.Epoch, u.Inherited = b.delegated, t.ownership.Epoch(), slices.Sorted(slices.Values(b.inherited))
 		value, err := records.Encode(u)
 		if err != nil {
@@ -152,6 +174,7 @@
 			return nil, false
 		}
 		c := t.rows.put(records.WorkersInUseKey, value)
+		c.clocks = b.clocks
 		c.inUse, c.inherited, c.delegated = b.inUse, len(b.inherited) > 0, b.delegated
 		changes = append(changes, c)
 	}
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -42,7 +42,10 @@
 	Ended       []scheduler.EndedRun
 	MoreEnded   bool // further runs may have ended, which the worker lists once those in Ended are acknowledged
 
-	token int64 // of the renewal that it answers
+	token  int64         // of the renewal that it answers
+	sentAt time.Duration // when that renewal was sent, on the agent's clock
+	// clockJumped means that the clock does not continue that of the last answer, although the worker names the same incarnation.
+	clockJumped bool
 }
 
 // StartCall is a start order with what the delegate adds before it sends the order to the worker.
@@ -53,6 +56,14 @@
 	Deadline     int64 // end of the lease on the worker's clock, in milliseconds
 }
 
+// StartAnswer is the result of sending a start once.
+type StartAnswer struct {
+	Outcome scheduler.StartOutcome
+	// NotSent means that the outcome is StartUnknown only because no part of the start was sent in time, so the worker has not received it.
+	NotSent bool
+	ClockMS int64 // the worker's clock; 0 if the answer does not tell
+}
+
 // StopCall is a stop order with what the delegate adds before it sends the order to the worker.
 type StopCall struct {
 	StopOrder
@@ -64,9 +75,9 @@
 type WorkerClient interface {
 	// Renew renews the lease of a worker. The error wraps ErrWorkerEnded if another worker answers at the worker's address.
 	Renew(ctx context.Context, w scheduler.WorkerInfo, r Renewal) (RenewalAnswer, error)
-	// Start sends a start once, without retries. It returns StartUnknown whenever the run may have been started without
+	// Start sends a start once, without retries. The outcome is StartUnknown whenever the run may have been started without
 	// a definite answer.
-	Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error)
+	Start(ctx context.Context, c StartCall) (StartAnswer, error)
 	Stop(ctx context.Context, c StopCall) error
 }
 
--- a/internal/cluster/delegate/fakes_test.go
+++ b/internal/cluster/delegate/fakes_test.go
@@ -47,9 +47,11 @@
 	renews      int
 	starts      []string
 	stops       []string
-	maxDeadline int64 // latest deadline of all renewals
-	lastAcked   int64 // number of the last ended run that a renewal acknowledged
-	incarnation int64 // incarnation of the workers; 0 means 1
+	maxDeadline int64         // latest deadline of all renewals
+	highestAck  int64         // highest number of an end that a renewal has acknowledged since the last restart or change of silent
+	incarnation int64         // incarnation of the workers; 0 means 1
+	notSent     bool          // while silent is set, nothing of a start is sent
+	clockBehind time.Duration // how far the clock in answers to starts is behind that of the reports
 	renewals    []Renewal
 	ended       []scheduler.EndedRun
 }
@@ -57,19 +59,19 @@
 func (w *fakeWorkers) setSilent(silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = silent
+	w.silent, w.highestAck = silent, 0
 }
 
 func (w *fakeWorkers) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.incarnation = 2
+	w.incarnation, w.highestAck = 2, 0
 }
 
 func (w *fakeWorkers) acked() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.lastAcked
+	return w.highestAck
 }
 
 func (w *fakeWorkers) deadline() int64 {
@@ -89,7 +91,7 @@
 	w.renews++
 	w.renewals = append(w.renewals, r)
 	w.maxDeadline = max(w.maxDeadline, r.Deadline)
-	w.lastAcked = r.LastAckedEnd
+	w.highestAck = max(w.highestAck, r.LastAckedEnd)
 	silent, malformed, ended, incarnation := w.silent, w.malformed, w.ended, max(w.incarnation, 1)
 	w.mu.Unlock()
 	if malformed {
@@ -110,16 +112,16 @@
 	return RenewalAnswer{ClockMS: time.Now().UnixMilli(), Incarnation: incarnation, Ended: ended}, nil
 }
 
-func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (scheduler.StartOutcome, error) {
+func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (StartAnswer, error) {
 	w.mu.Lock()
 	w.starts = append(w.starts, fmt.Sprintf("%s/%d on %s", c.Task, c.Run, c.Worker.ID))
-	silent := w.silent
+	silent, clockBehind, notSent := w.silent, w.clockBehind, w.notSent
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return scheduler.StartUnknown, errNoAnswer
+		return StartAnswer{Outcome: scheduler.StartUnknown, NotSent: notSent}, errNoAnswer
 	}
-	return scheduler.StartAccepted, nil
+	return StartAnswer{Outcome: scheduler.StartAccepted, ClockMS: time.Now().Add(-clockBehind).UnixMilli()}, nil
 }
 
 func (w *fakeWorkers) Stop(_ context.Context, c StopCall) error {
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -131,6 +131,10 @@
 	MoreEnded   bool                  `json:"more_ended,omitempty"` // as in a RenewalAnswer
 	// Unfenced means that calls for an earlier incarnation of the worker may still reach this one.
 	Unfenced bool `json:"unfenced,omitempty"`
+	// ClockMS is what the worker's clock showed. ClockJumped means that it does not continue that of the report before, so that the worker
+	// may have restarted although it names the same incarnation.
+	ClockMS     int64 `json:"clock,omitempty"`
+	ClockJumped bool  `json:"jumped,omitempty"`
 }
 
 // MissedRenewal is a renewal that the worker did not answer.
@@ -152,7 +156,12 @@
 	AnsweredAt time.Duration          `json:"at"`
 	LeaseUntil time.Duration          `json:"lease"`
 	Outcome    scheduler.StartOutcome `json:"outcome"`
-	Took       time.Duration          `json:"took"`
+	// OtherClock means that another incarnation than the one that was called has answered, as the clock in the answer shows. The
+	// deadline of the start may have set the longest lease there.
+	OtherClock bool          `json:"other_clock,omitempty"`
+	Took       time.Duration `json:"took"`
+	// Retried means that an earlier attempt was not answered.
+	Retried bool `json:"retried,omitempty"`
 }
 
 // StopResult means that a worker has accepted a stop.
--- a/internal/cluster/scheduler/incarnations.go
+++ b/internal/cluster/scheduler/incarnations.go
@@ -29,7 +29,8 @@
 	WorkerUse
 	notedAt         time.Time // while the worker was in use, or afterwards
 	staleLeaseUntil time.Time // when the lease that a stale call may have set has expired at the latest; zero if there was none
-	listedAs        int64     // latest incarnation of an unresolved worker that the list has shown
+	clockZero       ClockZero // of the used incarnation
+	listedAs        int64     // last incarnation other than the used one that the list has shown while the worker was unresolved
 }
 
 // SetPreviousUse records how the previous owner used a worker, which may go on until the given time. What it started there runs on that
@@ -54,11 +55,11 @@
 	}
 }
 
-// noteListed notes the entry of an unresolved worker. Before a later incarnation than the used one answers, it may carry out a start to
+// noteListed notes the entry of an unresolved worker. Before another incarnation than the used one answers, it may carry out a start to
 // which no owner has seen an answer, also one that the previous owner sends until it stops.
 func (s *Scheduler) noteListed(info WorkerInfo, now time.Time) {
 	u := s.lastUses[info.ID]
-	if s.IsUnresolved(info.ID) && info.Incarnation > max(u.Incarnation, u.listedAs) {
+	if s.IsUnresolved(info.ID) && info.Incarnation != u.Incarnation && info.Incarnation != u.listedAs {
 		from := now
 		if u.notedAt.After(now) {
 			from = u.notedAt
@@ -74,7 +75,7 @@
 	if s.IsUnresolved(w.info.ID) {
 		return
 	}
-	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now}
+	s.lastUses[w.info.ID] = lastUse{WorkerUse: s.Use(w.info.ID, now), notedAt: now, clockZero: s.ClockZero(w.info.ID)}
 }
 
 // expireLastUses forgets the workers that no stale call can reach any more.
@@ -96,6 +97,12 @@
 	return WorkerUse{Incarnation: w.info.Incarnation, StaleLease: w.mayGetStaleCalls || now.Before(w.staleLeaseUntil)}
 }
 
+// IsPresent reports whether the incarnation of a worker is its present one, as far as this owner knows.
+func (s *Scheduler) IsPresent(workerID string, incarnation int64) bool {
+	w := s.workers[workerID]
+	return w != nil && w.info.Incarnation == incarnation
+}
+
 // MayGetStaleCalls reports whether stale calls may still reach the present incarnation of a worker.
 func (s *Scheduler) MayGetStaleCalls(workerID string) bool {
 	w := s.workers[workerID]
@@ -125,6 +132,11 @@
 		return
 	}
 	w.mayGetStaleCalls = unfenced
+	s.noteStaleLease(w, now)
+}
+
+// noteStaleLease notes that a stale call may have set the lease of a worker until now.
+func (s *Scheduler) noteStaleLease(w *worker, now time.Time) {
 	w.staleLeaseUntil = now.Add(s.cfg.StaleLease)
 	w.extendLease(w.staleLeaseUntil)
 }
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -56,12 +56,18 @@
 	Outcome    StartOutcome
 	AnsweredAt time.Time // when the answer was received
 	LeaseUntil time.Time
+	// OtherClock means that another incarnation than the known one has answered, on whose clock the start may have set the longest lease.
+	OtherClock bool
+	Retried    bool // an earlier attempt was not answered, which the worker may still carry out
 }
 
 const (
 	// rejectionDelay is how long a worker gets no tasks after it rejected one because it lacked free resources or was
 	// unhealthy.
 	rejectionDelay = 300 * time.Millisecond
+	// otherClockDelay is how long a worker gets no tasks after another incarnation than the known one has answered a start. Its report
+	// comes within the timeout of the renewal that is under way.
+	otherClockDelay = time.Second
 	// oldRunIncrement is added to the run number of a task after a worker rejected it as old (RejectedStaleRun), to get
 	// past the highest run number that the worker has seen.
 	oldRunIncrement = 16
@@ -75,6 +81,10 @@
 		return
 	}
 	w.extendLease(r.LeaseUntil)
+	if r.OtherClock {
+		s.noteStaleLease(w, now)
+		w.health.rejectsUntil = now.Add(otherClockDelay)
+	}
 	p := w.findPlacement(r.Task, r.Run)
 	if p == nil {
 		return
@@ -82,6 +92,10 @@
 	if r.Outcome < StartAccepted || r.Outcome > RejectedOther {
 		r.Outcome = StartUnknown
 	}
+	if p.onOther = r.OtherClock; p.onOther {
+		s.withdrawSuspicion(p)
+	}
+	p.retried = r.Retried
 	switch r.Outcome {
 	case StartAccepted:
 		if p.state == starting {
@@ -92,6 +106,7 @@
 			p.task.evidence.AcceptStart(w.info.ID, p.run)
 		}
 	case StartUnknown:
+		p.givenUpAt = r.AnsweredAt
 		if p.state == starting {
 			s.stopRun(p, "the start was not answered")
 			s.stopGangOf(p, "start order of another gang member was not answered")
@@ -158,7 +173,7 @@
 	u := t.unit
 	t.run = run
 	p := &placement{id: t.id(), run: run, task: t, worker: w, state: starting, resources: u.resources(), urgent: s.urgent(u),
-		suspected: t.suspected(), orderedAt: now, percentChangedAt: now}
+		suspected: t.suspected(), orderedAt: now, percentChangedAt: now, withTicket: u.tickets[w.info.ID].value != ""}
 	t.placement = p
 	u.tasks.keep(t)
 	w.addPlacement(p)
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -53,8 +54,12 @@
 			kept = append(kept, p)
 		}
 	}
+	if w.answered() {
+		w.earlier.Replace(w.info.Incarnation, incarnation)
+	}
 	s.resetWorkerExcept(w, kept, LossRestarted, now)
 	w.info.Incarnation, w.info.Draining, w.undescribed = incarnation, false, true
+	w.restarts++
 	w.mayGetStaleCalls = true
 	for _, p := range kept {
 		if p.state != running {
@@ -63,9 +68,31 @@
 	}
 }
 
-// unanswered reports whether nobody has seen the worker confirm the run. The order to start it may be carried out by a later incarnation,
-// which remembers no stop that an earlier one has acknowledged.
-func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() }
+// suspectRestart notes that a worker may have restarted although it names the same incarnation. Calls for the earlier process may reach it,
+// and it numbers its ends anew. Its runs stay placed as long as its reports list them: if it has only been suspended, they go on.
+func (s *Scheduler) suspectRestart(w *worker) {
+	w.restarts++
+	w.mayGetStaleCalls = true
+	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
+	delete(s.withPendingAcks, w)
+	for _, p := range w.placements {
+		if p.unanswered() && !p.stopAckedAt.IsZero() {
+			s.orderStop(p, "the worker may have restarted and receive the start late")
+		}
+	}
+}
+
+// Restarts returns how many restarts of a worker this owner has seen or suspected.
+func (s *Scheduler) Restarts(workerID string) int {
+	if w := s.workers[workerID]; w != nil {
+		return w.restarts
+	}
+	return 0
+}
+
+// unanswered reports whether nobody has seen the worker confirm the run, or all attempts of its start. The order to start it may be carried
+// out by a later incarnation, which remembers no stop that an earlier one has acknowledged.
+func (p *placement) unanswered() bool { return p.confirmedAt.IsZero() || p.retried }
 
 // mayBeUnreported reports whether a worker may execute the run although a report that was requested at the given time does not list it.
 func (p *placement) mayBeUnreported(requestedAt time.Time) bool {
@@ -121,23 +148,25 @@
 	s.resetWorker(w, LossEnded, now)
 }
 
-// expireWorkers drops the runs of unreachable workers whose lease has certainly expired. It also removes workers without
-// runs that are not listed and either unreachable or without a report to this owner. One with an incomplete report may have ends that it
-// has not listed, and stays until its lease has expired.
+// expireWorkers drops the runs of unreachable workers whose lease has certainly expired, also if an incarnation that no owner knows may run
+// them. It also removes workers without runs that are not listed and either unreachable or without a report to this owner. One with an
+// incomplete report may have ends that it has not listed, and stays until its lease has expired.
 func (s *Scheduler) expireWorkers(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if w.unreachable && w.fenced && now.After(w.leaseUntil) {
+		waiting := s.placementsUnseen(w, now)
+		if w.unreachable && (w.fenced && now.After(w.leaseUntil) || !w.fenced && len(waiting) < len(w.placements)) {
 			lastEnd, lastDurableEnd, pendingAcks := w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks
-			s.resetWorker(w, LossLeaseExpired, now)
+			s.resetWorkerExcept(w, waiting, LossLeaseExpired, now)
 			// The process may still be alive: it continues the numbering of its ends.
 			w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = lastEnd, lastDurableEnd, pendingAcks
 			if len(pendingAcks) > 0 {
 				s.withPendingAcks[w] = struct{}{}
 			}
 		}
-		if w.announced != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
+		if entry := cmp.Or(w.announced, w.ignored); entry != nil && w.unreachable && len(w.placements) == 0 { // nothing is lost if the entry is odd
 			s.resetWorker(w, LossRestarted, now)
-			s.UpsertWorker(now, *w.announced)
+			w.earlier.Replace(w.info.Incarnation, entry.Incarnation)
+			s.UpsertWorker(now, *entry)
 		}
 	}
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
