Tell delegates of how many restarts of a worker the owner knows

Ends of a worker could be acknowledged unread when it restarted twice with the same start time before the delegate heard from the owner about the first restart: the raised token showed that the owner knew of a restart, not of which. Their tasks ran again after ends as done that were taken note of.

A report now has the number of restarts that the delegate has seen, and orders that acknowledge ends tell the number that the owner has applied. Owners of earlier releases are told apart by the field that says that they fence clock jumps.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -44,8 +44,10 @@
 	// reported is set once the executor has reported. Before that the worker may have restarted with the same start time unseen, so the
 	// executor must not acknowledge ends by the numbers of the earlier process.
 	reported bool
-	starts   map[runKey]delegate.StartOrder
-	stops    map[runKey]delegate.StopOrder
+	// executorRestarts is delegate.Report.Restarts of the last report.
+	executorRestarts int
+	starts           map[runKey]delegate.StartOrder
+	stops            map[runKey]delegate.StopOrder
 }
 
 // assigner assigns the workers to executors and sends them the owner's orders. The callers of its methods hold the term's mu.
@@ -150,7 +152,7 @@
 func (as *assigner) assignOrder(a *assignment) *delegate.Assignment {
 	return &delegate.Assignment{Worker: a.info, Generation: a.generation, LastAckedEnd: a.lastAckedEnd,
 		FencingToken:     delegate.FencingToken(as.t.ownership.Epoch(), a.fence),
-		MayGetStaleCalls: as.t.sched.MayGetStaleCalls(a.info.ID), FencesClockJumps: true}
+		MayGetStaleCalls: as.t.sched.MayGetStaleCalls(a.info.ID), FencesClockJumps: true, Restarts: a.executorRestarts}
 }
 
 // nextNumber returns the next generation or fence. They rise within a term.
@@ -176,7 +178,7 @@
 	}
 	a.generation = as.nextNumber()
 	a.executor, a.fence = ex, a.generation
-	a.lastAckedEnd, a.reported = 0, false
+	a.lastAckedEnd, a.reported, a.executorRestarts = 0, false, 0
 	ex.send(delegate.Order{Assign: as.assignOrder(a)})
 	for k, s := range a.stops {
 		delete(a.starts, k) // a run that is being stopped need not be started
@@ -308,7 +310,7 @@
 		}
 		if end := as.t.sched.LastDurableEnd(id, a.info.Incarnation); end > a.lastAckedEnd && a.executor != nil {
 			a.lastAckedEnd = end
-			a.executor.send(delegate.Order{Ack: &delegate.Ack{WorkerID: id, Incarnation: a.info.Incarnation, LastAckedEnd: end}})
+			a.executor.send(delegate.Order{Ack: &delegate.Ack{WorkerID: id, Incarnation: a.info.Incarnation, LastAckedEnd: end, Restarts: a.executorRestarts}})
 		}
 	}
 }
--- a/internal/cluster/coordinator/delegates.go
+++ b/internal/cluster/coordinator/delegates.go
@@ -155,7 +155,7 @@
 	switch {
 	case e.Report != nil:
 		t.applyReport(now, ex, e.WorkerID, e.Report)
-		a.reported = true
+		a.reported, a.executorRestarts = true, e.Report.Restarts
 	case e.MissedRenewal != nil && e.MissedRenewal.Excused:
 		t.sched.ExtendLease(e.WorkerID, ex.leaseEnd(e.MissedRenewal.LeaseUntil))
 	case e.MissedRenewal != nil:
--- a/internal/cluster/delegate/fencing.go
+++ b/internal/cluster/delegate/fencing.go
@@ -33,10 +33,10 @@
 	}
 }
 
-// ownerUnaware reports whether the owner did not know yet that the worker has restarted when it sent an order with the given token, or none
-// since: it raises the token with each restart. The caller holds mu.
-func (r *leaseRenewer) ownerUnaware(token int64) bool {
-	return r.staleToken != 0 && token <= r.staleToken
+// ownerUnaware reports whether the owner has sent an order before it knew of all restarts that this delegate has seen: the order tells of how
+// many it knew. Owners of earlier releases don't tell. The caller holds mu.
+func (r *leaseRenewer) ownerUnaware(restarts int) bool {
+	return r.fencesClockJumps && restarts < r.restarts
 }
 
 // unfenced reports whether stale calls may still be carried out.
--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -33,7 +33,7 @@
 		r.fenceAfter(as.FencingToken - 1)
 	}
 	r.info, r.generation = as.Worker, as.Generation
-	if !r.ownerUnaware(as.FencingToken) {
+	if !r.ownerUnaware(as.Restarts) {
 		r.durableEnd = max(r.durableEnd, as.LastAckedEnd)
 	}
 }
@@ -41,7 +41,7 @@
 // acknowledge notes which ends the worker may forget, unless they belong to another incarnation: each numbers its ends anew.
 func (r *leaseRenewer) acknowledge(a Ack) {
 	r.mu.Lock()
-	if a.Incarnation == r.info.Incarnation && !r.ownerUnaware(r.token) {
+	if a.Incarnation == r.info.Incarnation && !r.ownerUnaware(a.Restarts) {
 		r.durableEnd = max(r.durableEnd, a.LastAckedEnd)
 	}
 	r.mu.Unlock()
@@ -103,6 +103,7 @@
 // noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
 // holds mu.
 func (r *leaseRenewer) noteRestart(ownerFences bool) {
+	r.restarts++
 	r.durableEnd, r.ackedEnd = 0, 0
 	r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
 	if ownerFences && r.token != r.a.epoch { // an owner of an earlier release never raises it
@@ -166,6 +167,13 @@
 	return r.leaseUntil
 }
 
+// knownRestarts returns how many restarts of the worker this delegate has seen or suspected.
+func (r *leaseRenewer) knownRestarts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restarts
+}
+
 // readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
 func (r *leaseRenewer) readySignal() <-chan struct{} {
 	r.mu.Lock()
--- a/internal/cluster/delegate/messages.go
+++ b/internal/cluster/delegate/messages.go
@@ -26,8 +26,10 @@
 	FencingToken int64 `json:"token,omitempty"`
 	// MayGetStaleCalls means that calls for an earlier incarnation of the worker, with lower tokens, may still reach this one.
 	MayGetStaleCalls bool `json:"stale,omitempty"`
-	// FencesClockJumps means that the owner raises the token after a Report with ClockJumped. Owners of earlier releases don't.
+	// FencesClockJumps means that the owner raises the token after a Report with ClockJumped, and tells of how many restarts it knows. Owners
+	// of earlier releases don't.
 	FencesClockJumps bool `json:"clocks,omitempty"`
+	Restarts         int  `json:"restarts,omitempty"` // as in the last Report that the owner has applied
 }
 
 // StartOrder starts a run, which is one attempt to execute a task.
@@ -61,6 +63,7 @@
 	WorkerID     string `json:"worker"`
 	Incarnation  int64  `json:"born"`
 	LastAckedEnd int64  `json:"last_end"`
+	Restarts     int    `json:"restarts,omitempty"` // as in an Assignment
 }
 
 // OrderBatch is the owner's answer to an OrdersRequest.
@@ -137,6 +140,8 @@
 	// may have restarted although it names the same incarnation.
 	ClockMS     int64 `json:"clock,omitempty"`
 	ClockJumped bool  `json:"jumped,omitempty"`
+	// Restarts is the number of restarts of the worker that the delegate has seen or suspected since it was assigned.
+	Restarts int `json:"restarts,omitempty"`
 }
 
 // MissedRenewal is a renewal that the worker did not answer.
--- a/internal/cluster/delegate/renew.go
+++ b/internal/cluster/delegate/renew.go
@@ -63,6 +63,7 @@
 	namedAt  time.Duration // when the owner last named another incarnation than the one that answered, on the agent's clock
 	// fencesClockJumps means that the owner raises the token also if the worker may have restarted with the same start time.
 	fencesClockJumps bool
+	restarts         int // of the worker that this delegate has seen or suspected
 	generation       int64
 	durableEnd       int64 // the owner has stored ended runs up to this number
 	// ackedIncarnation has answered a renewal that acknowledged its ends up to ackedEnd.
@@ -208,7 +209,7 @@
 	r.a.emit(Event{WorkerID: info.ID, Generation: generation, applied: applied, Report: &Report{
 		Incarnation: answer.Incarnation, SentAt: sentAt, LeaseUntil: leaseUntil,
 		Active: answer.Active, Ended: answer.Ended, MoreEnded: answer.MoreEnded, Unfenced: r.unfenced(),
-		ClockMS: answer.ClockMS, ClockJumped: answer.clockJumped,
+		ClockMS: answer.ClockMS, ClockJumped: answer.clockJumped, Restarts: r.knownRestarts(),
 	}})
 	last := int64(0)
 	for _, e := range answer.Ended {
