Take a worker's clock that went back for that of another incarnation

A process that was younger than that could restart with the same start time unseen. The readings themselves need no time of day: a steady clock never goes back.

TestYoungWorkerRestartsWithTheSameStartTime failed before.

--- a/internal/cluster/scheduler/workerclock.go
+++ b/internal/cluster/scheduler/workerclock.go
@@ -8,6 +8,8 @@
 const (
 	// zeroTolerance allows for the time of a call, and for times of day that differ between hosts or are set.
 	zeroTolerance = 5 * time.Second
+	// backTolerance allows for readings that are rounded or derived from a time of day.
+	backTolerance = 100 * time.Millisecond
 	// maxClockDrift is how much faster or slower than true time a worker's clock may run, with some allowance.
 	maxClockDrift = 0.04
 )
@@ -27,11 +29,17 @@
 	return ClockZero{UnixMS: readAt.UnixMilli() - clockMS, ReadAt: readAt}
 }
 
-// continues reports whether a later reading can be of the same clock.
+// clockMS returns what the clock showed when it was read, in milliseconds.
+func (z ClockZero) clockMS() int64 { return z.ReadAt.UnixMilli() - z.UnixMS }
+
+// continues reports whether a later reading can be of the same clock. A steady clock never goes back, whatever the time of day.
 func (z ClockZero) continues(later ClockZero) bool {
 	if z.UnixMS == 0 || later.UnixMS == 0 {
 		return true
 	}
+	if later.clockMS() < z.clockMS()-backTolerance.Milliseconds() {
+		return false
+	}
 	drift := time.Duration(float64(later.ReadAt.Sub(z.ReadAt).Abs()) * maxClockDrift)
 	moved := math.Abs(float64(later.UnixMS) - float64(z.UnixMS)) // a clock may show any number: the difference may overflow
 	return moved <= float64((zeroTolerance + drift).Milliseconds())
