Keep a job aside whose stored row can't be read

It is now known by its id: callers see it as running, no task of it starts, its runs go on, and it can be cancelled, which stops them. A row of several jobs does not tell their ids, so each unknown job of the inbox that is older than the row is kept aside. Ends of its runs are still acknowledged without being counted, since the list of a worker's ends has a limit.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -20,7 +20,9 @@
 	Queue  string `json:"queue"`
 	State  string `json:"state"`
 	Stored string `json:"stored_state"`
-	Steps  []struct {
+	// Unreadable means that the stored job can't be read.
+	Unreadable bool `json:"unreadable"`
+	Steps      []struct {
 		Step     string `json:"step"`
 		WaitsFor string `json:"waits_for"`
 		Tasks    []struct {
@@ -49,6 +51,9 @@
 		return newError(ExitFailed, "invalid_response", "the response can't be read: %s", err)
 	}
 	fmt.Fprintf(c.app.out, "job %s of queue %s is %s, stored as %s\n", c.Positional.Job, job.Queue, job.State, job.Stored)
+	if job.Unreadable {
+		fmt.Fprintln(c.app.out, "its row in the store can't be read: none of its tasks is started until it is cancelled")
+	}
 	var rows [][]string
 	for _, s := range job.Steps {
 		for _, t := range s.Tasks {
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -111,7 +111,8 @@
 		}
 		if err != nil {
 			// If the owner stopped here, so would each of its successors, and nobody would run the other jobs.
-			t.log.Error("active job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+			t.log.Error("active job can't be read, none of its tasks is started", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+			t.sched.AddUnreadableJob(now, r.Name)
 			continue
 		}
 		t.sched.AddJob(now, spec, progress[r.Name], true)
@@ -126,7 +127,10 @@
 		return err
 	}
 	if err != nil {
-		t.log.Error("active jobs can't be read", zap.String("row", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+		// The row does not tell the IDs of its jobs, but each of them was in the inbox before the row was written.
+		t.log.Error("active jobs can't be read, no unknown job that was accepted before is started", zap.String("row", r.Name),
+			zap.Int64("version", r.Version), asynclog.Error(err))
+		t.unreadableBefore = max(t.unreadableBefore, r.Version)
 		return nil
 	}
 	if !t.jobBatchIndex.addStored(r.Key, specs, t.sched.HasJob) {
@@ -134,7 +138,8 @@
 	}
 	for _, spec := range specs {
 		if err := spec.Validate(); err != nil {
-			t.log.Error("active job can't be used", zap.String("job", spec.ID), zap.String("row", r.Name), asynclog.Error(err))
+			t.log.Error("active job can't be read, none of its tasks is started", zap.String("job", spec.ID), zap.String("row", r.Name), asynclog.Error(err))
+			t.sched.AddUnreadableJob(now, spec.ID)
 			continue
 		}
 		t.sched.AddJob(now, spec, progress[spec.ID], true)
@@ -250,9 +255,15 @@
 		if t.sched.HasJob(r.Name) || t.expired[r.Name] {
 			continue
 		}
+		if r.Version < t.unreadableBefore {
+			t.log.Error("job may be one of the active jobs that can't be read, none of its tasks is started", zap.String("job", r.Name))
+			t.sched.AddUnreadableJob(now, r.Name)
+			continue
+		}
 		spec, err := decodeJob(r.Row)
 		if err != nil {
 			t.log.Error("job can't be read", zap.String("job", r.Name), zap.Int64("version", r.Version), asynclog.Error(err))
+			t.sched.AddUnreadableJob(now, r.Name)
 			continue
 		}
 		t.addJob(now, spec, "feed")
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -59,6 +59,9 @@
 	rows          *rowIndex      // of the values in the owner's partition
 	inbox         records.Joiner // rows of jobs that have not arrived as a whole
 	inboxParts    map[string]int // by job: how many rows it has in the inbox, if that is more than one
+	// unreadableBefore is the version of the last row of active jobs that can't be read: a job that is older may be one of them. 0 if all
+	// rows can be read. It is set before the goroutines start.
+	unreadableBefore int64
 	// expired holds the jobs whose inbox rows this owner removes or has removed, until the change feed has delivered the removal.
 	// Up to then it may still deliver the rows themselves, which are not new jobs.
 	expired map[string]bool
@@ -158,6 +161,9 @@
 // addSubmittedJob adds a job that a frontend has stored and sent to the owner. The change feed delivers the job too,
 // sometimes a second later.
 func (t *term) addSubmittedJob(spec *workload.Spec) {
+	if t.unreadableBefore > 0 {
+		return // the feed tells whether the job may be an active one that can't be read
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addJob(time.Now(), spec, "entry")
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -84,7 +84,9 @@
 	State    workload.State `json:"state"`
 	Stored   workload.State `json:"stored_state"`
 	Accepted time.Time      `json:"accepted"`
-	Steps    []StepDump     `json:"steps"`
+	// Unreadable means that the stored job can't be read: its tasks are not started, and Accepted is not known.
+	Unreadable bool       `json:"unreadable,omitempty"`
+	Steps      []StepDump `json:"steps"`
 }
 
 // StepDump is the state of a step of one occurrence.
@@ -111,7 +113,7 @@
 	if !ok {
 		return JobDump{}, false
 	}
-	d := JobDump{ID: id, Queue: j.spec.Queue.Name, State: j.state, Stored: j.durableState, Accepted: j.spec.Accepted}
+	d := JobDump{ID: id, Queue: j.spec.Queue.Name, State: j.state, Stored: j.durableState, Accepted: j.spec.Accepted, Unreadable: j.unreadable}
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -17,6 +17,7 @@
 	started      bool          // a task has started
 	firstStart   time.Time     // when this owner ordered the first start
 	inherited    bool          // an earlier owner may have started tasks
+	unreadable   bool          // the stored specification can't be read, so spec holds only the ID
 	stored       bool          // the job's specification is durable in the owner's partition of the store
 	occurrences  []*occurrence // nil for those that are not open
 	// nextOccurrence is the first one that openDueOccurrences has not opened.
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -132,6 +132,9 @@
 		p.resources = w.info.Capacity
 	}
 	w.addPlacement(p)
+	if t == nil && s.mayRun(a.Task) {
+		return
+	}
 	if t == nil || !s.adoptRun(t, p) {
 		s.stopRun(p, "run is not wanted: unknown or superseded")
 	}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -240,6 +240,9 @@
 	s.endedJobs = append(s.endedJobs, s.summarize(j))
 	delete(s.futureOccurrences, j)
 	j.openUnits, j.failsOn = openUnits{}, nil
+	if j.unreadable {
+		s.stopRunsOf(j.spec.ID, "job "+string(state))
+	}
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
