--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,12 @@
 test:
 	$(GO) test $(TEST_FLAGS) $(SKIP) ./...
 
-# Runs daemons with the platform adapter as separate processes under injected faults, with cuts of groups of workers and outages of the
-# store: two seeds, less than a minute.
+# Runs daemons with the platform adapter as separate processes under injected faults: two seeds with cuts of groups of workers and outages
+# of the store, and one with workers that restart under their IDs and are cut off. Less than two minutes.
 soak: build
 	$(GO) build -o bin/ ./platform/soak
 	bin/soak --seed 1 --seeds 2 --duration 6s
+	bin/soak --profile restarts --daemons 5 --workers 24 --seed 7 --duration 10s
 
 check: build fmt-check lint
 	$(MAKE) test TEST_FLAGS="-race"
