--- a/internal/cluster/delegate/leasestate.go
+++ b/internal/cluster/delegate/leasestate.go
@@ -19,6 +19,7 @@
 	defer r.mu.Unlock()
 	defer wait.Signal(r.ownerActed)
 	r.token = max(r.token, as.FencingToken)
+	r.fencesClockJumps = as.FencesClockJumps
 	if r.replaced.Contains(as.Worker.Incarnation) {
 		r.generation = as.Generation
 		return
@@ -32,7 +33,7 @@
 		r.fenceAfter(as.FencingToken - 1)
 	}
 	r.info, r.generation = as.Worker, as.Generation
-	if !r.ownerUnaware(as.FencingToken) {
+	if !r.ownerUnaware(as.Restarts) {
 		r.durableEnd = max(r.durableEnd, as.LastAckedEnd)
 	}
 }
@@ -40,7 +41,7 @@
 // acknowledge notes which ends the worker may forget, unless they belong to another incarnation: each numbers its ends anew.
 func (r *leaseRenewer) acknowledge(a Ack) {
 	r.mu.Lock()
-	if a.Incarnation == r.info.Incarnation && !r.ownerUnaware(r.token) {
+	if a.Incarnation == r.info.Incarnation && !r.ownerUnaware(a.Restarts) {
 		r.durableEnd = max(r.durableEnd, a.LastAckedEnd)
 	}
 	r.mu.Unlock()
@@ -83,9 +84,9 @@
 		}
 		r.replaced.Replace(r.info.Incarnation, a.Incarnation)
 		r.info.Incarnation = a.Incarnation
-		r.noteRestart()
+		r.noteRestart(true)
 	} else if a.clockJumped {
-		r.noteRestart()
+		r.noteRestart(r.fencesClockJumps)
 	}
 	r.noteFence(a.token)
 	if r.unresponsive {
@@ -101,10 +102,11 @@
 
 // noteRestart notes that another incarnation answers: it numbers its ended runs anew, and earlier orders do not apply to it. The caller
 // holds mu.
-func (r *leaseRenewer) noteRestart() {
+func (r *leaseRenewer) noteRestart(ownerFences bool) {
+	r.restarts++
 	r.durableEnd, r.ackedEnd = 0, 0
 	r.leaseUntil = max(r.leaseUntil, r.a.deps.Clock()+r.a.cfg.StaleLeaseBound())
-	if r.token != r.a.epoch { // an owner of an earlier release never raises it
+	if ownerFences && r.token != r.a.epoch { // an owner of an earlier release never raises it
 		r.fenceAfter(r.token)
 	}
 }
@@ -165,6 +167,13 @@
 	return r.leaseUntil
 }
 
+// knownRestarts returns how many restarts of the worker this delegate has seen or suspected.
+func (r *leaseRenewer) knownRestarts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restarts
+}
+
 // readySignal returns a channel that is closed once a call may extend the lease, unless the worker stops answering.
 func (r *leaseRenewer) readySignal() <-chan struct{} {
 	r.mu.Lock()
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -83,6 +83,9 @@
 		w.clockZero = zero
 	} else if !s.noteClock(w, zero) || r.ClockJumped {
 		s.suspectRestart(w)
+		if w.lacksRuns(r) {
+			s.confirmCrash(w.info.ID, now)
+		}
 		unfenced = true // a delegate that has not read the clock before does not know of the restart
 	}
 	w.unreachable, w.fenced = false, true
@@ -133,6 +136,9 @@
 		p.resources = w.info.Capacity
 	}
 	w.addPlacement(p)
+	if t == nil && s.mayRun(a.Task) {
+		return
+	}
 	if t == nil || !s.adoptRun(t, p) {
 		s.stopRun(p, "run is not wanted: unknown or superseded")
 	}
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -54,6 +54,9 @@
 			kept = append(kept, p)
 		}
 	}
+	if l := s.silences[w.info.ID]; l != nil && l.incarnation == incarnation { // a late entry had named an earlier one
+		s.dropSilence(w.info.ID)
+	}
 	if w.answered() {
 		w.earlier.Replace(w.info.Incarnation, incarnation)
 	}
@@ -73,6 +76,8 @@
 func (s *Scheduler) suspectRestart(w *worker) {
 	w.restarts++
 	w.mayGetStaleCalls = true
+	w.info.Draining = w.info.Draining && w.entryDraining
+	w.drainSuspect = w.info.Draining
 	w.lastAppliedEnd, w.lastDurableEnd, w.pendingAcks = 0, 0, nil
 	delete(s.withPendingAcks, w)
 	for _, p := range w.placements {
@@ -82,6 +87,23 @@
 	}
 }
 
+// lacksRuns reports whether a worker lists none of the runs that it had confirmed before the report was requested. One that has only been
+// suspended lists them all, as active or as ended.
+func (w *worker) lacksRuns(r Report) bool {
+	confirmed := 0
+	for _, p := range w.placements {
+		if p.state != running || p.mayBeUnreported(r.SentAt) {
+			continue
+		}
+		confirmed++
+		if slices.ContainsFunc(r.Active, func(a ActiveRun) bool { return a.Task == p.id && a.Run == p.run }) ||
+			slices.ContainsFunc(r.Ended, func(e EndedRun) bool { return e.Task == p.id && e.Run == p.run }) {
+			return false
+		}
+	}
+	return confirmed > 0 && !r.MoreEnded
+}
+
 // Restarts returns how many restarts of a worker this owner has seen or suspected.
 func (s *Scheduler) Restarts(workerID string) int {
 	if w := s.workers[workerID]; w != nil {
@@ -149,7 +171,8 @@
 }
 
 // expireWorkers drops the runs of unreachable workers whose lease has certainly expired, also if an incarnation that no owner knows may run
-// them. It also removes workers without runs that are not listed and either unreachable or without a report to this owner.
+// them. It also removes workers without runs that are not listed and either unreachable or without a report to this owner. One with an
+// incomplete report may have ends that it has not listed, and stays until its lease has expired.
 func (s *Scheduler) expireWorkers(now time.Time) {
 	for _, w := range s.sortedWorkers {
 		waiting := s.placementsUnseen(w, now)
@@ -169,7 +192,7 @@
 		}
 	}
 	s.sortedWorkers = slices.DeleteFunc(s.sortedWorkers, func(w *worker) bool {
-		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0
+		gone := !w.listed && (w.unreachable || !w.fenced) && len(w.placements) == 0 && !(w.fenced && s.IsUnresolved(w.info.ID))
 		if gone {
 			s.noteLastUse(w, now)
 			delete(s.workers, w.info.ID)
