Read teams, their keys, quotas and weights from the configuration

The configuration of some deployments lists teams, and nothing read them. A job records its team. Nothing decides by these fields yet.

--- a/internal/cluster/queues/queues.go
+++ b/internal/cluster/queues/queues.go
@@ -20,7 +20,8 @@
 	SlackFactor   float64        `json:"SlackFactor"`
 	TargetLatency time.Duration  `json:"TargetLatency"`
 	Timeout       time.Duration  `json:"Timeout"`
-	PolicyService *PolicyService `json:"Advice"` // nil: no approval is needed, every worker of the service may run the jobs
+	PolicyService *PolicyService `json:"Advice"`           // nil: no approval is needed, every worker of the service may run the jobs
+	Public        bool           `json:"Public,omitempty"` // callers need no API key
 }
 
 // PolicyService describes the policy service that must approve the workers for the tasks of a step. An approval is a ticket.
@@ -55,11 +56,14 @@
 	Version  int64     `json:"Version"`
 	Queues   []Queue   `json:"Queues"`
 	Services []Service `json:"Services"`
+	Teams    []Team    `json:"Teams,omitempty"`
 	Limits   Limits    `json:"Limits"`
 
 	index         sync.Once      // builds the following fields on first use
 	byName        map[string]int // index in Queues by name
 	firstPriority int
+	teamByName    map[string]int // index in Teams by name
+	teamByKey     map[KeyDigest]int
 }
 
 // ByName returns the queue with the name.
@@ -86,6 +90,14 @@
 			c.firstPriority = q.Priority
 		}
 	}
+	c.teamByName = make(map[string]int, len(c.Teams))
+	c.teamByKey = map[KeyDigest]int{}
+	for i, t := range c.Teams {
+		c.teamByName[t.Name] = i
+		for _, d := range t.KeyDigests {
+			c.teamByKey[d] = i
+		}
+	}
 }
 
 // Select returns the queue that a request is for: among the queues of the host, the one with the longest prefix of the path.
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -65,7 +65,8 @@
 // Spec is a job as submitted by a caller and accepted. It never changes.
 type Spec struct {
 	ID          string        `json:"id"`
-	Queue       queues.Queue  `json:"queue"` // the queue's settings at acceptance, used after the queue has been removed
+	Queue       queues.Queue  `json:"queue"`          // the queue's settings at acceptance, used after the queue has been removed
+	Team        string        `json:"team,omitempty"` // whose quota and share the job uses; empty if its caller needed no key
 	Payload     string        `json:"payload,omitempty"`
 	Steps       []Step        `json:"steps"`
 	Repetitions int           `json:"reps,omitempty"` // 0 means that the steps run once, immediately
