greengagectl: check a configuration before it is written

Operators wrote a configuration to the store and learned from the daemons' logs that part of it had no effect. config check reports errors, entries that no call can match, limits that contradict each other and unknown fields, and lists what differs from the version that a daemon decides by.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -147,6 +147,11 @@
 					&statusJob{app: a}, nil},
 				{"jobs", "List the jobs of a customer", "status jobs textos bakery", &statusJobs{app: a}, nil},
 			}},
+		{name: "config", short: "Examine the operator's configuration of the platform", example: "config check next.json", sub: []command{
+			{"check", "Report errors, entries that can never match, limits that contradict each other and, with --admin, what differs " +
+				"from the version in force; exit code 1 if there are findings", "--admin 10.0.0.1:7720 config check next.json",
+				&checkConfig{app: a}, nil},
+		}},
 		{"cancel", "Cancel a job", "cancel textos bakery batch-4", &cancelJob{app: a}, nil},
 		{"explain", "Show a job on the platform: its tasks, and why each step waits; the owner among the --admin daemons answers",
 			"--admin 10.0.0.1:7720 --admin 10.0.0.2:7720 explain 5c0e7a21d94b36f8", &explainJob{app: a}, nil},
--- a/internal/cluster/queues/teams.go
+++ b/internal/cluster/queues/teams.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 
 	"github.com/go-faster/errors"
 )
@@ -76,9 +77,17 @@
 	return c.Teams[i], true
 }
 
-// Validate returns an error that names every fault of the teams: a missing or duplicate name, a key that two teams or one team twice
-// holds, a negative weight or limit.
-func (c *Config) Validate() error {
+// KeysHeld reports whether any team holds a key.
+func (c *Config) KeysHeld() bool {
+	return slices.ContainsFunc(c.Teams, func(t Team) bool { return len(t.KeyDigests) > 0 })
+}
+
+// Validate returns an error that names every fault of the teams, see Faults.
+func (c *Config) Validate() error { return errors.Join(c.Faults()...) }
+
+// Faults returns the faults of the teams: a missing or duplicate name, a key that two teams or one team twice holds, a negative weight or
+// limit.
+func (c *Config) Faults() []error {
 	var faults []error
 	names := map[string]bool{}
 	holders := map[KeyDigest]string{}
@@ -103,5 +112,5 @@
 			holders[d] = t.Name
 		}
 	}
-	return errors.Join(faults...)
+	return faults
 }
