Limit what the tasks of a team use to its quota

Cause: the operator's configuration has limits for each team, which the owner did not read. Change: the owner counts the use of each team from its placements, and what inherited tasks may use on workers that have not reported. A unit of a team at its quota starts nothing, asks no policy service, reserves no workers, is nominated for none and stops no runs. Freed quota triggers the units that wait for it. The state dump shows teams and the reason.

--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -180,8 +180,9 @@
 	if _, open := s.open[u]; !open || !u.needsAdvice(now) {
 		return nil
 	}
-	waiting := u.tasks.countWaiting(now)
-	if waiting == 0 || !s.mayExamine(u, now) {
+	c.waiting = u.tasks.countWaiting(now)
+	waiting := s.quotaPlaces(c)
+	if waiting == 0 || waiting < c.neededPlaces() || !s.mayExamine(u, now) {
 		return nil
 	}
 	examinedBefore := s.workersExamined
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -14,6 +14,7 @@
 	Unresolved int                    `json:"unresolved_workers"`
 	Workers    []WorkerDump           `json:"workers"`
 	Waiting    []UnitDump             `json:"waiting"`
+	Teams      []TeamDump             `json:"teams,omitempty"`
 }
 
 // WorkerDump is the state of one worker.
@@ -40,7 +41,7 @@
 
 // Dump returns a snapshot of the state.
 func (s *Scheduler) Dump(now time.Time) Dump {
-	d := Dump{Jobs: map[workload.State]int{}, Pending: s.Pending(), Unresolved: len(s.unresolved)}
+	d := Dump{Jobs: map[workload.State]int{}, Pending: s.Pending(), Unresolved: len(s.unresolved), Teams: s.dumpTeams()}
 	for id := range s.jobs {
 		state, _ := s.Lookup(id)
 		d.Jobs[state]++
@@ -65,6 +66,8 @@
 		return "the list of workers is too old"
 	case s.mayRunElsewhere(u):
 		return "the task may run under the order of another owner"
+	case s.atQuota(s.newCandidate(u, u.tasks.countWaiting(now), now)):
+		return "team is at its quota"
 	case now.Before(u.notBefore):
 		return "delayed after a failed call"
 	case u.step.Gang && !u.idle():
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -11,6 +11,7 @@
 type job struct {
 	spec         *workload.Spec
 	queue        queues.Queue
+	team         *team // nil if the job has none
 	state        workload.State
 	durableState workload.State // the last state that was stored; callers see a final state only once it is stored
 	endedAt      time.Time
@@ -73,6 +74,7 @@
 	firstReserved   time.Time // gangs only: when workers were first reserved for it; zero before
 	unplacedSince   time.Time // since when its tasks find no place; zero otherwise. See mayUseQuarantined
 	blursSince      time.Time // since when it keeps away from workers on which its start would blur a crash, without a place; or zero
+	quotaHeldSince  time.Time // gangs only: since when the unit lacks quota of its team; zero otherwise
 	heldBackSince   time.Time // since when reservations for gangs hold it back while none of its tasks finds a place; zero otherwise
 }
 
--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -55,6 +55,9 @@
 		s.stopRun(p, "preempted to make room for a gang")
 	}
 	u.nomination = n
+	if t := u.job.team; t != nil {
+		t.held = t.held.Add(u.heldQuota())
+	}
 	for _, w := range n.workers {
 		w.held = w.held.Add(u.resources())
 	}
@@ -128,6 +131,10 @@
 
 // dropNomination releases the resources that are held for the unit.
 func (u *unit) dropNomination() {
+	if t := u.job.team; t != nil && len(u.nomination.workers) > 0 {
+		t.held = t.held.Sub(u.heldQuota())
+		t.noteReleased()
+	}
 	for _, w := range u.nomination.workers {
 		w.held = w.held.Sub(u.resources())
 	}
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -47,15 +47,21 @@
 			s.stopUnit(u, "gang is not complete")
 			continue
 		}
-		latest := s.latestStart(u)
-		u.latestStart = latest
-		out = append(out, candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest),
-			latestStart: latest, adviceOnly: mayRunElsewhere})
+		c := s.newCandidate(u, waiting, now)
+		c.adviceOnly = mayRunElsewhere
+		u.latestStart = c.latestStart
+		out = append(out, c)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
 	return out
 }
 
+// newCandidate returns the unit with its present position in the planning order.
+func (s *Scheduler) newCandidate(u *unit, waiting int, now time.Time) candidate {
+	latest := s.latestStart(u)
+	return candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest), latestStart: latest}
+}
+
 // before defines the planning order: long-running units, then queue priority, then units that can still meet their
 // objective, then the unit with the earlier latestStart, then the lower job ID. Priority goes before lateness, because
 // tasks of less urgent queues would otherwise fill the pool and a late unit of an urgent queue would have to wait until
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -34,7 +34,11 @@
 	clear(s.changedUnits)
 	s.expireNominations(now)
 	s.adviceQueue.clear()
-	return s.planUnits(maps.Keys(s.open), now)
+	s.resetQuotaWaits()
+	s.updateUncertainUse(now)
+	plan := s.planUnits(maps.Keys(s.open), now)
+	s.noteQuotaWaits(now)
+	return plan
 }
 
 // workerCheckInterval is the minimum time between two checks of all workers. A plan is made more often while tasks wait.
@@ -57,6 +61,7 @@
 // after every event, but a short task should not have to wait for the next one.
 func (s *Scheduler) PlanChanged(now time.Time) Plan {
 	s.replanNominations()
+	s.replanReleased()
 	units := slices.Collect(maps.Keys(s.changedUnits))
 	clear(s.changedUnits)
 	return s.planUnits(slices.Values(units), now)
@@ -64,6 +69,10 @@
 
 func (s *Scheduler) planUnits(units iter.Seq[*unit], now time.Time) Plan {
 	var plan Plan
+	s.planNumber++
+	if s.teams.uncertainChanged {
+		s.updateUncertainUse(now)
+	}
 	s.startLimiter.refill(now)
 	if now.Sub(s.headroom.updatedAt) >= headroomUpdateInterval {
 		s.updateHeadroom(now)
@@ -79,6 +88,9 @@
 // planUnit places tasks of one unit, and queues an advice request if some find no worker.
 func (s *Scheduler) planUnit(c candidate, now time.Time, plan *Plan) {
 	u := c.unit
+	if s.waitsForQuota(c, now) {
+		return
+	}
 	if now.Before(u.notBefore) || u.awaitsAdvice(now) && len(u.tickets) == 0 || s.startsHeldBack(u, now) {
 		return
 	}
@@ -96,7 +108,8 @@
 	if placed == c.waiting {
 		s.unitPlaced(u)
 	}
-	if c.waiting > placed && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u)) {
+	c.waiting -= placed
+	if c.waiting > 0 && s.quotaAllowsMore(c) && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u)) {
 		s.adviceQueue.add(c)
 	}
 }
@@ -110,7 +123,12 @@
 		c.unit.noteHeldBack(heldBack, placed, now)
 		c.unit.noteUnplaced(c.waiting, placed, now)
 	}()
+	quotaPlaces := s.quotaPlaces(c)
 	for t := range c.unit.tasks.waiting(now) {
+		if quotaPlaces == 0 {
+			break
+		}
+		quotaPlaces--
 		// The headroom is a share of what the workers without quarantine have free, so it never leaves room on the others.
 		leavesHeadroom := s.leavesHeadroom(c.unit)
 		if !leavesHeadroom && !c.unit.usesQuarantined || s.startsHeldBack(c.unit, now) {
@@ -121,7 +139,7 @@
 			if !c.longRunning() {
 				break // the other tasks need the same resources
 			}
-			c.unit.makesRoom = s.preempt(t, workers, now) || c.unit.makesRoom
+			c.unit.makesRoom = s.claimQuota(c, 1) && s.preempt(t, workers, now) || c.unit.makesRoom
 			continue
 		}
 		run := s.nextRunNumber(t.run, c.unit.job.inherited)
@@ -156,6 +174,9 @@
 		chosen = s.assignGang(u, workers, now)
 	}
 	u.noteHeldBack(heldBack, len(chosen), now)
+	if chosen == nil && !s.claimQuota(c, c.waiting) {
+		return 0
+	}
 	if chosen == nil {
 		if c.overdue(now) {
 			s.nominate(c, workers, now)
@@ -165,6 +186,7 @@
 		}
 		return 0
 	}
+	u.endQuotaHold()
 	u.run = s.nextRunNumber(u.run, u.job.inherited)
 	for t := range u.tasks.waiting(now) {
 		plan.Starts = append(plan.Starts, s.startRun(t, chosen[0], u.run, now))
--- /dev/null
+++ b/internal/cluster/scheduler/quota_test.go
@@ -0,0 +1,227 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// limitTeam puts a configuration into force in which the team may use so many processors, in thousandths of a core.
+func (f *fixture) limitTeam(name string, cpu int64) {
+	f.SetQueues(&queues.Config{Teams: []queues.Team{{Name: name, Quota: queues.Quota{CPUMilli: cpu}}}})
+}
+
+func (f *fixture) teamJob(id, team string, now time.Time, steps ...workload.Step) *workload.Spec {
+	spec := f.job(id, now, steps...)
+	spec.Team = team
+	return spec
+}
+
+// Guards against starts that bring a team above its limit while workers are free, and against a team that waits for the next complete plan
+// after its quota has room.
+func TestQuotaLimitsStarts(t *testing.T) {
+	Convey("Given a team whose limit is three tasks, with two jobs of two tasks, and a job without a team", t, func() {
+		f := newFixture(1, 2)
+		f.limitTeam("kaje80", 6000)
+		for i := range 2 {
+			f.AddJob(t0, f.teamJob(fmt.Sprintf("j%d", i), "kaje80", t0, simpleStep(2)), nil, false)
+		}
+		f.AddJob(t0, f.job("other", t0, simpleStep(2)), nil, false)
+		starts := f.plan(t0).Starts
+		Convey("three tasks of the team start, and both of the other job", func() {
+			So(starts, ShouldHaveLength, 5)
+			So(f.Dump(t0).Waiting, ShouldHaveLength, 1)
+			So(f.Dump(t0).Waiting[0].Reason, ShouldEqual, "team is at its quota")
+			So(f.Dump(t0).Teams[0].Used.CPUMilli, ShouldEqual, 6000)
+			So(f.TeamsAtQuota(), ShouldEqual, 1)
+			waits := f.TakeQuotaWaits()
+			So(waits, ShouldHaveLength, 1)
+			So(waits[0].Waiting, ShouldEqual, 1)
+		})
+		Convey("the last one starts with the plan for changes after the end of one of them", func() {
+			f.end(starts[0], EndDone, at(10*time.Millisecond))
+			So(f.PlanChanged(at(10*time.Millisecond)).Starts, ShouldHaveLength, 1)
+		})
+		Convey("a rejected start releases its quota", func() {
+			f.AddJob(t0, f.teamJob("last", "kaje80", t0, simpleStep(1)), nil, false)
+			f.end(starts[0], EndDone, at(10*time.Millisecond))
+			again := f.PlanChanged(at(10 * time.Millisecond)).Starts[0]
+			f.HandleStartResult(at(20*time.Millisecond), StartResult{Task: again.Task, Run: again.Run, Worker: again.Worker.ID, Outcome: RejectedOther})
+			So(f.teams.byName["kaje80"].used.CPUMilli, ShouldEqual, 4000)
+		})
+		Convey("a lower limit stops nothing and starts nothing, and the team keeps it when the configuration drops it", func() {
+			f.limitTeam("kaje80", 4000)
+			f.SetQueues(&queues.Config{})
+			f.end(starts[0], EndDone, at(10*time.Millisecond))
+			p := f.plan(at(10 * time.Millisecond))
+			So(p.Starts, ShouldBeEmpty)
+			So(p.Stops, ShouldBeEmpty)
+			f.end(starts[1], EndDone, at(20*time.Millisecond))
+			So(f.plan(at(20*time.Millisecond)).Starts, ShouldHaveLength, 1)
+		})
+		Convey("a raised limit is used by the next plan", func() {
+			f.limitTeam("kaje80", 8000)
+			So(f.PlanChanged(at(10*time.Millisecond)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
+
+// Guards against jobs of a team that start before its limits are known.
+func TestTeamWaitsForConfiguration(t *testing.T) {
+	Convey("Given no configuration, a team's job starts once there is one", t, func() {
+		f := newFixture(1, 1)
+		f.AddJob(t0, f.teamJob("j", "kaje80", t0, simpleStep(1)), nil, false)
+		So(f.plan(t0).Starts, ShouldBeEmpty)
+		f.limitTeam("kaje80", 2000)
+		So(f.plan(at(time.Millisecond)).Starts, ShouldHaveLength, 1)
+	})
+}
+
+// Guards against parts of a gang that start because the rest is above the limit.
+func TestQuotaStartsGangsWholeOrNot(t *testing.T) {
+	Convey("Given a gang of three and a limit of four tasks of which two run, the gang starts once one of them has ended", t, func() {
+		f := newFixture(1, 2)
+		f.limitTeam("kaje80", 8000)
+		f.AddJob(t0, f.teamJob("small", "kaje80", t0, simpleStep(2)), nil, false)
+		starts := f.plan(t0).Starts
+		gang := simpleStep(3)
+		gang.Gang = true
+		f.AddJob(t0, f.teamJob("gang", "kaje80", t0, gang), nil, false)
+		So(f.plan(at(time.Millisecond)).Starts, ShouldBeEmpty)
+		f.end(starts[0], EndDone, at(10*time.Millisecond))
+		So(f.PlanChanged(at(10*time.Millisecond)).Starts, ShouldHaveLength, 3)
+	})
+}
+
+// Guards against a gang that never starts because small tasks of its team take each part of the quota as soon as it is free. Load: small
+// tasks that keep the team at its limit, and a gang that needs three quarters of it.
+func TestGangNotStarvedByItsTeam(t *testing.T) {
+	Convey("Given a team that small tasks keep at its quota, and workers with room", t, func() {
+		d := newSimulation(4, func(s Start) time.Duration {
+			return 300*time.Millisecond + time.Duration(s.Task.Index%7)*100*time.Millisecond
+		})
+		d.limitTeam("kaje80", 16_000)
+		gang := simpleStep(6)
+		gang.Gang = true
+		n := 0
+		d.run(6*time.Second, func(now time.Duration) {
+			n++
+			if n%4 == 0 {
+				spec := d.spec(fmt.Sprintf("small-%d", n), 2, simpleStep(3))
+				spec.Team = "kaje80"
+				d.AddJob(at(now), spec, nil, false)
+			}
+			if n == 100 {
+				spec := d.spec("gang", 1, gang)
+				spec.Team = "kaje80"
+				d.AddJob(at(now), spec, nil, false)
+			}
+		})
+		Convey("the gang starts as soon as running tasks of its team have ended", func() {
+			started, ok := d.started["gang"]
+			So(ok, ShouldBeTrue)
+			So(started-100*simulationStep, ShouldBeLessThanOrEqualTo, 1200*time.Millisecond)
+		})
+	})
+}
+
+// Guards against requests to the policy service, nominations, reservations and stops of other runs for units that could not start anyway.
+func TestUnitsAtTheQuotaClaimNothing(t *testing.T) {
+	Convey("Given a pool that is full, mostly of less urgent tasks", t, func() {
+		f := newFixture(1, 2)
+		f.limitTeam("kaje80", 4000)
+		small := simpleStep(10)
+		small.Checkpointing, small.Estimate = true, time.Minute
+		f.queue.Priority = 2
+		f.AddJob(t0, f.job("others", t0, small), nil, false)
+		starts := f.plan(t0).Starts
+		So(starts, ShouldHaveLength, 10)
+		for id := range f.active {
+			f.report(id, at(10*time.Millisecond))
+		}
+		f.queue.Priority = 1
+		wide := simpleStep(3)
+		Convey("a gang that is wider than the quota gets no room, however long it waits", func() {
+			wide.Gang = true
+			f.AddJob(t0, f.teamJob("gang", "kaje80", t0, wide), nil, false)
+			for i := range 40 {
+				So(f.plan(at(time.Duration(i)*100*time.Millisecond)).Stops, ShouldBeEmpty)
+				So(f.reservations, ShouldBeEmpty)
+			}
+		})
+		Convey("no more runs are stopped for a long-running step than the quota lets start", func() {
+			wide.LongRunning = true
+			f.AddJob(t0, f.teamJob("service", "kaje80", t0, wide), nil, false)
+			f.AddJob(t0, f.teamJob("service2", "kaje80", t0, wide), nil, false)
+			So(f.plan(at(20*time.Millisecond)).Stops, ShouldHaveLength, 1) // the next one only when that has ended
+		})
+	})
+	Convey("Given a queue with a policy service, no request is sent for a unit of a team at its quota", t, func() {
+		f := newFixture(1, 20)
+		f.limitTeam("kaje80", 4000)
+		f.queue.PolicyService = &queues.PolicyService{Base: 15 * time.Millisecond, PerWorker: 200 * time.Microsecond, Validity: 2 * time.Second}
+		f.AddJob(t0, f.teamJob("a", "kaje80", t0, simpleStep(90)), nil, false)
+		f.plan(t0)
+		asked := f.nextAdviceRequests(t0)
+		So(asked, ShouldHaveLength, 1)
+		So(len(asked[0].Workers), ShouldBeLessThanOrEqualTo, minAskedWorkers) // for two tasks, not for ninety
+		r := AdviceResult{Step: asked[0].Step, RequestedWorkers: asked[0].Workers, Validity: 2 * time.Second}
+		for _, w := range asked[0].Workers {
+			r.Approved = append(r.Approved, Approval{Worker: w, Ticket: "t"})
+		}
+		f.HandleAdvice(at(10*time.Millisecond), r)
+		So(f.plan(at(10*time.Millisecond)).Starts, ShouldHaveLength, 2)
+		f.AddJob(t0, f.teamJob("b", "kaje80", t0, simpleStep(1)), nil, false)
+		f.plan(at(20 * time.Millisecond))
+		So(f.nextAdviceRequests(at(20*time.Millisecond)), ShouldBeEmpty)
+	})
+}
+
+// Guards against a successor that starts new jobs of a team while unreported runs of the earlier owner may use its quota.
+func TestUncertainUseOfInheritedTasks(t *testing.T) {
+	Convey("Given a successor, a team with two inherited tasks and a limit of three, and a worker that has not reported yet", t, func() {
+		g := newFixture(2, 2)
+		g.limitTeam("kaje80", 6000)
+		g.AddUnresolvedWorker("w9", at(10*time.Second))
+		g.AddJob(t0, g.teamJob("old", "kaje80", t0, simpleStep(2)), nil, true)
+		g.AddJob(t0, g.teamJob("new", "kaje80", t0, simpleStep(2)), nil, false)
+		So(g.plan(at(10*time.Millisecond)).Starts, ShouldHaveLength, 1)
+		So(g.Dump(t0).Teams[0].Uncertain.CPUMilli, ShouldEqual, 4000)
+		Convey("the use of the inherited tasks remains uncertain when their job is cancelled", func() {
+			g.Cancel(at(20*time.Millisecond), "old")
+			So(g.plan(at(20*time.Millisecond)).Starts, ShouldBeEmpty)
+		})
+		Convey("what the worker reports counts, and what it does not report is free", func() {
+			g.active["w9"] = []ActiveRun{{Task: workload.TaskID{Job: "old"}, Run: 7}}
+			g.addWorker("w9")
+			So(g.plan(at(20*time.Millisecond)).Starts, ShouldHaveLength, 1)
+			So(g.Dump(t0).Teams[0].Used.CPUMilli, ShouldEqual, 6000)
+			So(g.Dump(t0).Teams[0].Uncertain.CPUMilli, ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against log lines about a team for each change of its use.
+func TestQuotaWaitsAreLoggedSeldom(t *testing.T) {
+	Convey("Given a team that is at its quota most of the time, its waits are noted at most every three seconds", t, func() {
+		f := newFixture(1, 2)
+		f.limitTeam("kaje80", 2000)
+		notes := 0
+		for i := range 60 {
+			now := at(time.Duration(i) * 100 * time.Millisecond)
+			if i%2 == 0 {
+				f.AddJob(now, f.teamJob(fmt.Sprint(i), "kaje80", now, simpleStep(2)), nil, false)
+			}
+			for _, s := range f.plan(now).Starts {
+				f.end(s, EndDone, now)
+			}
+			notes += len(f.TakeQuotaWaits())
+		}
+		So(notes, ShouldBeBetweenOrEqual, 1, 2)
+	})
+}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -135,6 +135,7 @@
 		// The resources of the run are unknown, so it reserves the whole worker.
 		p.resources = w.info.Capacity
 	}
+	s.charge(p)
 	w.addPlacement(p)
 	if t == nil && s.mayRun(a.Task) {
 		return
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	cfg           Config
 	queues        *queues.Config
 	jobs          map[string]*job
+	teams         teams
+	planNumber    int64 // of the present plan
 	workers       map[string]*worker
 	sortedWorkers []*worker          // by ID
 	open          map[*unit]struct{} // units with unfinished tasks whose dependencies are done
@@ -102,6 +104,7 @@
 		cfg:               cfg,
 		queues:            &queues.Config{},
 		jobs:              map[string]*job{},
+		teams:             newTeams(),
 		workers:           map[string]*worker{},
 		open:              map[*unit]struct{}{},
 		changedUnits:      map[*unit]struct{}{},
@@ -126,6 +129,7 @@
 // properties.
 func (s *Scheduler) SetQueues(c *queues.Config) {
 	s.queues = c
+	s.teams.setQueues(c)
 	for _, j := range s.jobs {
 		if q, ok := c.ByName(j.spec.Queue.Name); ok {
 			j.queue = q
@@ -165,6 +169,7 @@
 	}
 	s.jobs[spec.ID] = j
 	j.occurrences = make([]*occurrence, spec.Occurrences())
+	s.assignTeam(j, spec.Team)
 	s.futureOccurrences[j] = struct{}{}
 	if progress != nil {
 		j.progressStored = true
@@ -239,6 +244,7 @@
 
 // finishJob sets the final state of a job and stops its remaining runs.
 func (s *Scheduler) finishJob(j *job, state workload.State, now time.Time) {
+	s.noteInheritedEnd(j, now)
 	j.state, j.endedAt = state, now
 	s.dirty[j] = struct{}{}
 	s.endedJobs = append(s.endedJobs, s.summarize(j))
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -176,6 +176,7 @@
 		suspected: t.suspected(), orderedAt: now, percentChangedAt: now, withTicket: u.tickets[w.info.ID].value != ""}
 	t.placement = p
 	u.tasks.keep(t)
+	s.charge(p)
 	w.addPlacement(p)
 	if u.job.firstStart.IsZero() {
 		u.job.firstStart = now
--- /dev/null
+++ b/internal/cluster/scheduler/teams.go
@@ -0,0 +1,218 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+// team is a team with jobs: its limits, as the configuration has named them last, and what its tasks use.
+type team struct {
+	name   string
+	teams  *teams
+	known  bool // a configuration of this term has named it
+	quota  queues.Quota
+	weight float64
+	used   workload.Resources // by runs that are placed
+	held   workload.Resources // by gangs that are nominated for workers
+	// uncertain is what inherited tasks without a known run may use on workers that have not reported, as of the last update; see
+	// updateUncertainUse. uncertainEnded is the part of jobs that have ended since.
+	uncertain, uncertainEnded workload.Resources
+	claims                    quotaClaims
+	gangHold                  gangHold
+	waiting                   []candidate // units that wait for the quota, in planning order, since the last complete plan began
+	quotaLog                  quotaLog
+}
+
+// teams holds the teams of one owner.
+type teams struct {
+	byName     map[string]*team
+	configured bool               // there is a configuration
+	released   map[*team]struct{} // teams with waiting units whose use or limits have changed since the last plan
+	withWaits  map[*team]struct{} // teams with waiting units, or of which a log line has said so
+	// inherited are the jobs with a team that earlier owners may have started; ended ones are removed by updateUncertainUse.
+	inherited        []*job
+	uncertainChanged bool // inherited has changed since the last update
+	changes          []QuotaWait
+}
+
+func newTeams() teams {
+	return teams{byName: map[string]*team{}, released: map[*team]struct{}{}, withWaits: map[*team]struct{}{}}
+}
+
+// setQueues applies the limits and weights of a configuration. Teams that it lacks keep theirs.
+func (ts *teams) setQueues(c *queues.Config) {
+	ts.configured = true
+	for _, t := range ts.byName {
+		t.configure(c)
+		ts.released[t] = struct{}{}
+	}
+}
+
+func (t *team) configure(c *queues.Config) {
+	if configured, found := c.TeamByName(t.name); found {
+		t.known, t.quota, t.weight = true, configured.Quota, configured.Weight
+	}
+}
+
+// assignTeam determines the team of a job, which has none if its caller needed no key.
+func (s *Scheduler) assignTeam(j *job, name string) {
+	if name == "" {
+		return
+	}
+	t := s.teams.byName[name]
+	if t == nil {
+		t = &team{name: name, teams: &s.teams}
+		t.configure(s.queues)
+		s.teams.byName[name] = t
+	}
+	j.team = t
+	if j.inherited && !j.state.Final() {
+		s.teams.inherited = append(s.teams.inherited, j)
+		s.teams.uncertainChanged = true
+	}
+}
+
+// charge counts a run against the quota of its job's team, from the time when it is placed until it is removed. The use of a task that is
+// not known is the capacity of its worker.
+func (s *Scheduler) charge(p *placement) {
+	switch j := s.jobs[p.id.Job]; {
+	case j == nil || j.team == nil:
+	case p.task != nil:
+		p.team, p.quotaUse = j.team, p.task.unit.quotaUse()
+	default:
+		p.team, p.quotaUse = j.team, p.resources
+	}
+}
+
+// count adds the run to the use of its team, once.
+func (p *placement) count() {
+	if p.team == nil || p.counted {
+		return
+	}
+	p.counted = true
+	p.team.used = p.team.used.Add(p.quotaUse)
+}
+
+// uncount removes the run from the use of its team.
+func (p *placement) uncount() {
+	if !p.counted {
+		return
+	}
+	p.counted = false
+	p.team.used = p.team.used.Sub(p.quotaUse)
+	p.team.noteReleased()
+}
+
+// noteReleased lets PlanChanged consider units that wait for the quota.
+func (t *team) noteReleased() {
+	if len(t.waiting) > 0 {
+		t.teams.released[t] = struct{}{}
+	}
+}
+
+// times returns n times the resources.
+func times(r workload.Resources, n int) workload.Resources {
+	return workload.Resources{CPUMilli: r.CPUMilli * int64(n), MemoryMB: r.MemoryMB * int64(n), Accelerators: r.Accelerators * int64(n)}
+}
+
+// updateUncertainUse determines what inherited tasks may use on workers that have not reported to this owner. Between two updates a task
+// whose run is reported counts twice, so the use may be too high but not too low.
+func (s *Scheduler) updateUncertainUse(now time.Time) {
+	ts := &s.teams
+	if len(ts.inherited) == 0 {
+		return
+	}
+	ts.uncertainChanged = false
+	for _, j := range ts.inherited {
+		j.team.uncertain = j.team.uncertainEnded
+	}
+	if len(s.unresolved) == 0 {
+		for _, j := range ts.inherited {
+			j.team.uncertain, j.team.uncertainEnded = workload.Resources{}, workload.Resources{}
+			ts.released[j.team] = struct{}{}
+		}
+		ts.inherited = nil
+		return
+	}
+	ts.inherited = slices.DeleteFunc(ts.inherited, func(j *job) bool { return j.state.Final() && j.team.uncertainEnded == workload.Resources{} })
+	for _, j := range ts.inherited {
+		if !j.state.Final() {
+			j.team.uncertain = j.team.uncertain.Add(j.possibleUse(now))
+		}
+	}
+}
+
+// possibleUse returns what the unfinished tasks of the job without a known run may use. Steps whose dependencies are not done count, too:
+// an earlier owner may have started them before it stored the ends of the others.
+func (j *job) possibleUse(now time.Time) workload.Resources {
+	var use workload.Resources
+	for k, o := range j.occurrences {
+		switch {
+		case o != nil:
+			for _, u := range o.units {
+				use = use.Add(times(u.quotaUse(), u.countUnplaced()))
+			}
+		case j.spec.Due(k).After(now):
+			return use
+		default:
+			for i := range j.spec.Steps {
+				use = use.Add(times(j.spec.Steps[i].Resources, j.spec.Steps[i].Count))
+			}
+		}
+	}
+	return use
+}
+
+// countUnplaced returns the number of tasks that are not done and have no known run.
+func (u *unit) countUnplaced() int {
+	n := u.tasksLeft
+	for t := range u.tasks.kept() {
+		if !t.done && t.placement != nil {
+			n--
+		}
+	}
+	return n
+}
+
+// noteInheritedEnd keeps counting what may run of an inherited job that ends now.
+func (s *Scheduler) noteInheritedEnd(j *job, now time.Time) {
+	if j.team == nil || !j.inherited || len(s.unresolved) == 0 {
+		return
+	}
+	j.team.uncertainEnded = j.team.uncertainEnded.Add(j.possibleUse(now))
+	s.teams.uncertainChanged = true
+}
+
+// uncertainUse returns what inherited tasks of the team may use beside the known runs.
+func (s *Scheduler) uncertainUse(t *team) workload.Resources {
+	if len(s.unresolved) == 0 {
+		return workload.Resources{}
+	}
+	return t.uncertain
+}
+
+// TeamDump is the state of a team.
+type TeamDump struct {
+	Name      string             `json:"name"`
+	Used      workload.Resources `json:"used"`
+	Uncertain workload.Resources `json:"uncertain"`
+	Limit     queues.Quota       `json:"limit"`
+	Weight    float64            `json:"weight"`
+	// WaitingForQuota is the number of steps that wait because the team is at its quota.
+	WaitingForQuota int `json:"waiting_for_quota"`
+}
+
+// dumpTeams returns the state of all teams that have jobs, by name.
+func (s *Scheduler) dumpTeams() []TeamDump {
+	var out []TeamDump
+	for _, t := range s.teams.byName {
+		out = append(out, TeamDump{Name: t.name, Used: t.used, Uncertain: s.uncertainUse(t), Limit: t.quota, Weight: t.weight,
+			WaitingForQuota: len(t.waiting)})
+	}
+	slices.SortFunc(out, func(a, b TeamDump) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -93,7 +93,10 @@
 	worker      *worker
 	state       placementState
 	resources   workload.Resources
-	urgent      bool // see headroom
+	urgent      bool  // see headroom
+	team        *team // whose quota it counts against; nil if there is none
+	quotaUse    workload.Resources
+	counted     bool // in the use of its team
 	suspected   bool // when it started, its task was suspected of having crashed a worker
 	adopted     bool // an earlier owner started it
 	sound       bool // see checkSound
@@ -130,6 +133,7 @@
 func (w *worker) addPlacement(p *placement) {
 	w.placements = append(w.placements, p)
 	w.used = w.used.Add(p.resources)
+	p.count()
 	if p.urgent {
 		w.urgentCPU += p.resources.CPUMilli
 	}
@@ -145,6 +149,7 @@
 	}
 	w.placements = slices.Delete(w.placements, i, i+1)
 	w.used = w.used.Sub(p.resources)
+	p.uncount()
 	if p.urgent {
 		w.urgentCPU -= p.resources.CPUMilli
 	}
--- a/internal/cluster/scheduler/worker_model_test.go
+++ b/internal/cluster/scheduler/worker_model_test.go
@@ -53,6 +53,8 @@
 	// applied holds the tasks of which an end as done has reached the owner. No start may be ordered afterwards, even if the lease
 	// of the run had expired in between. durable holds those of which the successor knows.
 	applied, durable map[workload.TaskID]bool
+	// onStart, if set, is called after a run has become active.
+	onStart func(id workload.TaskID)
 }
 
 func newModel(rt *rapid.T, workers int, lease time.Duration) *model {
@@ -177,6 +179,9 @@
 		if m.done[s.Task] {
 			m.rt.Fatalf("%s run %d starts on %s after the task was done", s.Task, s.Run, w.id)
 		}
+		if m.onStart != nil {
+			m.onStart(s.Task)
+		}
 	}
 	outcome := StartAccepted
 	if rapid.IntRange(0, 4).Draw(m.rt, "lost start") == 0 {
