Require API keys of callers and record their team with the job

Every caller could use every queue. A job records its caller's team. Config.Select finds the queues of a host by an index instead of a search through all. Without teams and without the contract, callers are admitted as before.

--- a/internal/cluster/queues/queues.go
+++ b/internal/cluster/queues/queues.go
@@ -3,10 +3,13 @@
 package queues
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Queue is the configuration of a queue of jobs.
@@ -64,6 +67,7 @@
 	firstPriority int
 	teamByName    map[string]int // index in Teams by name
 	teamByKey     map[KeyDigest]int
+	byHost        map[string][]int // indexes in Queues by foldHost of their Host, those with the longest PathPrefix first
 }
 
 // ByName returns the queue with the name.
@@ -90,6 +94,7 @@
 			c.firstPriority = q.Priority
 		}
 	}
+	c.byHost = indexByHost(c.Queues)
 	c.teamByName = make(map[string]int, len(c.Teams))
 	c.teamByKey = map[KeyDigest]int{}
 	for i, t := range c.Teams {
@@ -102,17 +107,48 @@
 
 // Select returns the queue that a request is for: among the queues of the host, the one with the longest prefix of the path.
 func (c *Config) Select(host, path string) (Queue, bool) {
+	c.index.Do(c.buildIndex)
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
-	best, found := Queue{}, false
-	for _, q := range c.Queues {
-		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.PathPrefix) &&
-			(!found || len(q.PathPrefix) > len(best.PathPrefix)) {
-			best, found = q, true
+	for _, i := range c.byHost[foldHost(host)] {
+		if strings.HasPrefix(path, c.Queues[i].PathPrefix) {
+			return c.Queues[i], true
 		}
 	}
-	return best, found
+	return Queue{}, false
+}
+
+// indexByHost returns the indexes of the queues by foldHost of their Host, those with the longest PathPrefix first.
+func indexByHost(all []Queue) map[string][]int {
+	byHost := map[string][]int{}
+	for i, q := range all {
+		host := foldHost(q.Host)
+		byHost[host] = append(byHost[host], i)
+	}
+	for _, indexes := range byHost {
+		slices.SortStableFunc(indexes, func(a, b int) int { return len(all[b].PathPrefix) - len(all[a].PathPrefix) })
+	}
+	return byHost
+}
+
+// foldHost returns the same text for all hosts that strings.EqualFold takes as equal. It allocates nothing for a host of lower-case
+// ASCII letters, digits and signs.
+func foldHost(host string) string { return strings.Map(foldRune, host) }
+
+// foldRune returns the lowest of the runes that differ from r by case only, or its lower-case form if it is an ASCII letter.
+func foldRune(r rune) rune {
+	if r >= utf8.RuneSelf {
+		lowest := r
+		for next := unicode.SimpleFold(r); next != r; next = unicode.SimpleFold(next) {
+			lowest = min(lowest, next)
+		}
+		r = lowest
+	}
+	if 'A' <= r && r <= 'Z' {
+		return r + 'a' - 'A'
+	}
+	return r
 }
 
 // ConfigHolder holds the configuration in force: the newest that this process has received.
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -75,6 +75,17 @@
 	Accepted    time.Time     `json:"accepted"`
 }
 
+// Access is which jobs a caller may see and cancel. The zero value allows all, for deployments without API keys and for calls of earlier
+// releases.
+type Access struct {
+	Restricted bool   `json:"restricted,omitempty"` // keys are enforced, so only jobs of Team and jobs without a team are allowed
+	Team       string `json:"team,omitempty"`       // empty for a caller without a key
+}
+
+// Allows reports whether the caller may access a job of the team. Jobs that were accepted without a key, or by a release without teams,
+// have none and are open to everybody.
+func (a Access) Allows(team string) bool { return !a.Restricted || team == "" || team == a.Team }
+
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(s.Repetitions, 1) }
 
