Bound the age of the configuration and ask peers for newer versions

A host that the store turns away, or that wakes from a suspension, kept deciding by its last version of the operator's configuration. The new package configage records when the copy was last confirmed, on the clock that counts suspensions. While the store leaves the feed unanswered for 1 s, a host asks two randomly chosen hosts every 250 ms for a newer version and its age; digests of keys travel. Where the settings have the bounds configApplyMs and maxExtensionMs, calls with a key get 503 beyond their sum, and the first calls after a suspension wait up to 0.5 s for an attempt to confirm the copy. Where no keys are required, nothing is asked.

go test -race -count 5 ./internal/cluster/configage: ok; go test -race ./internal/cluster/rowstore: ok; go test -run 'Auth|Admit|Revoked|Fuzz|Settings|Decode|NoFaults|OldConf' ./platform: ok.

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -14,6 +14,7 @@
 
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/cluster/clock"
+	"github.com/greengagewing/greengagewing/internal/cluster/configage"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
@@ -36,6 +37,8 @@
 	Retention     time.Duration
 	MaxListAge    time.Duration // see coordinator.Config
 	MaxRowBytes   int           // the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes
+	KeysRequired  bool          // callers need API keys even if the operator's configuration has no teams
+	ConfigAge     configage.Limits
 	DrainNotice   time.Duration // how long after the start of a drain new connections may still arrive
 	DrainLimit    time.Duration // how long after the start of a drain the process exits at the latest
 }
@@ -47,10 +50,13 @@
 	coordinator.Discovery
 	peers.Adviser
 	// FollowQueues passes each new version of the operator's configuration to h.Update until ctx ends.
-	FollowQueues(ctx context.Context, h *queues.ConfigHolder)
+	// It calls confirmed after each answer of the store, with the time on the clock at which the call was sent.
+	FollowQueues(ctx context.Context, h *queues.ConfigHolder, c clock.Func, confirmed func(sentAt time.Duration))
+	// ReadQueues reads the operator's configuration once and passes it to h.Update.
+	ReadQueues(ctx context.Context, h *queues.ConfigHolder) error
 	// Serve starts the listeners for callers and for the load balancer's health checks. The function that it returns stops
 	// accepting calls, waits for calls in progress and closes the listeners.
-	Serve(f *frontend.JobService, h *queues.ConfigHolder, r *admin.Readiness) (func(context.Context) error, error)
+	Serve(f *frontend.JobService, h *queues.ConfigHolder, t *configage.Tracker, r *admin.Readiness) (func(context.Context) error, error)
 	// Close closes idle connections.
 	Close()
 }
@@ -58,7 +64,7 @@
 // Module provides the components of the daemon and starts and stops its Node. The caller supplies Config, Platform,
 // network.Network, clock.Func, clock.ProcessorFunc and *zap.Logger.
 var Module = fx.Options(
-	fx.Provide(newStore, newIdentity, metrics.New, meter.NewDuties, newRoster, newWatch, queues.NewConfigHolder, newCoordinator, newFrontend, newNode,
+	fx.Provide(newStore, newIdentity, metrics.New, meter.NewDuties, newRoster, newWatch, queues.NewConfigHolder, newTracker, newCoordinator, newFrontend, newNode,
 		peers.NewClient, newPolicyClient, admin.NewReadiness, admin.NewStates),
 	fx.Invoke(func(lc fx.Lifecycle, n *Node) { lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop}) }),
 )
@@ -75,6 +81,10 @@
 	return election.Identity{Host: c.Host, Addr: c.PeerAddr, BootID: hex.EncodeToString(bootID)}
 }
 
+func newTracker(c Config, since clock.Func) *configage.Tracker {
+	return configage.NewTracker(c.ConfigAge, since)
+}
+
 func newRoster(log *zap.Logger) *peers.Roster { return peers.NewRoster(log) }
 
 func newWatch(log *zap.Logger) *election.Watch { return election.NewWatch(log) }
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -13,12 +13,14 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/clock"
+	"github.com/greengagewing/greengagewing/internal/cluster/configage"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
@@ -76,6 +78,8 @@
 	Clock        clock.Func
 	Self         election.Identity
 	ConfigHolder *queues.ConfigHolder
+	Tracker      *configage.Tracker
+	Scope        tally.Scope
 	Watch        *election.Watch
 	Roster       *peers.Roster
 	Peers        *peers.Client
@@ -118,6 +122,7 @@
 	p.States.Add("hosts", func() any { return p.Roster.Hosts() })
 	p.States.Add("coordinator", p.Coordinator.Dump)
 	p.States.Add("delegate", func() any { return map[string]int{"workers": n.delegateSessions.Workers()} })
+	p.States.Add("configuration", n.configurationState)
 	p.States.Add("queues", func() any { return p.ConfigHolder.Current() })
 	return n
 }
@@ -127,12 +132,12 @@
 	if err := n.servePeers(); err != nil {
 		return err
 	}
-	stop, err := n.parts.Platform.Serve(n.parts.JobService, n.parts.ConfigHolder, n.parts.Readiness)
+	stop, err := n.parts.Platform.Serve(n.parts.JobService, n.parts.ConfigHolder, n.parts.Tracker, n.parts.Readiness)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	n.stopServe = stop
-	n.wg.Go(func() { n.parts.Platform.FollowQueues(n.ctx, n.parts.ConfigHolder) })
+	n.followConfig()
 	n.follow(election.OwnerTable, election.Partition, n.parts.Watch, n.parts.Watch.RecordFeedAnswer, 0)
 	n.follow(records.Hosts, "", n.parts.Roster, nil, hostsFeedTimeout)
 	n.wg.Go(func() { n.watchOwner(n.ctx) })
@@ -166,6 +171,7 @@
 func (n *Node) servePeers() error {
 	e := gin.New()
 	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.JobService, n, n.parts.Self.BootID, n.parts.Log, n.parts.Duties).Register(e)
+	peers.RegisterConfig(e, func(q configage.Question) configage.Answer { return n.parts.Tracker.Answer(n.parts.ConfigHolder, q) })
 	admin.NewHealth(e, n.parts.Readiness, n.parts.Metrics, Version)
 	e.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
 	e.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
--- /dev/null
+++ b/internal/cluster/configage/checker_test.go
@@ -0,0 +1,172 @@
+package configage
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+)
+
+var errCut = errors.New("cut")
+
+// testHost is a host with its own clock, whose store answers nothing.
+type testHost struct {
+	offset  atomic.Int64 // of its clock in nanoseconds, which a suspension sets forward
+	tracker *Tracker
+	holder  *queues.ConfigHolder
+	checker *Checker
+	asked   atomic.Int64 // calls to other hosts
+	reads   atomic.Int64
+	peers   map[string]*testHost
+}
+
+func (h *testHost) now() time.Duration { return time.Duration(time.Now().UnixNano() + h.offset.Load()) }
+
+func newTestHost(offset time.Duration, version int64) *testHost {
+	h := &testHost{holder: queues.NewConfigHolder(), peers: map[string]*testHost{}}
+	h.offset.Store(int64(offset))
+	h.tracker = NewTracker(Limits{Apply: 3 * time.Second, Extension: 6 * time.Second}, h.now)
+	if version > 0 {
+		h.holder.Update(&queues.Config{Version: version})
+		h.tracker.ConfirmByStore(h.now())
+	}
+	h.checker = &Checker{Tracker: h.tracker, Holder: h.holder, Required: func() bool { return true }, Metrics: tally.NoopScope, Log: zap.NewNop(),
+		Sources: Sources{
+			Peers: func() []string {
+				var addrs []string
+				for addr := range h.peers {
+					addrs = append(addrs, addr)
+				}
+				return addrs
+			},
+			Ask: func(_ context.Context, addr string, q Question) (Answer, error) {
+				h.asked.Add(1)
+				p := h.peers[addr]
+				if p == nil {
+					return Answer{}, errCut
+				}
+				return p.tracker.Answer(p.holder, q), nil
+			},
+			Read: func(context.Context) error { h.reads.Add(1); return errCut },
+		}}
+	return h
+}
+
+// Guards against a host that keeps an old version while other hosts know a newer one, and against ages that are compared across clocks.
+func TestNewerVersionOfAnotherHostIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, other := newTestHost(0, 1), newTestHost(100*time.Hour, 1)
+		h.peers["other"] = other
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go h.checker.Run(ctx)
+		time.Sleep(time.Second)
+		other.holder.Update(&queues.Config{Version: 2, Teams: []queues.Team{{Name: "a", KeyDigests: []queues.KeyDigest{queues.DigestKey("k")}}}})
+		other.tracker.ConfirmByStore(other.now())
+		time.Sleep(600 * time.Millisecond)
+		if _, ok := h.holder.Current().TeamOfKey("k"); !ok {
+			t.Fatalf("version %d is in force", h.holder.Current().Version)
+		}
+		if age := h.tracker.State().Age(h.now()); age < 600*time.Millisecond || age > 650*time.Millisecond {
+			t.Errorf("age %s, although the other host's copy was confirmed 0.6 s ago", age)
+		}
+		time.Sleep(8 * time.Second) // the store answers the other host no longer
+		if v := h.tracker.Verdict(); v != Usable {
+			t.Errorf("%s before the bound", v)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if v := h.tracker.Verdict(); v != TooOld {
+			t.Errorf("%s after the bound", v)
+		}
+	})
+}
+
+// Guards against a host that decides by its old copy right after a suspension, although another host knows a newer version.
+func TestFirstRequestAfterASuspensionWaitsForACheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, other := newTestHost(0, 1), newTestHost(0, 1)
+		h.peers["other"] = other
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go h.checker.Run(ctx)
+		time.Sleep(time.Millisecond)
+		h.offset.Add(int64(5 * time.Second))
+		other.holder.Update(&queues.Config{Version: 2})
+		other.tracker.ConfirmByStore(other.now())
+		began := time.Now()
+		if !h.tracker.Usable(t.Context()) || h.holder.Current().Version != 2 {
+			t.Errorf("version %d is used", h.holder.Current().Version)
+		}
+		if took := time.Since(began); took > 50*time.Millisecond {
+			t.Errorf("the request waited for %s", took)
+		}
+		if h.reads.Load() != 1 {
+			t.Errorf("%d reads of the store", h.reads.Load())
+		}
+	})
+}
+
+// Guards against a host that refuses everything while nobody answers, although its copy is within the bound, and against calls to other
+// hosts while the store answers or where no keys are required.
+func TestAttemptsAreMadeOnlyWhenNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHost(0, 1)
+		h.peers["dead"] = nil
+		var unlocked atomic.Bool
+		h.checker.Required = func() bool { return !unlocked.Load() }
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go h.checker.Run(ctx)
+		for range 10 {
+			sent := h.now()
+			time.Sleep(800 * time.Millisecond)
+			h.tracker.ConfirmByStore(sent)
+		}
+		if n := h.asked.Load() + h.reads.Load(); n > 0 {
+			t.Errorf("%d calls while the store answers", n)
+		}
+		for range 6 {
+			time.Sleep(time.Second)
+			if !h.tracker.Usable(t.Context()) {
+				t.Errorf("refused at an age of %s", h.tracker.State().Age(h.now()))
+			}
+		}
+		if h.asked.Load() < 15 || h.reads.Load() > 2 {
+			t.Errorf("%d questions and %d reads in 6 s", h.asked.Load(), h.reads.Load())
+		}
+		unlocked.Store(true)
+		before := h.asked.Load()
+		time.Sleep(time.Second)
+		if now := h.asked.Load(); now != before {
+			t.Errorf("%d questions where no keys are required", now-before)
+		}
+	})
+}
+
+// Guards against an answer that confirms more than the answering host knows, and against one that is taken although it is invalid.
+func TestInvalidAnswersConfirmNothing(t *testing.T) {
+	h := newTestHost(0, 3)
+	unconfirmed := newTestHost(0, 0)
+	unconfirmed.holder.Update(&queues.Config{Version: 9})
+	invalid := newTestHost(0, 0)
+	invalid.holder.Update(&queues.Config{Version: 9, Teams: []queues.Team{{Name: ""}}})
+	invalid.tracker.ConfirmByStore(invalid.now())
+	before := h.tracker.State()
+	for addr, p := range map[string]*testHost{"unconfirmed": unconfirmed, "invalid": invalid} {
+		h.peers = map[string]*testHost{addr: p}
+		h.checker.ask(t.Context(), addr)
+		if h.holder.Current().Version != 3 || h.tracker.State() != before {
+			t.Errorf("%s: version %d", addr, h.holder.Current().Version)
+		}
+	}
+}
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -185,6 +185,11 @@
 
 // call posts in to a path of the daemon at addr and decodes the answer into out.
 func (c *Client) call(ctx context.Context, addr, path string, in, out any) error {
+	return c.callUpTo(ctx, addr, path, in, out, wire.MaxMessageBytes)
+}
+
+// callUpTo is call with another limit for the size of the answer.
+func (c *Client) callUpTo(ctx context.Context, addr, path string, in, out any, maxBytes int) error {
 	body, err := wire.Encode(in)
 	if err != nil {
 		return err
@@ -202,12 +207,12 @@
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxMessageBytes+1))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxBytes)+1))
 	if err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
-	if len(data) > wire.MaxMessageBytes {
-		return errors.Wrapf(ErrFailed, "%s answered more than %d bytes to %s", addr, wire.MaxMessageBytes, path)
+	if len(data) > maxBytes {
+		return errors.Wrapf(ErrFailed, "%s answered more than %d bytes to %s", addr, maxBytes, path)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
--- a/internal/cluster/rowstore/follower.go
+++ b/internal/cluster/rowstore/follower.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/cluster/clock"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -50,6 +51,10 @@
 	MinCallInterval func() time.Duration
 	// OnFeedAnswer, if set, is called after each successful feed call with the time at which the call was sent.
 	OnFeedAnswer func(sentAt time.Time)
+	// OnConfirmed, if set, is called after the handler has received an answer to a read or feed call, with the time on Clock at which the
+	// call was sent: the handler then knows everything that the store held at that time.
+	OnConfirmed func(sentAt time.Duration)
+	Clock       clock.Func // must be set with OnConfirmed
 }
 
 // Run follows the table until ctx ends. It retries errors of the store with exponential backoff.
@@ -90,6 +95,19 @@
 // step reads the table if version is negative; otherwise it waits for changes after version. It returns the version from which
 // to continue.
 func (f *Follower) step(ctx context.Context, version int64) (int64, error) {
+	if f.OnConfirmed == nil {
+		return f.receive(ctx, version)
+	}
+	sentAt := f.Clock()
+	next, err := f.receive(ctx, version)
+	if err == nil {
+		f.OnConfirmed(sentAt)
+	}
+	return next, err
+}
+
+// receive is step without OnConfirmed.
+func (f *Follower) receive(ctx context.Context, version int64) (int64, error) {
 	requestedAt := time.Now()
 	if version < 0 {
 		return f.snapshot(ctx)
