Answer for another team's job as for an unknown one

Every caller that knew the ID of a job could see and cancel it, and a second submission of an ID counted as the first job, whoever sent it. Lookups and cancellations now take the caller's access, on the owner, between hosts and on the rows of the store; rows with a job's state name its team. Jobs without a team stay open to all callers. Where no keys are required, no row is read or decoded in addition.

go test ./internal/cluster/{frontend,coordinator,peers,workload,records}: ok; go test -run 'OwnerTells|Takeover|Memory|Records' ./internal/cluster/scheduler: ok.

--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -79,15 +79,15 @@
 	return c.term
 }
 
-// Lookup returns a job's state; known is false if the owner has not received the job.
-func (c *Coordinator) Lookup(id string) (state workload.State, known bool, err error) {
+// Lookup returns a job's state; known is false if the owner has not received the job, or the caller may not access it.
+func (c *Coordinator) Lookup(id string, access workload.Access) (state workload.State, known bool, err error) {
 	t := c.current()
 	if t == nil || !t.ownership.LeaseValid() {
 		return "", false, ErrNotOwner
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state, known = t.sched.Lookup(id)
+	state, known = t.sched.LookupFor(id, access)
 	return state, known, nil
 }
 
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -65,7 +65,7 @@
 			p.StoredChunks = []int{chunk}
 		}
 		if other := out[id]; other != nil {
-			p.State = other.State // that of the first chunk
+			p.State, p.Team = other.State, other.Team // those of the first chunk
 			p.Tasks, p.StoredChunks = append(other.Tasks, p.Tasks...), append(other.StoredChunks, p.StoredChunks...)
 			p.DoneRanges = append(other.DoneRanges, p.DoneRanges...)
 		}
--- a/internal/cluster/coordinator/persist_test.go
+++ b/internal/cluster/coordinator/persist_test.go
@@ -14,6 +14,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 // delayedStore delays each commit by latency.
@@ -108,7 +109,7 @@
 				left += len(rows)
 			}
 			So(left, ShouldEqual, 0)
-			_, known, err := o.Lookup("j0")
+			_, known, err := o.Lookup("j0", workload.Access{})
 			So(err, ShouldBeNil)
 			So(known, ShouldBeFalse)
 		})
--- a/internal/cluster/coordinator/repeats_test.go
+++ b/internal/cluster/coordinator/repeats_test.go
@@ -53,7 +53,7 @@
 			for range 100 {
 				a.serve(time.Second)
 			}
-			_, known, err := o.Lookup("j1")
+			_, known, err := o.Lookup("j1", workload.Access{})
 			So(err, ShouldBeNil)
 			So(known, ShouldBeFalse)
 			Convey("When the feed is back, the job is not started again", func() {
--- a/internal/cluster/coordinator/rowsize_test.go
+++ b/internal/cluster/coordinator/rowsize_test.go
@@ -86,7 +86,7 @@
 			Convey("the others start, the rejected one fails, and the owner stays the owner", func() {
 				So(len(a.starts), ShouldEqual, 2)
 				So(hasStart(a.starts, "j2"), ShouldBeFalse)
-				state, known, err := o.Lookup("j2")
+				state, known, err := o.Lookup("j2", workload.Access{})
 				So(err, ShouldBeNil)
 				So(known, ShouldBeTrue)
 				So(state, ShouldEqual, workload.Failed)
@@ -211,7 +211,7 @@
 				b.serve(time.Second)
 				rest := b.runTasks(40 * time.Second)
 				So(done+rest, ShouldBeBetweenOrEqual, tasks, tasks+workers*4)
-				state, _, err := next.Lookup("many")
+				state, _, err := next.Lookup("many", workload.Access{})
 				So(err, ShouldBeNil)
 				So(state, ShouldEqual, workload.Completed)
 				So(ownerRows(t, store, records.Progress), ShouldBeEmpty)
--- a/internal/cluster/frontend/busy_test.go
+++ b/internal/cluster/frontend/busy_test.go
@@ -46,10 +46,10 @@
 		s := New(Deps{Store: rowstore.NewMemory(), Roster: peers.NewRoster(zap.NewNop()), Log: zap.NewNop(), Metrics: tally.NoopScope, Watch: watch,
 			Coordinator: coordinator.New(coordinator.Config{}, coordinator.Deps{}), Peers: peers.NewClient(network.TCP())})
 		defer s.Peers.Close()
-		_, err = s.StoreJob(context.Background(), &workload.Spec{ID: testJob, Steps: []workload.Step{{Count: 1}}}, 0)
+		_, err = s.StoreJob(context.Background(), &workload.Spec{ID: testJob, Steps: []workload.Step{{Count: 1}}}, workload.Access{}, 0)
 		So(err, ShouldBeNil)
 		lookup := func() workload.State {
-			state, err := s.Lookup(context.Background(), testJob)
+			state, err := s.Lookup(context.Background(), testJob, workload.Access{})
 			So(err, ShouldBeNil)
 			return state
 		}
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -31,6 +31,8 @@
 	ErrTooLarge = errors.New("frontend: job is too large to be stored")
 	// ErrNoSuchJob means that no such job was accepted.
 	ErrNoSuchJob = errors.New("frontend: no such job")
+	// ErrIDInUse means that the job's ID is that of a job that the caller may not access. The new job was not accepted and never will be.
+	ErrIDInUse = errors.New("frontend: job ID is in use")
 	// ErrUnavailable means that the requested state can't be read at the moment.
 	ErrUnavailable = errors.New("frontend: state unavailable")
 
@@ -95,8 +97,8 @@
 }
 
 // Submit accepts a job. It is idempotent: a job with the id of an accepted job counts as that job. Errors: ErrNotAccepted,
-// ErrTooLarge, ErrUnknown.
-func (s *JobService) Submit(ctx context.Context, spec *workload.Spec) error {
+// ErrTooLarge, ErrIDInUse, ErrUnknown.
+func (s *JobService) Submit(ctx context.Context, spec *workload.Spec, access workload.Access) error {
 	began := time.Now()
 	value, err := workload.EncodeSpec(spec)
 	if err != nil {
@@ -108,10 +110,10 @@
 	outcome, err := s.storeChange(ctx, change{
 		id: spec.ID,
 		storeLocal: func(alternative int) (peers.StoreOutcome, error) {
-			return s.storeEncodedJob(ctx, spec.ID, value, alternative)
+			return s.storeEncodedJob(ctx, spec.ID, value, access, alternative)
 		},
 		storeAtPeer: func(addr string, alternative int) (peers.StoreOutcome, error) {
-			return s.Peers.Submit(ctx, addr, spec, alternative)
+			return s.Peers.Submit(ctx, addr, spec, access, alternative)
 		},
 	})
 	if outcome == peers.Stored {
@@ -122,14 +124,14 @@
 	return outcomeError(outcome, err)
 }
 
-// Cancel stores the cancellation of a job. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
-func (s *JobService) Cancel(ctx context.Context, id string) error {
+// Cancel stores the cancellation of a job that the caller may access. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
+func (s *JobService) Cancel(ctx context.Context, id string, access workload.Access) error {
 	began := time.Now()
 	outcome, err := s.storeChange(ctx, change{
 		id:         id,
-		storeLocal: func(alternative int) (peers.StoreOutcome, error) { return s.StoreCancel(ctx, id, alternative) },
+		storeLocal: func(alternative int) (peers.StoreOutcome, error) { return s.StoreCancel(ctx, id, access, alternative) },
 		storeAtPeer: func(addr string, alternative int) (peers.StoreOutcome, error) {
-			return s.Peers.Cancel(ctx, addr, id, alternative)
+			return s.Peers.Cancel(ctx, addr, id, access, alternative)
 		},
 	})
 	if outcome == peers.Stored {
@@ -176,6 +178,8 @@
 		return nil
 	case peers.NoSuchJob:
 		return ErrNoSuchJob
+	case peers.IDInUse:
+		return ErrIDInUse
 	case peers.NotStored:
 		return errors.Wrap(ErrNotAccepted, text)
 	}
@@ -183,21 +187,21 @@
 }
 
 // Lookup returns a job's state from the owner or, if the owner is busy, does not answer or does not know the job, from the store.
-// Errors: ErrNoSuchJob, ErrUnavailable.
-func (s *JobService) Lookup(ctx context.Context, id string) (workload.State, error) {
+// A job that the caller may not access counts as unknown. Errors: ErrNoSuchJob, ErrUnavailable.
+func (s *JobService) Lookup(ctx context.Context, id string, access workload.Access) (workload.State, error) {
 	began := time.Now()
 	if s.ownerBusy.at(s.Watch.View().Owner.BootID, began) {
-		if state, err := s.readState(ctx, id); err == nil {
+		if state, err := s.readState(ctx, id, access); err == nil {
 			s.lookups.Record("store", began)
 			return state, nil
 		}
 	}
-	state, known, err := s.askOwner(ctx, id)
+	state, known, err := s.askOwner(ctx, id, access)
 	if err == nil && known {
 		s.lookups.Record("owner", began)
 		return state, nil
 	}
-	state, err = s.readState(ctx, id)
+	state, err = s.readState(ctx, id, access)
 	outcome := "store"
 	if err != nil {
 		outcome = "failed"
@@ -207,8 +211,8 @@
 }
 
 // askOwner returns a job's state as the owner knows it, and whether the owner knows the job.
-func (s *JobService) askOwner(ctx context.Context, id string) (workload.State, bool, error) {
-	if state, known, err := s.Coordinator.Lookup(id); err == nil {
+func (s *JobService) askOwner(ctx context.Context, id string, access workload.Access) (workload.State, bool, error) {
+	if state, known, err := s.Coordinator.Lookup(id, access); err == nil {
 		return state, known, nil
 	}
 	owner := s.Watch.View().Owner
@@ -217,30 +221,33 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	a, err := s.Peers.Lookup(callCtx, owner.Addr, id)
+	a, err := s.Peers.Lookup(callCtx, owner.Addr, id, access)
 	s.ownerBusy.record(owner.BootID, a.OwnerBusy, time.Now())
 	return a.State, a.Known, err
 }
 
 // readState reads a job's state from the store. An accepted job without a stored state is queued.
-func (s *JobService) readState(ctx context.Context, id string) (workload.State, error) {
+func (s *JobService) readState(ctx context.Context, id string, access workload.Access) (workload.State, error) {
 	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
 	for _, key := range []rowstore.Key{records.EndedKey(id), records.ProgressKey(id)} {
-		row, ok, err := rowstore.ReadRow(callCtx, s.Store, key)
+		value, ok, err := s.readValue(callCtx, key)
 		if err != nil {
 			return "", errors.Wrap(ErrUnavailable, err.Error())
 		}
 		if !ok {
 			continue
 		}
-		p, err := workload.DecodeProgress(row.Value)
+		p, err := workload.DecodeProgress(value)
 		if err != nil {
 			return "", errors.Wrap(ErrUnavailable, err.Error())
 		}
+		if !access.Allows(p.Team) {
+			return "", ErrNoSuchJob
+		}
 		return p.State, nil
 	}
-	accepted, err := s.accepted(callCtx, id)
+	accepted, err := s.accepted(callCtx, id, access)
 	if err != nil {
 		return "", errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -250,21 +257,6 @@
 	return workload.Queued, nil
 }
 
-// accepted reports whether the row of a job exists in one of the partitions that may hold it.
-func (s *JobService) accepted(ctx context.Context, id string) (bool, error) {
-	var failed error
-	for alternative := range records.AlternativePartitions {
-		_, ok, err := rowstore.ReadRow(ctx, s.Store, records.JobKey(id, alternative))
-		if ok {
-			return true, nil
-		}
-		if err != nil {
-			failed = err
-		}
-	}
-	return false, failed
-}
-
 // Pending returns the owner's count of a queue's jobs that have not started any task yet. The count may be as old as
 // pendingCacheAge. Errors: ErrUnavailable.
 func (s *JobService) Pending(ctx context.Context, queue string) (int, error) {
--- a/internal/cluster/frontend/load_test.go
+++ b/internal/cluster/frontend/load_test.go
@@ -79,7 +79,7 @@
 			calls.Go(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
-				if f.Submit(ctx, spec) == nil {
+				if f.Submit(ctx, spec, workload.Access{}) == nil {
 					accepted.Add(1)
 				}
 			})
--- a/internal/cluster/frontend/outage_test.go
+++ b/internal/cluster/frontend/outage_test.go
@@ -61,7 +61,7 @@
 	for range attempts {
 		ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 		began := time.Now()
-		c.outcome = f.Submit(ctx, &workload.Spec{ID: c.id, Steps: []workload.Step{{Count: 1}}})
+		c.outcome = f.Submit(ctx, &workload.Spec{ID: c.id, Steps: []workload.Step{{Count: 1}}}, workload.Access{})
 		cancel()
 		left := time.Until(c.deadline)
 		if !errors.Is(c.outcome, ErrNotAccepted) || left <= 0 {
--- a/internal/cluster/frontend/store.go
+++ b/internal/cluster/frontend/store.go
@@ -125,7 +125,7 @@
 			var outcome peers.StoreOutcome
 			outcome, err = s.attempt(c, w)
 			switch outcome {
-			case peers.Stored, peers.StoredBefore, peers.NoSuchJob:
+			case peers.Stored, peers.StoredBefore, peers.NoSuchJob, peers.IDInUse:
 				return outcome, err
 			case peers.NotStored:
 				refused++
@@ -161,7 +161,7 @@
 		return s.viaPeer(c, w.alternative)
 	}
 	outcome, err := c.storeLocal(w.alternative)
-	ok := outcome == peers.Stored || outcome == peers.StoredBefore || outcome == peers.NoSuchJob
+	ok := outcome == peers.Stored || outcome == peers.StoredBefore || outcome == peers.NoSuchJob || outcome == peers.IDInUse
 	s.routeHealth.recordWrite(records.JobKey(c.id, w.alternative).Partition, ok, time.Now())
 	return outcome, err
 }
@@ -176,27 +176,23 @@
 }
 
 // StoreJob writes the row of a job from this host to the alternative partition with this index.
-func (s *JobService) StoreJob(ctx context.Context, spec *workload.Spec, alternative int) (peers.StoreOutcome, error) {
+func (s *JobService) StoreJob(ctx context.Context, spec *workload.Spec, access workload.Access, alternative int) (peers.StoreOutcome, error) {
 	value, err := workload.EncodeSpec(spec)
 	if err != nil {
 		return peers.NotStored, errors.Wrap(err, "encode job")
 	}
-	return s.storeEncodedJob(ctx, spec.ID, value, alternative)
-}
-
-func (s *JobService) storeEncodedJob(ctx context.Context, id string, value []byte, alternative int) (peers.StoreOutcome, error) {
-	return s.create(ctx, records.Split(records.JobKey(id, alternative), value, rowstore.MaxValueBytes(s.MaxRowBytes)))
+	return s.storeEncodedJob(ctx, spec.ID, value, access, alternative)
 }
 
 // StoreCancel writes the row of a job's cancellation from this host to the alternative partition with this index, if the job
-// was accepted.
-func (s *JobService) StoreCancel(ctx context.Context, id string, alternative int) (peers.StoreOutcome, error) {
+// was accepted and the caller may access it.
+func (s *JobService) StoreCancel(ctx context.Context, id string, access workload.Access, alternative int) (peers.StoreOutcome, error) {
 	if s.breaker.open.Load() {
 		return peers.NotStored, errStoreUnresponsive
 	}
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	accepted, err := s.accepted(readCtx, id)
+	accepted, err := s.accepted(readCtx, id, access)
 	if err != nil {
 		return peers.NotStored, err
 	}
--- a/internal/cluster/frontend/store_test.go
+++ b/internal/cluster/frontend/store_test.go
@@ -109,7 +109,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
 			began := time.Now()
-			err := f.Submit(ctx, &workload.Spec{ID: id})
+			err := f.Submit(ctx, &workload.Spec{ID: id}, workload.Access{})
 			return time.Since(began), err
 		}
 		var silent atomic.Bool // read by the probes too
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -44,12 +44,13 @@
 )
 
 type lookupRequest struct {
-	Job string `json:"job"`
+	Job    string          `json:"job"`
+	Access workload.Access `json:"access,omitzero"`
 }
 
 // LookupAnswer is the owner's answer to a query for the state of a job.
 type LookupAnswer struct {
-	Known bool           `json:"known"` // false if the owner does not know the job
+	Known bool           `json:"known"` // false if the owner does not know the job, or the caller may not access it
 	State workload.State `json:"state,omitempty"`
 	// OwnerBusy means that the owner is about to fall behind. Queries that the store can answer should go there for a while.
 	OwnerBusy bool `json:"busy,omitempty"`
@@ -129,9 +130,9 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Lookup asks the owner for a job's state.
-func (c *Client) Lookup(ctx context.Context, addr, id string) (LookupAnswer, error) {
+func (c *Client) Lookup(ctx context.Context, addr, id string, access workload.Access) (LookupAnswer, error) {
 	var a LookupAnswer
-	err := c.call(ctx, addr, lookupPath, lookupRequest{id}, &a)
+	err := c.call(ctx, addr, lookupPath, lookupRequest{id, access}, &a)
 	return a, err
 }
 
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -39,9 +39,9 @@
 // Submitter stores jobs and cancellations for a peer that can't reach the store.
 type Submitter interface {
 	// StoreJob stores a job in the alternative partition with this index; see the frontend package.
-	StoreJob(ctx context.Context, spec *workload.Spec, alternative int) (StoreOutcome, error)
+	StoreJob(ctx context.Context, spec *workload.Spec, access workload.Access, alternative int) (StoreOutcome, error)
 	// StoreCancel stores the cancellation of a job in the alternative partition with this index.
-	StoreCancel(ctx context.Context, id string, alternative int) (StoreOutcome, error)
+	StoreCancel(ctx context.Context, id string, access workload.Access, alternative int) (StoreOutcome, error)
 }
 
 // Successor takes over the ownership from an owner that has lost access to the store.
@@ -61,6 +61,7 @@
 	NotStored    StoreOutcome = "not_stored"    // it is certain that the row was not and will not be written
 	StoreUnknown StoreOutcome = "store_unknown" // the row may have been written, or may be written later
 	NoSuchJob    StoreOutcome = "no_such_job"
+	IDInUse      StoreOutcome = "id_in_use" // the job's ID is that of a job that the caller may not access
 )
 
 // NewServer returns the server of the process with this bootID. It counts the calls of each path in duties.
@@ -108,7 +109,7 @@
 	if !ok {
 		return
 	}
-	state, known, err := s.coordinator.Lookup(in.Job)
+	state, known, err := s.coordinator.Lookup(in.Job, in.Access)
 	if err != nil {
 		writeError(c, err)
 		return
@@ -197,13 +198,15 @@
 }
 
 type submitRequest struct {
-	Job         *workload.Spec `json:"job" binding:"required"`
-	Alternative int            `json:"place"`
+	Job         *workload.Spec  `json:"job" binding:"required"`
+	Access      workload.Access `json:"access,omitzero"`
+	Alternative int             `json:"place"`
 }
 
 type cancelRequest struct {
-	Job         string `json:"job"`
-	Alternative int    `json:"place"`
+	Job         string          `json:"job"`
+	Access      workload.Access `json:"access,omitzero"`
+	Alternative int             `json:"place"`
 }
 
 func (s *Server) submit(c *gin.Context) {
@@ -211,7 +214,7 @@
 	if !ok {
 		return
 	}
-	outcome, err := s.submitter.StoreJob(c.Request.Context(), in.Job, in.Alternative)
+	outcome, err := s.submitter.StoreJob(c.Request.Context(), in.Job, in.Access, in.Alternative)
 	s.log.Info("job stored for a peer", zap.String("job", in.Job.ID), zap.String("outcome", string(outcome)), asynclog.Error(err))
 	c.PureJSON(http.StatusOK, storeAnswer{outcome})
 }
@@ -221,19 +224,19 @@
 	if !ok {
 		return
 	}
-	outcome, err := s.submitter.StoreCancel(c.Request.Context(), in.Job, in.Alternative)
+	outcome, err := s.submitter.StoreCancel(c.Request.Context(), in.Job, in.Access, in.Alternative)
 	s.log.Info("cancellation stored for a peer", zap.String("job", in.Job), zap.String("outcome", string(outcome)), asynclog.Error(err))
 	c.PureJSON(http.StatusOK, storeAnswer{outcome})
 }
 
 // Submit asks a peer to store a job.
-func (c *Client) Submit(ctx context.Context, addr string, spec *workload.Spec, alternative int) (StoreOutcome, error) {
-	return c.storeViaPeer(ctx, addr, submitPath, submitRequest{spec, alternative})
+func (c *Client) Submit(ctx context.Context, addr string, spec *workload.Spec, access workload.Access, alternative int) (StoreOutcome, error) {
+	return c.storeViaPeer(ctx, addr, submitPath, submitRequest{spec, access, alternative})
 }
 
 // Cancel asks a peer to store a cancellation.
-func (c *Client) Cancel(ctx context.Context, addr, id string, alternative int) (StoreOutcome, error) {
-	return c.storeViaPeer(ctx, addr, cancelPath, cancelRequest{id, alternative})
+func (c *Client) Cancel(ctx context.Context, addr, id string, access workload.Access, alternative int) (StoreOutcome, error) {
+	return c.storeViaPeer(ctx, addr, cancelPath, cancelRequest{id, access, alternative})
 }
 
 // storeViaPeer asks a peer to store a change. The change is certainly not stored if the connection was refused; after any
--- a/internal/cluster/scheduler/progress.go
+++ b/internal/cluster/scheduler/progress.go
@@ -62,7 +62,7 @@
 func (j *job) record() Record {
 	r := Record{JobID: j.spec.ID, ProgressStored: j.progressStored, state: j.state}
 	if j.state.Final() {
-		r.Progress = &workload.Progress{State: j.state, Ended: j.endedAt}
+		r.Progress = &workload.Progress{State: j.state, Ended: j.endedAt, Team: j.spec.Team}
 		r.StoredChunks = slices.Sorted(maps.Keys(j.chunks.stored))
 		return r
 	}
@@ -77,6 +77,7 @@
 	}
 	if _, changed := j.chunks.changed[0]; changed || j.chunks.count <= 1 || !j.progressStored {
 		r.Progress = j.chunkProgress(0)
+		r.Progress.Team = j.spec.Team
 		if len(r.Progress.Tasks) == 0 && len(r.Chunks) == 0 && !j.started {
 			r.Progress = nil
 		}
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -170,7 +170,7 @@
 // dropTasks frees the data of an ended job that lookups don't need, since ended jobs are kept for minutes.
 func (j *job) dropTasks() {
 	j.occurrences, j.dependencies, j.chunks = nil, dependencies{}, chunks{}
-	j.spec = &workload.Spec{ID: j.spec.ID, Queue: queues.Queue{Name: j.spec.Queue.Name}, Accepted: j.spec.Accepted}
+	j.spec = &workload.Spec{ID: j.spec.ID, Team: j.spec.Team, Queue: queues.Queue{Name: j.spec.Queue.Name}, Accepted: j.spec.Accepted}
 }
 
 // markOccurrenceChanged includes the units of an occurrence in the next PlanChanged.
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -190,6 +190,7 @@
 	Format int            `json:"v"`
 	State  State          `json:"state"`
 	Ended  time.Time      `json:"ended,omitzero"`
+	Team   string         `json:"team,omitempty"`  // of the job; only in the first chunk
 	Tasks  []TaskProgress `json:"tasks,omitempty"` // only tasks with progress to store
 	// StoredChunks are the numbers of the chunks after the first that were read.
 	StoredChunks []int `json:"-"`
