--- a/internal/cluster/app/configuration.go
+++ b/internal/cluster/app/configuration.go
@@ -12,7 +12,7 @@
 	n.wg.Go(func() { p.Platform.FollowQueues(n.ctx, p.ConfigHolder, p.Clock, p.Tracker.ConfirmByStore) })
 	checker := &configage.Checker{Tracker: p.Tracker, Holder: p.ConfigHolder, Required: n.keysRequired, Metrics: p.Scope, Log: p.Log,
 		Sources: configage.Sources{
-			Peers: n.otherPeers, Ask: p.Peers.AskConfig,
+			Peers: n.otherPeers, Ask: p.Peers.AskConfig, Reconnect: p.Peers.Close,
 			Read: func(ctx context.Context) error { return p.Platform.ReadQueues(ctx, p.ConfigHolder) },
 		}}
 	n.wg.Go(func() { checker.Run(n.ctx) })
--- a/internal/cluster/configage/age.go
+++ b/internal/cluster/configage/age.go
@@ -61,12 +61,16 @@
 	switch {
 	case !l.enabled():
 		return Usable
-	case !s.Known || s.Age(now) > l.Apply+l.Extension-margin:
+	case !s.Known:
 		return TooOld
-	case s.Age(now) <= l.Apply-margin || s.attemptedLately(now):
+	case s.Age(now) <= l.Apply-margin:
+		return Usable
+	case !s.attemptedLately(now):
+		return CheckFirst
+	case s.Age(now) <= l.Apply+l.Extension-margin:
 		return Usable
 	}
-	return CheckFirst
+	return TooOld
 }
 
 // attemptedLately reports whether the last attempt to confirm the copy still shows that this host can't.
--- a/internal/cluster/configage/age_test.go
+++ b/internal/cluster/configage/age_test.go
@@ -28,6 +28,7 @@
 		"old, store and hosts out of reach":       {usual, 5 * second, 500 * ms, false, Usable},
 		"at the end of the extension":             {usual, 8800 * ms, 500 * ms, false, Usable},
 		"after the extension":                     {usual, 8801 * ms, 500 * ms, false, TooOld},
+		"after a long suspension":                 {usual, 60 * second, 61 * second, false, CheckFirst},
 		"never confirmed":                         {usual, 0, 500 * ms, true, TooOld},
 		"small site":                              {Limits{Apply: 2 * second, Extension: 6 * second}, 1801 * ms, -1, false, CheckFirst},
 		"no extension":                            {Limits{Apply: 3 * second}, 2801 * ms, 500 * ms, false, TooOld},
--- a/internal/cluster/configage/checker.go
+++ b/internal/cluster/configage/checker.go
@@ -55,6 +55,8 @@
 type Sources struct {
 	Peers func() []string // addresses of the other hosts
 	Ask   func(ctx context.Context, addr string, q Question) (Answer, error)
+	// Reconnect lets the next calls of Ask open new connections. After a pause, those that are open may have gone silent.
+	Reconnect func()
 	// Read reads the configuration from the store and puts it in force.
 	Read func(ctx context.Context) error
 }
@@ -98,6 +100,9 @@
 func (c *Checker) attempt(ctx context.Context, beganAt time.Duration, s State) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	if !s.attemptedLately(beganAt) {
+		c.Sources.Reconnect()
+	}
 	var wg sync.WaitGroup
 	all := c.Sources.Peers()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/internal/cluster/configage/checker_test.go
+++ b/internal/cluster/configage/checker_test.go
@@ -54,7 +54,8 @@
 				}
 				return p.tracker.Answer(p.holder, q), nil
 			},
-			Read: func(context.Context) error { h.reads.Add(1); return errCut },
+			Reconnect: func() {},
+			Read:      func(context.Context) error { h.reads.Add(1); return errCut },
 		}}
 	return h
 }
@@ -109,6 +110,7 @@
 		if took := time.Since(began); took > 50*time.Millisecond {
 			t.Errorf("the request waited for %s", took)
 		}
+		synctest.Wait() // the answer of the other host may have come first
 		if h.reads.Load() != 1 {
 			t.Errorf("%d reads of the store", h.reads.Load())
 		}
@@ -145,6 +147,7 @@
 			t.Errorf("%d questions and %d reads in 6 s", h.asked.Load(), h.reads.Load())
 		}
 		unlocked.Store(true)
+		time.Sleep(10 * time.Millisecond) // an attempt may have begun
 		before := h.asked.Load()
 		time.Sleep(time.Second)
 		if now := h.asked.Load(); now != before {
