--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -44,12 +44,13 @@
 )
 
 type lookupRequest struct {
-	Job string `json:"job"`
+	Job    string          `json:"job"`
+	Access workload.Access `json:"access,omitzero"`
 }
 
 // LookupAnswer is the owner's answer to a query for the state of a job.
 type LookupAnswer struct {
-	Known bool           `json:"known"` // false if the owner does not know the job
+	Known bool           `json:"known"` // false if the owner does not know the job, or the caller may not access it
 	State workload.State `json:"state,omitempty"`
 	// OwnerBusy means that the owner is about to fall behind. Queries that the store can answer should go there for a while.
 	OwnerBusy bool `json:"busy,omitempty"`
@@ -129,9 +130,9 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Lookup asks the owner for a job's state.
-func (c *Client) Lookup(ctx context.Context, addr, id string) (LookupAnswer, error) {
+func (c *Client) Lookup(ctx context.Context, addr, id string, access workload.Access) (LookupAnswer, error) {
 	var a LookupAnswer
-	err := c.call(ctx, addr, lookupPath, lookupRequest{id}, &a)
+	err := c.call(ctx, addr, lookupPath, lookupRequest{id, access}, &a)
 	return a, err
 }
 
@@ -185,6 +186,11 @@
 
 // call posts in to a path of the daemon at addr and decodes the answer into out.
 func (c *Client) call(ctx context.Context, addr, path string, in, out any) error {
+	return c.callUpTo(ctx, addr, path, in, out, wire.MaxMessageBytes)
+}
+
+// callUpTo is call with another limit for the size of the answer.
+func (c *Client) callUpTo(ctx context.Context, addr, path string, in, out any, maxBytes int) error {
 	body, err := wire.Encode(in)
 	if err != nil {
 		return err
@@ -202,12 +208,12 @@
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxMessageBytes+1))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxBytes)+1))
 	if err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
-	if len(data) > wire.MaxMessageBytes {
-		return errors.Wrapf(ErrFailed, "%s answered more than %d bytes to %s", addr, wire.MaxMessageBytes, path)
+	if len(data) > maxBytes {
+		return errors.Wrapf(ErrFailed, "%s answered more than %d bytes to %s", addr, maxBytes, path)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
