--- a/internal/cluster/app/configuration.go
+++ b/internal/cluster/app/configuration.go
@@ -41,7 +41,9 @@
 	if current := n.parts.ConfigHolder.Current(); current != nil {
 		version = current.Version
 	}
-	s := n.parts.Tracker.State()
-	return map[string]any{"version": version, "confirmed": s.Known, "age_ms": s.Age(n.parts.Clock()).Milliseconds(),
-		"verdict": n.parts.Tracker.Verdict().String(), "keys_required": n.keysRequired()}
+	state := map[string]any{"version": version, "verdict": n.parts.Tracker.Verdict().String(), "keys_required": n.keysRequired()}
+	if s := n.parts.Tracker.State(); s.Known {
+		state["age_ms"] = s.Age(n.parts.Clock()).Milliseconds()
+	}
+	return state
 }
--- a/internal/cluster/configage/checker.go
+++ b/internal/cluster/configage/checker.go
@@ -86,8 +86,11 @@
 		}
 		should := c.Required() && s.ShouldAsk(now, c.Tracker.limits)
 		if should != c.asking {
-			c.Log.Info("asking other hosts for the configuration", zap.Bool("asking", should), zap.Bool("known", s.Known),
-				zap.Duration("age", s.Age(now)), zap.Duration("store_silent", now-s.AnsweredAt))
+			fields := []zap.Field{zap.Bool("asking", should), zap.Duration("store_silent", now-s.AnsweredAt)}
+			if s.Known {
+				fields = append(fields, zap.Duration("age", s.Age(now)))
+			}
+			c.Log.Info("asking other hosts for the configuration", fields...)
 			c.asking = should
 		}
 		if should {
