Write the ends of jobs before the progress of others, with their newest state

Cause: a batch fixed the records of all changed jobs when it began. While the store is slow, it took several commits, in which the progress of jobs was written that had ended meanwhile, and jobs that ended after its begin waited for all of it. Change: the records of a commit are taken when it is built: new jobs (half of it), ends, then progress (a sixth of it is kept for that), so that a job that ends before its turn is written once. A batch counts as stored when each of its jobs was written.

--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -39,7 +39,7 @@
 	lastCommit := time.Now()
 	for ctx.Err() == nil && !t.ownership.Lost() {
 		due := time.Until(lastCommit.Add(election.HeartbeatInterval))
-		batch := t.takeRecords()
+		batch := t.beginBatch()
 		if !batch.needed && due > 0 {
 			wait.ForOrSignal(ctx, due, t.saveRequested)
 			continue
@@ -54,10 +54,9 @@
 	t.requestPlan()
 }
 
-// recordBatch is what has to be written in one round of commits.
+// recordBatch is what has to be written in one round of commits, beside the records of the scheduler's batch.
 type recordBatch struct {
-	generation int64 // of the records, as the scheduler numbers them
-	records    []scheduler.Record
+	generation int64                          // of the records, as the scheduler numbers them
 	inUse      map[string]scheduler.WorkerUse // workers in use; nil if the stored row is up to date
 	clocks     map[string]scheduler.ClockZero // of the workers in inUse
 	inherited  []string                       // those of inUse to which an earlier owner may still send orders
@@ -65,13 +64,13 @@
 	needed     bool
 }
 
-// takeRecords returns what has changed since the last batch.
-func (t *term) takeRecords() recordBatch {
+// beginBatch returns what has changed since the last batch.
+func (t *term) beginBatch() recordBatch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.deps.Duties.Begin(dutyRecords)()
 	var b recordBatch
-	b.generation, b.records, b.needed = t.sched.TakeRecords()
+	b.generation, b.needed = t.sched.BeginBatch()
 	if time.Since(t.inUseCheckedAt) < inUseCheckInterval {
 		return b
 	}
@@ -125,27 +124,20 @@
 // the owner's lease. writeBatch returns false if it has to stop before everything is written, because ctx has ended, the
 // ownership is lost or a record can't be encoded.
 func (t *term) writeBatch(ctx context.Context, b recordBatch) bool {
-	end := t.deps.Duties.Begin(dutyRecords)
 	changes, ok := t.encodeBatch(b)
-	end()
 	if !ok {
 		return false
 	}
-	newJobs := 0 // of the changes, those of new jobs that have arrived meanwhile
-	for first := true; first || len(changes) > 0; first = false {
-		if !first && newJobs == 0 { // otherwise a stream of new jobs would keep the progress of others from being written
-			arrived, ok := t.encodeRecords(t.takeNewJobs())
-			if !ok {
-				return false
-			}
-			newJobs = len(arrived)
-			changes = append(arrived, changes...)
+	for more := true; more || len(changes) > 0; {
+		var taken []recordRows
+		if taken, more, ok = t.takeRecords(changes); !ok {
+			return false
 		}
+		changes = append(changes, taken...)
 		var next commitRows
 		for len(changes) > 0 && next.fits(changes[0]) {
 			next.add(changes[0])
 			changes = changes[1:]
-			newJobs = max(newJobs-1, 0)
 		}
 		if !t.write(ctx, next) {
 			return false
@@ -154,16 +146,27 @@
 	return true
 }
 
-// takeNewJobs returns the records of jobs that arrived while a batch is being written. They fill at most half a commit.
-func (t *term) takeNewJobs() []scheduler.Record {
+// takeRecords returns the rows of the records that fill a commit with the waiting changes, and whether records of the batch are left. It
+// logs an encoding error and returns false.
+func (t *term) takeRecords(waiting []recordRows) (rows []recordRows, more, ok bool) {
+	defer t.deps.Duties.Begin(dutyRecords)()
+	room := maxCommitEntries
+	for _, c := range waiting {
+		room -= c.entries()
+	}
+	if room <= 0 {
+		return nil, true, true
+	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sched.TakeNewJobRecords(maxCommitEntries / 2)
+	recs, more := t.sched.TakeRecords(room)
+	t.mu.Unlock()
+	rows, ok = t.encodeRecords(recs)
+	return rows, more, ok
 }
 
-// encodeBatch returns the rows of a batch. It logs an encoding error and returns false.
+// encodeBatch returns the rows of a batch that are not those of records. It logs an encoding error and returns false.
 func (t *term) encodeBatch(b recordBatch) ([]recordRows, bool) {
-	changes := make([]recordRows, 0, len(b.records)+1)
+	var changes []recordRows
 	if b.inUse != nil {
 		u := records.NewWorkersInUse(b.inUse)
 		u.SetClocks(b.clocks, time.Now())
@@ -178,8 +181,7 @@
 		c.inUse, c.inherited, c.delegated = b.inUse, len(b.inherited) > 0, b.delegated
 		changes = append(changes, c)
 	}
-	encoded, ok := t.encodeRecords(b.records)
-	return append(changes, encoded...), ok
+	return changes, true
 }
 
 // encodeRecords returns the rows of records. It puts new jobs into batches, and also returns the removal of finished batches.
--- a/internal/cluster/coordinator/persist_test.go
+++ b/internal/cluster/coordinator/persist_test.go
@@ -14,6 +14,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 // delayedStore delays each commit by latency.
@@ -27,40 +28,46 @@
 	return s.Memory.Commit(ctx, txn)
 }
 
-// Load: the progress of 600 jobs has to be stored in seven commits that take 200 ms each, and a new job arrives meanwhile.
+// newProgressBacklog returns an owner of 600 jobs whose runs have just ended with their leases, and the delegate of its workers. The
+// progress of the jobs has to be stored in seven commits that take 200 ms each, and the first one is in flight.
+func newProgressBacklog(t *testing.T) (*testOwner, *testDelegate) {
+	const jobs, workers = 600, 200
+	store := &delayedStore{Memory: rowstore.NewMemory()}
+	o := runOwnerOn(t, store, 0, workers)
+	a := o.testDelegate(t, "a")
+	a.serve(400 * time.Millisecond)
+	for i := range jobs {
+		o.submit(fmt.Sprintf("j%d", i), 1)
+	}
+	a.serve(500 * time.Millisecond)
+	So(len(a.starts), ShouldEqual, jobs)
+	var events, accepted []delegate.Event
+	for _, s := range a.starts {
+		accepted = append(accepted, a.startedEvent(s, scheduler.StartAccepted))
+	}
+	So(a.exchange(accepted...), ShouldBeNil)
+	ends := map[string][]scheduler.EndedRun{}
+	for _, s := range a.starts {
+		n := int64(len(ends[s.WorkerID]) + 1)
+		ends[s.WorkerID] = append(ends[s.WorkerID], scheduler.EndedRun{Number: n, Task: s.Task, Run: s.Run, Reason: scheduler.EndLeaseExpired})
+	}
+	for id, e := range ends {
+		r := a.reportEvent(id)
+		r.Report.Ended = e
+		events = append(events, r)
+	}
+	store.latency.Store(int64(200 * time.Millisecond))
+	So(a.exchange(events...), ShouldBeNil)
+	time.Sleep(250 * time.Millisecond)
+	return o, a
+}
+
 // Guards against new jobs that have to wait until the progress of all other jobs is stored before they start.
 func TestNewJobStartsBeforeProgressBacklogIsStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given an owner with 600 jobs whose runs have just ended with their leases, and a slow store", t, func() {
-			const jobs, workers = 600, 200
-			store := &delayedStore{Memory: rowstore.NewMemory()}
-			o := runOwnerOn(t, store, 0, workers)
+			o, a := newProgressBacklog(t)
 			defer o.end()
-			a := o.testDelegate(t, "a")
-			a.serve(400 * time.Millisecond)
-			for i := range jobs {
-				o.submit(fmt.Sprintf("j%d", i), 1)
-			}
-			a.serve(500 * time.Millisecond)
-			So(len(a.starts), ShouldEqual, jobs)
-			var events, accepted []delegate.Event
-			for _, s := range a.starts {
-				accepted = append(accepted, a.startedEvent(s, scheduler.StartAccepted))
-			}
-			So(a.exchange(accepted...), ShouldBeNil)
-			ends := map[string][]scheduler.EndedRun{}
-			for _, s := range a.starts {
-				n := int64(len(ends[s.WorkerID]) + 1)
-				ends[s.WorkerID] = append(ends[s.WorkerID], scheduler.EndedRun{Number: n, Task: s.Task, Run: s.Run, Reason: scheduler.EndLeaseExpired})
-			}
-			for id, e := range ends {
-				r := a.reportEvent(id)
-				r.Report.Ended = e
-				events = append(events, r)
-			}
-			store.latency.Store(int64(200 * time.Millisecond))
-			So(a.exchange(events...), ShouldBeNil)
-			time.Sleep(250 * time.Millisecond)
 			before := len(a.starts)
 			o.submit("new", 1)
 			began := time.Now()
@@ -75,6 +82,27 @@
 	})
 }
 
+// Guards against jobs whose end is told only after the progress of all other jobs is stored.
+func TestEndIsToldBeforeProgressBacklogIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given an owner with 600 jobs whose runs have just ended with their leases, and a slow store", t, func() {
+			o, _ := newProgressBacklog(t)
+			defer o.end()
+			o.NotifyCancelStored("j599")
+			began := time.Now()
+			state, _, err := o.Lookup("j599")
+			for ; err == nil && !state.Final() && time.Since(began) < 3*time.Second; state, _, err = o.Lookup("j599") {
+				time.Sleep(10 * time.Millisecond)
+			}
+			So(err, ShouldBeNil)
+			So(state, ShouldEqual, workload.Cancelled)
+			Convey("a job that ends now is told as ended after two commits", func() {
+				So(time.Since(began), ShouldBeLessThan, 450*time.Millisecond)
+			})
+		})
+	})
+}
+
 // hasStart reports whether one of the starts is of a job.
 func hasStart(starts []delegate.StartOrder, job string) bool {
 	for _, s := range starts {
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -52,7 +52,7 @@
 	inUse    map[string]scheduler.WorkerUse // workers whose use by this owner is stored
 	// storedClocks are the zeros of the workers' clocks as they are stored with inUse.
 	storedClocks map[string]scheduler.ClockZero
-	// inUseCheckedAt is when takeRecords last checked whether the stored list of workers in use is up to date.
+	// inUseCheckedAt is when beginBatch last checked whether the stored list of workers in use is up to date.
 	inUseCheckedAt time.Time
 	// pending is the number of waiting jobs by queue, counted at pendingAt.
 	pending       map[string]int
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -109,14 +109,14 @@
 
 // commit makes all records durable, which also confirms the ownership.
 func (f *fixture) commit() {
-	generation, records, _ := f.TakeRecords()
+	generation, records, _ := f.TakeAllRecords()
 	f.MarkStored(records)
 	f.MarkGenerationStored(generation)
 }
 
 // persist makes all records durable and returns the progress that they hold, by job.
 func (f *fixture) persist() map[string]*workload.Progress {
-	generation, records, _ := f.TakeRecords()
+	generation, records, _ := f.TakeAllRecords()
 	out := map[string]*workload.Progress{}
 	for _, r := range records {
 		out[r.JobID] = r.Progress
--- a/internal/cluster/scheduler/losses_test.go
+++ b/internal/cluster/scheduler/losses_test.go
@@ -52,7 +52,7 @@
 			f := newFixture(1, 2)
 			f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 			s := f.plan(t0).Starts[0]
-			before, _, _ := f.TakeRecords()
+			before, _, _ := f.TakeAllRecords()
 			lose(f, s)
 			So(f.Plan(at(7*time.Second)).Starts, ShouldBeEmpty)
 			Convey("A commit that was built before the loss confirms nothing", func() {
@@ -60,7 +60,7 @@
 				So(f.Plan(at(7*time.Second)).Starts, ShouldBeEmpty)
 			})
 			Convey("The task starts again once a later commit has confirmed the ownership, without waiting for a complete plan", func() {
-				generation, _, needed := f.TakeRecords()
+				generation, _, needed := f.TakeAllRecords()
 				So(needed, ShouldBeTrue)
 				f.MarkGenerationStored(generation)
 				So(f.PlanChanged(at(7*time.Second)).Starts, ShouldHaveLength, 1)
--- a/internal/cluster/scheduler/progress_test.go
+++ b/internal/cluster/scheduler/progress_test.go
@@ -16,7 +16,7 @@
 
 // take writes the records of the scheduler, which has a single job.
 func (p storedProgress) take(f *fixture) {
-	generation, records, _ := f.TakeRecords()
+	generation, records, _ := f.TakeAllRecords()
 	for _, r := range records {
 		if r.Progress != nil {
 			p[0] = r.Progress
@@ -105,12 +105,12 @@
 			}
 			last := starts[len(starts)-1]
 			f.end(last, EndDone, at(2*time.Second))
-			_, records, _ := f.TakeRecords()
+			_, records, _ := f.TakeAllRecords()
 			So(records, ShouldHaveLength, 1)
 			So(records[0].Chunks, ShouldBeEmpty)
 			So(len(records[0].Progress.Tasks), ShouldBeLessThanOrEqualTo, tasksPerChunk)
 			f.markTaskChanged(j.occurrences[0].units[0].tasks.get(2999))
-			_, records, _ = f.TakeRecords()
+			_, records, _ = f.TakeAllRecords()
 			So(records[0].Progress, ShouldBeNil)
 			So(records[0].Chunks, ShouldHaveLength, 1)
 			So(records[0].Chunks[0].Number, ShouldEqual, 2999/tasksPerChunk)
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"math"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
@@ -57,30 +60,106 @@
 
 // commitPriority returns the rank of a record in a commit, the most urgent being 0: tasks of new jobs can't start, and the
 // end of a job can't be shown to callers, before the record is durable. Progress is needed only by a successor.
-func (r Record) commitPriority() int {
+func (r Record) commitPriority() int { return commitPriority(r.Spec != nil, r.state) }
+
+// lowestCommitPriority is the rank of progress.
+const lowestCommitPriority = 2
+
+func commitPriority(isNew bool, state workload.State) int {
 	switch {
-	case r.Spec != nil:
+	case isNew:
 		return 0
-	case r.state.Final():
+	case state.Final():
 		return 1
 	}
-	return 2
+	return lowestCommitPriority
 }
 
-// TakeRecords returns the records of all jobs that changed since the last call, the most urgent first, and their generation, to
-// be passed to MarkGenerationStored once they are durable. The last result reports whether a commit is needed, for the records,
-// for pending acknowledgements of ends or to confirm the ownership after the loss of runs or of workers.
-func (s *Scheduler) TakeRecords() (int64, []Record, bool) {
-	needed := len(s.dirty) > 0 || len(s.withPendingAcks) > 0 || len(s.unconfirmedLosses) > 0 || s.unconfirmedGiveUp > 0
-	records := make([]Record, 0, len(s.dirty))
+// BeginBatch begins a batch of commits for all jobs that changed since the last one, and returns its generation, to be passed to
+// MarkGenerationStored once TakeRecords has no more records of the batch and all of them are durable. The last result reports whether a
+// commit is needed, for the records, for pending acknowledgements of ends or to confirm the ownership after the loss of runs or of workers.
+func (s *Scheduler) BeginBatch() (generation int64, needed bool) {
 	for j := range s.dirty {
-		records = append(records, j.record())
+		s.batch[j] = struct{}{}
 	}
 	clear(s.dirty)
-	s.newJobs = nil
-	sortRecords(records)
 	s.generation++
-	return s.generation - 1, records, needed
+	return s.generation - 1, len(s.batch) > 0 || len(s.withPendingAcks) > 0 || len(s.unconfirmedLosses) > 0 || s.unconfirmedGiveUp > 0
+}
+
+// TakeAllRecords begins a batch and returns all its records, the most urgent first.
+func (s *Scheduler) TakeAllRecords() (generation int64, records []Record, needed bool) {
+	generation, needed = s.BeginBatch()
+	records, _ = s.TakeRecords(math.MaxInt)
+	return generation, records, needed
+}
+
+const (
+	// newJobShare is the part of a commit that new jobs may fill, so that ended jobs and progress are written as well.
+	newJobShare = 0.5
+	// progressShare is the part of a commit that is kept for the progress of jobs that have not ended: the ends of their runs are
+	// acknowledged to the workers only once it is written.
+	progressShare = 1.0 / 6
+	// newJobsPerEntry is how many new jobs share a row at least, if their specifications are of ordinary length.
+	newJobsPerEntry = 8
+)
+
+// TakeRecords returns the records for the next commit of a batch, the most urgent first, and whether jobs of the batch are left. They
+// take about room entries of a commit. Each record has the state of this moment, and jobs that have arrived or ended since the batch
+// began come before the progress of others: while the store is slow, the progress of hundreds of jobs takes seconds to write, and most of
+// these jobs end meanwhile, after which only their final states have to be written.
+func (s *Scheduler) TakeRecords(room int) (records []Record, more bool) {
+	byPriority := s.changedJobs()
+	left := float64(room)
+	take := func(priority int, keep float64) {
+		jobs := byPriority[priority]
+		for len(jobs) > 0 && (len(records) == 0 || left-jobs[0].entries() >= keep*float64(room)) {
+			left -= jobs[0].entries()
+			records = append(records, jobs[0].record())
+			delete(s.dirty, jobs[0])
+			delete(s.batch, jobs[0])
+			jobs = jobs[1:]
+		}
+		byPriority[priority] = jobs
+	}
+	take(0, 1-newJobShare)
+	take(1, progressShare)
+	take(2, 0)
+	take(1, 0)
+	take(0, 0)
+	sortRecords(records)
+	return records, len(s.batch) > 0
+}
+
+// changedJobs returns, by priority of their records, the jobs of the batch and those that have arrived or ended since it began, sorted by ID.
+func (s *Scheduler) changedJobs() [lowestCommitPriority + 1][]*job {
+	var out [lowestCommitPriority + 1][]*job
+	for j := range s.batch {
+		out[j.commitPriority()] = append(out[j.commitPriority()], j)
+	}
+	for j := range s.dirty {
+		if _, listed := s.batch[j]; !listed && j.commitPriority() < lowestCommitPriority {
+			out[j.commitPriority()] = append(out[j.commitPriority()], j)
+		}
+	}
+	for _, jobs := range out {
+		slices.SortFunc(jobs, func(a, b *job) int { return strings.Compare(a.spec.ID, b.spec.ID) })
+	}
+	return out
+}
+
+// commitPriority returns the priority of the job's record; see Record.commitPriority.
+func (j *job) commitPriority() int { return commitPriority(!j.state.Final() && !j.stored, j.state) }
+
+// entries returns about how many entries of a commit the job's record takes.
+func (j *job) entries() float64 {
+	switch {
+	case j.commitPriority() == 0:
+		return 1.0 / newJobsPerEntry
+	case j.state.Final() && j.progressStored:
+		return float64(2 + len(j.chunks.stored))
+	}
+	return float64(max(1, len(j.chunks.changed)))
 }
 
 // FailUnstorable ends a job as failed because the store rejects what has to be stored of it, and returns the record of its final
@@ -94,26 +173,10 @@
 		s.finishJob(j, workload.Failed, now)
 	}
 	delete(s.dirty, j)
+	delete(s.batch, j)
 	return j.record()
 }
 
-// TakeNewJobRecords returns records of at most limit jobs that were added after the last TakeRecords. While the store is slow,
-// the progress of hundreds of jobs takes seconds to write; without TakeNewJobRecords, new jobs could not start before all of it
-// is written.
-func (s *Scheduler) TakeNewJobRecords(limit int) []Record {
-	var records []Record
-	for len(s.newJobs) > 0 && len(records) < limit {
-		j := s.newJobs[0]
-		s.newJobs = s.newJobs[1:]
-		if _, dirty := s.dirty[j]; dirty && !j.stored {
-			delete(s.dirty, j)
-			records = append(records, j.record())
-		}
-	}
-	sortRecords(records)
-	return records
-}
-
 func sortRecords(records []Record) {
 	sort.Slice(records, func(a, b int) bool {
 		if ua, ub := records[a].commitPriority(), records[b].commitPriority(); ua != ub {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -83,9 +83,9 @@
 	// report; 0 if there is none.
 	unconfirmedGiveUp int64
 
-	dirty      map[*job]struct{} // jobs that have changed since their last record was taken
-	generation int64             // of the records that the next TakeRecords returns
-	newJobs    []*job            // jobs added since the last TakeRecords that TakeNewJobRecords has not considered yet
+	dirty      map[*job]struct{} // jobs that have changed since their last record was taken or the present batch began
+	batch      map[*job]struct{} // jobs of the present batch whose records have not been taken; see BeginBatch
+	generation int64             // of the next batch
 
 	endedJobs      []JobSummary              // since the last TakeEndedJobs
 	losses         []WorkerLoss              // since the last TakeWorkerLosses
@@ -114,6 +114,7 @@
 		withPendingAcks:   map[*worker]struct{}{},
 		unconfirmedLosses: map[*unit]int64{},
 		dirty:             map[*job]struct{}{},
+		batch:             map[*job]struct{}{},
 		generation:        1,
 		reservations:      reservations{},
 		lowUseServices:    map[string]bool{},
@@ -157,7 +158,6 @@
 	j := &job{spec: spec, queue: spec.Queue, state: workload.Queued, durableState: workload.Queued, inherited: inherited, stored: inherited,
 		dependencies: newDependencies(spec.Steps), chunks: newChunks(spec)}
 	if !inherited {
-		s.newJobs = append(s.newJobs, j)
 		s.dirty[j] = struct{}{}
 	}
 	if q, ok := s.queues.ByName(spec.Queue.Name); ok {
--- a/internal/cluster/scheduler/shapes_bench_test.go
+++ b/internal/cluster/scheduler/shapes_bench_test.go
@@ -48,7 +48,7 @@
 				}
 				f.end(starts[0], EndDone, now)
 				starts = starts[1:]
-				generation, records, _ := f.TakeRecords()
+				generation, records, _ := f.TakeAllRecords()
 				for _, r := range records {
 					for _, c := range append(r.Chunks, ProgressChunk{0, r.Progress}) {
 						if c.Progress == nil {
--- a/internal/cluster/scheduler/takeover_test.go
+++ b/internal/cluster/scheduler/takeover_test.go
@@ -76,7 +76,7 @@
 func TestJobWaitsForConfirmedOwnership(t *testing.T) {
 	Convey("Given an owner to which a job is added while a commit is in flight", t, func() {
 		f := newFixture(1, 1)
-		generation, records, _ := f.TakeRecords()
+		generation, records, _ := f.TakeAllRecords()
 		f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 		So(f.Plan(t0).Starts, ShouldBeEmpty)
 		Convey("That commit does not prove that it still was the owner when the job was added", func() {
@@ -84,8 +84,8 @@
 			f.MarkGenerationStored(generation)
 			So(f.Plan(t0).Starts, ShouldBeEmpty)
 		})
-		Convey("A commit that begins later does, and TakeRecords reports that one is needed", func() {
-			generation, records, needed := f.TakeRecords()
+		Convey("A commit that begins later does, and BeginBatch reports that one is needed", func() {
+			generation, records, needed := f.TakeAllRecords()
 			So(needed, ShouldBeTrue)
 			So(records, ShouldHaveLength, 1)
 			So(records[0].Spec.ID, ShouldEqual, "j")
--- a/internal/cluster/scheduler/unresolved_test.go
+++ b/internal/cluster/scheduler/unresolved_test.go
@@ -59,7 +59,7 @@
 			g.SetPreviousUse("w9", WorkerUse{Incarnation: 1}, t0)
 			g.UpsertWorker(t0, WorkerInfo{ID: "w9", Service: testService, Address: "w9", Incarnation: 1})
 			g.AddJob(t0, g.job("old", t0, simpleStep(1)), nil, true)
-			before, _, _ := g.TakeRecords()
+			before, _, _ := g.TakeAllRecords()
 			resolve(g)
 			expired := at(7 * time.Second)
 			So(g.Plan(expired).Starts, ShouldBeEmpty)
@@ -69,7 +69,7 @@
 				So(g.Plan(expired).Starts, ShouldBeEmpty)
 			})
 			Convey("Its tasks start once a later commit has confirmed the ownership, without waiting for a complete plan", func() {
-				generation, _, needed := g.TakeRecords()
+				generation, _, needed := g.TakeAllRecords()
 				So(needed, ShouldBeTrue)
 				g.MarkGenerationStored(generation)
 				So(g.PlanChanged(expired).Starts, ShouldHaveLength, 1)
--- a/internal/cluster/scheduler/worker_model_test.go
+++ b/internal/cluster/scheduler/worker_model_test.go
@@ -116,7 +116,7 @@
 
 // store makes all records durable, and keeps what a successor reads.
 func (m *model) store() {
-	generation, records, _ := m.TakeRecords()
+	generation, records, _ := m.TakeAllRecords()
 	for _, r := range records {
 		if r.Progress != nil {
 			m.stored[r.JobID] = r.Progress
