--- a/internal/cluster/scheduler/access_test.go
+++ b/internal/cluster/scheduler/access_test.go
@@ -27,7 +27,7 @@
 	}
 	check("queued", s)
 	s.Cancel(now, "j")
-	_, recs, _ := s.TakeRecords()
+	_, recs, _ := s.TakeAllRecords()
 	s.MarkStored(recs)
 	check("ended", s)
 	successor := New(Config{Epoch: 2, Retention: time.Minute})
