Test the daemon as a process under clients that nobody controls

Cause: nothing bounds the bodies, connections and decoding of a daemon; a crowd of clients can end it by its memory.

Change: platform/clientload starts the daemon against the fake platform with lowered limits (memoryMb 96, or fileDescriptors 600) and plays 23 crowds at the listeners for callers, peers and administrators, and readiness probes. Bounds: resident memory, also with the unread bytes of the kernel's receive queues, at most memoryMb; open descriptors at most fileDescriptors less the 200 that the platform reserves; the process lives and accepts a small job afterwards. The Makefile runs the package after the others.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,12 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# The tests that load the whole machine run after the others. They are not cached, since they build the daemon themselves.
+LOAD_TESTS := ./platform/clientload
+
 test:
-	$(GO) test $(TEST_FLAGS) $(SKIP) ./...
+	$(GO) test $(TEST_FLAGS) $(SKIP) $$($(GO) list ./... | grep -v /platform/clientload$$)
+	$(GO) test $(TEST_FLAGS) $(SKIP) -p 1 -count=1 $(LOAD_TESTS)
 
 # Runs daemons with the platform adapter as separate processes under injected faults: two seeds with cuts of groups of workers and outages
 # of the store, and one with workers that restart under their IDs and are cut off. Less than two minutes.
