Bound bodies, connections and decoding of clients on all listeners of the platform daemon

Cause: nothing bounded open bodies, connections or concurrent decoding, so that a crowd of clients could end a process by its memory.

Change: internal/ingress. A Gate per process has a budget of bytes for open bodies and long headers, with shares per listener, connection and address; limits on connections per listener, beyond which unused, stalled or idle connections are closed first; progress rules for bodies and answers, checked by one goroutine; and room for decoding. Bodies are reserved before they are read, by Content-Length or in steps, and read into one buffer of their size. Calls of peers have a limit of 8 MB. State dumps, profiles and metrics are made 4 at a time.

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -22,6 +22,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/ingress"
 	"github.com/greengagewing/greengagewing/internal/metrics"
 )
 
@@ -34,10 +35,11 @@
 	Delegate      delegate.Config
 	OwnWorkers    int // an owner with more workers than this lets other hosts call them as delegates
 	Retention     time.Duration
-	MaxListAge    time.Duration // see coordinator.Config
-	MaxRowBytes   int           // the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes
-	DrainNotice   time.Duration // how long after the start of a drain new connections may still arrive
-	DrainLimit    time.Duration // how long after the start of a drain the process exits at the latest
+	MaxListAge    time.Duration  // see coordinator.Config
+	MaxRowBytes   int            // the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes
+	Ingress       ingress.Limits // limits for clients
+	DrainNotice   time.Duration  // how long after the start of a drain new connections may still arrive
+	DrainLimit    time.Duration  // how long after the start of a drain the process exits at the latest
 }
 
 // Platform is the daemon's interface to the platform, which an adapter implements.
@@ -58,7 +60,7 @@
 // Module provides the components of the daemon and starts and stops its Node. The caller supplies Config, Platform,
 // network.Network, clock.Func, clock.ProcessorFunc and *zap.Logger.
 var Module = fx.Options(
-	fx.Provide(newStore, newIdentity, metrics.New, meter.NewDuties, newRoster, newWatch, queues.NewConfigHolder, newCoordinator, newFrontend, newNode,
+	fx.Provide(newStore, newIdentity, metrics.New, meter.NewDuties, newRoster, newWatch, queues.NewConfigHolder, newCoordinator, newFrontend, newGate, newNode,
 		peers.NewClient, newPolicyClient, admin.NewReadiness, admin.NewStates),
 	fx.Invoke(func(lc fx.Lifecycle, n *Node) { lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop}) }),
 )
@@ -68,6 +70,11 @@
 	return rowstore.NewAdaptiveStore(p, meter.NewCalls(scope, "store_commit"))
 }
 
+// newGate returns the limits for clients that all listeners share.
+func newGate(c Config, scope tally.Scope, log *zap.Logger) *ingress.Gate {
+	return ingress.New(c.Ingress, scope, log)
+}
+
 // newIdentity identifies this process. BootID is a random id that distinguishes it from other processes of the same host.
 func newIdentity(c Config) election.Identity {
 	bootID := make([]byte, 8)
--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -28,6 +28,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/ingress"
 	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/release"
 	"github.com/greengagewing/greengagewing/internal/wait"
@@ -64,6 +65,11 @@
 	// allocates more than the other hosts and needs its processor time for decisions, so it trades memory for fewer collections.
 	// The memory limit of the process still applies.
 	ownerGCPercent = 200
+	// peerIdleTimeout is longer than peers keep idle connections, so that they don't use one that is being closed.
+	peerIdleTimeout    = time.Minute
+	peerMaxHeaderBytes = 16 << 10
+	// operatorRequests is how many state dumps and profiles, and how many pages of metrics, are made at a time.
+	operatorRequests = 4
 )
 
 // Parts are the components of a Node.
@@ -82,6 +88,7 @@
 	Coordinator  *coordinator.Coordinator
 	JobService   *frontend.JobService
 	Readiness    *admin.Readiness
+	Gate         *ingress.Gate
 	States       *admin.States
 	Metrics      http.Handler
 	Duties       *meter.Duties
@@ -118,6 +125,7 @@
 	p.States.Add("hosts", func() any { return p.Roster.Hosts() })
 	p.States.Add("coordinator", p.Coordinator.Dump)
 	p.States.Add("delegate", func() any { return map[string]int{"workers": n.delegateSessions.Workers()} })
+	p.States.Add("clients", p.Gate.Dump)
 	p.States.Add("queues", func() any { return p.ConfigHolder.Current() })
 	return n
 }
@@ -136,6 +144,7 @@
 	n.follow(election.OwnerTable, election.Partition, n.parts.Watch, n.parts.Watch.RecordFeedAnswer, 0)
 	n.follow(records.Hosts, "", n.parts.Roster, nil, hostsFeedTimeout)
 	n.wg.Go(func() { n.watchOwner(n.ctx) })
+	n.wg.Go(func() { n.parts.Gate.Run(n.ctx) })
 	n.duties.Go(func() { n.elect(n.dutiesCtx) })
 	n.duties.Go(func() { n.delegateSessions.Run(n.dutiesCtx) })
 	host := n.host()
@@ -166,18 +175,20 @@
 func (n *Node) servePeers() error {
 	e := gin.New()
 	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.JobService, n, n.parts.Self.BootID, n.parts.Log, n.parts.Duties).Register(e)
-	admin.NewHealth(e, n.parts.Readiness, n.parts.Metrics, Version)
-	e.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
-	e.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
-	e.GET("/debug/pprof/:profile", func(c *gin.Context) {
+	admin.NewHealth(e, n.parts.Readiness, n.parts.Gate.AtMost(operatorRequests, n.parts.Metrics), Version)
+	operators := e.Group("", n.parts.Gate.LimitRoutes(operatorRequests))
+	operators.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
+	operators.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
+	operators.GET("/debug/pprof/:profile", func(c *gin.Context) {
 		pprof.Handler(c.Param("profile")).ServeHTTP(c.Writer, c.Request)
 	})
 	l, err := n.parts.Network.Listen("tcp", n.parts.Self.Addr)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	n.peerSrv = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
-	n.wg.Go(func() { n.servePeersOn(l) })
+	n.peerSrv = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: peerIdleTimeout, MaxHeaderBytes: peerMaxHeaderBytes}
+	guarded := n.parts.Gate.Guard(ingress.Peers, n.peerSrv, l)
+	n.wg.Go(func() { n.servePeersOn(guarded) })
 	return nil
 }
 
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/gin-gonic/gin/binding"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
@@ -14,6 +15,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/meter"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+	"github.com/greengagewing/greengagewing/internal/ingress"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
@@ -94,15 +96,39 @@
 	c.PureJSON(http.StatusServiceUnavailable, gin.H{"error": err.Error()})
 }
 
-// decodeRequest reads the JSON body of a call. If it is invalid, it answers 400 and returns false.
+// maxRequestBytes is the largest body of a call.
+const maxRequestBytes = 8 << 20
+
+// decodeRequest reads the JSON body of a call. If it can't be read or is invalid, it answers the call and returns false.
 func decodeRequest[T any](c *gin.Context) (T, bool) {
 	var in T
-	if err := c.BindJSON(&in); err != nil {
-		return in, false // BindJSON has answered 400
+	body, err := ingress.ReadBody(c.Request, maxRequestBytes)
+	if err != nil {
+		refuseBody(c, err)
+		return in, false
+	}
+	room, err := ingress.BeginDecoding(c.Request.Context(), body)
+	if err != nil {
+		refuseBody(c, err)
+		return in, false
+	}
+	defer room.End()
+	if err := binding.JSON.BindBody(body, &in); err != nil {
+		_ = c.AbortWithError(http.StatusBadRequest, err)
+		return in, false
 	}
 	return in, true
 }
 
+// refuseBody answers a call whose body was not read or not decoded.
+func refuseBody(c *gin.Context, err error) {
+	status := ingress.Status(err)
+	if status == http.StatusServiceUnavailable {
+		c.Header("Retry-After", "1")
+	}
+	_ = c.AbortWithError(status, err)
+}
+
 func (s *Server) lookup(c *gin.Context) {
 	in, ok := decodeRequest[lookupRequest](c)
 	if !ok {
