--- a/internal/cluster/configage/age_test.go
+++ b/internal/cluster/configage/age_test.go
@@ -33,6 +33,8 @@
 		"small site":                              {Limits{Apply: 2 * second, Extension: 6 * second}, 1801 * ms, -1, false, CheckFirst},
 		"no extension":                            {Limits{Apply: 3 * second}, 2801 * ms, 500 * ms, false, TooOld},
 		"only an extension":                       {Limits{Extension: 6 * second}, 5 * second, 500 * ms, false, Usable},
+		"only an extension, young":                {Limits{Extension: 6 * second}, 1600 * ms, -1, false, Usable},
+		"only an extension, after a suspension":   {Limits{Extension: 6 * second}, 5 * second, -1, false, CheckFirst},
 		"no bounds":                               {Limits{}, time.Hour, -1, false, Usable},
 		"no bounds, never confirmed":              {Limits{}, 0, -1, true, Usable},
 	} {
@@ -54,6 +56,7 @@
 		"feed in order, just before an answer": {Limits{Apply: 2 * second}, 1650 * ms, 850 * ms, false, false},
 		"feed unanswered":                      {Limits{}, 1001 * ms, 1001 * ms, false, true},
 		"confirmed by a host, feed unanswered": {Limits{}, 500 * ms, 2 * second, false, true},
+		"feed in order, usual site":            {Limits{Apply: 3 * second}, 1700 * ms, 900 * ms, false, false},
 		"after a suspension":                   {Limits{}, 10 * second, 10 * ms, false, true},
 		"small site, slow store":               {Limits{Apply: 2 * second}, 1701 * ms, 900 * ms, false, true},
 		"just started":                         {Limits{}, 0, 0, true, true},
--- a/internal/cluster/configage/checker_test.go
+++ b/internal/cluster/configage/checker_test.go
@@ -90,6 +90,25 @@
 	})
 }
 
+// Guards against a host that starts while it can't read the configuration, and does not get it from the hosts of its roster.
+func TestHostWithoutAConfigurationGetsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, other := newTestHost(0, 0), newTestHost(0, 1)
+		h.peers["other"] = other
+		if h.tracker.Usable(t.Context()) {
+			t.Error("usable without a configuration")
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go h.checker.Run(ctx)
+		time.Sleep(300 * time.Millisecond)
+		if current := h.holder.Current(); current == nil || !h.tracker.Usable(t.Context()) {
+			t.Errorf("configuration %v", current)
+		}
+	})
+}
+
 // Guards against a host that decides by its old copy right after a suspension, although another host knows a newer version.
 func TestFirstRequestAfterASuspensionWaitsForACheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
