--- a/internal/cluster/rowstore/follower.go
+++ b/internal/cluster/rowstore/follower.go
@@ -31,8 +31,13 @@
 	// MaxConcurrentReads is the highest number of concurrent reads of a table's partitions.
 	MaxConcurrentReads = 16
 
+	// After an outage the daemon can do nothing before its feeds are answered again, so the delay between two attempts is short.
 	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
+	maxRetryDelay = 200 * time.Millisecond
+
+	// catchUpPolls is how many feed calls after a failure do not wait for changes: the first one brings what has changed meanwhile, the
+	// second one confirms that the copy is up to date as of the answer to the first.
+	catchUpPolls = 2
 )
 
 // Follower keeps a handler up to date with a table: it reads the table once and then follows the store's change feed.
@@ -50,6 +55,8 @@
 	MinCallInterval func() time.Duration
 	// OnFeedAnswer, if set, is called after each successful feed call with the time at which the call was sent.
 	OnFeedAnswer func(sentAt time.Time)
+
+	catchingUp int // calls that do not wait for changes; see catchUpPolls
 }
 
 // Run follows the table until ctx ends. It retries errors of the store with exponential backoff.
@@ -66,6 +73,7 @@
 				f.Log.Info("feed regained", zap.String("table", f.Table), zap.Int64("version", next), zap.Int("failures", failures))
 			}
 			failures, version = 0, next
+			f.catchingUp = max(f.catchingUp-1, 0)
 			if f.MinCallInterval != nil {
 				wait.For(ctx, f.MinCallInterval())
 			}
@@ -84,6 +92,7 @@
 		}
 		wait.For(ctx, wait.Backoff(minRetryDelay, maxRetryDelay, failures))
 		failures++
+		f.catchingUp = catchUpPolls
 	}
 }
 
@@ -108,6 +117,9 @@
 }
 
 func (f *Follower) pollTimeout() time.Duration {
+	if f.catchingUp > 0 {
+		return 0
+	}
 	if f.PollTimeout > 0 {
 		return f.PollTimeout
 	}
--- /dev/null
+++ b/internal/cluster/rowstore/silence.go
@@ -0,0 +1,98 @@
+package rowstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// outageSilence is for how long the store has answered nothing when its next answer ends an outage. Several change feeds are always open,
+// each of which is answered at least every 0.8 s.
+const outageSilence = time.Second
+
+// RecoveringStore is a Store that notices the end of an outage in which the store was silent. Reads and feeds that were sent before then
+// may never be answered; they fail with ErrUnavailable as soon as the store has answered a later call, so that their callers repeat them
+// without waiting for the timeout. Commits are not cut; see AdaptiveStore.
+type RecoveringStore struct {
+	Store
+
+	mu         sync.Mutex
+	lastAnswer time.Time
+	inProgress map[*query]struct{}
+}
+
+// query is a read or a feed in progress.
+type query struct {
+	sentAt time.Time
+	cut    context.CancelFunc
+}
+
+// NewRecoveringStore wraps the store s.
+func NewRecoveringStore(s Store) *RecoveringStore {
+	return &RecoveringStore{Store: s, lastAnswer: time.Now(), inProgress: map[*query]struct{}{}}
+}
+
+// Commit implements Store.
+func (r *RecoveringStore) Commit(ctx context.Context, txn Txn) (int64, error) {
+	sentAt := time.Now()
+	version, err := r.Store.Commit(ctx, txn)
+	if err == nil || errors.Is(err, ErrConflict) {
+		r.answered(sentAt)
+	}
+	return version, err
+}
+
+// Read implements Store.
+func (r *RecoveringStore) Read(ctx context.Context, rng Range) (Page, error) {
+	ctx, q := r.begin(ctx)
+	p, err := r.Store.Read(ctx, rng)
+	r.end(q, err == nil)
+	return p, err
+}
+
+// Feed implements Store.
+func (r *RecoveringStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error) {
+	ctx, q := r.begin(ctx)
+	c, err := r.Store.Feed(ctx, table, after, wait)
+	r.end(q, err == nil || errors.Is(err, ErrHistoryLost))
+	return c, err
+}
+
+func (r *RecoveringStore) begin(ctx context.Context) (context.Context, *query) {
+	ctx, cancel := context.WithCancel(ctx)
+	q := &query{sentAt: time.Now(), cut: cancel}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inProgress[q] = struct{}{}
+	return ctx, q
+}
+
+// end records that a query is over, and whether the store has answered it.
+func (r *RecoveringStore) end(q *query, answered bool) {
+	q.cut()
+	r.mu.Lock()
+	delete(r.inProgress, q)
+	r.mu.Unlock()
+	if answered {
+		r.answered(q.sentAt)
+	}
+}
+
+// answered records that the store has answered a call that was sent at sentAt. If it had been silent, earlier queries are cut.
+func (r *RecoveringStore) answered(sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	silent := now.Sub(r.lastAnswer) > outageSilence
+	r.lastAnswer = now
+	if !silent {
+		return
+	}
+	for q := range r.inProgress {
+		if q.sentAt.Before(sentAt) {
+			q.cut()
+		}
+	}
+}
