--- a/internal/cluster/rowstore/follower.go
+++ b/internal/cluster/rowstore/follower.go
@@ -32,8 +32,13 @@
 	// MaxConcurrentReads is the highest number of concurrent reads of a table's partitions.
 	MaxConcurrentReads = 16
 
+	// After an outage the daemon can do nothing before its feeds are answered again, so the delay between two attempts is short.
 	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 400 * time.Millisecond
+	maxRetryDelay = 200 * time.Millisecond
+
+	// catchUpPolls is how many feed calls after a failure do not wait for changes: the first one brings what has changed meanwhile, the
+	// second one confirms that the copy is up to date as of the answer to the first.
+	catchUpPolls = 2
 )
 
 // Follower keeps a handler up to date with a table: it reads the table once and then follows the store's change feed.
@@ -55,6 +60,8 @@
 	// call was sent: the handler then knows everything that the store held at that time.
 	OnConfirmed func(sentAt time.Duration)
 	Clock       clock.Func // must be set with OnConfirmed
+
+	catchingUp int // calls that do not wait for changes; see catchUpPolls
 }
 
 // Run follows the table until ctx ends. It retries errors of the store with exponential backoff.
@@ -71,6 +78,7 @@
 				f.Log.Info("feed regained", zap.String("table", f.Table), zap.Int64("version", next), zap.Int("failures", failures))
 			}
 			failures, version = 0, next
+			f.catchingUp = max(f.catchingUp-1, 0)
 			if f.MinCallInterval != nil {
 				wait.For(ctx, f.MinCallInterval())
 			}
@@ -89,6 +97,7 @@
 		}
 		wait.For(ctx, wait.Backoff(minRetryDelay, maxRetryDelay, failures))
 		failures++
+		f.catchingUp = catchUpPolls
 	}
 }
 
@@ -126,6 +135,9 @@
 }
 
 func (f *Follower) pollTimeout() time.Duration {
+	if f.catchingUp > 0 {
+		return 0
+	}
 	if f.PollTimeout > 0 {
 		return f.PollTimeout
 	}
