Bound uncertain use by the workers that have not reported, and keep limits across owners

Cause: after a change of owner a team with a long backlog counted as being at its quota until the last worker had reported; and a successor whose configuration lacks the team knew no limit. Change: tasks that reserve what they use count up to the capacity of the listed workers without a report; a job stores the limits of its team at acceptance, which an owner uses that has never seen the team in a configuration.

--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -77,6 +77,9 @@
 	case len(s.approvedWorkers(u, now, now)) == 0:
 		return "no worker may run it now"
 	}
+	if u.beyondShare() {
+		return "no room, and the job is beyond the share of its team"
+	}
 	return "no room"
 }
 
--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -225,3 +225,26 @@
 		So(notes, ShouldBeBetweenOrEqual, 1, 2)
 	})
 }
+
+// Guards against a team that waits for its quota after a change of owner because of tasks that can't all run on the one worker that has not
+// reported, and against a successor that knows no limit since the configuration does not have the team any more.
+func TestLimitsAfterTakeover(t *testing.T) {
+	Convey("Given a successor with inherited tasks far above the limit of their team, and one worker that has not reported", t, func() {
+		g := newFixture(2, 2)
+		g.UpsertWorker(t0, WorkerInfo{ID: "w9", Service: testService, Address: "w9", Capacity: workload.Resources{CPUMilli: 2000, MemoryMB: 1000}, Incarnation: 1})
+		g.AddUnresolvedWorker("w9", at(10*time.Second))
+		old, next := g.teamJob("old", "kaje80", t0, simpleStep(50)), g.teamJob("new", "kaje80", at(time.Millisecond), simpleStep(5))
+		for _, spec := range []*workload.Spec{old, next} {
+			spec.Quota = queues.Quota{CPUMilli: 8000}
+			g.AddJob(t0, spec, nil, spec == old)
+		}
+		Convey("a new job may use what that worker can't", func() {
+			g.limitTeam("kaje80", 8000)
+			So(g.plan(at(10*time.Millisecond)).Starts, ShouldHaveLength, 3)
+		})
+		Convey("without the team in the configuration, the limits are those at acceptance", func() {
+			g.SetQueues(&queues.Config{})
+			So(g.plan(at(10*time.Millisecond)).Starts, ShouldHaveLength, 3)
+		})
+	})
+}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -170,7 +170,7 @@
 	}
 	s.jobs[spec.ID] = j
 	j.occurrences = make([]*occurrence, spec.Occurrences())
-	s.assignTeam(j, spec.Team)
+	s.assignTeam(j)
 	s.futureOccurrences[j] = struct{}{}
 	if progress != nil {
 		j.progressStored = true
--- a/internal/cluster/scheduler/teams.go
+++ b/internal/cluster/scheduler/teams.go
@@ -11,16 +11,18 @@
 
 // team is a team with jobs: its limits, as the configuration has named them last, and what its tasks use.
 type team struct {
-	name   string
-	teams  *teams
-	known  bool // a configuration of this term has named it
-	quota  queues.Quota
-	weight float64
-	used   workload.Resources // by runs that are placed
-	held   workload.Resources // by gangs that are nominated for workers
+	name  string
+	teams *teams
+	known bool // a configuration of this term has named it
+	quota queues.Quota
+	// quotaOf is when the job was accepted from which the quota was taken, of a team that no configuration has named.
+	quotaOf time.Time
+	weight  float64
+	used    workload.Resources // by runs that are placed
+	held    workload.Resources // by gangs that are nominated for workers
 	// uncertain is what inherited tasks without a known run may use on workers that have not reported, as of the last update; see
 	// updateUncertainUse. uncertainEnded is the part of jobs that have ended since.
-	uncertain, uncertainEnded workload.Resources
+	uncertain, uncertainEnded possibleUse
 	claims                    quotaClaims
 	gangHold                  gangHold
 	lowUseHeldSince           time.Time   // since when gangs keep the quota although the team uses little of it; zero otherwise
@@ -37,13 +39,15 @@
 	released   map[*team]struct{} // teams with waiting units whose use or limits have changed since the last plan
 	withWaits  map[*team]struct{} // teams with waiting units, or of which a log line has said so
 	// inherited are the jobs with a team that earlier owners may have started; ended ones are removed by updateUncertainUse.
-	inherited        []*job
-	uncertainChanged bool // inherited has changed since the last update
-	changes          []QuotaWait
-	unclassified     []*job             // jobs of which it is not known yet whether they are within the share of their team
-	activeWeight     float64            // sum of the weights of teams with unfinished jobs
-	fullAt           time.Time          // when a plan last found no room for a task
-	withBeyond       map[*team]struct{} // teams with jobs beyond their share
+	inherited []*job
+	// unresolvedCapacity is that of the workers that have not reported, as of the last update.
+	unresolvedCapacity workload.Resources
+	uncertainChanged   bool // inherited has changed since the last update
+	changes            []QuotaWait
+	unclassified       []*job             // jobs of which it is not known yet whether they are within the share of their team
+	activeWeight       float64            // sum of the weights of teams with unfinished jobs
+	fullAt             time.Time          // when a plan last found no room for a task
+	withBeyond         map[*team]struct{} // teams with jobs beyond their share
 }
 
 func newTeams() teams {
@@ -83,7 +87,8 @@
 }
 
 // assignTeam determines the team of a job, which has none if its caller needed no key.
-func (s *Scheduler) assignTeam(j *job, name string) {
+func (s *Scheduler) assignTeam(j *job) {
+	name := j.spec.Team
 	if name == "" {
 		return
 	}
@@ -93,6 +98,9 @@
 		t.configure(s.queues)
 		s.teams.byName[name] = t
 	}
+	if !t.known && !j.spec.Accepted.Before(t.quotaOf) { // the last limits that an earlier owner may have known
+		t.quota, t.quotaOf = j.spec.Quota, j.spec.Accepted
+	}
 	j.team = t
 	s.teams.noteUnfinished(t, 1)
 	s.teams.unclassified = append(s.teams.unclassified, j)
@@ -158,41 +166,85 @@
 	}
 	if len(s.unresolved) == 0 {
 		for _, j := range ts.inherited {
-			j.team.uncertain, j.team.uncertainEnded = workload.Resources{}, workload.Resources{}
+			j.team.uncertain, j.team.uncertainEnded = possibleUse{}, possibleUse{}
 			ts.released[j.team] = struct{}{}
 		}
 		ts.inherited = nil
 		return
 	}
-	ts.inherited = slices.DeleteFunc(ts.inherited, func(j *job) bool { return j.state.Final() && j.team.uncertainEnded == workload.Resources{} })
+	ts.inherited = slices.DeleteFunc(ts.inherited, func(j *job) bool { return j.state.Final() && j.team.uncertainEnded == possibleUse{} })
 	for _, j := range ts.inherited {
 		if !j.state.Final() {
-			j.team.uncertain = j.team.uncertain.Add(j.possibleUse(now))
+			j.team.uncertain = j.team.uncertain.add(j.possibleUse(now))
 		}
 	}
+	ts.unresolvedCapacity = s.unresolvedCapacity()
+}
+
+// possibleUse is what tasks may use whose runs are not known.
+type possibleUse struct {
+	reserving  workload.Resources // of tasks that reserve what they use, so that they fit into the capacity of their workers
+	bestEffort workload.Resources
+}
+
+func (p possibleUse) add(o possibleUse) possibleUse {
+	return possibleUse{p.reserving.Add(o.reserving), p.bestEffort.Add(o.bestEffort)}
+}
+
+// within returns the use if all tasks run on workers with the given capacity.
+func (p possibleUse) within(capacity workload.Resources) workload.Resources {
+	r := p.reserving
+	return p.bestEffort.Add(workload.Resources{CPUMilli: min(r.CPUMilli, capacity.CPUMilli), MemoryMB: min(r.MemoryMB, capacity.MemoryMB),
+		Accelerators: min(r.Accelerators, capacity.Accelerators)})
+}
+
+// unresolvedCapacity returns the capacity of the workers that have not reported to this owner, or unlimited if one of them is not listed.
+func (s *Scheduler) unresolvedCapacity() workload.Resources {
+	var capacity workload.Resources
+	for id := range s.unresolved {
+		w := s.workers[id]
+		if w == nil || !w.listed {
+			return asResources(queues.Quota{})
+		}
+		c := w.info.Capacity
+		if w.announced != nil { // nobody knows which of both runs the tasks
+			c = c.Add(w.announced.Capacity)
+		}
+		capacity = capacity.Add(c)
+	}
+	return capacity
 }
 
 // possibleUse returns what the unfinished tasks of the job without a known run may use. Steps whose dependencies are not done count, too:
 // an earlier owner may have started them before it stored the ends of the others.
-func (j *job) possibleUse(now time.Time) workload.Resources {
-	var use workload.Resources
+func (j *job) possibleUse(now time.Time) possibleUse {
+	var use possibleUse
 	for k, o := range j.occurrences {
 		switch {
 		case o != nil:
 			for _, u := range o.units {
-				use = use.Add(times(u.quotaUse(), u.countUnplaced()))
+				use.addTasks(u.step, u.countUnplaced())
 			}
 		case j.spec.Due(k).After(now):
 			return use
 		default:
 			for i := range j.spec.Steps {
-				use = use.Add(times(countedUse(j.spec.Steps[i].Resources), j.spec.Steps[i].Count))
+				use.addTasks(&j.spec.Steps[i], j.spec.Steps[i].Count)
 			}
 		}
 	}
 	return use
 }
 
+// addTasks adds n tasks of a step.
+func (p *possibleUse) addTasks(step *workload.Step, n int) {
+	sum := &p.reserving
+	if step.BestEffort {
+		sum = &p.bestEffort
+	}
+	*sum = sum.Add(times(countedUse(step.Resources), n))
+}
+
 // countUnplaced returns the number of tasks that are not done and have no known run.
 func (u *unit) countUnplaced() int {
 	n := u.tasksLeft
@@ -209,7 +261,7 @@
 	if j.team == nil || !j.inherited || len(s.unresolved) == 0 {
 		return
 	}
-	j.team.uncertainEnded = j.team.uncertainEnded.Add(j.possibleUse(now))
+	j.team.uncertainEnded = j.team.uncertainEnded.add(j.possibleUse(now))
 	s.teams.uncertainChanged = true
 }
 
@@ -218,7 +270,7 @@
 	if len(s.unresolved) == 0 {
 		return workload.Resources{}
 	}
-	return t.uncertain
+	return t.uncertain.within(s.teams.unresolvedCapacity)
 }
 
 // TeamDump is the state of a team.
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -67,6 +67,7 @@
 	ID          string        `json:"id"`
 	Queue       queues.Queue  `json:"queue"`          // the queue's settings at acceptance, used after the queue has been removed
 	Team        string        `json:"team,omitempty"` // whose quota and share the job uses; empty if its caller needed no key
+	Quota       queues.Quota  `json:"quota,omitzero"` // the team's limits at acceptance, used by an owner whose configuration lacks the team
 	Payload     string        `json:"payload,omitempty"`
 	Steps       []Step        `json:"steps"`
 	Repetitions int           `json:"reps,omitempty"` // 0 means that the steps run once, immediately
