Share the silence of the store among hosts, and overlap reads of a slow store

Cause: each host had to wait 0.3 s for an answer to a call of its own before it knew that the store was silent, so callers got 504 for up to 0.9 s; answers to feeds that were sent before an outage closed the circuit breaker during it. Lookups of jobs that the owner does not know yet made up to four reads of the store one after the other. Change: the owner's answers to lookups tell for how long the store has answered nothing; a host that gets one reads from the store itself and refuses submissions if nothing comes within 50 ms. Only answers to calls that were sent meanwhile end the silence. Probes begin after half of the commit timeout. While the store takes more than 50 ms a call, the reads of a lookup are sent at once; lookups fail at once while the store is silent. TestReadsOverlapWhileTheStoreIsSlow: a lookup takes 200 ms instead of 600 ms.

--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -97,6 +97,24 @@
 	return t != nil && t.pressure.shedding()
 }
 
+// minStoreSilence is from when the silence of the store is worth telling: a store that answers 76 times slower than usual takes 0.3 s a call.
+const minStoreSilence = 300 * time.Millisecond
+
+// StoreSilence returns for how long the store has answered none of this daemon's calls, or 0 if that is no longer than usual.
+func (c *Coordinator) StoreSilence() time.Duration {
+	r, ok := c.deps.Store.(interface {
+		SilentFor() (silent, expected time.Duration)
+	})
+	if !ok {
+		return 0
+	}
+	silent, expected := r.SilentFor()
+	if silent < max(minStoreSilence, 2*expected) {
+		return 0
+	}
+	return silent
+}
+
 // Pending returns the number of jobs in a queue that have not started any task. The count may be pendingCacheTTL old.
 func (c *Coordinator) Pending(queue string) (int, error) {
 	t := c.current()
--- a/internal/cluster/frontend/breaker.go
+++ b/internal/cluster/frontend/breaker.go
@@ -34,6 +34,9 @@
 	silenceLatencyFactor = 3
 	// suspicionLimit is the same for writes on behalf of peers, which have other hosts to ask.
 	suspicionLimit = 100 * time.Millisecond
+	// hintTimeout is how long the store has to answer this host's reads after the owner has told that it answers none of its own for
+	// 0.3 s.
+	hintTimeout = 50 * time.Millisecond
 	// silenceCheckInterval is how often a write in progress checks whether the store is silent.
 	silenceCheckInterval = 50 * time.Millisecond
 	// maxProbeDuration is how long the store is probed. After that the breaker closes, and the next commits without an answer
@@ -46,7 +49,8 @@
 // silenceReporter is a store that tells for how long it has answered nothing; see rowstore.AdaptiveStore.
 type silenceReporter interface {
 	SilentFor() (silent, expected time.Duration)
-	LastAnswer() time.Time
+	AnsweredSentAt() time.Time
+	Latency() time.Duration
 }
 
 // breaker is a circuit breaker for writes: while the store answers nothing at all, it refuses them at once. A write that is
@@ -106,6 +110,30 @@
 	return b.open.Load()
 }
 
+// checkHint checks whether the store is silent for this host too, after the owner has told for how long it has been silent. It is not if it
+// has answered a call that was sent since then.
+func (b *breaker) checkHint(silent time.Duration) {
+	r, ok := b.store.(silenceReporter)
+	if !ok || b.open.Load() || time.Since(r.AnsweredSentAt()) < silent {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.probing {
+		return
+	}
+	b.probing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), hintTimeout)
+		defer cancel()
+		if b.storeAnswers(ctx) {
+			b.reset()
+			return
+		}
+		b.probe(true)
+	}()
+}
+
 // probe opens the breaker, if the store is not known to be silent only after a first probe without an answer, and closes it when the store
 // answers a later one.
 func (b *breaker) probe(silent bool) {
@@ -162,7 +190,7 @@
 }
 
 // awaitAnswer reads from the store every probeInterval, a different partition each time, and returns true as soon as it answers
-// one of the reads or, after a while, any other call. It returns false when ctx ends.
+// one of the reads or any other call that was sent meanwhile. It returns false when ctx ends.
 func (b *breaker) awaitAnswer(ctx context.Context) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -180,7 +208,7 @@
 		case <-answered:
 			return true
 		case <-time.After(probeInterval):
-			if r, ok := b.store.(silenceReporter); ok && r.LastAnswer().After(began) {
+			if r, ok := b.store.(silenceReporter); ok && r.AnsweredSentAt().After(began) {
 				return true
 			}
 		case <-ctx.Done():
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -219,28 +219,36 @@
 	defer cancel()
 	a, err := s.Peers.Lookup(callCtx, owner.Addr, id)
 	s.ownerBusy.record(owner.BootID, a.OwnerBusy, time.Now())
+	if a.StoreSilentMS > 0 {
+		s.breaker.checkHint(time.Duration(a.StoreSilentMS) * time.Millisecond)
+	}
 	return a.State, a.Known, err
 }
 
 // readState reads a job's state from the store. An accepted job without a stored state is queued.
 func (s *JobService) readState(ctx context.Context, id string) (workload.State, error) {
+	if s.breaker.checkSilence() {
+		return "", errors.Wrap(ErrUnavailable, errStoreUnresponsive.Error())
+	}
 	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
-	for _, key := range []rowstore.Key{records.EndedKey(id), records.ProgressKey(id)} {
-		row, ok, err := rowstore.ReadRow(callCtx, s.Store, key)
-		if err != nil {
-			return "", errors.Wrap(ErrUnavailable, err.Error())
+	stateKeys := []rowstore.Key{records.EndedKey(id), records.ProgressKey(id)}
+	read := s.rowReader(callCtx, append(stateKeys, inboxKeys(id)...))
+	for i := range stateKeys {
+		r := read(i)
+		if r.err != nil {
+			return "", errors.Wrap(ErrUnavailable, r.err.Error())
 		}
-		if !ok {
+		if !r.found {
 			continue
 		}
-		p, err := workload.DecodeProgress(row.Value)
+		p, err := workload.DecodeProgress(r.row.Value)
 		if err != nil {
 			return "", errors.Wrap(ErrUnavailable, err.Error())
 		}
 		return p.State, nil
 	}
-	accepted, err := s.accepted(callCtx, id)
+	accepted, err := anyFound(read, len(stateKeys), records.AlternativePartitions)
 	if err != nil {
 		return "", errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -252,19 +260,61 @@
 
 // accepted reports whether the row of a job exists in one of the partitions that may hold it.
 func (s *JobService) accepted(ctx context.Context, id string) (bool, error) {
+	return anyFound(s.rowReader(ctx, inboxKeys(id)), 0, records.AlternativePartitions)
+}
+
+// inboxKeys returns the keys of the rows that may hold a job.
+func inboxKeys(id string) []rowstore.Key {
+	keys := make([]rowstore.Key, records.AlternativePartitions)
+	for alternative := range keys {
+		keys[alternative] = records.JobKey(id, alternative)
+	}
+	return keys
+}
+
+// anyFound reports whether one of count rows from number first exists.
+func anyFound(read func(i int) readResult, first, count int) (bool, error) {
 	var failed error
-	for alternative := range records.AlternativePartitions {
-		_, ok, err := rowstore.ReadRow(ctx, s.Store, records.JobKey(id, alternative))
-		if ok {
+	for i := first; i < first+count; i++ {
+		r := read(i)
+		if r.found {
 			return true, nil
 		}
-		if err != nil {
-			failed = err
+		if r.err != nil {
+			failed = r.err
 		}
 	}
 	return false, failed
 }
 
+// readResult is the result of the read of one row.
+type readResult struct {
+	row   rowstore.Row
+	found bool
+	err   error
+}
+
+// slowReadLatency is the latency of the store from which reads that belong together are sent at once. Ordinary reads take 6 ms, and most
+// lookups need the first one only.
+const slowReadLatency = 50 * time.Millisecond
+
+// rowReader returns a function that reads one of several rows. While the store is slow, all of them are read at once.
+func (s *JobService) rowReader(ctx context.Context, keys []rowstore.Key) func(i int) readResult {
+	read := func(i int) readResult {
+		row, found, err := rowstore.ReadRow(ctx, s.Store, keys[i])
+		return readResult{row, found, err}
+	}
+	if r, ok := s.Store.(silenceReporter); !ok || r.Latency() < slowReadLatency {
+		return read
+	}
+	results := make([]chan readResult, len(keys))
+	for i := range keys {
+		results[i] = make(chan readResult, 1)
+		go func() { results[i] <- read(i) }()
+	}
+	return func(i int) readResult { return <-results[i] }
+}
+
 // Pending returns the owner's count of a queue's jobs that have not started any task yet. The count may be as old as
 // pendingCacheAge. Errors: ErrUnavailable.
 func (s *JobService) Pending(ctx context.Context, queue string) (int, error) {
--- a/internal/cluster/frontend/load_test.go
+++ b/internal/cluster/frontend/load_test.go
@@ -91,3 +91,45 @@
 		time.Sleep(10 * time.Second) // let commits whose callers have left finish
 	})
 }
+
+// slowReads is a store whose calls all take 200 ms.
+type slowReads struct{ *rowstore.Memory }
+
+func (s slowReads) Read(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
+	time.Sleep(200 * time.Millisecond)
+	return s.Memory.Read(ctx, r)
+}
+
+func (s slowReads) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	time.Sleep(200 * time.Millisecond)
+	return s.Memory.Commit(ctx, txn)
+}
+
+// Guards against lookups of jobs that the owner does not know yet, and cancellations, that wait for several reads of a slow store one after
+// the other.
+func TestReadsOverlapWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Deps{Store: rowstore.NewAdaptiveStore(slowReads{rowstore.NewMemory()}, nil), Roster: peers.NewRoster(zap.NewNop()),
+			Watch: election.NewWatch(zap.NewNop()), Coordinator: coordinator.New(coordinator.Config{}, coordinator.Deps{}), Log: zap.NewNop(), Metrics: tally.NoopScope})
+		for range 3 {
+			if err := f.Submit(t.Context(), &workload.Spec{ID: testJob, Steps: []workload.Step{{Count: 1}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		began := time.Now()
+		if state, err := f.Lookup(t.Context(), testJob); err != nil || state != workload.Queued {
+			t.Errorf("state %q, %v", state, err)
+		}
+		if took := time.Since(began); took > 250*time.Millisecond {
+			t.Errorf("the lookup took %s, want one read of 200 ms", took)
+		}
+		began = time.Now()
+		if err := f.Cancel(t.Context(), testJob); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took > 450*time.Millisecond {
+			t.Errorf("the cancellation took %s, want one read and one commit", took)
+		}
+		time.Sleep(2 * time.Second) // let probes end
+	})
+}
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -53,6 +53,8 @@
 	State workload.State `json:"state,omitempty"`
 	// OwnerBusy means that the owner is about to fall behind. Queries that the store can answer should go there for a while.
 	OwnerBusy bool `json:"busy,omitempty"`
+	// StoreSilentMS is for how many milliseconds the store has answered none of the owner's calls, if that is unusually long.
+	StoreSilentMS int64 `json:"store_silent_ms,omitempty"`
 }
 
 type pendingRequest struct {
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -113,7 +113,7 @@
 		writeError(c, err)
 		return
 	}
-	c.PureJSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy()})
+	c.PureJSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy(), s.coordinator.StoreSilence().Milliseconds()})
 }
 
 func (s *Server) pending(c *gin.Context) {
--- a/internal/cluster/rowstore/adaptive.go
+++ b/internal/cluster/rowstore/adaptive.go
@@ -38,7 +38,7 @@
 	averageLatency time.Duration // exponential moving average; raised after timeouts
 	inProgress     int           // commits and reads without an answer
 	waitingSince   time.Time     // when the store had last answered anything, or the first of the calls in progress was sent
-	lastAnswer     time.Time     // when the store last answered anything
+	answeredSentAt time.Time     // when the call was sent that was sent last among those that the store has answered
 	overdue        int           // commits that take longer than usual
 	probing        bool
 	probeRange     Range         // of the last read that was answered
@@ -62,7 +62,7 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := a.begin()
-	watchdog := time.AfterFunc(a.commitTimeout(0), func() { a.cutIfLost(callCtx, cancel, began, txn) })
+	watchdog := time.AfterFunc(a.commitTimeout(0)/2, func() { a.cutIfLost(callCtx, cancel, began, txn) })
 	defer watchdog.Stop()
 	version, err := a.Store.Commit(callCtx, txn)
 	a.calls.Record(outcomeOf(err), began)
@@ -89,11 +89,10 @@
 
 // Feed implements Store.
 func (a *AdaptiveStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error) {
+	began := time.Now()
 	c, err := a.Store.Feed(ctx, table, after, wait)
 	if err == nil {
-		a.mu.Lock()
-		a.noteAnswer()
-		a.mu.Unlock()
+		a.noteFeedAnswer(began)
 	}
 	return c, err
 }
@@ -117,17 +116,36 @@
 	return time.Since(a.waitingSince), a.averageLatency
 }
 
-// LastAnswer returns when the store last answered anything.
-func (a *AdaptiveStore) LastAnswer() time.Time {
+// Latency returns the usual latency of a call.
+func (a *AdaptiveStore) Latency() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.averageLatency
+}
+
+// AnsweredSentAt returns when the call was sent that was sent last among those that the store has answered.
+func (a *AdaptiveStore) AnsweredSentAt() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.lastAnswer
+	return a.answeredSentAt
 }
 
-// noteAnswer records that the store has answered something. The caller holds mu.
-func (a *AdaptiveStore) noteAnswer() {
-	a.lastAnswer = time.Now()
-	a.waitingSince = a.lastAnswer
+// noteAnswer records that the store has answered a call that was sent at began. The caller holds mu.
+func (a *AdaptiveStore) noteAnswer(began time.Time) {
+	a.waitingSince = time.Now()
+	if began.After(a.answeredSentAt) {
+		a.answeredSentAt = began
+	}
+}
+
+// noteFeedAnswer does the same for a feed. A store that takes no new calls may still answer feeds that were sent before, so these count
+// only if they were sent during the wait for other answers.
+func (a *AdaptiveStore) noteFeedAnswer(began time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inProgress == 0 || began.After(a.waitingSince) {
+		a.noteAnswer(began)
+	}
 }
 
 // begin records that a call is sent now.
@@ -150,7 +168,7 @@
 	if !answered {
 		return
 	}
-	a.noteAnswer()
+	a.noteAnswer(began)
 	if began.Before(a.newest.sentAt) {
 		return
 	}
@@ -159,7 +177,7 @@
 	a.newAnswer = make(chan struct{})
 }
 
-// cutIfLost gives up a commit that was sent at began, once its answer has to be taken as lost: the store has answered a call that was sent
+// cutIfLost begins to send probes and gives up a commit that was sent at began, once its answer has to be taken as lost: the store has answered a call that was sent
 // later, and the commit has taken several times as long; or maxCommitTimeout is over. It returns when ctx ends.
 func (a *AdaptiveStore) cutIfLost(ctx context.Context, cut context.CancelFunc, began time.Time, txn Txn) {
 	a.probeWhileOverdue(txn)
