--- a/internal/cluster/app/node.go
+++ b/internal/cluster/app/node.go
@@ -13,12 +13,14 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/admin"
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/clock"
+	"github.com/greengagewing/greengagewing/internal/cluster/configage"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/delegate"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
@@ -28,6 +30,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/ingress"
 	"github.com/greengagewing/greengagewing/internal/network"
 	"github.com/greengagewing/greengagewing/internal/release"
 	"github.com/greengagewing/greengagewing/internal/wait"
@@ -64,6 +67,11 @@
 	// allocates more than the other hosts and needs its processor time for decisions, so it trades memory for fewer collections.
 	// The memory limit of the process still applies.
 	ownerGCPercent = 200
+	// peerIdleTimeout is longer than peers keep idle connections, so that they don't use one that is being closed.
+	peerIdleTimeout    = time.Minute
+	peerMaxHeaderBytes = 16 << 10
+	// operatorRequests is how many state dumps and profiles, and how many pages of metrics, are made at a time.
+	operatorRequests = 4
 )
 
 // Parts are the components of a Node.
@@ -76,12 +84,15 @@
 	Clock        clock.Func
 	Self         election.Identity
 	ConfigHolder *queues.ConfigHolder
+	Tracker      *configage.Tracker
+	Scope        tally.Scope
 	Watch        *election.Watch
 	Roster       *peers.Roster
 	Peers        *peers.Client
 	Coordinator  *coordinator.Coordinator
 	JobService   *frontend.JobService
 	Readiness    *admin.Readiness
+	Gate         *ingress.Gate
 	States       *admin.States
 	Metrics      http.Handler
 	Duties       *meter.Duties
@@ -118,6 +129,8 @@
 	p.States.Add("hosts", func() any { return p.Roster.Hosts() })
 	p.States.Add("coordinator", p.Coordinator.Dump)
 	p.States.Add("delegate", func() any { return map[string]int{"workers": n.delegateSessions.Workers()} })
+	p.States.Add("configuration", n.configurationState)
+	p.States.Add("clients", p.Gate.Dump)
 	p.States.Add("queues", func() any { return p.ConfigHolder.Current() })
 	return n
 }
@@ -127,15 +140,16 @@
 	if err := n.servePeers(); err != nil {
 		return err
 	}
-	stop, err := n.parts.Platform.Serve(n.parts.JobService, n.parts.ConfigHolder, n.parts.Readiness)
+	stop, err := n.parts.Platform.Serve(n.parts.JobService, n.parts.ConfigHolder, n.parts.Tracker, n.parts.Readiness)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	n.stopServe = stop
-	n.wg.Go(func() { n.parts.Platform.FollowQueues(n.ctx, n.parts.ConfigHolder) })
+	n.followConfig()
 	n.follow(election.OwnerTable, election.Partition, n.parts.Watch, n.parts.Watch.RecordFeedAnswer, 0)
 	n.follow(records.Hosts, "", n.parts.Roster, nil, hostsFeedTimeout)
 	n.wg.Go(func() { n.watchOwner(n.ctx) })
+	n.wg.Go(func() { n.parts.Gate.Run(n.ctx) })
 	n.duties.Go(func() { n.elect(n.dutiesCtx) })
 	n.duties.Go(func() { n.delegateSessions.Run(n.dutiesCtx) })
 	host := n.host()
@@ -166,18 +180,21 @@
 func (n *Node) servePeers() error {
 	e := gin.New()
 	peers.NewServer(n.parts.Coordinator, n.parts.Platform, n.parts.JobService, n, n.parts.Self.BootID, n.parts.Log, n.parts.Duties).Register(e)
-	admin.NewHealth(e, n.parts.Readiness, n.parts.Metrics, Version)
-	e.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
-	e.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
-	e.GET("/debug/pprof/:profile", func(c *gin.Context) {
+	peers.RegisterConfig(e, func(q configage.Question) configage.Answer { return n.parts.Tracker.Answer(n.parts.ConfigHolder, q) })
+	admin.NewHealth(e, n.parts.Readiness, n.parts.Gate.AtMost(operatorRequests, n.parts.Metrics), Version)
+	operators := e.Group("", n.parts.Gate.LimitRoutes(operatorRequests))
+	operators.GET("/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.parts.States.Dump(c.Query("part"))) })
+	operators.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
+	operators.GET("/debug/pprof/:profile", func(c *gin.Context) {
 		pprof.Handler(c.Param("profile")).ServeHTTP(c.Writer, c.Request)
 	})
 	l, err := n.parts.Network.Listen("tcp", n.parts.Self.Addr)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	n.peerSrv = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
-	n.wg.Go(func() { n.servePeersOn(l) })
+	n.peerSrv = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: peerIdleTimeout, MaxHeaderBytes: peerMaxHeaderBytes}
+	guarded := n.parts.Gate.Guard(ingress.Peers, n.peerSrv, l)
+	n.wg.Go(func() { n.servePeersOn(guarded) })
 	return nil
 }
 
--- a/internal/cluster/coordinator/persist_test.go
+++ b/internal/cluster/coordinator/persist_test.go
@@ -90,8 +90,8 @@
 			defer o.end()
 			o.NotifyCancelStored("j599")
 			began := time.Now()
-			state, _, err := o.Lookup("j599")
-			for ; err == nil && !state.Final() && time.Since(began) < 3*time.Second; state, _, err = o.Lookup("j599") {
+			state, _, err := o.Lookup("j599", workload.Access{})
+			for ; err == nil && !state.Final() && time.Since(began) < 3*time.Second; state, _, err = o.Lookup("j599", workload.Access{}) {
 				time.Sleep(10 * time.Millisecond)
 			}
 			So(err, ShouldBeNil)
@@ -136,7 +136,7 @@
 				left += len(rows)
 			}
 			So(left, ShouldEqual, 0)
-			_, known, err := o.Lookup("j0")
+			_, known, err := o.Lookup("j0", workload.Access{})
 			So(err, ShouldBeNil)
 			So(known, ShouldBeFalse)
 		})
--- a/internal/cluster/frontend/load_test.go
+++ b/internal/cluster/frontend/load_test.go
@@ -79,7 +79,7 @@
 			calls.Go(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
-				if f.Submit(ctx, spec) == nil {
+				if f.Submit(ctx, spec, workload.Access{}) == nil {
 					accepted.Add(1)
 				}
 			})
@@ -112,19 +112,19 @@
 		f := New(Deps{Store: rowstore.NewAdaptiveStore(slowReads{rowstore.NewMemory()}, nil), Roster: peers.NewRoster(zap.NewNop()),
 			Watch: election.NewWatch(zap.NewNop()), Coordinator: coordinator.New(coordinator.Config{}, coordinator.Deps{}), Log: zap.NewNop(), Metrics: tally.NoopScope})
 		for range 3 {
-			if err := f.Submit(t.Context(), &workload.Spec{ID: testJob, Steps: []workload.Step{{Count: 1}}}); err != nil {
+			if err := f.Submit(t.Context(), &workload.Spec{ID: testJob, Steps: []workload.Step{{Count: 1}}}, workload.Access{}); err != nil {
 				t.Fatal(err)
 			}
 		}
 		began := time.Now()
-		if state, err := f.Lookup(t.Context(), testJob); err != nil || state != workload.Queued {
+		if state, err := f.Lookup(t.Context(), testJob, workload.Access{}); err != nil || state != workload.Queued {
 			t.Errorf("state %q, %v", state, err)
 		}
 		if took := time.Since(began); took > 250*time.Millisecond {
 			t.Errorf("the lookup took %s, want one read of 200 ms", took)
 		}
 		began = time.Now()
-		if err := f.Cancel(t.Context(), testJob); err != nil {
+		if err := f.Cancel(t.Context(), testJob, workload.Access{}); err != nil {
 			t.Error(err)
 		}
 		if took := time.Since(began); took > 450*time.Millisecond {
--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -13,6 +13,8 @@
 	priority    int
 	late        bool // too late to meet the job's latency objective
 	latestStart time.Time
+	beyondShare bool // its job is beyond the share of its team
+	aboveShare  bool // the pool is full and its team uses more than its weighted fair share
 	adviceOnly  bool // the policy service may be asked, but no task may start yet; see mayRunElsewhere
 }
 
@@ -47,26 +49,39 @@
 			s.stopUnit(u, "gang is not complete")
 			continue
 		}
-		latest := s.latestStart(u)
-		u.latestStart = latest
-		out = append(out, candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest),
-			latestStart: latest, adviceOnly: mayRunElsewhere})
+		c := s.newCandidate(u, waiting, now)
+		c.adviceOnly = mayRunElsewhere
+		u.latestStart = c.latestStart
+		out = append(out, c)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
 	return out
 }
 
-// before defines the planning order: long-running units, then queue priority, then units that can still meet their
-// objective, then the unit with the earlier latestStart, then the lower job ID. Priority goes before lateness, because
-// tasks of less urgent queues would otherwise fill the pool and a late unit of an urgent queue would have to wait until
-// they end.
+// newCandidate returns the unit with its present position in the planning order.
+func (s *Scheduler) newCandidate(u *unit, waiting int, now time.Time) candidate {
+	latest := s.latestStart(u)
+	return candidate{unit: u, waiting: waiting, priority: u.job.queue.Priority, late: now.After(latest), latestStart: latest,
+		beyondShare: u.beyondShare(), aboveShare: s.aboveFairShare(u, now)}
+}
+
+// before defines the planning order: units of jobs within the shares of their teams, then long-running units, then queue priority, then,
+// while the pool is full, units of teams below their weighted fair share, then units that can still meet their objective, then the unit with
+// the earlier latestStart, then the lower job ID. Priority goes before lateness, because tasks of less urgent queues would otherwise fill the
+// pool and a late unit of an urgent queue would have to wait until they end.
 func (c candidate) before(o candidate) bool {
+	if c.beyondShare != o.beyondShare {
+		return o.beyondShare
+	}
 	if c.longRunning() != o.longRunning() {
 		return c.longRunning()
 	}
 	if c.priority != o.priority {
 		return c.priority < o.priority
 	}
+	if c.aboveShare != o.aboveShare {
+		return o.aboveShare
+	}
 	if c.late != o.late {
 		return o.late
 	}
