--- a/internal/cluster/frontend/access.go
+++ b/internal/cluster/frontend/access.go
@@ -15,17 +15,21 @@
 func (s *JobService) accepted(ctx context.Context, id string, access workload.Access) (bool, error) {
 	found := false
 	var failed error
-	for alternative := range records.AlternativePartitions {
+	read := overlapped(s, records.AlternativePartitions, func(alternative int) jobCheck {
 		exists, allowed, err := s.checkJob(ctx, records.JobKey(id, alternative), access)
+		return jobCheck{exists, allowed, err}
+	})
+	for alternative := range records.AlternativePartitions {
+		c := read(alternative)
 		switch {
-		case err != nil:
-			failed = err
-		case exists && !allowed:
+		case c.err != nil:
+			failed = c.err
+		case c.exists && !c.allowed:
 			return false, nil
-		case exists && !access.Restricted:
+		case c.exists && !access.Restricted:
 			return true, nil
 		}
-		found = found || exists
+		found = found || c.exists
 	}
 	if found {
 		return true, nil
@@ -33,6 +37,12 @@
 	return false, failed
 }
 
+// jobCheck is what checkJob returns.
+type jobCheck struct {
+	exists, allowed bool
+	err             error
+}
+
 // checkJob reports whether the row of a job exists, and whether the caller may access the job. Only if access is restricted is the row
 // decoded.
 func (s *JobService) checkJob(ctx context.Context, k rowstore.Key, access workload.Access) (exists, allowed bool, err error) {
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -223,22 +223,47 @@
 	defer cancel()
 	a, err := s.Peers.Lookup(callCtx, owner.Addr, id, access)
 	s.ownerBusy.record(owner.BootID, a.OwnerBusy, time.Now())
+	if a.StoreSilentMS > 0 {
+		s.breaker.checkHint(time.Duration(a.StoreSilentMS) * time.Millisecond)
+	}
 	return a.State, a.Known, err
 }
 
+// readResult is the result of a read of the store.
+type readResult struct {
+	value []byte
+	found bool
+	err   error
+}
+
 // readState reads a job's state from the store. An accepted job without a stored state is queued.
 func (s *JobService) readState(ctx context.Context, id string, access workload.Access) (workload.State, error) {
+	if s.breaker.checkSilence() {
+		return "", errors.Wrap(ErrUnavailable, errStoreUnresponsive.Error())
+	}
 	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
-	for _, key := range []rowstore.Key{records.EndedKey(id), records.ProgressKey(id)} {
-		value, ok, err := s.readValue(callCtx, key)
-		if err != nil {
-			return "", errors.Wrap(ErrUnavailable, err.Error())
+	const accepted = 2 // index of the read of the inbox
+	stateKeys := [accepted]rowstore.Key{records.EndedKey(id), records.ProgressKey(id)}
+	read := overlapped(s, accepted+1, func(i int) readResult {
+		if i == accepted {
+			found, err := s.accepted(callCtx, id, access)
+			return readResult{found: found, err: err}
 		}
-		if !ok {
+		value, found, err := s.readValue(callCtx, stateKeys[i])
+		return readResult{value, found, err}
+	})
+	for i := range accepted + 1 {
+		r := read(i)
+		switch {
+		case r.err != nil:
+			return "", errors.Wrap(ErrUnavailable, r.err.Error())
+		case !r.found:
 			continue
+		case i == accepted:
+			return workload.Queued, nil
 		}
-		p, err := workload.DecodeProgress(value)
+		p, err := workload.DecodeProgress(r.value)
 		if err != nil {
 			return "", errors.Wrap(ErrUnavailable, err.Error())
 		}
@@ -247,14 +272,24 @@
 		}
 		return p.State, nil
 	}
-	accepted, err := s.accepted(callCtx, id, access)
-	if err != nil {
-		return "", errors.Wrap(ErrUnavailable, err.Error())
+	return "", ErrNoSuchJob
+}
+
+// slowReadLatency is the latency of the store from which reads that belong together are sent at once. Ordinary reads take 6 ms, and most
+// lookups need the first one only.
+const slowReadLatency = 50 * time.Millisecond
+
+// overlapped returns a function that carries out one of n reads. While the store is slow, all of them are sent at once.
+func overlapped[T any](s *JobService, n int, read func(i int) T) func(i int) T {
+	if r, ok := s.Store.(silenceReporter); !ok || r.Latency() < slowReadLatency {
+		return read
 	}
-	if !accepted {
-		return "", ErrNoSuchJob
+	results := make([]chan T, n)
+	for i := range n {
+		results[i] = make(chan T, 1)
+		go func() { results[i] <- read(i) }()
 	}
-	return workload.Queued, nil
+	return func(i int) T { return <-results[i] }
 }
 
 // Pending returns the owner's count of a queue's jobs that have not started any task yet. The count may be as old as
--- a/internal/cluster/frontend/outage_test.go
+++ b/internal/cluster/frontend/outage_test.go
@@ -140,3 +140,33 @@
 	}
 	return false
 }
+
+// Guards against the answer "not accepted" for a job that a peer may have stored, when this host's own attempt, during which the store was
+// silent, is refused in the end.
+func TestUnknownOutcomeAtPeerIsNotARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &silentStore{Memory: rowstore.NewMemory()}
+		store.silent.Store(true)
+		f := newOutageService(store)
+		f.Roster.Apply([]rowstore.Row{{Key: rowstore.Key{Table: records.Hosts, Name: "h2"}, Version: 1,
+			Value: []byte(`{"host":"h2","addr":"10.0.0.2:1","boot":"b2"}`)}})
+		if len(f.Roster.Hosts()) != 1 {
+			t.Fatal("the peer is not known")
+		}
+		probeCtx, endProbe := context.WithCancel(t.Context())
+		go func() { _, _ = f.Store.Read(probeCtx, rowstore.Range{}) }() // keeps a call in progress
+		outcome, _ := f.storeLocal(change{id: testJob,
+			storeLocal: func(int) (peers.StoreOutcome, error) {
+				time.Sleep(2 * silenceLimit)
+				return peers.NotStored, nil
+			},
+			storeAtPeer: func(string, int) (peers.StoreOutcome, error) { return peers.StoreUnknown, nil },
+		}, 0)
+		if outcome != peers.StoreUnknown {
+			t.Errorf("outcome %s, want %s", outcome, peers.StoreUnknown)
+		}
+		store.silent.Store(false)
+		endProbe()
+		time.Sleep(2 * probeTimeout) // let probes end
+	})
+}
--- a/internal/cluster/frontend/store.go
+++ b/internal/cluster/frontend/store.go
@@ -191,10 +191,14 @@
 		if !s.breaker.checkSilence() {
 			continue
 		}
-		if outcome, err := s.tryPeer(c, time.Now()); outcome == peers.Stored || outcome == peers.StoredBefore || outcome == peers.NoSuchJob {
-			return outcome, err
+		atPeer, err := s.tryPeer(c, time.Now())
+		if atPeer == peers.Stored || atPeer == peers.StoredBefore || atPeer == peers.NoSuchJob {
+			return atPeer, err
 		}
 		r := <-done
+		if r.outcome == peers.NotStored && atPeer != peers.NotStored {
+			return peers.StoreUnknown, err // the peer's attempt may have taken effect
+		}
 		return r.outcome, r.err
 	}
 }
