Place kinds of tasks apart that slow each other down, where there is room

The model of interference was not fed and not used.

The scheduler observes each report and adds a penalty in bestFit and assignAll: the work that callers would lose, in millicores, times 40 while most of the pool is free and times 5 while less than 0.4 of it is. Advice requests prefer workers without harmful neighbours. Without Config.InterferenceAware nothing is observed and all decisions stay as they were.

--- a/internal/cluster/interference/dump.go
+++ b/internal/cluster/interference/dump.go
@@ -39,8 +39,11 @@
 // maxDumpedPairs limits the size of a dump.
 const maxDumpedPairs = 200
 
-// Dump returns what the model knows.
+// Dump returns what the model knows, or nil if there is no model.
 func (m *Model) Dump(now time.Time) *Dump {
+	if m == nil {
+		return nil
+	}
 	d := &Dump{Weight: m.weight}
 	for _, k := range m.slots {
 		if k != nil {
--- a/internal/cluster/interference/penalty.go
+++ b/internal/cluster/interference/penalty.go
@@ -6,11 +6,13 @@
 )
 
 const (
-	// maxWeight is how many millicores of room a separation may cost per millicore of work that it saves, while there is plenty of room:
-	// enough to outweigh any difference of room between two workers. With less than plentyShare of the pool free it falls, down to 1 in a
-	// full pool, so that room that wide gangs need is not broken up for small gains.
-	maxWeight   = 40
-	plentyShare = 0.2
+	// maxWeight is how many millicores of room a separation may cost per millicore of work that it saves, while plentyShare of the pool's
+	// processors is free: enough to outweigh any difference of room between two workers. It falls to minWeight at scarceShare, where gangs
+	// that need whole workers would otherwise wait for room that separation breaks up.
+	maxWeight   = 40.0
+	minWeight   = 5.0
+	plentyShare = 0.6
+	scarceShare = 0.4
 	// MaxPenalty is the highest penalty.
 	MaxPenalty = 1 << 29
 	// minCPUMilli is what a task counts that reserves less.
@@ -19,7 +21,7 @@
 
 // SetFreeShare tells the model what share of the pool's processors is free, which decides how much room a separation may cost.
 func (m *Model) SetFreeShare(share float64) {
-	m.weight = 1 + (maxWeight-1)*min(max(share/plentyShare, 0), 1)
+	m.weight = minWeight + (maxWeight-minWeight)*min(max((share-scarceShare)/(plentyShare-scarceShare), 0), 1)
 }
 
 // Load is what the tasks on a worker use, by kind. The zero value is an empty worker.
--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -236,7 +236,8 @@
 type askCandidate struct {
 	worker        *worker
 	expectedTasks float64 // expected number of tasks that are approved for the worker and fit on it
-	position      int     // breaks ties between candidates with the same expectedTasks
+	rank          float64 // expectedTasks, less if the worker has harmful neighbours
+	position      int     // breaks ties between candidates with the same rank
 }
 
 // askHeap is a priority queue of candidates, the best first. A request names only a few of hundreds of workers, so sorting
@@ -246,8 +247,8 @@
 func (h askHeap) Len() int { return len(h) }
 
 func (h askHeap) Less(i, j int) bool {
-	if h[i].expectedTasks != h[j].expectedTasks {
-		return h[i].expectedTasks > h[j].expectedTasks
+	if h[i].rank != h[j].rank {
+		return h[i].rank > h[j].rank
 	}
 	return h[i].position < h[j].position
 }
@@ -345,7 +346,11 @@
 		if known && t.expires.After(now.Add(ticketMargin)) {
 			continue
 		}
-		candidates = append(candidates, askCandidate{w, expectedTasks, len(candidates)})
+		rank := expectedTasks
+		if u.harmsNeighbours(w) {
+			rank *= harmfulNeighbourFactor
+		}
+		candidates = append(candidates, askCandidate{w, expectedTasks, rank, len(candidates)})
 		places += expectedTasks
 	}
 	s.askBuffer = candidates
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/interference"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -14,6 +15,8 @@
 	Unresolved int                    `json:"unresolved_workers"`
 	Workers    []WorkerDump           `json:"workers"`
 	Waiting    []UnitDump             `json:"waiting"`
+	// Interference is nil if it is switched off.
+	Interference *interference.Dump `json:"interference,omitempty"`
 }
 
 // WorkerDump is the state of one worker.
@@ -40,7 +43,7 @@
 
 // Dump returns a snapshot of the state.
 func (s *Scheduler) Dump(now time.Time) Dump {
-	d := Dump{Jobs: map[workload.State]int{}, Pending: s.Pending(), Unresolved: len(s.unresolved)}
+	d := Dump{Jobs: map[workload.State]int{}, Pending: s.Pending(), Unresolved: len(s.unresolved), Interference: s.interference.Dump(now)}
 	for id := range s.jobs {
 		state, _ := s.Lookup(id)
 		d.Jobs[state]++
--- a/internal/cluster/scheduler/fit.go
+++ b/internal/cluster/scheduler/fit.go
@@ -9,7 +9,7 @@
 )
 
 // Penalties are added to the CPU that a worker has left, in thousandths of a core, when workers are compared for the best
-// fit. Each exceeds the capacity of any worker, so a worker with a penalty is chosen only if there is none without it.
+// fit. Each exceeds the capacity of any worker and interferencePenalty, so a worker with a penalty is chosen only if there is none without it.
 const (
 	otherRackPenalty = 1 << 30 // the worker is not in the rack of the task's data
 	failedRunPenalty = 1 << 31 // a run of the task has failed on the worker
@@ -111,7 +111,7 @@
 		if !w.fits(t.unit) {
 			continue
 		}
-		left := w.free().CPUMilli + t.penalty(w, now)
+		left := w.free().CPUMilli + t.penalty(w, now) + t.unit.interferencePenalty(w, 0)
 		if best == nil || left < bestLeft {
 			best, bestLeft = w, left
 		}
--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -51,6 +51,7 @@
 		}
 	}
 	s.headroom.update(now, urgent, free, capacity)
+	s.noteRoom(free, capacity)
 }
 
 // urgent reports whether the unit's tasks are urgent in the sense of headroom.
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/interference"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
@@ -70,10 +71,11 @@
 	usesQuarantined bool
 	latestStart     time.Time // as of the last plan that considered the unit; see Scheduler.latestStart
 	nomination      nomination
-	firstReserved   time.Time // gangs only: when workers were first reserved for it; zero before
-	unplacedSince   time.Time // since when its tasks find no place; zero otherwise. See mayUseQuarantined
-	blursSince      time.Time // since when it keeps away from workers on which its start would blur a crash, without a place; or zero
-	heldBackSince   time.Time // since when reservations for gangs hold it back while none of its tasks finds a place; zero otherwise
+	firstReserved   time.Time          // gangs only: when workers were first reserved for it; zero before
+	unplacedSince   time.Time          // since when its tasks find no place; zero otherwise. See mayUseQuarantined
+	blursSince      time.Time          // since when it keeps away from workers on which its start would blur a crash, without a place; or zero
+	kind            *interference.Kind // nil if it is not known; see identifyKind
+	heldBackSince   time.Time          // since when reservations for gangs hold it back while none of its tasks finds a place; zero otherwise
 }
 
 // brokenRun is a run of a gang that lost a worker, as far as is known.
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -47,6 +47,7 @@
 	s.expireWorkers(now)
 	s.expireSilences(now)
 	s.expireLastUses(now)
+	s.interference.Sweep(now)
 	s.stopStalled(now)
 	s.stopOnDrainingWorkers(now)
 }
@@ -82,6 +83,7 @@
 	if now.Before(u.notBefore) || u.awaitsAdvice(now) && len(u.tickets) == 0 || s.startsHeldBack(u, now) {
 		return
 	}
+	s.identifyKind(u, now)
 	u.usesQuarantined = false
 	u.usesQuarantined = s.mayUseQuarantined(c, now)
 	placed := 0
@@ -211,7 +213,7 @@
 			if w.runsLeft() <= assignedTasks[w] || !free.CanFit(needed) || limit > 0 && w.countTasksOf(t.unit)+assignedTasks[w] >= limit {
 				continue
 			}
-			left := free.CPUMilli + t.penalty(w, now)
+			left := free.CPUMilli + t.penalty(w, now) + u.interferencePenalty(w, assignedTasks[w])
 			if bestWorker == nil || left < bestLeft {
 				bestWorker, bestLeft = w, left
 			}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -109,6 +109,7 @@
 		listed[runKey{a.Task, a.Run}] = true
 		s.applyActiveRun(w, a, r.SentAt, now)
 	}
+	s.observeInterference(w, r.SentAt, now)
 	if r.MoreEnded {
 		s.extendUnresolved(w.info.ID, r.LeaseUntil)
 		return applied
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/interference"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
@@ -30,6 +31,8 @@
 	Began time.Time
 	// StaleLease is the longest time for which runs may go on after a stale call has set their lease.
 	StaleLease time.Duration
+	// InterferenceAware means that tasks which slow each other down are kept apart where there is room.
+	InterferenceAware bool
 }
 
 // runsPerEpoch is the maximum number of runs of one task under one owner.
@@ -94,11 +97,14 @@
 	stops          []Stop                    // to be returned by the next plan
 	durationRatios map[string]*durationRatio // by queue name
 	approvalCounts map[string]*approvalCount // by queue name
+
+	interference   *interference.Model     // nil if it is switched off
+	progressBuffer []interference.Progress // reused by every report to avoid allocations
 }
 
 // New returns an empty scheduler.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		cfg:               cfg,
 		queues:            &queues.Config{},
 		jobs:              map[string]*job{},
@@ -120,6 +126,10 @@
 		durationRatios:    map[string]*durationRatio{},
 		approvalCounts:    map[string]*approvalCount{},
 	}
+	if cfg.InterferenceAware {
+		s.interference = interference.New()
+	}
+	return s
 }
 
 // SetQueues replaces the queue configuration. Jobs of a queue that the new configuration lacks keep the queue's previous
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/interference"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -56,7 +57,9 @@
 	expectedDemand   workload.Resources // of units that wait for an answer of the policy service
 	// expectedGangDemand is the part of expectedDemand that is due to gangs.
 	expectedGangDemand workload.Resources
-	placements         []*placement // few, so a linear search is faster than a map
+	placements         []*placement     // few, so a linear search is faster than a map
+	kinds              interference.Set // those of the placements, and of some that have gone since the last report
+	tracker            interference.Tracker
 
 	lastAppliedEnd int64 // EndedRun.Number of the last end that was applied
 	lastDurableEnd int64 // EndedRun.Number of the last end that is durable
@@ -113,6 +116,7 @@
 	lastListedAt     time.Time     // when the last report that lists the run was requested
 	unchangedFor     time.Duration // how long reports have shown the same percent
 	checkpoint       string
+	rate             *interference.Run // nil before its rate is observed
 }
 
 // free returns the resources that are neither used nor held. It may be negative while runs are being stopped.
@@ -136,6 +140,9 @@
 	if p.suspected {
 		w.suspectedRuns++
 	}
+	if p.task != nil {
+		w.kinds |= p.task.unit.kind.Bit()
+	}
 }
 
 func (w *worker) removePlacement(p *placement) {
