Store what was learned about interference and let the settings switch it on

A successor started without what its predecessor had learned, and nothing could switch the feature on.

The owner writes the model to one row of the table interference, at most every 5 s and with a commit that is made anyway, when something material has changed. A successor reads it in the background and does not write before. A damaged or newer row counts as missing. Changes are logged; three gauges and a counter show the size of the model.

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -38,6 +38,8 @@
 	MaxRowBytes   int           // the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes
 	DrainNotice   time.Duration // how long after the start of a drain new connections may still arrive
 	DrainLimit    time.Duration // how long after the start of a drain the process exits at the latest
+	// InterferenceAware means that tasks which slow each other down are kept apart where there is room.
+	InterferenceAware bool
 }
 
 // Platform is the daemon's interface to the platform, which an adapter implements.
@@ -83,7 +85,7 @@
 	processorTime clock.ProcessorFunc, log *zap.Logger, scope tally.Scope, duties *meter.Duties) *coordinator.Coordinator {
 	return coordinator.New(
 		coordinator.Config{Delegate: c.Delegate, Processors: c.Processors, Retention: c.Retention, OwnWorkers: c.OwnWorkers,
-			MaxListAge: c.MaxListAge, MaxRowBytes: c.MaxRowBytes},
+			MaxListAge: c.MaxListAge, MaxRowBytes: c.MaxRowBytes, InterferenceAware: c.InterferenceAware},
 		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, ProcessorTime: processorTime,
 			Log: log, Metrics: scope, Duties: duties},
 	)
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -30,6 +30,8 @@
 	MaxListAge time.Duration
 	// MaxRowBytes is the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes.
 	MaxRowBytes int
+	// InterferenceAware means that tasks which slow each other down are kept apart where there is room.
+	InterferenceAware bool
 }
 
 func (c Config) maxValueBytes() int { return rowstore.MaxValueBytes(c.MaxRowBytes) }
--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -89,6 +89,12 @@
 
 // runOwnerWith is runSuccessor with any list of workers and any settings of leases.
 func runOwnerWith(t *testing.T, store rowstore.Store, epoch int64, list fixedWorkers, predecessorGone bool, leases delegate.Config) *testOwner {
+	t.Helper()
+	return runOwnerConfig(t, store, epoch, list, predecessorGone, Config{Delegate: leases, Retention: time.Minute})
+}
+
+// runOwnerConfig is runOwnerWith with any settings.
+func runOwnerConfig(t *testing.T, store rowstore.Store, epoch int64, list fixedWorkers, predecessorGone bool, cfg Config) *testOwner {
 	t.Helper()
 	began := time.Now()
 	o := &testOwner{store: store, clock: func() time.Duration { return time.Hour + time.Since(began) }}
@@ -101,7 +107,7 @@
 	queueConfig := queues.NewConfigHolder()
 	queueConfig.Update(&queues.Config{Version: 1, Queues: []queues.Queue{testQueue}})
 	o.Coordinator = New(
-		Config{Delegate: leases, Retention: time.Minute},
+		cfg,
 		Deps{Store: store, Queues: queueConfig, Workers: noWorkers{&o.renewals}, PolicyClient: noPolicyHosts{}, Discovery: list, Clock: o.clock, ProcessorTime: func() time.Duration { return 0 },
 			Log: zap.NewNop(), Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -44,6 +44,7 @@
 			wait.ForOrSignal(ctx, due, t.saveRequested)
 			continue
 		}
+		batch.learned = t.takeInterference(time.Now())
 		if !t.writeBatch(ctx, batch) {
 			break
 		}
@@ -62,6 +63,7 @@
 	clocks     map[string]scheduler.ClockZero // of the workers in inUse
 	inherited  []string                       // those of inUse to which an earlier owner may still send orders
 	delegated  bool
+	learned    []byte // what is to be stored about interference; nil if the stored row is up to date
 	needed     bool
 }
 
@@ -179,7 +181,11 @@
 		changes = append(changes, c)
 	}
 	encoded, ok := t.encodeRecords(b.records)
-	return append(changes, encoded...), ok
+	changes = append(changes, encoded...)
+	if b.learned != nil {
+		changes = append(changes, t.rows.put(records.InterferenceKey, b.learned))
+	}
+	return changes, ok
 }
 
 // encodeRecords returns the rows of records. It puts new jobs into batches, and also returns the removal of finished batches.
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -81,6 +81,7 @@
 	lastListAnswer  time.Duration // when the store last answered a call for the list or its changes
 	listWasTooOld   bool
 
+	interference      interferenceRow
 	pressure          pressure
 	startedAt         time.Time
 	unresolvedWorkers int   // number of workers of earlier owners that had not reported at the last plan
@@ -97,10 +98,11 @@
 		cfg: c.cfg, deps: c.deps, ownership: ownership, predecessorGone: predecessorGone,
 		log: c.deps.Log.With(zap.Int64("epoch", ownership.Epoch())),
 		sched: scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention, Began: time.Now(),
-			StaleLease: c.cfg.Delegate.StaleLeaseBound()}),
+			StaleLease: c.cfg.Delegate.StaleLeaseBound(), InterferenceAware: c.cfg.InterferenceAware}),
 		inUse:         map[string]scheduler.WorkerUse{},
 		jobBatchIndex: newJobBatchIndex(), rows: newRowIndex(c.cfg.maxValueBytes()), inboxParts: map[string]int{}, expired: map[string]bool{},
 		meters:        newMeters(c.deps.Metrics),
+		interference:  newInterferenceRow(c.deps.Metrics),
 		pressure:      pressure{processors: c.cfg.Processors, used: c.deps.ProcessorTime},
 		startedAt:     time.Now(),
 		planRequested: make(chan struct{}, 1),
@@ -195,6 +197,7 @@
 	t.wg.Go(func() { t.runExpiry(ctx) })
 	t.wg.Go(func() { t.pressure.watch(ctx) })
 	t.wg.Go(func() { t.logUsage(ctx) })
+	t.wg.Go(func() { t.loadInterference(ctx) })
 	var nextCompletePlan time.Time // time of the next complete plan
 	for ctx.Err() == nil {
 		if t.ownership.Lost() {
@@ -326,6 +329,7 @@
 	t.logWorkerLosses()
 	t.logExpiredWorkers()
 	t.logGivenUp()
+	t.logInterference()
 	t.logEndedJobs()
 	wait.Signal(t.saveRequested)
 }
--- a/internal/cluster/interference/model.go
+++ b/internal/cluster/interference/model.go
@@ -82,7 +82,8 @@
 	sweptAt   time.Time
 	weight    float64 // see SetFreeShare
 	changes   []Change
-	unstored  bool // a pair has become or ceased to be kept apart since the last Encode
+	storedAt  time.Time // when Encode was last called
+	unstored  bool      // a pair has become or ceased to be kept apart since the last Encode
 	contrasts int64
 	buffer    vector // reused by contrast to avoid allocations
 }
--- a/internal/cluster/interference/row.go
+++ b/internal/cluster/interference/row.go
@@ -14,7 +14,8 @@
 	rowFormat = 1
 	// maxStoredPairs limits the size of the stored form. With names of any characters it stays below 48 KB.
 	maxStoredPairs = 256
-	// A pair has changed materially if its mean has moved by materialEffect, or its standard deviation by the factor materialSD.
+	// A pair has changed materially if its mean has moved by materialEffect, or its standard deviation has fallen by the factor materialSD.
+	// That it has become less certain over time needs no write, as Restore takes the age into account.
 	materialEffect = 0.05
 	materialSD     = 1.5
 	// storedScale is the number of stored units in 1.
@@ -91,7 +92,7 @@
 	for i := range m.effects {
 		for j := range m.effects[i] {
 			e := &m.effects[i][j]
-			if e.count < minContrasts {
+			if e.count < minContrasts || !e.seen.After(m.storedAt) {
 				continue
 			}
 			mean, sd := e.at(now)
@@ -99,7 +100,7 @@
 			if stored == 0 {
 				stored = priorSD
 			}
-			if math.Abs(mean-e.storedMean) > materialEffect || sd*materialSD < stored || sd > stored*materialSD {
+			if math.Abs(mean-e.storedMean) > materialEffect || sd*materialSD < stored {
 				return true
 			}
 		}
@@ -128,7 +129,7 @@
 				int64(now.Sub(p.seen).Seconds()), p.apart})
 		}
 	}
-	m.unstored = false
+	m.unstored, m.storedAt = false, now
 	data, err := json.Marshal(out)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode model")
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -34,6 +34,8 @@
 	Ended = "ended"
 	// Workers holds the workers on which an owner may have started tasks, in the owner's partition.
 	Workers = "workers"
+	// Interference holds what owners have learned about kinds of tasks that slow each other down, in the owner's partition.
+	Interference = "interference"
 	// Hosts holds the registration of each daemon, with its peer address.
 	Hosts = "hosts"
 )
@@ -123,6 +125,9 @@
 // WorkersInUseKey is the key of the row of WorkersInUse.
 var WorkersInUseKey = rowstore.Key{Table: Workers, Partition: election.Partition, Name: "used"}
 
+// InterferenceKey is the key of the only row of the table Interference.
+var InterferenceKey = rowstore.Key{Table: Interference, Partition: election.Partition, Name: "model"}
+
 // HostKey returns the key of the row of a host's daemon.
 func HostKey(host string) rowstore.Key { return rowstore.Key{Table: Hosts, Name: host} }
 
