--- a/internal/cluster/scheduler/quota_model_test.go
+++ b/internal/cluster/scheduler/quota_model_test.go
@@ -28,7 +28,8 @@
 func (m *quotaModel) submitTeamJob() {
 	i := len(m.specs)
 	small, gang, last := simpleStep(5), simpleStep(3), simpleStep(2)
-	gang.Gang, gang.Checkpointing = true, true
+	gang.Gang, gang.Checkpointing, small.Checkpointing = true, true, true
+	small.Count, small.Estimate = 5+4*(i%4), 3*time.Second
 	last.BestEffort = i%3 == 2
 	last.Resources.CPUMilli = 3000
 	spec := m.job(fmt.Sprintf("j%d", i), m.now, small, gang, last)
@@ -37,6 +38,17 @@
 	m.submit(spec)
 }
 
+// planChanged carries out a plan of changes.
+func (m *quotaModel) planChanged() {
+	p := m.PlanChanged(m.now)
+	for _, s := range p.Starts {
+		m.start(m.worker(s.Worker.ID), s)
+	}
+	for _, s := range p.Stops {
+		m.stop(m.worker(s.Worker.ID), s)
+	}
+}
+
 // setLimits puts a configuration with random limits into force. A team that is left out keeps its limits.
 func (m *quotaModel) setLimits() {
 	for _, name := range []string{"a", "b"} {
@@ -121,6 +133,8 @@
 				m.setLimits()
 			case 6, 7:
 				m.submitTeamJob()
+			case 8, 9, 10, 11:
+				m.planChanged()
 			}
 			m.step(storeDown)
 			m.checkUse()
--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -248,3 +248,86 @@
 		})
 	})
 }
+
+// Guards against a gang that keeps the quota from other jobs of its team for longer than they may wait while the team uses little of it.
+func TestGangKeepsQuotaFromOthersForAShortTime(t *testing.T) {
+	Convey("Given a team that uses two fifths of its quota for a long time, and a gang that needs four fifths of it", t, func() {
+		f := newFixture(1, 2)
+		f.limitTeam("kaje80", 10_000)
+		f.AddJob(t0, f.teamJob("long", "kaje80", t0, simpleStep(2)), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 2)
+		gang := simpleStep(4)
+		gang.Gang = true
+		f.AddJob(t0, f.teamJob("gang", "kaje80", t0, gang), nil, false)
+		f.AddJob(t0, f.teamJob("small", "kaje80", at(time.Second), simpleStep(1)), nil, false)
+		So(f.plan(at(100*time.Millisecond)).Starts, ShouldBeEmpty)
+		So(f.plan(at(1900*time.Millisecond)).Starts, ShouldBeEmpty)
+		Convey("a small job of the team starts within three seconds", func() {
+			So(f.plan(at(2200*time.Millisecond)).Starts, ShouldHaveLength, 1)
+		})
+	})
+}
+
+// Guards against runs of a job that has ended which do not count although they go on.
+func TestRunsOfEndedJobsCount(t *testing.T) {
+	Convey("Given a job whose run was given up with its worker, and that was cancelled then", t, func() {
+		f := newFixture(1, 1)
+		f.limitTeam("kaje80", 10_000)
+		f.AddJob(t0, f.teamJob("j", "kaje80", t0, simpleStep(1)), nil, false)
+		f.plan(t0)
+		f.MarkUnreachable(at(time.Second), "w0", at(2*time.Second))
+		f.plan(at(7 * time.Second))
+		So(f.teams.byName["kaje80"].used.CPUMilli, ShouldEqual, 0)
+		f.Cancel(at(7*time.Second), "j")
+		f.commit()
+		Convey("when the worker lists it again, it counts, as the whole worker since its size is forgotten, until it has ended", func() {
+			f.report("w0", at(8*time.Second))
+			So(f.teams.byName["kaje80"].used.CPUMilli, ShouldEqual, 10_000)
+			f.plan(at(8 * time.Second))
+			f.active["w0"] = nil
+			f.report("w0", at(9*time.Second))
+			So(f.teams.byName["kaje80"].used.CPUMilli, ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against quota that a nominated gang holds and that others of its team take, and against quota that is held for ever.
+func TestNominationHoldsQuota(t *testing.T) {
+	Convey("Given a gang that is nominated for workers on which less urgent runs are being stopped", t, func() {
+		f := newFixture(1, 4)
+		f.limitTeam("kaje80", 6000)
+		small := simpleStep(20)
+		small.Checkpointing, small.Estimate = true, time.Hour
+		f.queue.Priority, f.queue.TargetLatency = 2, time.Hour
+		f.AddJob(t0, f.job("others", t0, small), nil, false)
+		f.plan(t0)
+		for id := range f.active {
+			f.report(id, at(10*time.Millisecond))
+		}
+		f.queue.Priority, f.queue.TargetLatency = 1, time.Second
+		gang := simpleStep(3)
+		gang.Gang = true
+		f.AddJob(t0, f.teamJob("gang", "kaje80", t0, gang), nil, false)
+		f.plan(at(900 * time.Millisecond))
+		stops := f.plan(at(1200 * time.Millisecond)).Stops
+		team := f.teams.byName["kaje80"]
+		So(team.held.CPUMilli, ShouldEqual, 6000)
+		Convey("no other task of the team starts", func() {
+			f.queue.Priority = 0
+			f.addWorkerWithRoom(at(1300 * time.Millisecond))
+			f.AddJob(at(1300*time.Millisecond), f.teamJob("urgent", "kaje80", at(1300*time.Millisecond), simpleStep(1)), nil, false)
+			So(f.plan(at(1310*time.Millisecond)).Starts, ShouldBeEmpty)
+		})
+		Convey("the quota is free when the gang is cancelled", func() {
+			f.Cancel(at(1300*time.Millisecond), "gang")
+			So(team.held, ShouldResemble, workload.Resources{})
+			So(len(stops), ShouldBeLessThanOrEqualTo, 3)
+		})
+	})
+}
+
+// addWorkerWithRoom adds a worker on which nothing runs and that serves single tasks only, since a gang needs three places.
+func (f *fixture) addWorkerWithRoom(now time.Time) {
+	f.UpsertWorker(now, WorkerInfo{ID: "room", Service: testService, Address: "room", Capacity: workload.Resources{CPUMilli: 2000, MemoryMB: 1000}, Incarnation: 1})
+	f.report("room", now)
+}
