--- a/internal/cluster/coordinator/teams.go
+++ b/internal/cluster/coordinator/teams.go
@@ -1,10 +1,6 @@
 package coordinator
 
-import (
-	"go.uber.org/zap"
-
-	"github.com/greengagewing/greengagewing/internal/cluster/workload"
-)
+import "go.uber.org/zap"
 
 // logQuotaWaits logs the teams that begin or cease to wait for their quotas. The caller holds mu.
 func (t *term) logQuotaWaits() {
@@ -13,9 +9,8 @@
 		if q.Waiting == 0 {
 			message = "team no longer waits for its quota"
 		}
-		limit := workload.Resources{CPUMilli: q.Limit.CPUMilli, MemoryMB: q.Limit.MemoryMB, Accelerators: q.Limit.Accelerators}
 		t.log.Info(message, zap.String("team", q.Team), zap.Int("steps", q.Waiting), zap.Any("used", q.Used),
-			zap.Any("uncertain", q.Uncertain), zap.Any("limit", limit))
+			zap.Any("uncertain", q.Uncertain), zap.Any("limit", q.Limit))
 	}
 }
 
--- a/internal/cluster/scheduler/quota.go
+++ b/internal/cluster/scheduler/quota.go
@@ -253,7 +253,7 @@
 	Waiting   int // steps that wait; 0 when none does any more
 	Used      workload.Resources
 	Uncertain workload.Resources
-	Limit     queues.Quota
+	Limit     workload.Resources // 0 means no limit
 }
 
 // quotaLog is what the log says about a team.
@@ -268,7 +268,7 @@
 		waits := len(t.waiting) > 0
 		if waits != t.quotaLog.waits && now.Sub(t.quotaLog.at) >= quotaLogInterval {
 			t.quotaLog = quotaLog{waits, now}
-			s.teams.changes = append(s.teams.changes, QuotaWait{Team: t.name, Waiting: len(t.waiting), Used: t.used, Uncertain: s.uncertainUse(t), Limit: t.quota})
+			s.teams.changes = append(s.teams.changes, QuotaWait{Team: t.name, Waiting: len(t.waiting), Used: t.used, Uncertain: s.uncertainUse(t), Limit: workload.Resources(t.quota)})
 		}
 		if !waits && !t.quotaLog.waits {
 			delete(s.teams.withWaits, t)
--- a/internal/cluster/scheduler/teams.go
+++ b/internal/cluster/scheduler/teams.go
@@ -278,7 +278,7 @@
 	Name      string             `json:"name"`
 	Used      workload.Resources `json:"used"`
 	Uncertain workload.Resources `json:"uncertain"`
-	Limit     queues.Quota       `json:"limit"`
+	Limit     workload.Resources `json:"limit"` // a resource without a limit is left out
 	Weight    float64            `json:"weight"`
 	// DominantShare is the highest share of the pool's capacity of a resource that the team uses.
 	DominantShare float64 `json:"dominant_share"`
@@ -303,7 +303,7 @@
 	}
 	var out []TeamDump
 	for _, t := range s.teams.byName {
-		out = append(out, TeamDump{Name: t.name, Used: t.used, Uncertain: s.uncertainUse(t), Limit: t.quota, Weight: t.weight,
+		out = append(out, TeamDump{Name: t.name, Used: t.used, Uncertain: s.uncertainUse(t), Limit: workload.Resources(t.quota), Weight: t.weight,
 			DominantShare: s.dominantShare(t), WithinShare: within[t], BeyondShare: beyond[t], WaitingForQuota: len(t.waiting)})
 	}
 	slices.SortFunc(out, func(a, b TeamDump) int { return strings.Compare(a.Name, b.Name) })
