--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -154,6 +154,13 @@
 				So(f.reservations, ShouldBeEmpty)
 			}
 		})
+		Convey("no more runs are stopped for several long-running steps than the quota lets start", func() {
+			small, large := simpleStep(1), simpleStep(1)
+			small.LongRunning, large.LongRunning, large.Resources.CPUMilli = true, true, 4000
+			f.AddJob(t0, f.teamJob("small", "kaje80", t0, small), nil, false)
+			f.AddJob(t0, f.teamJob("small2", "kaje80", t0, large), nil, false)
+			So(f.plan(at(20*time.Millisecond)).Stops, ShouldHaveLength, 1) // none for the large one beside the small one
+		})
 		Convey("no more runs are stopped for a long-running step than the quota lets start", func() {
 			wide.LongRunning = true
 			f.AddJob(t0, f.teamJob("service", "kaje80", t0, wide), nil, false)
@@ -259,6 +266,7 @@
 		gang := simpleStep(4)
 		gang.Gang = true
 		f.AddJob(t0, f.teamJob("gang", "kaje80", t0, gang), nil, false)
+		f.queue.Priority = 2
 		f.AddJob(t0, f.teamJob("small", "kaje80", at(time.Second), simpleStep(1)), nil, false)
 		So(f.plan(at(100*time.Millisecond)).Starts, ShouldBeEmpty)
 		So(f.plan(at(1900*time.Millisecond)).Starts, ShouldBeEmpty)
@@ -318,6 +326,11 @@
 			f.AddJob(at(1300*time.Millisecond), f.teamJob("urgent", "kaje80", at(1300*time.Millisecond), simpleStep(1)), nil, false)
 			So(f.plan(at(1310*time.Millisecond)).Starts, ShouldBeEmpty)
 		})
+		Convey("the gang gives its nomination up when the limit is lowered", func() {
+			f.limitTeam("kaje80", 4000)
+			f.plan(at(1300 * time.Millisecond))
+			So(team.held, ShouldResemble, workload.Resources{})
+		})
 		Convey("the quota is free when the gang is cancelled", func() {
 			f.Cancel(at(1300*time.Millisecond), "gang")
 			So(team.held, ShouldResemble, workload.Resources{})
