--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -57,10 +57,10 @@
 
 	// reservedDescriptors are kept for files.
 	reservedDescriptors = 200
-	// outgoingShare and peerShare are the parts of the descriptors for connections to the store, workers and peers, and for peers'
-	// connections to this process.
-	outgoingShare = 4
-	peerShare     = 4
+	// Parts of the other descriptors, in eighths: for connections to the store, workers and peers, and for those of peers to this process. An
+	// owner has hundreds of peers with several connections each.
+	outgoingEighths       = 2
+	peerConnectionEighths = 3
 	// readinessConnections is enough for several balancers and operators.
 	readinessConnections = 32
 	// minConnections keeps a listener usable on a machine with very low limits.
@@ -91,8 +91,8 @@
 	}
 	memory := int64(memoryMB) << 20
 	usable := max(descriptors-reservedDescriptors, 0)
-	peers := usable / peerShare
-	callers := usable - usable/outgoingShare - peers - readinessConnections
+	peers := usable * peerConnectionEighths / eighths
+	callers := usable - usable*outgoingEighths/eighths - peers - readinessConnections
 	byMemory := int(memory / connectionShare / connectionBytes)
 	return Limits{
 		BodyBytes:   memory / bodyShare,
