--- a/internal/cluster/rowstore/silence.go
+++ b/internal/cluster/rowstore/silence.go
@@ -12,6 +12,17 @@
 // each of which is answered at least every 0.8 s.
 const outageSilence = time.Second
 
+// responseHook is the key of the function in a context that NoteResponse calls.
+type responseHook struct{}
+
+// NoteResponse is called by a Store when the answer to a call begins to arrive, with the context of the call. A large answer takes a while
+// on a slow link.
+func NoteResponse(ctx context.Context) {
+	if note, ok := ctx.Value(responseHook{}).(func()); ok {
+		note()
+	}
+}
+
 // RecoveringStore is a Store that notices the end of an outage in which the store was silent. Reads and feeds that were sent before then
 // may never be answered; they fail with ErrUnavailable as soon as the store has answered a later call, so that their callers repeat them
 // without waiting for the timeout. Commits are not cut; see AdaptiveStore.
@@ -27,6 +38,8 @@
 type query struct {
 	sentAt time.Time
 	cut    context.CancelFunc
+	// responding is set once the answer has begun to arrive; the query is not cut any more.
+	responding bool
 }
 
 // NewRecoveringStore wraps the store s.
@@ -63,12 +76,20 @@
 func (r *RecoveringStore) begin(ctx context.Context) (context.Context, *query) {
 	ctx, cancel := context.WithCancel(ctx)
 	q := &query{sentAt: time.Now(), cut: cancel}
+	ctx = context.WithValue(ctx, responseHook{}, func() { r.noteResponse(q) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inProgress[q] = struct{}{}
 	return ctx, q
 }
 
+// noteResponse records that the answer to a query has begun to arrive.
+func (r *RecoveringStore) noteResponse(q *query) {
+	r.mu.Lock()
+	q.responding = true
+	r.mu.Unlock()
+}
+
 // end records that a query is over, and whether the store has answered it.
 func (r *RecoveringStore) end(q *query, answered bool) {
 	q.cut()
@@ -91,7 +112,7 @@
 		return
 	}
 	for q := range r.inProgress {
-		if q.sentAt.Before(sentAt) {
+		if q.sentAt.Before(sentAt) && !q.responding {
 			q.cut()
 		}
 	}
