--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -267,3 +267,31 @@
 	}
 	return n, err
 }
+
+// fullGate returns a Gate whose listener for callers has all connections that it may have.
+func fullGate(limit int) (*Gate, net.Conn) {
+	l := DefaultLimits(144, 3075)
+	l.Connections[Callers] = limit
+	g := New(l, tally.NoopScope, zap.NewNop())
+	server, _ := net.Pipe()
+	for range limit {
+		g.add(Callers, server)
+	}
+	return g, server
+}
+
+// BenchmarkReplaceConnection measures what a new connection costs beyond the limit.
+func BenchmarkReplaceConnection(b *testing.B) {
+	g, server := fullGate(1024)
+	for b.Loop() {
+		g.add(Callers, server)
+	}
+}
+
+// BenchmarkSweep measures a look at all connections.
+func BenchmarkSweep(b *testing.B) {
+	g, _ := fullGate(1024)
+	for b.Loop() {
+		g.sweep(sweepInterval)
+	}
+}
