Refuse jobs that would end too late to be of use

Cause: in an overload jobs were accepted that started only after the others and ended after more than three times their objective. Change: where the settings list the contract pressure, the owner computes every 0.2 s from its waiting work and from the rates at which it starts work how long a new job of each queue will wait, and sends that with its answers to lookups and notifications. Hosts refuse with 429 and a spread Retry-After what would end after three times its objective, with a margin of 1.6 (4 for the first priority), by a digest of at most 1 s, not while workers are free, and not a job that is stored already.

--- a/internal/cluster/app/app.go
+++ b/internal/cluster/app/app.go
@@ -41,6 +41,7 @@
 	KeysRequired  bool           // callers need API keys even if the operator's configuration has no teams
 	Ingress       ingress.Limits // limits for clients
 	ConfigAge     configage.Limits
+	Forecast      bool          // jobs that would end too late to be of use are refused
 	DrainNotice   time.Duration // how long after the start of a drain new connections may still arrive
 	DrainLimit    time.Duration // how long after the start of a drain the process exits at the latest
 }
@@ -100,14 +101,14 @@
 	processorTime clock.ProcessorFunc, log *zap.Logger, scope tally.Scope, duties *meter.Duties) *coordinator.Coordinator {
 	return coordinator.New(
 		coordinator.Config{Delegate: c.Delegate, Processors: c.Processors, Retention: c.Retention, OwnWorkers: c.OwnWorkers,
-			MaxListAge: c.MaxListAge, MaxRowBytes: c.MaxRowBytes},
+			MaxListAge: c.MaxListAge, MaxRowBytes: c.MaxRowBytes, Forecast: c.Forecast},
 		coordinator.Deps{Store: store, Queues: h, Workers: p, PolicyClient: a, Discovery: p, Clock: since, ProcessorTime: processorTime,
 			Log: log, Metrics: scope, Duties: duties},
 	)
 }
 
 func newFrontend(cfg Config, store *rowstore.AdaptiveStore, c *coordinator.Coordinator, w *election.Watch, r *peers.Roster, pc *peers.Client, self election.Identity,
-	log *zap.Logger, scope tally.Scope) *frontend.JobService {
+	since clock.Func, log *zap.Logger, scope tally.Scope) *frontend.JobService {
 	return frontend.New(frontend.Deps{Store: store, Coordinator: c, Watch: w, Roster: r, Peers: pc, Self: self, Log: log, Metrics: scope,
-		MaxRowBytes: cfg.MaxRowBytes})
+		Clock: since, MaxRowBytes: cfg.MaxRowBytes})
 }
--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -30,6 +30,8 @@
 	MaxListAge time.Duration
 	// MaxRowBytes is the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes.
 	MaxRowBytes int
+	// Forecast lets the owner compute which queues are overloaded, so that hosts refuse jobs that would end too late to be of use.
+	Forecast bool
 }
 
 func (c Config) maxValueBytes() int { return rowstore.MaxValueBytes(c.MaxRowBytes) }
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -81,6 +81,7 @@
 	lastListAnswer  time.Duration // when the store last answered a call for the list or its changes
 	listWasTooOld   bool
 
+	forecast          timedDigest
 	pressure          pressure
 	startedAt         time.Time
 	unresolvedWorkers int   // number of workers of earlier owners that had not reported at the last plan
@@ -107,6 +108,9 @@
 		saveRequested: make(chan struct{}, 1),
 	}
 	t.listConfirmedAt, t.lastListAnswer = t.deps.Clock(), t.deps.Clock()
+	if t.cfg.Forecast {
+		t.sched.EnableForecast()
+	}
 	t.advice = newAdviceDispatcher(t)
 	t.assigner = newAssigner(ctx, t)
 	return t
@@ -234,6 +238,7 @@
 	t.updateUnresolved(now)
 	t.sched.AdaptStarts(now, t.pressure.Level())
 	t.sendOrders(ctx, t.sched.Plan(now))
+	t.updateForecast(now)
 	t.meters.plans.Record("complete", now)
 }
 
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
+	"github.com/greengagewing/greengagewing/internal/cluster/clock"
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/meter"
@@ -60,7 +61,8 @@
 	Self        election.Identity
 	Log         *zap.Logger
 	Metrics     tally.Scope
-	MaxRowBytes int // the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes
+	Clock       clock.Func // also counts while the host is suspended; nil if there is none
+	MaxRowBytes int        // the store's limit for the value of a row; 0 means rowstore.DefaultMaxRowBytes
 }
 
 // JobService accepts, cancels and looks up jobs for the callers of one host.
@@ -74,6 +76,7 @@
 	routeHealth routeHealth
 	breaker     breaker
 	ownerBusy   ownerBusy
+	admission   *admission
 	// peersFailedUntil is until when no peer is asked to store a change during an outage, in nanoseconds since 1970.
 	peersFailedUntil atomic.Int64
 
@@ -91,7 +94,7 @@
 func New(d Deps) *JobService {
 	return &JobService{
 		Deps: d, pendingCounts: map[string]pendingCount{}, notifySlots: make(chan struct{}, maxNotifications), routeHealth: newRouteHealth(),
-		breaker: breaker{store: d.Store, log: d.Log},
+		breaker: breaker{store: d.Store, log: d.Log}, admission: newAdmission(d.Clock, d.Log),
 		submits: meter.NewCalls(d.Metrics, "submit"), cancels: meter.NewCalls(d.Metrics, "cancel"), lookups: meter.NewCalls(d.Metrics, "lookup"),
 	}
 }
@@ -107,6 +110,10 @@
 	if !records.Storable(len(value), rowstore.MaxValueBytes(s.MaxRowBytes)) {
 		return errors.Wrapf(ErrTooLarge, "%d bytes", len(value))
 	}
+	if err := s.refuseIfOverloaded(ctx, spec, access); err != nil {
+		s.submits.Record("overloaded", began)
+		return err
+	}
 	outcome, err := s.storeChange(ctx, change{
 		id: spec.ID,
 		storeLocal: func(alternative int) (peers.StoreOutcome, error) {
@@ -118,7 +125,9 @@
 	})
 	if outcome == peers.Stored {
 		s.Coordinator.NotifyJobStored(spec)
-		s.notifyOwner(func(ctx context.Context, addr string) (bool, error) { return s.Peers.NotifyJobStored(ctx, addr, spec) })
+		s.notifyOwner(func(ctx context.Context, addr string) (peers.TakeAnswer, error) {
+			return s.Peers.NotifyJobStored(ctx, addr, spec)
+		})
 	}
 	s.submits.Record(string(outcome), began)
 	return outcomeError(outcome, err)
@@ -136,7 +145,9 @@
 	})
 	if outcome == peers.Stored {
 		s.Coordinator.NotifyCancelStored(id)
-		s.notifyOwner(func(ctx context.Context, addr string) (bool, error) { return s.Peers.NotifyCancelStored(ctx, addr, id) })
+		s.notifyOwner(func(ctx context.Context, addr string) (peers.TakeAnswer, error) {
+			return s.Peers.NotifyCancelStored(ctx, addr, id)
+		})
 	}
 	s.cancels.Record(string(outcome), began)
 	return outcomeError(outcome, err)
@@ -145,7 +156,7 @@
 // notifyOwner sends a stored change to the owner, so that the owner sees it before its change feed delivers it. Failed calls
 // are not retried, since the feed delivers the change anyway. At most maxNotifications calls are in progress; beyond that no
 // call is made, nor while the owner is busy.
-func (s *JobService) notifyOwner(notify func(ctx context.Context, addr string) (busy bool, err error)) {
+func (s *JobService) notifyOwner(notify func(ctx context.Context, addr string) (peers.TakeAnswer, error)) {
 	owner := s.Watch.View().Owner
 	if owner.Addr == "" || owner.BootID == s.Self.BootID || s.ownerBusy.at(owner.BootID, time.Now()) {
 		return
@@ -159,8 +170,12 @@
 		defer func() { <-s.notifySlots }()
 		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 		defer cancel()
-		busy, err := notify(ctx, owner.Addr)
-		s.ownerBusy.record(owner.BootID, busy, time.Now())
+		sentAt := s.admission.now()
+		a, err := notify(ctx, owner.Addr)
+		s.ownerBusy.record(owner.BootID, a.OwnerBusy, time.Now())
+		if err == nil {
+			s.admission.record(a.Forecast, sentAt)
+		}
 		if err != nil {
 			s.Log.Debug("failed to notify the owner, its change feed will deliver the change", zap.String("owner", owner.Host), asynclog.Error(err))
 		}
@@ -221,7 +236,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
+	sentAt := s.admission.now()
 	a, err := s.Peers.Lookup(callCtx, owner.Addr, id, access)
+	if err == nil {
+		s.admission.record(a.Forecast, sentAt)
+	}
 	s.ownerBusy.record(owner.BootID, a.OwnerBusy, time.Now())
 	if a.StoreSilentMS > 0 {
 		s.breaker.checkHint(time.Duration(a.StoreSilentMS) * time.Millisecond)
--- a/internal/cluster/peers/client.go
+++ b/internal/cluster/peers/client.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
+	"github.com/greengagewing/greengagewing/internal/cluster/forecast"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/wire"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
@@ -56,6 +57,8 @@
 	OwnerBusy bool `json:"busy,omitempty"`
 	// StoreSilentMS is for how many milliseconds the store has answered none of the owner's calls, if that is unusually long.
 	StoreSilentMS int64 `json:"store_silent_ms,omitempty"`
+	// Forecast tells which queues are overloaded.
+	Forecast *forecast.Digest `json:"forecast,omitempty"`
 }
 
 type pendingRequest struct {
@@ -82,8 +85,10 @@
 	Cancel string         `json:"cancel,omitempty"`
 }
 
-type takeAnswer struct {
-	OwnerBusy bool `json:"busy,omitempty"` // as in a LookupAnswer
+// TakeAnswer is the owner's answer to a notification. The fields are those of a LookupAnswer.
+type TakeAnswer struct {
+	OwnerBusy bool             `json:"busy,omitempty"`
+	Forecast  *forecast.Digest `json:"forecast,omitempty"`
 }
 
 // offerRequest offers the ownership of the process with this BootID to a peer; see Client.OfferOwnership.
@@ -161,21 +166,20 @@
 	return a.BootID, a.Owner, err
 }
 
-// NotifyJobStored notifies the owner of a stored job, so that the owner sees it before its change feed delivers it. It reports whether
-// the owner is busy, as in a LookupAnswer.
-func (c *Client) NotifyJobStored(ctx context.Context, addr string, spec *workload.Spec) (busy bool, err error) {
+// NotifyJobStored notifies the owner of a stored job, so that the owner sees it before its change feed delivers it.
+func (c *Client) NotifyJobStored(ctx context.Context, addr string, spec *workload.Spec) (TakeAnswer, error) {
 	return c.take(ctx, addr, takeRequest{Job: spec})
 }
 
-// NotifyCancelStored notifies the owner of a stored cancellation. It reports whether the owner is busy.
-func (c *Client) NotifyCancelStored(ctx context.Context, addr, id string) (busy bool, err error) {
+// NotifyCancelStored notifies the owner of a stored cancellation.
+func (c *Client) NotifyCancelStored(ctx context.Context, addr, id string) (TakeAnswer, error) {
 	return c.take(ctx, addr, takeRequest{Cancel: id})
 }
 
-func (c *Client) take(ctx context.Context, addr string, r takeRequest) (busy bool, err error) {
-	var a takeAnswer
-	err = c.call(ctx, addr, takePath, r, &a)
-	return a.OwnerBusy, err
+func (c *Client) take(ctx context.Context, addr string, r takeRequest) (TakeAnswer, error) {
+	var a TakeAnswer
+	err := c.call(ctx, addr, takePath, r, &a)
+	return a, err
 }
 
 // OfferOwnership asks a peer to claim the ownership from the process with this bootID, unless that process commits a
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -140,7 +140,8 @@
 		writeError(c, err)
 		return
 	}
-	c.PureJSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy(), s.coordinator.StoreSilence().Milliseconds()})
+	digest, _ := s.coordinator.Forecast() // nil if this host is no longer the owner
+	c.PureJSON(http.StatusOK, LookupAnswer{known, state, s.coordinator.Busy(), s.coordinator.StoreSilence().Milliseconds(), digest})
 }
 
 func (s *Server) pending(c *gin.Context) {
@@ -195,7 +196,8 @@
 	if in.Cancel != "" {
 		s.coordinator.NotifyCancelStored(in.Cancel)
 	}
-	c.PureJSON(http.StatusOK, takeAnswer{s.coordinator.Busy()})
+	digest, _ := s.coordinator.Forecast() // nil if this host is no longer the owner
+	c.PureJSON(http.StatusOK, TakeAnswer{s.coordinator.Busy(), digest})
 }
 
 // explain shows operators why a job is waiting. Only the owner can answer this.
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/forecast"
 	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
@@ -53,6 +54,7 @@
 	capacity         workload.Resources // of the workers without quarantine when the headroom was last updated
 	quarantined      int                // workers in quarantine when the headroom was last updated
 	startLimiter     startLimiter
+	forecast         *forecast.Meter // nil unless enabled
 	reservations     reservations    // workers reserved for gangs that did not fit, since the last complete plan began
 	lowUseServices   map[string]bool // by service, since the last complete plan began; see lowUse
 	stopLatency      stopLatency
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -182,6 +182,7 @@
 		u.job.firstStart = now
 	}
 	s.headroom.free -= p.resources.CPUMilli
+	s.noteForecastStart(u, now)
 	if s.limitsStarts(u) {
 		s.startLimiter.record()
 	}
