--- a/internal/cluster/forecast/forecast.go
+++ b/internal/cluster/forecast/forecast.go
@@ -22,6 +22,8 @@
 	firstSafetyFactor = 4
 	// rateWindow is the time constant of the average rate at which work is started.
 	rateWindow = 2 * time.Second
+	// usableShare is the share of a full pool's processors on which tasks run; the rest is too small for them or waits for reports.
+	usableShare = 0.8
 	// minRateShare is the least rate at which the work of a class is expected to start, as a share of the capacity.
 	minRateShare = 0.02
 	// freeShare is the share of a service's processors from which its workers count as free for all jobs, and minFreeShare that from which
@@ -119,7 +121,7 @@
 }
 
 // Digest returns the digest for the work that waits, or nil if no class waits for long or all services have free workers. The works are those
-// of all classes with waiting tasks; beyond names the teams that send more than their share.
+// of all classes, also of those without waiting tasks; beyond names the teams that send more than their share.
 func (m *Meter) Digest(now time.Time, works []Work, pools map[string]Pool, beyond []string) *Digest {
 	m.update(now)
 	d := &Digest{Free: map[string]workload.Resources{}}
@@ -129,9 +131,10 @@
 		if pool.CPUMilli <= 0 || float64(pool.FreeCPUMilli) >= freeShare*float64(pool.CPUMilli) {
 			continue
 		}
-		ahead := workAhead(w, works)
-		inTime := m.wait(part{w.Class, false}, pool, ahead+w.InTime)
-		late := min(inTime+m.wait(part{w.Class, true}, pool, w.Late), maxWait)
+		ahead, rateAhead := m.ahead(w, works)
+		inTimePart, latePart := part{w.Class, false}, part{w.Class, true}
+		inTime := m.wait(inTimePart, pool, rateAhead, ahead+w.InTime)
+		late := min(inTime+m.wait(latePart, pool, rateAhead+m.rates[inTimePart], w.Late), maxWait)
 		if late < minWait {
 			continue
 		}
@@ -160,22 +163,22 @@
 	return d
 }
 
-// workAhead returns the work of the service that is planned before that of the class.
-func workAhead(w Work, works []Work) time.Duration {
-	ahead := time.Duration(0)
+// ahead returns the waiting work of the service that is planned before that of the class, and the rate at which such work is started.
+func (m *Meter) ahead(w Work, works []Work) (work time.Duration, rate float64) {
 	for _, o := range works {
 		if o.Service == w.Service && (!o.Beyond && w.Beyond || o.Beyond == w.Beyond && o.Priority < w.Priority) {
-			ahead += o.InTime + o.Late
+			work += o.InTime + o.Late
+			rate += m.rates[part{o.Class, false}] + m.rates[part{o.Class, true}]
 		}
 	}
-	return ahead
+	return work, rate
 }
 
-// wait returns how long the work takes to start. It gets the rate at which work of its part has started lately: that is what more urgent work
-// leaves to it. Late work gets only what new jobs of its class leave, too.
-func (m *Meter) wait(p part, pool Pool, work time.Duration) time.Duration {
+// wait returns how long the work of a part takes to start: at the rate at which such work has started lately, or at what work that is planned
+// before it leaves of the pool, if that is more. The second one holds for classes and owners without a past.
+func (m *Meter) wait(p part, pool Pool, rateAhead float64, work time.Duration) time.Duration {
 	processors := float64(pool.CPUMilli) / 1000
-	rate := max(m.rates[p], minRateShare*processors)
+	rate := max(m.rates[p], usableShare*processors-rateAhead, minRateShare*processors)
 	return time.Duration(min(float64(work)/rate, float64(maxWait)))
 }
 
--- a/internal/cluster/forecast/forecast_test.go
+++ b/internal/cluster/forecast/forecast_test.go
@@ -217,3 +217,27 @@
 		}
 	}
 }
+
+// Guards against refusals by an owner that has just begun: it knows what waits, but not yet at which rate work starts.
+func TestNewOwnerExpectsTheWholePool(t *testing.T) {
+	works := []Work{{Class: Class{Queue: "q"}, Service: "s", Priority: 1, InTime: 200 * time.Second, Late: 100 * time.Second, Scale: 1}}
+	d := NewMeter().Digest(time.Unix(1_700_000_000, 0), works, map[string]Pool{"s": {CPUMilli: 1000 * testProcessors}}, nil)
+	if wait, refuse := d.Refuses(Job{Queue: "q", Service: "s", TargetLatency: testTarget, SlackFactor: testSlack, Path: time.Second}, 0); refuse {
+		t.Errorf("a job that waits for 300 s of work on %d processors is refused, with an expected wait of %s", testProcessors, wait)
+	}
+}
+
+// Guards against refusals of teams within their shares because of the work of others that is beyond theirs.
+func TestWorkBeyondSharesIsRefusedFirst(t *testing.T) {
+	works := []Work{
+		{Class: Class{Queue: "q"}, Service: "s", Priority: 1, InTime: 10 * time.Second, Scale: 1},
+		{Class: Class{Queue: "q", Beyond: true}, Service: "s", Priority: 1, InTime: 4000 * time.Second, Scale: 1},
+	}
+	d := NewMeter().Digest(time.Unix(1_700_000_000, 0), works, map[string]Pool{"s": {CPUMilli: 1000 * testProcessors}}, []string{"hot"})
+	for team, want := range map[string]bool{"hot": true, "other": false, "": false} {
+		j := Job{Queue: "q", Service: "s", Team: team, TargetLatency: testTarget, SlackFactor: testSlack, Path: time.Second}
+		if _, refuse := d.Refuses(j, 0); refuse != want {
+			t.Errorf("team %q is refused: %v, want %v", team, refuse, want)
+		}
+	}
+}
--- a/internal/cluster/scheduler/forecast.go
+++ b/internal/cluster/scheduler/forecast.go
@@ -32,6 +32,10 @@
 // after a complete plan, so that what the workers have free is not about to be taken.
 func (s *Scheduler) Forecast(now time.Time) *forecast.Digest {
 	byClass := map[forecast.Class]*forecast.Work{}
+	for _, q := range s.queues.Queues { // what is started of queues without waiting work counts as well
+		c := forecast.Class{Queue: q.Name}
+		byClass[c] = &forecast.Work{Class: c, Service: q.Service, Priority: q.Priority, First: q.Priority <= s.queues.FirstPriority(), Scale: 1}
+	}
 	var beyond []string
 	for u := range s.open {
 		waiting := u.tasks.countWaiting(now)
@@ -41,9 +45,10 @@
 		w := byClass[u.forecastClass()]
 		if w == nil {
 			w = &forecast.Work{Class: u.forecastClass(), Service: u.job.queue.Service, Priority: u.job.queue.Priority,
-				First: u.job.queue.Priority <= s.queues.FirstPriority(), Scale: s.durationScale(u.job)}
+				First: u.job.queue.Priority <= s.queues.FirstPriority()}
 			byClass[w.Class] = w
 		}
+		w.Scale = s.durationScale(u.job)
 		work := time.Duration(waiting) * s.processorTime(u)
 		if now.After(s.latestStart(u)) {
 			w.Late += work
