--- a/internal/cluster/frontend/admission.go
+++ b/internal/cluster/frontend/admission.go
@@ -90,7 +90,8 @@
 }
 
 // refuseIfOverloaded returns an OverloadedError if the job would end too late to be of use. A job that was accepted before is not refused, nor
-// one of which that can't be found out: its caller comes back because the answer was lost, and a refusal would be false.
+// one of which that can't be found out: its caller comes back because the answer was lost, and a refusal would be false. While
+// the store is slow, an earlier attempt of the caller, whose outcome it does not know, may still be on its way, so nothing is refused.
 func (s *JobService) refuseIfOverloaded(ctx context.Context, spec *workload.Spec, access workload.Access) error {
 	if d, err := s.Coordinator.Forecast(); err == nil {
 		s.admission.record(d, s.admission.now())
@@ -100,7 +101,7 @@
 		return nil
 	}
 	wait, refuse := s.admission.refuses(j)
-	if !refuse {
+	if !refuse || s.storeSlow() {
 		return nil
 	}
 	checkCtx, cancel := context.WithTimeout(ctx, refusalCheckTimeout)
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -294,13 +294,18 @@
 	return "", ErrNoSuchJob
 }
 
-// slowReadLatency is the latency of the store from which reads that belong together are sent at once. Ordinary reads take 6 ms, and most
-// lookups need the first one only.
-const slowReadLatency = 50 * time.Millisecond
+// slowLatency is the latency of the store from which it counts as slow, so that reads that belong together are sent at once. Ordinary reads
+// take 6 ms, and most lookups need the first one only.
+const slowLatency = 50 * time.Millisecond
+
+func (s *JobService) storeSlow() bool {
+	r, ok := s.Store.(silenceReporter)
+	return ok && r.Latency() >= slowLatency
+}
 
 // overlapped returns a function that carries out one of n reads. While the store is slow, all of them are sent at once.
 func overlapped[T any](s *JobService, n int, read func(i int) T) func(i int) T {
-	if r, ok := s.Store.(silenceReporter); !ok || r.Latency() < slowReadLatency {
+	if !s.storeSlow() {
 		return read
 	}
 	results := make([]chan T, n)
--- a/internal/cluster/frontend/load_test.go
+++ b/internal/cluster/frontend/load_test.go
@@ -10,12 +10,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/coordinator"
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
+	"github.com/greengagewing/greengagewing/internal/cluster/forecast"
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
@@ -133,3 +136,24 @@
 		time.Sleep(2 * time.Second) // let probes end
 	})
 }
+
+// Guards against the refusal of a job of which an earlier attempt is still on its way to a slow store.
+func TestNothingIsRefusedWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Deps{Store: rowstore.NewAdaptiveStore(slowReads{rowstore.NewMemory()}, nil), Roster: peers.NewRoster(zap.NewNop()),
+			Watch: election.NewWatch(zap.NewNop()), Coordinator: coordinator.New(coordinator.Config{}, coordinator.Deps{}), Log: zap.NewNop(), Metrics: tally.NoopScope})
+		time.Sleep(time.Millisecond)
+		f.admission.record(&forecast.Digest{Queues: []forecast.Queue{{Name: "q", InTimeMS: 60_000, LateMS: 60_000, Scale: 1}}}, f.admission.now())
+		spec := func(id string) *workload.Spec {
+			return &workload.Spec{ID: id, Queue: queues.Queue{Name: "q", TargetLatency: time.Second}, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{CPUMilli: 100}}}}
+		}
+		var overloaded *OverloadedError
+		if err := f.Submit(t.Context(), spec("0000000000000001"), workload.Access{}); !errors.As(err, &overloaded) {
+			t.Errorf("a job before the first slow answer: %v, want a refusal", err)
+		}
+		if err := f.Submit(t.Context(), spec("0000000000000002"), workload.Access{}); err != nil {
+			t.Errorf("a job while the store is slow: %v", err)
+		}
+		time.Sleep(2 * time.Second) // let probes end
+	})
+}
