--- a/internal/cluster/coordinator/coordinator.go
+++ b/internal/cluster/coordinator/coordinator.go
@@ -32,6 +32,8 @@
 	MaxRowBytes int
 	// Forecast lets the owner compute which queues are overloaded, so that hosts refuse jobs that would end too late to be of use.
 	Forecast bool
+	// InterferenceAware means that tasks which slow each other down are kept apart where there is room.
+	InterferenceAware bool
 }
 
 func (c Config) maxValueBytes() int { return rowstore.MaxValueBytes(c.MaxRowBytes) }
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -44,6 +44,7 @@
 			wait.ForOrSignal(ctx, due, t.saveRequested)
 			continue
 		}
+		batch.learned = t.takeInterference(time.Now())
 		if !t.writeBatch(ctx, batch) {
 			break
 		}
@@ -61,6 +62,7 @@
 	clocks     map[string]scheduler.ClockZero // of the workers in inUse
 	inherited  []string                       // those of inUse to which an earlier owner may still send orders
 	delegated  bool
+	learned    []byte // what is to be stored about interference; nil if the stored row is up to date
 	needed     bool
 }
 
@@ -181,6 +183,9 @@
 		c.inUse, c.inherited, c.delegated = b.inUse, len(b.inherited) > 0, b.delegated
 		changes = append(changes, c)
 	}
+	if b.learned != nil {
+		changes = append(changes, t.rows.put(records.InterferenceKey, b.learned))
+	}
 	return changes, true
 }
 
--- a/internal/cluster/scheduler/dump.go
+++ b/internal/cluster/scheduler/dump.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagewing/greengagewing/internal/cluster/interference"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -15,6 +16,8 @@
 	Workers    []WorkerDump           `json:"workers"`
 	Waiting    []UnitDump             `json:"waiting"`
 	Teams      []TeamDump             `json:"teams,omitempty"`
+	// Interference is nil if it is switched off.
+	Interference *interference.Dump `json:"interference,omitempty"`
 }
 
 // WorkerDump is the state of one worker.
@@ -41,7 +44,8 @@
 
 // Dump returns a snapshot of the state.
 func (s *Scheduler) Dump(now time.Time) Dump {
-	d := Dump{Jobs: map[workload.State]int{}, Pending: s.Pending(), Unresolved: len(s.unresolved), Teams: s.dumpTeams()}
+	d := Dump{Jobs: map[workload.State]int{}, Pending: s.Pending(), Unresolved: len(s.unresolved), Teams: s.dumpTeams(),
+		Interference: s.interference.Dump(now)}
 	for id := range s.jobs {
 		state, _ := s.Lookup(id)
 		d.Jobs[state]++
@@ -77,6 +81,9 @@
 	case len(s.approvedWorkers(u, now, now)) == 0:
 		return "no worker may run it now"
 	}
+	if u.beyondShare() {
+		return "no room, and the job is beyond the share of its team"
+	}
 	return "no room"
 }
 
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -30,7 +30,9 @@
 	Connections [listenerCount]int
 	// ReceiveBuffer is the size in bytes of the kernel's receive buffer of a connection. Unread bytes there are memory of the machine.
 	ReceiveBuffer int
-	Progress      Progress
+	// SendBuffer is the same for sending. It holds answers that the client does not read.
+	SendBuffer int
+	Progress   Progress
 }
 
 // Progress is the progress that a client has to make with a body or an answer.
@@ -55,10 +57,10 @@
 
 	// reservedDescriptors are kept for files.
 	reservedDescriptors = 200
-	// outgoingShare and peerShare are the parts of the descriptors for connections to the store, workers and peers, and for peers'
-	// connections to this process.
-	outgoingShare = 4
-	peerShare     = 4
+	// Parts of the other descriptors, in eighths: for connections to the store, workers and peers, and for those of peers to this process. An
+	// owner has hundreds of peers with several connections each.
+	outgoingEighths       = 2
+	peerConnectionEighths = 3
 	// readinessConnections is enough for several balancers and operators.
 	readinessConnections = 32
 	// minConnections keeps a listener usable on a machine with very low limits.
@@ -70,6 +72,8 @@
 
 	// receiveBuffer holds several ordinary bodies, and lets a client send 256 kB in eight round trips.
 	receiveBuffer = 32 << 10
+	// sendBuffer holds two of the largest segments of the loopback interface. Large answers stall for 40 ms at a time if it holds less than one.
+	sendBuffer = 128 << 10
 
 	// smallBody is the largest body, in bytes, that may use the whole share of its listener. Ordinary jobs have 4 kB.
 	smallBody = 16 << 10
@@ -87,8 +91,8 @@
 	}
 	memory := int64(memoryMB) << 20
 	usable := max(descriptors-reservedDescriptors, 0)
-	peers := usable / peerShare
-	callers := usable - usable/outgoingShare - peers - readinessConnections
+	peers := usable * peerConnectionEighths / eighths
+	callers := usable - usable*outgoingEighths/eighths - peers - readinessConnections
 	byMemory := int(memory / connectionShare / connectionBytes)
 	return Limits{
 		BodyBytes:   memory / bodyShare,
@@ -99,6 +103,7 @@
 			Readiness: readinessConnections,
 		},
 		ReceiveBuffer: receiveBuffer,
+		SendBuffer:    sendBuffer,
 		Progress: Progress{
 			StallTimeout: 10 * time.Second, Grace: 10 * time.Second, MinRate: 1 << 10, BodyDeadline: time.Minute,
 			AnswerTimeout: 10 * time.Second, PressureTimeout: 3 * time.Second,
