Reject a digest that is too long instead of panicking

Cause: hex.Decode panics if the text is longer than a digest, so a damaged answer of another host ended the process that had asked for its configuration. Change: KeyDigest.UnmarshalText checks the length first. Result: TestDigestsOfWrongLengthAreRejected panicked before, passes now.

--- a/internal/cluster/queues/queues_test.go
+++ b/internal/cluster/queues/queues_test.go
@@ -36,3 +36,13 @@
 		t.Errorf("%v allocations per call", n)
 	}
 }
+
+// Guards against an answer of another host with a damaged digest that ends the process.
+func TestDigestsOfWrongLengthAreRejected(t *testing.T) {
+	for _, length := range []int{0, 2, 62, 66, 512} {
+		var d KeyDigest
+		if err := d.UnmarshalText([]byte(strings.Repeat("a", length))); err == nil {
+			t.Errorf("a digest of %d digits is accepted", length)
+		}
+	}
+}
--- a/internal/cluster/queues/teams.go
+++ b/internal/cluster/queues/teams.go
@@ -47,14 +47,11 @@
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *KeyDigest) UnmarshalText(text []byte) error {
-	n, err := hex.Decode(d[:], text)
-	if err != nil {
-		return errors.Wrap(err, "decode digest of a key")
-	}
-	if n != len(d) {
+	if n := hex.DecodedLen(len(text)); n != len(d) { // hex.Decode panics if the text is too long
 		return errors.Errorf("digest of a key has %d bytes, expected %d", n, len(d))
 	}
-	return nil
+	_, err := hex.Decode(d[:], text)
+	return errors.Wrap(err, "decode digest of a key")
 }
 
 // TeamByName returns the team with the name, and whether there is one.
