Do not count the pool as full because a team is at its quota

Cause: a step of which the quota let only a part start noted that tasks had found no room, although workers were free. For 300 ms, units of teams above their fair share then came after the others of their priority. Change: planUnit notes a full pool only if the quota lets more tasks of the unit start. Result: TestQuotaDoesNotFillThePool failed before, passes now.

--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -113,8 +113,11 @@
 		s.unitPlaced(u)
 	}
 	c.waiting -= placed
+	if c.waiting == 0 || !s.quotaAllowsMore(c) {
+		return
+	}
 	s.noteFull(c, now)
-	if c.waiting > 0 && s.quotaAllowsMore(c) && u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u)) {
+	if u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u)) {
 		s.adviceQueue.add(c)
 	}
 }
--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -344,3 +344,14 @@
 	f.UpsertWorker(now, WorkerInfo{ID: "room", Service: testService, Address: "room", Capacity: workload.Resources{CPUMilli: 2000, MemoryMB: 1000}, Incarnation: 1})
 	f.report("room", now)
 }
+
+// Guards against a pool that counts as full because a team is at its quota.
+func TestQuotaDoesNotFillThePool(t *testing.T) {
+	Convey("Given workers with room and a step that is wider than its team's quota, the pool is not full", t, func() {
+		f := newFixture(1, 2)
+		f.limitTeam("kaje80", 4000)
+		f.AddJob(t0, f.teamJob("wide", "kaje80", t0, simpleStep(4)), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 2)
+		So(f.teams.fullAt.IsZero(), ShouldBeTrue)
+	})
+}
