Refill the bucket of a team also after a job with an acceptance time ahead

Cause: the bucket was filled up to the acceptance time of a job. After a job from a host whose clock is ahead, the team got no tokens until that time, and its jobs were beyond its share. Change: an acceptance time ahead of the owner's clock counts as the present. Result: TestBucketRefillsDespiteAcceptanceTimeInTheFuture failed before (3 jobs beyond the share), passes now.

--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -72,7 +72,7 @@
 func (s *Scheduler) planUnits(units iter.Seq[*unit], now time.Time) Plan {
 	var plan Plan
 	s.planNumber++
-	s.classifyJobs()
+	s.classifyJobs(now)
 	if s.teams.uncertainChanged {
 		s.updateUncertainUse(now)
 	}
--- a/internal/cluster/scheduler/shares.go
+++ b/internal/cluster/scheduler/shares.go
@@ -69,8 +69,9 @@
 }
 
 // classifyJobs determines which of the jobs that were added since the last call are beyond the share of their team, by the times at which
-// they were accepted. A successor gets the jobs of its predecessor in any order, so they are sorted.
-func (s *Scheduler) classifyJobs() {
+// they were accepted. A successor gets the jobs of its predecessor in any order, so they are sorted. A time ahead of now, from a host whose
+// clock is ahead, counts as now: the bucket would get no tokens until then.
+func (s *Scheduler) classifyJobs(now time.Time) {
 	if len(s.teams.unclassified) == 0 || !s.teams.configured {
 		return
 	}
@@ -79,7 +80,7 @@
 	})
 	for _, j := range s.teams.unclassified {
 		t := j.team
-		if t.weight == 0 || j.state.Final() || j.onlyLongRunning() || t.bucket.take(j.spec.Accepted, t.weight) {
+		if t.weight == 0 || j.state.Final() || j.onlyLongRunning() || t.bucket.take(minTime(j.spec.Accepted, now), t.weight) {
 			continue
 		}
 		j.beyondShare = true
--- a/internal/cluster/scheduler/team_load_test.go
+++ b/internal/cluster/scheduler/team_load_test.go
@@ -317,3 +317,21 @@
 		So(f.JobsBeyondShare(), ShouldEqual, 1)
 	})
 }
+
+// Guards against a team whose bucket gets no tokens because one of its jobs was accepted by a host whose clock is ahead.
+func TestBucketRefillsDespiteAcceptanceTimeInTheFuture(t *testing.T) {
+	Convey("Given a team whose first job was accepted an hour ahead, its later jobs are within its share", t, func() {
+		f := newFixture(1, 4)
+		f.SetQueues(&queues.Config{Teams: []queues.Team{{Name: "kaje80", Weight: 4}}})
+		f.AddJob(t0, f.teamJob("ahead", "kaje80", at(time.Hour), simpleStep(1)), nil, false)
+		f.plan(t0)
+		for i := range 5 {
+			now := at(time.Duration(i+1) * 2 * time.Second)
+			for k := range 3 {
+				f.AddJob(now, f.teamJob(fmt.Sprintf("%d-%d", i, k), "kaje80", now, simpleStep(1)), nil, false)
+			}
+			f.plan(now)
+			So(f.JobsBeyondShare(), ShouldEqual, 0)
+		}
+	})
+}
