End the quota hold of a gang whose job has ended

Cause: while a team uses little of its quota, its gangs may keep it for 2 s together. The time since then was reset only when such a gang found room, so that after a cancelled one the next gang of the team had no hold, however much later it came. Change: finishJob ends the wait for the quota of the job's units.

--- a/internal/cluster/scheduler/quota.go
+++ b/internal/cluster/scheduler/quota.go
@@ -123,7 +123,7 @@
 	return false
 }
 
-// endQuotaWait notes that the quota of its team has room for the unit.
+// endQuotaWait notes that the quota of its team has room for the unit, or that its job has ended.
 func (u *unit) endQuotaWait() {
 	if !u.quotaHeldSince.IsZero() {
 		u.quotaHeldSince, u.job.team.lowUseHeldSince = time.Time{}, time.Time{}
--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -355,3 +355,27 @@
 		So(f.teams.fullAt.IsZero(), ShouldBeTrue)
 	})
 }
+
+// Guards against a gang that gets no hold of its team's quota because a gang that was cancelled has held it long ago.
+func TestCancelledGangLeavesTheHoldToTheNext(t *testing.T) {
+	Convey("Given a team that uses little of its quota, whose gang waited for 3 s and was cancelled", t, func() {
+		f := newFixture(1, 4)
+		f.limitTeam("kaje80", 16_000)
+		f.AddJob(t0, f.teamJob("small", "kaje80", t0, simpleStep(3)), nil, false)
+		So(f.plan(t0).Starts, ShouldHaveLength, 3)
+		gang := simpleStep(6)
+		gang.Gang = true
+		f.AddJob(t0, f.teamJob("gang1", "kaje80", t0, gang), nil, false)
+		f.plan(at(time.Millisecond))
+		f.Cancel(at(time.Second), "gang1")
+		Convey("a second one keeps the quota from later units", func() {
+			f.AddJob(at(3*time.Second), f.teamJob("gang2", "kaje80", at(3*time.Second), gang), nil, false)
+			later := f.teamJob("later", "kaje80", at(3*time.Second+time.Millisecond), simpleStep(1))
+			f.AddJob(at(3*time.Second), later, nil, false)
+			for _, w := range f.sortedWorkers {
+				f.report(w.info.ID, at(3*time.Second))
+			}
+			So(f.plan(at(3*time.Second)).Starts, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -277,6 +277,7 @@
 			delete(s.open, u)
 			u.clearExpectedDemand()
 			u.dropNomination()
+			u.endQuotaWait()
 			if state == workload.Completed && u.step.Gang {
 				continue // the members of a gang complete together; the worker reports are about to list their ends
 			}
