Count reported runs of jobs that ended under an earlier owner

Cause: AddEndedJob stored the name of the job's team but set no team, so that a run of the job which a worker still reported was not counted against the quota, in contrast to docs/design/quotas-and-shares.md. Change: AddEndedJob sets the team. The job does not count as unfinished. Result: TestRunsOfAnEndedJobCount failed before (a task started beside the run), passes now.

--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -379,3 +379,25 @@
 		})
 	})
 }
+
+// Guards against runs of a job that ended under an earlier owner which are not counted although the job's team is known.
+func TestRunsOfAnEndedJobCount(t *testing.T) {
+	Convey("Given a cancelled job of a team of which a worker still reports a run, and a waiting job of the team", t, func() {
+		f := newFixture(2, 2)
+		f.limitTeam("kaje80", 4000)
+		f.AddEndedJob("ended", &workload.Progress{State: workload.Cancelled, Ended: t0, Team: "kaje80"})
+		f.active["w0"] = []ActiveRun{{Task: workload.TaskID{Job: "ended"}, Run: 1}}
+		f.report("w0", at(10*time.Millisecond))
+		f.AddJob(at(10*time.Millisecond), f.teamJob("next", "kaje80", at(10*time.Millisecond), simpleStep(1)), nil, false)
+		p := f.plan(at(20 * time.Millisecond))
+		So(p.Stops, ShouldHaveLength, 1)
+		So(p.Starts, ShouldBeEmpty)
+		Convey("it starts once the run is no longer reported", func() {
+			f.active["w0"] = nil
+			f.report("w0", at(time.Second))
+			So(f.plan(at(time.Second)).Starts, ShouldHaveLength, 1)
+			So(f.teams.byName["kaje80"].used.CPUMilli, ShouldEqual, 2000)
+			So(f.teams.byName["kaje80"].unfinishedJobs, ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -195,9 +195,10 @@
 	return true
 }
 
-// AddEndedJob adds a job that ended under an earlier owner. Only its state is kept, for lookups.
+// AddEndedJob adds a job that ended under an earlier owner. Only its state is kept, for lookups, and its team, whose quota its runs use as long
+// as workers report them.
 func (s *Scheduler) AddEndedJob(id string, p *workload.Progress) {
-	s.jobs[id] = &job{spec: &workload.Spec{ID: id, Team: p.Team}, state: p.State, durableState: p.State, endedAt: p.Ended}
+	s.jobs[id] = &job{spec: &workload.Spec{ID: id, Team: p.Team}, team: s.teamNamed(p.Team), state: p.State, durableState: p.State, endedAt: p.Ended}
 }
 
 // inRange reports whether i is an index of a slice of the length.
--- a/internal/cluster/scheduler/teams.go
+++ b/internal/cluster/scheduler/teams.go
@@ -92,12 +92,7 @@
 	if name == "" {
 		return
 	}
-	t := s.teams.byName[name]
-	if t == nil {
-		t = &team{name: name, teams: &s.teams}
-		t.configure(s.queues)
-		s.teams.byName[name] = t
-	}
+	t := s.teamNamed(name)
 	if !t.known && !j.spec.Accepted.Before(t.quotaOf) { // the last limits that an earlier owner may have known
 		t.quota, t.quotaOf = j.spec.Quota, j.spec.Accepted
 	}
@@ -110,6 +105,17 @@
 	}
 }
 
+// teamNamed returns the team with the name, or nil if the name is empty.
+func (s *Scheduler) teamNamed(name string) *team {
+	t := s.teams.byName[name]
+	if t == nil && name != "" {
+		t = &team{name: name, teams: &s.teams}
+		t.configure(s.queues)
+		s.teams.byName[name] = t
+	}
+	return t
+}
+
 // charge counts a run against the quota of its job's team, from the time when it is placed until it is removed. The use of a task that is
 // not known is the capacity of its worker.
 func (s *Scheduler) charge(p *placement) {
