--- a/internal/cluster/queues/queues_test.go
+++ b/internal/cluster/queues/queues_test.go
@@ -37,8 +37,14 @@
 	}
 }
 
-// Guards against an answer of another host with a damaged digest that ends the process.
+// Guards against an answer of another host with a damaged digest that ends the process, and against digests that do not survive the way
+// between hosts.
 func TestDigestsOfWrongLengthAreRejected(t *testing.T) {
+	want := DigestKey("k")
+	var got KeyDigest
+	if text, _ := want.MarshalText(); got.UnmarshalText(text) != nil || got != want {
+		t.Errorf("digest %x, expected %x", got, want)
+	}
 	for _, length := range []int{0, 2, 62, 66, 512} {
 		var d KeyDigest
 		if err := d.UnmarshalText([]byte(strings.Repeat("a", length))); err == nil {
--- a/internal/cluster/queues/teams.go
+++ b/internal/cluster/queues/teams.go
@@ -50,8 +50,10 @@
 	if n := hex.DecodedLen(len(text)); n != len(d) { // hex.Decode panics if the text is too long
 		return errors.Errorf("digest of a key has %d bytes, expected %d", n, len(d))
 	}
-	_, err := hex.Decode(d[:], text)
-	return errors.Wrap(err, "decode digest of a key")
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return errors.Wrap(err, "decode digest of a key")
+	}
+	return nil
 }
 
 // TeamByName returns the team with the name, and whether there is one.
