Do not charge unread bodies as long headers

Cause: when a handler has not read a body of up to 64 kB, the server reads and drops its rest while the connection counts as idle, and conn.Read took these bytes for a long header. Their room was held until the next request on the connection ended, 36 kB of a body of 40 kB. With a full budget the connection was closed instead, so that the client of a body of 8 to 64 kB did not get its 503.

Change: the count of header bytes begins below zero, by the rest of the body.

Result: TestUnreadBodiesAreNotHeaders failed (35,954 bytes held; no answer) and passes.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -22,7 +22,9 @@
 	stalled  atomic.Bool  // set by the sweep
 	ended    atomic.Int32 // the Reason for which the sweep has ended the body
 
-	headerBytes int // of the present header; only the server's reading goroutine uses it
+	// headerBytes counts the bytes of the present header; only the server's reading goroutine uses it. It is negative while the rest of a body
+	// that the handler has not read is dropped.
+	headerBytes int
 	mu          sync.Mutex
 	account     account // guarded by mu; the budget has a lock of its own
 	closed      bool    // guarded by mu: the account takes nothing any more
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -195,6 +195,36 @@
 	})
 }
 
+// Guards against unread bodies that are charged as long headers: idle connections would keep the room, and a refusal for lack of room
+// would be lost.
+func TestUnreadBodiesAreNotHeaders(t *testing.T) {
+	Convey("An idle connection holds nothing after a body that was not read", t, func() {
+		s := newTestServer(t, DefaultLimits(144, 3075))
+		c := s.dial(t)
+		for range 3 {
+			_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n%s", strings.Repeat("x", 40_000))
+			So(statusOf(c), ShouldEqual, http.StatusOK)
+			So(s.used(), ShouldEqual, 0)
+		}
+	})
+	Convey("A client whose body was refused for lack of room gets the answer and keeps its connection", t, func() {
+		l := DefaultLimits(144, 3075)
+		l.BodyBytes = 1 << 20
+		s := newTestServer(t, l)
+		for range 2 {
+			s.begin(t, "Content-Length: 262144", "x")
+		}
+		for range 16 {
+			s.begin(t, "Content-Length: 16384", "x")
+		}
+		until(func() bool { return s.used() == 6<<17 })
+		c := s.begin(t, "Content-Length: 16000", strings.Repeat("x", 16_000))
+		So(statusOf(c), ShouldEqual, http.StatusServiceUnavailable)
+		_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(statusOf(c), ShouldEqual, http.StatusOK)
+	})
+}
+
 // Guards against new clients that are locked out by connections that nobody uses.
 func TestNewConnectionsReplaceUnusedOnes(t *testing.T) {
 	Convey("Beyond the limit the oldest unused connection is closed", t, func() {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -50,13 +50,13 @@
 // endRequestWithBody gives back what the request held, and ends its body if the handler has not read it.
 func (c *conn) endRequestWithBody(w http.ResponseWriter, r *http.Request) {
 	b := &c.bodyReader
+	c.headerBytes = 0
 	if !b.atEnd {
 		c.dropRest(w, b)
 	}
 	r.Body = b.ReadCloser // the server's own, which it knows how to end
 	c.bodyReader = body{}
 	c.release()
-	c.headerBytes = 0
 	c.setPhase(idle)
 }
 
@@ -64,6 +64,7 @@
 func (c *conn) dropRest(w http.ResponseWriter, b *body) {
 	if b.declared > 0 && b.declared <= maxDiscard && c.ended.Load() == int32(admitted) {
 		_ = c.SetReadDeadline(time.Now().Add(discardTime)) // if it fails, the connection is closed already
+		c.headerBytes = int(b.received - b.declared)
 		return
 	}
 	_ = c.SetReadDeadline(pastDeadline)
