Write answers in steps, so that slow readers are not cut

Cause: the time-out for answers that are not read applied to a single Write, and handlers pass a whole answer to it. A state dump of several megabytes on a slow link, which its client reads all the time, was cut after 10 s, and again when repeated.

Change: conn.Write writes 16 kB at a time, and each step counts as progress.

Result: TestSlowlyReadAnswersAreNotCut failed (EOF after 10 s) and passes; an answer that is not read still ends after 10 s.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -69,11 +69,23 @@
 	return n, err
 }
 
-// Write implements net.Conn. It lets the sweep see how long the write lasts.
+// writeStep is the largest number of bytes that is written at once, so that a large answer that the client reads slowly shows progress.
+const writeStep = 16 << 10
+
+// Write implements net.Conn. It lets the sweep see how long the write of each step lasts.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writes.Add(1)
 	defer c.writes.Add(1)
-	return c.Conn.Write(p)
+	written := 0
+	for {
+		step := min(len(p)-written, writeStep)
+		n, err := c.Conn.Write(p[written : written+step])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+		c.writes.Add(2) // still odd
+	}
 }
 
 // CloseWrite ends the sending direction, so that the server can close a connection with unread bytes without losing its answer.
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -225,6 +225,38 @@
 	})
 }
 
+// Guards against large answers that are cut although the client reads them, only slowly.
+func TestSlowlyReadAnswersAreNotCut(t *testing.T) {
+	Convey("An answer of which the client takes a part from time to time is not ended, one that it does not read is", t, func() {
+		l := DefaultLimits(144, 3075)
+		g := New(l, tally.NoopScope, zap.NewNop())
+		server, client := net.Pipe()
+		c := g.add(Callers, server)
+		const size = 1 << 20
+		written := make(chan error, 1)
+		go func() {
+			_, err := c.Write(make([]byte, size))
+			written <- err
+		}()
+		for range size / (64 << 10) {
+			_, err := io.ReadFull(client, make([]byte, 64<<10))
+			So(err, ShouldBeNil)
+			g.sweep(time.Second)
+			g.sweep(time.Second)
+		}
+		So(<-written, ShouldBeNil)
+		go func() {
+			_, err := c.Write([]byte("x"))
+			written <- err
+		}()
+		until(func() bool { return c.writes.Load()%2 == 1 })
+		for range 1 + 10 {
+			g.sweep(time.Second)
+		}
+		So(<-written, ShouldNotBeNil)
+	})
+}
+
 // Guards against new clients that are locked out by connections that nobody uses.
 func TestNewConnectionsReplaceUnusedOnes(t *testing.T) {
 	Convey("Beyond the limit the oldest unused connection is closed", t, func() {
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -41,7 +41,7 @@
 	Grace         time.Duration // time from the start of a body from which on MinRate applies
 	MinRate       int64         // bytes per second
 	BodyDeadline  time.Duration // for the whole body
-	AnswerTimeout time.Duration // longest time that a write of an answer may block
+	AnswerTimeout time.Duration // longest time that the write of writeStep bytes of an answer may block
 	// PressureTimeout replaces StallTimeout, and Grace for large bodies, while the budget refuses bodies.
 	PressureTimeout time.Duration
 }
