Receive large configurations of peers on slow links

Cause: a question to a peer for its configuration, and the reading of it beside that, ended after 0.3 s with the answer on its way. 500 kB take 0.4 s and more at 10 Mbit/s, so a host that the store did not serve received a part of the new version with each attempt and never all.

Change: the 0.3 s limit the wait for the begin of an answer. One that has begun may take 2 s. While a newer version is being received, the last attempt may become too old, so that requests that need a key wait for it or get 503 instead of being decided by the old version.

Result: TestLargeAnswerOnSlowLinkIsReceived failed (the old version in force after three attempts) and passes; hosts that do not answer still end an attempt after 0.3 s (TestSilentHostEndsAttempt).

--- a/internal/cluster/configage/age.go
+++ b/internal/cluster/configage/age.go
@@ -17,7 +17,7 @@
 	// margin covers the time between a decision and its response, and clocks of different speeds.
 	margin = 200 * time.Millisecond
 	// attemptValidity is how long after its start an attempt to confirm the copy shows that this host could not learn of a newer
-	// version. It is longer than an attempt and the pause after it together.
+	// version. It is longer than an attempt and the pause after it together, unless a newer version is being received.
 	attemptValidity = time.Second
 )
 
--- a/internal/cluster/configage/checker.go
+++ b/internal/cluster/configage/checker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -17,8 +18,10 @@
 const (
 	// askInterval is the time between two attempts to confirm the copy.
 	askInterval = 250 * time.Millisecond
-	// attemptTimeout is the longest time that an attempt takes.
+	// attemptTimeout is how long an attempt waits for answers to begin.
 	attemptTimeout = 300 * time.Millisecond
+	// receiveTimeout is how long a call may take whose answer has begun to arrive. Two answers of 500 kB take 0.9 s on a link of 10 Mbit/s.
+	receiveTimeout = 2 * time.Second
 	// peersPerAttempt is how many hosts are asked at a time: the store may turn some of them away as well.
 	peersPerAttempt = 2
 )
@@ -101,8 +104,6 @@
 
 // attempt asks two randomly chosen hosts, and the store if State.ShouldRead says so.
 func (c *Checker) attempt(ctx context.Context, beganAt time.Duration, s State) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
 	if !s.attemptedLately(beganAt) {
 		c.Sources.Reconnect()
 	}
@@ -119,7 +120,20 @@
 	c.Tracker.endAttempt(beganAt)
 }
 
+// callContext returns the context of a call, which ends after attemptTimeout, or after receiveTimeout if the answer has begun to arrive by then.
+func callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, receiveTimeout)
+	noAnswer := time.AfterFunc(attemptTimeout, cancel)
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { noAnswer.Stop() }}
+	return httptrace.WithClientTrace(ctx, trace), func() {
+		noAnswer.Stop()
+		cancel()
+	}
+}
+
 func (c *Checker) read(ctx context.Context) {
+	ctx, cancel := callContext(ctx)
+	defer cancel()
 	sentAt := c.Tracker.clock()
 	if err := c.Sources.Read(ctx); err == nil {
 		c.Tracker.ConfirmByStore(sentAt)
@@ -129,6 +143,8 @@
 // ask adopts a host's copy if it is newer. In any case the copy of this host is then not older than that of the other one, and so was the
 // newest version when that one was.
 func (c *Checker) ask(ctx context.Context, addr string) {
+	ctx, cancel := callContext(ctx)
+	defer cancel()
 	question := Question{}
 	if current := c.Holder.Current(); current != nil {
 		question.Version = current.Version
--- a/internal/cluster/configage/checker_test.go
+++ b/internal/cluster/configage/checker_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -192,3 +195,53 @@
 		}
 	}
 }
+
+// Guards against a large configuration that is cut on a slow link, again with each attempt.
+func TestLargeAnswerOnSlowLinkIsReceived(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(attemptTimeout + 200*time.Millisecond)
+		_, _ = io.WriteString(w, "2")
+	}))
+	defer server.Close()
+	h := newTestHost(0, 1)
+	h.peers["p"] = nil
+	h.checker.Sources.Ask = func(ctx context.Context, _ string, _ Question) (Answer, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
+		if err != nil {
+			return Answer{}, err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return Answer{}, err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.ReadAll(resp.Body)
+		return Answer{Known: true, Config: &queues.Config{Version: 2}}, err
+	}
+	began := h.now()
+	for range 3 {
+		h.checker.attempt(context.Background(), h.now(), h.tracker.State())
+	}
+	if v := h.holder.Current().Version; v != 2 {
+		t.Errorf("version %d is in force after %v, not 2", v, h.now()-began)
+	}
+}
+
+// Guards against attempts that wait for hosts which do not answer.
+func TestSilentHostEndsAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHost(0, 1)
+		h.peers["p"] = nil
+		h.checker.Sources.Ask = func(ctx context.Context, _ string, _ Question) (Answer, error) {
+			<-ctx.Done()
+			return Answer{}, ctx.Err()
+		}
+		began := h.now()
+		h.checker.attempt(t.Context(), began, h.tracker.State())
+		if took := h.now() - began; took != attemptTimeout {
+			t.Errorf("the attempt took %v", took)
+		}
+	})
+}
