Make no record of a job while an earlier one waits to be stored

Cause: since records are taken when a commit is built, a job that ended while its earlier record waited for a later commit of the batch was taken again. The record of its end did not know that its progress was about to be stored, so that the progress row was never removed; one of a job that was still waiting as new removed its row in the commit that wrote it. Rows wait when 300 new jobs of 4 kB exceed the bytes of a commit.

Change: the scheduler notes the jobs whose records were taken and not stored, and leaves their next records for later.

--- a/internal/cluster/coordinator/persist_test.go
+++ b/internal/cluster/coordinator/persist_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -103,6 +104,59 @@
 	})
 }
 
+// Guards against progress that stays in the store for ever: it waits for a later commit of the batch, and the record of the job's end is made
+// meanwhile.
+func TestProgressThatWaitedIsRemovedWithTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given the progress of 20 jobs that waits behind 300 large new jobs, and a slow store", t, func() {
+			const jobs, newJobs = 20, 300
+			store := &delayedStore{Memory: rowstore.NewMemory()}
+			o := runOwnerOn(t, store, 0, 10)
+			defer o.end()
+			a := o.testDelegate(t, "a")
+			a.serve(400 * time.Millisecond)
+			for i := range jobs {
+				o.submit(fmt.Sprintf("j%d", i), 1)
+			}
+			a.serve(500 * time.Millisecond)
+			So(len(a.starts), ShouldEqual, jobs)
+			var events []delegate.Event
+			ends := map[string][]scheduler.EndedRun{}
+			for _, s := range a.starts {
+				events = append(events, a.startedEvent(s, scheduler.StartAccepted))
+				n := int64(len(ends[s.WorkerID]) + 1)
+				ends[s.WorkerID] = append(ends[s.WorkerID], scheduler.EndedRun{Number: n, Task: s.Task, Run: s.Run, Reason: scheduler.EndLeaseExpired})
+			}
+			for id, e := range ends {
+				r := a.reportEvent(id)
+				r.Report.Ended = e
+				events = append(events, r)
+			}
+			store.latency.Store(int64(200 * time.Millisecond))
+			step := testStep(1)
+			step.Image = strings.Repeat("x", 4000)
+			time.Sleep(50 * time.Millisecond) // a commit is in progress, so that the rest becomes one batch
+			So(a.exchange(events...), ShouldBeNil)
+			for i := range newJobs {
+				o.submitSteps(fmt.Sprintf("new%d", i), step)
+			}
+			for i := range jobs {
+				time.Sleep(100 * time.Millisecond)
+				o.NotifyCancelStored(fmt.Sprintf("j%d", i))
+			}
+			time.Sleep(5 * time.Second)
+			So(ownerRows(t, store, records.Ended), ShouldHaveLength, jobs)
+			var left []string
+			for _, r := range ownerRows(t, store, records.Progress) {
+				if strings.HasPrefix(r.Name, "j") {
+					left = append(left, r.Name)
+				}
+			}
+			So(left, ShouldBeEmpty)
+		})
+	})
+}
+
 // hasStart reports whether one of the starts is of a job.
 func hasStart(starts []delegate.StartOrder, job string) bool {
 	for _, s := range starts {
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -83,6 +83,7 @@
 		s.batch[j] = struct{}{}
 	}
 	clear(s.dirty)
+	clear(s.taken)
 	s.generation++
 	return s.generation - 1, len(s.batch) > 0 || len(s.withPendingAcks) > 0 || len(s.unconfirmedLosses) > 0 || s.unconfirmedGiveUp > 0
 }
@@ -107,7 +108,8 @@
 // TakeRecords returns the records for the next commit of a batch, the most urgent first, and whether jobs of the batch are left. They
 // take about room entries of a commit. Each record has the state of this moment, and jobs that have arrived or ended since the batch
 // began come before the progress of others: while the store is slow, the progress of hundreds of jobs takes seconds to write, and most of
-// these jobs end meanwhile, after which only their final states have to be written.
+// these jobs end meanwhile, after which only their final states have to be written. A job of which an earlier record waits to be stored is
+// left for later, since what its next record has to write and to remove depends on what is stored.
 func (s *Scheduler) TakeRecords(room int) (records []Record, more bool) {
 	byPriority := s.changedJobs()
 	left := float64(room)
@@ -118,6 +120,7 @@
 			records = append(records, jobs[0].record())
 			delete(s.dirty, jobs[0])
 			delete(s.batch, jobs[0])
+			s.taken[jobs[0]] = struct{}{}
 			jobs = jobs[1:]
 		}
 		byPriority[priority] = jobs
@@ -138,7 +141,9 @@
 		out[j.commitPriority()] = append(out[j.commitPriority()], j)
 	}
 	for j := range s.dirty {
-		if _, listed := s.batch[j]; !listed && j.commitPriority() < lowestCommitPriority {
+		_, listed := s.batch[j]
+		_, taken := s.taken[j]
+		if !listed && !taken && j.commitPriority() < lowestCommitPriority {
 			out[j.commitPriority()] = append(out[j.commitPriority()], j)
 		}
 	}
@@ -191,6 +196,7 @@
 func (s *Scheduler) MarkStored(records []Record) {
 	for _, r := range records {
 		j := s.jobs[r.JobID]
+		delete(s.taken, j)
 		if j == nil || j.durableState.Final() {
 			continue
 		}
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -93,6 +93,7 @@
 
 	dirty      map[*job]struct{} // jobs that have changed since their last record was taken or the present batch began
 	batch      map[*job]struct{} // jobs of the present batch whose records have not been taken; see BeginBatch
+	taken      map[*job]struct{} // jobs of which a record was taken in the present batch that is not known to be stored
 	generation int64             // of the next batch
 
 	endedJobs      []JobSummary              // since the last TakeEndedJobs
@@ -127,6 +128,7 @@
 		unconfirmedLosses: map[*unit]int64{},
 		dirty:             map[*job]struct{}{},
 		batch:             map[*job]struct{}{},
+		taken:             map[*job]struct{}{},
 		generation:        1,
 		reservations:      reservations{},
 		lowUseServices:    map[string]bool{},
