Do not take a store for silent while a large answer is received

Cause: a read counted as unanswered until its last byte. On a slow link a read of a large row that takes more than 0.3 s, with no other call in progress, opened the breaker, and jobs were refused although the store answered.

Change: a read counts as answered when a response with status 200 begins to arrive.

--- a/internal/cluster/rowstore/adaptive.go
+++ b/internal/cluster/rowstore/adaptive.go
@@ -79,8 +79,10 @@
 // Read implements Store.
 func (a *AdaptiveStore) Read(ctx context.Context, r Range) (Page, error) {
 	began := a.begin()
-	p, err := a.Store.Read(ctx, r)
-	a.end(began, err == nil || isAnswer(err, began))
+	var once sync.Once
+	end := func(answered bool) { once.Do(func() { a.end(began, answered) }) }
+	p, err := a.Store.Read(withResponseHook(ctx, func() { end(true) }), r) // a store whose answer is being received is not silent
+	end(err == nil || isAnswer(err, began))
 	if err == nil {
 		a.observeRead(r, time.Since(began))
 	}
--- a/internal/cluster/rowstore/adaptive_test.go
+++ b/internal/cluster/rowstore/adaptive_test.go
@@ -125,3 +125,39 @@
 		}
 	})
 }
+
+// largeAnswers is a Store whose answers to reads begin to arrive after 10 ms and take 600 ms to receive.
+type largeAnswers struct{ *Memory }
+
+func (s largeAnswers) Read(ctx context.Context, r Range) (Page, error) {
+	time.Sleep(10 * time.Millisecond)
+	NoteResponse(ctx)
+	time.Sleep(600 * time.Millisecond)
+	return s.Memory.Read(ctx, r)
+}
+
+// Guards against a store that counts as silent, so that jobs are refused, while a large answer is received on a slow link.
+func TestLargeAnswerIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdaptiveStore(NewRecoveringStore(largeAnswers{NewMemory()}), nil)
+		done := make(chan error, 1)
+		read := func() {
+			_, err := a.Read(t.Context(), Range{Table: "t", Partition: "p"})
+			done <- err
+		}
+		go read()
+		time.Sleep(500 * time.Millisecond)
+		if silent, _ := a.SilentFor(); silent > 0 {
+			t.Errorf("silent for %v while an answer is received", silent)
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		go read()
+		time.Sleep(5 * time.Millisecond)
+		if silent, _ := a.SilentFor(); silent != 5*time.Millisecond {
+			t.Errorf("silent for %v after the next call was sent 5 ms ago", silent)
+		}
+		<-done
+	})
+}
--- a/internal/cluster/rowstore/silence.go
+++ b/internal/cluster/rowstore/silence.go
@@ -15,14 +15,22 @@
 // responseHook is the key of the function in a context that NoteResponse calls.
 type responseHook struct{}
 
-// NoteResponse is called by a Store when the answer to a call begins to arrive, with the context of the call. A large answer takes a while
-// on a slow link.
+// NoteResponse is called by a Store when the answer to a successful read or feed begins to arrive, with the context of the call. A large
+// answer takes a while on a slow link.
 func NoteResponse(ctx context.Context) {
 	if note, ok := ctx.Value(responseHook{}).(func()); ok {
 		note()
 	}
 }
 
+// withResponseHook returns a context for a call in which NoteResponse calls note, and then the function of ctx if it has one.
+func withResponseHook(ctx context.Context, note func()) context.Context {
+	return context.WithValue(ctx, responseHook{}, func() {
+		note()
+		NoteResponse(ctx)
+	})
+}
+
 // RecoveringStore is a Store that notices the end of an outage in which the store was silent. Reads and feeds that were sent before then
 // may never be answered; they fail with ErrUnavailable as soon as the store has answered a later call, so that their callers repeat them
 // without waiting for the timeout. Commits are not cut; see AdaptiveStore.
@@ -76,7 +84,7 @@
 func (r *RecoveringStore) begin(ctx context.Context) (context.Context, *query) {
 	ctx, cancel := context.WithCancel(ctx)
 	q := &query{sentAt: time.Now(), cut: cancel}
-	ctx = context.WithValue(ctx, responseHook{}, func() { r.noteResponse(q) })
+	ctx = withResponseHook(ctx, func() { r.noteResponse(q) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inProgress[q] = struct{}{}
