--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -195,6 +195,68 @@
 	})
 }
 
+// Guards against unread bodies that are charged as long headers: idle connections would keep the room, and a refusal for lack of room
+// would be lost.
+func TestUnreadBodiesAreNotHeaders(t *testing.T) {
+	Convey("An idle connection holds nothing after a body that was not read", t, func() {
+		s := newTestServer(t, DefaultLimits(144, 3075))
+		c := s.dial(t)
+		for range 3 {
+			_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n%s", strings.Repeat("x", 40_000))
+			So(statusOf(c), ShouldEqual, http.StatusOK)
+			So(s.used(), ShouldEqual, 0)
+		}
+	})
+	Convey("A client whose body was refused for lack of room gets the answer and keeps its connection", t, func() {
+		l := DefaultLimits(144, 3075)
+		l.BodyBytes = 1 << 20
+		s := newTestServer(t, l)
+		for range 2 {
+			s.begin(t, "Content-Length: 262144", "x")
+		}
+		for range 16 {
+			s.begin(t, "Content-Length: 16384", "x")
+		}
+		until(func() bool { return s.used() == 6<<17 })
+		c := s.begin(t, "Content-Length: 16000", strings.Repeat("x", 16_000))
+		So(statusOf(c), ShouldEqual, http.StatusServiceUnavailable)
+		_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		So(statusOf(c), ShouldEqual, http.StatusOK)
+	})
+}
+
+// Guards against large answers that are cut although the client reads them, only slowly.
+func TestSlowlyReadAnswersAreNotCut(t *testing.T) {
+	Convey("An answer of which the client takes a part from time to time is not ended, one that it does not read is", t, func() {
+		l := DefaultLimits(144, 3075)
+		g := New(l, tally.NoopScope, zap.NewNop())
+		server, client := net.Pipe()
+		c := g.add(Callers, server)
+		const size = 1 << 20
+		written := make(chan error, 1)
+		go func() {
+			_, err := c.Write(make([]byte, size))
+			written <- err
+		}()
+		for range size / (64 << 10) {
+			_, err := io.ReadFull(client, make([]byte, 64<<10))
+			So(err, ShouldBeNil)
+			g.sweep(time.Second)
+			g.sweep(time.Second)
+		}
+		So(<-written, ShouldBeNil)
+		go func() {
+			_, err := c.Write([]byte("x"))
+			written <- err
+		}()
+		until(func() bool { return c.writes.Load()%2 == 1 })
+		for range 1 + 10 {
+			g.sweep(time.Second)
+		}
+		So(<-written, ShouldNotBeNil)
+	})
+}
+
 // Guards against new clients that are locked out by connections that nobody uses.
 func TestNewConnectionsReplaceUnusedOnes(t *testing.T) {
 	Convey("Beyond the limit the oldest unused connection is closed", t, func() {
