--- a/internal/cluster/queues/check/check.go
+++ b/internal/cluster/queues/check/check.go
@@ -17,7 +17,7 @@
 const (
 	Invalid        Kind = "invalid"       // the daemons would ignore the whole configuration, or the entry has no meaning
 	NeverMatches   Kind = "never_matches" // no call can reach the entry
-	Contradictions Kind = "contradiction" // two limits exclude each other
+	Contradiction Kind = "contradiction" // two limits exclude each other
 )
 
 // Finding is one fault of a configuration.
@@ -109,11 +109,11 @@
 		f.add(Invalid, entry, "has a negative priority, slack factor, target latency or timeout")
 	}
 	if q.SlackFactor < 1 && q.TargetLatency == 0 {
-		f.add(Contradictions, entry, "its slack factor of %g leaves its jobs less time than their tasks take, and there is no target latency",
+		f.add(Contradiction, entry, "its slack factor of %g leaves its jobs less time than their tasks take, and there is no target latency",
 			q.SlackFactor)
 	}
 	if p := q.PolicyService; p != nil && p.Validity <= p.ExpectedDuration(1) {
-		f.add(Contradictions, entry, "approvals are valid for %s, but a call to the policy service takes %s or longer", p.Validity,
+		f.add(Contradiction, entry, "approvals are valid for %s, but a call to the policy service takes %s or longer", p.Validity,
 			p.ExpectedDuration(1))
 	}
 }
@@ -148,10 +148,10 @@
 			f.add(NeverMatches, entry, "has no key, so no call is made for it")
 		}
 		if q := t.Quota; q.CPUMilli > 0 && q.CPUMilli < minUsefulCPU {
-			f.add(Contradictions, entry, "its limit of %d thousandths of a core is less than one task usually needs", q.CPUMilli)
+			f.add(Contradiction, entry, "its limit of %d thousandths of a core is less than one task usually needs", q.CPUMilli)
 		}
 		if t.Weight > 0 && t.Weight < 1 {
-			f.add(Contradictions, entry, "its weight of %g promises less than one job a second", t.Weight)
+			f.add(Contradiction, entry, "its weight of %g promises less than one job a second", t.Weight)
 		}
 	}
 }
@@ -171,13 +171,13 @@
 		f.add(Invalid, entry, "has a negative value")
 	}
 	if l.MaxBodyBytes > 0 && l.MaxBodyBytes < minBodyBytes {
-		f.add(Contradictions, entry, "bodies of %d bytes are too short for the longest text of a task", l.MaxBodyBytes)
+		f.add(Contradiction, entry, "bodies of %d bytes are too short for the longest text of a task", l.MaxBodyBytes)
 	}
 	if l.MaxHeaderBytes > 0 && l.MaxHeaderBytes < minHeaderBytes {
-		f.add(Contradictions, entry, "headers of %d bytes are too short for an ordinary call", l.MaxHeaderBytes)
+		f.add(Contradiction, entry, "headers of %d bytes are too short for an ordinary call", l.MaxHeaderBytes)
 	}
 	if l.IdleTimeout > 0 && l.IdleTimeout < l.HeaderTimeout {
-		f.add(Contradictions, entry, "connections are closed after %s without a call, before the timeout of %s for headers", l.IdleTimeout,
+		f.add(Contradiction, entry, "connections are closed after %s without a call, before the timeout of %s for headers", l.IdleTimeout,
 			l.HeaderTimeout.Round(time.Millisecond))
 	}
 }
--- a/internal/cluster/queues/check/check_test.go
+++ b/internal/cluster/queues/check/check_test.go
@@ -34,8 +34,8 @@
 		"a prefix without a slash":    {NeverMatches, `queue "q"`, func(c *queues.Config) { c.Queues[0].PathPrefix = "q/" }},
 		"two queues with one address": {NeverMatches, `queue "r"`, func(c *queues.Config) { c.Queues = append(c.Queues, c.Queues[0]); c.Queues[1].Name = "r" }},
 		"no attempts":                 {Invalid, `queue "q"`, func(c *queues.Config) { c.Queues[0].MaxAttempts = 0 }},
-		"no time for the tasks":       {Contradictions, `queue "q"`, func(c *queues.Config) { c.Queues[0].SlackFactor = 0.5 }},
-		"approvals that expire early": {Contradictions, `queue "q"`, func(c *queues.Config) {
+		"no time for the tasks":       {Contradiction, `queue "q"`, func(c *queues.Config) { c.Queues[0].SlackFactor = 0.5 }},
+		"approvals that expire early": {Contradiction, `queue "q"`, func(c *queues.Config) {
 			c.Queues[0].PolicyService = &queues.PolicyService{Base: time.Second, Validity: time.Second}
 		}},
 		"two services with one name": {Invalid, `service "s"`, func(c *queues.Config) { c.Services = append(c.Services, c.Services[0]) }},
@@ -45,9 +45,9 @@
 			c.Teams[1].Name = "u"
 		}},
 		"a team without a key":       {NeverMatches, `team "t"`, func(c *queues.Config) { c.Teams[0].KeyDigests = nil }},
-		"a limit below one task":     {Contradictions, `team "t"`, func(c *queues.Config) { c.Teams[0].Quota.CPUMilli = 1 }},
-		"bodies that are too short":  {Contradictions, "limits", func(c *queues.Config) { c.Limits.MaxBodyBytes = 100 }},
-		"idle before header timeout": {Contradictions, "limits", func(c *queues.Config) { c.Limits.IdleTimeout = time.Second }},
+		"a limit below one task":     {Contradiction, `team "t"`, func(c *queues.Config) { c.Teams[0].Quota.CPUMilli = 1 }},
+		"bodies that are too short":  {Contradiction, "limits", func(c *queues.Config) { c.Limits.MaxBodyBytes = 100 }},
+		"idle before header timeout": {Contradiction, "limits", func(c *queues.Config) { c.Limits.IdleTimeout = time.Second }},
 	} {
 		Convey("Reports "+name, t, func() {
 			config := valid()
