--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -64,15 +64,15 @@
 		return nil
 	}
 	if r := b.conn.reserve(more); r != admitted {
-		b.conn.gate.tally.count(r)
+		b.conn.gate.refusals.count(r)
 		b.failure = ErrNoRoom
-		if r == connectionTooMuch {
+		if r == connectionShareUsed {
 			b.failure = ErrTooLarge
 		}
 		return b.failure
 	}
 	if b.reserved == 0 {
-		b.conn.body.Add(1)
+		b.conn.bodies.Add(1)
 		b.conn.setPhase(receiving)
 	}
 	b.reserved += more
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -5,15 +5,15 @@
 
 // Reasons.
 const (
-	admitted          Reason = iota
-	noRoom                   // the budget of the process or of the listener is used up
-	largeShareUsed           // large bodies use all that they may
-	addressShareUsed         // large bodies of the client's address use all that they may
-	connectionTooMuch        // the body is larger than the share of a connection
-	headersTooLong           // there is no room for a long header
+	admitted            Reason = iota
+	noRoom                     // the budget of the process or of the listener is used up
+	largeShareUsed             // large bodies use all that they may
+	addressShareUsed           // large bodies of the client's address use all that they may
+	connectionShareUsed        // the body is larger than the share of its connection
+	headersTooLong             // there is no room for a long header
 	bodyStalled
 	bodyTooSlow
-	bodyTooLong // past its deadline
+	bodyPastDeadline
 	answerNotRead
 	closedUnused  // a connection without a complete request, closed for a new one
 	closedStalled // a connection whose client makes no progress, closed for a new one
@@ -105,7 +105,7 @@
 	l := a.listener
 	switch {
 	case a.bytes+n > b.connectionShare(l):
-		return connectionTooMuch
+		return connectionShareUsed
 	case b.used+n > b.total, b.listeners[l]+n > b.listenerShare(l):
 		return noRoom
 	case large == 0:
--- a/internal/ingress/budget_test.go
+++ b/internal/ingress/budget_test.go
@@ -33,7 +33,7 @@
 		{"150 ordinary bodies from one address", many(149, hold{Callers, "a", 4 * kB}), hold{Callers, "a", 4 * kB}, admitted},
 		{"small bodies beyond the listener's share", many(150, hold{Callers, "a", 4 * kB}), hold{Callers, "a", 4 * kB}, noRoom},
 		{"a peer while callers use all of their share", many(150, hold{Callers, "a", 4 * kB}), hold{Peers, "b", 100 * kB}, admitted},
-		{"a body larger than a connection's share", nil, hold{Callers, "a", 201 * kB}, connectionTooMuch},
+		{"a body larger than a connection's share", nil, hold{Callers, "a", 201 * kB}, connectionShareUsed},
 		{"a body of a peer as large", nil, hold{Peers, "a", 201 * kB}, admitted},
 		{"a large body beyond the share of its address", many(4, hold{Callers, "a", 100 * kB}), hold{Callers, "a", 20 * kB}, addressShareUsed},
 		{"a small body from that address", many(4, hold{Callers, "a", 100 * kB}), hold{Callers, "a", 16 * kB}, admitted},
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -16,7 +16,7 @@
 
 	phase    atomic.Int32
 	since    atomic.Int64 // when the phase began, in sweeps
-	body     atomic.Int64 // number of bodies so far
+	bodies   atomic.Int64 // number of bodies so far
 	received atomic.Int64 // bytes from the client
 	writes   atomic.Int64 // odd while a write is in progress
 	stalled  atomic.Bool  // set by the sweep
@@ -59,7 +59,7 @@
 	if now := phase(c.phase.Load()); now == unused || now == idle {
 		c.headerBytes += n
 		if c.headerBytes > headerAllowance && c.reserve(int64(n)) != admitted {
-			c.gate.tally.count(headersTooLong)
+			c.gate.refusals.count(headersTooLong)
 			_ = c.Close()
 			return 0, net.ErrClosed
 		}
@@ -120,7 +120,7 @@
 // endBody lets the handler's reading of the body fail.
 func (c *conn) endBody(r Reason) {
 	if c.ended.CompareAndSwap(int32(admitted), int32(r)) {
-		c.gate.tally.count(r)
+		c.gate.refusals.count(r)
 		_ = c.SetReadDeadline(pastDeadline) // if it fails, the connection is closed already
 	}
 }
--- a/internal/ingress/decoding.go
+++ b/internal/ingress/decoding.go
@@ -54,7 +54,7 @@
 		d.room = limits.costly
 	}
 	if err := d.room.Acquire(ctx, d.cost); err != nil {
-		c.gate.tally.count(decodingBusy)
+		c.gate.refusals.count(decodingBusy)
 		return Decoding{}, ErrNoRoom
 	}
 	return d, nil
--- a/internal/ingress/dump.go
+++ b/internal/ingress/dump.go
@@ -21,7 +21,7 @@
 
 // Dump returns what clients use.
 func (g *Gate) Dump() any {
-	d := Dump{BodyLimit: g.limits.BodyBytes, DecodeLimit: g.limits.DecodeBytes, Refused: g.tally.byReason(&[reasonCount]int64{})}
+	d := Dump{BodyLimit: g.limits.BodyBytes, DecodeLimit: g.limits.DecodeBytes, Refused: g.refusals.byReason(&[reasonCount]int64{})}
 	for l := range listenerCount {
 		d.Listeners = append(d.Listeners, ListenerDump{Listener: l.String(), Connections: g.connections[l].count(), ConnectionLimit: g.limits.Connections[l]})
 	}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -17,7 +17,7 @@
 type Gate struct {
 	limits   Limits
 	decoding *decoding
-	tally    *refusals
+	refusals *refusals
 	sweeps   atomic.Int64 // number of sweeps so far, which serves as a clock
 	numbers  atomic.Int64 // number of accepted connections
 
@@ -35,7 +35,7 @@
 
 // New returns a Gate. Run has to be called for slow clients to be found.
 func New(l Limits, scope tally.Scope, log *zap.Logger) *Gate {
-	g := &Gate{limits: l, decoding: newDecoding(l.DecodeBytes), tally: newRefusals(scope, log), budget: newBudget(l.BodyBytes)}
+	g := &Gate{limits: l, decoding: newDecoding(l.DecodeBytes), refusals: newRefusals(scope, log), budget: newBudget(l.BodyBytes)}
 	for i := range g.connections {
 		g.connections[i].open = map[*conn]struct{}{}
 	}
@@ -95,7 +95,7 @@
 	c.setPhase(unused)
 	victim, reason := g.connections[kind].add(c, g.limits.Connections[kind])
 	if reason != admitted {
-		g.tally.count(reason)
+		g.refusals.count(reason)
 	}
 	if reason == noConnection {
 		return nil
@@ -205,7 +205,7 @@
 // sweep ends the bodies and answers of clients that make too little progress.
 func (g *Gate) sweep(elapsed time.Duration) {
 	g.sweeps.Add(1)
-	pressure := g.tally.report(elapsed)
+	pressure := g.refusals.report(elapsed)
 	for i := range g.connections {
 		for _, c := range g.connections[i].all() {
 			c.sweep(elapsed, g.limits.Progress, pressure)
@@ -219,7 +219,7 @@
 	if writes%2 == 0 || writes != c.seen.writes {
 		c.seen.writes, c.seen.writing = writes, 0
 	} else if c.seen.writing += elapsed; c.seen.writing >= p.AnswerTimeout {
-		c.gate.tally.count(answerNotRead)
+		c.gate.refusals.count(answerNotRead)
 		_ = c.Close()
 		return
 	}
@@ -231,7 +231,7 @@
 
 func (c *conn) sweepBody(elapsed time.Duration, p Progress, pressure bool) {
 	t, received := &c.seen.transfer, c.received.Load()
-	if body := c.body.Load(); phase(c.phase.Load()) != receiving || body != c.seen.body {
+	if body := c.bodies.Load(); phase(c.phase.Load()) != receiving || body != c.seen.body {
 		*t = transfer{}
 		c.seen.body, c.seen.received = body, received
 		return
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -1,6 +1,6 @@
 // Package ingress bounds what clients outside the operators' control can make a process hold: bytes of open request bodies and long
 // headers, connections, and requests that are being decoded. A Gate is shared by all listeners of a process. What it decides is pure code
-// (budget, victim, verdictOf); a single goroutine looks for clients that make no progress, so that an ordinary request needs no timer.
+// (budget, candidate, verdictOf); a single goroutine looks for clients that make no progress, so that an ordinary request needs no timer.
 package ingress
 
 import "time"
--- a/internal/ingress/progress.go
+++ b/internal/ingress/progress.go
@@ -24,7 +24,7 @@
 	case t.stalled >= stallTimeout:
 		return bodyStalled
 	case t.age >= p.BodyDeadline:
-		return bodyTooLong
+		return bodyPastDeadline
 	case t.age > grace && float64(t.received) < (t.age-grace).Seconds()*float64(p.MinRate):
 		return bodyTooSlow
 	}
--- a/internal/ingress/progress_test.go
+++ b/internal/ingress/progress_test.go
@@ -27,7 +27,7 @@
 		{"a byte a second", transfer{age: 11 * time.Second, received: 11}, false, bodyTooSlow},
 		{"a large body at a byte a second under pressure", transfer{age: 4 * time.Second, received: 4, large: true}, true, bodyTooSlow},
 		{"a small body at a byte a second under pressure", transfer{age: 4 * time.Second, received: 4}, true, admitted},
-		{"a minute", transfer{age: time.Minute, received: 1 << 20}, false, bodyTooLong},
+		{"a minute", transfer{age: time.Minute, received: 1 << 20}, false, bodyPastDeadline},
 	}
 	for _, c := range cases {
 		Convey(c.name, t, func() { So(verdictOf(c.transfer, p, c.pressure), ShouldEqual, c.want) })
--- a/internal/ingress/routes.go
+++ b/internal/ingress/routes.go
@@ -43,7 +43,7 @@
 			return leave, true
 		default:
 		}
-		g.tally.count(routeBusy)
+		g.refusals.count(routeBusy)
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return nil, false
