--- a/internal/cluster/interference/dump.go
+++ b/internal/cluster/interference/dump.go
@@ -69,7 +69,7 @@
 
 // Stats returns the sizes of the model.
 func (m *Model) Stats() Stats {
-	s := Stats{Kinds: len(m.byName), Observations: m.contrasts}
+	s := Stats{Kinds: len(m.byName), Observations: m.comparisons}
 	for i := range m.effects {
 		for j := range m.effects[i] {
 			if m.effects[i][j].apart {
--- a/internal/cluster/interference/effect.go
+++ b/internal/cluster/interference/effect.go
@@ -15,7 +15,7 @@
 	// observations, and stays so while it is above keptEffect with keptConfidence standard deviations.
 	apartConfidence = 3.5
 	keptConfidence  = 2.0
-	minContrasts    = 6
+	minComparisons  = 6
 	// dependence is by how much the variance of a comparison is raised, because comparisons are not independent: when the speed of a worker
 	// changes for a while, it does so for all its runs and for several segments of each.
 	dependence = 2.5
@@ -65,7 +65,7 @@
 	if e.apart {
 		return mean-keptConfidence*sd > keptEffect
 	}
-	return e.count >= minContrasts && mean-apartConfidence*sd > apartEffect
+	return e.count >= minComparisons && mean-apartConfidence*sd > apartEffect
 }
 
 // dispersion is a variance that is estimated from residuals, starting with a prior that counts as a number of residuals.
@@ -97,10 +97,10 @@
 
 func (d *dispersion) value() float64 { return max(d.variance, minDispersion*minDispersion) }
 
-// contrast applies a comparison: the logarithm of a rate of the kind differs by difference, with the variance, while the levels of the
+// applyComparison applies a comparison: the logarithm of a rate of the kind differs by difference, with the variance, while the levels of the
 // kinds beside it differ by levels. It returns the squared difference from what was expected, less the variance of the effects. It may be
 // negative.
-func (m *Model) contrast(k *Kind, difference, variance float64, levels vector, now time.Time) float64 {
+func (m *Model) applyComparison(k *Kind, difference, variance float64, levels vector, now time.Time) float64 {
 	variance *= dependence
 	total, expected := variance, 0.0
 	for _, l := range levels {
@@ -127,9 +127,9 @@
 			e.seen = now
 			e.count++
 		}
-		m.judge(k, l.kind, now)
+		m.updateApart(k, l.kind, now)
 	}
-	m.contrasts++
+	m.comparisons++
 	// An outlier makes the kind's rates count as less certain, but only to the extent to which it was used.
 	residual := min(max(surprise, -2*limit), 2*limit)
 	return residual*residual - (total - variance)
--- a/internal/cluster/interference/interference_test.go
+++ b/internal/cluster/interference/interference_test.go
@@ -30,7 +30,7 @@
 				w.run(10)
 				So(w.apart(), ShouldBeEmpty)
 			}
-			So(w.contrasts, ShouldBeGreaterThan, 5000)
+			So(w.comparisons, ShouldBeGreaterThan, 5000)
 		}
 	})
 }
@@ -152,12 +152,12 @@
 		w.factor = onlyBByA(1.6)
 		w.run(60)
 		So(w.apart(), ShouldResemble, []string{"B by A"})
-		Convey("It is let go soon once tasks run beside each other without interference", func() {
+		Convey("It is kept apart no longer, soon after tasks run beside each other without interference", func() {
 			w.factor = onlyBByA(1)
 			w.run(240)
 			So(w.apart(), ShouldBeEmpty)
 		})
-		Convey("It is let go after minutes without any observation, but not at once", func() {
+		Convey("It is no longer kept apart after minutes without any observation, but not at once", func() {
 			w.now = w.now.Add(2 * time.Minute)
 			w.Sweep(w.now)
 			So(w.apart(), ShouldNotBeEmpty)
@@ -186,13 +186,13 @@
 		now := t0.Add(MaxKinds * time.Second)
 		a, b := m.Kind("k0", t0), m.Kind("k1", now)
 		*m.effect(a, b) = effect{mean: 1, variance: 0.001, updated: now, seen: now, count: 10}
-		m.judge(a, b, now)
-		So(b.Harms(), ShouldEqual, a.Bit())
+		m.updateApart(a, b, now)
+		So(b.KeptApartFrom(), ShouldEqual, a.Bit())
 		Convey("A further kind takes the slot of the one that was not seen for the longest time, without its effects", func() {
 			c := m.Kind("new", now)
 			So(c.Known(), ShouldBeTrue)
 			So(a.Known(), ShouldBeFalse)
-			So([]Set{a.Bit(), b.Harms(), c.Harms()}, ShouldResemble, []Set{0, 0, 0})
+			So([]Set{a.Bit(), b.KeptApartFrom(), c.KeptApartFrom()}, ShouldResemble, []Set{0, 0, 0})
 			So(m.Stats(), ShouldResemble, Stats{Kinds: MaxKinds})
 		})
 		Convey("While all were seen recently, it is not known and has no effects", func() {
@@ -218,7 +218,7 @@
 		m := New()
 		a, b, c := m.Kind("A", t0), m.Kind("B", t0), m.Kind("C", t0)
 		*m.effect(b, a) = effect{mean: math.Log(1.6), variance: 0.001, updated: t0, seen: t0, count: 10}
-		m.judge(b, a, t0)
+		m.updateApart(b, a, t0)
 		load := func(k *Kind, cpu int64) *Load {
 			var l Load
 			l.Add(k, cpu)
@@ -260,7 +260,7 @@
 		Convey("Another one that restores it keeps the same pairs apart, with less certainty after some time", func() {
 			m := New()
 			So(m.Restore(data, w.now), ShouldBeNil)
-			So(m.Kind("B", w.now).Harms(), ShouldEqual, m.Kind("A", w.now).Bit())
+			So(m.Kind("B", w.now).KeptApartFrom(), ShouldEqual, m.Kind("A", w.now).Bit())
 			So(m.Dump(w.now).Pairs[0].Slowdown, ShouldAlmostEqual, w.Dump(w.now).Pairs[0].Slowdown, 0.01)
 			So(m.Changed(w.now), ShouldBeFalse)
 			late := New()
@@ -299,7 +299,7 @@
 	runs := make([]Run, 10)
 	progress := make([]Progress, len(runs))
 	for i := range runs {
-		progress[i] = Progress{Run: &runs[i], Kind: m.Kind(fmt.Sprint(i%4), now), CPUMilli: 1000, Alike: 1}
+		progress[i] = Progress{Run: &runs[i], Kind: m.Kind(fmt.Sprint(i%4), now), CPUMilli: 1000, StepTasks: 1}
 	}
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(600 * time.Millisecond)
@@ -315,7 +315,7 @@
 	m := New()
 	slowed, by := m.Kind("B", t0), m.Kind("A", t0)
 	*m.effect(slowed, by) = effect{mean: 0.5, variance: 0.001, updated: t0, seen: t0, count: 10}
-	m.judge(slowed, by, t0)
+	m.updateApart(slowed, by, t0)
 	for b.Loop() {
 		var l Load
 		for range 10 {
--- a/internal/cluster/interference/model.go
+++ b/internal/cluster/interference/model.go
@@ -36,13 +36,13 @@
 
 // Kind is a kind of tasks. A nil Kind is one that the model does not know; it has no effects.
 type Kind struct {
-	model    *Model
-	name     string
-	slot     int // -1 once another kind has taken the slot
-	lastSeen time.Time
-	harms    Set // kinds with which it is kept apart, because it slows them down or they slow it down
-	within   dispersion
-	between  dispersion
+	model         *Model
+	name          string
+	slot          int // -1 once another kind has taken the slot
+	lastSeen      time.Time
+	keptApartFrom Set // kinds with which it is kept apart, because it slows them down or they slow it down
+	within        dispersion
+	between       dispersion
 }
 
 // Bit returns the set that holds only the kind.
@@ -53,16 +53,16 @@
 	return 1 << k.slot
 }
 
-// Harms returns the kinds that the kind is kept apart from.
-func (k *Kind) Harms() Set {
+// KeptApartFrom returns the kinds that the kind is kept apart from.
+func (k *Kind) KeptApartFrom() Set {
 	if k == nil {
 		return 0
 	}
-	return k.harms
+	return k.keptApartFrom
 }
 
-// Seen notes that there are tasks of the kind, and reports whether the model still holds it.
-func (k *Kind) Seen(now time.Time) bool {
+// MarkSeen notes that there are tasks of the kind, and reports whether the model still holds it.
+func (k *Kind) MarkSeen(now time.Time) bool {
 	if !k.Known() {
 		return false
 	}
@@ -75,17 +75,17 @@
 
 // Model holds what is known about the kinds.
 type Model struct {
-	byName    map[string]*Kind
-	slots     [MaxKinds]*Kind
-	effects   [MaxKinds][MaxKinds]effect // by slot of the kind that is slowed down, and of the kind that slows it down
-	fullUntil time.Time                  // no slot is free before
-	sweptAt   time.Time
-	weight    float64 // see SetFreeShare
-	changes   []Change
-	storedAt  time.Time // when Encode was last called
-	unstored  bool      // a pair has become or ceased to be kept apart since the last Encode
-	contrasts int64
-	buffer    vector // reused by contrast to avoid allocations
+	byName      map[string]*Kind
+	slots       [MaxKinds]*Kind
+	effects     [MaxKinds][MaxKinds]effect // by slot of the kind that is slowed down, and of the kind that slows it down
+	fullUntil   time.Time                  // no slot is free before
+	sweptAt     time.Time
+	weight      float64 // see SetFreeShare
+	changes     []Change
+	storedAt    time.Time // when Encode was last called
+	unstored    bool      // a pair has become or ceased to be kept apart since the last Encode
+	comparisons int64
+	buffer      vector // reused by applyComparison to avoid allocations
 }
 
 // Change says that a pair of kinds has become, or is no longer, kept apart.
@@ -180,11 +180,11 @@
 	if len(m.changes) > maxChanges {
 		m.changes = m.changes[1:]
 	}
-	slowed.harms &^= by.Bit()
-	by.harms &^= slowed.Bit()
+	slowed.keptApartFrom &^= by.Bit()
+	by.keptApartFrom &^= slowed.Bit()
 	if m.effect(slowed, by).apart || m.effect(by, slowed).apart {
-		slowed.harms |= by.Bit()
-		by.harms |= slowed.Bit()
+		slowed.keptApartFrom |= by.Bit()
+		by.keptApartFrom |= slowed.Bit()
 	}
 }
 
@@ -198,8 +198,8 @@
 	return changes
 }
 
-// Sweep lets pairs go that were not observed for so long that they have become uncertain. It does nothing if it was called
-// recently, or if there is no model.
+// Sweep ends the separation of pairs that were not observed for so long that they have become uncertain. It does nothing if it was
+// called recently, or if there is no model.
 func (m *Model) Sweep(now time.Time) {
 	if m == nil || now.Sub(m.sweptAt) < sweepInterval {
 		return
@@ -209,14 +209,14 @@
 		if k == nil {
 			continue
 		}
-		for rest := k.harms; rest != 0; rest &= rest - 1 {
-			m.judge(k, m.slots[bits.TrailingZeros64(uint64(rest))], now)
+		for rest := k.keptApartFrom; rest != 0; rest &= rest - 1 {
+			m.updateApart(k, m.slots[bits.TrailingZeros64(uint64(rest))], now)
 		}
 	}
 }
 
-// judge decides whether a pair is kept apart.
-func (m *Model) judge(slowed, by *Kind, now time.Time) {
+// updateApart decides whether a pair is kept apart.
+func (m *Model) updateApart(slowed, by *Kind, now time.Time) {
 	e := m.effect(slowed, by)
 	if apart := e.credible(now); apart != e.apart {
 		m.setApart(slowed, by, apart, now)
--- a/internal/cluster/interference/observe.go
+++ b/internal/cluster/interference/observe.go
@@ -38,31 +38,31 @@
 	Kind     *Kind
 	CPUMilli int64
 	Percent  int
-	// Alike is the number of tasks of the run's step, which have the same length. InStep means that they progress together, as those of a
-	// gang.
-	Alike  int
-	InStep bool
+	// StepTasks is the number of tasks of the run's step, which have the same length. Synchronized means that they progress together, as
+	// those of a gang.
+	StepTasks    int
+	Synchronized bool
 }
 
 // Run is the state of a run. The zero value is that of a run that has not been observed.
 type Run struct {
-	round   int64 // of the tracker, in which the run was last listed
-	percent int
-	moved   bool // progress was seen
-	pending segment
-	current segment
-	base    average // of the segments before
-	kind    *Kind
-	alike   int
-	inStep  bool
+	round        int64 // of the tracker, in which the run was last listed
+	percent      int
+	moved        bool // progress was seen
+	pending      segment
+	current      segment
+	base         average // of the segments before
+	kind         *Kind
+	stepTasks    int
+	synchronized bool
 }
 
 // segment is a part of a run in which the neighbours stayed about the same.
 type segment struct {
-	points  float64
-	seconds float64
-	pieces  float64 // parts without a gap
-	levels  vector  // times seconds
+	points       float64
+	seconds      float64
+	gaplessParts float64 // number of parts that gaps in the observation separate
+	levels       vector  // times seconds
 }
 
 func (s *segment) reset() { *s = segment{levels: s.levels[:0]} }
@@ -139,7 +139,7 @@
 	t.round++
 	t.previous, t.current = t.current, t.previous[:0]
 	for i := range runs {
-		t.note(&runs[i])
+		t.countPresence(&runs[i])
 	}
 	t.runs, t.ended = t.ended[:0], t.runs
 	for i := range runs {
@@ -149,7 +149,7 @@
 		}
 		t.runs = append(t.runs, p.Run)
 		known := p.Run.round > 0 && p.Run.kind == p.Kind
-		p.Run.kind, p.Run.alike, p.Run.inStep, p.Run.round = p.Kind, p.Alike, p.InStep, t.round
+		p.Run.kind, p.Run.stepTasks, p.Run.synchronized, p.Run.round = p.Kind, p.StepTasks, p.Synchronized, t.round
 		if usable && known {
 			t.advance(p, interval.Seconds(), capacity)
 		}
@@ -162,8 +162,8 @@
 	}
 }
 
-// note counts a run among those on the worker.
-func (t *Tracker) note(p *Progress) {
+// countPresence adds a run to what runs on the worker.
+func (t *Tracker) countPresence(p *Progress) {
 	if !p.Kind.Known() {
 		return
 	}
@@ -217,7 +217,7 @@
 	if !r.moved && stood > 0 || stood*r.rate() > stallPoints { // it was being restored, or stood still for an unknown part of the time
 		r.moved = true
 		r.pending.reset()
-		r.current.pieces++
+		r.current.gaplessParts++
 		return
 	}
 	r.moved = true
@@ -226,7 +226,7 @@
 		t.closeSegment(r)
 	}
 	r.current.addAll(&r.pending)
-	r.current.pieces = max(r.current.pieces, 1)
+	r.current.gaplessParts = max(r.current.gaplessParts, 1)
 	r.pending.reset()
 }
 
@@ -260,23 +260,23 @@
 func (t *Tracker) closeSegment(r *Run) {
 	s, m := &r.current, r.kind.model
 	value := math.Log(s.points / s.seconds)
-	measured := s.pieces*roundingVariance/(s.points*s.points) + 2*s.pieces*jitter*jitter/(s.seconds*s.seconds)
+	measured := s.gaplessParts*roundingVariance/(s.points*s.points) + 2*s.gaplessParts*jitter*jitter/(s.seconds*s.seconds)
 	variance := measured + r.kind.within.value()
 	levels := s.levels.scale(1 / s.seconds)
 	if r.base.weight > 0 {
 		// All members of a gang show the same change at the same time.
 		samples := 1.0
-		if r.inStep {
-			samples = float64(max(r.alike, 1))
+		if r.synchronized {
+			samples = float64(max(r.stepTasks, 1))
 		}
 		m.buffer = difference(m.buffer, levels, r.base.levels)
 		total := samples * (variance + 1/r.base.weight)
-		squared := m.contrast(r.kind, value-r.base.mean, total, m.buffer, t.at)
+		squared := m.applyComparison(r.kind, value-r.base.mean, total, m.buffer, t.at)
 		r.kind.within.add(squared-measured-1/r.base.weight, 1/samples)
 	}
 	r.base.add(value, 1/variance, levels)
 	s.reset()
-	s.pieces = 1
+	s.gaplessParts = 1
 }
 
 // finish compares a run that has ended with earlier runs of its kind on the worker. It leaves out runs of steps with several tasks: they have
@@ -285,13 +285,13 @@
 	if r.current.points >= minPoints {
 		t.closeSegment(r)
 	}
-	if r.base.weight > 0 && r.alike <= 1 {
+	if r.base.weight > 0 && r.stepTasks <= 1 {
 		b, m := t.baseline(r.kind), r.kind.model
 		b.forget(t.at)
 		variance := 1/r.base.weight + r.kind.between.value()
 		if b.weight > 0 {
 			m.buffer = difference(m.buffer, r.base.levels, b.levels)
-			squared := m.contrast(r.kind, r.base.mean-b.mean, variance+1/b.weight, m.buffer, t.at)
+			squared := m.applyComparison(r.kind, r.base.mean-b.mean, variance+1/b.weight, m.buffer, t.at)
 			r.kind.between.add(squared-1/r.base.weight-1/b.weight, 1)
 		}
 		b.add(r.base.mean, 1/variance, r.base.levels)
--- a/internal/cluster/interference/penalty.go
+++ b/internal/cluster/interference/penalty.go
@@ -43,7 +43,7 @@
 // work that this task and its neighbours would do in the same time if they did not interfere, in thousandths of a core, times the room
 // that it is worth.
 func (k *Kind) Penalty(cpuMilli, capacity int64, l *Load) int64 {
-	harmful := k.Harms() & l.present
+	harmful := k.KeptApartFrom() & l.present
 	if harmful == 0 {
 		return 0
 	}
--- a/internal/cluster/interference/row.go
+++ b/internal/cluster/interference/row.go
@@ -92,7 +92,7 @@
 	for i := range m.effects {
 		for j := range m.effects[i] {
 			e := &m.effects[i][j]
-			if e.count < minContrasts || !e.seen.After(m.storedAt) {
+			if e.count < minComparisons || !e.seen.After(m.storedAt) {
 				continue
 			}
 			mean, sd := e.at(now)
@@ -183,10 +183,10 @@
 	*m.effect(slowed, by) = effect{mean: mean, variance: sd * sd, updated: storedAt, seen: storedAt.Add(-time.Duration(p.SeenS) * time.Second),
 		count: p.Contrast, apart: p.Apart, storedMean: mean, storedSD: sd}
 	if p.Apart {
-		slowed.harms |= by.Bit()
-		by.harms |= slowed.Bit()
+		slowed.keptApartFrom |= by.Bit()
+		by.keptApartFrom |= slowed.Bit()
 	}
-	m.judge(slowed, by, now)
+	m.updateApart(slowed, by, now)
 }
 
 // maxEffect is the highest effect that a stored model may hold.
--- a/internal/cluster/interference/synthetic_test.go
+++ b/internal/cluster/interference/synthetic_test.go
@@ -145,7 +145,7 @@
 func (w *world) report(k *testWorker) {
 	var progress []Progress
 	for _, r := range k.runs {
-		progress = append(progress, Progress{Run: &r.Run, Kind: w.Kind(w.kinds[r.kind], w.now), CPUMilli: r.cpu, Percent: int(r.done * 100), Alike: r.alike})
+		progress = append(progress, Progress{Run: &r.Run, Kind: w.Kind(w.kinds[r.kind], w.now), CPUMilli: r.cpu, Percent: int(r.done * 100), StepTasks: r.alike})
 	}
 	k.Observe(w.now.Add(time.Duration(w.random.IntN(40))*time.Millisecond), testCapacity, progress)
 	w.Sweep(w.now)
--- a/internal/cluster/scheduler/interference.go
+++ b/internal/cluster/scheduler/interference.go
@@ -15,7 +15,7 @@
 
 // identifyKind determines the kind of a unit's tasks. Without a kind, a unit has no penalties.
 func (s *Scheduler) identifyKind(u *unit, now time.Time) {
-	if s.interference == nil || u.kind.Seen(now) {
+	if s.interference == nil || u.kind.MarkSeen(now) {
 		return
 	}
 	u.kind = s.interference.Kind(interference.Name(u.step.Image, u.job.spec.Queue.Name, u.job.queue.Service), now)
@@ -39,7 +39,7 @@
 		if !p.lastListedAt.Equal(requestedAt) {
 			continue
 		}
-		o := interference.Progress{Kind: u.kind, CPUMilli: u.step.Resources.CPUMilli, Percent: p.percent, Alike: u.step.Count, InStep: u.step.Gang}
+		o := interference.Progress{Kind: u.kind, CPUMilli: u.step.Resources.CPUMilli, Percent: p.percent, StepTasks: u.step.Count, Synchronized: u.step.Gang}
 		if p.state == running && !p.task.done && !u.step.LongRunning && !u.step.BestEffort {
 			if p.rate == nil {
 				p.rate = &interference.Run{}
@@ -53,13 +53,13 @@
 }
 
 // harmsNeighbours reports whether the worker may have tasks from which those of the unit are kept apart.
-func (u *unit) harmsNeighbours(w *worker) bool { return u.kind.Harms()&w.kinds != 0 }
+func (u *unit) harmsNeighbours(w *worker) bool { return u.kind.KeptApartFrom()&w.kinds != 0 }
 
 // interferencePenalty returns what callers lose if another task of the unit starts on the worker, where that many are to start as well. It
 // is below the other penalties, and comparable to room, in thousandths of a core: a worker that has it is still chosen if it is the only
 // one, or if the others would lose more room than is gained.
 func (u *unit) interferencePenalty(w *worker, assigned int) int64 {
-	if !u.harmsNeighbours(w) && (assigned == 0 || u.kind.Harms()&u.kind.Bit() == 0) {
+	if !u.harmsNeighbours(w) && (assigned == 0 || u.kind.KeptApartFrom()&u.kind.Bit() == 0) {
 		return 0
 	}
 	var load interference.Load
