--- a/internal/cluster/queues/check/check.go
+++ b/internal/cluster/queues/check/check.go
@@ -15,8 +15,8 @@
 
 // Kinds of findings.
 const (
-	Invalid        Kind = "invalid"       // the daemons would ignore the whole configuration, or the entry has no meaning
-	NeverMatches   Kind = "never_matches" // no call can reach the entry
+	Invalid       Kind = "invalid"       // the daemons would ignore the whole configuration, or the entry has no meaning
+	NeverMatches  Kind = "never_matches" // no call can reach the entry
 	Contradiction Kind = "contradiction" // two limits exclude each other
 )
 
