--- a/internal/cluster/configage/age.go
+++ b/internal/cluster/configage/age.go
@@ -1,4 +1,4 @@
-// Package configage tells how old a host's copy of the operator's configuration may be, and keeps it young: while the store does not answer
+// Package configage tells how old a host's copy of the operator's configuration may be, and keeps it up to date: while the store does not answer
 // this host, it asks other hosts for newer versions. All times are readings of a clock that counts suspensions (clock.Func); readings of two
 // hosts are never compared.
 package configage
@@ -12,7 +12,7 @@
 	// oldCopyAge is the age above which other hosts are asked although the store has answered lately, as after a suspension: the answer was
 	// on its way meanwhile. While the store answers, the age stays below 1.7 s: a call is sent when the previous one is answered.
 	oldCopyAge = 2 * time.Second
-	// askLead is how long before the end of Limits.youngAge other hosts are asked at the latest.
+	// askLead is how long before the end of Limits.freshAge other hosts are asked at the latest.
 	askLead = 100 * time.Millisecond
 	// margin covers the time between a decision and its response, and clocks of different speeds.
 	margin = 200 * time.Millisecond
@@ -30,8 +30,8 @@
 // enabled reports whether the age of the copy is bounded.
 func (l Limits) enabled() bool { return l.Apply+l.Extension > 0 }
 
-// youngAge returns the age up to which a copy may be used without an attempt to confirm it.
-func (l Limits) youngAge() time.Duration {
+// freshAge returns the age up to which a copy may be used without an attempt to confirm it.
+func (l Limits) freshAge() time.Duration {
 	if l.Apply == 0 {
 		return oldCopyAge
 	}
@@ -71,7 +71,7 @@
 		return Usable
 	case !s.Known:
 		return TooOld
-	case s.Age(now) <= l.youngAge():
+	case s.Age(now) <= l.freshAge():
 		return Usable
 	case !s.attemptedLately(now):
 		return CheckFirst
@@ -88,7 +88,7 @@
 
 // ShouldAsk reports whether it is time to ask other hosts for a newer version.
 func (s State) ShouldAsk(now time.Duration, l Limits) bool {
-	return !s.Known || now-s.AnsweredAt > askAfter || s.Age(now) > min(oldCopyAge, l.youngAge()-askLead)
+	return !s.Known || now-s.AnsweredAt > askAfter || s.Age(now) > min(oldCopyAge, l.freshAge()-askLead)
 }
 
 // ShouldRead reports whether an attempt should read the configuration from the store as well: as the first one after a pause, since the
--- a/internal/cluster/configage/age_test.go
+++ b/internal/cluster/configage/age_test.go
@@ -21,8 +21,8 @@
 		unknown bool
 		want    Verdict
 	}{
-		"young":                      {usual, 1600 * ms, -1, false, Usable},
-		"just young enough":          {usual, 2800 * ms, -1, false, Usable},
+		"fresh":                      {usual, 1600 * ms, -1, false, Usable},
+		"just fresh enough":          {usual, 2800 * ms, -1, false, Usable},
 		"old, as after a suspension": {usual, 2801 * ms, -1, false, CheckFirst},
 		"old, last attempt before the suspension": {usual, 5 * second, 4 * second, false, CheckFirst},
 		"old, store and hosts out of reach":       {usual, 5 * second, 500 * ms, false, Usable},
@@ -33,7 +33,7 @@
 		"small site":                              {Limits{Apply: 2 * second, Extension: 6 * second}, 1801 * ms, -1, false, CheckFirst},
 		"no extension":                            {Limits{Apply: 3 * second}, 2801 * ms, 500 * ms, false, TooOld},
 		"only an extension":                       {Limits{Extension: 6 * second}, 5 * second, 500 * ms, false, Usable},
-		"only an extension, young":                {Limits{Extension: 6 * second}, 1600 * ms, -1, false, Usable},
+		"only an extension, fresh":                {Limits{Extension: 6 * second}, 1600 * ms, -1, false, Usable},
 		"only an extension, after a suspension":   {Limits{Extension: 6 * second}, 5 * second, -1, false, CheckFirst},
 		"no bounds":                               {Limits{}, time.Hour, -1, false, Usable},
 		"no bounds, never confirmed":              {Limits{}, 0, -1, true, Usable},
--- a/internal/cluster/configage/checker.go
+++ b/internal/cluster/configage/checker.go
@@ -71,7 +71,7 @@
 	Metrics  tally.Scope
 	Log      *zap.Logger
 
-	asking bool // an attempt was made since the copy was last young
+	asking bool // other hosts were asked at the last check
 }
 
 // Run checks the age of the copy until ctx ends.
@@ -86,11 +86,15 @@
 		}
 		should := c.Required() && s.ShouldAsk(now, c.Tracker.limits)
 		if should != c.asking {
-			fields := []zap.Field{zap.Bool("asking", should), zap.Duration("store_silent", now-s.AnsweredAt)}
+			fields := []zap.Field{zap.Duration("store_silent", now-s.AnsweredAt)}
 			if s.Known {
 				fields = append(fields, zap.Duration("age", s.Age(now)))
 			}
-			c.Log.Info("asking other hosts for the configuration", fields...)
+			message := "no longer asking other hosts for the configuration"
+			if should {
+				message = "asking other hosts for the configuration"
+			}
+			c.Log.Info(message, fields...)
 			c.asking = should
 		}
 		if should {
