--- a/internal/cluster/rowstore/adaptive.go
+++ b/internal/cluster/rowstore/adaptive.go
@@ -38,7 +38,7 @@
 	averageLatency time.Duration // exponential moving average; raised after timeouts
 	inProgress     int           // commits and reads without an answer
 	waitingSince   time.Time     // when the store had last answered anything, or the first of the calls in progress was sent
-	answeredSentAt time.Time     // when the call was sent that was sent last among those that the store has answered
+	answeredSentAt time.Time     // latest time at which a call was sent that the store has answered
 	overdue        int           // commits that take longer than usual
 	probing        bool
 	probeRange     Range         // of the last read that was answered
@@ -62,7 +62,7 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := a.begin()
-	watchdog := time.AfterFunc(a.commitTimeout(0)/2, func() { a.cutIfLost(callCtx, cancel, began, txn) })
+	watchdog := time.AfterFunc(a.commitTimeout(0)/2, func() { a.cancelIfLost(callCtx, cancel, began, txn) })
 	defer watchdog.Stop()
 	version, err := a.Store.Commit(callCtx, txn)
 	a.calls.Record(outcomeOf(err), began)
@@ -123,7 +123,7 @@
 	return a.averageLatency
 }
 
-// AnsweredSentAt returns when the call was sent that was sent last among those that the store has answered.
+// AnsweredSentAt returns the latest time at which a call was sent that the store has answered.
 func (a *AdaptiveStore) AnsweredSentAt() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -177,9 +177,9 @@
 	a.newAnswer = make(chan struct{})
 }
 
-// cutIfLost begins to send probes and gives up a commit that was sent at began, once its answer has to be taken as lost: the store has answered a call that was sent
-// later, and the commit has taken several times as long; or maxCommitTimeout is over. It returns when ctx ends.
-func (a *AdaptiveStore) cutIfLost(ctx context.Context, cut context.CancelFunc, began time.Time, txn Txn) {
+// cancelIfLost sends probes, and cancels a commit that was sent at began once its answer counts as lost: either the store has answered a
+// call that was sent later and the commit has taken several times as long, or maxCommitTimeout is over. It returns when ctx ends.
+func (a *AdaptiveStore) cancelIfLost(ctx context.Context, cancel context.CancelFunc, began time.Time, txn Txn) {
 	a.probeWhileOverdue(txn)
 	defer a.noLongerOverdue()
 	for ctx.Err() == nil {
@@ -195,7 +195,7 @@
 			if newest.sentAt.After(began) {
 				a.timedOut(timeout)
 			}
-			cut()
+			cancel()
 			return
 		}
 		wait.ForOrSignal(ctx, left, changed)
--- a/internal/cluster/rowstore/silence.go
+++ b/internal/cluster/rowstore/silence.go
@@ -25,7 +25,7 @@
 
 // RecoveringStore is a Store that notices the end of an outage in which the store was silent. Reads and feeds that were sent before then
 // may never be answered; they fail with ErrUnavailable as soon as the store has answered a later call, so that their callers repeat them
-// without waiting for the timeout. Commits are not cut; see AdaptiveStore.
+// without waiting for the timeout. Commits are not cancelled; see AdaptiveStore.
 type RecoveringStore struct {
 	Store
 
@@ -37,8 +37,8 @@
 // query is a read or a feed in progress.
 type query struct {
 	sentAt time.Time
-	cut    context.CancelFunc
-	// responding is set once the answer has begun to arrive; the query is not cut any more.
+	cancel context.CancelFunc
+	// responding is set once the answer has begun to arrive; the query is not cancelled any more.
 	responding bool
 }
 
@@ -75,7 +75,7 @@
 
 func (r *RecoveringStore) begin(ctx context.Context) (context.Context, *query) {
 	ctx, cancel := context.WithCancel(ctx)
-	q := &query{sentAt: time.Now(), cut: cancel}
+	q := &query{sentAt: time.Now(), cancel: cancel}
 	ctx = context.WithValue(ctx, responseHook{}, func() { r.noteResponse(q) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -92,7 +92,7 @@
 
 // end records that a query is over, and whether the store has answered it.
 func (r *RecoveringStore) end(q *query, answered bool) {
-	q.cut()
+	q.cancel()
 	r.mu.Lock()
 	delete(r.inProgress, q)
 	r.mu.Unlock()
@@ -101,7 +101,7 @@
 	}
 }
 
-// answered records that the store has answered a call that was sent at sentAt. If it had been silent, earlier queries are cut.
+// answered records that the store has answered a call that was sent at sentAt. If it had been silent, earlier queries are cancelled.
 func (r *RecoveringStore) answered(sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,7 +113,7 @@
 	}
 	for q := range r.inProgress {
 		if q.sentAt.Before(sentAt) && !q.responding {
-			q.cut()
+			q.cancel()
 		}
 	}
 }
