--- a/internal/cluster/frontend/admission.go
+++ b/internal/cluster/frontend/admission.go
@@ -18,6 +18,8 @@
 	refusalCheckTimeout = 500 * time.Millisecond
 	// refusalsEndAfter is how long after the last refusal the log says that refusals have ended.
 	refusalsEndAfter = 3 * time.Second
+	// maxPath limits the duration of a chain of steps, so that the estimates of a caller do not overflow.
+	maxPath = 365 * 24 * time.Hour
 )
 
 // OverloadedError means that a job was not accepted, and never will be, because it would end too late to be of use.
@@ -34,7 +36,7 @@
 
 	mu     sync.Mutex
 	digest *forecast.Digest
-	madeAt time.Duration // of the digest, on the clock, or earlier
+	madeAt time.Duration // reading of the clock when the digest was made, or an earlier one
 
 	refused  int         // since refusals began
 	endTimer *time.Timer // logs the end of refusals; nil if there are none
@@ -50,8 +52,8 @@
 
 func (a *admission) now() time.Duration { return a.clock() }
 
-// record notes the digest in an answer of the owner to a question that was sent at sentAt; nil means that no queue is overloaded. The digest
-// was made its age before then at the earliest, so it counts as older than it is rather than younger.
+// record notes the digest in an answer of the owner to a question that was sent at sentAt; nil means that no queue is overloaded. The age
+// in the digest is counted back from sentAt, so the digest counts as at least as old as it is.
 func (a *admission) record(d *forecast.Digest, sentAt time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -89,9 +91,9 @@
 	})
 }
 
-// refuseIfOverloaded returns an OverloadedError if the job would end too late to be of use. A job that was accepted before is not refused, nor
-// one of which that can't be found out: its caller comes back because the answer was lost, and a refusal would be false. While
-// the store is slow, an earlier attempt of the caller, whose outcome it does not know, may still be on its way, so nothing is refused.
+// refuseIfOverloaded returns an OverloadedError if the job would end too late to be of use. A job that was accepted before is not refused,
+// since its caller repeats the submission because the answer was lost; nor is a job for which the store can't tell. While the store is
+// slow nothing is refused, because an earlier attempt of the caller with an unknown outcome may still be in progress.
 func (s *JobService) refuseIfOverloaded(ctx context.Context, spec *workload.Spec, access workload.Access) error {
 	if d, err := s.Coordinator.Forecast(); err == nil {
 		s.admission.record(d, s.admission.now())
@@ -148,9 +150,6 @@
 	return j, true
 }
 
-// maxPath limits the duration of a chain of steps, so that the estimates of a caller do not overflow.
-const maxPath = 365 * 24 * time.Hour
-
 // smaller returns the lower need of each resource.
 func smaller(a, b workload.Resources) workload.Resources {
 	return workload.Resources{CPUMilli: min(a.CPUMilli, b.CPUMilli), MemoryMB: min(a.MemoryMB, b.MemoryMB), Accelerators: min(a.Accelerators, b.Accelerators)}
--- a/internal/cluster/frontend/breaker.go
+++ b/internal/cluster/frontend/breaker.go
@@ -34,8 +34,8 @@
 	silenceLatencyFactor = 3
 	// suspicionLimit is the same for writes on behalf of peers, which have other hosts to ask.
 	suspicionLimit = 100 * time.Millisecond
-	// hintTimeout is how long the store has to answer this host's reads after the owner has told that it answers none of its own for
-	// 0.3 s.
+	// hintTimeout is how long the store has to answer a read of this host after the owner has reported that none of the owner's calls was
+	// answered for 0.3 s.
 	hintTimeout = 50 * time.Millisecond
 	// silenceCheckInterval is how often a write in progress checks whether the store is silent.
 	silenceCheckInterval = 50 * time.Millisecond
@@ -110,8 +110,8 @@
 	return b.open.Load()
 }
 
-// checkHint checks whether the store is silent for this host too, after the owner has told for how long it has been silent. It is not if it
-// has answered a call that was sent since then.
+// checkHint checks whether the store is silent for this host too, after the owner has reported for how long it has had no answer. The store
+// is not silent if it has answered a call that this host sent within that time.
 func (b *breaker) checkHint(silent time.Duration) {
 	r, ok := b.store.(silenceReporter)
 	if !ok || b.open.Load() || time.Since(r.AnsweredSentAt()) < silent {
@@ -134,8 +134,8 @@
 	}()
 }
 
-// probe opens the breaker, if the store is not known to be silent only after a first probe without an answer, and closes it when the store
-// answers a later one.
+// probe opens the breaker and closes it when the store answers a probe. Unless the store is known to be silent, the breaker is opened only
+// if a first probe has no answer.
 func (b *breaker) probe(silent bool) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), maxProbeDuration)
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -262,24 +262,24 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
-	const accepted = 2 // index of the read of the inbox
-	stateKeys := [accepted]rowstore.Key{records.EndedKey(id), records.ProgressKey(id)}
-	read := overlapped(s, accepted+1, func(i int) readResult {
-		if i == accepted {
+	const inboxRead = 2 // the read that comes after those of the states
+	stateKeys := [inboxRead]rowstore.Key{records.EndedKey(id), records.ProgressKey(id)}
+	read := overlapped(s, inboxRead+1, func(i int) readResult {
+		if i == inboxRead {
 			found, err := s.accepted(callCtx, id, access)
 			return readResult{found: found, err: err}
 		}
 		value, found, err := s.readValue(callCtx, stateKeys[i])
 		return readResult{value, found, err}
 	})
-	for i := range accepted + 1 {
+	for i := range inboxRead + 1 {
 		r := read(i)
 		switch {
 		case r.err != nil:
 			return "", errors.Wrap(ErrUnavailable, r.err.Error())
 		case !r.found:
 			continue
-		case i == accepted:
+		case i == inboxRead:
 			return workload.Queued, nil
 		}
 		p, err := workload.DecodeProgress(r.value)
