--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -58,21 +58,26 @@
 	state workload.State
 }
 
-// commitPriority returns the rank of a record in a commit, the most urgent being 0: tasks of new jobs can't start, and the
-// end of a job can't be shown to callers, before the record is durable. Progress is needed only by a successor.
-func (r Record) commitPriority() int { return commitPriority(r.Spec != nil, r.state) }
+// Priorities of records in a commit, the most urgent first: tasks of new jobs can't start, and the end of a job can't be shown to
+// callers, before the record is durable. Progress is needed only by a successor.
+const (
+	newJobPriority = iota
+	endedJobPriority
+	progressPriority
+	commitPriorities // number of priorities
+)
 
-// lowestCommitPriority is the rank of progress.
-const lowestCommitPriority = 2
+// commitPriority returns the priority of the record in a commit.
+func (r Record) commitPriority() int { return commitPriority(r.Spec != nil, r.state) }
 
 func commitPriority(isNew bool, state workload.State) int {
 	switch {
 	case isNew:
-		return 0
+		return newJobPriority
 	case state.Final():
-		return 1
+		return endedJobPriority
 	}
-	return lowestCommitPriority
+	return progressPriority
 }
 
 // BeginBatch begins a batch of commits for all jobs that changed since the last one, and returns its generation, to be passed to
@@ -122,23 +127,23 @@
 		}
 		byPriority[priority] = jobs
 	}
-	take(0, 1-newJobShare)
-	take(1, progressShare)
-	take(2, 0)
-	take(1, 0)
-	take(0, 0)
+	take(newJobPriority, 1-newJobShare)
+	take(endedJobPriority, progressShare)
+	take(progressPriority, 0)
+	take(endedJobPriority, 0)
+	take(newJobPriority, 0)
 	sortRecords(records)
 	return records, len(s.batch) > 0
 }
 
 // changedJobs returns, by priority of their records, the jobs of the batch and those that have arrived or ended since it began, sorted by ID.
-func (s *Scheduler) changedJobs() [lowestCommitPriority + 1][]*job {
-	var out [lowestCommitPriority + 1][]*job
+func (s *Scheduler) changedJobs() [commitPriorities][]*job {
+	var out [commitPriorities][]*job
 	for j := range s.batch {
 		out[j.commitPriority()] = append(out[j.commitPriority()], j)
 	}
 	for j := range s.dirty {
-		if _, listed := s.batch[j]; !listed && j.commitPriority() < lowestCommitPriority {
+		if _, listed := s.batch[j]; !listed && j.commitPriority() < progressPriority {
 			out[j.commitPriority()] = append(out[j.commitPriority()], j)
 		}
 	}
@@ -154,7 +159,7 @@
 // entries returns about how many entries of a commit the job's record takes.
 func (j *job) entries() float64 {
 	switch {
-	case j.commitPriority() == 0:
+	case j.commitPriority() == newJobPriority:
 		return 1.0 / newJobsPerEntry
 	case j.state.Final() && j.progressStored:
 		return float64(2 + len(j.chunks.stored))
