--- a/internal/cluster/scheduler/forecast.go
+++ b/internal/cluster/scheduler/forecast.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/forecast"
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
@@ -31,12 +32,17 @@
 // Forecast returns what the hosts need to refuse jobs that would end too late to be of use, or nil if there is no need. It has to be called
 // after a complete plan, so that what the workers have free is not about to be taken.
 func (s *Scheduler) Forecast(now time.Time) *forecast.Digest {
+	return s.forecast.Digest(now, s.waitingWork(now), s.pools(now), s.teamsBeyondShare())
+}
+
+// waitingWork returns the waiting work of each class. It includes the classes of all queues, since what is started of queues without
+// waiting work counts as well.
+func (s *Scheduler) waitingWork(now time.Time) []forecast.Work {
 	byClass := map[forecast.Class]*forecast.Work{}
-	for _, q := range s.queues.Queues { // what is started of queues without waiting work counts as well
-		c := forecast.Class{Queue: q.Name}
-		byClass[c] = &forecast.Work{Class: c, Service: q.Service, Priority: q.Priority, First: q.Priority <= s.queues.FirstPriority(), Scale: 1}
+	for i := range s.queues.Queues {
+		w := s.noWork(forecast.Class{Queue: s.queues.Queues[i].Name}, &s.queues.Queues[i])
+		byClass[w.Class] = w
 	}
-	var beyond []string
 	for u := range s.open {
 		waiting := u.tasks.countWaiting(now)
 		if waiting == 0 || u.step.LongRunning || u.job.team != nil && !u.job.team.waitsForRoom() {
@@ -44,8 +50,7 @@
 		}
 		w := byClass[u.forecastClass()]
 		if w == nil {
-			w = &forecast.Work{Class: u.forecastClass(), Service: u.job.queue.Service, Priority: u.job.queue.Priority,
-				First: u.job.queue.Priority <= s.queues.FirstPriority()}
+			w = s.noWork(u.forecastClass(), &u.job.queue)
 			byClass[w.Class] = w
 		}
 		w.Scale = s.durationScale(u.job)
@@ -60,11 +65,22 @@
 	for _, w := range byClass {
 		works = append(works, *w)
 	}
+	return works
+}
+
+// noWork returns the class of a queue without waiting work.
+func (s *Scheduler) noWork(c forecast.Class, q *queues.Queue) *forecast.Work {
+	return &forecast.Work{Class: c, Service: q.Service, Priority: q.Priority, First: q.Priority <= s.queues.FirstPriority(), Scale: 1}
+}
+
+// teamsBeyondShare returns the names of the teams with jobs beyond their share, sorted.
+func (s *Scheduler) teamsBeyondShare() []string {
+	var beyond []string
 	for t := range s.teams.withBeyond {
 		beyond = append(beyond, t.name)
 	}
 	slices.SortFunc(beyond, strings.Compare)
-	return s.forecast.Digest(now, works, s.pools(now), beyond)
+	return beyond
 }
 
 // waitsForRoom reports whether units of the team can wait for workers. Those of a team at its quota wait for its own tasks, and take
--- a/internal/cluster/scheduler/quota.go
+++ b/internal/cluster/scheduler/quota.go
@@ -13,11 +13,11 @@
 	unlimited = 1 << 60
 	// maxCountedUse is the highest use of one task that is counted, above the capacity of any pool.
 	maxCountedUse = 1 << 32
-	// maxReleasedUnits is the highest number of units that a release of quota examines, so that a long backlog of a team does not make
-	// each end of a run dearer.
+	// maxReleasedUnits is the highest number of units that a release of quota examines, so that the end of a run does not cost more with a
+	// long backlog of the team.
 	maxReleasedUnits = 64
 	// maxQuotaHold is how long a gang may keep the quota of its team from units that come later, and maxQuotaHoldLowUse the same while
-	// the team uses less than 1/lowUseDivisor of its quota: a job whose team does must not wait for 3 s.
+	// the team uses less than 1/lowUseDivisor of its quota, since jobs of such a team must not wait for 3 s.
 	maxQuotaHold       = 10 * time.Second
 	maxQuotaHoldLowUse = 2 * time.Second
 	// quotaLogInterval is the least time between two log lines about a team that waits for its quota.
@@ -61,7 +61,7 @@
 	return workload.Resources{CPUMilli: limit(q.CPUMilli), MemoryMB: limit(q.MemoryMB), Accelerators: limit(q.Accelerators)}
 }
 
-// quotaLeft returns what the tasks of the candidate may use without a team above its quota.
+// quotaLeft returns what the tasks of the candidate may use so that its team stays within its quota.
 func (s *Scheduler) quotaLeft(c candidate) workload.Resources {
 	t := c.unit.job.team
 	if !t.known && !t.teams.configured {
@@ -112,8 +112,8 @@
 	return true
 }
 
-// quotaAllowsMore reports whether tasks of the candidate that found no worker might start if there was one. If not, it notes that they wait
-// for the quota.
+// quotaAllowsMore reports whether the quota lets tasks of the candidate that found no worker start. If not, it notes that they wait for the
+// quota.
 func (s *Scheduler) quotaAllowsMore(c candidate) bool {
 	t := c.unit.job.team
 	if t == nil || !s.atQuota(c) {
