--- a/internal/cluster/forecast/forecast.go
+++ b/internal/cluster/forecast/forecast.go
@@ -85,9 +85,9 @@
 
 // Meter measures at which rate the work of each class is started. It is not safe for concurrent use.
 type Meter struct {
-	rates map[part]float64 // processors that the started work takes, averaged over rateWindow
-	begun map[part]time.Duration
-	at    time.Time
+	rates map[part]float64       // processors that the started work takes, averaged over rateWindow
+	begun map[part]time.Duration // processor time of the work that was started since at
+	at    time.Time              // when rates were last updated
 }
 
 // part is the work of a class that could meet its objective when it started, or the rest.
@@ -131,10 +131,7 @@
 		if pool.CPUMilli <= 0 || float64(pool.FreeCPUMilli) >= freeShare*float64(pool.CPUMilli) {
 			continue
 		}
-		ahead, rateAhead := m.ahead(w, works)
-		inTimePart, latePart := part{w.Class, false}, part{w.Class, true}
-		inTime := m.wait(inTimePart, pool, rateAhead, ahead+w.InTime)
-		late := min(inTime+m.wait(latePart, pool, rateAhead+m.rates[inTimePart], w.Late), maxWait)
+		inTime, late := m.waits(w, works, pool)
 		if late < minWait {
 			continue
 		}
@@ -155,14 +152,30 @@
 	if len(byQueue) == 0 {
 		return nil
 	}
-	for _, q := range byQueue {
-		d.Queues = append(d.Queues, *q)
-	}
-	slices.SortFunc(d.Queues, func(a, b Queue) int { return cmp.Compare(a.Name, b.Name) })
+	d.Queues = sortedByName(byQueue)
 	d.Beyond = beyond[:min(len(beyond), maxTeams)]
 	return d
 }
 
+// sortedByName returns the queues sorted by name, as Refuses needs them.
+func sortedByName(byQueue map[string]*Queue) []Queue {
+	sorted := make([]Queue, 0, len(byQueue))
+	for _, q := range byQueue {
+		sorted = append(sorted, *q)
+	}
+	slices.SortFunc(sorted, func(a, b Queue) int { return cmp.Compare(a.Name, b.Name) })
+	return sorted
+}
+
+// waits returns the expected waits of a new job of the class: of one that can start in time to meet its objective, and of one that can't.
+func (m *Meter) waits(w Work, works []Work, pool Pool) (inTime, late time.Duration) {
+	ahead, rateAhead := m.ahead(w, works)
+	inTimePart, latePart := part{w.Class, false}, part{w.Class, true}
+	inTime = m.wait(inTimePart, pool, rateAhead, ahead+w.InTime)
+	late = inTime + m.wait(latePart, pool, rateAhead+m.rates[inTimePart], w.Late)
+	return inTime, min(late, maxWait)
+}
+
 // ahead returns the waiting work of the service that is planned before that of the class, and the rate at which such work is started.
 func (m *Meter) ahead(w Work, works []Work) (work time.Duration, rate float64) {
 	for _, o := range works {
@@ -175,7 +188,7 @@
 }
 
 // wait returns how long the work of a part takes to start: at the rate at which such work has started lately, or at what work that is planned
-// before it leaves of the pool, if that is more. The second one holds for classes and owners without a past.
+// before it leaves of the pool, if that is more. The latter applies to classes and owners that have started nothing yet.
 func (m *Meter) wait(p part, pool Pool, rateAhead float64, work time.Duration) time.Duration {
 	processors := float64(pool.CPUMilli) / 1000
 	rate := max(m.rates[p], usableShare*processors-rateAhead, minRateShare*processors)
