--- a/internal/ingress/decoding.go
+++ b/internal/ingress/decoding.go
@@ -25,7 +25,7 @@
 
 // decoding is the room for decoding. Costly bodies have a part of their own, so that the others need not wait for them.
 type decoding struct {
-	part             int64 // bytes of each
+	part             int64 // bytes of each semaphore
 	ordinary, costly *semaphore.Weighted
 }
 
--- a/internal/ingress/refusals.go
+++ b/internal/ingress/refusals.go
@@ -22,7 +22,7 @@
 
 	// Only the sweep uses the rest.
 	last   [reasonCount]int64 // at the last sweep
-	begin  [reasonCount]int64 // at the begin of the present period
+	begin  [reasonCount]int64 // at the sweep before the present period of refusals
 	active bool
 	quiet  time.Duration // since the last refusal
 }
