Submit the jobs of a shared row at once in the test of batch rows

Cause: the test expects one row for two jobs that it submits one after the other; a commit that begins between them, which the scheduling of goroutines decides, gives each a row of its own. Change: both jobs are added under the owner's lock, so that no commit can begin between them. The checks are the same.

--- a/internal/cluster/coordinator/fixture_test.go
+++ b/internal/cluster/coordinator/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+	"github.com/greengagewing/greengagewing/internal/wait"
 )
 
 var testQueue = queues.Queue{Name: "q", Service: "s", MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second}
@@ -225,6 +226,18 @@
 	o.NotifyJobStored(&workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(), Steps: steps})
 }
 
+// submitTogether sends jobs with one task each to the owner at once, so that no commit begins between them.
+func (o *testOwner) submitTogether(ids ...string) {
+	t := o.current()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		t.addJob(time.Now(), &workload.Spec{ID: id, Queue: testQueue, Accepted: time.Now(), Steps: []workload.Step{testStep(1)}}, "entry")
+	}
+	t.requestPlan()
+	wait.Signal(t.saveRequested)
+}
+
 // ownerRows returns the rows of a table in the owner's partition.
 func ownerRows(t *testing.T, store rowstore.Store, table string) []rowstore.Row {
 	t.Helper()
