Back off longer when the store refuses a feed because of too many calls

Cause: all hosts retried their feeds every 0.2 s, and twice without waiting for changes, also after a 429. With 300 hosts these are more calls than a small store allows. Change: after a 429 the delay grows to 0.8 s, and the next calls wait for changes as usual.

--- a/internal/cluster/rowstore/follower.go
+++ b/internal/cluster/rowstore/follower.go
@@ -35,6 +35,9 @@
 	// After an outage the daemon can do nothing before its feeds are answered again, so the delay between two attempts is short.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 200 * time.Millisecond
+	// maxOverloadDelay bounds the delay after the store has refused a call because all hosts together call it too often. Hundreds of hosts
+	// that retry every 0.2 s keep it overloaded for good.
+	maxOverloadDelay = 800 * time.Millisecond
 
 	// catchUpPolls is how many feed calls after a failure do not wait for changes: the first one brings what has changed meanwhile, the
 	// second one confirms that the copy is up to date as of the answer to the first.
@@ -95,9 +98,14 @@
 		if failures == 0 {
 			f.Log.Warn("feed interrupted", zap.String("table", f.Table), zap.Int64("version", version), asynclog.Error(err))
 		}
-		wait.For(ctx, wait.Backoff(minRetryDelay, maxRetryDelay, failures))
+		longest := maxRetryDelay
+		if errors.Is(err, ErrOverloaded) {
+			longest = maxOverloadDelay
+		} else {
+			f.catchingUp = catchUpPolls // calls that do not wait would add to an overload
+		}
+		wait.For(ctx, wait.Backoff(minRetryDelay, longest, failures))
 		failures++
-		f.catchingUp = catchUpPolls
 	}
 }
 
--- a/internal/cluster/rowstore/rowstore.go
+++ b/internal/cluster/rowstore/rowstore.go
@@ -12,6 +12,8 @@
 var (
 	// ErrUnavailable means that the call failed and certainly had no effect.
 	ErrUnavailable = errors.New("rowstore: store unavailable")
+	// ErrOverloaded is wrapped together with ErrUnavailable if all hosts together call the store more often than it allows.
+	ErrOverloaded = errors.New("rowstore: too many calls")
 	// ErrRejected means that the store does not take this transaction for what it holds, so it had no effect and would have none if
 	// it were sent again.
 	ErrRejected = errors.New("rowstore: transaction rejected")
