--- a/internal/cluster/scheduler/quota.go
+++ b/internal/cluster/scheduler/quota.go
@@ -48,7 +48,10 @@
 }
 
 // limited reports whether starts of the team are limited. Without a configuration its limits are not known, and nothing starts.
-func (t *team) limited() bool { return t.quota.Limited() || !t.known && !t.teams.configured }
+func (t *team) limited() bool { return t.quota.Limited() || t.limitsUnknown() }
+
+// limitsUnknown reports whether the limits of the team are not known, since there is no configuration yet.
+func (t *team) limitsUnknown() bool { return !t.known && !t.teams.configured }
 
 // asResources returns the limits of a quota, with unlimited for a resource without a limit.
 func asResources(q queues.Quota) workload.Resources {
@@ -64,7 +67,7 @@
 // quotaLeft returns what the tasks of the candidate may use so that its team stays within its quota.
 func (s *Scheduler) quotaLeft(c candidate) workload.Resources {
 	t := c.unit.job.team
-	if !t.known && !t.teams.configured {
+	if t.limitsUnknown() {
 		return workload.Resources{}
 	}
 	left := asResources(t.quota).Sub(t.used).Sub(t.held).Sub(s.uncertainUse(t)).Add(c.unit.heldQuota())
@@ -80,7 +83,7 @@
 	if t == nil || !t.limited() {
 		return c.waiting
 	}
-	if !t.known && !t.teams.configured {
+	if t.limitsUnknown() {
 		return 0
 	}
 	return min(countFitting(s.quotaLeft(c), c.unit.quotaUse()), c.waiting)
