--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -38,7 +38,7 @@
 const callerDeadline = 3 * time.Second
 
 // call sends a client's request to one daemon and returns the status, or 0 without a complete answer, and the body.
-func (c *cluster) call(d *daemon, method, id string, body any) (int, []byte) {
+func (c *cluster) call(d *daemon, method, prefix, id string, body any) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	var in io.Reader
@@ -46,7 +46,7 @@
 		data, _ := json.Marshal(body)
 		in = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.ip+":8161"+queuePrefix+id, in)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.ip+":8161"+prefix+id, in)
 	if err != nil {
 		return 0, nil
 	}
@@ -66,10 +66,13 @@
 }
 
 // submit hands a job in, at another daemon after each failure, and reports whether it was accepted.
-func (c *cluster) submit(id string, job jobBody) bool {
+func (c *cluster) submit(id string, job jobBody) bool { return c.submitTo(queuePrefix, id, job) }
+
+// submitTo is submit for the queue with a prefix.
+func (c *cluster) submitTo(prefix, id string, job jobBody) bool {
 	for try := range 20 {
 		d := c.daemons[(int(id[15])+try)%len(c.daemons)]
-		status, _ := c.call(d, http.MethodPost, id, job)
+		status, _ := c.call(d, http.MethodPost, prefix, id, job)
 		if status >= 200 && status < 300 {
 			c.note("client: job %s accepted by %s (%d)", id, d.name, status)
 			return true
@@ -83,7 +86,7 @@
 // state asks for a job's state until there is an answer, and returns it; "410" stands for that status.
 func (c *cluster) state(id string) string {
 	for try := range 20 {
-		status, data := c.call(c.daemons[try%len(c.daemons)], http.MethodGet, id, nil)
+		status, data := c.call(c.daemons[try%len(c.daemons)], http.MethodGet, queuePrefix, id, nil)
 		switch status {
 		case http.StatusOK:
 			var a struct {
--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -111,16 +111,35 @@
 	_, _ = c.store.Commit(context.Background(), rowstore.Txn{Removes: []rowstore.Key{{Table: "servers", Name: id}}})
 }
 
+// queue is a route of the configuration.
+type queue struct {
+	name, prefix, service string
+	priority, targetMS    int
+	maxAttempts           int
+}
+
 // putConfig writes the operator's configuration: one queue and one service.
 func (c *cluster) putConfig(version, maxAttempts int) {
+	c.putQueues(version, queue{name: "r1", prefix: queuePrefix, service: serviceName, priority: 1, targetMS: 1000, maxAttempts: maxAttempts})
+}
+
+// putQueues writes the operator's configuration with these queues and their services.
+func (c *cluster) putQueues(version int, queues ...queue) {
+	var routes, services []any
+	known := map[string]bool{}
+	for _, q := range queues {
+		routes = append(routes, map[string]any{"name": q.name, "host": queueHost, "pathPrefix": q.prefix, "kind": "non_idempotent", "timeoutMs": 3000,
+			"targetLatencyMs": q.targetMS, "priority": q.priority, "service": q.service, "maxAttempts": q.maxAttempts, "slackFactor": 3})
+		if !known[q.service] {
+			known[q.service] = true
+			services = append(services, map[string]any{"name": q.service, "healthPath": "/health", "connectionLimit": 64, "enforceCapacity": false})
+		}
+	}
 	c.put("op", "config", map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{"name": "r1", "host": queueHost, "pathPrefix": queuePrefix, "kind": "non_idempotent", "timeoutMs": 3000,
-			"targetLatencyMs": 1000, "priority": 1, "service": serviceName, "maxAttempts": maxAttempts, "slackFactor": 3}},
-		"services": []any{map[string]any{"name": serviceName, "healthPath": "/health", "connectionLimit": 64, "enforceCapacity": false}},
-		"limits":   map[string]any{"maxBodyBytes": 262144, "maxHeaderBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]any{"maxBodyBytes": 262144, "maxHeaderBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
-	c.note("operator: configuration %d, maxAttempts %d", version, maxAttempts)
+	c.note("operator: configuration %d: %+v", version, queues)
 }
 
 // startAll starts minions of 16 cores and daemons, and waits until the daemons are ready.
--- a/review/standin3/minion.go
+++ b/review/standin3/minion.go
@@ -63,6 +63,7 @@
 	c        *cluster
 	id       string
 	addr     string
+	service  string
 	labels   []string
 	cpu, mem int64
 	born     time.Time
@@ -90,7 +91,12 @@
 
 // startMinion starts a life of a minion at an address and lets it register itself.
 func (c *cluster) startMinion(id, addr string, labels []string, cpu, mem int64) (*minion, error) {
-	m := &minion{c: c, id: id, addr: addr, labels: labels, cpu: cpu, mem: mem, born: time.Now(), maxHold: c.maxHold,
+	return c.startMinionOf(serviceName, id, addr, labels, cpu, mem)
+}
+
+// startMinionOf is startMinion for a minion of another service.
+func (c *cluster) startMinionOf(service, id, addr string, labels []string, cpu, mem int64) (*minion, error) {
+	m := &minion{c: c, id: id, addr: addr, service: service, labels: labels, cpu: cpu, mem: mem, born: time.Now(), maxHold: c.maxHold,
 		silent: make(chan struct{}), runs: map[string]*run{}, stopped: map[string]int64{}, changed: make(chan struct{})}
 	var err error
 	for range 50 {
@@ -129,7 +135,7 @@
 		if m.draining {
 			state = "draining"
 		}
-		entry := map[string]any{"service": serviceName, "address": m.addr, "zone": "z1", "version": "v1", "slots": 8, "state": state,
+		entry := map[string]any{"service": m.service, "address": m.addr, "zone": "z1", "version": "v1", "slots": 8, "state": state,
 			"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": m.cpu, "memMb": m.mem, "gpu": 0}, "labels": m.labels,
 			"clockMs": m.clockMS(), "seq": m.seq, "born": m.born.UnixMilli(), "machine": "m-" + m.addr}
 		m.mu.Unlock()
