Review case 14: a job that serves never runs beside tasks that fill

Cause: a worker with a best-effort task takes no task with a latency target, and nothing is stopped or moved for it. Nothing is fixed.

--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -24,6 +24,9 @@
 	LongRunning         bool   `json:"longRunning,omitempty"`
 	MaxUnavailable      int    `json:"maxUnavailable,omitempty"`
 	Requirements        string `json:"requirements,omitempty"`
+	Image               string `json:"image,omitempty"`
+	TargetMS            int    `json:"targetMs,omitempty"`
+	FillCount           bool   `json:"fillCount,omitempty"`
 }
 
 // jobBody is the body of a submission.
