--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -42,7 +42,12 @@
 
 // call sends a client's request to one daemon and returns the status, or 0 without a complete answer, and the body.
 func (c *cluster) call(d *daemon, method, prefix, id string, body any) (int, []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
+	return c.callFor(callerDeadline, d, method, prefix, id, body)
+}
+
+// callFor is call for a client that leaves after a time.
+func (c *cluster) callFor(patience time.Duration, d *daemon, method, prefix, id string, body any) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	var in io.Reader
 	if body != nil {
@@ -117,11 +122,13 @@
 	notedAt map[string]time.Time // by task: when an end "done" was taken note of
 	twice   []string
 	lastRun map[string]time.Time // by task: when it last had a run
+
+	firstRun map[string]time.Time // by task: when its first run began
 }
 
 func newAudit(c *cluster) *audit {
 	return &audit{c: c, running: map[string]map[string]int64{}, failed: map[string]int{}, done: map[string]bool{},
-		notedAt: map[string]time.Time{}, lastRun: map[string]time.Time{}}
+		notedAt: map[string]time.Time{}, lastRun: map[string]time.Time{}, firstRun: map[string]time.Time{}}
 }
 
 func (a *audit) started(task string, run int64, minion string) {
@@ -138,6 +145,9 @@
 		a.twice = append(a.twice, fmt.Sprintf("%s run %d begins on %s after an end done that was taken note of", task, run, minion))
 	}
 	a.running[task][minion] = run
+	if a.firstRun[task].IsZero() {
+		a.firstRun[task] = time.Now()
+	}
 }
 
 func (a *audit) ended(task string, run int64, minion, how string) {
--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -3,16 +3,20 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +44,8 @@
 	audit       *audit
 	minions     []*minion
 	daemons     []*daemon
+	losing      atomic.Bool
+	writes      atomic.Int64
 
 	mu sync.Mutex // guards the record
 }
@@ -72,11 +78,37 @@
 	if err != nil {
 		return nil, err
 	}
-	c.storeServer = &http.Server{Handler: delayed(platformtest.StoreHandler(c.store))}
+	c.storeServer = &http.Server{Handler: c.loses(delayed(platformtest.StoreHandler(c.store)))}
 	go func() { _ = c.storeServer.Serve(l) }()
 	return c, nil
 }
 
+const (
+	lostShare = 3 // one write of so many is done late and not answered while the store loses answers
+	lateness  = 5500 * time.Millisecond
+)
+
+// loses lets the store perform some writes late, without an answer, while c.losing is set.
+func (c *cluster) loses(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/rows-tx" || !c.losing.Load() || c.writes.Add(1)%lostShare != 0 {
+			h.ServeHTTP(w, r)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			time.AfterFunc(lateness, func() {
+				late := httptest.NewRequest(http.MethodPost, r.URL.Path, bytes.NewReader(body))
+				out := httptest.NewRecorder()
+				h.ServeHTTP(out, late)
+				c.note("store: performs a write without an answer, %v late: status %d", lateness, out.Code)
+			})
+		}
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	})
+}
+
 // delayed lets each call take 4 ms, as the sheets say of the platform's store.
 func delayed(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
