Review case 11: a late start runs again on a minion that is back under its id

Cause: a start that got no answer is carried out by the next life of the minion before a call has fenced it off, after its run was done. Nothing is fixed.

--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -44,6 +44,7 @@
 	audit       *audit
 	minions     []*minion
 	daemons     []*daemon
+	late        *lateOrders // nil while all orders are carried out at once
 	losing      atomic.Bool
 	writes      atomic.Int64
 
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -15,7 +15,7 @@
 // play is a case. It returns what broke the rule; nothing means that it held.
 type play func(c *cluster, trouble bool) ([]string, error)
 
-var cases = map[string]play{"crashes": crashes, "lasting": lasting, "services": services, "fill": fill, "reverse": reverse, "cancel": cancelled}
+var cases = map[string]play{"lasting": lasting, "services": services, "fill": fill, "reverse": reverse, "cancel": cancelled, "late": late}
 
 func main() { os.Exit(run1()) }
 
--- a/review/standin3/minion.go
+++ b/review/standin3/minion.go
@@ -114,6 +114,9 @@
 	mux.HandleFunc("POST /v1/hold", m.handle(m.hold))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.server = &http.Server{Handler: mux}
+	if c.late != nil {
+		c.late.deliver(m)
+	}
 	go func() { _ = m.server.Serve(m.listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
@@ -204,6 +207,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if r.URL.Path == "/v1/run-start" && m.c.late != nil && m.c.late.takes(m, o) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		switch {
