Acknowledge no end of a task while a start of it may be carried out late

Cause: the scheduler remembered an attempt without an answer only with the run that was placed, and forgot it once that run ended, was given up or was followed by another one. The end was acknowledged at once. A next incarnation knows neither the run nor the token.

Now such attempts belong to the task, over all its runs, until 13 s after they were made (lateCallLimit of the adapter). Until then, further runs of the task start on the same worker only, and its ends as done or failed are stored but not acknowledged. A restart makes the worker forget an end that nobody has taken note of; on another worker it would outlive the restart. A successor reads the attempts from the job's progress, and assumes some for inherited jobs without tickets. Starts with tickets are not held back. Waiting ends need no commit.

Three tests now tell the scheduler the outcome of a start or call AcknowledgeEnds, which was a part of MarkGenerationStored; what they expect is unchanged.

--- a/internal/cluster/coordinator/assigner.go
+++ b/internal/cluster/coordinator/assigner.go
@@ -191,6 +191,7 @@
 			delete(a.starts, k)
 			continue
 		}
+		as.t.sched.NoteStartRepeated(time.Now(), a.info.ID, s.Task, s.Run)
 		s.Generation, s.Repeated = a.generation, true
 		a.starts[k] = s
 		ex.send(delegate.Order{Start: &s})
--- a/internal/cluster/coordinator/assigner_test.go
+++ b/internal/cluster/coordinator/assigner_test.go
@@ -82,6 +82,7 @@
 			defer o.end()
 			a := o.testDelegate(t, "a")
 			a.awaitOneStart()
+			So(a.exchange(a.startedEvent(a.starts[0], scheduler.StartAccepted)), ShouldBeNil)
 			restarted := a.reportEvent("w0")
 			restarted.Report.Incarnation = 2
 			restarted.Report.Ended = []scheduler.EndedRun{{Number: 1, Task: a.starts[0].Task, Run: a.starts[0].Run, Reason: scheduler.EndFailed}}
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -170,6 +170,7 @@
 	ownerUntil := time.Now().Add(election.LeaseDuration)
 	leasesExpireAt := ownerUntil.Add(t.cfg.Delegate.LeaseBound())
 	for _, r := range records.Join(rows) {
+		t.sched.SetEarlierStarts(ownerUntil)
 		t.rows.note(r.Key, r.Parts)
 		var u records.WorkersInUse
 		if err := records.Decode(r.Row, &u); err != nil {
--- a/internal/cluster/coordinator/losses.go
+++ b/internal/cluster/coordinator/losses.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// logLateStarts logs and counts the starts that workers have carried out late. Beyond the limit that the scheduler relies on, a task may have
+// run twice. The caller holds mu.
+func (t *term) logLateStarts() {
+	for _, l := range t.sched.TakeLateStarts() {
+		outcome := "within the limit"
+		if l.Beyond > 0 {
+			outcome = "beyond the limit"
+		}
+		t.deps.Metrics.SubScope("late_start").Tagged(map[string]string{"outcome": outcome}).Counter("total").Inc(1)
+		t.log.Warn("worker has carried out a start late", zap.String("worker", l.Worker), zap.Stringer("task", l.Task), zap.Int64("run", l.Run),
+			zap.String("outcome", outcome), zap.Duration("beyond_limit", l.Beyond))
+	}
+}
+
 // lostRuns logs each run as task, run number and age.
 type lostRuns []scheduler.LostRun
 
--- a/internal/cluster/coordinator/ownerload.go
+++ b/internal/cluster/coordinator/ownerload.go
@@ -73,7 +73,7 @@
 	for wait.For(ctx, usageLogInterval) {
 		l := probe.take()
 		t.mu.Lock()
-		u, startLimit, gauges := t.sched.Usage(time.Now()), t.sched.StartLimit(), t.teamGauges()
+		u, startLimit, held, gauges := t.sched.Usage(time.Now()), t.sched.StartLimit(), t.sched.EndsHeldBack(), t.teamGauges()
 		t.mu.Unlock()
 		gauges.update(t)
 		t.log.Info("owner load", zap.Float64("cores", l.cores), zap.Float64("gc_cores", l.gcCores),
@@ -81,6 +81,6 @@
 			zap.Float64("start_limit", startLimit), zap.Object("duties", l.duties))
 		t.log.Info("pool", zap.Int("workers", u.Workers), zap.Int64("cpu_milli", u.Capacity.CPUMilli),
 			zap.Int64("cpu_milli_used", u.Used.CPUMilli), zap.Int64("memory_mb", u.Capacity.MemoryMB),
-			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Any("waiting", u.Queues))
+			zap.Int64("memory_mb_used", u.Used.MemoryMB), zap.Int("runs", u.Runs), zap.Int("ends_held_back", held), zap.Any("waiting", u.Queues))
 	}
 }
--- a/internal/cluster/coordinator/persist.go
+++ b/internal/cluster/coordinator/persist.go
@@ -290,6 +290,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.deps.Duties.Begin(dutyRecords)()
-	t.assigner.sendAcks(t.sched.MarkGenerationStored(generation))
+	t.sched.MarkGenerationStored(generation)
+	t.assigner.sendAcks(t.sched.AcknowledgeEnds(time.Now()))
 	t.requestPlan()
 }
--- a/internal/cluster/coordinator/term.go
+++ b/internal/cluster/coordinator/term.go
@@ -73,6 +73,8 @@
 	storedDelegated    bool
 	inheritedDelegates bool // other hosts may still act for an earlier owner
 	predecessorEnded   bool // predecessorGone has returned true
+	// earlierStartsLimited means that the scheduler knows until when the previous owner may have ordered starts.
+	earlierStartsLimited bool
 	// storedInherited is set while the stored list of workers in use names some as inherited, or an earlier owner wrote it, so
 	// that a successor has to take all of them as inherited.
 	storedInherited bool
@@ -99,7 +101,7 @@
 		cfg: c.cfg, deps: c.deps, ownership: ownership, predecessorGone: predecessorGone,
 		log: c.deps.Log.With(zap.Int64("epoch", ownership.Epoch())),
 		sched: scheduler.New(scheduler.Config{Epoch: ownership.Epoch(), Retention: c.cfg.Retention, Began: time.Now(),
-			StaleLease: c.cfg.Delegate.StaleLeaseBound(), InterferenceAware: c.cfg.InterferenceAware}),
+			StaleLease: c.cfg.Delegate.StaleLeaseBound(), LateCallLimit: c.cfg.Delegate.LateCallLimit, InterferenceAware: c.cfg.InterferenceAware}),
 		inUse:         map[string]scheduler.WorkerUse{},
 		jobBatchIndex: newJobBatchIndex(), rows: newRowIndex(c.cfg.maxValueBytes()), inboxParts: map[string]int{}, expired: map[string]bool{},
 		meters:        newMeters(c.deps.Metrics),
@@ -241,6 +243,7 @@
 	t.updateUnresolved(now)
 	t.sched.AdaptStarts(now, t.pressure.Level())
 	t.sendOrders(ctx, t.sched.Plan(now))
+	t.assigner.sendAcks(t.sched.AcknowledgeEnds(now))
 	t.updateForecast(now)
 	t.meters.plans.Record("complete", now)
 }
@@ -259,6 +262,10 @@
 // logs when no worker of an earlier owner is left. The caller holds mu.
 func (t *term) updateUnresolved(now time.Time) {
 	remaining := len(t.sched.UnresolvedWorkers())
+	if !t.earlierStartsLimited && t.predecessorGone() {
+		t.sched.LimitEarlierStarts(time.Now().Add(t.inheritedCallLimit()))
+		t.earlierStartsLimited = true
+	}
 	if remaining > 0 && t.predecessorGone() {
 		goneAt := time.Now() // after the answer: this process may have been paused since now was read, and that owner may have gone on
 		limited := t.sched.LimitUnresolvedLease(goneAt.Add(t.inheritedRunLimit()))
@@ -334,6 +341,7 @@
 	t.logWorkerLosses()
 	t.logExpiredWorkers()
 	t.logGivenUp()
+	t.logLateStarts()
 	t.logQuotaWaits()
 	t.logInterference()
 	t.logEndedJobs()
--- a/internal/cluster/delegate/delegate.go
+++ b/internal/cluster/delegate/delegate.go
@@ -86,6 +86,8 @@
 	Lease       time.Duration // how long tasks keep running without a renewal
 	MaxLease    time.Duration // longest lease that workers grant, if that is longer
 	GangTimeout time.Duration // how long started members of a gang wait for the others
+	// LateCallLimit is the longest time after which a worker carries out a call that it has not answered.
+	LateCallLimit time.Duration
 }
 
 const (
--- a/internal/cluster/scheduler/crashes_test.go
+++ b/internal/cluster/scheduler/crashes_test.go
@@ -240,6 +240,9 @@
 			}
 			f.MarkUnreachable(now.Add(10*time.Millisecond), s.Worker.ID, now.Add(5*time.Second))
 			f.MarkEnded(now.Add(60*time.Millisecond), s.Worker.ID, 1)
+			if i == 0 {
+				f.HandleStartResult(now, StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Outcome: StartUnknown, AnsweredAt: now.Add(100 * time.Millisecond)})
+			}
 		}
 		Convey("It is not given up yet, but after the next crash", func() {
 			So(f.TakeGivenUp(), ShouldBeEmpty)
--- a/internal/cluster/scheduler/fixture_test.go
+++ b/internal/cluster/scheduler/fixture_test.go
@@ -23,6 +23,7 @@
 	ended  map[string][]EndedRun  // by worker: ends that are not acknowledged
 	active map[string][]ActiveRun // by worker
 	starts []Start                // all starts that plan has ordered
+	now    time.Time              // of the last report or plan
 }
 
 func newFixture(epoch int64, workers int) *fixture {
@@ -46,6 +47,7 @@
 
 // report applies a report of the worker with its active and ended runs.
 func (f *fixture) report(id string, now time.Time) {
+	f.now = now
 	f.HandleReport(now, Report{Worker: id, Incarnation: f.workers[id].info.Incarnation, SentAt: now, LeaseUntil: now.Add(5 * time.Second),
 		Active: f.active[id], Ended: f.ended[id]})
 }
@@ -57,6 +59,7 @@
 // plan commits all records, makes a complete plan and lets the workers accept every start and stop. If the plan has found runs that
 // are lost or has given up workers, another commit confirms the ownership, and another plan follows.
 func (f *fixture) plan(now time.Time) Plan {
+	f.now = now
 	f.commit()
 	p := f.Plan(now)
 	if len(f.unconfirmedLosses) > 0 || f.unconfirmedGiveUp > 0 {
@@ -107,12 +110,8 @@
 	f.active[id] = left
 }
 
-// commit makes all records durable, which also confirms the ownership.
-func (f *fixture) commit() {
-	generation, records, _ := f.TakeAllRecords()
-	f.MarkStored(records)
-	f.MarkGenerationStored(generation)
-}
+// commit makes all records durable, which also confirms the ownership, and acknowledges the ends that may be acknowledged then.
+func (f *fixture) commit() { f.persist() }
 
 // persist makes all records durable and returns the progress that they hold, by job.
 func (f *fixture) persist() map[string]*workload.Progress {
@@ -123,6 +122,7 @@
 	}
 	f.MarkStored(records)
 	f.MarkGenerationStored(generation)
+	f.AcknowledgeEnds(f.now)
 	return out
 }
 
--- a/internal/cluster/scheduler/job.go
+++ b/internal/cluster/scheduler/job.go
@@ -32,6 +32,10 @@
 	chunks         chunks
 	// failsOn holds, by ID of a worker, whether the last run that ended there since the job's first failure has failed.
 	failsOn map[string]bool
+	// unanswered holds the starts that may be carried out late.
+	unanswered unansweredStarts
+	// endedWithUnanswered means that the job ended under an earlier owner, who stored that some of its starts had no answer.
+	endedWithUnanswered bool
 }
 
 // occurrence is one repetition of a job; a job that does not repeat has one.
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -52,6 +52,7 @@
 	s.expireWorkers(now)
 	s.expireSilences(now)
 	s.expireLastUses(now)
+	s.storeSlowStarts(now)
 	s.interference.Sweep(now)
 	s.stopStalled(now)
 	s.stopOnDrainingWorkers(now)
@@ -142,7 +143,12 @@
 		if !leavesHeadroom && !c.unit.usesQuarantined || s.startsHeldBack(c.unit, now) {
 			break
 		}
-		w := s.chooseWorker(t, workers, now)
+		startable, bound := s.startableOn(t, workers, now)
+		w := s.chooseWorker(t, startable, now)
+		if w == nil && bound {
+			quotaPlaces++
+			continue
+		}
 		if w == nil {
 			if !c.longRunning() {
 				break // the other tasks need the same resources
@@ -182,7 +188,7 @@
 		chosen = s.assignGang(u, workers, now)
 	}
 	u.noteHeldBack(heldBack, len(chosen), now)
-	if chosen == nil && (c.beyondShare || !s.claimQuota(c, c.waiting)) {
+	if chosen == nil && (c.beyondShare || s.hasBoundTasks(u, now) || !s.claimQuota(c, c.waiting)) {
 		return 0
 	}
 	if chosen == nil {
@@ -217,17 +223,17 @@
 		}
 		sort.Strings(racks)
 		for _, r := range racks {
-			if chosen := assignAll(u, byRack[r], now); chosen != nil {
+			if chosen := s.assignAll(u, byRack[r], now); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return assignAll(u, workers, now)
+	return s.assignAll(u, workers, now)
 }
 
 // assignAll chooses the best-fitting worker for each waiting task of a unit in turn, or returns nil if one finds none. It starts nothing and
 // does not change the workers.
-func assignAll(u *unit, workers []*worker, now time.Time) []*worker {
+func (s *Scheduler) assignAll(u *unit, workers []*worker, now time.Time) []*worker {
 	var chosen []*worker
 	assignedResources := map[*worker]workload.Resources{}
 	assignedTasks := map[*worker]int{}
@@ -236,7 +242,8 @@
 	for t := range u.tasks.waiting(now) {
 		var bestWorker *worker
 		var bestLeft int64
-		for _, w := range workers {
+		startable, _ := s.startableOn(t, workers, now)
+		for _, w := range startable {
 			free := w.free().Sub(assignedResources[w])
 			if w.runsLeft() <= assignedTasks[w] || !free.CanFit(needed) || limit > 0 && w.countTasksOf(t.unit)+assignedTasks[w] >= limit {
 				continue
--- a/internal/cluster/scheduler/progress.go
+++ b/internal/cluster/scheduler/progress.go
@@ -62,7 +62,7 @@
 func (j *job) record() Record {
 	r := Record{JobID: j.spec.ID, ProgressStored: j.progressStored, state: j.state}
 	if j.state.Final() {
-		r.Progress = &workload.Progress{State: j.state, Ended: j.endedAt, Team: j.spec.Team}
+		r.Progress = &workload.Progress{State: j.state, Ended: j.endedAt, Team: j.spec.Team, Unanswered: j.endedWithLateStarts()}
 		r.StoredChunks = slices.Sorted(maps.Keys(j.chunks.stored))
 		return r
 	}
@@ -173,6 +173,11 @@
 	if len(p.Checkpoint) > maxStoredCheckpoint {
 		p.Checkpoint = ""
 	}
+	for _, start := range u.job.unanswered[u.startKey(t.id())] {
+		if start.index == t.index && start.durable && !slices.Contains(p.UnansweredBy, start.worker) {
+			p.UnansweredBy = append(p.UnansweredBy, start.worker)
+		}
+	}
 	switch own := storedEvidence(t.evidence); {
 	case !u.step.Gang:
 		p.Crash = own
@@ -227,6 +232,7 @@
 		u.tasks.keep(t)
 	}
 	t.failedRuns, t.checkpoint, t.run = tp.FailedRuns, tp.Checkpoint, tp.Run
+	s.restoreUnanswered(t, tp)
 	if u.step.Gang {
 		if len(tp.FailedRuns) > len(u.failedRuns) {
 			u.failedRuns = tp.FailedRuns
--- a/internal/cluster/scheduler/records.go
+++ b/internal/cluster/scheduler/records.go
@@ -82,7 +82,7 @@
 
 // BeginBatch begins a batch of commits for all jobs that changed since the last one, and returns its generation, to be passed to
 // MarkGenerationStored once TakeRecords has no more records of the batch and all of them are durable. The last result reports whether a
-// commit is needed, for the records, for pending acknowledgements of ends or to confirm the ownership after the loss of runs or of workers.
+// commit is needed, for the records, for ends that are not durable or to confirm the ownership after the loss of runs or of workers.
 func (s *Scheduler) BeginBatch() (generation int64, needed bool) {
 	for j := range s.dirty {
 		s.batch[j] = struct{}{}
@@ -90,7 +90,7 @@
 	clear(s.dirty)
 	clear(s.taken)
 	s.generation++
-	return s.generation - 1, len(s.batch) > 0 || len(s.withPendingAcks) > 0 || len(s.unconfirmedLosses) > 0 || s.unconfirmedGiveUp > 0
+	return s.generation - 1, len(s.batch) > 0 || s.endsUnstored() || len(s.unconfirmedLosses) > 0 || s.unconfirmedGiveUp > 0
 }
 
 // TakeAllRecords begins a batch and returns all its records, the most urgent first.
@@ -219,18 +219,10 @@
 	}
 }
 
-// MarkGenerationStored records that all records up to and including a generation are durable. It returns the IDs of the workers with
-// ends that may now be acknowledged; see LastDurableEnd.
-func (s *Scheduler) MarkGenerationStored(generation int64) []string {
-	var acknowledged []string
-	for w := range s.withPendingAcks {
-		if w.acknowledgeEnds(generation) {
-			acknowledged = append(acknowledged, w.info.ID)
-		}
-		if len(w.pendingAcks) == 0 {
-			delete(s.withPendingAcks, w)
-		}
-	}
+// MarkGenerationStored records that all records up to and including a generation are durable. Ends may be acknowledged then; see
+// AcknowledgeEnds.
+func (s *Scheduler) MarkGenerationStored(generation int64) {
+	s.storedGeneration = max(s.storedGeneration, generation)
 	for u, lostIn := range s.unconfirmedLosses {
 		if lostIn <= generation {
 			delete(s.unconfirmedLosses, u)
@@ -238,7 +230,6 @@
 		}
 	}
 	s.markGiveUpsConfirmed(generation)
-	return acknowledged
 }
 
 // dropTasks frees the data of an ended job that lookups don't need, since ended jobs are kept for minutes.
@@ -256,11 +247,3 @@
 		s.changedUnits[u] = struct{}{}
 	}
 }
-
-// LastDurableEnd returns the number of the last end that this incarnation of the worker may forget, because it is durable.
-func (s *Scheduler) LastDurableEnd(workerID string, incarnation int64) int64 {
-	if w := s.workers[workerID]; w != nil && w.info.Incarnation == incarnation {
-		return w.lastDurableEnd
-	}
-	return 0
-}
--- a/internal/cluster/scheduler/report.go
+++ b/internal/cluster/scheduler/report.go
@@ -100,9 +100,9 @@
 			continue
 		}
 		w.lastAppliedEnd = e.Number
+		w.pendingAcks = append(w.pendingAcks, s.newPendingAck(e))
+		s.withPendingAcks[w], s.endsGeneration = struct{}{}, s.generation
 		applied = append(applied, s.applyEnd(w, e, now))
-		w.pendingAcks = append(w.pendingAcks, pendingAck{e.Number, s.generation})
-		s.withPendingAcks[w] = struct{}{}
 	}
 	listed := map[runKey]bool{}
 	for _, a := range r.Active {
@@ -126,6 +126,7 @@
 		s.updatePlacement(p, a, requestedAt, now)
 		return
 	}
+	s.noteLateStart(w.info.ID, a.Task, a.Run, now)
 	t := s.task(a.Task)
 	p := &placement{id: a.Task, run: a.Run, worker: w, state: running, orderedAt: now, confirmedAt: requestedAt,
 		percent: a.Percent, percentChangedAt: now, firstPercent: a.Percent, firstReportAt: now, lastListedAt: requestedAt, checkpoint: a.Checkpoint,
@@ -228,7 +229,9 @@
 	c := AppliedEnd{Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Outcome: string(e.Reason), OrderedAt: now}
 	p := w.findPlacement(e.Task, e.Run)
 	c.GivenUp = p == nil
-	if p != nil {
+	if p == nil {
+		s.noteLateStart(w.info.ID, e.Task, e.Run, now)
+	} else {
 		w.removePlacement(p)
 		c.OrderedAt = p.orderedAt
 		s.recordFreed(p, now)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -32,6 +32,8 @@
 	Began time.Time
 	// StaleLease is the longest time for which runs may go on after a stale call has set their lease.
 	StaleLease time.Duration
+	// LateCallLimit is the longest time after which a worker carries out a call that it has not answered.
+	LateCallLimit time.Duration
 	// InterferenceAware means that tasks which slow each other down are kept apart where there is room.
 	InterferenceAware bool
 }
@@ -81,7 +83,7 @@
 	// riskyQueues maps the names of queues with tasks that crashed workers to the time until which their tasks count as risky.
 	riskyQueues map[string]time.Time
 
-	// withPendingAcks holds the workers with ends that were applied and are not durable yet.
+	// withPendingAcks holds the workers with ends that were applied and may not be acknowledged yet.
 	withPendingAcks map[*worker]struct{}
 
 	// unconfirmedLosses maps the units whose runs were lost to the generation whose commit shows that no other owner had taken over
@@ -95,11 +97,19 @@
 	batch      map[*job]struct{} // jobs of the present batch whose records have not been taken; see BeginBatch
 	taken      map[*job]struct{} // jobs of which a record was taken in the present batch that is not known to be stored
 	generation int64             // of the next batch
+	// storedGeneration is the last one that is durable, and endsGeneration the one that makes all applied ends durable.
+	storedGeneration, endsGeneration int64
+
+	// earlierStartsUntil is when no attempt of a start that an earlier owner has ordered is carried out any more; zero if there was none.
+	earlierStartsUntil time.Time
+	earlierOwners      bool            // owners before the previous one may still order starts
+	startsInFlight     []startInFlight // in the order of their orders
 
 	endedJobs      []JobSummary              // since the last TakeEndedJobs
 	losses         []WorkerLoss              // since the last TakeWorkerLosses
 	expired        []ExpiredWorker           // since the last TakeExpiredWorkers
 	givenUp        []GivenUpTask             // since the last TakeGivenUp
+	lateStarts     []LateStart               // since the last TakeLateStarts
 	stops          []Stop                    // to be returned by the next plan
 	durationRatios map[string]*durationRatio // by queue name
 	approvalCounts map[string]*approvalCount // by queue name
@@ -200,7 +210,8 @@
 // AddEndedJob adds a job that ended under an earlier owner. Only its state is kept, for lookups, and its team, whose quota its runs use as long
 // as workers report them.
 func (s *Scheduler) AddEndedJob(id string, p *workload.Progress) {
-	s.jobs[id] = &job{spec: &workload.Spec{ID: id, Team: p.Team}, team: s.teamNamed(p.Team), state: p.State, durableState: p.State, endedAt: p.Ended}
+	s.jobs[id] = &job{spec: &workload.Spec{ID: id, Team: p.Team}, team: s.teamNamed(p.Team), state: p.State, durableState: p.State, endedAt: p.Ended,
+		endedWithUnanswered: p.Unanswered}
 }
 
 // inRange reports whether i is an index of a slice of the length.
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -76,6 +76,10 @@
 // HandleStartResult applies the outcome of a start order. An invalid outcome, as of a delegate of another release, counts as
 // StartUnknown.
 func (s *Scheduler) HandleStartResult(now time.Time, r StartResult) {
+	if r.Outcome < StartAccepted || r.Outcome > RejectedOther {
+		r.Outcome = StartUnknown
+	}
+	s.noteStartOutcome(r)
 	w := s.workers[r.Worker]
 	if w == nil {
 		return
@@ -89,9 +93,6 @@
 	if p == nil {
 		return
 	}
-	if r.Outcome < StartAccepted || r.Outcome > RejectedOther {
-		r.Outcome = StartUnknown
-	}
 	if p.onOther = r.OtherClock; p.onOther {
 		s.withdrawSuspicion(p)
 	}
@@ -178,6 +179,7 @@
 	u.tasks.keep(t)
 	s.charge(p)
 	w.addPlacement(p)
+	s.noteStartOrdered(p, now)
 	if u.job.firstStart.IsZero() {
 		u.job.firstStart = now
 	}
--- a/internal/cluster/scheduler/unresolved.go
+++ b/internal/cluster/scheduler/unresolved.go
@@ -23,6 +23,7 @@
 // The end of the previous owner tells nothing about that one, so LimitUnresolvedLease does not apply to the worker.
 func (s *Scheduler) InheritUnresolvedWorker(workerID string, expiresAt time.Time) {
 	s.unresolved[workerID] = unresolvedWorker{expiresAt: expiresAt, inherited: true}
+	s.earlierOwners = true
 }
 
 // UnresolvedWorkers returns the IDs of the workers that may run tasks of an earlier owner and have not reported yet.
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -62,7 +62,7 @@
 	tracker            interference.Tracker
 
 	lastAppliedEnd int64 // EndedRun.Number of the last end that was applied
-	lastDurableEnd int64 // EndedRun.Number of the last end that is durable
+	lastDurableEnd int64 // EndedRun.Number of the last end that may be acknowledged; see LastDurableEnd
 	pendingAcks    []pendingAck
 
 	health health
@@ -73,12 +73,6 @@
 	run  int64
 }
 
-// pendingAck is an applied end that the worker may forget once the records of the generation are durable.
-type pendingAck struct {
-	number     int64
-	generation int64
-}
-
 type placementState int
 
 const (
@@ -176,17 +170,6 @@
 	return n
 }
 
-// acknowledgeEnds marks the ends as acknowledged that are durable with the records of the generation. It reports whether there are any.
-func (w *worker) acknowledgeEnds(generation int64) bool {
-	n := 0
-	for n < len(w.pendingAcks) && w.pendingAcks[n].generation <= generation {
-		w.lastDurableEnd = max(w.lastDurableEnd, w.pendingAcks[n].number)
-		n++
-	}
-	w.pendingAcks = w.pendingAcks[n:]
-	return n > 0
-}
-
 // UpsertWorker adds a worker or updates its description. Another incarnation under the same ID ends all runs of the present one once
 // it answers: an entry alone may be from another writer. The entry of an earlier one is late and is ignored. A draining worker remains so
 // until another incarnation replaces it, or until an entry says otherwise and it may have restarted with the same start time.
--- a/internal/cluster/workload/workload.go
+++ b/internal/cluster/workload/workload.go
@@ -179,20 +179,24 @@
 	// MemberCrash is that against the member.
 	Crash       *CrashEvidence `json:"x,omitempty"`
 	MemberCrash *CrashEvidence `json:"xm,omitempty"`
+	// UnansweredBy are the IDs of workers that have not answered a start of the task, or of the member of a gang, and may carry it out late.
+	UnansweredBy []string `json:"u,omitempty"`
 }
 
 // Worthwhile reports whether there is anything to store.
 func (p TaskProgress) Worthwhile() bool {
-	return p.Done || len(p.FailedRuns) > 0 || p.Checkpoint != "" || p.Crash != nil || p.MemberCrash != nil
+	return p.Done || len(p.FailedRuns) > 0 || p.Checkpoint != "" || p.Crash != nil || p.MemberCrash != nil || len(p.UnansweredBy) > 0
 }
 
 // Progress is the stored progress of an accepted job, or a chunk of it.
 type Progress struct {
-	Format int            `json:"v"`
-	State  State          `json:"state"`
-	Ended  time.Time      `json:"ended,omitzero"`
-	Team   string         `json:"team,omitempty"`  // of the job; only in the first chunk
-	Tasks  []TaskProgress `json:"tasks,omitempty"` // only tasks with progress to store
+	Format int       `json:"v"`
+	State  State     `json:"state"`
+	Ended  time.Time `json:"ended,omitzero"`
+	Team   string    `json:"team,omitempty"` // of the job; only in the first chunk
+	// Unanswered means that the job has ended while workers could still carry out a start of it late.
+	Unanswered bool           `json:"late,omitempty"`
+	Tasks      []TaskProgress `json:"tasks,omitempty"` // only tasks with progress to store
 	// StoredChunks are the numbers of the chunks after the first that were read.
 	StoredChunks []int `json:"-"`
 	// DoneRanges are tasks that are done, see CompactDone.
