Keep headroom only on workers that urgent tasks can use

Cause: the room that is kept for urgent tasks was one share of the workers of all services. Once urgent tasks of one service reserved more than was free there, everything that another service had free counted as the reserve. The same within a service: workers without the label that urgent tasks require counted as room for them.

Now there is a headroom for each service and each requirement of urgent tasks that run, over the workers that meet it. A task that may not use the headroom starts on a worker where it leaves all of them as they are.

Test: TestRoomThatUrgentTasksCannotUseIsNotReserved, by service and by label, fails before. The test of preempted urgent runs reads the list that has replaced the sum it read, and expects the same. With one service and no requirements the decisions are the same as before.

--- a/internal/cluster/scheduler/nomination_test.go
+++ b/internal/cluster/scheduler/nomination_test.go
@@ -83,7 +83,7 @@
 			for _, w := range l.sortedWorkers {
 				So(w.held, ShouldResemble, workload.Resources{})
 				So(w.used, ShouldResemble, workload.Resources{})
-				So(w.urgentCPU, ShouldEqual, 0)
+				So(w.urgentUses, ShouldBeEmpty)
 			}
 		})
 	})
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -78,8 +78,8 @@
 		s.updateUncertainUse(now)
 	}
 	s.startLimiter.refill(now)
-	if now.Sub(s.headroom.updatedAt) >= headroomUpdateInterval {
-		s.updateHeadroom(now)
+	if now.Sub(s.headroomsUpdatedAt) >= headroomUpdateInterval {
+		s.updateHeadrooms(now)
 	}
 	for _, c := range s.candidates(units, now) {
 		c.adviceOnly = c.adviceOnly || s.suspended
@@ -138,12 +138,16 @@
 			break
 		}
 		quotaPlaces--
-		// The headroom is a share of what the workers without quarantine have free, so it never leaves room on the others.
-		leavesHeadroom := s.leavesHeadroom(c.unit)
-		if !leavesHeadroom && !c.unit.usesQuarantined || s.startsHeldBack(c.unit, now) {
+		if s.startsHeldBack(c.unit, now) {
 			break
 		}
-		startable, bound := s.startableOn(t, workers, now)
+		// The headroom is a share of what the workers without quarantine have free, so it never leaves room on the others.
+		usable := s.outsideHeadroom(c.unit, workers)
+		leavesHeadroom := len(usable) > 0
+		if !leavesHeadroom && c.unit.usesQuarantined {
+			usable = workers
+		}
+		startable, bound := s.startableOn(t, usable, now)
 		w := s.chooseWorker(t, startable, now)
 		if w == nil && bound {
 			quotaPlaces++
--- a/internal/cluster/scheduler/quarantine_test.go
+++ b/internal/cluster/scheduler/quarantine_test.go
@@ -273,7 +273,7 @@
 			})
 			Convey("So does one of a queue "+name+" while headroom is kept and no other worker is left", func() {
 				f.queue.PolicyService = policy
-				f.headroom.share = maxHeadroomShare
+				f.servicePool(testService).headroom("").share = maxHeadroomShare
 				f.DelistWorker("w1")
 				f.AddJob(t0, f.job("j", t0, simpleStep(1)), nil, false)
 				So(startsAfter(), ShouldBeLessThanOrEqualTo, bound)
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -55,14 +55,16 @@
 	suspended     bool               // see SuspendStarts
 	// workersCheckedAt is when checkWorkers last ran.
 	workersCheckedAt time.Time
-	headroom         headroom
-	capacity         workload.Resources // of the workers without quarantine when the headroom was last updated
-	quarantined      int                // workers in quarantine when the headroom was last updated
-	startLimiter     startLimiter
-	forecast         *forecast.Meter // nil unless enabled
-	reservations     reservations    // workers reserved for gangs that did not fit, since the last complete plan began
-	lowUseServices   map[string]bool // by service, since the last complete plan began; see lowUse
-	stopLatency      stopLatency
+	servicePools     map[string]*servicePool // by service
+	// headroomsUpdatedAt is when updateHeadrooms last ran.
+	headroomsUpdatedAt time.Time
+	capacity           workload.Resources // of the workers without quarantine when the headrooms were last updated
+	quarantined        int                // workers in quarantine when the headrooms were last updated
+	startLimiter       startLimiter
+	forecast           *forecast.Meter // nil unless enabled
+	reservations       reservations    // workers reserved for gangs that did not fit, since the last complete plan began
+	lowUseServices     map[string]bool // by service, since the last complete plan began; see lowUse
+	stopLatency        stopLatency
 	// nominationsChanged is set when resources are freed on a worker that a gang is nominated for.
 	nominationsChanged bool
 
@@ -142,6 +144,7 @@
 		generation:        1,
 		reservations:      reservations{},
 		lowUseServices:    map[string]bool{},
+		servicePools:      map[string]*servicePool{},
 		durationRatios:    map[string]*durationRatio{},
 		approvalCounts:    map[string]*approvalCount{},
 	}
--- /dev/null
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -0,0 +1,88 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/greengagewing/greengagewing/internal/cluster/queues"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
+)
+
+const otherService = "desk"
+
+// addWorkerOf adds a worker of a service with these labels.
+func (f *fixture) addWorkerOf(service, id string, now time.Time, cpuMilli int64, labels ...string) {
+	f.UpsertWorker(now, WorkerInfo{ID: id, Service: service, Address: id, Rack: "r1", Labels: labels,
+		Capacity: workload.Resources{CPUMilli: cpuMilli, MemoryMB: 1 << 20}, Incarnation: 1})
+	f.report(id, now)
+}
+
+// queueJob hands in a job of one step to a queue.
+func (f *fixture) queueJob(id string, now time.Time, q queues.Queue, step workload.Step) {
+	f.AddJob(now, &workload.Spec{ID: id, Queue: q, Steps: []workload.Step{step}, Accepted: now}, nil, false)
+}
+
+func urgentQueue(service string) queues.Queue {
+	return queues.Queue{Name: "urgent-" + service, Service: service, MaxAttempts: 3, SlackFactor: 2, TargetLatency: 250 * time.Millisecond}
+}
+
+func ordinaryQueue(service string) queues.Queue {
+	return queues.Queue{Name: "ordinary-" + service, Service: service, MaxAttempts: 3, SlackFactor: 2, TargetLatency: 3 * time.Second, Priority: 1}
+}
+
+func coresStep(count int, cores int64) workload.Step {
+	return workload.Step{Count: count, Resources: workload.Resources{CPUMilli: 1000 * cores, MemoryMB: 100}, Estimate: time.Second}
+}
+
+func lastingStep(count int, cores int64) workload.Step {
+	s := coresStep(count, cores)
+	s.LongRunning = true
+	return s
+}
+
+// startsOfJob returns the starts of a plan that belong to a job.
+func startsOfJob(p Plan, id string) []Start {
+	var out []Start
+	for _, s := range p.Starts {
+		if s.Task.Job == id {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Guards against a job that never starts although its service is idle: the room of its workers counted as the reserve for urgent tasks of
+// another service, which can't run there. The same within a service, for workers without the label that urgent tasks require.
+func TestRoomThatUrgentTasksCannotUseIsNotReserved(t *testing.T) {
+	for name, c := range map[string]struct {
+		idle, label string // of the idle workers
+	}{"of another service": {otherService, "plain"}, "without the label": {testService, "plain"}} {
+		Convey("Given urgent tasks that last, on workers that are nearly full, and an idle worker "+name, t, func() {
+			f := newFixture(1, 0)
+			for i := range 13 {
+				f.addWorkerOf(testService, fmt.Sprintf("b%02d", i), t0, 16_000, "fast")
+			}
+			f.addWorkerOf(c.idle, "d", t0, 16_000, c.label)
+			urgent, ordinary := lastingStep(9, 4), lastingStep(77, 2)
+			urgent.Requirement, ordinary.Requirement = "fast", "fast"
+			f.queueJob("u", t0, urgentQueue(testService), urgent)
+			f.queueJob("o", t0, ordinaryQueue(testService), ordinary)
+			So(f.plan(t0).Starts, ShouldHaveLength, 86)
+			Convey("A job for that worker starts at once", func() {
+				short := coresStep(1, 1)
+				short.Requirement = "plain"
+				f.queueJob("s", at(time.Second), ordinaryQueue(c.idle), short)
+				So(startsOfJob(f.plan(at(time.Second)), "s"), ShouldHaveLength, 1)
+			})
+			Convey("Another job leaves the others alone", func() {
+				f.queueJob("s", at(time.Second), ordinaryQueue(testService), coresStep(20, 1))
+				for _, s := range startsOfJob(f.plan(at(time.Second)), "s") {
+					So(s.Worker.ID, ShouldEqual, "d")
+				}
+			})
+		})
+	}
+}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -183,7 +183,7 @@
 	if u.job.firstStart.IsZero() {
 		u.job.firstStart = now
 	}
-	s.headroom.free -= p.resources.CPUMilli
+	s.servicePool(w.info.Service).noteStart(w, p.resources.CPUMilli)
 	s.noteForecastStart(u, now)
 	if s.limitsStarts(u) {
 		s.startLimiter.record()
--- a/internal/cluster/scheduler/worker.go
+++ b/internal/cluster/scheduler/worker.go
@@ -51,7 +51,7 @@
 	drainSuspect     bool               // it may have restarted since it began to drain, so the next entry tells
 	shutdownAt       time.Time          // when a draining worker shuts down
 	used             workload.Resources // by its placements
-	urgentCPU        int64              // millicores used by urgent tasks; see headroom
+	urgentUses       []urgentUse        // by requirement; see headroom
 	suspectedRuns    int                // placements with suspected set
 	held             workload.Resources // for gangs that are nominated for the worker
 	expectedDemand   workload.Resources // of units that wait for an answer of the policy service
@@ -133,7 +133,7 @@
 	w.used = w.used.Add(p.resources)
 	p.count()
 	if p.urgent {
-		w.urgentCPU += p.resources.CPUMilli
+		w.addUrgent(p.requirement(), p.resources.CPUMilli)
 	}
 	if p.suspected {
 		w.suspectedRuns++
@@ -152,7 +152,7 @@
 	w.used = w.used.Sub(p.resources)
 	p.uncount()
 	if p.urgent {
-		w.urgentCPU -= p.resources.CPUMilli
+		w.addUrgent(p.requirement(), -p.resources.CPUMilli)
 	}
 	if p.suspected {
 		w.suspectedRuns--
--- a/internal/cluster/scheduler/workerloss.go
+++ b/internal/cluster/scheduler/workerloss.go
@@ -28,7 +28,7 @@
 	for _, p := range lost {
 		s.dropPlacement(p, now)
 	}
-	w.placements, w.used, w.urgentCPU, w.suspectedRuns = nil, workload.Resources{}, 0, 0
+	w.placements, w.used, w.urgentUses, w.suspectedRuns = nil, workload.Resources{}, nil, 0
 	for _, p := range kept {
 		w.addPlacement(p)
 	}
