Count nominated workers by service

A gang of one service makes no room for itself by stopping less urgent runs while gangs of another service hold most of all workers: the limit of nominations counted the workers of all services. Now the limit counts the workers of the gang's service.

--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxNominatedShareDivisor limits the workers with nominated gangs to 1/maxNominatedShareDivisor of the pool, so that more
+	// maxNominatedShareDivisor limits the workers with nominated gangs to 1/maxNominatedShareDivisor of the service's, so that more
 	// urgent tasks always find workers that nobody waits for.
 	maxNominatedShareDivisor = 2
 	// maxNomination is how long resources are held for a gang at most.
@@ -30,7 +30,7 @@
 func (s *Scheduler) nominate(c candidate, workers []*worker, now time.Time) {
 	u := c.unit
 	// Answers that are still to come may approve workers with free resources.
-	if u.awaitsAdvice(now) || s.nominatedWorkers() > len(s.sortedWorkers)/maxNominatedShareDivisor {
+	if u.awaitsAdvice(now) || s.manyNominated(u.job.queue.Service) {
 		return
 	}
 	ready := now.Add(s.stopLatency.estimate())
@@ -71,15 +71,19 @@
 	return u.tickets[w.info.ID].expires
 }
 
-// nominatedWorkers returns the number of workers with resources that are held for a gang.
-func (s *Scheduler) nominatedWorkers() int {
-	n := 0
+// manyNominated reports whether resources are held for gangs on so many of a service's workers that no further gang may be nominated.
+func (s *Scheduler) manyNominated(service string) bool {
+	workers, nominated := 0, 0
 	for _, w := range s.sortedWorkers {
+		if w.info.Service != service {
+			continue
+		}
+		workers++
 		if w.held != (workload.Resources{}) {
-			n++
+			nominated++
 		}
 	}
-	return n
+	return nominated > workers/maxNominatedShareDivisor
 }
 
 // takeNomination returns the nominated workers of a gang, by member, if all members fit there now. The second result is true
--- a/internal/cluster/scheduler/service_isolation_test.go
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -86,3 +86,44 @@
 		})
 	}
 }
+
+// Guards against a gang that makes no room for itself because gangs of another service wait for room there.
+func TestNominationsOfOneServiceCountAlone(t *testing.T) {
+	Convey("Given nominated gangs on most workers of one service", t, func() {
+		f := newFixture(1, 0)
+		for i := range 6 {
+			f.addWorkerOf(testService, fmt.Sprintf("b%d", i), t0, 4_000)
+		}
+		f.addWorkerOf(otherService, "d", t0, 4_000)
+		filling, gang := coresStep(6, 4), coresStep(6, 4)
+		filling.Checkpointing, gang.Gang = true, true
+		filling.Estimate = time.Minute
+		late, first := ordinaryQueue(testService), urgentQueue(testService)
+		f.queueJob("fill", t0, late, filling)
+		deskFill := coresStep(1, 4)
+		deskFill.Checkpointing, deskFill.Estimate = true, time.Minute
+		f.queueJob("deskfill", t0, ordinaryQueue(otherService), deskFill)
+		So(f.plan(t0).Starts, ShouldHaveLength, 7)
+		f.queueJob("gang", t0, first, gang)
+		f.plan(at(3 * time.Second))
+		So(f.workersHeld(testService), ShouldEqual, 6)
+		Convey("A gang of the other service gets room there", func() {
+			one := coresStep(1, 4)
+			one.Gang = true
+			f.queueJob("deskgang", t0, urgentQueue(otherService), one)
+			f.plan(at(3100 * time.Millisecond))
+			So(f.workersHeld(otherService), ShouldEqual, 1)
+		})
+	})
+}
+
+// workersHeld returns the number of workers of a service with resources that are held for gangs.
+func (f *fixture) workersHeld(service string) int {
+	n := 0
+	for _, w := range f.sortedWorkers {
+		if w.info.Service == service && w.held != (workload.Resources{}) {
+			n++
+		}
+	}
+	return n
+}
