Ask the policy service for the services in turn

A job of one service waits for advice behind all units of another service that come before it in the planning order, and the policy service takes one call at a time for each host. Now the services take turns, each in its planning order.

--- a/internal/cluster/scheduler/advice.go
+++ b/internal/cluster/scheduler/advice.go
@@ -153,7 +153,7 @@
 		limit := 1
 		if c.asksLong() {
 			// The hosts are shared by the units that wait for them.
-			limit = max(long/(len(s.adviceQueue.long)+1), 1)
+			limit = max(long/(s.adviceQueue.longUnits()+1), 1)
 		}
 		if requests := s.buildRequests(c, limit, now); len(requests) > 0 {
 			return requests
--- a/internal/cluster/scheduler/service_isolation_test.go
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -117,6 +117,37 @@
 	})
 }
 
+// Guards against units of one service that wait for the policy service behind all those of another one.
+func TestAdviceIsAskedForServicesInTurn(t *testing.T) {
+	Convey("Given many units of one service, and then one of another, that need advice", t, func() {
+		f := newFixture(1, 0)
+		for _, service := range []string{testService, otherService} {
+			f.addWorkerOf(service, "w-"+service, t0, 16_000)
+		}
+		for _, service := range []string{testService, otherService} {
+			q := ordinaryQueue(service)
+			q.PolicyService = &queues.PolicyService{Base: 10 * time.Millisecond}
+			if service == testService {
+				q.Priority = 0
+				for i := range 20 {
+					f.queueJob(fmt.Sprintf("b%02d", i), t0, q, coresStep(1, 1))
+				}
+			} else {
+				f.queueJob("d", t0, q, coresStep(1, 1))
+			}
+		}
+		f.commit()
+		f.Plan(t0)
+		var asked []string
+		for range 2 {
+			for _, r := range f.NextAdviceRequests(t0, 1, 1) {
+				asked = append(asked, r.Step.Job)
+			}
+		}
+		So(asked, ShouldContain, "d")
+	})
+}
+
 // workersHeld returns the number of workers of a service with resources that are held for gangs.
 func (f *fixture) workersHeld(service string) int {
 	n := 0
