Share the limit of starts among the services

While the owner is about to fall behind, a job of an idle service waits behind all tasks of another one that come before it in the planning order: the limit of starts was one token bucket for all. The limit as a whole protects the owner and stays; now the services with demand share it equally, and each may start one task when it begins.

Test: TestJobOfAnIdleServiceStartsAsIfAlone, a property test over 40 seeds: whatever the jobs and workers of one service do (urgent and lasting tasks, gangs, failures, lost workers, an owner under pressure), a job of an idle service starts with the plan that follows its hand-in.

--- a/internal/cluster/scheduler/service_isolation_test.go
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -148,6 +149,62 @@
 	})
 }
 
+// Guards against anything that one service's jobs and workers do to a job of an idle service: with room for it, it starts as if it were alone.
+func TestJobOfAnIdleServiceStartsAsIfAlone(t *testing.T) {
+	const (
+		seeds = 40
+		steps = 60
+	)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 12))
+			f := newFixture(1, 0)
+			busy := 3 + random.IntN(10)
+			for i := range busy {
+				f.addWorkerOf(testService, fmt.Sprintf("b%02d", i), t0, 16_000)
+			}
+			f.addWorkerOf(otherService, "d", t0, 16_000)
+			var running []Start
+			for n := range steps {
+				now := at(time.Duration(n) * 150 * time.Millisecond)
+				f.AdaptStarts(now, random.Float64()*1.5)
+				for range random.IntN(4) {
+					q := []queues.Queue{urgentQueue(testService), ordinaryQueue(testService)}[random.IntN(2)]
+					step := coresStep(1+random.IntN(30), int64(1+random.IntN(6)))
+					step.LongRunning = random.IntN(4) == 0
+					step.Gang = !step.LongRunning && random.IntN(3) == 0
+					f.queueJob(fmt.Sprintf("b%d-%d", n, random.Uint32()), now, q, step)
+				}
+				for _, id := range []string{"b00", "b01", "d"} {
+					f.report(id, now)
+				}
+				if n%3 == 0 {
+					id := fmt.Sprintf("d%d", n)
+					f.queueJob(id, now, ordinaryQueue(otherService), coresStep(1, 1))
+					p := f.plan(now)
+					starts := startsOfJob(p, id)
+					if len(starts) != 1 {
+						t.Fatalf("step %d: %d starts of the job of the idle service", n, len(starts))
+					}
+					f.end(starts[0], EndDone, now.Add(50*time.Millisecond))
+					running = append(running, withoutJob(p.Starts, id)...)
+				} else {
+					running = append(running, f.plan(now).Starts...)
+				}
+				for range min(random.IntN(12), len(running)) {
+					i := random.IntN(len(running))
+					reason := []EndReason{EndDone, EndFailed, EndFailed}[random.IntN(3)]
+					f.end(running[i], reason, now.Add(100*time.Millisecond))
+					running = append(running[:i:i], running[i+1:]...)
+				}
+				if random.IntN(10) == 0 {
+					f.MarkUnreachable(now, fmt.Sprintf("b%02d", random.IntN(busy)), now.Add(time.Second))
+				}
+			}
+		})
+	}
+}
+
 // workersHeld returns the number of workers of a service with resources that are held for gangs.
 func (f *fixture) workersHeld(service string) int {
 	n := 0
@@ -158,3 +215,14 @@
 	}
 	return n
 }
+
+// withoutJob returns the starts that do not belong to a job.
+func withoutJob(starts []Start, id string) []Start {
+	var out []Start
+	for _, s := range starts {
+		if s.Task.Job != id {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/cluster/scheduler/starts.go
+++ b/internal/cluster/scheduler/starts.go
@@ -186,7 +186,7 @@
 	s.servicePool(w.info.Service).noteStart(w, p.resources.CPUMilli)
 	s.noteForecastStart(u, now)
 	if s.limitsStarts(u) {
-		s.startLimiter.record()
+		s.startLimiter.record(u.job.queue.Service, now)
 	}
 	checkpoint := t.checkpoint
 	if u.step.Gang {
