Let headroom hold no job back for long while its service is idle

Quarantine and reservations have such a bound; headroom had none.

Now a unit that has found no place for 2 s may use the headroom, one task a plan, while less than half of its service is in use.

Test: TestHeadroomHoldsNoJobBackForLong, which waited for 5 s, the whole test, before, and 2 s now.

--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -15,6 +15,9 @@
 	maxHeadroomShare = 0.35
 	// headroomDecay is the time constant with which the headroom shrinks after the demand has fallen.
 	headroomDecay = 5 * time.Second
+	// headroomWait is how long a unit without a place waits before its tasks may use the headroom while most of its service is idle. A job
+	// with room must not have nothing running for 3 s.
+	headroomWait = 2 * time.Second
 	// headroomUpdateInterval is the minimum time between two updates, which visit all workers. Starts between them are counted.
 	headroomUpdateInterval = 10 * time.Millisecond
 )
@@ -133,6 +136,11 @@
 	return !u.beyondShare() && target > 0 && target < s.stopLatency.estimate()
 }
 
+// heldBackByHeadroom reports whether the headroom must not keep the unit waiting any longer.
+func (s *Scheduler) heldBackByHeadroom(u *unit, now time.Time) bool {
+	return !u.unplacedSince.IsZero() && now.Sub(u.unplacedSince) >= headroomWait && s.lowUse(u.job.queue.Service)
+}
+
 // usesHeadroom reports whether tasks of the unit may use the headroom: urgent and long-running ones.
 func (s *Scheduler) usesHeadroom(u *unit) bool { return u.step.LongRunning || s.urgent(u) }
 
--- a/internal/cluster/scheduler/plan.go
+++ b/internal/cluster/scheduler/plan.go
@@ -118,7 +118,7 @@
 		return
 	}
 	s.noteFull(c, now)
-	if u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u)) {
+	if u.needsAdvice(now) && !(c.adviceOnly && u.hasTicket(now)) && (u.step.Gang || u.usesQuarantined || s.leavesHeadroom(u) || s.heldBackByHeadroom(u, now)) {
 		s.adviceQueue.add(c)
 	}
 }
@@ -144,7 +144,7 @@
 		// The headroom is a share of what the workers without quarantine have free, so it never leaves room on the others.
 		usable := s.outsideHeadroom(c.unit, workers)
 		leavesHeadroom := len(usable) > 0
-		if !leavesHeadroom && c.unit.usesQuarantined {
+		if !leavesHeadroom && (c.unit.usesQuarantined || s.heldBackByHeadroom(c.unit, now)) {
 			usable = workers
 		}
 		startable, bound := s.startableOn(t, usable, now)
--- a/internal/cluster/scheduler/service_isolation_test.go
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -205,6 +205,32 @@
 	}
 }
 
+// Guards against a job that has nothing running for 3 s, with room for it twice over and most of its service idle, because that room is kept for
+// urgent tasks that require the same label.
+func TestHeadroomHoldsNoJobBackForLong(t *testing.T) {
+	Convey("Given few workers with a label, whose free room is kept for urgent tasks, and many idle ones without it", t, func() {
+		f := newFixture(1, 0)
+		f.addWorkerOf(testService, "a", t0, 20_000, "fast")
+		for i := range 4 {
+			f.addWorkerOf(testService, fmt.Sprintf("b%d", i), t0, 20_000, "plain")
+		}
+		urgent, ordinary, short := lastingStep(1, 4), lastingStep(1, 13), coresStep(1, 1)
+		urgent.Requirement, ordinary.Requirement, short.Requirement = "fast", "fast", "fast"
+		f.queueJob("u", t0, urgentQueue(testService), urgent)
+		f.queueJob("o", t0, ordinaryQueue(testService), ordinary)
+		So(f.plan(t0).Starts, ShouldHaveLength, 2)
+		Convey("A job with that label starts within 2 s and a plan", func() {
+			f.queueJob("s", at(time.Second), ordinaryQueue(testService), short)
+			var waited time.Duration
+			for len(startsOfJob(f.plan(at(time.Second+waited)), "s")) == 0 && waited < 5*time.Second {
+				waited += 100 * time.Millisecond
+				f.report("a", at(time.Second+waited))
+			}
+			So(waited, ShouldBeBetweenOrEqual, headroomWait, headroomWait+100*time.Millisecond)
+		})
+	})
+}
+
 // workersHeld returns the number of workers of a service with resources that are held for gangs.
 func (f *fixture) workersHeld(service string) int {
 	n := 0
