Estimate the stop latency by service

Slow stops on the workers of one service raised the estimate for all, so that ordinary queues of another service counted as urgent, and room was kept for them.

--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -133,7 +133,7 @@
 // urgent reports whether the unit's tasks are urgent in the sense of headroom. Those beyond the share of their team are not.
 func (s *Scheduler) urgent(u *unit) bool {
 	target := u.job.queue.TargetLatency
-	return !u.beyondShare() && target > 0 && target < s.stopLatency.estimate()
+	return !u.beyondShare() && target > 0 && target < s.servicePool(u.job.queue.Service).stopLatency.estimate()
 }
 
 // heldBackByHeadroom reports whether the headroom must not keep the unit waiting any longer.
--- a/internal/cluster/scheduler/nomination.go
+++ b/internal/cluster/scheduler/nomination.go
@@ -33,7 +33,7 @@
 	if u.awaitsAdvice(now) || s.manyNominated(u.job.queue.Service) {
 		return
 	}
-	ready := now.Add(s.stopLatency.estimate())
+	ready := now.Add(s.servicePool(u.job.queue.Service).stopLatency.estimate())
 	var rooms []*gangRoom
 	for _, w := range workers {
 		if u.ticketExpiry(w, now).After(ready) {
@@ -242,7 +242,7 @@
 // recordFreed records that a run has ended and freed its resources. A gang that is nominated for its worker may fit now.
 func (s *Scheduler) recordFreed(p *placement, now time.Time) {
 	if p.state == stopping && !p.stopAckedAt.IsZero() {
-		s.stopLatency.observe(now.Sub(p.stopAckedAt))
+		s.servicePool(p.worker.info.Service).stopLatency.observe(now.Sub(p.stopAckedAt))
 	}
 	if p.worker.held != (workload.Resources{}) {
 		s.nominationsChanged = true
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -64,7 +64,6 @@
 	forecast           *forecast.Meter // nil unless enabled
 	reservations       reservations    // workers reserved for gangs that did not fit, since the last complete plan began
 	lowUseServices     map[string]bool // by service, since the last complete plan began; see lowUse
-	stopLatency        stopLatency
 	// nominationsChanged is set when resources are freed on a worker that a gang is nominated for.
 	nominationsChanged bool
 
--- a/internal/cluster/scheduler/service_isolation_test.go
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -231,6 +231,29 @@
 	})
 }
 
+// Guards against ordinary tasks of one service that count as urgent, and keep room, because stops take long on the workers of another one.
+func TestStopLatencyElsewhereMakesNothingUrgent(t *testing.T) {
+	Convey("Given workers of one service that take 5 s to stop a run", t, func() {
+		f := newFixture(1, 0)
+		f.addWorkerOf(testService, "b", t0, 16_000)
+		f.addWorkerOf(otherService, "d", t0, 16_000)
+		for i := range 30 {
+			id, now := fmt.Sprintf("b%d", i), at(time.Duration(i)*10*time.Second)
+			f.queueJob(id, now, ordinaryQueue(testService), coresStep(1, 1))
+			s := startsOfJob(f.plan(now), id)[0]
+			f.Cancel(now, id)
+			f.plan(now)
+			f.end(s, EndStopped, now.Add(5*time.Second))
+		}
+		Convey("A queue of the other service with a target of 3 s is not urgent", func() {
+			now := at(time.Hour)
+			f.queueJob("d", now, ordinaryQueue(otherService), coresStep(1, 1))
+			So(startsOfJob(f.plan(now), "d"), ShouldHaveLength, 1)
+			So(f.workers["d"].urgentUses, ShouldBeEmpty)
+		})
+	})
+}
+
 // workersHeld returns the number of workers of a service with resources that are held for gangs.
 func (f *fixture) workersHeld(service string) int {
 	n := 0
--- a/internal/cluster/scheduler/servicepool.go
+++ b/internal/cluster/scheduler/servicepool.go
@@ -12,6 +12,7 @@
 	headrooms []*headroom // by requirement, if urgent tasks use workers
 	// idle and capacity are the millicores of the workers that accept tasks, not in use and in all, as of the last update of the headrooms.
 	idle, capacity int64
+	stopLatency    stopLatency // of its workers
 }
 
 // servicePool returns the pool of a service.
