Judge by service whether workers are full

While one service was full, jobs of another one were ordered by the use of their teams in the whole pool, so that those of a heavy team came last there although nothing was scarce. The test of quotas reads the time that the service now has, and expects the same.

--- a/internal/cluster/scheduler/order.go
+++ b/internal/cluster/scheduler/order.go
@@ -14,7 +14,7 @@
 	late        bool // too late to meet the job's latency objective
 	latestStart time.Time
 	beyondShare bool // its job is beyond the share of its team
-	aboveShare  bool // the pool is full and its team uses more than its weighted fair share
+	aboveShare  bool // its service is full and its team uses more than its weighted fair share
 	adviceOnly  bool // the policy service may be asked, but no task may start yet; see mayRunElsewhere
 }
 
--- a/internal/cluster/scheduler/quota_test.go
+++ b/internal/cluster/scheduler/quota_test.go
@@ -352,7 +352,7 @@
 		f.limitTeam("kaje80", 4000)
 		f.AddJob(t0, f.teamJob("wide", "kaje80", t0, simpleStep(4)), nil, false)
 		So(f.plan(t0).Starts, ShouldHaveLength, 2)
-		So(f.teams.fullAt.IsZero(), ShouldBeTrue)
+		So(f.servicePool(testService).fullAt.IsZero(), ShouldBeTrue)
 	})
 }
 
--- a/internal/cluster/scheduler/service_isolation_test.go
+++ b/internal/cluster/scheduler/service_isolation_test.go
@@ -254,6 +254,29 @@
 	})
 }
 
+// Guards against jobs of one service that are ordered by the use of their teams because another service is full.
+func TestFullServiceOrdersNoOther(t *testing.T) {
+	Convey("Given a full service, and a team that uses most of it", t, func() {
+		f := newFixture(1, 0)
+		f.addWorkerOf(testService, "b", t0, 16_000)
+		f.addWorkerOf(otherService, "d", t0, 16_000)
+		f.SetQueues(&queues.Config{Teams: []queues.Team{{Name: "heavy", Weight: 1}, {Name: "light", Weight: 1}}})
+		add := func(id, team string, q queues.Queue, step workload.Step) {
+			f.AddJob(t0, &workload.Spec{ID: id, Queue: q, Team: team, Steps: []workload.Step{step}, Accepted: t0}, nil, false)
+		}
+		add("b", "heavy", ordinaryQueue(testService), lastingStep(20, 1))
+		add("l", "light", ordinaryQueue(otherService), lastingStep(1, 1))
+		So(f.plan(t0).Starts, ShouldHaveLength, 17)
+		add("d", "heavy", ordinaryQueue(otherService), coresStep(1, 1))
+		f.commit()
+		u := f.jobs["d"].occurrences[0].units[0]
+		Convey("Its job of the other service keeps its place in the order there", func() {
+			f.Plan(t0)
+			So(f.aboveFairShare(u, t0), ShouldBeFalse)
+		})
+	})
+}
+
 // workersHeld returns the number of workers of a service with resources that are held for gangs.
 func (f *fixture) workersHeld(service string) int {
 	n := 0
--- a/internal/cluster/scheduler/servicepool.go
+++ b/internal/cluster/scheduler/servicepool.go
@@ -13,6 +13,7 @@
 	// idle and capacity are the millicores of the workers that accept tasks, not in use and in all, as of the last update of the headrooms.
 	idle, capacity int64
 	stopLatency    stopLatency // of its workers
+	fullAt         time.Time   // when a plan last found no room for a task
 }
 
 // servicePool returns the pool of a service.
--- a/internal/cluster/scheduler/shares.go
+++ b/internal/cluster/scheduler/shares.go
@@ -20,7 +20,7 @@
 	// arrivalReserve is the share of a full bucket, beyond one token, that waiting jobs leave to those that arrive next. Without it a
 	// backlog would take every token for jobs that are late already, and all new ones would be late, too.
 	arrivalReserve = 0.5
-	// fullTime is how long after a task found no room the pool counts as full.
+	// fullTime is how long after a task found no room the workers of its service count as full.
 	fullTime = 300 * time.Millisecond
 )
 
@@ -140,19 +140,19 @@
 	return share
 }
 
-// noteFull notes that the pool is full if tasks of the candidate may run now and found no room.
+// noteFull notes that the service's workers are full if tasks of the candidate may run now and found no room.
 func (s *Scheduler) noteFull(c candidate, now time.Time) {
 	if c.waiting > 0 && !c.adviceOnly && !c.beyondShare && (c.unit.job.queue.PolicyService == nil || c.unit.hasTicket(now)) {
-		s.teams.fullAt = now
+		s.servicePool(c.unit.job.queue.Service).fullAt = now
 	}
 }
 
-// aboveFairShare reports whether the pool is full and the team of the unit uses more of it than its weighted fair share, which is its part
+// aboveFairShare reports whether the unit's service is full and the team of the unit uses more of the pool than its weighted fair share, which is its part
 // of the weights of all teams with unfinished jobs. Among the units of teams above their shares, and among those of the others, the order
 // stays that of the latest starts: a finer order by share would let jobs be late although no team uses too much.
 func (s *Scheduler) aboveFairShare(u *unit, now time.Time) bool {
 	t := u.job.team
-	if t == nil || t.weight == 0 || now.Sub(s.teams.fullAt) > fullTime {
+	if t == nil || t.weight == 0 || now.Sub(s.servicePool(u.job.queue.Service).fullAt) > fullTime {
 		return false
 	}
 	return s.dominantShare(t)*s.teams.activeWeight > t.weight
--- a/internal/cluster/scheduler/teams.go
+++ b/internal/cluster/scheduler/teams.go
@@ -46,7 +46,6 @@
 	changes            []QuotaWait
 	unclassified       []*job             // jobs of which it is not known yet whether they are within the share of their team
 	activeWeight       float64            // sum of the weights of teams with unfinished jobs
-	fullAt             time.Time          // when a plan last found no room for a task
 	withBeyond         map[*team]struct{} // teams with jobs beyond their share
 }
 
