Store the cancellation of a job that is not found

Cause: a cancellation was stored only if the job's row was there at that moment; otherwise "no such job" was answered and nothing kept the insertion that was still under way from being performed.

Now an early cancellation is stored in both partitions that may hold the job, and 410 is answered only then. The insertion of a job is conditional on the absence of such rows in its partition. With keys in force the row belongs to the team of the caller.

One case of TestStoreOutcomes has a new name.

--- a/internal/cluster/coordinator/expiry.go
+++ b/internal/cluster/coordinator/expiry.go
@@ -26,9 +26,37 @@
 func (t *term) runExpiry(ctx context.Context) {
 	for wait.For(ctx, expiryInterval) {
 		t.removeExpired(ctx)
+		t.removeEarlyCancels(ctx)
 	}
 }
 
+// removeEarlyCancels removes the rows of early cancellations whose retention has passed.
+func (t *term) removeEarlyCancels(ctx context.Context) {
+	t.mu.Lock()
+	expired := t.sched.ExpiredEarlyCancels(time.Now(), expiryBatch)
+	t.mu.Unlock()
+	if len(expired) == 0 {
+		return
+	}
+	byPartition := map[string][]rowstore.Key{}
+	for id, cancels := range expired {
+		for _, c := range cancels {
+			for alternative := range records.AlternativePartitions {
+				k := records.EarlyCancelKey(id, c.By, alternative)
+				byPartition[k.Partition] = append(byPartition[k.Partition], k)
+			}
+		}
+	}
+	if err := t.removeRows(ctx, byPartition); err != nil {
+		t.log.Warn("early cancellations can't be removed, trying again later", zap.Int("jobs", len(expired)), asynclog.Error(err))
+		return
+	}
+	t.mu.Lock()
+	t.sched.RemoveEarlyCancels(expired)
+	t.mu.Unlock()
+	t.log.Info("early cancellations removed after their retention", zap.Int("jobs", len(expired)))
+}
+
 // removeExpired removes the rows of ended jobs whose retention has passed. It removes those of the inbox first: if a row were
 // left there after the job's final state is removed, an owner would consider the job new and run it again.
 func (t *term) removeExpired(ctx context.Context) {
@@ -78,6 +106,11 @@
 			byPartition[job.Partition] = append(append(byPartition[job.Partition], records.PartKeys(job, 0, max(parts[id], 1))...), cancel)
 		}
 	}
+	return t.removeRows(ctx, byPartition)
+}
+
+// removeRows removes rows, by partition, one partition after the other.
+func (t *term) removeRows(ctx context.Context, byPartition map[string][]rowstore.Key) error {
 	for _, partition := range slices.Sorted(maps.Keys(byPartition)) {
 		for keys := range slices.Chunk(byPartition[partition], rowstore.MaxTxnEntries) {
 			if _, err := t.deps.Store.Commit(ctx, rowstore.Txn{Removes: keys}); err != nil {
--- a/internal/cluster/coordinator/load.go
+++ b/internal/cluster/coordinator/load.go
@@ -11,6 +11,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/election"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
+	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
@@ -243,7 +244,7 @@
 	now := time.Now()
 	for _, row := range rows {
 		r, whole := t.inbox.Add(row)
-		_, cancelled := records.CancelledJob(r.Key)
+		_, _, cancelled := records.CancelledJob(r.Key)
 		if !whole || cancelled {
 			continue
 		}
@@ -271,8 +272,25 @@
 		t.addJob(now, spec, "feed")
 	}
 	for _, r := range rows {
-		if id, cancelled := records.CancelledJob(r.Key); cancelled && !r.Deleted {
+		id, early, cancelled := records.CancelledJob(r.Key)
+		switch {
+		case !cancelled || r.Deleted:
+		case early:
+			t.applyEarlyCancel(now, id, r)
+		default:
 			t.cancelJob(now, id, "feed")
 		}
 	}
 }
+
+// applyEarlyCancel applies a cancellation that was stored before its job, which may follow in another partition. The caller holds mu.
+func (t *term) applyEarlyCancel(now time.Time, id string, r rowstore.Row) {
+	var c records.EarlyCancel
+	if err := records.Decode(r, &c); err != nil {
+		t.log.Error("early cancellation can't be read", zap.String("job", id), asynclog.Error(err))
+		return
+	}
+	if t.sched.CancelEarly(now, id, scheduler.EarlyCancel{By: c.By, At: time.UnixMilli(c.AtMS)}) {
+		t.log.Info("job cancelled", zap.String("job", id), zap.String("from", "early cancellation"))
+	}
+}
--- a/internal/cluster/frontend/access.go
+++ b/internal/cluster/frontend/access.go
@@ -63,7 +63,7 @@
 
 // storeEncodedJob writes the rows of a job. Where keys are enforced, an existing row counts as an earlier attempt only if the caller may
 // access its job. Before it writes to another partition than the first, it looks for the ID in the first; if that can't be read, the job
-// is stored all the same.
+// is stored all the same. The outcome is CancelledBefore if the caller has cancelled the ID before.
 func (s *JobService) storeEncodedJob(ctx context.Context, id string, value []byte, access workload.Access, alternative int) (peers.StoreOutcome, error) {
 	if access.Restricted && alternative > 0 && !s.breaker.open.Load() {
 		if exists, allowed, err := s.checkJob(ctx, records.JobKey(id, 0), access); err == nil && exists && !allowed {
@@ -71,7 +71,10 @@
 		}
 	}
 	k := records.JobKey(id, alternative)
-	outcome, err := s.create(ctx, records.Split(k, value, rowstore.MaxValueBytes(s.MaxRowBytes)))
+	outcome, err := s.create(ctx, records.Split(k, value, rowstore.MaxValueBytes(s.MaxRowBytes)), earlyCancelKeys(id, access, alternative)...)
+	if outcome == peers.IDInUse {
+		return s.refuseCancelled(ctx, id, access)
+	}
 	if !access.Restricted || outcome != peers.StoredBefore {
 		return outcome, err
 	}
--- a/internal/cluster/frontend/frontend.go
+++ b/internal/cluster/frontend/frontend.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/greengagewing/greengagewing/internal/asynclog"
 	"github.com/greengagewing/greengagewing/internal/cluster/clock"
@@ -34,6 +35,8 @@
 	ErrNoSuchJob = errors.New("frontend: no such job")
 	// ErrIDInUse means that the job's ID is that of a job that the caller may not access. The new job was not accepted and never will be.
 	ErrIDInUse = errors.New("frontend: job ID is in use")
+	// ErrCancelled means that the caller has cancelled the job before it was accepted. It was not accepted and never will be.
+	ErrCancelled = errors.New("frontend: cancelled before it was accepted")
 	// ErrUnavailable means that the requested state can't be read at the moment.
 	ErrUnavailable = errors.New("frontend: state unavailable")
 
@@ -77,6 +80,8 @@
 	breaker     breaker
 	ownerBusy   ownerBusy
 	admission   *admission
+	// earlyCancels limits the early cancellations that this host stores.
+	earlyCancels *rate.Limiter
 	// peersFailedUntil is until when no peer is asked to store a change during an outage, in nanoseconds since 1970.
 	peersFailedUntil atomic.Int64
 
@@ -94,13 +99,13 @@
 func New(d Deps) *JobService {
 	return &JobService{
 		Deps: d, pendingCounts: map[string]pendingCount{}, notifySlots: make(chan struct{}, maxNotifications), routeHealth: newRouteHealth(),
-		breaker: breaker{store: d.Store, log: d.Log}, admission: newAdmission(d.Clock, d.Log),
+		breaker: breaker{store: d.Store, log: d.Log}, admission: newAdmission(d.Clock, d.Log), earlyCancels: newEarlyCancelLimiter(),
 		submits: meter.NewCalls(d.Metrics, "submit"), cancels: meter.NewCalls(d.Metrics, "cancel"), lookups: meter.NewCalls(d.Metrics, "lookup"),
 	}
 }
 
 // Submit accepts a job. It is idempotent: a job with the id of an accepted job counts as that job. Errors: ErrNotAccepted,
-// ErrTooLarge, ErrIDInUse, ErrUnknown.
+// ErrTooLarge, ErrIDInUse, ErrCancelled, ErrUnknown.
 func (s *JobService) Submit(ctx context.Context, spec *workload.Spec, access workload.Access) error {
 	began := time.Now()
 	value, err := workload.EncodeSpec(spec)
@@ -133,7 +138,8 @@
 	return outcomeError(outcome, err)
 }
 
-// Cancel stores the cancellation of a job that the caller may access. Errors: ErrNoSuchJob, ErrNotAccepted, ErrUnknown.
+// Cancel stores the cancellation of a job that the caller may access. ErrNoSuchJob means that the caller's job was not accepted and never will
+// be, also by a submission that is still under way. Errors: ErrNoSuchJob, *OverloadedError, ErrNotAccepted, ErrUnknown.
 func (s *JobService) Cancel(ctx context.Context, id string, access workload.Access) error {
 	began := time.Now()
 	outcome, err := s.storeChange(ctx, change{
@@ -195,6 +201,10 @@
 		return ErrNoSuchJob
 	case peers.IDInUse:
 		return ErrIDInUse
+	case peers.CancelledBefore:
+		return ErrCancelled
+	case peers.TooManyCancels:
+		return &OverloadedError{RetryAfter: earlyCancelRetryAfter}
 	case peers.NotStored:
 		return errors.Wrap(ErrNotAccepted, text)
 	}
--- a/internal/cluster/frontend/outage.go
+++ b/internal/cluster/frontend/outage.go
@@ -19,7 +19,7 @@
 func (s *JobService) storeDuringOutage(ctx context.Context, c change, unknown bool) (peers.StoreOutcome, bool, error) {
 	for s.breaker.open.Load() {
 		switch outcome, err := s.tryPeer(c, time.Now()); outcome {
-		case peers.Stored, peers.StoredBefore, peers.NoSuchJob, peers.IDInUse:
+		case peers.Stored, peers.StoredBefore, peers.NoSuchJob, peers.IDInUse, peers.CancelledBefore, peers.TooManyCancels:
 			return outcome, false, err
 		case peers.NotStored:
 		default:
--- a/internal/cluster/frontend/store.go
+++ b/internal/cluster/frontend/store.go
@@ -11,7 +11,6 @@
 
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
 	"github.com/greengagewing/greengagewing/internal/cluster/records"
-	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 	"github.com/greengagewing/greengagewing/internal/wait"
 )
@@ -125,7 +124,7 @@
 			var outcome peers.StoreOutcome
 			outcome, err = s.attempt(c, w)
 			switch outcome {
-			case peers.Stored, peers.StoredBefore, peers.NoSuchJob, peers.IDInUse:
+			case peers.Stored, peers.StoredBefore, peers.NoSuchJob, peers.IDInUse, peers.CancelledBefore, peers.TooManyCancels:
 				return outcome, err
 			case peers.NotStored:
 				refused++
@@ -161,7 +160,7 @@
 		return s.viaPeer(c, w.alternative)
 	}
 	outcome, err := s.storeLocal(c, w.alternative)
-	ok := outcome == peers.Stored || outcome == peers.StoredBefore || outcome == peers.NoSuchJob || outcome == peers.IDInUse
+	ok := outcome != peers.NotStored && outcome != peers.StoreUnknown
 	s.routeHealth.recordWrite(records.JobKey(c.id, w.alternative).Partition, ok, time.Now())
 	return outcome, err
 }
@@ -192,7 +191,7 @@
 			continue
 		}
 		atPeer, err := s.tryPeer(c, time.Now())
-		if atPeer == peers.Stored || atPeer == peers.StoredBefore || atPeer == peers.NoSuchJob {
+		if atPeer == peers.Stored || atPeer == peers.StoredBefore || atPeer == peers.NoSuchJob || atPeer == peers.CancelledBefore {
 			return atPeer, err
 		}
 		r := <-done
@@ -224,45 +223,3 @@
 	}
 	return s.storeEncodedJob(ctx, spec.ID, value, access, alternative)
 }
-
-// StoreCancel writes the row of a job's cancellation from this host to the alternative partition with this index, if the job
-// was accepted and the caller may access it.
-func (s *JobService) StoreCancel(ctx context.Context, id string, access workload.Access, alternative int) (peers.StoreOutcome, error) {
-	if s.breaker.open.Load() {
-		return peers.NotStored, errStoreUnresponsive
-	}
-	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	accepted, err := s.accepted(readCtx, id, access)
-	if err != nil {
-		return peers.NotStored, err
-	}
-	if !accepted {
-		return peers.NoSuchJob, nil
-	}
-	return s.create(ctx, []rowstore.Put{{Key: records.CancelKey(id, alternative), Value: []byte("{}")}})
-}
-
-// create inserts the rows of one value unless the breaker is open.
-func (s *JobService) create(ctx context.Context, rows []rowstore.Put) (peers.StoreOutcome, error) {
-	if s.breaker.open.Load() {
-		return peers.NotStored, errStoreUnresponsive
-	}
-	outcome, err := s.commit(ctx, rows)
-	s.breaker.recordOutcome(outcome)
-	return outcome, err
-}
-
-// commit inserts the rows of one value. A conflict means that an earlier attempt has already inserted them.
-func (s *JobService) commit(ctx context.Context, rows []rowstore.Put) (peers.StoreOutcome, error) {
-	_, err := s.Store.Commit(ctx, rowstore.Txn{Conditions: []rowstore.Condition{{Key: rows[0].Key}}, Puts: rows})
-	switch {
-	case err == nil:
-		return peers.Stored, nil
-	case errors.Is(err, rowstore.ErrConflict):
-		return peers.StoredBefore, nil
-	case errors.Is(err, rowstore.ErrUnavailable), errors.Is(err, rowstore.ErrRejected):
-		return peers.NotStored, err
-	}
-	return peers.StoreUnknown, err
-}
--- a/internal/cluster/frontend/store_test.go
+++ b/internal/cluster/frontend/store_test.go
@@ -51,12 +51,12 @@
 		want     peers.StoreOutcome
 		within   time.Duration
 	}{
-		"stored at once":                                 {[]peers.StoreOutcome{peers.Stored}, peers.Stored, 0},
-		"refused on all routes":                          {[]peers.StoreOutcome{peers.NotStored}, peers.NotStored, 500 * time.Millisecond},
-		"refused by one partition":                       {[]peers.StoreOutcome{peers.NotStored, peers.Stored}, peers.Stored, 100 * time.Millisecond},
-		"unknown, then refused until the deadline":       {[]peers.StoreOutcome{peers.StoreUnknown, peers.NotStored}, peers.StoreUnknown, 3 * time.Second},
-		"unknown, then found stored":                     {[]peers.StoreOutcome{peers.StoreUnknown, peers.NotStored, peers.StoredBefore}, peers.StoredBefore, time.Second},
-		"a cancellation of an unknown job is not stored": {[]peers.StoreOutcome{peers.NoSuchJob}, peers.NoSuchJob, 0},
+		"stored at once":                                {[]peers.StoreOutcome{peers.Stored}, peers.Stored, 0},
+		"refused on all routes":                         {[]peers.StoreOutcome{peers.NotStored}, peers.NotStored, 500 * time.Millisecond},
+		"refused by one partition":                      {[]peers.StoreOutcome{peers.NotStored, peers.Stored}, peers.Stored, 100 * time.Millisecond},
+		"unknown, then refused until the deadline":      {[]peers.StoreOutcome{peers.StoreUnknown, peers.NotStored}, peers.StoreUnknown, 3 * time.Second},
+		"unknown, then found stored":                    {[]peers.StoreOutcome{peers.StoreUnknown, peers.NotStored, peers.StoredBefore}, peers.StoredBefore, time.Second},
+		"a cancellation of an unknown job ends at once": {[]peers.StoreOutcome{peers.NoSuchJob}, peers.NoSuchJob, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/cluster/peers/server.go
+++ b/internal/cluster/peers/server.go
@@ -42,7 +42,7 @@
 type Submitter interface {
 	// StoreJob stores a job in the alternative partition with this index; see the frontend package.
 	StoreJob(ctx context.Context, spec *workload.Spec, access workload.Access, alternative int) (StoreOutcome, error)
-	// StoreCancel stores the cancellation of a job in the alternative partition with this index.
+	// StoreCancel stores the cancellation of a job in the alternative partition with this index, or an early one in all of them.
 	StoreCancel(ctx context.Context, id string, access workload.Access, alternative int) (StoreOutcome, error)
 }
 
@@ -64,6 +64,9 @@
 	StoreUnknown StoreOutcome = "store_unknown" // the row may have been written, or may be written later
 	NoSuchJob    StoreOutcome = "no_such_job"
 	IDInUse      StoreOutcome = "id_in_use" // the job's ID is that of a job that the caller may not access
+	// CancelledBefore means that the caller has cancelled the job before it was stored; it is certain that it will not be.
+	CancelledBefore StoreOutcome = "cancelled_before"
+	TooManyCancels  StoreOutcome = "too_many_cancels" // of jobs that were not found; the cancellation was not stored
 )
 
 // NewServer returns the server of the process with this bootID. It counts the calls of each path in duties.
--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -17,6 +17,7 @@
 	"github.com/greengagewing/greengagewing/internal/cluster/rowstore"
 	"github.com/greengagewing/greengagewing/internal/cluster/scheduler"
 	"github.com/greengagewing/greengagewing/internal/cluster/wire"
+	"github.com/greengagewing/greengagewing/internal/cluster/workload"
 )
 
 // Tables of the daemons.
@@ -76,8 +77,32 @@
 	return k
 }
 
-// CancelledJob returns the id of the job that a row cancels, or false if the row is not a cancellation.
-func CancelledJob(k rowstore.Key) (string, bool) { return strings.CutSuffix(k.Name, cancelSuffix) }
+// EarlyCancel is the value of a row that cancels a job which was not found. It applies to jobs that the caller may access.
+type EarlyCancel struct {
+	By   workload.Access `json:"by"`
+	AtMS int64           `json:"at"` // in milliseconds since 1970
+}
+
+// EarlyCancelKey returns the key of the row of an early cancellation by a caller in one of the alternative partitions. Those of several teams
+// stand beside each other, since a team must not cancel the job of another one.
+func EarlyCancelKey(id string, by workload.Access, alternative int) rowstore.Key {
+	k := CancelKey(id, alternative)
+	if !by.Restricted {
+		k.Name += "/all"
+		return k
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(by.Team))
+	k.Name += "/team/" + strconv.FormatUint(h.Sum64(), 16)
+	return k
+}
+
+// CancelledJob returns the id of the job that a row cancels and whether the cancellation is an early one, or false if the row is not a
+// cancellation.
+func CancelledJob(k rowstore.Key) (id string, early, found bool) {
+	id, rest, found := strings.Cut(k.Name, cancelSuffix)
+	return id, rest != "", found
+}
 
 // ActiveJobKey returns the key of the row of a active job.
 func ActiveJobKey(id string) rowstore.Key {
--- a/internal/cluster/scheduler/scheduler.go
+++ b/internal/cluster/scheduler/scheduler.go
@@ -75,7 +75,8 @@
 	futureOccurrences map[*job]struct{} // jobs with occurrences that are not due yet, or wait until fewer units of the job wait
 	// cancelled maps the IDs of jobs that were cancelled before they were added to the time of the cancellation: the rows of
 	// a job and of its cancellation may be read in any order.
-	cancelled map[string]time.Time
+	cancelled    map[string]time.Time
+	earlyCancels earlyCancels
 
 	unresolved map[string]unresolvedWorker // by ID of a worker that may still run tasks of an earlier owner
 	lastUses   map[string]lastUse          // by ID, within staleCallLimit
@@ -131,6 +132,7 @@
 		changedUnits:      map[*unit]struct{}{},
 		futureOccurrences: map[*job]struct{}{},
 		cancelled:         map[string]time.Time{},
+		earlyCancels:      earlyCancels{},
 		unresolved:        map[string]unresolvedWorker{},
 		lastUses:          map[string]lastUse{},
 		silences:          map[string]*silence{},
@@ -203,7 +205,7 @@
 		s.restore(j, progress, now)
 	}
 	s.openDueOccurrences(j, now)
-	if _, cancelled := s.cancelled[spec.ID]; cancelled {
+	if _, cancelled := s.cancelled[spec.ID]; cancelled || s.earlyCancels.apply(spec.ID, spec.Team) {
 		s.finishJob(j, workload.Cancelled, now)
 	}
 	return true
--- a/internal/cluster/scheduler/unreadable.go
+++ b/internal/cluster/scheduler/unreadable.go
@@ -14,7 +14,7 @@
 	}
 	s.jobs[id] = &job{spec: &workload.Spec{ID: id, Accepted: now}, state: workload.Running, durableState: workload.Running,
 		started: true, inherited: true, stored: true, unreadable: true}
-	if _, cancelled := s.cancelled[id]; cancelled {
+	if _, cancelled := s.cancelled[id]; cancelled || s.earlyCancels.applyToAll(id) {
 		s.Cancel(now, id)
 	}
 }
