--- a/internal/cluster/scheduler/headroom.go
+++ b/internal/cluster/scheduler/headroom.go
@@ -82,8 +82,11 @@
 	if labelled {
 		s.countLabelled(now)
 	}
-	for _, p := range s.servicePools {
+	for service, p := range s.servicePools {
 		p.updateHeadrooms(now)
+		if p.unused() {
+			delete(s.servicePools, service)
+		}
 	}
 	s.noteRoom(free, s.capacity.CPUMilli)
 }
--- a/internal/cluster/scheduler/latestarts.go
+++ b/internal/cluster/scheduler/latestarts.go
@@ -34,10 +34,16 @@
 
 const gangIndex = -1
 
-// startKey returns the key of a task in unansweredStarts.
+// gangKey returns the key of the gang to which a task belongs, if it belongs to one.
+func gangKey(id workload.TaskID) workload.TaskID {
+	id.Index = gangIndex
+	return id
+}
+
+// startKey returns the key of a task of the unit in unansweredStarts.
 func (u *unit) startKey(id workload.TaskID) workload.TaskID {
 	if u.step.Gang {
-		id.Index = gangIndex
+		return gangKey(id)
 	}
 	return id
 }
@@ -47,9 +53,7 @@
 	if len(m) == 0 {
 		return nil
 	}
-	starts := m[id]
-	id.Index = gangIndex
-	return append(slices.Clip(starts), m[id]...)
+	return append(slices.Clip(m[id]), m[gangKey(id)]...)
 }
 
 // remove removes a start.
@@ -64,7 +68,7 @@
 
 // find returns the start of a run on a worker, and its key; nil if it was answered or is not known.
 func (m unansweredStarts) find(id workload.TaskID, run int64, worker string) (*unansweredStart, workload.TaskID) {
-	for _, key := range []workload.TaskID{id, {Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: gangIndex}} {
+	for _, key := range []workload.TaskID{id, gangKey(id)} {
 		for _, start := range m[key] {
 			if start.run == run && start.worker == worker && start.index == id.Index {
 				return start, key
@@ -79,18 +83,27 @@
 	return u.job.queue.PolicyService == nil && !u.step.Speculative
 }
 
-// noteStartOrdered notes a start whose outcome is not known yet.
+// addUnanswered adds a start of a task of the unit.
+func (u *unit) addUnanswered(id workload.TaskID, start *unansweredStart) {
+	j, key := u.job, u.startKey(id)
+	if j.unanswered == nil {
+		j.unanswered = unansweredStarts{}
+	}
+	j.unanswered[key] = append(j.unanswered[key], start)
+}
+
+// noteStartOrdered notes a start whose outcome is not known yet. It forgets those of the task that no report can show any more.
 func (s *Scheduler) noteStartOrdered(p *placement, now time.Time) {
 	u := p.task.unit
 	if p.withTicket || !u.startsLate() {
 		return
 	}
-	j, key := u.job, u.startKey(p.id)
-	if j.unanswered == nil {
-		j.unanswered = unansweredStarts{}
+	for _, start := range slices.Clone(u.job.unanswered[u.startKey(p.id)]) {
+		if now.Sub(s.lateUntil(start)) > staleCallLimit {
+			u.job.unanswered.remove(u.startKey(p.id), start)
+		}
 	}
-	kept := slices.DeleteFunc(j.unanswered[key], func(a *unansweredStart) bool { return now.Sub(s.lateUntil(a)) > staleCallLimit })
-	j.unanswered[key] = append(kept, &unansweredStart{worker: p.worker.info.ID, index: p.id.Index, run: p.run, until: s.attemptsUntil(now)})
+	u.addUnanswered(p.id, &unansweredStart{worker: p.worker.info.ID, index: p.id.Index, run: p.run, until: s.attemptsUntil(now)})
 	s.startsInFlight = append(s.startsInFlight, startInFlight{p.id, p.run, p.worker.info.ID, now})
 }
 
@@ -214,7 +227,7 @@
 	if len(bound) == 0 {
 		return workers, false
 	}
-	var out []*worker
+	out := make([]*worker, 0, 1)
 	for _, w := range workers {
 		if len(bound) == 1 && w.info.ID == bound[0] && !w.mayGetStaleCalls {
 			out = append(out, w)
@@ -269,11 +282,7 @@
 	if len(tp.UnansweredBy) == 0 || !t.unit.startsLate() {
 		return
 	}
-	j, key := t.unit.job, t.unit.startKey(t.id())
-	if j.unanswered == nil {
-		j.unanswered = unansweredStarts{}
-	}
 	for _, id := range tp.UnansweredBy {
-		j.unanswered[key] = append(j.unanswered[key], &unansweredStart{worker: id, index: t.index, run: tp.Run, durable: true, inherited: true})
+		t.unit.addUnanswered(t.id(), &unansweredStart{worker: id, index: t.index, run: tp.Run, durable: true, inherited: true})
 	}
 }
--- a/internal/cluster/scheduler/servicepool.go
+++ b/internal/cluster/scheduler/servicepool.go
@@ -67,6 +67,11 @@
 	p.headrooms = slices.DeleteFunc(p.headrooms, (*headroom).obsolete)
 }
 
+// unused reports whether nothing is known of the service that has to be kept. Entries of workers may name any number of services.
+func (p *servicePool) unused() bool {
+	return p.capacity == 0 && len(p.headrooms) == 0 && p.stopLatency.average == 0 && p.fullAt.IsZero()
+}
+
 // leavesHeadroom reports whether a task that takes so many millicores of the worker leaves all headrooms as they are.
 func (p *servicePool) leavesHeadroom(w *worker, cpu int64) bool {
 	return !slices.ContainsFunc(p.headrooms, func(h *headroom) bool { return h.covers(w) && !h.leaves(cpu) })
