Let owners of earlier releases read early cancellations as cancellations

During an upgrade, an owner of an earlier release took the row ID/cancel/all for a job that can't be read, and kept it. The key now ends as that of an ordinary cancellation does (ID/early/all/cancel), which such an owner takes for one of an unknown job.

--- a/internal/cluster/records/records.go
+++ b/internal/cluster/records/records.go
@@ -46,7 +46,10 @@
 // is 300 jobs a second.
 const jobPartitionCount = 256
 
-const cancelSuffix = "/cancel"
+const (
+	cancelSuffix     = "/cancel"
+	earlyCancelInfix = "/early/"
+)
 
 // InboxPartitions returns the names of all partitions of the inbox.
 func InboxPartitions() []string {
@@ -84,24 +87,26 @@
 }
 
 // EarlyCancelKey returns the key of the row of an early cancellation by a caller in one of the alternative partitions. Those of several teams
-// stand beside each other, since a team must not cancel the job of another one.
+// stand beside each other, since a team must not cancel the job of another one. An owner of an earlier release takes the row for the
+// cancellation of a job that it does not know.
 func EarlyCancelKey(id string, by workload.Access, alternative int) rowstore.Key {
-	k := CancelKey(id, alternative)
-	if !by.Restricted {
-		k.Name += "/all"
-		return k
+	callers := "all"
+	if by.Restricted {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(by.Team))
+		callers = "team/" + strconv.FormatUint(h.Sum64(), 16)
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(by.Team))
-	k.Name += "/team/" + strconv.FormatUint(h.Sum64(), 16)
+	k := JobKey(id, alternative)
+	k.Name += earlyCancelInfix + callers + cancelSuffix
 	return k
 }
 
 // CancelledJob returns the id of the job that a row cancels and whether the cancellation is an early one, or false if the row is not a
 // cancellation.
 func CancelledJob(k rowstore.Key) (id string, early, found bool) {
-	id, rest, found := strings.Cut(k.Name, cancelSuffix)
-	return id, rest != "", found
+	name, found := strings.CutSuffix(k.Name, cancelSuffix)
+	id, _, early = strings.Cut(name, earlyCancelInfix)
+	return id, early, found
 }
 
 // ActiveJobKey returns the key of the row of a active job.
