--- a/internal/cluster/frontend/cancel_test.go
+++ b/internal/cluster/frontend/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 
 	"github.com/greengagewing/greengagewing/internal/cluster/peers"
@@ -15,11 +16,14 @@
 // lateStore keeps the commits for which loses holds, without performing them, and reports an unknown outcome.
 type lateStore struct {
 	*rowstore.Memory
+	mu    sync.Mutex // guards late, and makes the calls of loses one by one
 	loses func(rowstore.Txn) bool
 	late  []rowstore.Txn
 }
 
 func (s *lateStore) Commit(ctx context.Context, txn rowstore.Txn) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.loses != nil && s.loses(txn) {
 		s.late = append(s.late, txn)
 		return 0, rowstore.ErrUnknownOutcome
