--- a/internal/cluster/scheduler/endacks.go
+++ b/internal/cluster/scheduler/endacks.go
@@ -15,8 +15,8 @@
 	inherited  bool               // an earlier owner may have made attempts of which this one does not know
 }
 
-// newPendingAck returns the pending acknowledgement of an end that is applied now. Only the first end as done, and failed ones, which use up
-// the attempts of a task, must not be taken note of before a late start.
+// newPendingAck returns the pending acknowledgement of an end that is applied now. Only ends as done, and failed ones, which use up the
+// attempts of a task, must not be taken note of before a late start.
 func (s *Scheduler) newPendingAck(e EndedRun) pendingAck {
 	a := pendingAck{number: e.Number, generation: s.generation}
 	j := s.jobs[e.Task.Job]
